--- /dev/null
+++ b/src/common/event.h
@@ -0,0 +1,58 @@
+/**
+ * @file event.h
+ * The numbered log events.  docs/EVENTS.md is the catalogue.
+ */
+#ifndef BD_EVENT_H
+#define BD_EVENT_H
+
+/** Severities as in syslog. */
+enum bd_severity
+{
+  BD_SEVERITY_ERROR = 3,
+  BD_SEVERITY_WARNING = 4,
+  BD_SEVERITY_NOTICE = 5,
+  BD_SEVERITY_INFO = 6,
+  BD_SEVERITY_DEBUG = 7
+};
+
+/* Number, name, severity, text. */
+#define BD_EVENT_TABLE(X)                                                     \
+  X (1001, DAEMON_START, NOTICE, "daemon started")                            \
+  X (1002, DAEMON_READY, NOTICE, "daemon ready")                              \
+  X (1003, DAEMON_LEAVING, NOTICE, "shutdown requested, finishing work")      \
+  X (1004, DAEMON_STOP, NOTICE, "daemon stopped")                             \
+  X (1005, SETTING_BAD, ERROR, "setting refused")                             \
+  X (2001, REQUEST_DONE, INFO, "request answered whole")                      \
+  X (2002, REQUEST_REFUSED, INFO, "request refused")                          \
+  X (2003, REQUEST_RETRY, INFO, "request placed again")                       \
+  X (2004, REQUEST_SHED, INFO, "queued request shed")                         \
+  X (2005, REQUEST_QUEUED, DEBUG, "request queued")                           \
+  X (2006, REQUEST_GRANTED, DEBUG, "request granted")                         \
+  X (2007, REQUEST_STARTED, INFO, "request sent to the engine")               \
+  X (2008, REQUEST_ENDED, INFO, "engine finished the request")                \
+  X (2009, BILLING_LINE, INFO, "answer billed")                               \
+  X (2010, REQUEST_EXPIRED, INFO, "queued request expired")                   \
+  X (3001, CONFIG_IN_FORCE, NOTICE, "configuration in force")                 \
+  X (3002, CONFIG_REFUSED, WARNING, "document refused")                       \
+  X (3003, CONFIG_STALE, NOTICE, "older revision ignored")                    \
+  X (3004, PLATFORM_DOWN, WARNING, "configuration service unreachable")       \
+  X (3005, PLATFORM_UP, NOTICE, "configuration service reachable")            \
+  X (4001, MEMBER_LIVE, NOTICE, "peer is live")                               \
+  X (4002, MEMBER_SUSPECT, NOTICE, "peer is silent")                          \
+  X (4003, MEMBER_GONE, NOTICE, "peer removed")                               \
+  X (4004, RUNNER_STATE, NOTICE, "runner changed state")                      \
+  X (5001, ENGINE_DOWN, WARNING, "engine connection lost")                    \
+  X (5002, ENGINE_UP, NOTICE, "engine answers")                               \
+  X (5003, ENGINE_ORDER, NOTICE, "order given to the engine")                 \
+  X (5004, STRIKE, WARNING, "request was in flight at a crash")               \
+  X (5005, QUARANTINE, WARNING, "request quarantined")                        \
+  X (6001, PROTOCOL_ERROR, WARNING, "message refused")
+
+enum bd_event
+{
+#define BD_EVENT_ENUM(number, name, severity, text) BD_EVENT_##name = number,
+  BD_EVENT_TABLE (BD_EVENT_ENUM)
+#undef BD_EVENT_ENUM
+};
+
+#endif
--- /dev/null
+++ b/src/core/config.h
@@ -0,0 +1,104 @@
+/**
+ * @file config.h
+ * The configuration in force: a manifest, contracts and pools of runners.
+ *
+ * Documents carry a revision.  A document replaces the one in force only
+ * when its revision is higher, or is equal with a higher content hash, so
+ * that every daemon converges on the same content whatever the order of
+ * arrival.  Not thread-safe: the control thread owns it and publishes
+ * immutable snapshots.
+ */
+#ifndef BD_CONFIG_H
+#define BD_CONFIG_H
+
+#include "core/contract.h"
+
+/** What stands behind a pool's runners. */
+enum bd_pool_kind
+{
+  BD_POOL_MODEL = 0,  /**< Model engines. */
+  BD_POOL_SERVICE = 1 /**< Plain HTTP services. */
+};
+
+/** A runner as published: the address is its sidecar's ("IP:PORT"). */
+struct bd_roster_entry
+{
+  struct bd_chunk instance;
+  struct bd_chunk address;
+  struct bd_chunk zone;
+  bool checks_fencing;
+};
+
+/** One model or service and its runners, ordered by instance. */
+struct bd_pool
+{
+  struct bd_chunk name;
+  uint64_t revision;
+  enum bd_pool_kind kind;
+  size_t runner_count;
+  struct bd_roster_entry *runners;
+};
+
+/** An immutable view; valid until released. */
+struct bd_config_snapshot
+{
+  uint64_t manifest_revision;
+  size_t contract_count;
+  const struct bd_contract **contracts; /**< Ordered by workspace. */
+  size_t pool_count;
+  const struct bd_pool **pools; /**< Ordered by name. */
+};
+
+struct bd_config;
+
+struct bd_config *bd_config_create (void);
+void bd_config_destroy (struct bd_config *config);
+
+/**
+ * Offers a document.  NAME is "manifest", "contract/WORKSPACE" or
+ * "pool/NAME".  Returns BD_OK when it is now in force, BD_ERR_STALE when one
+ * at least as new is already, BD_ERR_CONTRACT when it is refused (REASON
+ * names workspace, field and reason; the former stays in force).
+ */
+int bd_config_offer (struct bd_config *config, struct bd_chunk name,
+                     struct bd_chunk json, char *reason, size_t reason_size);
+
+/** Revision of the manifest in force; 0 when none is. */
+uint64_t bd_config_revision (const struct bd_config *config);
+
+/** Digest over the documents in force, to compare peers with. */
+uint64_t bd_config_digest (const struct bd_config *config);
+
+/**
+ * Calls VISIT for each document that the manifest names in a higher revision
+ * than the one held.
+ */
+void bd_config_missing (const struct bd_config *config,
+                        void (*visit) (void *context, struct bd_chunk name),
+                        void *context);
+
+/** Raw text of a document in force; empty when there is none. */
+struct bd_chunk bd_config_document (const struct bd_config *config,
+                                    struct bd_chunk name);
+
+/**
+ * Takes a snapshot, to be released by bd_config_snapshot_release () from any
+ * thread.  It outlives later offers and the config itself.
+ */
+struct bd_config_snapshot *bd_config_snapshot (const struct bd_config *config);
+void bd_config_snapshot_release (struct bd_config_snapshot *snapshot);
+
+const struct bd_contract *
+bd_config_find_contract (const struct bd_config_snapshot *snapshot,
+                         struct bd_chunk workspace);
+
+/** Finds the contract that holds the hash of SECRET (a bearer credential). */
+const struct bd_contract *
+bd_config_find_credential (const struct bd_config_snapshot *snapshot,
+                           struct bd_chunk secret);
+
+const struct bd_pool *
+bd_config_find_pool (const struct bd_config_snapshot *snapshot,
+                     struct bd_chunk name);
+
+#endif
--- /dev/null
+++ b/src/core/histogram.h
@@ -0,0 +1,29 @@
+/**
+ * @file histogram.h
+ * A log-linear histogram of durations, with a relative error of at most 3 %.
+ */
+#ifndef BD_HISTOGRAM_H
+#define BD_HISTOGRAM_H
+
+#include "basildock.h"
+
+struct bd_histogram;
+
+struct bd_histogram *bd_histogram_create (void);
+void bd_histogram_destroy (struct bd_histogram *histogram);
+
+/** Adds a duration in microseconds.  Any thread, without a lock. */
+void bd_histogram_add (struct bd_histogram *histogram, int64_t value_us);
+
+uint64_t bd_histogram_count (const struct bd_histogram *histogram);
+int64_t bd_histogram_sum_us (const struct bd_histogram *histogram);
+
+/** The value at QUANTILE (0 to 1), in microseconds; 0 when empty. */
+int64_t bd_histogram_quantile (const struct bd_histogram *histogram,
+                               double quantile);
+
+/** How many of the values are at or below VALUE_US (within the error). */
+uint64_t bd_histogram_at_most (const struct bd_histogram *histogram,
+                               int64_t value_us);
+
+#endif
--- /dev/null
+++ b/src/core/suspect.h
@@ -0,0 +1,57 @@
+/**
+ * @file suspect.h
+ * Requests that crash runners: strikes by fingerprint, isolation, refusal.
+ */
+#ifndef BD_SUSPECT_H
+#define BD_SUSPECT_H
+
+#include "basildock.h"
+
+enum bd_suspicion
+{
+  BD_SUSPICION_NONE = 0,
+  BD_SUSPICION_ISOLATE,   /**< Runs alone, on its own small set. */
+  BD_SUSPICION_QUARANTINE /**< Is refused. */
+};
+
+/** What entries tell each other. */
+struct bd_strike
+{
+  uint64_t fingerprint;
+  struct bd_id crash; /**< Identifies the crash, counted once. */
+  bool alone;         /**< It was the only request in flight. */
+  bool cleared;       /**< It completed since: no suspicion is left. */
+  int64_t age_ms;
+};
+
+struct bd_suspects;
+
+struct bd_suspects *bd_suspects_create (uint32_t max_fingerprints,
+                                        int64_t keep_ms);
+void bd_suspects_destroy (struct bd_suspects *suspects);
+
+/** Takes in a strike, from a sidecar or a peer.  True when it was new. */
+bool bd_suspects_strike (struct bd_suspects *suspects, int64_t now_ms,
+                         const struct bd_strike *strike);
+
+/** A request with FINGERPRINT completed: it is cleared. */
+void bd_suspects_completed (struct bd_suspects *suspects, int64_t now_ms,
+                            uint64_t fingerprint);
+
+enum bd_suspicion bd_suspects_look (struct bd_suspects *suspects,
+                                    int64_t now_ms, uint64_t fingerprint);
+
+/**
+ * The runner (of COUNT, by instance name) on which an isolated request may
+ * run; the same at every entry.
+ */
+uint32_t bd_suspects_runner (uint64_t fingerprint,
+                             const struct bd_chunk *instances, size_t count);
+
+/** Strikes taken in since the last call, to tell peers; at most MAX. */
+size_t bd_suspects_news (struct bd_suspects *suspects, int64_t now_ms,
+                         struct bd_strike *strikes, size_t max);
+
+void bd_suspects_tick (struct bd_suspects *suspects, int64_t now_ms);
+
+#endif
