--- a/src/core/limiter.h
+++ b/src/core/limiter.h
@@ -10,14 +10,32 @@
 
 #include "core/contract.h"
 
+/** Part of each limit that is split equally and does not move. */
+#define BD_LIMITER_FLOOR_PERMYRIAD 1000
+/** Capacity of a bucket, in time at the share's rate; at least one request. */
+#define BD_LIMITER_BURST_MS 1000
+/** Time after which all peers in touch know what was told. */
+#define BD_LIMITER_HOLD_MS 1000
+/** A share or demand is told again after this time. */
+#define BD_LIMITER_REFRESH_MS 2000
+/** No share is raised before an entry has listened this long. */
+#define BD_LIMITER_START_MS 4000
+/** Out of touch this long, each side comes down to an equal part. */
+#define BD_LIMITER_LEASE_MS 8000
+/** Silent this long, a peer counts as holding an equal part only. */
+#define BD_LIMITER_EXPIRE_MS 12000
+/** Most peers that are remembered. */
+#define BD_LIMITER_PEERS_MAX 1024
+
 /** What an entry tells its peers of one workspace. */
 struct bd_demand
 {
   uint64_t workspace;      /**< Hash of the name. */
   uint32_t requests_per_s; /**< Offered here, smoothed, in thousandths. */
-  uint32_t tokens_per_s;   /**< Used here, smoothed, in thousandths. */
+  uint32_t tokens_per_s;   /**< Offered here, smoothed, in thousandths. */
   uint32_t running;
-  uint32_t share_permyriad; /**< Share held now, in 1/10000 of the limit. */
+  /** Share held now beyond the equal floor, in 1/10000 of the limit. */
+  uint32_t share_permyriad;
 };
 
 struct bd_limiter;
@@ -26,7 +44,10 @@
 struct bd_limiter *bd_limiter_create (uint64_t self);
 void bd_limiter_destroy (struct bd_limiter *limiter);
 
-/** Sets or replaces a workspace's limits; keeps its buckets. */
+/**
+ * Sets or replaces a workspace's limits; keeps its buckets.  A limit of 0 or
+ * less does not limit.  Returns BD_OK or BD_ERR_NOMEM.
+ */
 int bd_limiter_set (struct bd_limiter *limiter, int64_t now_ms,
                     uint64_t workspace, const struct bd_limits *limits);
 void bd_limiter_remove (struct bd_limiter *limiter, uint64_t workspace);
@@ -34,7 +55,11 @@
 /**
  * Admits a request that is expected to use TOKENS.  Returns BD_OK,
  * BD_ERR_RATE_LIMITED or BD_ERR_CONCURRENCY with *RETRY_AFTER_MS set, or
- * BD_ERR_NOT_FOUND.
+ * BD_ERR_NOT_FOUND.  After a rate refusal, *RETRY_AFTER_MS is the time until
+ * the bucket holds enough at the present share; after a refusal for
+ * concurrency, the smoothed time between two ends of requests.  A request of
+ * more tokens than the bucket can hold is admitted when it is full and leaves
+ * a debt.
  */
 int bd_limiter_admit (struct bd_limiter *limiter, int64_t now_ms,
                       uint64_t workspace, uint32_t tokens,
@@ -45,12 +70,21 @@
                          uint64_t workspace, uint32_t expected_tokens,
                          uint32_t used_tokens);
 
-/** Takes in what PEER told.  Records of a peer expire when not renewed. */
+/**
+ * Takes in what PEER told.  Records of a peer expire when not renewed.  Call
+ * it for every message of the peer, with COUNT 0 when it told nothing: the
+ * peer then counts as in touch.
+ */
 void bd_limiter_peer_demand (struct bd_limiter *limiter, int64_t now_ms,
                              uint64_t peer, const struct bd_demand *demands,
                              size_t count);
 
-/** Sets how many entries are known to exist, this one included. */
+/**
+ * Sets how many entries are known to exist, this one included.  Pass the
+ * number that the published instance list gives, not the number in touch:
+ * the entries beyond a partition must be counted.  Until this is called no
+ * share is raised above a small one; with 1 the entry takes all at once.
+ */
 void bd_limiter_set_peers (struct bd_limiter *limiter, int64_t now_ms,
                            uint32_t entries);
 
@@ -64,4 +98,8 @@
 size_t bd_limiter_demands (struct bd_limiter *limiter, int64_t now_ms,
                            struct bd_demand *demands, size_t max);
 
+/** Share in force here, floor included, in 1/10000 of the limit. */
+uint32_t bd_limiter_share (const struct bd_limiter *limiter,
+                           uint64_t workspace);
+
 #endif
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -7,6 +7,9 @@
 
 #include "basildock.h"
 
+/** Most runners that one call chooses. */
+#define BD_PLACEMENT_WANT_MAX 16
+
 /** What a sidecar reports of its runner. */
 struct bd_load
 {
@@ -36,7 +39,7 @@
 {
   struct bd_chunk zone;     /**< This entry's. */
   struct bd_chunk instance; /**< This entry's. */
-  uint32_t subset_size;     /**< Runners kept in touch per pool. */
+  uint32_t subset_size;     /**< Runners kept in touch per pool; 0: all. */
   uint64_t seed;
 };
 
@@ -47,9 +50,9 @@
 {
   uint64_t prefix_hash; /**< 0: none. */
   uint8_t tier;
-  uint32_t expected_tokens;
-  int32_t time_left_ms;
-  const uint32_t *exclude; /**< Runner indexes that are not asked again. */
+  uint32_t expected_tokens; /**< Output; 0: not known. */
+  int32_t time_left_ms;     /**< To the request's target; 0: it has none. */
+  const uint32_t *exclude;  /**< Runner indexes that are not asked again. */
   size_t exclude_count;
 };
 
@@ -61,15 +64,19 @@
   BD_POLICY_BETTER_OF_TWO /**< Lower reported load of two, bound at once. */
 };
 
-/** One per pool. */
+/** One per pool; copies what it needs of SETTINGS.  NULL: no memory. */
 struct bd_placement *
 bd_placement_create (const struct bd_placement_settings *settings,
                      enum bd_placement_policy policy);
 void bd_placement_destroy (struct bd_placement *placement);
 
 /**
- * Replaces the runners of the pool, keeping what is known of those that
- * stay.  Indexes given by bd_placement_find () change.
+ * Replaces the runners of the pool and draws the subset from them by
+ * rendezvous hashing on this entry's and the runner's name: half in this
+ * entry's zone, half in the others, as far as there are enough.  A runner
+ * that goes changes one place of the subset.  Keeps what is known of those
+ * that stay.  Indexes given by bd_placement_find () change.  Returns BD_OK,
+ * or BD_ERR_NOMEM with everything as before.
  */
 int bd_placement_set_runners (struct bd_placement *placement,
                               const struct bd_placement_runner *runners,
@@ -90,16 +97,22 @@
 enum bd_runner_state bd_placement_state (const struct bd_placement *placement,
                                          uint32_t index);
 
+/** Takes in a load report; one older than the last is ignored. */
 void bd_placement_report (struct bd_placement *placement, uint32_t index,
                           const struct bd_load *load);
 
-/** Records that a prefix was seen (or dropped) by a runner's cache. */
+/**
+ * Records that a prefix was seen (or dropped) by a runner's cache.  The memory
+ * for this is fixed: newer beliefs replace older ones.
+ */
 void bd_placement_cache_event (struct bd_placement *placement, uint32_t index,
                                uint64_t prefix_hash, bool present);
 
 /**
- * Chooses up to WANT runners to ask, best first.  Returns how many; 0 when
- * no runner may be asked.
+ * Chooses up to WANT runners to ask, best first; runners that are DOWN,
+ * LEAVING or excluded never.  Returns how many; 0 when no runner may be
+ * asked.  Policies that bind at once choose one.  A runner that is expected
+ * to miss the request's target is chosen only when no other is at hand.
  */
 size_t bd_placement_choose (struct bd_placement *placement, int64_t now_ms,
                             const struct bd_placement_request *request,
--- a/src/core/tier_queue.h
+++ b/src/core/tier_queue.h
@@ -9,6 +9,34 @@
 
 #include "basildock.h"
 
+/** Work that a workspace, or a class in it, may use in a turn, in tokens. */
+#define BD_QUEUE_QUANTUM 256
+
+/**
+ * Costs are taken as within these bounds when turns are shared out, in
+ * tokens.  A turn is thus at most BD_QUEUE_QUANTUM / BD_QUEUE_COST_MIN grants
+ * more than what was saved up, and a workspace waits at most
+ * BD_QUEUE_COST_MAX / BD_QUEUE_QUANTUM turns for its most expensive item.
+ */
+#define BD_QUEUE_COST_MIN 64
+#define BD_QUEUE_COST_MAX 4096
+
+/** Bounds of low_tier_share_permille: no tier starves, none is turned over. */
+#define BD_QUEUE_LOW_SHARE_MIN_PERMILLE 10
+#define BD_QUEUE_LOW_SHARE_MAX_PERMILLE 500
+
+/**
+ * Largest part of the grants that the minimum shares of classes below the
+ * highest waiting tier take together, on top of low_tier_share_permille.
+ */
+#define BD_QUEUE_RESERVED_PERMILLE 200
+
+/**
+ * Largest part of the highest waiting tier's own grants that the minimum
+ * shares of its classes take together; the rest goes by round robin.
+ */
+#define BD_QUEUE_DUE_PERMILLE 500
+
 /** One waiting request.  The queue copies it. */
 struct bd_queue_item
 {
@@ -42,7 +70,10 @@
  * Adds ITEM.  When the queue is full, the newest items of the lowest tier
  * present, if lower than ITEM's, are shed to make room: each is passed to
  * ON_SHED.  Returns BD_OK, BD_ERR_OVERLOADED when nothing lower is queued,
- * BD_ERR_INVALID for a duplicate (request, attempt), or BD_ERR_NOMEM.
+ * BD_ERR_TOO_LARGE when ITEM exceeds max_bytes alone, BD_ERR_INVALID for a
+ * duplicate (request, attempt), an unknown tier or no cost, or BD_ERR_NOMEM.
+ * Nothing is shed unless ITEM is queued.  ON_SHED may be NULL and must not
+ * use the queue.
  */
 int bd_tier_queue_push (struct bd_tier_queue *queue,
                         const struct bd_queue_item *item,
@@ -50,11 +81,20 @@
                                          const struct bd_queue_item *item),
                         void *context);
 
-/** Removes the item to grant next.  Returns false when empty. */
+/**
+ * Removes the item to grant next.  Returns false when empty.  The highest
+ * tier present goes first, but for low_tier_share_permille of the grants,
+ * which the lower tiers take in turn, and for classes that are behind their
+ * minimum share.  Within a tier: deficit round robin over workspaces, then
+ * over the classes of the workspace, oldest item first.
+ */
 bool bd_tier_queue_pop (struct bd_tier_queue *queue,
                         struct bd_queue_item *item);
 
-/** Removes one item whose deadline is at or before NOW_MS. */
+/**
+ * Removes the item with the earliest deadline, when that is at or before
+ * NOW_MS.  Costs the logarithm of the length.
+ */
 bool bd_tier_queue_expire (struct bd_tier_queue *queue, int64_t now_ms,
                            struct bd_queue_item *item);
 
@@ -66,6 +106,9 @@
 uint32_t bd_tier_queue_tier_length (const struct bd_tier_queue *queue,
                                     uint8_t tier);
 
+/** Summed bytes of the waiting items. */
+uint64_t bd_tier_queue_bytes (const struct bd_tier_queue *queue);
+
 /** Summed cost of the waiting items of TIER and the tiers above it. */
 uint64_t bd_tier_queue_work_ahead (const struct bd_tier_queue *queue,
                                    uint8_t tier);
