--- a/src/core/tier_queue.c
+++ b/src/core/tier_queue.c
@@ -2,66 +2,32 @@
 
 #include "common/string.h"
 #include "core/contract.h"
+#include "core/flow.h"
 #include "core/heap.h"
 #include "core/random.h"
+#include "core/ring.h"
 #include "core/table.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define RECORD(node, type, member)                                            \
-  ((type *)(void *)((char *)(node)-offsetof (type, member)))
-
 /** Credits are counted in thousandths of a grant. */
-#define GRANT 1000
+#define GRANT BD_FLOW_GRANT
 #define CREDIT_MAX 2000
 
-/** A member of a circular list whose owner points to the head. */
-struct ring
-{
-  struct ring *next;
-  struct ring *prev;
-};
-
-/** The waiting items of one class of one workspace in one tier. */
-struct class_flow
-{
-  struct bd_table_node node;
-  struct ring ring; /**< Of the workspace. */
-  struct bd_heap_node due;
-  struct workspace_flow *workspace;
-  uint64_t class_hash;
-  int64_t deficit;
-  int32_t min_share_permille;
-  struct ring *items; /**< Oldest first. */
-};
-
-/** The waiting classes of one workspace in one tier. */
-struct workspace_flow
-{
-  struct bd_table_node node;
-  struct ring ring; /**< Of the tier. */
-  uint64_t workspace;
-  int64_t deficit;
-  uint8_t tier;
-  struct ring *classes;
-};
-
 struct item
 {
   struct bd_table_node node;
-  struct ring in_class;
-  struct ring in_tier;
+  struct bd_flow_item in_flow;
+  struct bd_ring in_tier;
   struct bd_heap_node expiry;
-  struct class_flow *class_flow;
   struct bd_queue_item public;
 };
 
 struct tier
 {
-  struct ring *workspaces;
-  struct ring *items; /**< Oldest first. */
-  struct bd_heap due; /**< Classes with a minimum share. */
+  struct bd_flows flows;
+  struct bd_ring *items; /**< Oldest first. */
   uint64_t bytes;
   uint64_t work;
   uint32_t count;
@@ -72,8 +38,6 @@
   struct bd_queue_limits limits;
   struct tier tiers[BD_TIER_COUNT];
   struct bd_table items;
-  struct bd_table classes;
-  struct bd_table workspaces;
   struct bd_heap expiry;
   uint64_t bytes;
   uint64_t sequence;
@@ -85,36 +49,6 @@
   uint32_t count;
 };
 
-static void
-ring_append (struct ring **head, struct ring *node)
-{
-  if (!*head)
-    {
-      node->next = node;
-      node->prev = node;
-      *head = node;
-      return;
-    }
-  node->next = *head;
-  node->prev = (*head)->prev;
-  node->prev->next = node;
-  (*head)->prev = node;
-}
-
-static void
-ring_remove (struct ring **head, struct ring *node)
-{
-  if (node->next == node)
-    {
-      *head = NULL;
-      return;
-    }
-  node->prev->next = node->next;
-  node->next->prev = node->prev;
-  if (*head == node)
-    *head = node->next;
-}
-
 static int64_t
 clamp (int64_t value, int64_t low, int64_t high)
 {
@@ -129,18 +63,6 @@
   return request.high ^ bd_random_mix (request.low + attempt);
 }
 
-static uint64_t
-flow_hash (uint8_t tier, uint64_t name)
-{
-  return name + tier;
-}
-
-static int64_t
-item_cost (const struct item *item)
-{
-  return clamp (item->public.cost, BD_QUEUE_COST_MIN, BD_QUEUE_COST_MAX);
-}
-
 struct bd_tier_queue *
 bd_tier_queue_create (const struct bd_queue_limits *limits)
 {
@@ -173,152 +95,6 @@
   return NULL;
 }
 
-static struct workspace_flow *
-workspace_find (const struct bd_tier_queue *q, uint8_t tier, uint64_t name)
-{
-  struct bd_table_node *n
-      = bd_table_first (&q->workspaces, flow_hash (tier, name));
-
-  for (; n; n = bd_table_next (n))
-    {
-      struct workspace_flow *w = (struct workspace_flow *)n;
-
-      if (w->tier == tier && w->workspace == name)
-        return w;
-    }
-  return NULL;
-}
-
-static struct class_flow *
-class_find (const struct bd_tier_queue *q, const struct bd_queue_item *item)
-{
-  struct bd_table_node *n
-      = bd_table_first (&q->classes, flow_hash (item->tier, item->class_hash));
-
-  for (; n; n = bd_table_next (n))
-    {
-      struct class_flow *c = (struct class_flow *)n;
-
-      if (c->class_hash == item->class_hash && c->workspace->tier == item->tier
-          && c->workspace->workspace == item->workspace)
-        return c;
-    }
-  return NULL;
-}
-
-static void
-workspace_drop_if_empty (struct bd_tier_queue *q, struct workspace_flow *w)
-{
-  if (w->classes)
-    return;
-  ring_remove (&q->tiers[w->tier].workspaces, &w->ring);
-  bd_table_remove (&q->workspaces, &w->node);
-  free (w);
-}
-
-static void
-class_drop_if_empty (struct bd_tier_queue *q, struct class_flow *c)
-{
-  struct workspace_flow *w = c->workspace;
-
-  if (c->items)
-    return;
-  if (c->min_share_permille > 0)
-    bd_heap_remove (&q->tiers[w->tier].due, &c->due);
-  ring_remove (&w->classes, &c->ring);
-  bd_table_remove (&q->classes, &c->node);
-  free (c);
-  workspace_drop_if_empty (q, w);
-}
-
-static struct workspace_flow *
-workspace_obtain (struct bd_tier_queue *q, uint8_t tier, uint64_t name)
-{
-  struct workspace_flow *w = workspace_find (q, tier, name);
-
-  if (w)
-    return w;
-  w = calloc (1, sizeof *w);
-  if (!w)
-    return NULL;
-  w->tier = tier;
-  w->workspace = name;
-  w->deficit = BD_QUEUE_QUANTUM;
-  if (bd_table_insert (&q->workspaces, &w->node, flow_hash (tier, name))
-      != BD_OK)
-    {
-      free (w);
-      return NULL;
-    }
-  ring_append (&q->tiers[tier].workspaces, &w->ring);
-  return w;
-}
-
-static struct class_flow *
-class_create (struct bd_tier_queue *q, struct workspace_flow *w,
-              uint64_t class_hash)
-{
-  struct class_flow *c = calloc (1, sizeof *c);
-
-  if (!c)
-    return NULL;
-  c->workspace = w;
-  c->class_hash = class_hash;
-  c->deficit = BD_QUEUE_QUANTUM;
-  c->due.order = q->sequence++;
-  if (bd_table_insert (&q->classes, &c->node, flow_hash (w->tier, class_hash))
-      != BD_OK)
-    {
-      free (c);
-      return NULL;
-    }
-  ring_append (&w->classes, &c->ring);
-  return c;
-}
-
-static struct class_flow *
-class_obtain (struct bd_tier_queue *q, const struct bd_queue_item *item)
-{
-  struct class_flow *c = class_find (q, item);
-  struct workspace_flow *w;
-
-  if (c)
-    return c;
-  w = workspace_obtain (q, item->tier, item->workspace);
-  if (!w)
-    return NULL;
-  c = class_create (q, w, item->class_hash);
-  if (!c)
-    workspace_drop_if_empty (q, w);
-  return c;
-}
-
-static int64_t
-due_interval (const struct class_flow *c)
-{
-  return (int64_t)GRANT * GRANT / c->min_share_permille;
-}
-
-static int
-class_set_min_share (struct bd_tier_queue *q, struct class_flow *c,
-                     int32_t permille)
-{
-  struct bd_heap *due = &q->tiers[c->workspace->tier].due;
-  int32_t before = c->min_share_permille;
-
-  permille = (int32_t)clamp (permille, 0, GRANT);
-  if (before > 0 && permille == 0)
-    bd_heap_remove (due, &c->due);
-  c->min_share_permille = permille;
-  if (before > 0 || permille == 0)
-    return BD_OK;
-  c->due.key = q->granted * GRANT + due_interval (c);
-  if (bd_heap_add (due, &c->due) == BD_OK)
-    return BD_OK;
-  c->min_share_permille = 0;
-  return BD_ERR_NOMEM;
-}
-
 static int
 item_index (struct bd_tier_queue *q, struct item *item)
 {
@@ -337,25 +113,26 @@
 static int
 item_link (struct bd_tier_queue *q, struct item *item)
 {
-  struct tier *t = &q->tiers[item->public.tier];
-  struct class_flow *c = class_obtain (q, &item->public);
+  const struct bd_queue_item *public = &item->public;
+  struct tier *t = &q->tiers[public->tier];
 
-  if (!c)
+  if (item_index (q, item) != BD_OK)
     return BD_ERR_NOMEM;
-  if (class_set_min_share (q, c, item->public.min_share_permille) != BD_OK
-      || item_index (q, item) != BD_OK)
+  if (bd_flows_add (&t->flows, &item->in_flow, public->workspace,
+                    public->class_hash, public->cost,
+                    public->min_share_permille, q->granted)
+      != BD_OK)
     {
-      class_drop_if_empty (q, c);
+      bd_heap_remove (&q->expiry, &item->expiry);
+      bd_table_remove (&q->items, &item->node);
       return BD_ERR_NOMEM;
     }
-  item->class_flow = c;
-  ring_append (&c->items, &item->in_class);
-  ring_append (&t->items, &item->in_tier);
+  bd_ring_append (&t->items, &item->in_tier);
   t->count++;
-  t->bytes += item->public.bytes;
-  t->work += item->public.cost;
+  t->bytes += public->bytes;
+  t->work += public->cost;
   q->count++;
-  q->bytes += item->public.bytes;
+  q->bytes += public->bytes;
   return BD_OK;
 }
 
@@ -365,12 +142,11 @@
            struct bd_queue_item *out)
 {
   struct tier *t = &q->tiers[item->public.tier];
-  struct class_flow *c = item->class_flow;
 
   bd_table_remove (&q->items, &item->node);
   bd_heap_remove (&q->expiry, &item->expiry);
-  ring_remove (&c->items, &item->in_class);
-  ring_remove (&t->items, &item->in_tier);
+  bd_flows_remove (&t->flows, &item->in_flow);
+  bd_ring_remove (&t->items, &item->in_tier);
   t->count--;
   t->bytes -= item->public.bytes;
   t->work -= item->public.cost;
@@ -378,7 +154,6 @@
   q->bytes -= item->public.bytes;
   *out = item->public;
   free (item);
-  class_drop_if_empty (q, c);
 }
 
 void
@@ -391,13 +166,11 @@
   for (int t = 0; t < BD_TIER_COUNT; t++)
     {
       while (q->tiers[t].items)
-        item_take (q, RECORD (q->tiers[t].items, struct item, in_tier),
+        item_take (q, BD_RECORD (q->tiers[t].items, struct item, in_tier),
                    &ignored);
-      bd_heap_clear (&q->tiers[t].due);
+      bd_flows_clear (&q->tiers[t].flows);
     }
   bd_table_clear (&q->items);
-  bd_table_clear (&q->classes);
-  bd_table_clear (&q->workspaces);
   bd_heap_clear (&q->expiry);
   free (q);
 }
@@ -432,7 +205,7 @@
     {
       while (q->tiers[t].count == 0)
         t--;
-      item_take (q, RECORD (q->tiers[t].items->prev, struct item, in_tier),
+      item_take (q, BD_RECORD (q->tiers[t].items->prev, struct item, in_tier),
                  &shed);
       if (on_shed)
         on_shed (context, &shed);
@@ -469,50 +242,6 @@
   return BD_OK;
 }
 
-/** Oldest item of the class whose turn it is in W. */
-static struct item *
-workspace_next (struct workspace_flow *w)
-{
-  for (;;)
-    {
-      struct class_flow *c = RECORD (w->classes, struct class_flow, ring);
-      struct item *item = RECORD (c->items, struct item, in_class);
-
-      if (c->deficit >= item_cost (item))
-        return item;
-      c->deficit += BD_QUEUE_QUANTUM;
-      w->classes = w->classes->next;
-    }
-}
-
-/** Next item of tier T by deficit round robin. */
-static struct item *
-tier_next (struct tier *t)
-{
-  for (;;)
-    {
-      struct workspace_flow *w
-          = RECORD (t->workspaces, struct workspace_flow, ring);
-      struct item *item = workspace_next (w);
-
-      if (w->deficit >= item_cost (item))
-        return item;
-      w->deficit += BD_QUEUE_QUANTUM;
-      t->workspaces = t->workspaces->next;
-    }
-}
-
-/** Class of tier T whose minimum share is due first, or NULL. */
-static struct class_flow *
-tier_due (const struct bd_tier_queue *q, int t)
-{
-  struct bd_heap_node *n = bd_heap_first (&q->tiers[t].due);
-
-  if (!n || n->key > q->granted * GRANT)
-    return NULL;
-  return RECORD (n, struct class_flow, due);
-}
-
 static int
 top_tier (const struct bd_tier_queue *q)
 {
@@ -523,18 +252,24 @@
   return t;
 }
 
-/** The due class among the tiers below TOP, or NULL. */
-static struct class_flow *
+/** The item that is due first among the tiers below TOP, or NULL. */
+static struct bd_flow_item *
 lower_due (const struct bd_tier_queue *q, int top)
 {
-  struct class_flow *best = NULL;
+  struct bd_flow_item *best = NULL;
+  int64_t best_due = 0;
 
   for (int t = top + 1; t < BD_TIER_COUNT; t++)
     {
-      struct class_flow *c = tier_due (q, t);
+      int64_t due = 0;
+      struct bd_flow_item *item
+          = bd_flows_due (&q->tiers[t].flows, q->granted, &due);
 
-      if (c && (!best || c->due.key < best->due.key))
-        best = c;
+      if (item && (!best || due < best_due))
+        {
+          best = item;
+          best_due = due;
+        }
     }
   return best;
 }
@@ -552,69 +287,68 @@
   return t;
 }
 
-static struct item *
-select_next (struct bd_tier_queue *q)
+/** The item that takes a grant from tier TOP, or NULL. */
+static struct bd_flow_item *
+select_lower (struct bd_tier_queue *q, int top, bool *by_turn)
 {
-  int top = top_tier (q);
-  struct class_flow *c = NULL;
+  struct bd_flow_item *item;
 
-  if (q->tiers[top].count < q->count)
+  if (q->tiers[top].count == q->count)
+    return NULL;
+  q->low_credit += q->limits.low_tier_share_permille;
+  q->reserve_credit = (int32_t)clamp (
+      q->reserve_credit + BD_QUEUE_RESERVED_PERMILLE, 0, CREDIT_MAX);
+  if (q->low_credit >= GRANT)
     {
-      q->low_credit += q->limits.low_tier_share_permille;
-      q->reserve_credit = (int32_t)clamp (
-          q->reserve_credit + BD_QUEUE_RESERVED_PERMILLE, 0, CREDIT_MAX);
-      if (q->low_credit >= GRANT)
-        {
-          q->low_credit -= GRANT;
-          return tier_next (&q->tiers[next_low_tier (q, top)]);
-        }
-      c = q->reserve_credit >= GRANT ? lower_due (q, top) : NULL;
-      if (c)
-        {
-          q->reserve_credit -= GRANT;
-          return RECORD (c->items, struct item, in_class);
-        }
+      q->low_credit -= GRANT;
+      *by_turn = true;
+      return bd_flows_next (&q->tiers[next_low_tier (q, top)].flows);
     }
-  q->due_credit
-      = (int32_t)clamp (q->due_credit + BD_QUEUE_DUE_PERMILLE, 0, CREDIT_MAX);
-  c = q->due_credit >= GRANT ? tier_due (q, top) : NULL;
-  if (!c)
-    return tier_next (&q->tiers[top]);
-  q->due_credit -= GRANT;
-  return RECORD (c->items, struct item, in_class);
+  item = q->reserve_credit >= GRANT ? lower_due (q, top) : NULL;
+  if (item)
+    q->reserve_credit -= GRANT;
+  return item;
 }
 
-/** Charges a grant of ITEM to its class and workspace. */
-static void
-charge (struct bd_tier_queue *q, const struct item *item)
+static struct bd_flow_item *
+select_in_tier (struct bd_tier_queue *q, int top, bool *by_turn)
 {
-  struct class_flow *c = item->class_flow;
-  struct workspace_flow *w = c->workspace;
-  int64_t cost = item_cost (item);
-  int64_t now = q->granted * GRANT;
-
-  c->deficit = clamp (c->deficit - cost, -BD_QUEUE_COST_MAX, INT64_MAX);
-  w->deficit = clamp (w->deficit - cost, -BD_QUEUE_COST_MAX, INT64_MAX);
-  if (c->min_share_permille > 0)
-    {
-      int64_t interval = due_interval (c);
+  struct bd_flows *flows = &q->tiers[top].flows;
+  struct bd_flow_item *item = NULL;
+  int64_t due = 0;
 
-      bd_heap_change (&q->tiers[w->tier].due, &c->due,
-                      clamp (c->due.key + interval, now, now + interval));
+  q->due_credit
+      = (int32_t)clamp (q->due_credit + BD_QUEUE_DUE_PERMILLE, 0, CREDIT_MAX);
+  if (q->due_credit >= GRANT)
+    item = bd_flows_due (flows, q->granted, &due);
+  if (item)
+    {
+      q->due_credit -= GRANT;
+      return item;
     }
+  *by_turn = true;
+  return bd_flows_next (flows);
 }
 
 bool
 bd_tier_queue_pop (struct bd_tier_queue *q, struct bd_queue_item *item)
 {
-  struct item *next;
+  struct bd_flow_item *next;
+  struct item *taken;
+  bool by_turn = false;
+  int top;
 
   if (q->count == 0)
     return false;
   q->granted++;
-  next = select_next (q);
-  charge (q, next);
-  item_take (q, next, item);
+  top = top_tier (q);
+  next = select_lower (q, top, &by_turn);
+  if (!next)
+    next = select_in_tier (q, top, &by_turn);
+  taken = BD_RECORD (next, struct item, in_flow);
+  bd_flows_charge (&q->tiers[taken->public.tier].flows, next, q->granted,
+                   by_turn);
+  item_take (q, taken, item);
   return true;
 }
 
@@ -626,7 +360,7 @@
 
   if (!n || n->key > now_ms)
     return false;
-  item_take (q, RECORD (n, struct item, expiry), item);
+  item_take (q, BD_RECORD (n, struct item, expiry), item);
   return true;
 }
 
--- a/src/core/tier_queue.h
+++ b/src/core/tier_queue.h
@@ -9,18 +9,6 @@
 
 #include "basildock.h"
 
-/** Work that a workspace, or a class in it, may use in a turn, in tokens. */
-#define BD_QUEUE_QUANTUM 256
-
-/**
- * Costs are taken as within these bounds when turns are shared out, in
- * tokens.  A turn is thus at most BD_QUEUE_QUANTUM / BD_QUEUE_COST_MIN grants
- * more than what was saved up, and a workspace waits at most
- * BD_QUEUE_COST_MAX / BD_QUEUE_QUANTUM turns for its most expensive item.
- */
-#define BD_QUEUE_COST_MIN 64
-#define BD_QUEUE_COST_MAX 4096
-
 /** Bounds of low_tier_share_permille: no tier starves, none is turned over. */
 #define BD_QUEUE_LOW_SHARE_MIN_PERMILLE 10
 #define BD_QUEUE_LOW_SHARE_MAX_PERMILLE 500
