--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,16 +1,15 @@
 #include "core/placement.h"
 
 #include "common/string.h"
+#include "core/affinity.h"
 #include "core/random.h"
+#include "core/runner_load.h"
+#include "core/subset.h"
 #include "core/table.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/** A report this old says nothing more of the runner's queue. */
-#define LOAD_STALE_MS 3000
-/** A report this old says nothing more of the runner's speed. */
-#define SPEED_STALE_MS 30000
 /** How long the median and mean over the peers are used. */
 #define STATISTICS_MS 100
 /** Time per token while no runner has reported one. */
@@ -30,10 +29,8 @@
 
 #define SAMPLE_PER_WANTED 4
 #define SAMPLE_MIN 8
-#define AFFINITY_SETS 1024
-#define AFFINITY_WAYS 8
 #define CANDIDATES_MAX                                                        \
-  (BD_PLACEMENT_WANT_MAX * SAMPLE_PER_WANTED + AFFINITY_WAYS)
+  (BD_PLACEMENT_WANT_MAX * SAMPLE_PER_WANTED + BD_AFFINITY_WAYS)
 
 struct runner
 {
@@ -41,23 +38,12 @@
   char *name;
   size_t name_length;
   bool local;
-  bool reported;
   bool crashed;
   enum bd_runner_state state;
-  struct bd_load load;
-  int32_t outstanding;
-  int32_t outstanding_at_report;
+  struct bd_runner_load load;
   int64_t crash_ms;
 };
 
-/** A belief that a runner's cache holds a prefix. */
-struct belief
-{
-  uint64_t prefix_hash; /**< 0: unused. */
-  uint32_t runner;
-  uint32_t stamp;
-};
-
 struct candidate
 {
   uint32_t index;
@@ -84,61 +70,13 @@
   struct bd_table by_name;
   uint32_t *eligible;
   size_t eligible_count;
-  struct belief *beliefs;
-  uint32_t stamp;
+  struct bd_affinity *affinity;
   int64_t now_ms;
   int64_t statistics_ms;
   bool statistics_known;
-  double median_token_time_us;
-  double mean_backlog; /**< Requests per slot. */
+  struct bd_peer_load peers;
 };
 
-static double
-token_time_us (const struct bd_placement *p, const struct runner *r)
-{
-  double age_ms = (double)(p->now_ms - r->load.measured_ms);
-  double trust = 1.0 - age_ms / SPEED_STALE_MS;
-
-  if (!r->reported || r->load.token_time_us == 0 || trust <= 0.0)
-    return p->median_token_time_us;
-  if (trust > 1.0)
-    trust = 1.0;
-  return trust * r->load.token_time_us
-         + (1.0 - trust) * p->median_token_time_us;
-}
-
-static double
-reported_backlog (const struct runner *r, uint8_t tier)
-{
-  uint32_t slots = r->load.slots > 0 ? r->load.slots : 1;
-  uint32_t queued = tier == 0 ? r->load.queued_above : r->load.queued;
-
-  return ((double)r->load.running + queued) / slots;
-}
-
-/**
- * Requests per slot: the report, weighed with its age against the mean of
- * the peers, and the change in own asks since.
- */
-static double
-estimated_backlog (const struct bd_placement *p, const struct runner *r,
-                   uint8_t tier)
-{
-  double age_ms = (double)(p->now_ms - r->load.measured_ms);
-  double trust = r->reported ? 1.0 - age_ms / LOAD_STALE_MS : 0.0;
-  double slots = r->load.slots > 0 ? r->load.slots : 1;
-  double backlog;
-
-  if (trust < 0.0)
-    trust = 0.0;
-  if (trust > 1.0)
-    trust = 1.0;
-  backlog = trust * reported_backlog (r, tier)
-            + (1.0 - trust) * p->mean_backlog
-            + (r->outstanding - r->outstanding_at_report) / slots;
-  return backlog > 0.0 ? backlog : 0.0;
-}
-
 static int
 compare_u32 (const void *a, const void *b)
 {
@@ -162,17 +100,17 @@
     {
       const struct runner *r = &p->runners[i];
 
-      if (!r->reported || r->state == BD_RUNNER_DOWN)
+      if (!r->load.reported || r->state == BD_RUNNER_DOWN)
         continue;
       reported++;
-      sum += reported_backlog (r, 1);
-      if (r->load.token_time_us > 0)
-        p->eligible[timed++] = r->load.token_time_us;
+      sum += bd_runner_load_reported (&r->load, 1);
+      if (r->load.load.token_time_us > 0)
+        p->eligible[timed++] = r->load.load.token_time_us;
     }
   qsort (p->eligible, timed, sizeof *p->eligible, compare_u32);
-  p->median_token_time_us
+  p->peers.token_time_us
       = timed > 0 ? p->eligible[(timed - 1) / 2] : DEFAULT_TOKEN_TIME_US;
-  p->mean_backlog = reported > 0 ? sum / (double)reported : 0.0;
+  p->peers.backlog = reported > 0 ? sum / (double)reported : 0.0;
   p->statistics_ms = p->now_ms;
   p->statistics_known = true;
 }
@@ -219,25 +157,6 @@
   return size;
 }
 
-static struct belief *
-belief_set (const struct bd_placement *p, uint64_t prefix_hash)
-{
-  size_t set = (size_t)bd_random_mix (prefix_hash) % AFFINITY_SETS;
-
-  return &p->beliefs[set * AFFINITY_WAYS];
-}
-
-static bool
-believed (const struct bd_placement *p, uint64_t prefix_hash, uint32_t index)
-{
-  const struct belief *set = belief_set (p, prefix_hash);
-
-  for (int i = 0; i < AFFINITY_WAYS; i++)
-    if (set[i].prefix_hash == prefix_hash && set[i].runner == index)
-      return prefix_hash != 0;
-  return false;
-}
-
 static double
 crash_cost_ms (const struct bd_placement *p, const struct runner *r)
 {
@@ -256,10 +175,12 @@
   const struct runner *r = &p->runners[index];
   uint32_t tokens = request->expected_tokens > 0 ? request->expected_tokens
                                                  : DEFAULT_EXPECTED_TOKENS;
-  double slots = r->load.slots > 0 ? r->load.slots : 1;
-  double service_ms = tokens * token_time_us (p, r) / 1000.0;
-  double backlog = estimated_backlog (p, r, request->tier);
-  double excess = backlog + 1.0 / slots - 1.0;
+  double token_ms
+      = bd_runner_load_token_time_us (&r->load, &p->peers, p->now_ms) / 1000.0;
+  double service_ms = tokens * token_ms;
+  double backlog
+      = bd_runner_load_backlog (&r->load, &p->peers, p->now_ms, request->tier);
+  double excess = backlog + 1.0 / bd_runner_load_slots (&r->load) - 1.0;
   double time_ms = service_ms + (excess > 0.0 ? excess * service_ms : 0.0);
   struct candidate c = { .index = index };
 
@@ -268,10 +189,8 @@
   c.cost_ms = time_ms + backlog * BUSY_COST_MS + crash_cost_ms (p, r);
   if (!r->local)
     c.cost_ms += REMOTE_ZONE_COST_MS;
-  if (!r->reported)
+  if (!r->load.reported)
     c.cost_ms += UNKNOWN_COST_MS;
-  if (believed (p, request->prefix_hash, index))
-    c.cost_ms -= AFFINITY_GAIN_MS;
   return c;
 }
 
@@ -279,8 +198,9 @@
 static bool
 passes_straggler_test (struct bd_placement *p, uint32_t index)
 {
-  double ratio
-      = token_time_us (p, &p->runners[index]) / p->median_token_time_us;
+  double token_us = bd_runner_load_token_time_us (&p->runners[index].load,
+                                                  &p->peers, p->now_ms);
+  double ratio = token_us / p->peers.token_time_us;
 
   if (ratio < STRAGGLER_RATIO)
     return true;
@@ -312,20 +232,23 @@
   return count + 1;
 }
 
+/** Adds the runners that are believed to hold the prefix. */
 static size_t
-add_believed (const struct bd_placement *p,
-              const struct bd_placement_request *request,
-              struct candidate *list, size_t count)
-{
-  const struct belief *set = belief_set (p, request->prefix_hash);
-
-  if (request->prefix_hash == 0)
-    return count;
-  for (int i = 0; i < AFFINITY_WAYS; i++)
-    if (set[i].prefix_hash == request->prefix_hash
-        && may_ask (p, set[i].runner, request))
-      count
-          = insert_candidate (list, count, assess (p, set[i].runner, request));
+add_holders (const struct bd_placement *p,
+             const struct bd_placement_request *request,
+             struct candidate *list, size_t count)
+{
+  uint32_t holders[BD_AFFINITY_WAYS];
+  size_t n = bd_affinity_holders (p->affinity, request->prefix_hash, holders);
+
+  for (size_t i = 0; i < n; i++)
+    if (may_ask (p, holders[i], request))
+      {
+        struct candidate c = assess (p, holders[i], request);
+
+        c.cost_ms -= AFFINITY_GAIN_MS;
+        count = insert_candidate (list, count, c);
+      }
   return count;
 }
 
@@ -337,7 +260,7 @@
   struct candidate list[CANDIDATES_MAX];
   size_t size = want * SAMPLE_PER_WANTED;
   size_t sampled;
-  size_t count = 0;
+  size_t count = add_holders (p, request, list, 0);
   size_t chosen = 0;
 
   sampled = sample_eligible (p, size < SAMPLE_MIN ? SAMPLE_MIN : size);
@@ -345,7 +268,6 @@
     if (passes_straggler_test (p, p->eligible[i]))
       count = insert_candidate (list, count,
                                 assess (p, p->eligible[i], request));
-  count = add_believed (p, request, list, count);
   if (count == 0 && sampled > 0)
     count = insert_candidate (list, 0, assess (p, p->eligible[0], request));
   while (chosen < count && chosen < want
@@ -383,8 +305,9 @@
     return 0;
   indexes[0] = two[0];
   if (sampled == 2
-      && reported_backlog (&p->runners[two[1]], request->tier)
-             < reported_backlog (&p->runners[two[0]], request->tier))
+      && bd_runner_load_reported (&p->runners[two[1]].load, request->tier)
+             < bd_runner_load_reported (&p->runners[two[0]].load,
+                                        request->tier))
     indexes[0] = two[1];
   return 1;
 }
@@ -408,9 +331,8 @@
   p->self = bd_chunk_hash (settings->instance);
   p->random = settings->seed ^ p->self;
   p->zone = bd_chunk_copy (settings->zone);
-  p->beliefs
-      = calloc ((size_t)AFFINITY_SETS * AFFINITY_WAYS, sizeof *p->beliefs);
-  if (!p->zone || !p->beliefs)
+  p->affinity = bd_affinity_create ();
+  if (!p->zone || !p->affinity)
     {
       bd_placement_destroy (p);
       return NULL;
@@ -436,66 +358,11 @@
   runners_free (p->runners, p->count);
   bd_table_clear (&p->by_name);
   free (p->eligible);
-  free (p->beliefs);
+  bd_affinity_destroy (p->affinity);
   free (p->zone);
   free (p);
 }
 
-/** A runner of the pool while the subset is drawn. */
-struct rank
-{
-  uint64_t score;
-  size_t index;
-  bool local;
-};
-
-/** Local runners first, then by falling score. */
-static int
-compare_rank (const void *a, const void *b)
-{
-  const struct rank *x = a;
-  const struct rank *y = b;
-
-  if (x->local != y->local)
-    return x->local ? -1 : 1;
-  if (x->score != y->score)
-    return x->score > y->score ? -1 : 1;
-  return (x->index > y->index) - (x->index < y->index);
-}
-
-/**
- * Draws the subset by rendezvous hashing: half from the entry's own zone and
- * half from the others, as far as there are enough.  Puts it at the front of
- * RANKS and returns its size.
- */
-static size_t
-draw_subset (const struct bd_placement *p,
-             const struct bd_placement_runner *runners, size_t count,
-             struct rank *ranks)
-{
-  size_t size = p->settings.subset_size;
-  size_t local = 0;
-  size_t take;
-
-  for (size_t i = 0; i < count; i++)
-    {
-      uint64_t name = bd_chunk_hash (runners[i].instance);
-
-      ranks[i].index = i;
-      ranks[i].score = bd_random_mix (p->self ^ bd_random_mix (name));
-      ranks[i].local = bd_chunk_equal (runners[i].zone, p->settings.zone);
-      local += ranks[i].local ? 1 : 0;
-    }
-  if (size == 0 || count <= size)
-    return count;
-  qsort (ranks, count, sizeof *ranks, compare_rank);
-  take = local < (size + 1) / 2 ? local : (size + 1) / 2;
-  if (count - local < size - take)
-    take = size - (count - local);
-  memmove (&ranks[take], &ranks[local], (size - take) * sizeof *ranks);
-  return size;
-}
-
 /** Copies what is known of an old runner, or starts a new one. */
 static int
 runner_init (const struct bd_placement *p, struct runner *r,
@@ -512,37 +379,32 @@
 }
 
 /** Lets beliefs follow their runners to new indexes, or forgets them. */
-static void
+static int
 move_beliefs (struct bd_placement *p, const struct bd_placement *next)
 {
-  size_t total = (size_t)AFFINITY_SETS * AFFINITY_WAYS;
+  int *to = calloc (p->count + 1, sizeof *to);
 
-  for (size_t i = 0; i < total; i++)
-    {
-      struct belief *b = &p->beliefs[i];
-      int to;
-
-      if (b->prefix_hash == 0)
-        continue;
-      to = bd_placement_find (next, bd_placement_instance (p, b->runner));
-      if (to < 0)
-        memset (b, 0, sizeof *b);
-      else
-        b->runner = (uint32_t)to;
-    }
+  if (!to)
+    return BD_ERR_NOMEM;
+  for (uint32_t i = 0; i < p->count; i++)
+    to[i] = bd_placement_find (next, bd_placement_instance (p, i));
+  bd_affinity_renumber (p->affinity, to);
+  free (to);
+  return BD_OK;
 }
 
 static int
 build_runners (const struct bd_placement *p,
                const struct bd_placement_runner *runners,
-               const struct rank *ranks, struct bd_placement *next)
+               const struct bd_subset_member *members,
+               struct bd_placement *next)
 {
   for (size_t i = 0; i < next->count; i++)
     {
       struct runner *r = &next->runners[i];
-      const struct bd_placement_runner *from = &runners[ranks[i].index];
+      const struct bd_placement_runner *from = &runners[members[i].index];
 
-      if (runner_init (p, r, from, ranks[i].local) != BD_OK
+      if (runner_init (p, r, from, members[i].local) != BD_OK
           || bd_table_insert (&next->by_name, &r->node,
                               bd_chunk_hash (from->instance))
                  != BD_OK)
@@ -557,17 +419,20 @@
                           size_t count)
 {
   struct bd_placement next = { 0 };
-  struct rank *ranks = calloc (count + 1, sizeof *ranks);
+  struct bd_subset_member *members = calloc (count + 1, sizeof *members);
   int rc = BD_ERR_NOMEM;
 
-  if (!ranks)
+  if (!members)
     return BD_ERR_NOMEM;
-  next.count = draw_subset (p, runners, count, ranks);
+  next.count = bd_subset_draw (p->self, p->settings.zone, runners, count,
+                               p->settings.subset_size, members);
   next.runners = calloc (next.count + 1, sizeof *next.runners);
   next.eligible = calloc (next.count + 1, sizeof *next.eligible);
   if (next.runners && next.eligible)
-    rc = build_runners (p, runners, ranks, &next);
-  free (ranks);
+    rc = build_runners (p, runners, members, &next);
+  if (rc == BD_OK)
+    rc = move_beliefs (p, &next);
+  free (members);
   if (rc != BD_OK)
     {
       if (next.runners)
@@ -576,7 +441,6 @@
       bd_table_clear (&next.by_name);
       return rc;
     }
-  move_beliefs (p, &next);
   runners_free (p->runners, p->count);
   bd_table_clear (&p->by_name);
   free (p->eligible);
@@ -649,41 +513,16 @@
 bd_placement_report (struct bd_placement *p, uint32_t index,
                      const struct bd_load *load)
 {
-  struct runner *r;
-
-  if (index >= p->count)
-    return;
-  r = &p->runners[index];
-  if (r->reported && load->measured_ms < r->load.measured_ms)
-    return;
-  r->load = *load;
-  r->reported = true;
-  r->outstanding_at_report = r->outstanding;
+  if (index < p->count)
+    bd_runner_load_report (&p->runners[index].load, load);
 }
 
 void
 bd_placement_cache_event (struct bd_placement *p, uint32_t index,
                           uint64_t prefix_hash, bool present)
 {
-  struct belief *set = belief_set (p, prefix_hash);
-  struct belief *slot = &set[0];
-
-  if (prefix_hash == 0 || index >= p->count)
-    return;
-  for (int i = 0; i < AFFINITY_WAYS; i++)
-    {
-      if (set[i].prefix_hash == prefix_hash && set[i].runner == index)
-        {
-          slot = &set[i];
-          break;
-        }
-      if (set[i].stamp < slot->stamp)
-        slot = &set[i];
-    }
-  if (present)
-    *slot = (struct belief){ prefix_hash, index, ++p->stamp };
-  else if (slot->prefix_hash == prefix_hash && slot->runner == index)
-    memset (slot, 0, sizeof *slot);
+  if (index < p->count)
+    bd_affinity_note (p->affinity, prefix_hash, index, present);
 }
 
 size_t
@@ -704,12 +543,6 @@
 void
 bd_placement_asked (struct bd_placement *p, uint32_t index, int delta)
 {
-  struct runner *r;
-
-  if (index >= p->count)
-    return;
-  r = &p->runners[index];
-  r->outstanding += delta;
-  if (r->outstanding < 0)
-    r->outstanding = 0;
+  if (index < p->count)
+    bd_runner_load_asked (&p->runners[index].load, delta);
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -51,7 +51,7 @@
   uint64_t prefix_hash; /**< 0: none. */
   uint8_t tier;
   uint32_t expected_tokens; /**< Output; 0: not known. */
-  int32_t time_left_ms;     /**< To the request's target; 0: it has none. */
+  int32_t time_left_ms;     /**< To the end of the answer; 0: no target. */
   const uint32_t *exclude;  /**< Runner indexes that are not asked again. */
   size_t exclude_count;
 };
--- /dev/null
+++ b/src/core/runner_load.c
@@ -0,0 +1,75 @@
+#include "core/runner_load.h"
+
+/** A report this old says nothing more of the runner's queue. */
+#define BACKLOG_STALE_MS 3000
+/** A report this old says nothing more of the runner's speed. */
+#define SPEED_STALE_MS 30000
+
+void
+bd_runner_load_report (struct bd_runner_load *runner,
+                       const struct bd_load *load)
+{
+  if (runner->reported && load->measured_ms < runner->load.measured_ms)
+    return;
+  runner->load = *load;
+  runner->reported = true;
+  runner->outstanding_at_report = runner->outstanding;
+}
+
+void
+bd_runner_load_asked (struct bd_runner_load *runner, int delta)
+{
+  runner->outstanding += delta;
+  if (runner->outstanding < 0)
+    runner->outstanding = 0;
+}
+
+double
+bd_runner_load_slots (const struct bd_runner_load *runner)
+{
+  return runner->load.slots > 0 ? runner->load.slots : 1.0;
+}
+
+/** How far the report counts: from 1 when fresh to 0 when STALE_MS old. */
+static double
+trust (const struct bd_runner_load *runner, int64_t now_ms, double stale_ms)
+{
+  double age_ms = (double)(now_ms - runner->load.measured_ms);
+
+  if (!runner->reported || age_ms >= stale_ms)
+    return 0.0;
+  return age_ms > 0.0 ? 1.0 - age_ms / stale_ms : 1.0;
+}
+
+double
+bd_runner_load_reported (const struct bd_runner_load *runner, uint8_t tier)
+{
+  double queued = tier == 0 ? runner->load.queued_above : runner->load.queued;
+
+  return (runner->load.running + queued) / bd_runner_load_slots (runner);
+}
+
+double
+bd_runner_load_backlog (const struct bd_runner_load *runner,
+                        const struct bd_peer_load *peers, int64_t now_ms,
+                        uint8_t tier)
+{
+  double t = trust (runner, now_ms, BACKLOG_STALE_MS);
+  double asked = (double)runner->outstanding - runner->outstanding_at_report;
+  double backlog = t * bd_runner_load_reported (runner, tier)
+                   + (1.0 - t) * peers->backlog
+                   + asked / bd_runner_load_slots (runner);
+
+  return backlog > 0.0 ? backlog : 0.0;
+}
+
+double
+bd_runner_load_token_time_us (const struct bd_runner_load *runner,
+                              const struct bd_peer_load *peers, int64_t now_ms)
+{
+  double t = trust (runner, now_ms, SPEED_STALE_MS);
+
+  if (runner->load.token_time_us == 0)
+    return peers->token_time_us;
+  return t * runner->load.token_time_us + (1.0 - t) * peers->token_time_us;
+}
--- /dev/null
+++ b/src/core/subset.c
@@ -0,0 +1,48 @@
+#include "core/subset.h"
+
+#include "common/string.h"
+#include "core/random.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Local runners first, then by falling score. */
+static int
+compare_members (const void *a, const void *b)
+{
+  const struct bd_subset_member *x = a;
+  const struct bd_subset_member *y = b;
+
+  if (x->local != y->local)
+    return x->local ? -1 : 1;
+  if (x->score != y->score)
+    return x->score > y->score ? -1 : 1;
+  return (x->index > y->index) - (x->index < y->index);
+}
+
+size_t
+bd_subset_draw (uint64_t entry, struct bd_chunk zone,
+                const struct bd_placement_runner *runners, size_t count,
+                size_t size, struct bd_subset_member *members)
+{
+  size_t local = 0;
+  size_t take;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t name = bd_chunk_hash (runners[i].instance);
+
+      members[i].index = i;
+      members[i].score = bd_random_mix (entry ^ bd_random_mix (name));
+      members[i].local = bd_chunk_equal (runners[i].zone, zone);
+      local += members[i].local ? 1 : 0;
+    }
+  if (size == 0 || count <= size)
+    return count;
+  qsort (members, count, sizeof *members, compare_members);
+  take = local < (size + 1) / 2 ? local : (size + 1) / 2;
+  if (count - local < size - take)
+    take = size - (count - local);
+  memmove (&members[take], &members[local], (size - take) * sizeof *members);
+  return size;
+}
