--- /dev/null
+++ b/test/test_link.c
@@ -0,0 +1,131 @@
+#include "wire/link.h"
+
+#include <glib.h>
+#include <zmq.h>
+
+#define WAIT_MS 20
+#define WAITS_MAX 500
+
+static struct bd_link *
+make (const char *name, const char *address, const char *public_key,
+      const char *secret_key)
+{
+  struct bd_link_settings s = { .instance = name,
+                                .address = address,
+                                .curve_public = public_key,
+                                .curve_secret = secret_key };
+  int error;
+  struct bd_link *link = bd_link_create (&s, &error);
+
+  g_assert_cmpint (error, ==, BD_OK);
+  return link;
+}
+
+static bool
+receive (struct bd_link *link, uint32_t type, char from_name[64])
+{
+  struct bd_chunk from;
+  struct bd_message m;
+
+  for (int i = 0; i < WAITS_MAX; i++)
+    {
+      if (bd_link_receive (link, &from, &m) == BD_OK)
+        {
+          g_strlcpy (from_name, from.data, MIN (from.length + 1, 64));
+          return m.type == type;
+        }
+      bd_link_wait (link, -1, WAIT_MS);
+    }
+  return false;
+}
+
+static void
+exchange (const char *public_key, const char *secret_key, const char *a_addr,
+          const char *b_addr)
+{
+  struct bd_link *a = make ("entry-1", a_addr, public_key, secret_key);
+  struct bd_link *b = make ("runner-1", b_addr, public_key, secret_key);
+  struct bd_message m = { .type = BD_MESSAGE_RESERVE };
+  char from[64];
+
+  g_assert_cmpint (bd_link_send (a, BD_CHUNK ("runner-1"), &m), ==,
+                   BD_ERR_NOT_FOUND);
+  g_assert_cmpint (
+      bd_link_connect (a, BD_CHUNK ("runner-1"), bd_chunk_of (b_addr)), ==,
+      BD_OK);
+  g_assert_cmpint (bd_link_send (a, BD_CHUNK ("runner-1"), &m), ==, BD_OK);
+  g_assert_true (receive (b, BD_MESSAGE_RESERVE, from));
+  g_assert_cmpstr (from, ==, "entry-1");
+  m.type = BD_MESSAGE_GRANT;
+  g_assert_cmpint (bd_link_send (b, BD_CHUNK ("entry-1"), &m), ==, BD_OK);
+  g_assert_true (receive (a, BD_MESSAGE_GRANT, from));
+  g_assert_cmpstr (from, ==, "runner-1");
+  g_assert_cmpuint (bd_link_counts (a)->sent[0], ==, 1);
+  g_assert_cmpuint (bd_link_counts (a)->received[0], ==, 1);
+  bd_link_destroy (b);
+  bd_link_destroy (a);
+}
+
+static void
+test_plain (void)
+{
+  exchange ("", "", "127.0.0.1:17911", "127.0.0.1:17912");
+}
+
+static void
+test_curve (void)
+{
+  char public_key[41];
+  char secret_key[41];
+
+  zmq_curve_keypair (public_key, secret_key);
+  exchange (public_key, secret_key, "127.0.0.1:17913", "127.0.0.1:17914");
+}
+
+static bool
+changed (struct bd_link *link, enum bd_link_change wanted)
+{
+  struct bd_chunk instance;
+  enum bd_link_change change;
+
+  for (int i = 0; i < WAITS_MAX; i++)
+    {
+      while (bd_link_change (link, &instance, &change))
+        if (change == wanted)
+          return bd_chunk_equal (instance, BD_CHUNK ("runner-1"));
+      bd_link_wait (link, -1, WAIT_MS);
+    }
+  return false;
+}
+
+/* A peer that goes and comes back under its address is seen both times, and
+   is reached again under the same name. */
+static void
+test_lost_and_back (void)
+{
+  struct bd_link *a = make ("entry-1", "127.0.0.1:17915", "", "");
+  struct bd_link *b = make ("runner-1", "127.0.0.1:17916", "", "");
+  struct bd_message m = { .type = BD_MESSAGE_RESERVE };
+  char from[64];
+
+  bd_link_connect (a, BD_CHUNK ("runner-1"), BD_CHUNK ("127.0.0.1:17916"));
+  g_assert_true (changed (a, BD_LINK_UP));
+  bd_link_destroy (b);
+  g_assert_true (changed (a, BD_LINK_LOST));
+  b = make ("runner-1", "127.0.0.1:17916", "", "");
+  g_assert_true (changed (a, BD_LINK_UP));
+  g_assert_cmpint (bd_link_send (a, BD_CHUNK ("runner-1"), &m), ==, BD_OK);
+  g_assert_true (receive (b, BD_MESSAGE_RESERVE, from));
+  bd_link_destroy (b);
+  bd_link_destroy (a);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/link/plain", test_plain);
+  g_test_add_func ("/link/curve", test_curve);
+  g_test_add_func ("/link/lost-and-back", test_lost_and_back);
+  return g_test_run ();
+}
