--- /dev/null
+++ b/src/core/dispatch.c
@@ -0,0 +1,520 @@
+#include "core/dispatch.h"
+#include "core/job.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SUSPECTS_MAX 4096
+#define SUSPECTS_KEEP_MS 600000
+/* A running attempt without progress for this long is given up. */
+#define PROGRESS_TIMEOUT_MS 30000
+/* How long a keyed request waits beyond its time for its custodian's word. */
+#define CUSTODIAN_GRACE_MS 200
+
+struct bd_dispatch *
+bd_dispatch_create (const struct bd_dispatch_settings *settings,
+                    struct bd_dispatch_port *port)
+{
+  struct bd_dispatch *d = calloc (1, sizeof *d);
+
+  if (!d)
+    return NULL;
+  d->settings = *settings;
+  d->port = port;
+  d->instance = bd_chunk_copy (settings->instance);
+  d->zone = bd_chunk_copy (settings->zone);
+  d->settings.instance = bd_chunk_of (d->instance);
+  d->settings.zone = bd_chunk_of (d->zone);
+  d->fleet = bd_fleet_create (&d->settings, port);
+  d->limiter = bd_limiter_create (bd_chunk_hash (settings->instance));
+  d->suspects = bd_suspects_create (SUSPECTS_MAX, SUSPECTS_KEEP_MS);
+  d->jobs = bd_map_create ();
+  d->classes = bd_map_create ();
+  if (d->fleet && d->limiter && d->suspects && d->jobs && d->classes)
+    return d;
+  bd_dispatch_destroy (d);
+  return NULL;
+}
+
+void
+bd_dispatch_destroy (struct bd_dispatch *dispatch)
+{
+  size_t cursor = 0;
+  void *learned;
+
+  if (!dispatch)
+    return;
+  while (dispatch->first)
+    bd_job_free (dispatch, 0, dispatch->first);
+  while (dispatch->classes
+         && (learned = bd_map_next (dispatch->classes, &cursor)))
+    free (learned);
+  bd_map_destroy (dispatch->classes);
+  bd_map_destroy (dispatch->jobs);
+  bd_fleet_destroy (dispatch->fleet);
+  bd_limiter_destroy (dispatch->limiter);
+  bd_suspects_destroy (dispatch->suspects);
+  free (dispatch->instance);
+  free (dispatch->zone);
+  free (dispatch);
+}
+
+void
+bd_dispatch_configure (struct bd_dispatch *dispatch, int64_t now_ms,
+                       const struct bd_config_snapshot *snapshot)
+{
+  bd_fleet_configure (dispatch->fleet, snapshot);
+  for (size_t i = 0; i < snapshot->contract_count; i++)
+    bd_limiter_set (dispatch->limiter, now_ms,
+                    bd_chunk_hash (snapshot->contracts[i]->workspace),
+                    &snapshot->contracts[i]->limits);
+}
+
+/* Copies all texts of the request into one block. */
+static char *
+copy_texts (struct bd_dispatch_request *r)
+{
+  struct bd_chunk *texts[]
+      = { &r->workspace, &r->class_name, &r->pool,
+          &r->method,    &r->path,       &r->content_type,
+          &r->body,      &r->key_text,   &r->key_custodian };
+  size_t count = sizeof texts / sizeof texts[0];
+  size_t total = 1;
+  char *owned;
+  char *at;
+
+  for (size_t i = 0; i < count; i++)
+    total += texts[i]->length;
+  owned = malloc (total);
+  if (!owned)
+    return NULL;
+  at = owned;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (texts[i]->length > 0)
+        memcpy (at, texts[i]->data, texts[i]->length);
+      texts[i]->data = at;
+      at += texts[i]->length;
+    }
+  return owned;
+}
+
+static void
+fill_job (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  const struct bd_dispatch_request *r = &job->request;
+
+  job->workspace_hash = bd_chunk_hash (r->workspace);
+  job->class_hash = job->workspace_hash * 31 + bd_chunk_hash (r->class_name);
+  job->expected_tokens
+      = bd_job_expected (dispatch, job->class_hash, r->max_tokens);
+  job->keyed = r->key_text.length > 0;
+  job->idempotent = (r->flags & BD_FLAG_IDEMPOTENT) != 0;
+  job->streamed = (r->flags & BD_FLAG_STREAM) != 0;
+  job->deadline_ms = now_ms + r->deadline_ms;
+}
+
+static struct job *
+add_job (struct bd_dispatch *dispatch, int64_t now_ms,
+         const struct bd_dispatch_request *request)
+{
+  struct job *job = calloc (1, sizeof *job);
+
+  if (!job)
+    return NULL;
+  job->request = *request;
+  job->owned = copy_texts (&job->request);
+  job->stream = bd_stream_create ();
+  if (!job->owned || !job->stream
+      || bd_map_put (dispatch->jobs, request->request, 0, job) != BD_OK)
+    {
+      bd_stream_destroy (job->stream);
+      free (job->owned);
+      free (job);
+      return NULL;
+    }
+  fill_job (dispatch, now_ms, job);
+  job->previous = dispatch->last;
+  if (dispatch->last)
+    dispatch->last->next = job;
+  else
+    dispatch->first = job;
+  dispatch->last = job;
+  dispatch->open++;
+  return job;
+}
+
+static void
+refuse_new (struct bd_dispatch *dispatch, struct bd_id request, int error,
+            int64_t retry_after_ms)
+{
+  struct bd_delivery delivery = { .kind = BD_DELIVERY_FAIL,
+                                  .error = error,
+                                  .ran = BD_RAN_NO,
+                                  .retry_after_ms = retry_after_ms };
+
+  dispatch->port->deliver (dispatch->port, request, &delivery);
+}
+
+void
+bd_dispatch_submit (struct bd_dispatch *dispatch, int64_t now_ms,
+                    const struct bd_dispatch_request *request)
+{
+  enum bd_suspicion suspicion
+      = bd_suspects_look (dispatch->suspects, now_ms, request->fingerprint);
+  uint64_t workspace = bd_chunk_hash (request->workspace);
+  uint64_t class_hash = workspace * 31 + bd_chunk_hash (request->class_name);
+  uint32_t tokens
+      = bd_job_expected (dispatch, class_hash, request->max_tokens);
+  int32_t retry_after_ms = 0;
+  struct job *job;
+  int rc;
+
+  if (suspicion == BD_SUSPICION_QUARANTINE)
+    {
+      dispatch->port->note (dispatch->port, BD_EVENT_QUARANTINE,
+                            request->request, 0, "");
+      refuse_new (dispatch, request->request, BD_ERR_QUARANTINED, 0);
+      return;
+    }
+  rc = bd_limiter_admit (dispatch->limiter, now_ms, workspace, tokens,
+                         &retry_after_ms);
+  if (rc != BD_OK)
+    {
+      refuse_new (dispatch, request->request, rc, retry_after_ms);
+      return;
+    }
+  job = add_job (dispatch, now_ms, request);
+  if (!job)
+    {
+      bd_limiter_release (dispatch->limiter, now_ms, workspace, tokens, 0);
+      refuse_new (dispatch, request->request, BD_ERR_NOMEM, 0);
+      return;
+    }
+  job->alone = suspicion == BD_SUSPICION_ISOLATE;
+  bd_job_ask (dispatch, now_ms, job);
+}
+
+static struct job *
+find_job (const struct bd_dispatch *dispatch, struct bd_id request)
+{
+  return bd_map_get (dispatch->jobs, request, 0);
+}
+
+void
+bd_dispatch_delivered (struct bd_dispatch *dispatch, int64_t now_ms,
+                       struct bd_id request)
+{
+  struct job *job = find_job (dispatch, request);
+  struct bd_message m = { .type = BD_MESSAGE_RECEIPT };
+
+  if (!job || job->state != JOB_ANSWERED)
+    return;
+  bd_job_send (dispatch, job, job->runner, &m);
+  bd_job_free (dispatch, now_ms, job);
+}
+
+void
+bd_dispatch_cancel (struct bd_dispatch *dispatch, int64_t now_ms,
+                    struct bd_id request)
+{
+  struct job *job = find_job (dispatch, request);
+  struct bd_message m = { .type = BD_MESSAGE_CANCEL };
+
+  if (!job)
+    return;
+  if (job->state != JOB_ASKING)
+    bd_job_send (dispatch, job, job->runner, &m);
+  if (job->state == JOB_ANSWERED)
+    bd_job_free (dispatch, now_ms, job);
+  else
+    bd_job_fail (dispatch, now_ms, job, BD_ERR_CANCELLED,
+                 job->runs > 0 || job->keyed ? BD_RAN_UNKNOWN : BD_RAN_NO);
+}
+
+static void
+take_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+            struct bd_fleet_runner *runner, const struct bd_message *m)
+{
+  struct bd_message decline = { .type = BD_MESSAGE_DECLINE,
+                                .request = m->request,
+                                .attempt = m->attempt,
+                                .target_incarnation = m->incarnation };
+  bool asked = false;
+
+  for (size_t i = 0; job && i < job->ask_count; i++)
+    asked |= job->asks[i].runner == runner && job->asks[i].open;
+  if (job && job->state == JOB_ASKING && job->attempt == m->attempt && asked)
+    {
+      bd_job_grant (dispatch, now_ms, job, runner);
+      return;
+    }
+  /* A second grant of the attempt that runs there is a copy. */
+  if (job && job->runner == runner && job->attempt == m->attempt)
+    return;
+  dispatch->port->send (dispatch->port, bd_chunk_of (runner->instance),
+                        &decline);
+  dispatch->port->count (dispatch->port, BD_DISPATCH_DECLINE);
+}
+
+static void
+take_fail (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+           struct bd_fleet_runner *runner, const struct bd_message *m)
+{
+  struct bd_strike strike = {
+    .fingerprint = m->fingerprint,
+    .crash = { bd_chunk_hash (bd_chunk_of (runner->instance)) ^ m->incarnation,
+               m->sequence },
+    .alone = (m->flags & BD_FLAG_ALONE) != 0,
+  };
+
+  if (m->sequence != 0
+      && bd_suspects_strike (dispatch->suspects, now_ms, &strike))
+    dispatch->port->note (dispatch->port, BD_EVENT_STRIKE, m->request,
+                          m->attempt, runner->instance);
+  if (job->state == JOB_RUNNING)
+    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran);
+}
+
+static void
+take_refusal (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              struct bd_fleet_runner *runner, const struct bd_message *m)
+{
+  if (job->state == JOB_ASKING)
+    bd_job_refused (dispatch, now_ms, job, runner, m);
+  else if (job->state == JOB_RUNNING && job->runner == runner)
+    bd_job_retry (dispatch, now_ms, job,
+                  m->error == BD_ERR_STALE ? BD_ERR_NO_RUNNER : m->error,
+                  (enum bd_ran)m->ran);
+}
+
+/* A recorded answer comes without a grant. */
+static bool
+accepts_answer (struct job *job, struct bd_fleet_runner *runner,
+                const struct bd_message *m)
+{
+  if (job->state == JOB_ASKING && job->keyed && m->type == BD_MESSAGE_HEAD
+      && job->ask_count > 0 && job->asks[0].runner == runner)
+    {
+      job->state = JOB_RUNNING;
+      job->runner = runner;
+      runner->jobs++;
+      bd_stream_attempt (job->stream, job->attempt);
+    }
+  return job->state == JOB_RUNNING && job->runner == runner;
+}
+
+static void
+take_message (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              struct bd_fleet_runner *runner, const struct bd_message *m)
+{
+  if (m->type == BD_MESSAGE_REFUSE)
+    take_refusal (dispatch, now_ms, job, runner, m);
+  else if (m->type == BD_MESSAGE_FAIL)
+    take_fail (dispatch, now_ms, job, runner, m);
+  else if (!accepts_answer (job, runner, m))
+    return;
+  else if (m->type == BD_MESSAGE_HEAD)
+    bd_job_head (dispatch, job, m);
+  else if (m->type == BD_MESSAGE_CHUNK)
+    bd_job_chunk (dispatch, now_ms, job, m);
+  else if (m->type == BD_MESSAGE_END)
+    bd_job_end (dispatch, now_ms, job, m);
+}
+
+/* What a runner held is lost: its connection, or its process, is gone. */
+static void
+lose_runner (struct bd_dispatch *dispatch, int64_t now_ms,
+             struct bd_fleet_runner *runner)
+{
+  struct bd_message lost
+      = { .type = BD_MESSAGE_REFUSE, .error = BD_ERR_NO_RUNNER };
+  struct job *job = dispatch->first;
+
+  while (job)
+    {
+      struct job *next = job->next;
+      bool asked = false;
+
+      for (size_t i = 0; i < job->ask_count; i++)
+        asked |= job->asks[i].runner == runner && job->asks[i].open;
+      if (job->state == JOB_ASKING && asked && !job->keyed)
+        bd_job_refused (dispatch, now_ms, job, runner, &lost);
+      else if (job->state == JOB_RUNNING && job->runner == runner)
+        bd_job_retry (dispatch, now_ms, job,
+                      job->keyed ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_BROKEN,
+                      BD_RAN_UNKNOWN);
+      job = next;
+    }
+}
+
+void
+bd_dispatch_message (struct bd_dispatch *dispatch, int64_t now_ms,
+                     struct bd_chunk runner, const struct bd_message *message)
+{
+  struct bd_fleet_runner *sender = bd_fleet_runner (dispatch->fleet, runner);
+  struct job *job;
+  uint64_t before;
+
+  if (!sender)
+    return;
+  before = sender->incarnation;
+  if (!bd_fleet_heard (dispatch->fleet, now_ms, sender, message))
+    return;
+  if (before != 0 && before != sender->incarnation)
+    lose_runner (dispatch, now_ms, sender);
+  if (message->type == BD_MESSAGE_HEARTBEAT)
+    return;
+  job = find_job (dispatch, message->request);
+  if (message->type == BD_MESSAGE_GRANT)
+    take_grant (dispatch, now_ms, job, sender, message);
+  else if (job && job->attempt == message->attempt)
+    take_message (dispatch, now_ms, job, sender, message);
+}
+
+void
+bd_dispatch_connection (struct bd_dispatch *dispatch, int64_t now_ms,
+                        struct bd_chunk runner, bool up)
+{
+  struct bd_fleet_runner *r = bd_fleet_runner (dispatch->fleet, runner);
+
+  if (!r)
+    return;
+  if (up)
+    {
+      if (r->state == BD_RUNNER_DOWN)
+        bd_fleet_set_state (r, BD_RUNNER_UNKNOWN);
+      return;
+    }
+  bd_fleet_set_state (r, BD_RUNNER_DOWN);
+  lose_runner (dispatch, now_ms, r);
+}
+
+void
+bd_dispatch_leaving (struct bd_dispatch *dispatch, struct bd_chunk runner)
+{
+  struct bd_fleet_runner *r = bd_fleet_runner (dispatch->fleet, runner);
+
+  if (r && r->state != BD_RUNNER_DOWN)
+    bd_fleet_set_state (r, BD_RUNNER_LEAVING);
+}
+
+static void
+tick_job (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  struct bd_message cancel = { .type = BD_MESSAGE_CANCEL };
+  int64_t grace_ms = job->keyed ? CUSTODIAN_GRACE_MS : 0;
+
+  if (job->state == JOB_ASKING)
+    {
+      if (now_ms >= job->queue_until_ms + grace_ms)
+        bd_job_fail (dispatch, now_ms, job, BD_ERR_DEADLINE,
+                     job->keyed || job->runs > 0 ? BD_RAN_UNKNOWN : BD_RAN_NO);
+      else if (now_ms >= job->widen_ms)
+        bd_job_widen (dispatch, now_ms, job);
+      return;
+    }
+  if (job->state == JOB_ANSWERED)
+    return;
+  if (now_ms >= job->deadline_ms)
+    {
+      bd_job_send (dispatch, job, job->runner, &cancel);
+      bd_job_fail (dispatch, now_ms, job, BD_ERR_DEADLINE, BD_RAN_UNKNOWN);
+    }
+  else if (now_ms - job->heard_ms >= PROGRESS_TIMEOUT_MS)
+    {
+      bd_job_send (dispatch, job, job->runner, &cancel);
+      bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN);
+    }
+}
+
+struct tick_context
+{
+  struct bd_dispatch *dispatch;
+  int64_t now_ms;
+};
+
+static void
+on_runner_down (void *data, struct bd_fleet_runner *runner)
+{
+  struct tick_context *context = data;
+
+  lose_runner (context->dispatch, context->now_ms, runner);
+}
+
+void
+bd_dispatch_tick (struct bd_dispatch *dispatch, int64_t now_ms)
+{
+  struct tick_context context = { dispatch, now_ms };
+  struct job *job = dispatch->first;
+
+  while (job)
+    {
+      struct job *next = job->next;
+
+      tick_job (dispatch, now_ms, job);
+      job = next;
+    }
+  bd_fleet_tick (dispatch->fleet, now_ms, on_runner_down, &context);
+  bd_limiter_tick (dispatch->limiter, now_ms);
+  bd_suspects_tick (dispatch->suspects, now_ms);
+}
+
+size_t
+bd_dispatch_open (const struct bd_dispatch *dispatch)
+{
+  return dispatch->open;
+}
+
+bool
+bd_dispatch_custodian (struct bd_dispatch *dispatch, struct bd_chunk pool,
+                       struct bd_chunk *instance, uint64_t *incarnation)
+{
+  struct bd_fleet_pool *p = bd_fleet_pool (dispatch->fleet, pool);
+  struct bd_placement_request any = { .expected_tokens = 1 };
+  uint32_t index;
+
+  if (!p || bd_placement_choose (p->placement, 0, &any, &index, 1) == 0
+      || p->subset[index]->incarnation == 0)
+    return false;
+  *instance = bd_chunk_of (p->subset[index]->instance);
+  *incarnation = p->subset[index]->incarnation;
+  return true;
+}
+
+struct bd_limiter *
+bd_dispatch_limiter (struct bd_dispatch *dispatch)
+{
+  return dispatch->limiter;
+}
+
+struct bd_suspects *
+bd_dispatch_suspects (struct bd_dispatch *dispatch)
+{
+  return dispatch->suspects;
+}
+
+size_t
+bd_dispatch_runner_count (const struct bd_dispatch *dispatch)
+{
+  return bd_fleet_count (dispatch->fleet);
+}
+
+void
+bd_dispatch_runner (const struct bd_dispatch *dispatch, size_t index,
+                    struct bd_runner_view *view)
+{
+  const struct bd_fleet_runner *r = bd_fleet_at (dispatch->fleet, index);
+
+  *view = (struct bd_runner_view){
+    .instance = bd_chunk_of (r->instance),
+    .address = bd_chunk_of (r->address),
+    .zone = bd_chunk_of (r->zone),
+    .pool = bd_chunk_of (r->pool->name),
+    .state = r->state,
+    .incarnation = r->incarnation,
+    .load = r->load,
+    .heard_ms = r->heard_ms,
+  };
+}
--- /dev/null
+++ b/src/core/fleet.c
@@ -0,0 +1,431 @@
+#include "core/fleet.h"
+#include "common/map.h"
+#include "common/string.h"
+
+#include <stdlib.h>
+#include <xxhash.h>
+
+/* A connected runner that says nothing for this long counts as down. */
+#define RUNNER_SILENT_MS 15000
+/* A connection outside the subset is closed when unused for this long. */
+#define EXTRA_IDLE_MS 60000
+
+struct bd_fleet
+{
+  struct bd_dispatch_settings settings;
+  struct bd_dispatch_port *port;
+  struct bd_map *by_name; /* hash of the instance: runner */
+  struct bd_fleet_runner **runners;
+  size_t runner_count;
+  struct bd_fleet_pool **pools;
+  size_t pool_count;
+};
+
+static struct bd_id
+name_id (struct bd_chunk name)
+{
+  XXH128_hash_t hash
+      = XXH3_128bits (name.length > 0 ? name.data : "", name.length);
+
+  return (struct bd_id){ hash.high64, hash.low64 };
+}
+
+struct bd_fleet *
+bd_fleet_create (const struct bd_dispatch_settings *settings,
+                 struct bd_dispatch_port *port)
+{
+  struct bd_fleet *fleet = calloc (1, sizeof *fleet);
+
+  if (!fleet)
+    return NULL;
+  fleet->settings = *settings;
+  fleet->port = port;
+  fleet->by_name = bd_map_create ();
+  if (fleet->by_name)
+    return fleet;
+  free (fleet);
+  return NULL;
+}
+
+static void
+free_runner (struct bd_fleet_runner *runner)
+{
+  free (runner->instance);
+  free (runner->address);
+  free (runner->zone);
+  free (runner);
+}
+
+static void
+free_pool (struct bd_fleet_pool *pool)
+{
+  bd_placement_destroy (pool->placement);
+  free (pool->name);
+  free (pool->runners);
+  free (pool->subset);
+  free (pool);
+}
+
+void
+bd_fleet_destroy (struct bd_fleet *fleet)
+{
+  if (!fleet)
+    return;
+  for (size_t i = 0; i < fleet->runner_count; i++)
+    free_runner (fleet->runners[i]);
+  for (size_t i = 0; i < fleet->pool_count; i++)
+    free_pool (fleet->pools[i]);
+  free (fleet->runners);
+  free (fleet->pools);
+  bd_map_destroy (fleet->by_name);
+  free (fleet);
+}
+
+struct bd_fleet_pool *
+bd_fleet_pool (const struct bd_fleet *fleet, struct bd_chunk name)
+{
+  for (size_t i = 0; i < fleet->pool_count; i++)
+    if (fleet->pools[i]->kept
+        && bd_chunk_equal (bd_chunk_of (fleet->pools[i]->name), name))
+      return fleet->pools[i];
+  return NULL;
+}
+
+struct bd_fleet_runner *
+bd_fleet_runner (const struct bd_fleet *fleet, struct bd_chunk instance)
+{
+  return bd_map_get (fleet->by_name, name_id (instance), 0);
+}
+
+static void
+connect_runner (struct bd_fleet *fleet, struct bd_fleet_runner *runner)
+{
+  if (runner->connected)
+    return;
+  runner->connected = true;
+  fleet->port->connect (fleet->port, bd_chunk_of (runner->instance),
+                        bd_chunk_of (runner->address));
+}
+
+static void
+disconnect_runner (struct bd_fleet *fleet, struct bd_fleet_runner *runner)
+{
+  if (!runner->connected)
+    return;
+  runner->connected = false;
+  fleet->port->disconnect (fleet->port, bd_chunk_of (runner->instance));
+}
+
+void
+bd_fleet_use (struct bd_fleet *fleet, int64_t now_ms,
+              struct bd_fleet_runner *runner)
+{
+  runner->used_ms = now_ms;
+  connect_runner (fleet, runner);
+}
+
+/* A runner that was published before keeps its state, unless it has moved. */
+static struct bd_fleet_runner *
+take_runner (struct bd_fleet *fleet, const struct bd_roster_entry *entry)
+{
+  struct bd_fleet_runner *runner = bd_fleet_runner (fleet, entry->instance);
+  struct bd_fleet_runner **grown;
+
+  if (runner)
+    {
+      if (!bd_chunk_equal (bd_chunk_of (runner->address), entry->address))
+        {
+          disconnect_runner (fleet, runner);
+          free (runner->address);
+          runner->address = bd_chunk_copy (entry->address);
+          runner->state = BD_RUNNER_UNKNOWN;
+        }
+      return runner;
+    }
+  runner = calloc (1, sizeof *runner);
+  grown = realloc (fleet->runners, (fleet->runner_count + 1)
+                                       * sizeof (struct bd_fleet_runner *));
+  if (grown)
+    fleet->runners = grown;
+  if (!runner || !grown)
+    {
+      free (runner);
+      return NULL;
+    }
+  runner->instance = bd_chunk_copy (entry->instance);
+  runner->address = bd_chunk_copy (entry->address);
+  runner->zone = bd_chunk_copy (entry->zone);
+  if (!runner->instance || !runner->address || !runner->zone
+      || bd_map_put (fleet->by_name, name_id (entry->instance), 0, runner)
+             != BD_OK)
+    {
+      free_runner (runner);
+      return NULL;
+    }
+  fleet->runners[fleet->runner_count++] = runner;
+  return runner;
+}
+
+static struct bd_fleet_pool *
+take_pool (struct bd_fleet *fleet, const struct bd_pool *published)
+{
+  struct bd_placement_settings settings
+      = { .zone = fleet->settings.zone,
+          .instance = fleet->settings.instance,
+          .subset_size = fleet->settings.subset_size,
+          .seed = fleet->settings.seed };
+  struct bd_fleet_pool *pool;
+  struct bd_fleet_pool **grown;
+
+  for (size_t i = 0; i < fleet->pool_count; i++)
+    if (bd_chunk_equal (bd_chunk_of (fleet->pools[i]->name), published->name))
+      return fleet->pools[i];
+  pool = calloc (1, sizeof *pool);
+  grown = realloc (fleet->pools,
+                   (fleet->pool_count + 1) * sizeof (struct bd_fleet_pool *));
+  if (grown)
+    fleet->pools = grown;
+  if (!pool || !grown)
+    {
+      free (pool);
+      return NULL;
+    }
+  pool->name = bd_chunk_copy (published->name);
+  pool->placement = bd_placement_create (&settings, fleet->settings.policy);
+  if (!pool->name || !pool->placement)
+    {
+      free_pool (pool);
+      return NULL;
+    }
+  fleet->pools[fleet->pool_count++] = pool;
+  return pool;
+}
+
+/* Connects to the runners of the subset and tells the placement what is
+   known of them. */
+static int
+choose_subset (struct bd_fleet *fleet, struct bd_fleet_pool *pool)
+{
+  size_t count = bd_placement_count (pool->placement);
+  struct bd_fleet_runner **subset
+      = calloc (count > 0 ? count : 1, sizeof (struct bd_fleet_runner *));
+
+  if (!subset)
+    return BD_ERR_NOMEM;
+  for (size_t i = 0; i < pool->runner_count; i++)
+    pool->runners[i]->in_subset = false;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      subset[i] = bd_fleet_runner (fleet,
+                                   bd_placement_instance (pool->placement, i));
+      subset[i]->in_subset = true;
+      bd_placement_set_state (pool->placement, i, subset[i]->state);
+      connect_runner (fleet, subset[i]);
+    }
+  free (pool->subset);
+  pool->subset = subset;
+  pool->subset_count = count;
+  return BD_OK;
+}
+
+static int
+configure_pool (struct bd_fleet *fleet, const struct bd_pool *published)
+{
+  struct bd_fleet_pool *pool = take_pool (fleet, published);
+  size_t count = published->runner_count;
+  struct bd_placement_runner *candidates
+      = calloc (count > 0 ? count : 1, sizeof *candidates);
+  struct bd_fleet_runner **runners
+      = calloc (count > 0 ? count : 1, sizeof (struct bd_fleet_runner *));
+  int rc = BD_ERR_NOMEM;
+  size_t taken = 0;
+
+  if (pool && candidates && runners)
+    {
+      pool->kept = true;
+      pool->kind = published->kind;
+      for (size_t i = 0; i < count; i++)
+        {
+          struct bd_fleet_runner *runner
+              = take_runner (fleet, &published->runners[i]);
+
+          if (!runner)
+            continue;
+          runner->kept = true;
+          runner->pool = pool;
+          candidates[taken].instance = bd_chunk_of (runner->instance);
+          candidates[taken].zone = bd_chunk_of (runner->zone);
+          runners[taken++] = runner;
+        }
+      free (pool->runners);
+      pool->runners = runners;
+      pool->runner_count = taken;
+      runners = NULL;
+      rc = bd_placement_set_runners (pool->placement, candidates, taken);
+    }
+  if (rc == BD_OK)
+    rc = choose_subset (fleet, pool);
+  free (runners);
+  free (candidates);
+  return rc;
+}
+
+/* Runners that requests still refer to stay, but get no new work. */
+static void
+forget_unpublished (struct bd_fleet *fleet)
+{
+  size_t left = 0;
+
+  for (size_t i = 0; i < fleet->runner_count; i++)
+    {
+      struct bd_fleet_runner *runner = fleet->runners[i];
+
+      if (runner->kept || runner->jobs > 0)
+        {
+          fleet->runners[left++] = runner;
+          continue;
+        }
+      disconnect_runner (fleet, runner);
+      bd_map_remove (fleet->by_name, name_id (bd_chunk_of (runner->instance)),
+                     0);
+      free_runner (runner);
+    }
+  fleet->runner_count = left;
+}
+
+int
+bd_fleet_configure (struct bd_fleet *fleet,
+                    const struct bd_config_snapshot *snapshot)
+{
+  int rc = BD_OK;
+
+  for (size_t i = 0; i < fleet->runner_count; i++)
+    fleet->runners[i]->kept = false;
+  for (size_t i = 0; i < fleet->pool_count; i++)
+    fleet->pools[i]->kept = false;
+  for (size_t i = 0; i < snapshot->pool_count && rc == BD_OK; i++)
+    rc = configure_pool (fleet, snapshot->pools[i]);
+  for (size_t i = 0; i < fleet->pool_count; i++)
+    if (!fleet->pools[i]->kept)
+      {
+        fleet->pools[i]->runner_count = 0;
+        rc = bd_placement_set_runners (fleet->pools[i]->placement, NULL, 0);
+        fleet->pools[i]->subset_count = 0;
+      }
+  if (rc == BD_OK)
+    forget_unpublished (fleet);
+  return rc;
+}
+
+struct bd_fleet_runner *
+bd_fleet_home (const struct bd_fleet_pool *pool, struct bd_id key)
+{
+  struct bd_fleet_runner *home = NULL;
+  uint64_t best = 0;
+
+  for (size_t i = 0; i < pool->runner_count; i++)
+    {
+      struct bd_id name = name_id (bd_chunk_of (pool->runners[i]->instance));
+      uint64_t words[4] = { key.high, key.low, name.high, name.low };
+      uint64_t rank = XXH64 (words, sizeof words, 0);
+
+      if (!home || rank > best)
+        {
+          home = pool->runners[i];
+          best = rank;
+        }
+    }
+  return home;
+}
+
+void
+bd_fleet_set_state (struct bd_fleet_runner *runner, enum bd_runner_state state)
+{
+  struct bd_placement *placement = runner->pool->placement;
+  int index = bd_placement_find (placement, bd_chunk_of (runner->instance));
+
+  runner->state = state;
+  if (index >= 0)
+    bd_placement_set_state (placement, (uint32_t)index, state);
+}
+
+static void
+take_load (struct bd_fleet_runner *runner, int64_t now_ms,
+           const struct bd_message *m)
+{
+  struct bd_placement *placement = runner->pool->placement;
+  int index = bd_placement_find (placement, bd_chunk_of (runner->instance));
+
+  runner->load = (struct bd_load){ .queued = m->queued,
+                                   .queued_above = m->queued_above,
+                                   .running = m->running,
+                                   .slots = m->slots,
+                                   .token_time_us = m->token_time_us,
+                                   .measured_ms = now_ms };
+  if (index >= 0)
+    bd_placement_report (placement, (uint32_t)index, &runner->load);
+}
+
+bool
+bd_fleet_heard (struct bd_fleet *fleet, int64_t now_ms,
+                struct bd_fleet_runner *runner,
+                const struct bd_message *message)
+{
+  enum bd_runner_state state = BD_RUNNER_LIVE;
+
+  (void)fleet;
+  if (message->incarnation < runner->incarnation)
+    return false;
+  runner->incarnation = message->incarnation;
+  runner->heard_ms = now_ms;
+  /* Only messages that carry the load tell the state. */
+  if (message->slots == 0)
+    return true;
+  if (message->flags & BD_FLAG_LEAVING)
+    state = BD_RUNNER_LEAVING;
+  else if (message->flags & BD_FLAG_ENGINE_DOWN)
+    state = BD_RUNNER_DOWN;
+  if (state != runner->state)
+    bd_fleet_set_state (runner, state);
+  take_load (runner, now_ms, message);
+  return true;
+}
+
+void
+bd_fleet_tick (struct bd_fleet *fleet, int64_t now_ms,
+               void (*on_down) (void *context, struct bd_fleet_runner *runner),
+               void *context)
+{
+  size_t unpublished = 0;
+
+  for (size_t i = 0; i < fleet->runner_count; i++)
+    {
+      struct bd_fleet_runner *runner = fleet->runners[i];
+
+      unpublished += !runner->kept;
+      if (!runner->connected)
+        continue;
+      if (runner->state == BD_RUNNER_LIVE
+          && now_ms - runner->heard_ms > RUNNER_SILENT_MS)
+        {
+          bd_fleet_set_state (runner, BD_RUNNER_DOWN);
+          on_down (context, runner);
+        }
+      if (!runner->in_subset && now_ms - runner->used_ms > EXTRA_IDLE_MS)
+        disconnect_runner (fleet, runner);
+    }
+  if (unpublished > 0)
+    forget_unpublished (fleet);
+}
+
+size_t
+bd_fleet_count (const struct bd_fleet *fleet)
+{
+  return fleet->runner_count;
+}
+
+struct bd_fleet_runner *
+bd_fleet_at (const struct bd_fleet *fleet, size_t index)
+{
+  return fleet->runners[index];
+}
--- /dev/null
+++ b/src/core/job.c
@@ -0,0 +1,583 @@
+#include "core/job.h"
+#include "core/resume.h"
+#include "core/sse.h"
+
+#include <stdlib.h>
+
+/* Runners asked at first, and how soon more are. */
+#define FIRST_ASKS 2
+#define WIDEN_MS 20
+/* Runs of an idempotent request, the first included. */
+#define RUNS_MAX 3
+/* Tokens of an answer before anything was learned. */
+#define TOKENS_START 128
+#define LEARN_WEIGHT 8
+/* Longest text kept to resume a stream, or body of an answer that is no
+   stream. */
+#define KEPT_MAX_BYTES ((size_t)4 * 1024 * 1024)
+
+int
+bd_job_send (struct bd_dispatch *dispatch, const struct job *job,
+             struct bd_fleet_runner *runner, struct bd_message *message)
+{
+  message->request = job->request.request;
+  message->attempt = job->attempt;
+  message->target_incarnation = runner->incarnation;
+  return dispatch->port->send (dispatch->port, bd_chunk_of (runner->instance),
+                               message);
+}
+
+uint32_t
+bd_job_expected (const struct bd_dispatch *dispatch, uint64_t class_hash,
+                 int32_t max_tokens)
+{
+  uint32_t *learned
+      = bd_map_get (dispatch->classes, (struct bd_id){ class_hash, 0 }, 0);
+  uint32_t tokens = learned ? *learned / LEARN_WEIGHT : TOKENS_START;
+
+  if (max_tokens > 0 && tokens > (uint32_t)max_tokens)
+    tokens = (uint32_t)max_tokens;
+  return tokens > 0 ? tokens : 1;
+}
+
+void
+bd_job_learn (struct bd_dispatch *dispatch, uint64_t class_hash,
+              uint32_t tokens)
+{
+  struct bd_id id = { class_hash, 0 };
+  uint32_t *learned = bd_map_get (dispatch->classes, id, 0);
+
+  if (tokens == 0)
+    return;
+  if (learned)
+    {
+      *learned = *learned - *learned / LEARN_WEIGHT + tokens;
+      return;
+    }
+  learned = malloc (sizeof *learned);
+  if (!learned)
+    return;
+  *learned = tokens * LEARN_WEIGHT;
+  if (bd_map_put (dispatch->classes, id, 0, learned) != BD_OK)
+    free (learned);
+}
+
+static void
+unlink_job (struct bd_dispatch *dispatch, struct job *job)
+{
+  if (job->previous)
+    job->previous->next = job->next;
+  else
+    dispatch->first = job->next;
+  if (job->next)
+    job->next->previous = job->previous;
+  else
+    dispatch->last = job->previous;
+}
+
+static void
+set_runner (struct job *job, struct bd_fleet_runner *runner)
+{
+  if (job->runner)
+    job->runner->jobs--;
+  job->runner = runner;
+  if (runner)
+    runner->jobs++;
+}
+
+static void
+count_asked (const struct bd_fleet_runner *runner, int delta)
+{
+  struct bd_placement *placement = runner->pool->placement;
+  int index = bd_placement_find (placement, bd_chunk_of (runner->instance));
+
+  if (index >= 0)
+    bd_placement_asked (placement, (uint32_t)index, delta);
+}
+
+static void
+close_ask (struct ask *ask)
+{
+  if (!ask->open)
+    return;
+  ask->open = false;
+  count_asked (ask->runner, -1);
+}
+
+static void
+drop_asks (struct job *job)
+{
+  for (size_t i = 0; i < job->ask_count; i++)
+    {
+      close_ask (&job->asks[i]);
+      job->asks[i].runner->jobs--;
+    }
+  job->ask_count = 0;
+}
+
+/* Withdraws the reservations that are still open. */
+static void
+decline_asks (struct bd_dispatch *dispatch, struct job *job,
+              const struct bd_fleet_runner *but)
+{
+  for (size_t i = 0; i < job->ask_count; i++)
+    {
+      struct bd_message m = { .type = BD_MESSAGE_DECLINE };
+
+      if (!job->asks[i].open || job->asks[i].runner == but)
+        continue;
+      bd_job_send (dispatch, job, job->asks[i].runner, &m);
+      dispatch->port->count (dispatch->port, BD_DISPATCH_DECLINE);
+    }
+  drop_asks (job);
+}
+
+void
+bd_job_free (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  bd_limiter_release (dispatch->limiter, now_ms, job->workspace_hash,
+                      job->expected_tokens, job->tokens);
+  drop_asks (job);
+  set_runner (job, NULL);
+  bd_map_remove (dispatch->jobs, job->request.request, 0);
+  unlink_job (dispatch, job);
+  bd_stream_destroy (job->stream);
+  bd_buffer_clear (&job->kept);
+  bd_buffer_clear (&job->held);
+  free (job->content_type);
+  free (job->owned);
+  free (job);
+}
+
+void
+bd_job_fail (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+             int error, enum bd_ran ran)
+{
+  struct bd_delivery delivery = { .kind = BD_DELIVERY_FAIL,
+                                  .error = error,
+                                  .ran = ran,
+                                  .retry_after_ms = job->retry_after_ms };
+
+  if (job->state == JOB_ASKING)
+    decline_asks (dispatch, job, NULL);
+  dispatch->open--;
+  dispatch->port->deliver (dispatch->port, job->request.request, &delivery);
+  bd_job_free (dispatch, now_ms, job);
+}
+
+static void
+send_reserve (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              struct bd_fleet_runner *runner)
+{
+  const struct bd_dispatch_request *r = &job->request;
+  struct bd_message m = {
+    .type = BD_MESSAGE_RESERVE,
+    .flags = r->flags | (job->alone ? BD_FLAG_ALONE : 0),
+    .tier = r->tier,
+    .tokens = job->expected_tokens,
+    .bytes = (uint32_t)r->body.length,
+    .budget_ms = job->deadline_ms - now_ms,
+    .queue_budget_ms = job->queue_until_ms - now_ms,
+    .min_share_permille = (uint32_t)r->min_share_permille,
+    .prefix_hash = r->prefix_hash,
+    .fingerprint = r->fingerprint,
+    .workspace = r->workspace,
+    .class_name = r->class_name,
+  };
+
+  if (job->keyed)
+    {
+      m.key = r->key;
+      m.key_text = r->key_text;
+      m.key_origin = r->key_origin;
+      m.key_incarnation = r->key_incarnation;
+      m.key_wall_ms = r->key_wall_ms;
+      m.key_expires_ms = r->key_expires_ms;
+      m.retry_window_ms = r->retry_window_ms;
+    }
+  bd_job_send (dispatch, job, runner, &m);
+}
+
+static void
+add_ask (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+         struct bd_fleet_runner *runner)
+{
+  if (job->ask_count == BD_ASKS_MAX)
+    return;
+  job->asks[job->ask_count++] = (struct ask){ .runner = runner, .open = true };
+  runner->jobs++;
+  count_asked (runner, 1);
+  bd_fleet_use (dispatch->fleet, now_ms, runner);
+  send_reserve (dispatch, now_ms, job, runner);
+}
+
+static size_t
+excluded (const struct job *job, uint32_t indexes[BD_ASKS_MAX])
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < job->ask_count; i++)
+    {
+      const struct bd_fleet_runner *runner = job->asks[i].runner;
+      int index = bd_placement_find (runner->pool->placement,
+                                     bd_chunk_of (runner->instance));
+
+      if (index >= 0)
+        indexes[count++] = (uint32_t)index;
+    }
+  return count;
+}
+
+/* Asks up to WANT further runners; returns how many were asked. */
+static size_t
+ask_more (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+          size_t want)
+{
+  struct bd_fleet_pool *pool
+      = bd_fleet_pool (dispatch->fleet, job->request.pool);
+  uint32_t exclude[BD_ASKS_MAX];
+  uint32_t chosen[BD_ASKS_MAX];
+  struct bd_placement_request wanted = {
+    .prefix_hash = job->request.prefix_hash,
+    .tier = job->request.tier,
+    .expected_tokens = job->expected_tokens,
+    .time_left_ms = (int32_t)(job->deadline_ms - now_ms),
+    .exclude = exclude,
+    .exclude_count = excluded (job, exclude),
+  };
+  size_t room = BD_ASKS_MAX - job->ask_count;
+  size_t count;
+
+  if (!pool || room == 0)
+    return 0;
+  count = bd_placement_choose (pool->placement, now_ms, &wanted, chosen,
+                               want < room ? want : room);
+  for (size_t i = 0; i < count; i++)
+    add_ask (dispatch, now_ms, job, pool->subset[chosen[i]]);
+  return count;
+}
+
+static void
+ask_isolated (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              struct bd_fleet_pool *pool)
+{
+  struct bd_chunk *names = calloc (pool->runner_count + 1, sizeof *names);
+  struct bd_fleet_runner **live
+      = calloc (pool->runner_count + 1, sizeof (struct bd_fleet_runner *));
+  size_t count = 0;
+
+  for (size_t i = 0; names && live && i < pool->runner_count; i++)
+    if (pool->runners[i]->state <= BD_RUNNER_LIVE)
+      {
+        names[count] = bd_chunk_of (pool->runners[i]->instance);
+        live[count++] = pool->runners[i];
+      }
+  if (count > 0)
+    add_ask (
+        dispatch, now_ms, job,
+        live[bd_suspects_runner (job->request.fingerprint, names, count)]);
+  free (names);
+  free (live);
+}
+
+/* The only runner that may run the key.  Returns BD_OK or why none may. */
+static int
+ask_custodian (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+               struct bd_fleet_pool *pool)
+{
+  const struct bd_dispatch_request *r = &job->request;
+  struct bd_fleet_runner *runner
+      = r->key_origin == BD_KEY_ISSUED
+            ? bd_fleet_runner (dispatch->fleet, r->key_custodian)
+            : bd_fleet_home (pool, r->key);
+
+  if (!runner)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  /* The incarnation that the key names has ended. */
+  if (r->key_origin == BD_KEY_ISSUED
+      && runner->incarnation > r->key_incarnation)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  add_ask (dispatch, now_ms, job, runner);
+  return BD_OK;
+}
+
+static void
+set_queue_limit (int64_t now_ms, struct job *job)
+{
+  int64_t left_ms = job->deadline_ms - now_ms;
+  uint32_t token_time_us
+      = job->ask_count > 0 ? job->asks[0].runner->load.token_time_us : 0;
+  int64_t work_ms = (int64_t)job->expected_tokens * token_time_us / 1000;
+
+  /* What is granted later could not end before the deadline. */
+  if (work_ms > left_ms / 2)
+    work_ms = left_ms / 2;
+  job->queue_until_ms = job->deadline_ms - work_ms;
+}
+
+void
+bd_job_ask (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  struct bd_fleet_pool *pool
+      = bd_fleet_pool (dispatch->fleet, job->request.pool);
+  bool late = dispatch->settings.policy == BD_POLICY_LATE_BINDING;
+  int error = BD_OK;
+
+  job->state = JOB_ASKING;
+  job->attempt++;
+  job->widen_step_ms = WIDEN_MS;
+  job->widen_ms = now_ms + WIDEN_MS;
+  set_queue_limit (now_ms, job);
+  if (!pool)
+    error = BD_ERR_NOT_FOUND;
+  else if (job->keyed)
+    error = ask_custodian (dispatch, now_ms, job, pool);
+  else if (job->alone)
+    ask_isolated (dispatch, now_ms, job, pool);
+  else
+    ask_more (dispatch, now_ms, job, late ? FIRST_ASKS : 1);
+  if (error != BD_OK)
+    bd_job_fail (dispatch, now_ms, job, error, bd_error_answer (error)->ran);
+  else if (job->ask_count == 0)
+    bd_job_fail (dispatch, now_ms, job, BD_ERR_NO_RUNNER,
+                 job->runs > 0 ? BD_RAN_UNKNOWN : BD_RAN_NO);
+}
+
+void
+bd_job_widen (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  job->widen_step_ms *= 2;
+  job->widen_ms = now_ms + job->widen_step_ms;
+  if (job->keyed || job->alone)
+    {
+      /* The reservation or its grant may have been lost. */
+      if (job->ask_count > 0 && job->asks[0].open)
+        send_reserve (dispatch, now_ms, job, job->asks[0].runner);
+      return;
+    }
+  if (dispatch->settings.policy == BD_POLICY_LATE_BINDING
+      && ask_more (dispatch, now_ms, job, 1) > 0)
+    dispatch->port->count (dispatch->port, BD_DISPATCH_WIDEN);
+}
+
+static void
+send_run (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+          struct bd_fleet_runner *runner)
+{
+  const struct bd_dispatch_request *r = &job->request;
+  struct bd_buffer resumed = { 0 };
+  struct bd_message m = { .type = BD_MESSAGE_RUN,
+                          .flags = r->flags,
+                          .budget_ms = job->deadline_ms - now_ms,
+                          .method = r->method,
+                          .path = r->path,
+                          .content_type = r->content_type,
+                          .key_text = r->key_text,
+                          .body = r->body };
+
+  if (job->streamed && job->data_sent
+      && bd_resume_body (r->body, bd_buffer_chunk (&job->kept), &resumed)
+             == BD_OK)
+    {
+      m.body = bd_buffer_chunk (&resumed);
+      dispatch->port->count (dispatch->port, BD_DISPATCH_RESUME);
+    }
+  bd_job_send (dispatch, job, runner, &m);
+  bd_buffer_clear (&resumed);
+}
+
+void
+bd_job_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              struct bd_fleet_runner *runner)
+{
+  set_runner (job, runner);
+  decline_asks (dispatch, job, runner);
+  job->state = JOB_RUNNING;
+  job->runs++;
+  job->heard_ms = now_ms;
+  bd_stream_attempt (job->stream, job->attempt);
+  send_run (dispatch, now_ms, job, runner);
+}
+
+void
+bd_job_refused (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+                struct bd_fleet_runner *runner,
+                const struct bd_message *message)
+{
+  size_t open = 0;
+  bool elsewhere = message->error == BD_ERR_NO_RUNNER
+                   || message->error == BD_ERR_LEAVING
+                   || message->error == BD_ERR_OVERLOADED
+                   || message->error == BD_ERR_STALE;
+
+  for (size_t i = 0; i < job->ask_count; i++)
+    {
+      if (job->asks[i].runner == runner)
+        close_ask (&job->asks[i]);
+      open += job->asks[i].open;
+    }
+  job->last_error = message->error;
+  job->last_ran = (enum bd_ran)message->ran;
+  if (message->retry_after_ms > job->retry_after_ms)
+    job->retry_after_ms = message->retry_after_ms;
+  if (!job->keyed && open > 0)
+    return;
+  if (!job->keyed && elsewhere && ask_more (dispatch, now_ms, job, 1) > 0)
+    return;
+  if (job->last_error == BD_ERR_STALE)
+    job->last_error = job->keyed ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER;
+  if (job->runs > 0)
+    job->last_ran = BD_RAN_UNKNOWN;
+  bd_job_fail (dispatch, now_ms, job, job->last_error, job->last_ran);
+}
+
+void
+bd_job_retry (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              int error, enum bd_ran ran)
+{
+  bool again = job->idempotent || (ran == BD_RAN_NO && !job->keyed);
+
+  set_runner (job, NULL);
+  if (job->data_sent && !job->streamed)
+    again = false;
+  if (!again || job->runs >= RUNS_MAX || now_ms >= job->deadline_ms
+      || bd_suspects_look (dispatch->suspects, now_ms,
+                           job->request.fingerprint)
+             == BD_SUSPICION_QUARANTINE)
+    {
+      bd_job_fail (dispatch, now_ms, job, error, ran);
+      return;
+    }
+  job->alone
+      = bd_suspects_look (dispatch->suspects, now_ms, job->request.fingerprint)
+        == BD_SUSPICION_ISOLATE;
+  job->ended = false;
+  bd_buffer_reset (&job->held);
+  if (!job->streamed)
+    bd_buffer_reset (&job->kept);
+  dispatch->port->count (dispatch->port, BD_DISPATCH_RETRY);
+  dispatch->port->note (dispatch->port, BD_EVENT_REQUEST_RETRY,
+                        job->request.request, job->attempt,
+                        bd_error_answer (error)->code);
+  bd_job_ask (dispatch, now_ms, job);
+}
+
+static void
+deliver_head (struct bd_dispatch *dispatch, struct job *job)
+{
+  struct bd_delivery head = { .kind = BD_DELIVERY_HEAD,
+                              .status = job->status,
+                              .content_type = bd_chunk_of (job->content_type),
+                              .replay = job->replay };
+
+  if (job->head_sent)
+    return;
+  job->head_sent = true;
+  dispatch->port->deliver (dispatch->port, job->request.request, &head);
+}
+
+void
+bd_job_head (struct bd_dispatch *dispatch, struct job *job,
+             const struct bd_message *message)
+{
+  (void)dispatch;
+  job->status = message->status;
+  free (job->content_type);
+  job->content_type = bd_chunk_copy (message->content_type);
+}
+
+static void
+deliver_data (struct bd_dispatch *dispatch, struct job *job,
+              struct bd_chunk data)
+{
+  struct bd_delivery delivery = { .kind = BD_DELIVERY_DATA, .data = data };
+
+  deliver_head (dispatch, job);
+  job->data_sent = true;
+  dispatch->port->deliver (dispatch->port, job->request.request, &delivery);
+}
+
+struct deliver_context
+{
+  struct bd_dispatch *dispatch;
+  struct job *job;
+};
+
+/* A chunk of a stream is one event, or a whole recorded answer. */
+static void
+deliver_event (struct deliver_context *context, struct bd_chunk event)
+{
+  struct job *job = context->job;
+  struct bd_chunk json = bd_sse_data (event);
+
+  if (bd_chunk_equal (json, BD_CHUNK ("[DONE]")))
+    {
+      bd_buffer_append (&job->held, event);
+      return;
+    }
+  if (job->idempotent && job->kept.length < KEPT_MAX_BYTES)
+    bd_resume_collect (json, &job->kept);
+  deliver_data (context->dispatch, job, event);
+}
+
+static void
+on_chunk (void *data, struct bd_chunk chunk)
+{
+  struct deliver_context *context = data;
+  struct job *job = context->job;
+
+  if (job->streamed)
+    deliver_event (context, chunk);
+  else if (job->kept.length + chunk.length <= KEPT_MAX_BYTES)
+    bd_buffer_append (&job->kept, chunk);
+}
+
+static void
+finish (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  struct bd_delivery end = { .kind = BD_DELIVERY_END,
+                             .status = job->status,
+                             .tokens = job->tokens,
+                             .replay = job->replay };
+  struct bd_chunk rest
+      = bd_buffer_chunk (job->streamed ? &job->held : &job->kept);
+
+  deliver_head (dispatch, job);
+  if (rest.length > 0)
+    deliver_data (dispatch, job, rest);
+  job->state = JOB_ANSWERED;
+  dispatch->open--;
+  bd_job_learn (dispatch, job->class_hash, job->tokens);
+  bd_suspects_completed (dispatch->suspects, now_ms, job->request.fingerprint);
+  dispatch->port->deliver (dispatch->port, job->request.request, &end);
+}
+
+void
+bd_job_chunk (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+              const struct bd_message *message)
+{
+  struct deliver_context context = { dispatch, job };
+  int rc = bd_stream_chunk (job->stream, message->attempt, message->sequence,
+                            message->body, on_chunk, &context);
+
+  job->heard_ms = now_ms;
+  if (rc == BD_ERR_FULL || rc == BD_ERR_PROTOCOL)
+    bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN);
+  else if (job->ended && bd_stream_whole (job->stream))
+    finish (dispatch, now_ms, job);
+}
+
+void
+bd_job_end (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+            const struct bd_message *message)
+{
+  job->heard_ms = now_ms;
+  if (bd_stream_end (job->stream, message->attempt, message->sequence)
+      != BD_OK)
+    return;
+  job->ended = true;
+  job->tokens += message->tokens;
+  job->replay = (message->flags & BD_FLAG_REPLAY) != 0;
+  if (bd_stream_whole (job->stream))
+    finish (dispatch, now_ms, job);
+}
--- /dev/null
+++ b/src/core/job.h
@@ -0,0 +1,132 @@
+/**
+ * @file job.h
+ * Private to the dispatch's files: its tables.
+ */
+#ifndef BD_JOB_H
+#define BD_JOB_H
+
+#include "common/map.h"
+#include "core/fleet.h"
+#include "core/stream.h"
+
+/** Most runners that are asked for one attempt. */
+#define BD_ASKS_MAX 6
+
+enum job_state
+{
+  JOB_ASKING,  /**< Reservations are out. */
+  JOB_RUNNING, /**< A runner has the body. */
+  JOB_ANSWERED /**< END was delivered; the receipt is due. */
+};
+
+/** A runner that holds, or held, a reservation of this attempt. */
+struct ask
+{
+  struct bd_fleet_runner *runner;
+  bool open; /**< No answer yet. */
+};
+
+struct job
+{
+  struct bd_dispatch_request request; /**< Chunks point into OWNED. */
+  char *owned;
+  uint64_t workspace_hash;
+  uint64_t class_hash;
+  uint32_t expected_tokens;
+  bool keyed;
+  bool idempotent;
+  bool streamed;
+  bool alone;
+  enum job_state state;
+  uint32_t attempt;
+  uint32_t runs; /**< Attempts that were given a body. */
+  struct ask asks[BD_ASKS_MAX];
+  size_t ask_count;
+  struct bd_fleet_runner *runner; /**< With RUNNING and ANSWERED. */
+  int64_t deadline_ms;
+  int64_t queue_until_ms;
+  int64_t widen_ms; /**< When to ask more runners. */
+  int64_t widen_step_ms;
+  int64_t heard_ms; /**< When RUNNING last showed progress. */
+  int last_error;
+  enum bd_ran last_ran;
+  int64_t retry_after_ms;
+  /* The answer. */
+  struct bd_stream *stream;
+  bool head_sent;
+  bool data_sent;
+  int status;
+  char *content_type;
+  struct bd_buffer kept; /**< Delivered text, or the body so far. */
+  struct bd_buffer held; /**< The closing event, until the counted end. */
+  uint32_t tokens;
+  bool ended; /**< END was taken in, chunks are missing. */
+  bool replay;
+  struct job *next;
+  struct job *previous;
+};
+
+struct bd_dispatch
+{
+  struct bd_dispatch_settings settings;
+  char *instance;
+  char *zone;
+  struct bd_dispatch_port *port;
+  struct bd_fleet *fleet;
+  struct bd_limiter *limiter;
+  struct bd_suspects *suspects;
+  struct bd_map *jobs;    /**< By request. */
+  struct bd_map *classes; /**< Learned work by class. */
+  struct job *first;
+  struct job *last;
+  size_t open; /**< Jobs without END or FAIL. */
+};
+
+/** Sends a message of the job's attempt.  Returns as the port does. */
+int bd_job_send (struct bd_dispatch *dispatch, const struct job *job,
+                 struct bd_fleet_runner *runner, struct bd_message *message);
+
+/** Delivers FAIL and frees the job. */
+void bd_job_fail (struct bd_dispatch *dispatch, int64_t now_ms,
+                  struct job *job, int error, enum bd_ran ran);
+
+/** Frees the job and gives back what it was admitted with. */
+void bd_job_free (struct bd_dispatch *dispatch, int64_t now_ms,
+                  struct job *job);
+
+/** Starts an attempt: asks runners.  The job may be gone afterwards. */
+void bd_job_ask (struct bd_dispatch *dispatch, int64_t now_ms,
+                 struct job *job);
+
+/** Asks further runners, or again where the answer may have been lost. */
+void bd_job_widen (struct bd_dispatch *dispatch, int64_t now_ms,
+                   struct job *job);
+
+/** Takes a grant: the runner gets the body, the others are declined. */
+void bd_job_grant (struct bd_dispatch *dispatch, int64_t now_ms,
+                   struct job *job, struct bd_fleet_runner *runner);
+
+/** Takes a refusal: asks another runner, or fails the job. */
+void bd_job_refused (struct bd_dispatch *dispatch, int64_t now_ms,
+                     struct job *job, struct bd_fleet_runner *runner,
+                     const struct bd_message *message);
+
+/** The running attempt failed: tries again, resumes, or fails the job. */
+void bd_job_retry (struct bd_dispatch *dispatch, int64_t now_ms,
+                   struct job *job, int error, enum bd_ran ran);
+
+/** Messages of the running attempt. */
+void bd_job_head (struct bd_dispatch *dispatch, struct job *job,
+                  const struct bd_message *message);
+void bd_job_chunk (struct bd_dispatch *dispatch, int64_t now_ms,
+                   struct job *job, const struct bd_message *message);
+void bd_job_end (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+                 const struct bd_message *message);
+
+/** Learned tokens of an answer of the class. */
+uint32_t bd_job_expected (const struct bd_dispatch *dispatch,
+                          uint64_t class_hash, int32_t max_tokens);
+void bd_job_learn (struct bd_dispatch *dispatch, uint64_t class_hash,
+                   uint32_t tokens);
+
+#endif
--- /dev/null
+++ b/src/core/run.c
@@ -0,0 +1,364 @@
+/* From RUN to the receipt: what a task does while the engine has it. */
+
+#include "core/task.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STATUS_OK_END 400
+
+static bool
+is_event_stream (const struct task *task)
+{
+  static const char type[] = "text/event-stream";
+
+  return task->content_type
+         && strncmp (task->content_type, type, sizeof type - 1) == 0;
+}
+
+/* A model's answer that is no stream is checked and counted as JSON. */
+static bool
+is_model_json (const struct bd_runner *runner, const struct task *task)
+{
+  return !runner->settings.service && !is_event_stream (task);
+}
+
+void
+bd_task_run (struct bd_runner *runner, int64_t now_ms, struct task *task,
+             const struct bd_message *message)
+{
+  struct bd_runner_call call = {
+    .request = task->request,
+    .attempt = task->attempt,
+    .method = message->method,
+    .path = message->path,
+    .content_type = message->content_type,
+    .body = message->body,
+    .key_text = message->key_text,
+    .tier = task->tier,
+    .budget_ms = message->budget_ms,
+  };
+
+  if (task->keyed
+      && !bd_custody_start (runner->custody, now_ms, task->claim.key,
+                            task->request))
+    {
+      bd_task_refuse (runner, task, BD_ERR_OUTCOME_UNKNOWN, BD_RAN_UNKNOWN);
+      return;
+    }
+  task->state = TASK_RUNNING;
+  task->last_data_ms = now_ms;
+  runner->granted--;
+  runner->running++;
+  runner->port->note (runner->port, BD_EVENT_REQUEST_STARTED, task->request,
+                      task->attempt, "");
+  runner->port->start (runner->port, &call);
+}
+
+void
+bd_runner_head (struct bd_runner *runner, int64_t now_ms, struct bd_id request,
+                uint32_t attempt, int status, struct bd_chunk content_type)
+{
+  struct task *task = bd_task_find (runner, request, attempt);
+  struct bd_message m = { .type = BD_MESSAGE_HEAD,
+                          .status = status,
+                          .content_type = content_type };
+
+  if (!task || task->state != TASK_RUNNING)
+    return;
+  task->status = status;
+  task->last_data_ms = now_ms;
+  free (task->content_type);
+  task->content_type = bd_chunk_copy (content_type);
+  bd_task_send (runner, task, &m);
+}
+
+static void
+send_chunk (struct bd_runner *runner, struct task *task, struct bd_chunk data)
+{
+  struct bd_message m = { .type = BD_MESSAGE_CHUNK,
+                          .sequence = task->sequence++,
+                          .body = data };
+
+  bd_task_send (runner, task, &m);
+}
+
+/* Keeps the answer where it may be asked for again, or is parsed. */
+static void
+keep_answer (struct bd_runner *runner, struct task *task, struct bd_chunk data)
+{
+  if (!task->keyed && !is_model_json (runner, task))
+    return;
+  if (task->body.length + data.length <= runner->settings.answer_max_bytes)
+    bd_buffer_append (&task->body, data);
+}
+
+#define TOKEN_TIME_WEIGHT 16
+
+static void
+count_token (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  int64_t gap_us = (now_ms - task->last_data_ms) * 1000;
+  int64_t smooth_us = runner->token_time_us;
+
+  task->tokens++;
+  /* The first token follows the prompt's processing. */
+  if (task->tokens > 1)
+    smooth_us += (gap_us - smooth_us) / TOKEN_TIME_WEIGHT;
+  runner->token_time_us = (uint32_t)(smooth_us > 0 ? smooth_us : 1);
+  task->last_data_ms = now_ms;
+}
+
+static void
+take_event (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  struct bd_chunk event = bd_buffer_chunk (&task->event);
+  struct bd_chunk data = bd_sse_data (event);
+
+  if (bd_chunk_equal (data, BD_CHUNK ("[DONE]")))
+    task->closed = true;
+  else if (data.length > 0)
+    count_token (runner, now_ms, task);
+  keep_answer (runner, task, event);
+  send_chunk (runner, task, event);
+}
+
+void
+bd_runner_data (struct bd_runner *runner, int64_t now_ms, struct bd_id request,
+                uint32_t attempt, struct bd_chunk data)
+{
+  struct task *task = bd_task_find (runner, request, attempt);
+
+  if (!task || task->state != TASK_RUNNING)
+    return;
+  if (!is_event_stream (task))
+    {
+      keep_answer (runner, task, data);
+      send_chunk (runner, task, data);
+      return;
+    }
+  if (bd_sse_feed (&task->sse, data) != BD_OK)
+    {
+      runner->port->cancel (runner->port, request, attempt);
+      return;
+    }
+  while (bd_sse_next (&task->sse, &task->event))
+    take_event (runner, now_ms, task);
+}
+
+/* Reads the token count; false when the text is no whole JSON object. */
+static bool
+read_usage (struct task *task)
+{
+  json_error_t error;
+  json_t *root = json_loadb (task->body.data ? task->body.data : "",
+                             task->body.length, 0, &error);
+  json_t *usage = json_object_get (root, "usage");
+  json_int_t tokens
+      = json_integer_value (json_object_get (usage, "completion_tokens"));
+  bool whole = json_is_object (root);
+
+  task->tokens = tokens > 0 && tokens < UINT32_MAX ? (uint32_t)tokens : 0;
+  json_decref (root);
+  return whole;
+}
+
+static bool
+answer_is_whole (const struct bd_runner *runner, struct task *task)
+{
+  if (runner->settings.service)
+    return true;
+  if (is_event_stream (task))
+    return task->closed && task->sse.pending.length == 0;
+  return read_usage (task);
+}
+
+static void
+fail_task (struct bd_runner *runner, struct task *task, int error,
+           enum bd_ran ran, bool crashed, bool alone)
+{
+  struct bd_message m = { .type = BD_MESSAGE_FAIL,
+                          .error = error,
+                          .ran = ran,
+                          .tokens = task->tokens,
+                          .fingerprint = task->claim.fingerprint };
+
+  if (crashed)
+    m.sequence = runner->crash_number;
+  if (alone)
+    m.flags |= BD_FLAG_ALONE;
+  bd_runner_fill (runner, &m);
+  bd_task_send (runner, task, &m);
+  bd_task_remove (runner, task);
+}
+
+static bool
+same_key (const struct task *a, const struct task *b)
+{
+  return bd_id_equal (a->claim.key.id, b->claim.key.id);
+}
+
+/* Tells those who wait for the key how its run has ended. */
+static void
+answer_joined (struct bd_runner *runner, int64_t now_ms,
+               const struct task *owner)
+{
+  struct task *task = runner->first;
+
+  while (task)
+    {
+      struct task *next = task->next;
+      struct bd_custody_answer answer;
+
+      if (task->state == TASK_JOINED && task->keyed && same_key (task, owner))
+        {
+          bd_custody_claim (runner->custody, now_ms,
+                            now_ms + runner->wall_offset_ms, &task->claim,
+                            &answer);
+          if (answer.verdict == BD_CUSTODY_REPLAY)
+            bd_task_replay (runner, now_ms, task, &answer);
+          else if (answer.verdict == BD_CUSTODY_REFUSE)
+            bd_task_refuse (runner, task, answer.error,
+                            bd_error_answer (answer.error)->ran);
+        }
+      task = next;
+    }
+}
+
+static void
+await_receipt (struct bd_runner *runner, int64_t now_ms, struct task *task,
+               uint32_t flags)
+{
+  struct bd_message m = { .type = BD_MESSAGE_END,
+                          .flags = flags,
+                          .sequence = task->sequence,
+                          .status = task->status,
+                          .tokens = task->tokens };
+
+  task->state = TASK_ENDED;
+  task->until_ms = now_ms + BD_RECEIPT_WAIT_MS;
+  runner->ended++;
+  bd_runner_fill (runner, &m);
+  bd_task_send (runner, task, &m);
+}
+
+void
+bd_task_replay (struct bd_runner *runner, int64_t now_ms, struct task *task,
+                const struct bd_custody_answer *answer)
+{
+  struct bd_message head = { .type = BD_MESSAGE_HEAD,
+                             .status = answer->status,
+                             .content_type = answer->content_type };
+
+  task->replayed = true;
+  task->status = answer->status;
+  bd_task_send (runner, task, &head);
+  if (answer->recorded.length > 0)
+    send_chunk (runner, task, answer->recorded);
+  await_receipt (runner, now_ms, task, BD_FLAG_REPLAY);
+}
+
+static void
+finish_key (struct bd_runner *runner, int64_t now_ms, struct task *task,
+            int error)
+{
+  struct bd_chunk type = bd_chunk_of (task->content_type);
+  bool kept = task->body.length < runner->settings.answer_max_bytes;
+
+  if (!task->keyed)
+    return;
+  if (error == BD_OK && !kept)
+    error = BD_ERR_ALREADY_RAN;
+  bd_custody_finish (runner->custody, now_ms, task->claim.key, error,
+                     task->status, type, bd_buffer_chunk (&task->body));
+  answer_joined (runner, now_ms, task);
+}
+
+void
+bd_runner_end (struct bd_runner *runner, int64_t now_ms, struct bd_id request,
+               uint32_t attempt)
+{
+  struct task *task = bd_task_find (runner, request, attempt);
+
+  if (!task || task->state != TASK_RUNNING)
+    return;
+  if (!answer_is_whole (runner, task))
+    {
+      finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
+      fail_task (runner, task, BD_ERR_BROKEN, BD_RAN_UNKNOWN, false, false);
+      bd_runner_pump (runner, now_ms);
+      return;
+    }
+  runner->port->note (runner->port, BD_EVENT_REQUEST_ENDED, request, attempt,
+                      "");
+  finish_key (runner, now_ms, task, BD_OK);
+  runner->running--;
+  if (runner->alone == task)
+    runner->alone = NULL;
+  await_receipt (runner, now_ms, task, 0);
+  bd_runner_pump (runner, now_ms);
+}
+
+void
+bd_runner_failed (struct bd_runner *runner, int64_t now_ms,
+                  struct bd_id request, uint32_t attempt, int error, bool sent)
+{
+  struct task *task = bd_task_find (runner, request, attempt);
+  bool crashed = sent && error == BD_ERR_IO;
+  bool alone = crashed && runner->running == 1 && runner->engine_up;
+  enum bd_ran ran = sent ? BD_RAN_UNKNOWN : BD_RAN_NO;
+
+  if (!task || task->state != TASK_RUNNING)
+    return;
+  /* The first of the requests that a crash cuts off starts a new number. */
+  if (error == BD_ERR_IO && runner->engine_up)
+    {
+      runner->crash_number++;
+      bd_runner_set_engine (runner, now_ms, false);
+    }
+  if (task->keyed && !sent)
+    {
+      bd_custody_not_sent (runner->custody, now_ms, task->claim.key,
+                           task->request);
+      if (bd_custody_withdraw (runner->custody, now_ms, task->claim.key,
+                               task->request)
+          != BD_OK)
+        ran = BD_RAN_UNKNOWN;
+    }
+  else
+    finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
+  fail_task (runner, task, error, ran, crashed, alone);
+  bd_runner_pump (runner, now_ms);
+}
+
+void
+bd_task_receipt (struct bd_runner *runner, struct task *task)
+{
+  struct bd_bill bill = {
+    .request = task->request,
+    .attempt = task->attempt,
+    .key = task->claim.key.id,
+    .workspace = bd_chunk_of (task->workspace),
+    .class_name = bd_chunk_of (task->class_name),
+    .tokens = task->tokens,
+    .status = task->status,
+  };
+  bool billable = task->state == TASK_ENDED && task->status < STATUS_OK_END;
+
+  if (task->state != TASK_ENDED)
+    return;
+  if (task->keyed)
+    {
+      billable = billable
+                 && !bd_map_get (runner->billed, task->claim.key.id, 0)
+                 && bd_map_put (runner->billed, task->claim.key.id, 0, runner)
+                        == BD_OK;
+    }
+  else
+    billable = billable && !task->replayed;
+  if (billable)
+    runner->port->bill (runner->port, &bill);
+  bd_task_remove (runner, task);
+}
--- /dev/null
+++ b/src/core/runner.c
@@ -0,0 +1,484 @@
+#include "core/task.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Smoothed token time before anything was measured. */
+#define TOKEN_TIME_START_US 10000
+
+struct bd_runner *
+bd_runner_create (const struct bd_runner_settings *settings,
+                  struct bd_runner_port *port)
+{
+  struct bd_runner *runner = calloc (1, sizeof *runner);
+
+  if (!runner)
+    return NULL;
+  runner->settings = *settings;
+  runner->port = port;
+  runner->engine_up = true;
+  runner->token_time_us = TOKEN_TIME_START_US;
+  runner->queue = bd_tier_queue_create (&settings->queue);
+  runner->custody = bd_custody_create (&settings->custody);
+  runner->tasks = bd_map_create ();
+  runner->billed = bd_map_create ();
+  if (runner->queue && runner->custody && runner->tasks && runner->billed)
+    return runner;
+  bd_runner_destroy (runner);
+  return NULL;
+}
+
+void
+bd_runner_destroy (struct bd_runner *runner)
+{
+  if (!runner)
+    return;
+  while (runner->first)
+    bd_task_remove (runner, runner->first);
+  bd_tier_queue_destroy (runner->queue);
+  bd_custody_destroy (runner->custody);
+  bd_map_destroy (runner->tasks);
+  bd_map_destroy (runner->billed);
+  free (runner);
+}
+
+/* A request that was never granted is withdrawn for good.  Returns whether
+   it provably did not run. */
+static enum bd_ran
+withdraw (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  if (!task->keyed)
+    return BD_RAN_NO;
+  return bd_custody_withdraw (runner->custody, now_ms, task->claim.key,
+                              task->request)
+                 == BD_OK
+             ? BD_RAN_NO
+             : BD_RAN_UNKNOWN;
+}
+
+static void
+withdraw_and_refuse (struct bd_runner *runner, int64_t now_ms,
+                     struct task *task, int error)
+{
+  enum bd_ran ran = withdraw (runner, now_ms, task);
+
+  bd_task_refuse (runner, task, error, ran);
+}
+
+struct shed_context
+{
+  struct bd_runner *runner;
+  int64_t now_ms;
+  uint8_t for_tier;
+};
+
+static void
+on_shed (void *context, const struct bd_queue_item *item)
+{
+  struct shed_context *shed = context;
+  struct task *task = item->data;
+  char detail[64];
+
+  snprintf (detail, sizeof detail, "tier=%u for_tier=%u", item->tier,
+            shed->for_tier);
+  shed->runner->port->note (shed->runner->port, BD_EVENT_REQUEST_SHED,
+                            item->request, item->attempt, detail);
+  withdraw_and_refuse (shed->runner, shed->now_ms, task, BD_ERR_OVERLOADED);
+}
+
+static struct bd_queue_item
+item_of (const struct bd_runner *runner, struct task *task)
+{
+  uint64_t workspace = bd_chunk_hash (bd_chunk_of (task->workspace));
+  uint64_t class_hash = bd_chunk_hash (bd_chunk_of (task->class_name));
+  bool fifo = runner->settings.fifo;
+  struct bd_queue_item item = {
+    .request = task->request,
+    .attempt = task->attempt,
+    .tier = fifo ? 0 : task->tier,
+    .workspace = fifo ? 0 : workspace,
+    .class_hash = fifo ? 0 : workspace * 31 + class_hash,
+    .min_share_permille = fifo ? 0 : (int32_t)task->min_share_permille,
+    .cost = task->expected_tokens > 0 ? task->expected_tokens : 1,
+    .bytes = task->bytes + (uint32_t)sizeof *task,
+    .deadline_ms = task->queue_until_ms,
+    .data = task,
+  };
+
+  return item;
+}
+
+static void
+enqueue (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  struct bd_queue_item item = item_of (runner, task);
+  struct shed_context shed = { runner, now_ms, task->tier };
+  char detail[64];
+  int rc;
+
+  /* Not in the queue yet, should the push shed or refuse. */
+  task->state = TASK_JOINED;
+  rc = bd_tier_queue_push (runner->queue, &item, on_shed, &shed);
+  if (rc != BD_OK)
+    {
+      withdraw_and_refuse (runner, now_ms, task, rc);
+      return;
+    }
+  task->state = TASK_QUEUED;
+  snprintf (detail, sizeof detail, "tier=%u", task->tier);
+  runner->port->note (runner->port, BD_EVENT_REQUEST_QUEUED, task->request,
+                      task->attempt, detail);
+}
+
+static void
+claim_and_enqueue (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms,
+                   struct task *task)
+{
+  struct bd_custody_answer answer;
+
+  bd_custody_claim (runner->custody, now_ms, wall_ms, &task->claim, &answer);
+  switch (answer.verdict)
+    {
+    case BD_CUSTODY_RUN:
+      enqueue (runner, now_ms, task);
+      break;
+    case BD_CUSTODY_JOIN:
+      task->state = TASK_JOINED;
+      break;
+    case BD_CUSTODY_REPLAY:
+      bd_task_replay (runner, now_ms, task, &answer);
+      break;
+    case BD_CUSTODY_REFUSE:
+      bd_task_refuse (runner, task, answer.error,
+                      bd_error_answer (answer.error)->ran);
+      break;
+    }
+}
+
+/* Why a reservation cannot be queued, or BD_OK. */
+static int
+reservation_error (const struct bd_runner *runner, const struct bd_message *m)
+{
+  bool keyed = m->key_text.length > 0;
+
+  if (m->target_incarnation != 0
+      && m->target_incarnation != runner->settings.incarnation)
+    return BD_ERR_STALE;
+  if (runner->leaving)
+    return BD_ERR_LEAVING;
+  /* A keyed request can run nowhere else, so it waits for the engine. */
+  if (!runner->engine_up && !keyed)
+    return BD_ERR_NO_RUNNER;
+  if (!keyed && !(m->flags & BD_FLAG_IDEMPOTENT))
+    return BD_ERR_KEY_REQUIRED;
+  return BD_OK;
+}
+
+static void
+send_grant (struct bd_runner *runner, const struct task *task)
+{
+  struct bd_message m
+      = { .type = BD_MESSAGE_GRANT, .budget_ms = BD_GRANT_LEASE_MS };
+
+  bd_runner_fill (runner, &m);
+  bd_task_send (runner, task, &m);
+}
+
+static void
+take_reservation (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms,
+                  struct bd_chunk entry, const struct bd_message *m)
+{
+  struct task *task = bd_task_find (runner, m->request, m->attempt);
+  int error = reservation_error (runner, m);
+
+  if (task)
+    {
+      /* Asked again: the grant may have been lost. */
+      if (task->state == TASK_GRANTED)
+        send_grant (runner, task);
+      return;
+    }
+  task = bd_task_add (runner, now_ms, entry, m);
+  if (!task)
+    return;
+  task->state = TASK_JOINED;
+  if (error != BD_OK)
+    bd_task_refuse (runner, task, error, BD_RAN_NO);
+  else if (task->keyed)
+    claim_and_enqueue (runner, now_ms, wall_ms, task);
+  else
+    enqueue (runner, now_ms, task);
+}
+
+static void
+grant (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  task->state = TASK_GRANTED;
+  task->until_ms = now_ms + BD_GRANT_LEASE_MS;
+  runner->granted++;
+  send_grant (runner, task);
+  runner->port->waited (runner->port, bd_chunk_of (task->workspace),
+                        bd_chunk_of (task->class_name),
+                        now_ms - task->queued_ms);
+  runner->port->note (runner->port, BD_EVENT_REQUEST_GRANTED, task->request,
+                      task->attempt, "");
+}
+
+/* The next queued task that is not past its time, or NULL. */
+static struct task *
+pop_task (struct bd_runner *runner, int64_t now_ms)
+{
+  struct bd_queue_item item;
+
+  while (bd_tier_queue_pop (runner->queue, &item))
+    {
+      struct task *task = item.data;
+
+      task->state = TASK_JOINED;
+      if (task->queue_until_ms > now_ms)
+        return task;
+      withdraw_and_refuse (runner, now_ms, task, BD_ERR_DEADLINE);
+    }
+  return NULL;
+}
+
+void
+bd_runner_pump (struct bd_runner *runner, int64_t now_ms)
+{
+  uint32_t slots = runner->settings.slots;
+
+  while (runner->engine_up && runner->granted + runner->running < slots)
+    {
+      struct task *task = runner->alone;
+
+      /* A request that must run alone waits until the runner is empty, and
+         nothing is granted beside it. */
+      if (task && (runner->granted + runner->running > 0))
+        return;
+      if (!task)
+        task = pop_task (runner, now_ms);
+      if (!task)
+        return;
+      if (task->flags & BD_FLAG_ALONE)
+        runner->alone = task;
+      if (runner->alone == task && runner->granted + runner->running > 0)
+        return;
+      grant (runner, now_ms, task);
+    }
+}
+
+static void
+take_decline (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  if (task->state == TASK_RUNNING || task->state == TASK_ENDED)
+    return;
+  if (task->keyed)
+    withdraw_and_refuse (runner, now_ms, task, BD_ERR_CANCELLED);
+  else
+    bd_task_remove (runner, task);
+}
+
+static void
+take_cancel (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  if (task->state == TASK_ENDED)
+    {
+      bd_task_remove (runner, task);
+      return;
+    }
+  if (task->state != TASK_RUNNING)
+    {
+      take_decline (runner, now_ms, task);
+      return;
+    }
+  /* A request that may not run again goes on, so that its answer is kept
+     for the caller who asks again. */
+  if (task->flags & BD_FLAG_IDEMPOTENT)
+    runner->port->cancel (runner->port, task->request, task->attempt);
+}
+
+static void
+take_run (struct bd_runner *runner, int64_t now_ms, struct bd_chunk entry,
+          const struct bd_message *m)
+{
+  struct task *task = bd_task_find (runner, m->request, m->attempt);
+  struct bd_message refusal = { .type = BD_MESSAGE_REFUSE,
+                                .request = m->request,
+                                .attempt = m->attempt,
+                                .incarnation = runner->settings.incarnation,
+                                .error = BD_ERR_STALE,
+                                .ran = BD_RAN_NO };
+
+  if (task && task->state == TASK_GRANTED && task->until_ms > now_ms
+      && m->target_incarnation == runner->settings.incarnation)
+    {
+      bd_task_run (runner, now_ms, task, m);
+      return;
+    }
+  /* A copy of a RUN that was followed is not answered. */
+  if (!task || task->state == TASK_QUEUED || task->state == TASK_GRANTED)
+    runner->port->send (runner->port, entry, &refusal);
+}
+
+void
+bd_runner_message (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms,
+                   struct bd_chunk entry, const struct bd_message *message)
+{
+  struct task *task
+      = bd_task_find (runner, message->request, message->attempt);
+
+  runner->wall_offset_ms = wall_ms - now_ms;
+  switch (message->type)
+    {
+    case BD_MESSAGE_RESERVE:
+      take_reservation (runner, now_ms, wall_ms, entry, message);
+      break;
+    case BD_MESSAGE_RUN:
+      take_run (runner, now_ms, entry, message);
+      break;
+    case BD_MESSAGE_DECLINE:
+      if (task)
+        take_decline (runner, now_ms, task);
+      break;
+    case BD_MESSAGE_CANCEL:
+      if (task)
+        take_cancel (runner, now_ms, task);
+      break;
+    case BD_MESSAGE_RECEIPT:
+      if (task)
+        bd_task_receipt (runner, task);
+      break;
+    default:
+      break;
+    }
+  bd_runner_pump (runner, now_ms);
+}
+
+static void
+expire_queue (struct bd_runner *runner, int64_t now_ms)
+{
+  struct bd_queue_item item;
+
+  while (bd_tier_queue_expire (runner->queue, now_ms, &item))
+    {
+      struct task *task = item.data;
+
+      task->state = TASK_JOINED;
+      runner->port->note (runner->port, BD_EVENT_REQUEST_EXPIRED,
+                          task->request, task->attempt, "");
+      withdraw_and_refuse (runner, now_ms, task, BD_ERR_DEADLINE);
+    }
+}
+
+static void
+expire_task (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  if (task->state == TASK_GRANTED && task->until_ms <= now_ms)
+    withdraw_and_refuse (runner, now_ms, task, BD_ERR_STALE);
+  else if (task->state == TASK_ENDED && task->until_ms <= now_ms)
+    bd_task_remove (runner, task);
+  else if (task->state == TASK_JOINED && task->queue_until_ms <= now_ms)
+    withdraw_and_refuse (runner, now_ms, task, BD_ERR_DEADLINE);
+}
+
+void
+bd_runner_tick (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms)
+{
+  struct task *task = runner->first;
+
+  runner->wall_offset_ms = wall_ms - now_ms;
+  expire_queue (runner, now_ms);
+  while (task)
+    {
+      struct task *next = task->next;
+
+      if (task->state != TASK_QUEUED && task->state != TASK_RUNNING)
+        expire_task (runner, now_ms, task);
+      task = next;
+    }
+  bd_custody_tick (runner->custody, now_ms);
+  bd_runner_pump (runner, now_ms);
+}
+
+/* Refuses what waits without a key: it can run elsewhere. */
+static void
+refuse_waiting (struct bd_runner *runner, int error)
+{
+  struct task *task = runner->first;
+
+  while (task)
+    {
+      struct task *next = task->next;
+
+      if (task->state <= TASK_GRANTED && !task->keyed)
+        bd_task_refuse (runner, task, error, BD_RAN_NO);
+      task = next;
+    }
+}
+
+void
+bd_runner_set_engine (struct bd_runner *runner, int64_t now_ms, bool up)
+{
+  if (runner->engine_up == up)
+    return;
+  runner->engine_up = up;
+  if (up)
+    bd_runner_pump (runner, now_ms);
+  else
+    refuse_waiting (runner, BD_ERR_NO_RUNNER);
+}
+
+bool
+bd_runner_engine_up (const struct bd_runner *runner)
+{
+  return runner->engine_up;
+}
+
+void
+bd_runner_leave (struct bd_runner *runner, int64_t now_ms)
+{
+  runner->leaving = true;
+  refuse_waiting (runner, BD_ERR_LEAVING);
+  bd_runner_pump (runner, now_ms);
+}
+
+bool
+bd_runner_is_leaving (const struct bd_runner *runner)
+{
+  return runner->leaving;
+}
+
+bool
+bd_runner_idle (const struct bd_runner *runner)
+{
+  return runner->first == NULL;
+}
+
+void
+bd_runner_load (const struct bd_runner *runner, struct bd_load *load)
+{
+  load->queued = bd_tier_queue_length (runner->queue);
+  load->queued_above = bd_tier_queue_tier_length (runner->queue, 0);
+  load->running = runner->running + runner->granted;
+  load->slots = runner->settings.slots;
+  load->token_time_us = runner->token_time_us;
+  load->measured_ms = 0;
+}
+
+void
+bd_runner_fill (const struct bd_runner *runner, struct bd_message *message)
+{
+  struct bd_load load;
+
+  bd_runner_load (runner, &load);
+  message->queued = load.queued;
+  message->queued_above = load.queued_above;
+  message->running = load.running;
+  message->slots = load.slots;
+  message->token_time_us = load.token_time_us;
+  message->incarnation = runner->settings.incarnation;
+  if (runner->leaving)
+    message->flags |= BD_FLAG_LEAVING;
+  if (!runner->engine_up)
+    message->flags |= BD_FLAG_ENGINE_DOWN;
+}
--- /dev/null
+++ b/src/core/task.c
@@ -0,0 +1,166 @@
+#include "core/task.h"
+
+#include <stdlib.h>
+
+struct task *
+bd_task_find (const struct bd_runner *runner, struct bd_id request,
+              uint32_t attempt)
+{
+  return bd_map_get (runner->tasks, request, attempt);
+}
+
+static void
+task_free (struct task *task)
+{
+  free (task->entry);
+  free (task->workspace);
+  free (task->class_name);
+  free (task->content_type);
+  bd_sse_clear (&task->sse);
+  bd_buffer_clear (&task->event);
+  bd_buffer_clear (&task->body);
+  free (task);
+}
+
+static void
+fill_claim (struct task *task, const struct bd_message *m)
+{
+  task->claim = (struct bd_custody_claim){
+    .key = { m->key },
+    .origin = (enum bd_key_origin)m->key_origin,
+    .incarnation = m->key_incarnation,
+    .key_wall_ms = m->key_wall_ms,
+    .expires_wall_ms = m->key_expires_ms,
+    .fingerprint = m->fingerprint,
+    .request = m->request,
+    .retry_window_ms = m->retry_window_ms,
+  };
+}
+
+static bool
+fill_task (struct task *task, int64_t now_ms, struct bd_chunk entry,
+           const struct bd_message *m)
+{
+  task->request = m->request;
+  task->attempt = m->attempt;
+  task->flags = m->flags;
+  task->tier
+      = (uint8_t)(m->tier < BD_TIER_COUNT ? m->tier : BD_TIER_COUNT - 1);
+  task->keyed = m->key_text.length > 0;
+  task->expected_tokens = m->tokens;
+  task->min_share_permille = m->min_share_permille;
+  task->bytes = m->bytes;
+  task->queued_ms = now_ms;
+  task->queue_until_ms = now_ms + m->queue_budget_ms;
+  task->last_data_ms = now_ms;
+  fill_claim (task, m);
+  task->entry = bd_chunk_copy (entry);
+  task->workspace = bd_chunk_copy (m->workspace);
+  task->class_name = bd_chunk_copy (m->class_name);
+  return task->entry && task->workspace && task->class_name;
+}
+
+struct task *
+bd_task_add (struct bd_runner *runner, int64_t now_ms, struct bd_chunk entry,
+             const struct bd_message *message)
+{
+  struct task *task = calloc (1, sizeof *task);
+
+  if (!task)
+    return NULL;
+  if (!fill_task (task, now_ms, entry, message)
+      || bd_map_put (runner->tasks, task->request, task->attempt, task)
+             != BD_OK)
+    {
+      task_free (task);
+      return NULL;
+    }
+  task->previous = runner->last;
+  if (runner->last)
+    runner->last->next = task;
+  else
+    runner->first = task;
+  runner->last = task;
+  return task;
+}
+
+/* Takes the task out of the state it is in. */
+static void
+leave_state (struct bd_runner *runner, struct task *task)
+{
+  struct bd_queue_item item;
+
+  switch (task->state)
+    {
+    case TASK_QUEUED:
+      bd_tier_queue_remove (runner->queue, task->request, task->attempt,
+                            &item);
+      break;
+    case TASK_GRANTED:
+      runner->granted--;
+      break;
+    case TASK_RUNNING:
+      runner->running--;
+      break;
+    case TASK_ENDED:
+      runner->ended--;
+      break;
+    case TASK_JOINED:
+      break;
+    }
+}
+
+void
+bd_task_remove (struct bd_runner *runner, struct task *task)
+{
+  leave_state (runner, task);
+  if (runner->alone == task)
+    runner->alone = NULL;
+  bd_map_remove (runner->tasks, task->request, task->attempt);
+  if (task->previous)
+    task->previous->next = task->next;
+  else
+    runner->first = task->next;
+  if (task->next)
+    task->next->previous = task->previous;
+  else
+    runner->last = task->previous;
+  task_free (task);
+}
+
+void
+bd_task_send (struct bd_runner *runner, const struct task *task,
+              struct bd_message *message)
+{
+  message->request = task->request;
+  message->attempt = task->attempt;
+  message->incarnation = runner->settings.incarnation;
+  runner->port->send (runner->port, bd_chunk_of (task->entry), message);
+}
+
+/* Milliseconds until the queue ahead of TIER has probably drained. */
+static int64_t
+drain_time_ms (const struct bd_runner *runner, uint8_t tier)
+{
+  uint64_t work = bd_tier_queue_work_ahead (runner->queue, tier);
+  uint64_t slots = runner->settings.slots > 0 ? runner->settings.slots : 1;
+
+  return (int64_t)(work * runner->token_time_us / slots / 1000);
+}
+
+void
+bd_task_refuse (struct bd_runner *runner, struct task *task, int error,
+                enum bd_ran ran)
+{
+  struct bd_message m
+      = { .type = BD_MESSAGE_REFUSE,
+          .error = error,
+          .ran = ran,
+          .retry_after_ms = drain_time_ms (runner, task->tier) };
+
+  bd_runner_fill (runner, &m);
+  bd_task_send (runner, task, &m);
+  runner->port->note (runner->port, BD_EVENT_REQUEST_REFUSED, task->request,
+                      task->attempt, bd_error_answer (error)->code);
+  bd_task_remove (runner, task);
+}
--- /dev/null
+++ b/src/core/task.h
@@ -0,0 +1,111 @@
+/**
+ * @file task.h
+ * Private to the runner's files: its tables.
+ */
+#ifndef BD_TASK_H
+#define BD_TASK_H
+
+#include "common/map.h"
+#include "core/runner.h"
+#include "core/sse.h"
+
+enum task_state
+{
+  TASK_QUEUED,  /**< Waits for a slot. */
+  TASK_GRANTED, /**< Holds a slot until the entry answers. */
+  TASK_RUNNING, /**< Given to the engine. */
+  TASK_ENDED,   /**< Answered whole; waits for the receipt. */
+  TASK_JOINED   /**< Waits for another request with its key. */
+};
+
+/** One attempt of a request at this sidecar. */
+struct task
+{
+  struct bd_id request;
+  uint32_t attempt;
+  enum task_state state;
+  uint32_t flags; /**< enum bd_message_flag. */
+  uint8_t tier;
+  bool keyed;
+  bool replayed; /**< The answer is a recorded one. */
+  char *entry;   /**< Instance that is answered. */
+  char *workspace;
+  char *class_name;
+  struct bd_custody_claim claim;
+  uint32_t expected_tokens;
+  uint32_t min_share_permille;
+  uint32_t bytes;
+  int64_t queued_ms;
+  int64_t queue_until_ms;
+  int64_t until_ms; /**< Lease or receipt limit, by state. */
+  /* The answer so far. */
+  int status;
+  char *content_type;
+  uint64_t sequence; /**< Chunks sent. */
+  uint32_t tokens;
+  bool closed; /**< The stream's [DONE] was seen. */
+  int64_t last_data_ms;
+  struct bd_sse sse;
+  struct bd_buffer event;
+  struct bd_buffer body; /**< The whole answer, where it is needed. */
+  struct task *next;     /**< In the runner's list of all tasks. */
+  struct task *previous;
+};
+
+struct bd_runner
+{
+  struct bd_runner_settings settings;
+  struct bd_runner_port *port;
+  struct bd_tier_queue *queue;
+  struct bd_custody *custody;
+  struct bd_map *tasks;  /**< By request and attempt. */
+  struct bd_map *billed; /**< Keys whose answer was billed. */
+  struct task *first;
+  struct task *last;
+  struct task *alone; /**< Waits for, or holds, the whole runner. */
+  uint32_t granted;
+  uint32_t running;
+  uint32_t ended;
+  uint32_t token_time_us; /**< Smoothed. */
+  uint64_t crash_number;
+  bool engine_up;
+  bool leaving;
+  int64_t wall_offset_ms; /**< Wall clock minus monotonic clock. */
+};
+
+/** Finds a task, or returns NULL. */
+struct task *bd_task_find (const struct bd_runner *runner,
+                           struct bd_id request, uint32_t attempt);
+
+/** Adds a task for a reservation, or returns NULL. */
+struct task *bd_task_add (struct bd_runner *runner, int64_t now_ms,
+                          struct bd_chunk entry,
+                          const struct bd_message *message);
+
+/** Removes a task from all tables and frees it. */
+void bd_task_remove (struct bd_runner *runner, struct task *task);
+
+/** Sends a message of TYPE about the task to its entry. */
+void bd_task_send (struct bd_runner *runner, const struct task *task,
+                   struct bd_message *message);
+
+/** Refuses the task and removes it. */
+void bd_task_refuse (struct bd_runner *runner, struct task *task, int error,
+                     enum bd_ran ran);
+
+/** Gives a granted task to the engine. */
+void bd_task_run (struct bd_runner *runner, int64_t now_ms, struct task *task,
+                  const struct bd_message *message);
+
+/** Answers a task from a record: verdict BD_CUSTODY_REPLAY. */
+void bd_task_replay (struct bd_runner *runner, int64_t now_ms,
+                     struct task *task,
+                     const struct bd_custody_answer *answer);
+
+/** The entry has delivered the answer whole. */
+void bd_task_receipt (struct bd_runner *runner, struct task *task);
+
+/** Grants what can be granted. */
+void bd_runner_pump (struct bd_runner *runner, int64_t now_ms);
+
+#endif
