--- /dev/null
+++ b/src/core/custody.c
@@ -0,0 +1,605 @@
+#include "core/custody.h"
+
+#include "common/map.h"
+#include "common/string.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define NONE UINT32_MAX
+
+enum record_state
+{
+  STATE_FREE = 0,
+  STATE_QUEUED,
+  STATE_RUNNING,
+  STATE_RECORDED, /* The answer is kept. */
+  STATE_RAN,      /* It ran; the answer is not kept. */
+  STATE_UNKNOWN,  /* It may have run. */
+  STATE_ENDED,    /* It did not run and never will. */
+  STATE_HANDED    /* A successor holds the permission. */
+};
+
+struct record
+{
+  struct bd_key key;
+  enum record_state state;
+  uint32_t next; /* In the free list. */
+  enum bd_key_origin origin;
+  uint64_t fingerprint;
+  struct bd_id owner; /* The request whose claim got RUN. */
+  struct bd_id waiters[BD_CUSTODY_MAX_WAITERS];
+  uint32_t waiter_count;
+  int64_t keep_ms;
+  int64_t keep_until_ms;
+  int64_t run_until_ms;    /* Not started at or after this. */
+  int64_t key_wall_ms;     /* Timed. */
+  int64_t expires_wall_ms; /* Issued. */
+  uint32_t hops;           /* 0: it did not come by a hand-over. */
+  uint64_t from_incarnation;
+  int64_t received_expires_wall_ms; /* Of the hand-over it came by. */
+  struct bd_hand_over hand_over;    /* When handed. */
+  int status;
+  char *content_type;
+  size_t content_type_length;
+  char *answer;
+  size_t answer_length;
+};
+
+struct bd_custody
+{
+  struct bd_custody_settings settings;
+  int64_t home_since_wall_ms;
+  int64_t confirmed_ms;
+  bool confirmed;
+  /* Keys up to these were dropped, so none of them is accepted again. */
+  int64_t issued_floor_wall_ms;
+  int64_t timed_floor_wall_ms;
+  int64_t handed_floor_wall_ms;
+  uint64_t answer_bytes;
+  uint32_t count;
+  uint32_t used; /* Records that were ever in use. */
+  uint32_t free;
+  struct record *records;
+  struct bd_map *by_key;
+};
+
+struct bd_custody *
+bd_custody_create (const struct bd_custody_settings *settings)
+{
+  struct bd_custody *c = calloc (1, sizeof *c);
+
+  if (!c)
+    return NULL;
+  c->settings = *settings;
+  c->home_since_wall_ms = settings->started_wall_ms;
+  c->issued_floor_wall_ms = INT64_MIN;
+  c->timed_floor_wall_ms = INT64_MIN;
+  c->handed_floor_wall_ms = INT64_MIN;
+  c->free = NONE;
+  c->records = calloc (settings->max_records + 1ULL, sizeof *c->records);
+  c->by_key = bd_map_create ();
+  if (!c->records || !c->by_key)
+    {
+      bd_custody_destroy (c);
+      return NULL;
+    }
+  return c;
+}
+
+static void
+answer_drop (struct bd_custody *c, struct record *r)
+{
+  c->answer_bytes -= r->answer_length + r->content_type_length;
+  free (r->answer);
+  free (r->content_type);
+  r->answer = NULL;
+  r->content_type = NULL;
+  r->answer_length = 0;
+  r->content_type_length = 0;
+}
+
+void
+bd_custody_destroy (struct bd_custody *custody)
+{
+  if (!custody)
+    return;
+  for (uint32_t i = 0; custody->records && i < custody->used; i++)
+    answer_drop (custody, &custody->records[i]);
+  bd_map_destroy (custody->by_key);
+  free (custody->records);
+  free (custody);
+}
+
+void
+bd_custody_home_since (struct bd_custody *custody, int64_t wall_ms)
+{
+  if (wall_ms > custody->home_since_wall_ms)
+    custody->home_since_wall_ms = wall_ms;
+}
+
+void
+bd_custody_confirm (struct bd_custody *custody, int64_t now_ms)
+{
+  if (!custody->confirmed || now_ms > custody->confirmed_ms)
+    custody->confirmed_ms = now_ms;
+  custody->confirmed = true;
+}
+
+uint32_t
+bd_custody_count (const struct bd_custody *custody)
+{
+  return custody->count;
+}
+
+static struct record *
+record_find (const struct bd_custody *c, struct bd_key key)
+{
+  return bd_map_get (c->by_key, key.id, 0);
+}
+
+static struct record *
+record_add (struct bd_custody *c, struct bd_key key)
+{
+  uint32_t i = c->free != NONE ? c->free : c->used;
+  struct record *r = &c->records[i];
+
+  if (c->count >= c->settings.max_records
+      || bd_map_put (c->by_key, key.id, 0, r) != BD_OK)
+    return NULL;
+  if (i == c->used)
+    c->used++;
+  else
+    c->free = r->next;
+  memset (r, 0, sizeof *r);
+  r->key = key;
+  c->count++;
+  return r;
+}
+
+static int64_t
+later (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+/* Raises the floors, so that no copy of the dropped key is accepted again. */
+static void
+floors_raise (struct bd_custody *c, const struct record *r)
+{
+  if (r->hops > 0)
+    c->handed_floor_wall_ms
+        = later (c->handed_floor_wall_ms, r->received_expires_wall_ms);
+  else if (r->origin == BD_KEY_ISSUED)
+    c->issued_floor_wall_ms
+        = later (c->issued_floor_wall_ms, r->expires_wall_ms);
+  if (r->origin == BD_KEY_TIMED)
+    c->timed_floor_wall_ms = later (c->timed_floor_wall_ms, r->key_wall_ms);
+}
+
+static void
+record_drop (struct bd_custody *c, struct record *r)
+{
+  floors_raise (c, r);
+  answer_drop (c, r);
+  bd_map_remove (c->by_key, r->key.id, 0);
+  r->state = STATE_FREE;
+  r->next = c->free;
+  c->free = (uint32_t)(r - c->records);
+  c->count--;
+}
+
+void
+bd_custody_tick (struct bd_custody *custody, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < custody->used; i++)
+    {
+      struct record *r = &custody->records[i];
+
+      if (r->state != STATE_FREE && r->state != STATE_RUNNING
+          && r->keep_until_ms <= now_ms)
+        record_drop (custody, r);
+    }
+}
+
+static void
+answer_refuse (struct bd_custody_answer *answer, int error, enum bd_ran ran)
+{
+  answer->verdict = BD_CUSTODY_REFUSE;
+  answer->error = error;
+  answer->ran = ran;
+}
+
+/* Decides on an issued key that has no record here. */
+static int
+issued_check (const struct bd_custody *c, int64_t wall_ms,
+              const struct bd_custody_claim *claim)
+{
+  if (claim->incarnation != c->settings.incarnation)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  if (claim->expires_wall_ms <= wall_ms
+      || claim->expires_wall_ms <= c->issued_floor_wall_ms)
+    return BD_ERR_KEY_EXPIRED;
+  if (claim->expires_wall_ms - wall_ms > BD_CUSTODY_MAX_KEEP_MS)
+    return BD_ERR_KEY_INVALID;
+  return BD_OK;
+}
+
+/* Decides on a received hand-over of a key that has no record here. */
+static int
+handed_check (const struct bd_custody *c, int64_t wall_ms,
+              const struct bd_custody_claim *claim)
+{
+  const struct bd_hand_over *h = claim->hand_over;
+
+  if (h->successor_incarnation != c->settings.incarnation)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  if (h->expires_wall_ms <= wall_ms
+      || h->expires_wall_ms <= c->handed_floor_wall_ms)
+    return BD_ERR_KEY_EXPIRED;
+  if (h->expires_wall_ms - wall_ms > 2 * BD_CUSTODY_MAX_KEEP_MS)
+    return BD_ERR_KEY_INVALID;
+  return BD_OK;
+}
+
+/* True when this sidecar may still be the home of callers' own keys. */
+static bool
+home_confirmed (const struct bd_custody *c, int64_t now_ms)
+{
+  if (c->settings.confirm_window_ms == 0)
+    return true;
+  return c->confirmed
+         && now_ms - c->confirmed_ms <= c->settings.confirm_window_ms;
+}
+
+/* Decides on a caller's own key that has no record here. */
+static int
+own_check (const struct bd_custody *c, int64_t now_ms, int64_t wall_ms,
+           const struct bd_custody_claim *claim)
+{
+  int64_t skew = c->settings.clock_skew_ms;
+  int64_t home = c->home_since_wall_ms + c->settings.confirm_window_ms;
+  int64_t since = later (c->settings.started_wall_ms, home);
+
+  if (!home_confirmed (c, now_ms))
+    return BD_ERR_OUTCOME_UNKNOWN;
+  if (claim->origin == BD_KEY_OPAQUE)
+    return wall_ms - since > claim->retry_window_ms ? BD_OK
+                                                    : BD_ERR_OUTCOME_UNKNOWN;
+  if (claim->key_wall_ms > wall_ms + skew)
+    return BD_ERR_KEY_INVALID;
+  if (claim->key_wall_ms <= since + 2 * skew
+      || claim->key_wall_ms <= c->timed_floor_wall_ms)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  return BD_OK;
+}
+
+static int
+new_check (const struct bd_custody *c, int64_t now_ms, int64_t wall_ms,
+           const struct bd_custody_claim *claim)
+{
+  if (claim->retry_window_ms < 1
+      || claim->retry_window_ms > BD_CUSTODY_MAX_KEEP_MS)
+    return BD_ERR_INVALID;
+  if (claim->hand_over)
+    return handed_check (c, wall_ms, claim);
+  if (claim->origin == BD_KEY_ISSUED)
+    return issued_check (c, wall_ms, claim);
+  return own_check (c, now_ms, wall_ms, claim);
+}
+
+static void
+record_keep (struct bd_custody *c, struct record *r, int64_t now_ms,
+             int64_t wall_ms, const struct bd_custody_claim *claim)
+{
+  int64_t keep = claim->retry_window_ms;
+
+  r->run_until_ms = now_ms + keep;
+  if (claim->origin == BD_KEY_ISSUED && !claim->hand_over)
+    keep = later (keep, claim->expires_wall_ms - wall_ms);
+  if (claim->hand_over)
+    {
+      int64_t left = claim->hand_over->expires_wall_ms - wall_ms;
+
+      r->hops = claim->hand_over->hops;
+      r->from_incarnation = claim->hand_over->from_incarnation;
+      r->received_expires_wall_ms = claim->hand_over->expires_wall_ms;
+      if (now_ms + left < r->run_until_ms)
+        r->run_until_ms = now_ms + left;
+      keep = later (keep, left);
+    }
+  r->keep_ms = claim->retry_window_ms;
+  r->keep_until_ms = now_ms + keep + c->settings.clock_skew_ms;
+}
+
+static void
+claim_new (struct bd_custody *c, int64_t now_ms, int64_t wall_ms,
+           const struct bd_custody_claim *claim,
+           struct bd_custody_answer *answer)
+{
+  int error = new_check (c, now_ms, wall_ms, claim);
+  struct record *r;
+
+  if (error != BD_OK)
+    {
+      answer_refuse (answer, error, BD_RAN_UNKNOWN);
+      return;
+    }
+  r = record_add (c, claim->key);
+  if (!r)
+    {
+      answer_refuse (answer, BD_ERR_FULL, BD_RAN_UNKNOWN);
+      return;
+    }
+  r->state = STATE_QUEUED;
+  r->origin = claim->origin;
+  r->fingerprint = claim->fingerprint;
+  r->owner = claim->request;
+  r->waiters[0] = claim->request;
+  r->waiter_count = 1;
+  r->key_wall_ms = claim->key_wall_ms;
+  r->expires_wall_ms = claim->expires_wall_ms;
+  record_keep (c, r, now_ms, wall_ms, claim);
+  answer->verdict = BD_CUSTODY_RUN;
+}
+
+static uint32_t
+waiter_find (const struct record *r, struct bd_id request)
+{
+  uint32_t i = 0;
+
+  while (i < r->waiter_count && !bd_id_equal (r->waiters[i], request))
+    i++;
+  return i;
+}
+
+static void
+claim_join (struct record *r, const struct bd_custody_claim *claim,
+            struct bd_custody_answer *answer)
+{
+  if (waiter_find (r, claim->request) == r->waiter_count)
+    {
+      if (r->waiter_count == BD_CUSTODY_MAX_WAITERS)
+        {
+          answer_refuse (answer, BD_ERR_OUTCOME_UNKNOWN, BD_RAN_UNKNOWN);
+          return;
+        }
+      r->waiters[r->waiter_count++] = claim->request;
+    }
+  answer->verdict = BD_CUSTODY_JOIN;
+  answer->running = r->owner;
+}
+
+static void
+claim_replay (const struct record *r, struct bd_custody_answer *answer)
+{
+  answer->verdict = BD_CUSTODY_REPLAY;
+  answer->status = r->status;
+  answer->recorded = (struct bd_chunk){ r->answer, r->answer_length };
+  answer->content_type
+      = (struct bd_chunk){ r->content_type, r->content_type_length };
+}
+
+static void
+claim_known (struct record *r, const struct bd_custody_claim *claim,
+             struct bd_custody_answer *answer)
+{
+  if (claim->fingerprint != r->fingerprint)
+    {
+      answer_refuse (answer, BD_ERR_KEY_MISMATCH, BD_RAN_NO);
+      return;
+    }
+  switch (r->state)
+    {
+    case STATE_QUEUED:
+    case STATE_RUNNING:
+      claim_join (r, claim, answer);
+      return;
+    case STATE_RECORDED:
+      claim_replay (r, answer);
+      return;
+    case STATE_RAN:
+      answer_refuse (answer, BD_ERR_ALREADY_RAN, BD_RAN_YES);
+      return;
+    case STATE_ENDED:
+      answer_refuse (answer, BD_ERR_KEY_ENDED, BD_RAN_NO);
+      return;
+    case STATE_HANDED:
+      answer_refuse (answer, BD_ERR_STALE, BD_RAN_UNKNOWN);
+      answer->hand_over = &r->hand_over;
+      answer->successor = bd_chunk_of (r->hand_over.successor);
+      return;
+    case STATE_UNKNOWN:
+    case STATE_FREE:
+      break;
+    }
+  answer_refuse (answer, BD_ERR_OUTCOME_UNKNOWN, BD_RAN_UNKNOWN);
+}
+
+void
+bd_custody_claim (struct bd_custody *custody, int64_t now_ms, int64_t wall_ms,
+                  const struct bd_custody_claim *claim,
+                  struct bd_custody_answer *answer)
+{
+  struct record *r = record_find (custody, claim->key);
+
+  memset (answer, 0, sizeof *answer);
+  if (claim->hand_over
+      && (!bd_id_equal (claim->hand_over->key.id, claim->key.id)
+          || claim->hand_over->fingerprint != claim->fingerprint))
+    answer_refuse (answer, BD_ERR_KEY_MISMATCH, BD_RAN_UNKNOWN);
+  else if (r)
+    claim_known (r, claim, answer);
+  else
+    claim_new (custody, now_ms, wall_ms, claim, answer);
+}
+
+bool
+bd_custody_start (struct bd_custody *custody, int64_t now_ms,
+                  struct bd_key key, struct bd_id request)
+{
+  struct record *r = record_find (custody, key);
+
+  if (!r || r->state != STATE_QUEUED || now_ms >= r->run_until_ms)
+    return false;
+  if (!bd_id_equal (r->owner, request)
+      && waiter_find (r, request) == r->waiter_count)
+    return false;
+  r->owner = request;
+  r->state = STATE_RUNNING;
+  return true;
+}
+
+static int
+withdraw_error (const struct record *r)
+{
+  if (r->state == STATE_ENDED)
+    return BD_OK;
+  return BD_ERR_OUTCOME_UNKNOWN;
+}
+
+int
+bd_custody_withdraw (struct bd_custody *custody, int64_t now_ms,
+                     struct bd_key key, struct bd_id request)
+{
+  struct record *r = record_find (custody, key);
+  uint32_t i;
+
+  (void)now_ms;
+  if (!r)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  if (r->state != STATE_QUEUED && r->state != STATE_RUNNING)
+    return withdraw_error (r);
+  i = waiter_find (r, request);
+  if (i == r->waiter_count)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  r->waiters[i] = r->waiters[--r->waiter_count];
+  if (r->state == STATE_RUNNING || r->waiter_count > 0)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  r->state = STATE_ENDED;
+  return BD_OK;
+}
+
+static int
+hand_over_error (const struct record *r, int64_t now_ms)
+{
+  switch (r->state)
+    {
+    case STATE_ENDED:
+      return BD_ERR_KEY_ENDED;
+    case STATE_RECORDED:
+    case STATE_RAN:
+      return BD_ERR_ALREADY_RAN;
+    case STATE_QUEUED:
+      break;
+    default:
+      return BD_ERR_OUTCOME_UNKNOWN;
+    }
+  if (now_ms >= r->run_until_ms)
+    return BD_ERR_KEY_EXPIRED;
+  return r->hops >= BD_HAND_OVER_MAX_HOPS ? BD_ERR_FULL : BD_OK;
+}
+
+static void
+hand_over_fill (const struct bd_custody *c, struct record *r,
+                struct bd_chunk successor, uint64_t incarnation,
+                int64_t expires_wall_ms)
+{
+  struct bd_hand_over *h = &r->hand_over;
+
+  h->key = r->key;
+  h->fingerprint = r->fingerprint;
+  memcpy (h->successor, successor.data, successor.length);
+  h->successor_incarnation = incarnation;
+  h->from_incarnation = c->settings.incarnation;
+  h->hops = r->hops + 1;
+  h->expires_wall_ms = expires_wall_ms;
+}
+
+int
+bd_custody_hand_over (struct bd_custody *custody, int64_t now_ms,
+                      int64_t wall_ms, struct bd_key key,
+                      struct bd_chunk successor, uint64_t incarnation,
+                      const struct bd_hand_over **out)
+{
+  struct record *r = record_find (custody, key);
+  int rc;
+
+  *out = NULL;
+  if (!r)
+    return BD_ERR_NOT_FOUND;
+  if (r->state == STATE_HANDED)
+    {
+      *out = &r->hand_over;
+      return BD_OK;
+    }
+  rc = hand_over_error (r, now_ms);
+  if (rc != BD_OK)
+    return rc;
+  if (successor.length == 0 || successor.length > BD_CUSTODY_NAME_BYTES
+      || incarnation == custody->settings.incarnation
+      || (r->hops > 0 && incarnation == r->from_incarnation))
+    return BD_ERR_INVALID;
+  hand_over_fill (custody, r, successor, incarnation,
+                  wall_ms + (r->run_until_ms - now_ms));
+  r->state = STATE_HANDED;
+  r->waiter_count = 0;
+  *out = &r->hand_over;
+  return BD_OK;
+}
+
+static bool
+answer_keep (struct bd_custody *c, struct record *r,
+             struct bd_chunk content_type, struct bd_chunk answer)
+{
+  uint64_t room = c->settings.max_answer_bytes - c->answer_bytes;
+
+  if (answer.length > room || content_type.length > room - answer.length)
+    return false;
+  r->answer = bd_chunk_copy (answer);
+  r->content_type = bd_chunk_copy (content_type);
+  if (r->answer && r->content_type)
+    {
+      r->answer_length = answer.length;
+      r->content_type_length = content_type.length;
+      c->answer_bytes += answer.length + content_type.length;
+      return true;
+    }
+  free (r->answer);
+  free (r->content_type);
+  r->answer = NULL;
+  r->content_type = NULL;
+  return false;
+}
+
+void
+bd_custody_finish (struct bd_custody *custody, int64_t now_ms,
+                   struct bd_key key, int error, int status,
+                   struct bd_chunk content_type, struct bd_chunk answer)
+{
+  struct record *r = record_find (custody, key);
+
+  if (!r || r->state != STATE_RUNNING)
+    return;
+  r->keep_until_ms = later (r->keep_until_ms, now_ms + r->keep_ms);
+  r->waiter_count = 0;
+  r->status = status;
+  if (error != BD_OK)
+    r->state = STATE_UNKNOWN;
+  else if (answer_keep (custody, r, content_type, answer))
+    r->state = STATE_RECORDED;
+  else
+    r->state = STATE_RAN;
+}
+
+void
+bd_custody_not_sent (struct bd_custody *custody, int64_t now_ms,
+                     struct bd_key key, struct bd_id request)
+{
+  struct record *r = record_find (custody, key);
+
+  (void)now_ms;
+  if (!r || r->state != STATE_RUNNING || !bd_id_equal (r->owner, request))
+    return;
+  r->state = r->waiter_count > 0 ? STATE_QUEUED : STATE_ENDED;
+}
--- a/src/core/custody.h
+++ b/src/core/custody.h
@@ -22,6 +22,33 @@
   BD_KEY_OPAQUE      /**< The caller's, without a time. */
 };
 
+/** Hand-overs of one key, after which it can only run or be ended. */
+#define BD_HAND_OVER_MAX_HOPS 2
+
+/** Longest instance name, in bytes. */
+#define BD_CUSTODY_NAME_BYTES 64
+
+/** Requests that can wait on one key at a time. */
+#define BD_CUSTODY_MAX_WAITERS 8
+
+/** Longest time that a record is asked to be kept, in milliseconds. */
+#define BD_CUSTODY_MAX_KEEP_MS (7LL * 24 * 3600 * 1000)
+
+/**
+ * The permission to run a key, passed from its holder to one successor.
+ * It travels sealed, see bd_token_seal_hand_over ().
+ */
+struct bd_hand_over
+{
+  struct bd_key key;
+  uint64_t fingerprint;
+  char successor[BD_CUSTODY_NAME_BYTES + 1]; /**< Instance name. */
+  uint64_t successor_incarnation;
+  uint64_t from_incarnation; /**< The holder that passed it on. */
+  uint32_t hops;             /**< 1 for the first hand-over of the key. */
+  int64_t expires_wall_ms;   /**< Not accepted afterwards. */
+};
+
 /** What is asked of the custodian. */
 struct bd_custody_claim
 {
@@ -33,6 +60,8 @@
   uint64_t fingerprint;    /**< Hash of the request's content. */
   struct bd_id request;    /**< The request that asks. */
   int64_t retry_window_ms;
+  /** Opened and authentic, or NULL when the claim comes without one. */
+  const struct bd_hand_over *hand_over;
 };
 
 /** What the custodian decides. */
@@ -53,6 +82,9 @@
   int status;                   /**< With REPLAY: HTTP status. */
   struct bd_chunk content_type; /**< With REPLAY. */
   struct bd_chunk successor;    /**< With BD_ERR_STALE: who holds it now. */
+  enum bd_ran ran; /**< With REFUSE: what is known about the key. */
+  /** With BD_ERR_STALE: to be sealed for the caller; as RECORDED. */
+  const struct bd_hand_over *hand_over;
 };
 
 struct bd_custody_settings
@@ -60,6 +92,11 @@
   uint64_t incarnation; /**< This process's. */
   int64_t started_wall_ms;
   int64_t clock_skew_ms; /**< Permitted between any two clocks. */
+  /**
+   * Callers' own keys are accepted only for this long after the
+   * configuration was last confirmed; 0: this is not checked.
+   */
+  int64_t confirm_window_ms;
   uint32_t max_records;
   uint64_t max_answer_bytes; /**< All recorded answers together. */
 };
@@ -73,7 +110,33 @@
 /** Tells when this sidecar became home of callers' own keys. */
 void bd_custody_home_since (struct bd_custody *custody, int64_t wall_ms);
 
-/** Decides on a claim.  NOW_MS is monotonic, WALL_MS the wall clock. */
+/**
+ * Tells that the configuration in force was confirmed by a read which was
+ * sent at NOW_MS.
+ */
+void bd_custody_confirm (struct bd_custody *custody, int64_t now_ms);
+
+/**
+ * Decides on a claim.  NOW_MS is monotonic, WALL_MS the wall clock.
+ *
+ * Without a record of the key, the claim is accepted
+ *  - with a hand-over that names this incarnation and has not expired;
+ *  - for an issued key that names this incarnation and has not expired;
+ *  - for a timed key dated at most clock_skew_ms after WALL_MS, and more than
+ *    twice clock_skew_ms after the start and the change of home;
+ *  - for an opaque key when the start and the change of home are further
+ *    back than the retry window.
+ * Twice the skew, because an earlier custodian may have run ahead of this
+ * one's clock by the skew, and accepted keys dated ahead of its own by it.
+ * Errors: BD_ERR_OUTCOME_UNKNOWN when an earlier run cannot be excluded,
+ * BD_ERR_KEY_EXPIRED, BD_ERR_KEY_INVALID for a date in the future,
+ * BD_ERR_FULL when there is no room for a new record, BD_ERR_INVALID for a
+ * retry window outside 1 ms to BD_CUSTODY_MAX_KEEP_MS.  With a record:
+ * BD_ERR_KEY_MISMATCH, BD_ERR_KEY_ENDED, BD_ERR_ALREADY_RAN,
+ * BD_ERR_OUTCOME_UNKNOWN or BD_ERR_STALE.  ANSWER's ran is BD_RAN_NO only
+ * when the key has not run and never will.  A duplicate delivery of the
+ * claim that got RUN gets JOIN with its own identifier.
+ */
 void bd_custody_claim (struct bd_custody *custody, int64_t now_ms,
                        int64_t wall_ms, const struct bd_custody_claim *claim,
                        struct bd_custody_answer *answer);
@@ -88,21 +151,44 @@
 /**
  * Withdraws a claim that has not started.  When no other request waits on
  * it the key is ended: it never runs here.  Returns BD_OK when the request
- * provably did not run, BD_ERR_OUTCOME_UNKNOWN otherwise.
+ * provably did not run, BD_ERR_OUTCOME_UNKNOWN otherwise; then the request
+ * stays queued for the others that wait, when it has not started.
  */
 int bd_custody_withdraw (struct bd_custody *custody, int64_t now_ms,
                          struct bd_key key, struct bd_id request);
 
+/**
+ * Passes a key that has not started on to INCARNATION of SUCCESSOR, for
+ * every request that waits on it.  The first call decides: later ones give
+ * the same hand-over.  OUT is valid until the next call.  Errors:
+ * BD_ERR_NOT_FOUND, BD_ERR_INVALID for a name or incarnation that cannot be
+ * a successor, BD_ERR_FULL after BD_HAND_OVER_MAX_HOPS, BD_ERR_KEY_ENDED,
+ * BD_ERR_ALREADY_RAN, BD_ERR_KEY_EXPIRED past the retry window, or
+ * BD_ERR_OUTCOME_UNKNOWN once it has started.
+ */
+int bd_custody_hand_over (struct bd_custody *custody, int64_t now_ms,
+                          int64_t wall_ms, struct bd_key key,
+                          struct bd_chunk successor, uint64_t incarnation,
+                          const struct bd_hand_over **out);
+
 /** Records the end of a run: the answer, or that the outcome is unknown. */
 void bd_custody_finish (struct bd_custody *custody, int64_t now_ms,
                         struct bd_key key, int error, int status,
                         struct bd_chunk content_type, struct bd_chunk answer);
 
-/** The first byte was provably never sent: the key may run again. */
+/**
+ * The first byte was provably never sent: the key may run again.  It is
+ * ended when no request waits on it any more.
+ */
 void bd_custody_not_sent (struct bd_custody *custody, int64_t now_ms,
                           struct bd_key key, struct bd_id request);
 
-/** Ends records whose retry window has passed. */
+/**
+ * Drops records whose retry window has passed, but none that runs.  A
+ * dropped issued or timed key, or one that came by a hand-over, stays
+ * refused by its expiry or date, whatever the clocks do.  Linear in the
+ * number of records: to be called about once a second.
+ */
 void bd_custody_tick (struct bd_custody *custody, int64_t now_ms);
 
 uint32_t bd_custody_count (const struct bd_custody *custody);
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -7,6 +7,18 @@
 
 #include "basildock.h"
 
+/** Crashes while it ran alone after which a fingerprint is refused. */
+#define BD_SUSPECT_ALONE_STRIKES 2
+
+/**
+ * Runners that a request which crashes each of its runs can take down, once
+ * its strikes have reached every entry: one among others, then one at a time
+ * alone.  Copies that already run while the strikes travel come on top, one
+ * runner each.  A request that completes some of its runs is cleared by each
+ * of them, so this does not bound it.
+ */
+#define BD_SUSPECT_MAX_RUNNERS (1 + BD_SUSPECT_ALONE_STRIKES)
+
 enum bd_suspicion
 {
   BD_SUSPICION_NONE = 0,
@@ -26,6 +38,11 @@
 
 struct bd_suspects;
 
+/**
+ * Keeps at most MAX_FINGERPRINTS; when full the least suspected, then the
+ * oldest, makes room.  Strikes are kept for KEEP_MS after the last crash or,
+ * once quarantined, the last attempt that was refused.
+ */
 struct bd_suspects *bd_suspects_create (uint32_t max_fingerprints,
                                         int64_t keep_ms);
 void bd_suspects_destroy (struct bd_suspects *suspects);
@@ -34,7 +51,10 @@
 bool bd_suspects_strike (struct bd_suspects *suspects, int64_t now_ms,
                          const struct bd_strike *strike);
 
-/** A request with FINGERPRINT completed: it is cleared. */
+/**
+ * A request with FINGERPRINT completed: it is cleared of the strikes known
+ * here, and peers are told which these were.
+ */
 void bd_suspects_completed (struct bd_suspects *suspects, int64_t now_ms,
                             uint64_t fingerprint);
 
--- /dev/null
+++ b/src/core/token.h
@@ -0,0 +1,84 @@
+/**
+ * @file token.h
+ * Idempotency keys: sealed tokens that the system issues, sealed hand-overs,
+ * and what can be learned from a caller's own key.
+ */
+#ifndef BD_TOKEN_H
+#define BD_TOKEN_H
+
+#include "common/string.h"
+#include "core/custody.h"
+
+/** Prefixes of sealed text. */
+#define BD_TOKEN_PREFIX "bdk1_"
+#define BD_HAND_OVER_PREFIX "bdh1_"
+
+/** Bytes of a sealing key. */
+#define BD_TOKEN_KEY_BYTES 32
+
+/** Keys accepted at a time: the newest, which seals, and two older ones. */
+#define BD_TOKEN_MAX_KEYS 3
+
+/** Longest sealed text, in bytes. */
+#define BD_TOKEN_TEXT_BYTES 512
+
+/** Longest Idempotency-Key of a caller, in bytes. */
+#define BD_TOKEN_HEADER_BYTES 255
+
+/** An issued key: what it is good for, and its first custodian. */
+struct bd_token
+{
+  uint64_t workspace; /**< Hash of the workspace's name. */
+  uint64_t class_id;  /**< Hash of the class's name. */
+  char custodian[BD_CUSTODY_NAME_BYTES + 1]; /**< Instance name. */
+  uint64_t incarnation;
+  int64_t made_wall_ms;
+  int64_t expires_wall_ms;
+  struct bd_id id;
+};
+
+/** The keys that seal and open; the first seals. */
+struct bd_token_keys
+{
+  unsigned char keys[BD_TOKEN_MAX_KEYS][BD_TOKEN_KEY_BYTES];
+  size_t count;
+};
+
+/**
+ * Appends TOKEN, sealed with KEY, to TEXT.  Returns BD_OK, BD_ERR_NOMEM or
+ * BD_ERR_INVALID for a name that is empty or not terminated.
+ */
+int bd_token_seal (const unsigned char key[BD_TOKEN_KEY_BYTES],
+                   const struct bd_token *token, struct bd_buffer *text);
+
+/**
+ * Opens TEXT with any of KEYS.  Returns BD_OK, or BD_ERR_KEY_INVALID when it
+ * was forged, truncated or sealed with another key.  The expiry is not
+ * looked at.
+ */
+int bd_token_open (const struct bd_token_keys *keys, struct bd_chunk text,
+                   struct bd_token *token);
+
+/** As bd_token_seal (), for a hand-over. */
+int bd_token_seal_hand_over (const unsigned char key[BD_TOKEN_KEY_BYTES],
+                             const struct bd_hand_over *hand_over,
+                             struct bd_buffer *text);
+
+/** As bd_token_open (), for a hand-over. */
+int bd_token_open_hand_over (const struct bd_token_keys *keys,
+                             struct bd_chunk text,
+                             struct bd_hand_over *hand_over);
+
+/**
+ * Tells the origin of a caller's Idempotency-Key: an issued one by its
+ * prefix, a timed one by the form of a UUIDv7, whose time goes to WALL_MS
+ * (otherwise 0).  Returns an enum bd_key_origin, or BD_ERR_KEY_INVALID for
+ * text that is not 1 to 255 visible ASCII characters (an issued key may be
+ * as long as BD_TOKEN_TEXT_BYTES).
+ */
+int bd_key_classify (struct bd_chunk text, int64_t *wall_ms);
+
+/** The key that TEXT stands for within WORKSPACE. */
+struct bd_key bd_key_make (struct bd_chunk workspace, struct bd_chunk text);
+
+#endif
