--- a/src/core/token.c
+++ b/src/core/token.c
@@ -47,7 +47,20 @@
   return bd_buffer_append (text, bd_chunk_of (encoded));
 }
 
-/* Returns the length of the plain text, or BD_ERR_KEY_INVALID. */
+static bool
+text_visible (struct bd_chunk text)
+{
+  for (size_t i = 0; i < text.length; i++)
+    if (text.data[i] < '!' || text.data[i] > '~')
+      return false;
+  return true;
+}
+
+/*
+ * Returns the length of the plain text, or BD_ERR_KEY_INVALID.  libsodium
+ * 1.0.18 decodes bytes above 127 as '_', so they are refused before: two
+ * texts must not open to one token.
+ */
 static int
 unseal (const struct bd_token_keys *keys, struct bd_chunk prefix,
         struct bd_chunk text, unsigned char plain[PLAIN_BYTES])
@@ -57,7 +70,8 @@
   size_t length;
 
   if (text.length <= prefix.length || text.length > BD_TOKEN_TEXT_BYTES
-      || memcmp (text.data, prefix.data, prefix.length) != 0)
+      || memcmp (text.data, prefix.data, prefix.length) != 0
+      || !text_visible (text))
     return BD_ERR_KEY_INVALID;
   if (sodium_base642bin (sealed, sizeof sealed, text.data + prefix.length,
                          text.length - prefix.length, NULL, &length, NULL,
@@ -244,9 +258,8 @@
   *wall_ms = 0;
   if (text.length == 0 || text.length > most)
     return BD_ERR_KEY_INVALID;
-  for (size_t i = 0; i < text.length; i++)
-    if (text.data[i] < '!' || text.data[i] > '~')
-      return BD_ERR_KEY_INVALID;
+  if (!text_visible (text))
+    return BD_ERR_KEY_INVALID;
   if (issued)
     return BD_KEY_ISSUED;
   return uuid7_time (text, wall_ms) ? BD_KEY_TIMED : BD_KEY_OPAQUE;
