--- /dev/null
+++ b/src/core/config_document.h
@@ -0,0 +1,62 @@
+/**
+ * @file config_document.h
+ * Parsed documents shared between the configuration and its snapshots.
+ * Private to src/core/config*.c.
+ */
+#ifndef BD_CONFIG_DOCUMENT_H
+#define BD_CONFIG_DOCUMENT_H
+
+#include "core/roster.h"
+
+#include <stdatomic.h>
+
+/** Room for "contract/", a name and a NUL. */
+#define BD_DOCUMENT_NAME_BYTES (BD_NAME_MAX_BYTES + 16)
+
+enum bd_document_kind
+{
+  BD_DOCUMENT_MANIFEST = 0,
+  BD_DOCUMENT_CONTRACT = 1,
+  BD_DOCUMENT_POOL = 2,
+  BD_DOCUMENT_KINDS = 3
+};
+
+/** Immutable but for the count of references, which any thread may change. */
+struct bd_document
+{
+  atomic_uint references;
+  enum bd_document_kind kind;
+  uint64_t revision;
+  uint64_t hash;
+  struct bd_chunk text;
+  union
+  {
+    struct bd_manifest *manifest;
+    struct bd_contract *contract;
+    struct bd_pool *pool;
+  } content;
+};
+
+/**
+ * Parses JSON, which must be the document of KIND called NAME.  Returns
+ * BD_OK with one reference, BD_ERR_CONTRACT or BD_ERR_NOMEM.
+ */
+int bd_document_create (enum bd_document_kind kind, struct bd_chunk name,
+                        struct bd_chunk json, char *reason, size_t reason_size,
+                        struct bd_document **document);
+
+/** Takes a reference. */
+struct bd_document *bd_document_hold (struct bd_document *document);
+
+/** Gives a reference back; NULL is allowed. */
+void bd_document_release (struct bd_document *document);
+
+/**
+ * Makes a snapshot of DOCUMENTS: a manifest if there is one, contracts and
+ * pools, each ordered by name.  Takes over the array, which malloc () gave,
+ * and the references, also when it returns NULL.
+ */
+struct bd_config_snapshot *bd_snapshot_create (struct bd_document **documents,
+                                               size_t count);
+
+#endif
--- /dev/null
+++ b/src/platform/watch.c
@@ -0,0 +1,489 @@
+#include "platform/watch.h"
+
+#include "common/clock.h"
+#include "common/mailbox.h"
+#include "common/string.h"
+#include "platform/backoff.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WAIT_S 10
+#define ANSWER_TIMEOUT_MS 3000
+#define CONNECT_TIMEOUT_MS 1000
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 5000
+/* Least time between two starts of one blocking query. */
+#define HOLD_INTERVAL_MS 50
+#define VALUE_MAX_BYTES 1048576
+#define NAME_MAX_BYTES 128
+#define URL_MAX_BYTES 512
+#define FETCHES_MAX 8192
+#define FETCHES_AT_ONCE 8
+#define IDLE_POLL_MS 60000
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_SERVER_ERROR 500
+
+enum call_kind
+{
+  CALL_MANIFEST = 0, /* Blocking query. */
+  CALL_INSTANCES,    /* Blocking query. */
+  CALL_FETCH
+};
+#define HOLD_COUNT 2
+
+/* One request, waiting or on its way. */
+struct call
+{
+  enum call_kind kind;
+  char name[NAME_MAX_BYTES];
+  CURL *easy; /* NULL: not on its way. */
+  struct bd_buffer body;
+  uint64_t index;     /* Blocking query: index of the value last seen. */
+  uint64_t new_index; /* From the answer's header. */
+  int64_t not_before_ms;
+  struct call *next;
+};
+
+enum order_kind
+{
+  ORDER_HOLD = 0,
+  ORDER_RELEASE,
+  ORDER_FETCH,
+  ORDER_STOP
+};
+
+struct order
+{
+  struct bd_mail mail;
+  enum order_kind kind;
+  char name[NAME_MAX_BYTES];
+};
+
+struct bd_watch
+{
+  struct bd_watch_settings settings;
+  char url[URL_MAX_BYTES];
+  struct bd_watch_sink *sink;
+  struct bd_mailbox *box;
+  pthread_t thread;
+  atomic_uint_least64_t calls;
+  /* The rest belongs to the thread. */
+  CURLM *multi;
+  struct bd_backoff backoff;
+  int64_t retry_at_ms; /* Nothing goes out before. */
+  bool known;          /* Whether the service was reached or missed. */
+  bool up;
+  bool hold;
+  bool stop;
+  struct call holds[HOLD_COUNT];
+  struct call *fetches; /* In order of arrival. */
+  struct call **fetches_end;
+  size_t fetch_count;
+  size_t running;
+};
+
+static bool
+name_valid (struct bd_chunk name)
+{
+  if (name.length == 0 || name.length >= NAME_MAX_BYTES)
+    return false;
+  for (size_t i = 0; i < name.length; i++)
+    if (!strchr ("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                 "0123456789._-/",
+                 name.data[i])
+        || name.data[i] == '\0')
+      return false;
+  return true;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t count, void *context)
+{
+  struct call *call = context;
+  struct bd_chunk c = { .data = data, .length = size * count };
+
+  if (call->body.length + c.length > VALUE_MAX_BYTES)
+    return 0;
+  return bd_buffer_append (&call->body, c) == BD_OK ? c.length : 0;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *context)
+{
+  static const char name[] = "x-index:";
+  struct call *call = context;
+  size_t n = size * count;
+  char text[64];
+
+  if (n >= sizeof text || n < sizeof name)
+    return n;
+  memcpy (text, data, n);
+  text[n] = '\0';
+  if (strncasecmp (text, name, sizeof name - 1) == 0)
+    call->new_index = strtoull (text + sizeof name - 1, NULL, 10);
+  return n;
+}
+
+static void
+call_url (const struct bd_watch *w, const struct call *call, char *url,
+          size_t size)
+{
+  bool instances = strcmp (call->name, "instances") == 0;
+  int n = snprintf (url, size, "%s/v1/%s%s", w->url, instances ? "" : "kv/",
+                    call->name);
+
+  if (call->kind != CALL_FETCH && n > 0 && (size_t)n < size)
+    snprintf (url + n, size - (size_t)n, "?index=%llu&wait=%ds",
+              (unsigned long long)call->index, (int)w->settings.wait_s);
+}
+
+static void
+call_start (struct bd_watch *w, struct call *call, int64_t now_ms)
+{
+  char url[URL_MAX_BYTES + NAME_MAX_BYTES + 64];
+  long timeout_ms = w->settings.answer_timeout_ms;
+  CURL *easy = curl_easy_init ();
+
+  call->not_before_ms = now_ms + HOLD_INTERVAL_MS;
+  if (!easy)
+    return;
+  if (call->kind != CALL_FETCH)
+    timeout_ms += 1000L * w->settings.wait_s;
+  call_url (w, call, url, sizeof url);
+  bd_buffer_reset (&call->body);
+  call->new_index = 0;
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  if (curl_multi_add_handle (w->multi, easy) != CURLM_OK)
+    {
+      curl_easy_cleanup (easy);
+      return;
+    }
+  call->easy = easy;
+  w->running++;
+  atomic_fetch_add_explicit (&w->calls, 1, memory_order_relaxed);
+}
+
+static void
+call_stop (struct bd_watch *w, struct call *call)
+{
+  if (!call->easy)
+    return;
+  curl_multi_remove_handle (w->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  call->easy = NULL;
+  w->running--;
+}
+
+static void
+say_reachable (struct bd_watch *w, bool up)
+{
+  if (w->known && w->up == up)
+    return;
+  w->known = true;
+  w->up = up;
+  w->sink->reachable (w->sink, up);
+}
+
+static void
+fetch_remove (struct bd_watch *w, struct call *call)
+{
+  struct call **place = &w->fetches;
+
+  while (*place != call)
+    place = &(*place)->next;
+  *place = call->next;
+  if (!*place)
+    w->fetches_end = place;
+  w->fetch_count--;
+  bd_buffer_clear (&call->body);
+  free (call);
+}
+
+static void
+call_deliver (struct bd_watch *w, struct call *call, long status)
+{
+  bool news = call->kind == CALL_FETCH || call->new_index != call->index;
+
+  /* Also a lower index is taken over, else the query would never answer. */
+  call->index = call->new_index;
+  if (status == HTTP_OK && news)
+    w->sink->document (w->sink, bd_chunk_of (call->name),
+                       bd_buffer_chunk (&call->body));
+}
+
+static void
+call_done (struct bd_watch *w, struct call *call, CURLcode result)
+{
+  int64_t now = bd_clock_ms ();
+  long status = 0;
+  bool answered;
+
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  call_stop (w, call);
+  answered = result == CURLE_OK && status < HTTP_SERVER_ERROR;
+  if (!answered)
+    {
+      /* Calls that fail together count as one failure. */
+      if (now >= w->retry_at_ms)
+        w->retry_at_ms = now + bd_backoff_next (&w->backoff);
+      say_reachable (w, false);
+      return;
+    }
+  bd_backoff_reset (&w->backoff);
+  w->retry_at_ms = 0;
+  say_reachable (w, true);
+  call_deliver (w, call, status);
+  if (call->kind == CALL_FETCH)
+    fetch_remove (w, call);
+  else if (status != HTTP_OK)
+    call->not_before_ms = now + w->settings.retry_max_ms;
+}
+
+static void
+take_results (struct bd_watch *w)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (w->multi, &left)))
+    {
+      char *data = NULL;
+      CURLcode result = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &data);
+      call_done (w, (struct call *)data, result);
+    }
+}
+
+static void
+fetch_add (struct bd_watch *w, const char *name)
+{
+  struct call *call;
+
+  for (call = w->fetches; call; call = call->next)
+    if (strcmp (call->name, name) == 0)
+      return;
+  if (w->fetch_count >= FETCHES_MAX)
+    return;
+  call = calloc (1, sizeof *call);
+  if (!call)
+    return;
+  call->kind = CALL_FETCH;
+  snprintf (call->name, sizeof call->name, "%s", name);
+  *w->fetches_end = call;
+  w->fetches_end = &call->next;
+  w->fetch_count++;
+}
+
+static void
+set_hold (struct bd_watch *w, bool hold)
+{
+  if (w->hold == hold)
+    return;
+  w->hold = hold;
+  for (int i = 0; i < HOLD_COUNT; i++)
+    {
+      call_stop (w, &w->holds[i]);
+      w->holds[i].index = 0;
+      w->holds[i].not_before_ms = 0;
+    }
+}
+
+static void
+take_orders (struct bd_watch *w)
+{
+  struct order *order;
+
+  while ((order = (struct order *)bd_mailbox_take (w->box)))
+    {
+      if (order->kind == ORDER_STOP)
+        w->stop = true;
+      else if (order->kind == ORDER_FETCH)
+        fetch_add (w, order->name);
+      else
+        set_hold (w, order->kind == ORDER_HOLD);
+      free (order);
+    }
+}
+
+/* Returns how long nothing more can start, in milliseconds. */
+static int
+start_calls (struct bd_watch *w)
+{
+  int64_t now = bd_clock_ms ();
+  int64_t wake = now + IDLE_POLL_MS;
+  /* One probe at a time while the service does not answer. */
+  size_t most = w->known && !w->up ? 1 : HOLD_COUNT + FETCHES_AT_ONCE;
+
+  if (now < w->retry_at_ms)
+    return (int)(w->retry_at_ms - now);
+  for (int i = 0; w->hold && i < HOLD_COUNT; i++)
+    {
+      struct call *call = &w->holds[i];
+
+      if (call->easy || w->running >= most)
+        continue;
+      if (now >= call->not_before_ms)
+        call_start (w, call, now);
+      else if (call->not_before_ms < wake)
+        wake = call->not_before_ms;
+    }
+  for (struct call *c = w->fetches; c && w->running < most; c = c->next)
+    if (!c->easy)
+      call_start (w, c, now);
+  return (int)(wake - now);
+}
+
+static void *
+watch_main (void *context)
+{
+  struct bd_watch *w = context;
+  struct curl_waitfd box
+      = { .fd = bd_mailbox_fd (w->box), .events = CURL_WAIT_POLLIN };
+
+  while (!w->stop)
+    {
+      int timeout_ms = start_calls (w);
+      int running;
+
+      curl_multi_perform (w->multi, &running);
+      take_results (w);
+      box.revents = 0;
+      /* A finished call may let the next start at once. */
+      if ((size_t)running == w->running)
+        curl_multi_poll (w->multi, &box, 1, timeout_ms, NULL);
+      take_orders (w);
+    }
+  return NULL;
+}
+
+static void
+watch_free (struct bd_watch *w)
+{
+  struct bd_mail *mail;
+
+  while (w->box && (mail = bd_mailbox_take (w->box)))
+    free (mail);
+  for (int i = 0; i < HOLD_COUNT; i++)
+    {
+      call_stop (w, &w->holds[i]);
+      bd_buffer_clear (&w->holds[i].body);
+    }
+  while (w->fetches)
+    {
+      call_stop (w, w->fetches);
+      fetch_remove (w, w->fetches);
+    }
+  if (w->multi)
+    curl_multi_cleanup (w->multi);
+  bd_mailbox_destroy (w->box);
+  free (w);
+}
+
+struct bd_watch *
+bd_watch_create_with (const struct bd_watch_settings *settings,
+                      struct bd_watch_sink *sink)
+{
+  struct bd_watch *w = calloc (1, sizeof *w);
+
+  if (!w)
+    return NULL;
+  w->settings = *settings;
+  snprintf (w->url, sizeof w->url, "%s", settings->url);
+  w->settings.url = w->url;
+  w->sink = sink;
+  w->fetches_end = &w->fetches;
+  bd_backoff_init (&w->backoff, settings->retry_min_ms, settings->retry_max_ms,
+                   settings->seed);
+  w->holds[0].kind = CALL_MANIFEST;
+  w->holds[1].kind = CALL_INSTANCES;
+  memcpy (w->holds[0].name, "manifest", sizeof "manifest");
+  memcpy (w->holds[1].name, "instances", sizeof "instances");
+  w->box = bd_mailbox_create ();
+  if (curl_global_init (CURL_GLOBAL_DEFAULT) == CURLE_OK)
+    w->multi = curl_multi_init ();
+  if (!w->box || !w->multi
+      || pthread_create (&w->thread, NULL, watch_main, w) != 0)
+    {
+      watch_free (w);
+      return NULL;
+    }
+  return w;
+}
+
+struct bd_watch *
+bd_watch_create (const char *url, uint64_t seed, struct bd_watch_sink *sink)
+{
+  struct bd_watch_settings settings = { .url = url,
+                                        .seed = seed,
+                                        .wait_s = WAIT_S,
+                                        .answer_timeout_ms = ANSWER_TIMEOUT_MS,
+                                        .retry_min_ms = RETRY_MIN_MS,
+                                        .retry_max_ms = RETRY_MAX_MS };
+
+  return bd_watch_create_with (&settings, sink);
+}
+
+static int
+post_order (struct bd_watch *w, enum order_kind kind, struct bd_chunk name)
+{
+  struct order *order = calloc (1, sizeof *order);
+
+  if (!order)
+    return BD_ERR_NOMEM;
+  order->kind = kind;
+  if (name.length > 0)
+    memcpy (order->name, name.data, name.length);
+  bd_mailbox_post (w->box, &order->mail);
+  return BD_OK;
+}
+
+void
+bd_watch_destroy (struct bd_watch *watch)
+{
+  if (!watch)
+    return;
+  /* Without this order the thread cannot be joined. */
+  while (post_order (watch, ORDER_STOP, (struct bd_chunk){ 0 }) != BD_OK)
+    ;
+  pthread_join (watch->thread, NULL);
+  watch_free (watch);
+}
+
+void
+bd_watch_hold (struct bd_watch *watch, bool hold)
+{
+  post_order (watch, hold ? ORDER_HOLD : ORDER_RELEASE,
+              (struct bd_chunk){ 0 });
+}
+
+void
+bd_watch_fetch (struct bd_watch *watch, struct bd_chunk name)
+{
+  if (name_valid (name))
+    post_order (watch, ORDER_FETCH, name);
+}
+
+uint64_t
+bd_watch_calls (const struct bd_watch *watch)
+{
+  return atomic_load_explicit (&watch->calls, memory_order_relaxed);
+}
