--- a/src/sidecar/engine.h
+++ b/src/sidecar/engine.h
@@ -25,6 +25,7 @@
   struct bd_chunk path;   /**< "/v1/chat/completions", … */
   struct bd_chunk content_type;
   struct bd_chunk body;
+  struct bd_chunk key;      /**< Sent as Idempotency-Key when not empty. */
   uint8_t tier;             /**< Sent as X-Priority: 0 goes first. */
   uint64_t fencing;         /**< Sent as X-Fencing when not 0. */
   int64_t deadline_left_ms; /**< Whole time limit of the call. */
@@ -32,7 +33,7 @@
 
 enum bd_engine_event_kind
 {
-  BD_ENGINE_STARTED = 0, /**< The first byte of the request went out. */
+  BD_ENGINE_STARTED = 0, /**< The next byte may leave: sent from here on. */
   BD_ENGINE_HEAD,        /**< status, content_type */
   BD_ENGINE_DATA,        /**< data, in order */
   BD_ENGINE_END,         /**< The answer is whole (by HTTP framing). */
@@ -68,7 +69,11 @@
 /** Aborts what runs (each call still gets its event) and joins the thread. */
 void bd_engine_destroy (struct bd_engine *engine);
 
-/** Starts a call.  Any thread.  Returns BD_OK or BD_ERR_NOMEM. */
+/**
+ * Starts a call.  Any thread.  Returns BD_OK, BD_ERR_NOMEM, or
+ * BD_ERR_INVALID for a method, path, content type or key that cannot stand
+ * in an HTTP request; only BD_OK is followed by events.
+ */
 int bd_engine_start (struct bd_engine *engine,
                      const struct bd_engine_call *call);
 
