--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -1,31 +1,15 @@
-/*
- * Why a call is never sent twice: libcurl repeats a request by itself when a
- * reused connection turns out to be dead, when a 417 answers
- * "Expect: 100-continue", on a redirect, on an authentication round, and on
- * a refused HTTP/2 stream.  Each call therefore has a fresh connection that
- * is not kept (a connect on loopback costs some tens of microseconds),
- * Expect is off, redirects and credentials are not set, and HTTP is 1.1.
- * CURLOPT_PREREQFUNCTION runs after the connect and before the first byte:
- * a call that failed without passing it was provably not sent.
- */
-#include "sidecar/engine.h"
+#include "sidecar/engine_call.h"
 
 #include "common/clock.h"
 #include "common/mailbox.h"
-#include "common/string.h"
 
-#include <curl/curl.h>
-#include <inttypes.h>
 #include <pthread.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #define POLL_LONGEST_MS 1000
 #define HEADERS_MAX_BYTES 65536
-#define METHOD_MAX_BYTES 16
-#define HEADER_VALUE_MAX_BYTES 1024
 
 enum command_kind
 {
@@ -34,37 +18,11 @@
   COMMAND_STOP
 };
 
-struct call
-{
-  struct bd_engine *engine;
-  struct call *previous;
-  struct call *next;
-  CURL *easy;
-  struct curl_slist *headers;
-  struct bd_id request;
-  uint32_t attempt;
-  char *method;
-  char *url;
-  char *content_type;
-  char *key;
-  struct bd_buffer body;
-  uint8_t tier;
-  uint64_t fencing;
-  int64_t deadline_ms;
-  int64_t due_ms; /* First byte or idle limit; 0 before the first byte. */
-  uint64_t header_bytes;
-  uint64_t answer_bytes;
-  int error; /* The reason when the engine thread aborts the call itself. */
-  bool sent;
-  bool head_given;
-  bool framed; /* Length or chunks tell where the answer ends. */
-};
-
 struct command
 {
   struct bd_mail mail;
   enum command_kind kind;
-  struct call *call;
+  struct bd_call *call;
   struct bd_id request;
   uint32_t attempt;
 };
@@ -76,7 +34,7 @@
   struct bd_engine_sink *sink;
   struct bd_mailbox *box;
   CURLM *multi;
-  struct call *calls;
+  struct cds_list_head calls;
   int64_t next_due_ms; /* No limit is reached before; may be too early. */
   bool stopping;
   struct command stop;
@@ -92,41 +50,7 @@
 }
 
 static void
-free_call (struct call *call)
-{
-  if (call->easy)
-    curl_easy_cleanup (call->easy);
-  curl_slist_free_all (call->headers);
-  bd_buffer_clear (&call->body);
-  free (call->method);
-  free (call->url);
-  free (call->content_type);
-  free (call->key);
-  free (call);
-}
-
-static void
-link_call (struct bd_engine *engine, struct call *call)
-{
-  call->next = engine->calls;
-  if (engine->calls)
-    engine->calls->previous = call;
-  engine->calls = call;
-}
-
-static void
-unlink_call (struct bd_engine *engine, struct call *call)
-{
-  if (call->previous)
-    call->previous->next = call->next;
-  else
-    engine->calls = call->next;
-  if (call->next)
-    call->next->previous = call->previous;
-}
-
-static void
-give_event (struct call *call, struct bd_engine_event *event)
+give_event (struct bd_call *call, struct bd_engine_event *event)
 {
   struct bd_engine_sink *sink = call->engine->sink;
 
@@ -138,7 +62,7 @@
 
 /* Gives the call's last event and frees it.  ERROR 0 is a whole answer. */
 static void
-finish_call (struct call *call, int error)
+finish_call (struct bd_call *call, int error)
 {
   struct bd_engine *engine = call->engine;
   struct bd_engine_event event = {
@@ -148,13 +72,13 @@
 
   if (call->easy)
     curl_multi_remove_handle (engine->multi, call->easy);
-  unlink_call (engine, call);
+  cds_list_del (&call->node);
   give_event (call, &event);
-  free_call (call);
+  bd_call_destroy (call);
 }
 
 static void
-set_due (struct call *call, int32_t limit_ms)
+set_due (struct bd_call *call, int32_t limit_ms)
 {
   struct bd_engine *engine = call->engine;
 
@@ -168,7 +92,7 @@
 on_before_request (void *data, char *remote_ip, char *local_ip,
                    int remote_port, int local_port)
 {
-  struct call *call = data;
+  struct bd_call *call = data;
   struct bd_engine_event event = { .kind = BD_ENGINE_STARTED };
 
   (void)remote_ip;
@@ -200,7 +124,7 @@
 }
 
 static void
-give_head (struct call *call, long status)
+give_head (struct bd_call *call, long status)
 {
   struct bd_engine_event event = { .kind = BD_ENGINE_HEAD };
   char *type = NULL;
@@ -215,7 +139,7 @@
 static size_t
 on_header (char *data, size_t size, size_t count, void *user)
 {
-  struct call *call = user;
+  struct bd_call *call = user;
   struct bd_chunk line = { .data = data, .length = size * count };
   long status = 0;
 
@@ -240,7 +164,7 @@
 static size_t
 on_data (char *data, size_t size, size_t count, void *user)
 {
-  struct call *call = user;
+  struct bd_call *call = user;
   struct bd_engine_event event = { .kind = BD_ENGINE_DATA };
   size_t length = size * count;
 
@@ -285,7 +209,7 @@
  * of events has an end mark of its own, which the caller checks.
  */
 static bool
-end_is_known (struct call *call)
+end_is_known (struct bd_call *call)
 {
   char *type = NULL;
   long status = 0;
@@ -300,7 +224,7 @@
 }
 
 static void
-finish_transfer (struct call *call, CURLcode code)
+finish_transfer (struct bd_call *call, CURLcode code)
 {
   int error = BD_OK;
 
@@ -325,7 +249,7 @@
 
   while ((message = curl_multi_info_read (engine->multi, &left)))
     {
-      struct call *call = NULL;
+      struct bd_call *call = NULL;
       CURLcode code = message->data.result;
 
       if (message->msg != CURLMSG_DONE)
@@ -340,148 +264,55 @@
 check_limits (struct bd_engine *engine)
 {
   int64_t now = bd_clock_ms ();
-  struct call *next;
+  struct bd_call *call;
+  struct bd_call *next;
 
   if (now < engine->next_due_ms)
     return;
   engine->next_due_ms = INT64_MAX;
-  for (struct call *call = engine->calls; call; call = next)
-    {
-      int64_t due = call->deadline_ms;
-
-      next = call->next;
-      if (call->due_ms != 0 && call->due_ms < due)
-        due = call->due_ms;
-      if (now >= call->deadline_ms)
-        finish_call (call, BD_ERR_DEADLINE);
-      else if (now >= due)
-        finish_call (call, BD_ERR_TIMEOUT);
-      else if (due < engine->next_due_ms)
-        engine->next_due_ms = due;
-    }
-}
-
-static int
-add_header (struct call *call, const char *format, const char *value)
-{
-  char line[HEADER_VALUE_MAX_BYTES + 64];
-  struct curl_slist *list;
-
-  snprintf (line, sizeof line, format, value);
-  list = curl_slist_append (call->headers, line);
-  if (!list)
-    return BD_ERR_NOMEM;
-  call->headers = list;
-  return BD_OK;
-}
-
-static int
-add_headers (struct call *call)
-{
-  char text[BD_ID_HEX_LENGTH + 1];
-  int rc = add_header (call, "%s:", "Expect");
+  cds_list_for_each_entry_safe (call, next, &engine->calls, node)
+  {
+    int64_t due = call->deadline_ms;
 
-  bd_id_format (call->request, text);
-  if (rc == BD_OK)
-    rc = add_header (call, "X-Request-Id: %s", text);
-  if (rc == BD_OK)
-    rc = add_header (call, "Connection: %s", "close");
-  snprintf (text, sizeof text, "%u", call->tier);
-  if (rc == BD_OK)
-    rc = add_header (call, "X-Priority: %s", text);
-  if (rc == BD_OK && call->key[0] != '\0')
-    rc = add_header (call, "Idempotency-Key: %s", call->key);
-  if (rc == BD_OK)
-    rc = add_header (call,
-                     call->content_type[0] != '\0' ? "Content-Type: %s"
-                                                   : "Content-Type:%s",
-                     call->content_type);
-  snprintf (text, sizeof text, "%" PRIu64, call->fencing);
-  if (rc == BD_OK && call->fencing != 0)
-    rc = add_header (call, "X-Fencing: %s", text);
-  return rc;
+    if (call->due_ms != 0 && call->due_ms < due)
+      due = call->due_ms;
+    if (now >= call->deadline_ms)
+      finish_call (call, BD_ERR_DEADLINE);
+    else if (now >= due)
+      finish_call (call, BD_ERR_TIMEOUT);
+    else if (due < engine->next_due_ms)
+      engine->next_due_ms = due;
+  }
 }
 
 static void
-set_body (struct call *call)
+set_callbacks (struct bd_call *call)
 {
   CURL *easy = call->easy;
-  bool expects_body = strcmp (call->method, "POST") == 0
-                      || strcmp (call->method, "PUT") == 0
-                      || strcmp (call->method, "PATCH") == 0;
-
-  if (strcmp (call->method, "HEAD") == 0)
-    {
-      curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-      return;
-    }
-  if (call->body.length > 0 || expects_body)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)call->body.length);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
-                        call->body.data ? call->body.data : "");
-    }
-  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
-}
 
-static void
-set_connection (struct call *call)
-{
-  const struct bd_engine_settings *settings = &call->engine->settings;
-  CURL *easy = call->easy;
-
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
-  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    (long)settings->connect_timeout_ms);
-}
-
-static int
-prepare_call (struct call *call)
-{
-  CURL *easy = curl_easy_init ();
-  int rc;
-
-  if (!easy)
-    return BD_ERR_NOMEM;
-  call->easy = easy;
-  rc = add_headers (call);
-  if (rc != BD_OK)
-    return rc;
-  if (curl_easy_setopt (easy, CURLOPT_URL, call->url) != CURLE_OK)
-    return BD_ERR_NOMEM;
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_request);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
-  set_connection (call);
-  set_body (call);
-  return BD_OK;
 }
 
 static void
-begin_call (struct bd_engine *engine, struct call *call)
+begin_call (struct bd_engine *engine, struct bd_call *call)
 {
   int rc;
 
-  link_call (engine, call);
+  cds_list_add_tail (&call->node, &engine->calls);
   if (engine->stopping)
     {
       finish_call (call, BD_ERR_CANCELLED);
       return;
     }
-  rc = prepare_call (call);
+  rc = bd_call_prepare (call, &engine->settings);
+  if (rc == BD_OK)
+    set_callbacks (call);
   if (rc == BD_OK
       && curl_multi_add_handle (engine->multi, call->easy) != CURLM_OK)
     rc = BD_ERR_INTERNAL;
@@ -497,13 +328,16 @@
 static void
 cancel_call (struct bd_engine *engine, const struct command *command)
 {
-  for (struct call *call = engine->calls; call; call = call->next)
-    if (bd_id_equal (call->request, command->request)
-        && call->attempt == command->attempt)
-      {
-        finish_call (call, BD_ERR_CANCELLED);
-        return;
-      }
+  struct bd_call *call;
+
+  cds_list_for_each_entry (
+      call, &engine->calls,
+      node) if (bd_id_equal (call->request, command->request)
+                && call->attempt == command->attempt)
+  {
+    finish_call (call, BD_ERR_CANCELLED);
+    return;
+  }
 }
 
 static void
@@ -543,6 +377,8 @@
 {
   struct bd_engine *engine = data;
   struct curl_waitfd wait = { .events = CURL_WAIT_POLLIN };
+  struct bd_call *call;
+  struct bd_call *next;
   int running;
 
   wait.fd = bd_mailbox_fd (engine->box);
@@ -557,8 +393,8 @@
       curl_multi_poll (engine->multi, &wait, 1, poll_timeout_ms (engine),
                        NULL);
     }
-  while (engine->calls)
-    finish_call (engine->calls, BD_ERR_CANCELLED);
+  cds_list_for_each_entry_safe (call, next, &engine->calls, node)
+      finish_call (call, BD_ERR_CANCELLED);
   return NULL;
 }
 
@@ -584,6 +420,7 @@
   engine->settings = *settings;
   engine->sink = sink;
   engine->next_due_ms = INT64_MAX;
+  CDS_INIT_LIST_HEAD (&engine->calls);
   engine->url = strdup (settings->url);
   engine->settings.url = engine->url;
   engine->box = bd_mailbox_create ();
@@ -608,104 +445,24 @@
   free_engine (engine);
 }
 
-/* True when every byte may stand in a header value (and a path, without
-   spaces).  */
-static bool
-is_printable (struct bd_chunk text, bool allow_space)
-{
-  for (size_t i = 0; i < text.length; i++)
-    {
-      unsigned char c = (unsigned char)text.data[i];
-
-      if (c < ' ' || c == 127 || (c == ' ' && !allow_space))
-        return false;
-    }
-  return true;
-}
-
-static bool
-is_method (struct bd_chunk method)
-{
-  if (method.length == 0 || method.length > METHOD_MAX_BYTES)
-    return false;
-  for (size_t i = 0; i < method.length; i++)
-    if (method.data[i] < 'A' || method.data[i] > 'Z')
-      return false;
-  return true;
-}
-
-static bool
-is_valid (const struct bd_engine_call *call)
-{
-  if (!is_method (call->method))
-    return false;
-  if (call->path.length == 0 || call->path.data[0] != '/'
-      || !is_printable (call->path, false)
-      || memchr (call->path.data, '#', call->path.length))
-    return false;
-  return call->content_type.length <= HEADER_VALUE_MAX_BYTES
-         && call->key.length <= HEADER_VALUE_MAX_BYTES
-         && is_printable (call->content_type, true)
-         && is_printable (call->key, true);
-}
-
-static char *
-join_url (const char *base, struct bd_chunk path)
-{
-  struct bd_buffer url = { 0 };
-  struct bd_chunk start = bd_chunk_of (base);
-
-  while (start.length > 0 && start.data[start.length - 1] == '/')
-    start.length--;
-  if (bd_buffer_append (&url, start) != BD_OK
-      || bd_buffer_append (&url, path) != BD_OK)
-    bd_buffer_clear (&url);
-  return url.data;
-}
-
-static struct call *
-copy_call (struct bd_engine *engine, const struct bd_engine_call *from)
-{
-  struct call *call = calloc (1, sizeof *call);
-
-  if (!call)
-    return NULL;
-  call->engine = engine;
-  call->request = from->request;
-  call->attempt = from->attempt;
-  call->tier = from->tier;
-  call->fencing = from->fencing;
-  call->deadline_ms = bd_clock_ms () + from->deadline_left_ms;
-  call->method = bd_chunk_copy (from->method);
-  call->url = join_url (engine->url, from->path);
-  call->content_type = bd_chunk_copy (from->content_type);
-  call->key = bd_chunk_copy (from->key);
-  if (!call->method || !call->url || !call->content_type || !call->key
-      || bd_buffer_append (&call->body, from->body) != BD_OK)
-    {
-      free_call (call);
-      return NULL;
-    }
-  return call;
-}
-
 int
 bd_engine_start (struct bd_engine *engine, const struct bd_engine_call *call)
 {
   struct command *command;
 
-  if (!is_valid (call))
+  if (!bd_call_is_valid (call))
     return BD_ERR_INVALID;
   command = calloc (1, sizeof *command);
   if (!command)
     return BD_ERR_NOMEM;
   command->kind = COMMAND_START;
-  command->call = copy_call (engine, call);
+  command->call = bd_call_create (call, engine->url, bd_clock_ms ());
   if (!command->call)
     {
       free (command);
       return BD_ERR_NOMEM;
     }
+  command->call->engine = engine;
   bd_mailbox_post (engine->box, &command->mail);
   return BD_OK;
 }
