--- a/src/common/event.h
+++ b/src/common/event.h
@@ -50,7 +50,7 @@
 
 enum bd_event
 {
-#define BD_EVENT_ENUM(number, name, severity, text) BD_EVENT_##name = number,
+#define BD_EVENT_ENUM(number, name, severity, text) BD_EVENT_##name = (number),
   BD_EVENT_TABLE (BD_EVENT_ENUM)
 #undef BD_EVENT_ENUM
 };
--- /dev/null
+++ b/src/common/log.c
@@ -0,0 +1,222 @@
+#include "common/log.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define INSTANCE_MAX_BYTES 64
+
+struct event_row
+{
+  const char *name;
+  const char *text;
+  int number;
+  enum bd_severity severity;
+};
+
+static const struct event_row event_rows[] = {
+#define EVENT_ROW(number, name, severity, text)                               \
+  { #name, text, number, BD_SEVERITY_##severity },
+  BD_EVENT_TABLE (EVENT_ROW)
+#undef EVENT_ROW
+};
+
+#define EVENT_COUNT (sizeof event_rows / sizeof event_rows[0])
+
+/* A kept line.  Writers claim slots by an atomic counter, so the lock of a
+   slot is only contended by a reader or by a writer one round ahead. */
+struct slot
+{
+  pthread_mutex_t lock;
+  uint64_t number;
+  size_t length;
+  char line[BD_LOG_KEPT_LINE_BYTES];
+};
+
+static struct slot slots[BD_LOG_KEPT_LINES];
+static pthread_once_t slots_once = PTHREAD_ONCE_INIT;
+static _Atomic uint64_t next_number = 1;
+static _Atomic int least_severity = BD_SEVERITY_INFO;
+static char instance_name[INSTANCE_MAX_BYTES] = "-";
+
+static void
+init_slots (void)
+{
+  for (size_t i = 0; i < BD_LOG_KEPT_LINES; i++)
+    pthread_mutex_init (&slots[i].lock, NULL);
+}
+
+static const struct event_row *
+find_event (enum bd_event event)
+{
+  size_t low = 0;
+  size_t high = EVENT_COUNT;
+
+  while (low + 1 < high)
+    {
+      size_t middle = low + (high - low) / 2;
+
+      if (event_rows[middle].number <= (int)event)
+        low = middle;
+      else
+        high = middle;
+    }
+  return &event_rows[low];
+}
+
+void
+bd_log_open (const char *instance, enum bd_severity least)
+{
+  snprintf (instance_name, sizeof instance_name, "%s", instance);
+  atomic_store (&least_severity, (int)least);
+}
+
+bool
+bd_log_shows (enum bd_event event)
+{
+  return (int)find_event (event)->severity <= atomic_load (&least_severity);
+}
+
+static size_t
+put_text (char *line, size_t length, const char *format, va_list args)
+{
+  size_t room = BD_LOG_LINE_MAX_BYTES - 1 - length;
+  int n = vsnprintf (line + length, room, format, args);
+
+  if (n < 0)
+    return length;
+  return length + ((size_t)n < room ? (size_t)n : room - 1);
+}
+
+static size_t
+put_header (char *line, const struct event_row *row)
+{
+  struct timespec now;
+  struct tm utc;
+  size_t length;
+  int n;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &utc);
+  length = strftime (line, BD_LOG_LINE_MAX_BYTES, "%Y-%m-%dT%H:%M:%S", &utc);
+  n = snprintf (line + length, BD_LOG_LINE_MAX_BYTES - length,
+                ".%03ldZ %s basildockd[%ld]: BD%d %s %s",
+                now.tv_nsec / 1000000, instance_name, (long)getpid (),
+                row->number, row->name, row->text);
+  return length + (size_t)n;
+}
+
+/* No value may start a new line or steer a terminal. */
+static void
+mask_control_bytes (char *line, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    {
+      unsigned char c = (unsigned char)line[i];
+
+      if (c < 0x20 || c == 0x7f)
+        line[i] = '?';
+    }
+}
+
+static void
+keep_line (const char *line, size_t length)
+{
+  uint64_t number = atomic_fetch_add (&next_number, 1);
+  struct slot *slot = &slots[number % BD_LOG_KEPT_LINES];
+
+  if (length > BD_LOG_KEPT_LINE_BYTES)
+    length = BD_LOG_KEPT_LINE_BYTES;
+  pthread_once (&slots_once, init_slots);
+  pthread_mutex_lock (&slot->lock);
+  if (number > slot->number)
+    {
+      memcpy (slot->line, line, length);
+      slot->length = length;
+      slot->number = number;
+    }
+  pthread_mutex_unlock (&slot->lock);
+}
+
+void
+bd_log (enum bd_event event, const char *format, ...)
+{
+  const struct event_row *row = find_event (event);
+  char line[BD_LOG_LINE_MAX_BYTES];
+  size_t length;
+  va_list args;
+
+  if ((int)row->severity > atomic_load (&least_severity))
+    return;
+  length = put_header (line, row);
+  if (format[0] != '\0')
+    {
+      line[length++] = ' ';
+      va_start (args, format);
+      length = put_text (line, length, format, args);
+      va_end (args);
+    }
+  mask_control_bytes (line, length);
+  keep_line (line, length);
+  line[length++] = '\n';
+  if (write (STDERR_FILENO, line, length) < 0)
+    return;
+}
+
+const char *
+bd_log_quote (struct bd_chunk value, char *text, size_t size)
+{
+  size_t used = 0;
+
+  text[used++] = '"';
+  for (size_t i = 0; i < value.length; i++)
+    {
+      unsigned char c = (unsigned char)value.data[i];
+      char piece[5];
+      int n;
+
+      if (c < 0x20 || c == 0x7f)
+        n = snprintf (piece, sizeof piece, "\\x%02x", c);
+      else if (c == '"' || c == '\\')
+        n = snprintf (piece, sizeof piece, "\\%c", c);
+      else
+        n = snprintf (piece, sizeof piece, "%c", c);
+      if (used + (size_t)n + 2 > size)
+        break;
+      memcpy (text + used, piece, (size_t)n);
+      used += (size_t)n;
+    }
+  text[used++] = '"';
+  text[used] = '\0';
+  return text;
+}
+
+void
+bd_log_visit (void (*visit) (void *context, struct bd_chunk line),
+              void *context)
+{
+  uint64_t end = atomic_load (&next_number);
+  uint64_t first = end > BD_LOG_KEPT_LINES ? end - BD_LOG_KEPT_LINES : 1;
+
+  pthread_once (&slots_once, init_slots);
+  for (uint64_t number = first; number < end; number++)
+    {
+      struct slot *slot = &slots[number % BD_LOG_KEPT_LINES];
+      char line[BD_LOG_KEPT_LINE_BYTES];
+      size_t length = 0;
+
+      pthread_mutex_lock (&slot->lock);
+      if (slot->number == number)
+        {
+          length = slot->length;
+          memcpy (line, slot->line, length);
+        }
+      pthread_mutex_unlock (&slot->lock);
+      if (length > 0)
+        visit (context, (struct bd_chunk){ line, length });
+    }
+}
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -1,14 +1,23 @@
 /**
  * @file log.h
  * Syslog-style lines on standard error: one event, then key=value pairs.
+ * The last lines are also kept in memory, for the admin port.
  */
 #ifndef BD_LOG_H
 #define BD_LOG_H
 
 #include "common/event.h"
+#include "common/string.h"
 
 #include <stdbool.h>
 
+/** Longest line written, in bytes with the newline; longer ones are cut. */
+#define BD_LOG_LINE_MAX_BYTES 2048
+/** Longest line kept in memory, in bytes. */
+#define BD_LOG_KEPT_LINE_BYTES 512
+/** Number of lines kept in memory. */
+#define BD_LOG_KEPT_LINES 4096
+
 /** Sets the name that stands in each line and the least severity shown. */
 void bd_log_open (const char *instance, enum bd_severity least);
 
@@ -23,4 +32,18 @@
 /** True when the event's severity would be shown. */
 bool bd_log_shows (enum bd_event event);
 
+/**
+ * Writes VALUE in double quotes to TEXT, of SIZE bytes (at least 3): quotes
+ * and backslashes are escaped, control bytes become \xNN, and what does not
+ * fit is cut.  Returns TEXT.
+ */
+const char *bd_log_quote (struct bd_chunk value, char *text, size_t size);
+
+/**
+ * Calls VISIT for each kept line, oldest first; LINE has no newline and is
+ * valid during the call only.  Any thread.
+ */
+void bd_log_visit (void (*visit) (void *context, struct bd_chunk line),
+                   void *context);
+
 #endif
--- /dev/null
+++ b/src/common/setting_table.c
@@ -0,0 +1,313 @@
+#include "common/setting_table.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define NAME_MAX_BYTES 63
+#define TEXT_MAX_BYTES 1024
+#define SEEDS_MAX 64
+#define Z85_KEY_LENGTH 40
+#define TOKEN_KEY_LENGTH 64
+
+static bool
+store_text (const struct bd_setting *setting, const char *text,
+            struct bd_settings *settings)
+{
+  struct bd_owned_texts *owned = settings->owned;
+  size_t row = (size_t)(setting - bd_setting_table);
+  char *copy = strdup (text);
+
+  if (!copy)
+    return false;
+  free (owned->text[row]);
+  owned->text[row] = copy;
+  memcpy ((char *)settings + setting->offset, &owned->text[row], sizeof copy);
+  return true;
+}
+
+static bool
+accept_role (const struct bd_setting *setting, const char *text,
+             struct bd_settings *settings)
+{
+  enum bd_role role = BD_ROLE_ENTRY;
+
+  if (strcmp (text, "sidecar") == 0)
+    role = BD_ROLE_SIDECAR;
+  else if (strcmp (text, "entry") != 0)
+    return false;
+  memcpy ((char *)settings + setting->offset, &role, sizeof role);
+  return true;
+}
+
+static bool
+accept_policy (const struct bd_setting *setting, const char *text,
+               struct bd_settings *settings)
+{
+  static const char *const names[]
+      = { "late-binding", "random", "better-of-two" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcmp (text, names[i]) == 0)
+      return store_text (setting, text, settings);
+  return false;
+}
+
+static bool
+accept_name (const struct bd_setting *setting, const char *text,
+             struct bd_settings *settings)
+{
+  static const char allowed[] = "abcdefghijklmnopqrstuvwxyz"
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                "0123456789._-";
+  size_t length = strlen (text);
+
+  if (length == 0 || length > NAME_MAX_BYTES)
+    return false;
+  if (strspn (text, allowed) != length)
+    return false;
+  return store_text (setting, text, settings);
+}
+
+static bool
+parse_integer (const char *text, int64_t least, int64_t most, int64_t *value)
+{
+  char *end;
+
+  if (text[0] == '\0' || strspn (text, "0123456789") != strlen (text))
+    return false;
+  errno = 0;
+  *value = strtoll (text, &end, 10);
+  return errno == 0 && *value >= least && *value <= most;
+}
+
+/* TEXT, of LENGTH bytes, is an IPv4 number and a port. */
+static bool
+is_address (const char *text, size_t length)
+{
+  char copy[INET_ADDRSTRLEN + 8];
+  struct in_addr ip;
+  char *colon;
+  int64_t port;
+
+  if (length >= sizeof copy)
+    return false;
+  memcpy (copy, text, length);
+  copy[length] = '\0';
+  colon = strchr (copy, ':');
+  if (!colon)
+    return false;
+  *colon = '\0';
+  return inet_pton (AF_INET, copy, &ip) == 1
+         && parse_integer (colon + 1, 1, 65535, &port);
+}
+
+static bool
+accept_address (const struct bd_setting *setting, const char *text,
+                struct bd_settings *settings)
+{
+  return is_address (text, strlen (text))
+         && store_text (setting, text, settings);
+}
+
+static bool
+accept_addresses (const struct bd_setting *setting, const char *text,
+                  struct bd_settings *settings)
+{
+  const char *next = text;
+
+  for (size_t count = 0; count < SEEDS_MAX; count++)
+    {
+      size_t length = strcspn (next, ",");
+
+      if (!is_address (next, length))
+        return false;
+      if (next[length] == '\0')
+        return store_text (setting, text, settings);
+      next += length + 1;
+    }
+  return false;
+}
+
+static bool
+has_http_scheme (CURLU *url)
+{
+  char *scheme = NULL;
+  bool ok;
+
+  if (curl_url_get (url, CURLUPART_SCHEME, &scheme, 0) != CURLUE_OK)
+    return false;
+  ok = strcmp (scheme, "http") == 0 || strcmp (scheme, "https") == 0;
+  curl_free (scheme);
+  return ok;
+}
+
+static bool
+accept_url (const struct bd_setting *setting, const char *text,
+            struct bd_settings *settings)
+{
+  CURLU *url;
+  bool ok;
+
+  if (strlen (text) > TEXT_MAX_BYTES)
+    return false;
+  url = curl_url ();
+  ok = url && curl_url_set (url, CURLUPART_URL, text, 0) == CURLUE_OK
+       && has_http_scheme (url);
+  curl_url_cleanup (url);
+  return ok && store_text (setting, text, settings);
+}
+
+static bool
+accept_file (const struct bd_setting *setting, const char *text,
+             struct bd_settings *settings)
+{
+  if (strlen (text) > TEXT_MAX_BYTES || access (text, R_OK) != 0)
+    return false;
+  return store_text (setting, text, settings);
+}
+
+static bool
+accept_int32 (const struct bd_setting *setting, const char *text,
+              struct bd_settings *settings)
+{
+  int64_t value;
+  int32_t narrow;
+
+  if (!parse_integer (text, setting->least, setting->most, &value))
+    return false;
+  narrow = (int32_t)value;
+  memcpy ((char *)settings + setting->offset, &narrow, sizeof narrow);
+  return true;
+}
+
+static bool
+accept_int64 (const struct bd_setting *setting, const char *text,
+              struct bd_settings *settings)
+{
+  int64_t value;
+
+  if (!parse_integer (text, setting->least, setting->most, &value))
+    return false;
+  memcpy ((char *)settings + setting->offset, &value, sizeof value);
+  return true;
+}
+
+static bool
+accept_z85 (const struct bd_setting *setting, const char *text,
+            struct bd_settings *settings)
+{
+  static const char alphabet[] = "0123456789abcdefghijklmnopqrstuvwxyz"
+                                 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                 ".-:+=^!/*?&<>()[]{}@%$#";
+
+  if (strlen (text) != Z85_KEY_LENGTH
+      || strspn (text, alphabet) != Z85_KEY_LENGTH)
+    return false;
+  return store_text (setting, text, settings);
+}
+
+static bool
+accept_hex (const struct bd_setting *setting, const char *text,
+            struct bd_settings *settings)
+{
+  if (strlen (text) != TOKEN_KEY_LENGTH
+      || strspn (text, "0123456789abcdefABCDEF") != TOKEN_KEY_LENGTH)
+    return false;
+  return store_text (setting, text, settings);
+}
+
+#define TEXT_OF(value) #value
+#define RANGE_OF(least, most) TEXT_OF (least) " to " TEXT_OF (most)
+#define NAME_RANGE "1 to 63 letters, digits, '.', '_' or '-'"
+#define ADDRESS_RANGE "IP:PORT with an IPv4 number and a port of 1 to 65535"
+#define URL_RANGE "an http:// or https:// URL of at most 1024 bytes"
+
+#define TEXT(flag, variable, accept, field, required, range, standard, help)  \
+  {                                                                           \
+    { flag, "BASILDOCK_" variable, range, standard, help }, accept,           \
+        offsetof (struct bd_settings, field), required, true, 0, 0            \
+  }
+#define NUMBER(flag, variable, accept, field, least, most, standard, help)    \
+  {                                                                           \
+    { flag, "BASILDOCK_" variable, RANGE_OF (least, most), standard, help },  \
+        accept, offsetof (struct bd_settings, field), BD_SETTING_OPTIONAL,    \
+        false, least, most                                                    \
+  }
+
+const struct bd_setting bd_setting_table[BD_SETTING_COUNT] = {
+  { { "role", "BASILDOCK_ROLE", "entry or sidecar", "",
+      "what this daemon is" },
+    accept_role,
+    offsetof (struct bd_settings, role),
+    BD_SETTING_REQUIRED,
+    false,
+    0,
+    0 },
+  TEXT ("instance", "INSTANCE", accept_name, instance, BD_SETTING_REQUIRED,
+        NAME_RANGE, "", "name of this instance, unique in the fleet"),
+  TEXT ("zone", "ZONE", accept_name, zone, BD_SETTING_REQUIRED, NAME_RANGE, "",
+        "availability zone of this instance"),
+  TEXT ("peer-address", "PEER_ADDRESS", accept_address, peer_address,
+        BD_SETTING_REQUIRED, ADDRESS_RANGE, "",
+        "where other daemons reach this one"),
+  TEXT ("http-address", "HTTP_ADDRESS", accept_address, http_address,
+        BD_SETTING_ENTRY, ADDRESS_RANGE, "", "where callers reach an entry"),
+  TEXT ("admin-address", "ADMIN_ADDRESS", accept_address, admin_address,
+        BD_SETTING_OPTIONAL, ADDRESS_RANGE, "",
+        "where operators and probes read this daemon; none: no admin port"),
+  TEXT ("platform-url", "PLATFORM_URL", accept_url, platform_url,
+        BD_SETTING_REQUIRED, URL_RANGE, "",
+        "the platform's configuration service"),
+  TEXT ("seeds", "SEEDS", accept_addresses, seeds, BD_SETTING_OPTIONAL,
+        "at most 64 of IP:PORT, separated by commas", "",
+        "peer addresses of entries to join through"),
+  TEXT ("tls-certificate", "TLS_CERTIFICATE", accept_file, tls_certificate,
+        BD_SETTING_OPTIONAL, "a readable file of at most 1024 bytes of path",
+        "", "PEM file with certificate and key for callers' HTTP"),
+  TEXT ("policy", "POLICY", accept_policy, policy, BD_SETTING_OPTIONAL,
+        "late-binding, random or better-of-two", "late-binding",
+        "how an entry places requests"),
+  TEXT ("engine-url", "ENGINE_URL", accept_url, engine_url, BD_SETTING_SIDECAR,
+        URL_RANGE, "", "the engine or service beside a sidecar"),
+  TEXT ("pool", "POOL", accept_name, pool, BD_SETTING_SIDECAR, NAME_RANGE, "",
+        "the model or service that the sidecar's engine serves"),
+  NUMBER ("slots", "SLOTS", accept_int32, slots, 1, 4096, "8",
+          "requests that the engine runs at a time"),
+  NUMBER ("queue-items", "QUEUE_ITEMS", accept_int32, queue_items, 1, 1000000,
+          "1000", "requests that may wait at a sidecar"),
+  NUMBER ("queue-bytes", "QUEUE_BYTES", accept_int64, queue_bytes, 65536,
+          17179869184, "67108864", "bytes of requests waiting at a sidecar"),
+  NUMBER ("answer-bytes", "ANSWER_BYTES", accept_int64, answer_bytes, 65536,
+          17179869184, "67108864",
+          "bytes of recorded answers kept by a sidecar"),
+  NUMBER ("connect-timeout-ms", "CONNECT_TIMEOUT_MS", accept_int32,
+          connect_timeout_ms, 1, 60000, "1000",
+          "time limit to connect to the engine, in milliseconds"),
+  NUMBER ("first-byte-timeout-ms", "FIRST_BYTE_TIMEOUT_MS", accept_int32,
+          first_byte_timeout_ms, 1, 3600000, "30000",
+          "time limit for the engine's first byte, in milliseconds"),
+  NUMBER ("idle-timeout-ms", "IDLE_TIMEOUT_MS", accept_int32, idle_timeout_ms,
+          1, 3600000, "10000",
+          "time limit between two reads from the engine, in milliseconds"),
+  NUMBER ("max-streams", "MAX_STREAMS", accept_int32, max_streams, 1, 16384,
+          "512", "callers' connections served at a time by an entry"),
+  NUMBER ("body-bytes", "BODY_BYTES", accept_int32, body_bytes, 1024, 67108864,
+          "1048576", "largest request body, in bytes"),
+  NUMBER ("subset-size", "SUBSET_SIZE", accept_int32, subset_size, 1, 4096,
+          "120", "runners of a pool that an entry talks to"),
+  NUMBER ("drain-timeout-s", "DRAIN_TIMEOUT_S", accept_int32, drain_timeout_s,
+          0, 86400, "0", "time limit of a planned stop, in seconds; 0: none"),
+  NUMBER ("log-level", "LOG_LEVEL", accept_int32, log_level, 3, 7, "6",
+          "least severity logged: 3 error, 4 warning, 5 notice, 6 info, "
+          "7 debug"),
+  TEXT (NULL, "CURVE_SECRET", accept_z85, curve_secret, BD_SETTING_OPTIONAL,
+        "40 Z85 characters", "", "secret key between daemons"),
+  TEXT (NULL, "CURVE_PUBLIC", accept_z85, curve_public, BD_SETTING_OPTIONAL,
+        "40 Z85 characters", "", "public key between daemons"),
+  TEXT (NULL, "TOKEN_KEY", accept_hex, token_key, BD_SETTING_OPTIONAL,
+        "64 hex digits", "", "key that seals idempotency keys"),
+};
--- /dev/null
+++ b/src/common/setting_table.h
@@ -0,0 +1,49 @@
+/**
+ * @file setting_table.h
+ * The table of settings: names, checks, ranges.  Private to settings.c.
+ */
+#ifndef BD_SETTING_TABLE_H
+#define BD_SETTING_TABLE_H
+
+#include "common/settings.h"
+
+/** Number of rows. */
+#define BD_SETTING_COUNT 27
+
+struct bd_setting;
+
+/** Checks TEXT and stores it in SETTINGS.  False when it is not accepted. */
+typedef bool (*bd_accept_function) (const struct bd_setting *setting,
+                                    const char *text,
+                                    struct bd_settings *settings);
+
+/** Which roles must give a setting. */
+enum bd_setting_roles
+{
+  BD_SETTING_OPTIONAL = 0,
+  BD_SETTING_ENTRY = 1,
+  BD_SETTING_SIDECAR = 2,
+  BD_SETTING_REQUIRED = BD_SETTING_ENTRY | BD_SETTING_SIDECAR
+};
+
+/** One row. */
+struct bd_setting
+{
+  struct bd_setting_info info;
+  bd_accept_function accept;
+  size_t offset; /**< Of the field in struct bd_settings. */
+  enum bd_setting_roles required;
+  bool is_text;
+  int64_t least;
+  int64_t most;
+};
+
+extern const struct bd_setting bd_setting_table[BD_SETTING_COUNT];
+
+/** Behind bd_settings.owned: the texts, by row. */
+struct bd_owned_texts
+{
+  char *text[BD_SETTING_COUNT];
+};
+
+#endif
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -60,4 +60,17 @@
 
 void bd_settings_release (struct bd_settings *settings);
 
+/** What the help and the pages say of one setting. */
+struct bd_setting_info
+{
+  const char *flag;     /**< Without the dashes; NULL: environment only. */
+  const char *variable; /**< Name in the environment. */
+  const char *range;    /**< What is accepted. */
+  const char *standard; /**< Value when none is given; "": none. */
+  const char *help;
+};
+
+/** Describes the setting at INDEX.  False beyond the last one. */
+bool bd_setting_info (size_t index, struct bd_setting_info *info);
+
 #endif
