--- a/src/common/settings.c
+++ b/src/common/settings.c
@@ -17,6 +17,9 @@
 #define VARIABLE_MAX_BYTES 64
 /* --help, --version, --check-settings and the end marker. */
 #define EXTRA_COUNT 4
+/* Only the first is told; the parser reuses the last place when there are
+   more. */
+#define PARSE_ERRORS_MAX 20
 
 extern char **environ;
 
@@ -214,15 +217,35 @@
   return NULL;
 }
 
+/* The flag that was given an empty value, which the parser does not name. */
+static const char *
+find_empty (int argc, char **argv)
+{
+  for (int i = 1; i < argc; i++)
+    {
+      size_t length = strlen (argv[i]);
+
+      if (length > 0 && argv[i][length - 1] == '=')
+        return argv[i];
+      if (length == 0)
+        return argv[i - 1];
+    }
+  return "command line";
+}
+
 /* Tells the parser's first error.  What stands behind a "=" is left out: it
    may be a secret. */
 static int
-refuse_parse_error (void **arguments, struct arg_end *end)
+refuse_parse_error (int argc, char **argv, void **arguments,
+                    struct arg_end *end)
 {
   const char *text = end->argval[0];
-  const struct bd_setting *row = find_row (arguments, end->parent[0], text);
+  const struct bd_setting *row;
   char name[VARIABLE_MAX_BYTES + 2];
 
+  if (!text || text[0] == '\0')
+    text = find_empty (argc, argv);
+  row = find_row (arguments, end->parent[0], text);
   if (row)
     {
       snprintf (name, sizeof name, "--%s", row->info.flag);
@@ -230,8 +253,6 @@
                          end->error[0] == ARG_EMISSARG ? "value missing"
                                                        : "given twice");
     }
-  if (!text)
-    text = "command line";
   snprintf (name, sizeof name, "%.*s", (int)strcspn (text, "="), text);
   return refuse (name, NULL, "unknown", "the flags named by --help");
 }
@@ -263,7 +284,7 @@
       = arg_lit0 (NULL, "version", "shows the version and ends");
   line->arguments[n++] = line->check
       = arg_lit0 (NULL, "check-settings", "checks the settings and ends");
-  line->arguments[n++] = line->end = arg_end (1);
+  line->arguments[n++] = line->end = arg_end (PARSE_ERRORS_MAX);
   return arg_nullcheck (line->arguments) == 0;
 }
 
@@ -325,7 +346,7 @@
       return 1;
     }
   if (errors > 0)
-    return refuse_parse_error (line->arguments, line->end);
+    return refuse_parse_error (argc, argv, line->arguments, line->end);
   rc = read_all (line, settings);
   if (rc != BD_OK || line->check->count == 0)
     return rc;
--- /dev/null
+++ b/test/test_log.c
@@ -0,0 +1,177 @@
+#include "common/log.h"
+#include "support_capture.h"
+
+#include <glib.h>
+#include <string.h>
+#include <sys/types.h>
+#include <unistd.h>
+
+#define WRITERS 4
+#define LINES_EACH 2000
+
+static void
+test_line (void)
+{
+  struct capture capture;
+  char *err;
+
+  bd_log_open ("i-1", BD_SEVERITY_INFO);
+  capture_begin (&capture, 2);
+  bd_log (BD_EVENT_REQUEST_DONE, "request=%s tokens=%d", "abc", 3);
+  err = capture_end (&capture);
+  g_assert_true (g_regex_match_simple (
+      "^\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z i-1 "
+      "basildockd\\[\\d+\\]: BD2001 REQUEST_DONE request answered whole "
+      "request=abc tokens=3\n$",
+      err, 0, 0));
+  g_free (err);
+}
+
+static void
+test_hostile_values (void)
+{
+  static const struct
+  {
+    struct bd_chunk value;
+    size_t size;
+    const char *quoted;
+  } cases[] = {
+    { { "", 0 }, 3, "\"\"" },
+    { { "a b", 3 }, 32, "\"a b\"" },
+    { { "a\"b\\c", 5 }, 32, "\"a\\\"b\\\\c\"" },
+    { { "x\n\033[2J\0y\177", 8 }, 64, "\"x\\x0a\\x1b[2J\\x00y\"" },
+    { { "abcdef", 6 }, 6, "\"abc\"" },
+    { { "ab\ncd", 5 }, 8, "\"ab\"" },
+  };
+  struct capture capture;
+  char text[64];
+  char *err;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    g_assert_cmpstr (bd_log_quote (cases[i].value, text, cases[i].size), ==,
+                     cases[i].quoted);
+  capture_begin (&capture, 2);
+  bd_log (BD_EVENT_REQUEST_DONE, "x=%s", "1\n2026 forged\033[31m");
+  err = capture_end (&capture);
+  g_assert_true (strchr (err, '\n') == err + strlen (err) - 1);
+  g_assert_nonnull (strstr (err, "x=1?2026 forged?[31m"));
+  g_free (err);
+}
+
+static void
+test_long_line_is_cut (void)
+{
+  char *value = g_strnfill ((gsize)3 * BD_LOG_LINE_MAX_BYTES, 'v');
+  struct capture capture;
+  char *err;
+
+  capture_begin (&capture, 2);
+  bd_log (BD_EVENT_REQUEST_DONE, "v=%s", value);
+  err = capture_end (&capture);
+  g_assert_cmpuint (strlen (err), <=, BD_LOG_LINE_MAX_BYTES);
+  g_assert_cmpuint (strlen (err), >, BD_LOG_LINE_MAX_BYTES - 8);
+  g_assert_true (g_str_has_suffix (err, "v\n"));
+  g_free (err);
+  g_free (value);
+}
+
+static void
+test_severity (void)
+{
+  struct capture capture;
+  char *err;
+
+  bd_log_open ("i-1", BD_SEVERITY_WARNING);
+  g_assert_false (bd_log_shows (BD_EVENT_REQUEST_DONE));
+  g_assert_true (bd_log_shows (BD_EVENT_PROTOCOL_ERROR));
+  g_assert_true (bd_log_shows (BD_EVENT_SETTING_BAD));
+  capture_begin (&capture, 2);
+  bd_log (BD_EVENT_REQUEST_DONE, "x=1");
+  err = capture_end (&capture);
+  g_assert_cmpstr (err, ==, "");
+  g_free (err);
+  bd_log_open ("i-1", BD_SEVERITY_DEBUG);
+}
+
+/* bd_log finds its row by bisection. */
+static void
+test_events_ascend (void)
+{
+  static const int numbers[] = {
+#define NUMBER(number, name, severity, text) number,
+    BD_EVENT_TABLE (NUMBER)
+#undef NUMBER
+  };
+
+  for (size_t i = 1; i < G_N_ELEMENTS (numbers); i++)
+    g_assert_cmpint (numbers[i - 1], <, numbers[i]);
+}
+
+static gpointer
+write_lines (gpointer data)
+{
+  for (int i = 0; i < LINES_EACH; i++)
+    bd_log (BD_EVENT_REQUEST_DONE, "writer=%d line=%d.",
+            GPOINTER_TO_INT (data), i);
+  return NULL;
+}
+
+struct kept
+{
+  size_t count;
+  char last[BD_LOG_KEPT_LINE_BYTES + 1];
+};
+
+static void
+count_line (void *context, struct bd_chunk line)
+{
+  struct kept *kept = context;
+
+  kept->count++;
+  g_assert_cmpuint (line.length, <=, BD_LOG_KEPT_LINE_BYTES);
+  memcpy (kept->last, line.data, line.length);
+  kept->last[line.length] = '\0';
+}
+
+/* Lines of many threads are whole, and the last ones are kept. */
+static void
+test_threads (void)
+{
+  GThread *threads[WRITERS];
+  struct capture capture;
+  struct kept kept = { 0 };
+  char *err;
+  char **lines;
+
+  capture_begin (&capture, 2);
+  for (int i = 0; i < WRITERS; i++)
+    threads[i] = g_thread_new ("writer", write_lines, GINT_TO_POINTER (i));
+  bd_log_visit (count_line, &kept);
+  for (int i = 0; i < WRITERS; i++)
+    g_thread_join (threads[i]);
+  bd_log (BD_EVENT_DAEMON_STOP, "last=1");
+  err = capture_end (&capture);
+  lines = g_strsplit (err, "\n", 0);
+  g_assert_cmpuint (g_strv_length (lines), ==, WRITERS * LINES_EACH + 2);
+  for (size_t i = 0; i < (size_t)WRITERS * LINES_EACH; i++)
+    g_assert_true (g_str_has_suffix (lines[i], "."));
+  memset (&kept, 0, sizeof kept);
+  bd_log_visit (count_line, &kept);
+  g_assert_cmpuint (kept.count, ==, BD_LOG_KEPT_LINES);
+  g_assert_true (g_str_has_suffix (kept.last, "daemon stopped last=1"));
+  g_strfreev (lines);
+  g_free (err);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/log/line", test_line);
+  g_test_add_func ("/log/hostile-values", test_hostile_values);
+  g_test_add_func ("/log/long-line-is-cut", test_long_line_is_cut);
+  g_test_add_func ("/log/severity", test_severity);
+  g_test_add_func ("/log/events-ascend", test_events_ascend);
+  g_test_add_func ("/log/threads", test_threads);
+  return g_test_run ();
+}
