--- a/src/core/custody.c
+++ b/src/core/custody.c
@@ -39,6 +39,8 @@
   uint64_t from_incarnation;
   int64_t received_expires_wall_ms; /* Of the hand-over it came by. */
   struct bd_hand_over hand_over;    /* When handed. */
+  uint32_t tokens;
+  bool billed;
   int status;
   char *content_type;
   size_t content_type_length;
@@ -603,3 +605,27 @@
     return;
   r->state = r->waiter_count > 0 ? STATE_QUEUED : STATE_ENDED;
 }
+
+void
+bd_custody_used (struct bd_custody *custody, struct bd_key key,
+                 uint32_t tokens)
+{
+  struct record *r = record_find (custody, key);
+
+  if (r)
+    r->tokens = tokens;
+}
+
+bool
+bd_custody_bill (struct bd_custody *custody, struct bd_key key,
+                 uint32_t *tokens)
+{
+  struct record *r = record_find (custody, key);
+
+  if (!r || r->billed
+      || (r->state != STATE_RECORDED && r->state != STATE_RAN))
+    return false;
+  r->billed = true;
+  *tokens = r->tokens;
+  return true;
+}
--- a/src/core/custody.h
+++ b/src/core/custody.h
@@ -176,6 +176,17 @@
                         struct bd_key key, int error, int status,
                         struct bd_chunk content_type, struct bd_chunk answer);
 
+/** Notes the tokens of a run, for its bill. */
+void bd_custody_used (struct bd_custody *custody, struct bd_key key,
+                      uint32_t tokens);
+
+/**
+ * True the first time it is asked of a key that ran, with the noted tokens:
+ * its answer is billed now and never again.
+ */
+bool bd_custody_bill (struct bd_custody *custody, struct bd_key key,
+                      uint32_t *tokens);
+
 /**
  * The first byte was provably never sent: the key may run again.  It is
  * ended when no request waits on it any more.
--- /dev/null
+++ b/src/core/exchange.c
@@ -0,0 +1,162 @@
+#include "core/exchange.h"
+#include "common/string.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PEER_NAME_BYTES 64
+/* How long an asked document is waited for. */
+#define FETCH_TIMEOUT_MS 500
+/* How often peers with the same manifest and other content are compared. */
+#define FORK_CHECK_MS 10000
+#define REASON_BYTES 256
+
+struct bd_exchange
+{
+  struct bd_exchange_port *port;
+  struct bd_config *config;
+  char source[PEER_NAME_BYTES]; /* Who told of the newest revision. */
+  uint64_t asked_revision;
+  int64_t asked_ms;
+  int64_t fork_ms;
+  int64_t retry_ms;
+};
+
+struct bd_exchange *
+bd_exchange_create (struct bd_exchange_port *port)
+{
+  struct bd_exchange *x = calloc (1, sizeof *x);
+
+  if (!x)
+    return NULL;
+  x->port = port;
+  x->config = bd_config_create ();
+  x->fork_ms = INT64_MIN;
+  if (x->config)
+    return x;
+  free (x);
+  return NULL;
+}
+
+void
+bd_exchange_destroy (struct bd_exchange *exchange)
+{
+  if (!exchange)
+    return;
+  bd_config_destroy (exchange->config);
+  free (exchange);
+}
+
+struct bd_config *
+bd_exchange_config (struct bd_exchange *exchange)
+{
+  return exchange->config;
+}
+
+static void
+set_source (struct bd_exchange *x, struct bd_chunk peer)
+{
+  size_t length = peer.length < PEER_NAME_BYTES ? peer.length : 0;
+
+  if (length > 0)
+    memcpy (x->source, peer.data, length);
+  x->source[length] = '\0';
+}
+
+struct fetch_context
+{
+  struct bd_exchange *exchange;
+  struct bd_chunk peer;
+};
+
+static void
+fetch_named (void *data, struct bd_chunk name)
+{
+  struct fetch_context *context = data;
+  struct bd_exchange_port *port = context->exchange->port;
+
+  port->fetch (port, context->peer, name);
+}
+
+static void
+fetch_listed (void *data, struct bd_chunk name, uint64_t revision,
+              uint64_t hash)
+{
+  (void)revision;
+  (void)hash;
+  fetch_named (data, name);
+}
+
+static void
+fetch_missing (struct bd_exchange *x, struct bd_chunk peer)
+{
+  struct fetch_context context = { x, peer };
+
+  bd_config_missing (x->config, fetch_named, &context);
+}
+
+/* The same manifest with other content: two documents were published under
+   one revision.  Every document of the peer is looked at. */
+static void
+compare_forks (struct bd_exchange *x, int64_t now_ms, struct bd_chunk peer)
+{
+  struct fetch_context context = { x, peer };
+
+  if (x->fork_ms != INT64_MIN && now_ms - x->fork_ms < FORK_CHECK_MS)
+    return;
+  x->fork_ms = now_ms;
+  bd_config_list (x->config, fetch_listed, &context);
+}
+
+void
+bd_exchange_heard (struct bd_exchange *exchange, int64_t now_ms,
+                   struct bd_chunk peer, uint64_t revision, uint64_t digest)
+{
+  uint64_t ours = bd_config_revision (exchange->config);
+
+  if (revision == ours && revision != 0
+      && digest != bd_config_digest (exchange->config))
+    compare_forks (exchange, now_ms, peer);
+  if (revision == ours)
+    set_source (exchange, peer);
+  if (revision <= ours)
+    return;
+  if (revision <= exchange->asked_revision
+      && now_ms - exchange->asked_ms < FETCH_TIMEOUT_MS)
+    return;
+  exchange->asked_revision = revision;
+  exchange->asked_ms = now_ms;
+  exchange->port->fetch (exchange->port, peer, BD_CHUNK ("manifest"));
+}
+
+void
+bd_exchange_document (struct bd_exchange *exchange, int64_t now_ms,
+                      struct bd_chunk peer, struct bd_chunk name,
+                      struct bd_chunk json)
+{
+  struct bd_exchange_port *port = exchange->port;
+  char reason[REASON_BYTES] = "";
+  int rc = bd_config_offer (exchange->config, name, json, reason,
+                            sizeof reason);
+
+  if (rc == BD_ERR_CONTRACT)
+    port->note (port, BD_EVENT_CONFIG_REFUSED, name, reason);
+  if (rc != BD_OK)
+    return;
+  set_source (exchange, peer);
+  exchange->retry_ms = now_ms + FETCH_TIMEOUT_MS;
+  port->note (port, BD_EVENT_CONFIG_IN_FORCE, name, "");
+  if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
+    fetch_missing (exchange, peer);
+  port->changed (port);
+}
+
+void
+bd_exchange_tick (struct bd_exchange *exchange, int64_t now_ms)
+{
+  if (now_ms < exchange->retry_ms)
+    return;
+  exchange->retry_ms = now_ms + FETCH_TIMEOUT_MS;
+  fetch_missing (exchange, bd_chunk_of (exchange->source));
+}
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -220,8 +220,7 @@
           if (answer.verdict == BD_CUSTODY_REPLAY)
             bd_task_replay (runner, now_ms, task, &answer);
           else if (answer.verdict == BD_CUSTODY_REFUSE)
-            bd_task_refuse (runner, task, answer.error,
-                            bd_error_answer (answer.error)->ran);
+            bd_task_refuse (runner, task, answer.error, answer.ran);
         }
       task = next;
     }
@@ -271,6 +270,7 @@
     return;
   if (error == BD_OK && !kept)
     error = BD_ERR_ALREADY_RAN;
+  bd_custody_used (runner->custody, task->claim.key, task->tokens);
   bd_custody_finish (runner->custody, now_ms, task->claim.key, error,
                      task->status, type, bd_buffer_chunk (&task->body));
   answer_joined (runner, now_ms, task);
@@ -322,10 +322,7 @@
     {
       bd_custody_not_sent (runner->custody, now_ms, task->claim.key,
                            task->request);
-      if (bd_custody_withdraw (runner->custody, now_ms, task->claim.key,
-                               task->request)
-          != BD_OK)
-        ran = BD_RAN_UNKNOWN;
+      ran = bd_task_withdraw (runner, now_ms, task);
     }
   else
     finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
@@ -350,14 +347,9 @@
   if (task->state != TASK_ENDED)
     return;
   if (task->keyed)
-    {
-      billable = billable
-                 && !bd_map_get (runner->billed, task->claim.key.id, 0)
-                 && bd_map_put (runner->billed, task->claim.key.id, 0, runner)
-                        == BD_OK;
-    }
-  else
-    billable = billable && !task->replayed;
+    billable = billable
+               && bd_custody_bill (runner->custody, task->claim.key,
+                                   &bill.tokens);
   if (billable)
     runner->port->bill (runner->port, &bill);
   bd_task_remove (runner, task);
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -21,8 +21,7 @@
   runner->queue = bd_tier_queue_create (&settings->queue);
   runner->custody = bd_custody_create (&settings->custody);
   runner->tasks = bd_map_create ();
-  runner->billed = bd_map_create ();
-  if (runner->queue && runner->custody && runner->tasks && runner->billed)
+  if (runner->queue && runner->custody && runner->tasks)
     return runner;
   bd_runner_destroy (runner);
   return NULL;
@@ -38,29 +37,48 @@
   bd_tier_queue_destroy (runner->queue);
   bd_custody_destroy (runner->custody);
   bd_map_destroy (runner->tasks);
-  bd_map_destroy (runner->billed);
   free (runner);
 }
 
-/* A request that was never granted is withdrawn for good.  Returns whether
-   it provably did not run. */
-static enum bd_ran
-withdraw (struct bd_runner *runner, int64_t now_ms, struct task *task)
+static void enqueue (struct bd_runner *runner, int64_t now_ms,
+                     struct task *task);
+
+/* Queues one of those that wait for the key. */
+static void
+promote_joined (struct bd_runner *runner, int64_t now_ms,
+                const struct task *leaver)
 {
+  struct task *task = runner->first;
+
+  while (task
+         && (task == leaver || task->state != TASK_JOINED || !task->keyed
+             || !bd_id_equal (task->claim.key.id, leaver->claim.key.id)))
+    task = task->next;
+  if (task)
+    enqueue (runner, now_ms, task);
+}
+
+enum bd_ran
+bd_task_withdraw (struct bd_runner *runner, int64_t now_ms, struct task *task)
+{
+  bool owner = task->state != TASK_JOINED || task->owner;
+
   if (!task->keyed)
     return BD_RAN_NO;
-  return bd_custody_withdraw (runner->custody, now_ms, task->claim.key,
-                              task->request)
-                 == BD_OK
-             ? BD_RAN_NO
-             : BD_RAN_UNKNOWN;
+  if (bd_custody_withdraw (runner->custody, now_ms, task->claim.key,
+                           task->request)
+      == BD_OK)
+    return BD_RAN_NO;
+  if (owner)
+    promote_joined (runner, now_ms, task);
+  return BD_RAN_UNKNOWN;
 }
 
 static void
 withdraw_and_refuse (struct bd_runner *runner, int64_t now_ms,
                      struct task *task, int error)
 {
-  enum bd_ran ran = withdraw (runner, now_ms, task);
+  enum bd_ran ran = bd_task_withdraw (runner, now_ms, task);
 
   bd_task_refuse (runner, task, error, ran);
 }
@@ -118,6 +136,7 @@
 
   /* Not in the queue yet, should the push shed or refuse. */
   task->state = TASK_JOINED;
+  task->owner = true;
   rc = bd_tier_queue_push (runner->queue, &item, on_shed, &shed);
   if (rc != BD_OK)
     {
@@ -149,8 +168,7 @@
       bd_task_replay (runner, now_ms, task, &answer);
       break;
     case BD_CUSTODY_REFUSE:
-      bd_task_refuse (runner, task, answer.error,
-                      bd_error_answer (answer.error)->ran);
+      bd_task_refuse (runner, task, answer.error, answer.ran);
       break;
     }
 }
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -27,6 +27,7 @@
   uint32_t flags; /**< enum bd_message_flag. */
   uint8_t tier;
   bool keyed;
+  bool owner;    /**< Was queued itself, not only joined. */
   bool replayed; /**< The answer is a recorded one. */
   char *entry;   /**< Instance that is answered. */
   char *workspace;
@@ -93,6 +94,14 @@
 void bd_task_refuse (struct bd_runner *runner, struct task *task, int error,
                      enum bd_ran ran);
 
+/**
+ * Withdraws the task's claim on its key, if it has one.  Another task that
+ * waits for the key is queued in its place.  Returns whether the request
+ * provably did not run.
+ */
+enum bd_ran bd_task_withdraw (struct bd_runner *runner, int64_t now_ms,
+                              struct task *task);
+
 /** Gives a granted task to the engine. */
 void bd_task_run (struct bd_runner *runner, int64_t now_ms, struct task *task,
                   const struct bd_message *message);
--- /dev/null
+++ b/src/sidecar/mail.h
@@ -0,0 +1,32 @@
+/**
+ * @file mail.h
+ * Engine events on their way from the engine's thread to the control thread.
+ */
+#ifndef BD_SIDECAR_MAIL_H
+#define BD_SIDECAR_MAIL_H
+
+#include "common/mailbox.h"
+#include "sidecar/engine.h"
+
+/** A copy of an engine event. */
+struct bd_engine_mail
+{
+  struct bd_mail mail;
+  struct bd_engine_event event;
+};
+
+/** A sink that posts copies to a mailbox. */
+struct bd_engine_post
+{
+  struct bd_engine_sink sink;
+  struct bd_mailbox *box;
+};
+
+/** Sets up POST to deliver to BOX. */
+void bd_engine_post_init (struct bd_engine_post *post,
+                          struct bd_mailbox *box);
+
+/** Takes the oldest event, or returns NULL.  Free with free (). */
+struct bd_engine_mail *bd_engine_mail_take (struct bd_mailbox *box);
+
+#endif
