--- a/src/core/contract.c
+++ b/src/core/contract.c
@@ -106,6 +106,7 @@
     }
   contract->credential_count = n;
   reader->group = NULL;
+  reader->index = BD_READER_NO_INDEX;
   return BD_OK;
 }
 
@@ -234,8 +235,10 @@
 bd_contract_parse (struct bd_chunk json, struct bd_contract **contract,
                    char *reason, size_t reason_size)
 {
-  struct bd_reader reader
-      = { .kind = "workspace", .reason = reason, .reason_size = reason_size };
+  struct bd_reader reader = { .kind = "workspace",
+                              .index = BD_READER_NO_INDEX,
+                              .reason = reason,
+                              .reason_size = reason_size };
   struct bd_contract *c;
   json_t *root = NULL;
   int rc = bd_reader_load (&reader, json, CONTRACT_MAX_BYTES, &root);
--- a/src/core/document.c
+++ b/src/core/document.c
@@ -26,30 +26,43 @@
   return chunk.length < SHOWN_MAX_BYTES ? (int)chunk.length : SHOWN_MAX_BYTES;
 }
 
+/* "group", "group.item" or "group[index]"; empty outside of a group. */
+static void
+reader_place (const struct bd_reader *reader, char *place, size_t size)
+{
+  place[0] = '\0';
+  if (!reader->group)
+    return;
+  if (reader->item.length > 0)
+    snprintf (place, size, "%s.%.*s", reader->group,
+              shown_length (reader->item), reader->item.data);
+  else if (reader->index != BD_READER_NO_INDEX)
+    snprintf (place, size, "%s[%zu]", reader->group, reader->index);
+  else
+    snprintf (place, size, "%s", reader->group);
+}
+
 int
 bd_reader_fail (const struct bd_reader *reader, const char *field,
                 const char *format, ...)
 {
   char place[2 * SHOWN_MAX_BYTES] = "";
   char text[256];
+  const char *separator = "";
   va_list args;
 
   if (reader->reason_size == 0)
     return BD_ERR_CONTRACT;
-  if (reader->group && reader->item.length > 0)
-    snprintf (place, sizeof place, "%s.%.*s%s", reader->group,
-              shown_length (reader->item), reader->item.data,
-              *field ? "." : "");
-  else if (reader->group)
-    snprintf (place, sizeof place, "%s[%zu]%s", reader->group, reader->index,
-              *field ? "." : "");
+  reader_place (reader, place, sizeof place);
+  if (*place && *field)
+    separator = ".";
   va_start (args, format);
   vsnprintf (text, sizeof text, format, args);
   va_end (args);
-  snprintf (reader->reason, reader->reason_size, "%s %.*s: field %s%.*s: %s",
+  snprintf (reader->reason, reader->reason_size, "%s %.*s: field %s%s%.*s: %s",
             reader->kind, shown_length (reader->subject),
             reader->subject.length > 0 ? reader->subject.data : "", place,
-            SHOWN_MAX_BYTES, field, text);
+            separator, SHOWN_MAX_BYTES, field, text);
   clean_line (reader->reason);
   return BD_ERR_CONTRACT;
 }
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -39,6 +39,8 @@
   size_t offset;
 };
 
+#define BD_READER_NO_INDEX SIZE_MAX
+
 /** Where a reader is, for the error line. */
 struct bd_reader
 {
@@ -46,7 +48,7 @@
   struct bd_chunk subject; /**< The workspace or pool; may be empty. */
   const char *group;       /**< Enclosing field or NULL. */
   struct bd_chunk item;    /**< Member of the group; may be empty. */
-  size_t index;            /**< Element of the group, when item is empty. */
+  size_t index;            /**< Element of the group or BD_READER_NO_INDEX. */
   char *reason;            /**< Receives one line. */
   size_t reason_size;
 };
--- a/src/core/roster.c
+++ b/src/core/roster.c
@@ -103,6 +103,7 @@
         return rc;
     }
   reader->group = NULL;
+  reader->index = BD_READER_NO_INDEX;
   qsort (r, n, sizeof *r, compare_roster);
   for (size_t i = 1; i < n; i++)
     if (bd_chunk_equal (r[i - 1].instance, r[i].instance))
@@ -180,8 +181,10 @@
 bd_pool_parse (struct bd_chunk json, struct bd_pool **pool, char *reason,
                size_t reason_size)
 {
-  struct bd_reader reader
-      = { .kind = "pool", .reason = reason, .reason_size = reason_size };
+  struct bd_reader reader = { .kind = "pool",
+                              .index = BD_READER_NO_INDEX,
+                              .reason = reason,
+                              .reason_size = reason_size };
   struct bd_pool *p;
   json_t *root = NULL;
   int rc = bd_reader_load (&reader, json, BD_DOCUMENT_MAX_BYTES, &root);
@@ -292,8 +295,10 @@
 bd_manifest_parse (struct bd_chunk json, struct bd_manifest **manifest,
                    char *reason, size_t reason_size)
 {
-  struct bd_reader reader
-      = { .kind = "manifest", .reason = reason, .reason_size = reason_size };
+  struct bd_reader reader = { .kind = "manifest",
+                              .index = BD_READER_NO_INDEX,
+                              .reason = reason,
+                              .reason_size = reason_size };
   struct bd_manifest *m;
   json_t *root = NULL;
   int rc = bd_reader_load (&reader, json, BD_DOCUMENT_MAX_BYTES, &root);
