--- /dev/null
+++ b/src/common/metrics.h
@@ -0,0 +1,121 @@
+/**
+ * @file metrics.h
+ * Counters and histograms of a daemon.  All of it may be used from any
+ * thread and takes no lock.
+ */
+#ifndef BD_METRICS_H
+#define BD_METRICS_H
+
+#include "common/string.h"
+
+/** Pairs of workspace and class counted apart; more share one place. */
+#define BD_METRICS_PAIRS_MAX 2048
+
+/* Identifier, name, what it counts. */
+#define BD_COUNTER_TABLE(X)                                                   \
+  X (REQUESTS, "requests", "Requests received")                               \
+  X (ANSWERED, "answered", "Requests answered whole")                         \
+  X (RETRIES, "retries", "Requests placed again")                             \
+  X (HEDGES, "hedges", "Second attempts before the first token")              \
+  X (SHED, "shed", "Queued requests shed for work of a higher tier")          \
+  X (EXPIRED, "expired", "Queued requests whose deadline passed")             \
+  X (TOKENS_IN, "tokens_in", "Prompt tokens")                                 \
+  X (TOKENS_OUT, "tokens_out", "Generated tokens")                            \
+  X (WASTED_TOKENS, "wasted_tokens", "Generated tokens not delivered")        \
+  X (BILLED, "billed", "Billing lines written")                               \
+  X (CONFIG_OFFERS, "config_offers",                                          \
+     "Documents offered to the configuration")                                \
+  X (PLATFORM_CALLS, "platform_calls", "Calls to the configuration service")
+
+/* The same, for each pair of workspace and class. */
+#define BD_CLASS_COUNTER_TABLE(X)                                             \
+  X (REQUESTS, "requests", "Requests received")                               \
+  X (ANSWERED, "answered", "Requests answered whole")                         \
+  X (ON_TARGET, "on_target", "Requests answered whole within their targets")  \
+  X (REFUSED, "refused", "Requests refused")                                  \
+  X (TOKENS_OUT, "tokens_out", "Generated tokens delivered")                  \
+  X (WASTED_TOKENS, "wasted_tokens", "Generated tokens not delivered")
+
+/* Durations of each pair. */
+#define BD_DURATION_TABLE(X)                                                  \
+  X (FIRST_TOKEN, "first_token", "Time from arrival to the first token")      \
+  X (TOKEN_GAP, "token_gap", "Time between two tokens")                       \
+  X (WHOLE, "whole", "Time from arrival to the end of the answer")            \
+  X (QUEUE_WAIT, "queue_wait", "Time from reservation to grant")
+
+enum bd_counter
+{
+#define BD_COUNTER_ENUM(id, name, help) BD_COUNTER_##id,
+  BD_COUNTER_TABLE (BD_COUNTER_ENUM) BD_COUNTER_COUNT
+#undef BD_COUNTER_ENUM
+};
+
+enum bd_class_counter
+{
+#define BD_COUNTER_ENUM(id, name, help) BD_CLASS_COUNTER_##id,
+  BD_CLASS_COUNTER_TABLE (BD_COUNTER_ENUM) BD_CLASS_COUNTER_COUNT
+#undef BD_COUNTER_ENUM
+};
+
+enum bd_duration
+{
+#define BD_DURATION_ENUM(id, name, help) BD_DURATION_##id,
+  BD_DURATION_TABLE (BD_DURATION_ENUM) BD_DURATION_COUNT
+#undef BD_DURATION_ENUM
+};
+
+/** What a message between our processes is for. */
+enum bd_traffic
+{
+  BD_TRAFFIC_CONTROL = 0, /**< Membership, configuration, reservations. */
+  BD_TRAFFIC_WORK = 1,    /**< Bodies and answers. */
+  BD_TRAFFIC_COUNT
+};
+
+struct bd_metrics;
+
+/** The numbers of one workspace and class; lives as long as its metrics. */
+struct bd_class_metrics;
+
+/** Returns new metrics, all zero, or NULL. */
+struct bd_metrics *bd_metrics_create (void);
+void bd_metrics_destroy (struct bd_metrics *metrics);
+
+void bd_metrics_count (struct bd_metrics *metrics, enum bd_counter counter,
+                       uint64_t n);
+
+/** Counts a refusal of kind ERROR (enum bd_error). */
+void bd_metrics_refused (struct bd_metrics *metrics, int error);
+
+/** Counts a message between our processes. */
+void bd_metrics_message (struct bd_metrics *metrics, bool sent,
+                         enum bd_traffic traffic, size_t bytes);
+
+uint64_t bd_metrics_value (const struct bd_metrics *metrics,
+                           enum bd_counter counter);
+
+/**
+ * Finds or makes the numbers of a pair.  Never NULL: when there are
+ * BD_METRICS_PAIRS_MAX pairs or no memory, it is a place shared by the rest,
+ * shown as workspace and class "other".
+ */
+struct bd_class_metrics *bd_metrics_class (struct bd_metrics *metrics,
+                                           struct bd_chunk workspace,
+                                           struct bd_chunk class_name);
+
+void bd_class_metrics_count (struct bd_class_metrics *metrics,
+                             enum bd_class_counter counter, uint64_t n);
+
+/** Adds a duration in microseconds. */
+void bd_class_metrics_add (struct bd_class_metrics *metrics,
+                           enum bd_duration duration, int64_t value_us);
+
+/** Appends all as Prometheus text.  Returns BD_OK or BD_ERR_NOMEM. */
+int bd_metrics_write_text (const struct bd_metrics *metrics,
+                           struct bd_buffer *buffer);
+
+/** Appends all as a JSON object.  Returns BD_OK or BD_ERR_NOMEM. */
+int bd_metrics_write_json (const struct bd_metrics *metrics,
+                           struct bd_buffer *buffer);
+
+#endif
--- /dev/null
+++ b/src/common/metrics_table.h
@@ -0,0 +1,45 @@
+/**
+ * @file metrics_table.h
+ * What stands behind metrics.h.  Private to metrics.c and metrics_write.c.
+ */
+#ifndef BD_METRICS_TABLE_H
+#define BD_METRICS_TABLE_H
+
+#include "common/metrics.h"
+#include "core/histogram.h"
+
+#include <stdatomic.h>
+
+/** Places of the hash table: a power of two, at most half full. */
+#define BD_METRICS_PLACES ((size_t)2 * BD_METRICS_PAIRS_MAX)
+
+struct bd_class_metrics
+{
+  char *workspace;
+  char *class_name;
+  _Atomic uint64_t counters[BD_CLASS_COUNTER_COUNT];
+  struct bd_histogram *durations[BD_DURATION_COUNT];
+};
+
+struct bd_metrics
+{
+  _Atomic uint64_t counters[BD_COUNTER_COUNT];
+  _Atomic uint64_t refused[-BD_ERR_LIMIT];
+  _Atomic uint64_t messages[2][BD_TRAFFIC_COUNT]; /**< By sent or not. */
+  _Atomic uint64_t bytes[2][BD_TRAFFIC_COUNT];
+  _Atomic uint32_t pair_count;
+  struct bd_class_metrics *other;
+  struct bd_class_metrics *_Atomic places[BD_METRICS_PLACES];
+};
+
+/** The pairs in use, ordered by workspace and class. */
+struct bd_metrics_list
+{
+  size_t count;
+  const struct bd_class_metrics *pairs[BD_METRICS_PAIRS_MAX + 1];
+};
+
+/** Returns a new list, to be freed, or NULL. */
+struct bd_metrics_list *bd_metrics_list (const struct bd_metrics *metrics);
+
+#endif
--- a/src/core/histogram.c
+++ b/src/core/histogram.c
@@ -128,3 +128,20 @@
     count += bucket_count (histogram, i);
   return count;
 }
+
+uint64_t
+bd_histogram_cumulate (const struct bd_histogram *histogram,
+                       const int64_t *limits_us, size_t count,
+                       uint64_t *counts)
+{
+  uint64_t total = 0;
+  size_t next = 0;
+
+  for (size_t i = 0; i < BUCKET_COUNT; i++)
+    {
+      total += bucket_count (histogram, i);
+      while (next < count && bucket_of (clamp (limits_us[next])) == i)
+        counts[next++] = total;
+    }
+  return total;
+}
--- a/src/core/histogram.h
+++ b/src/core/histogram.h
@@ -26,4 +26,12 @@
 uint64_t bd_histogram_at_most (const struct bd_histogram *histogram,
                                int64_t value_us);
 
+/**
+ * Does bd_histogram_at_most () for COUNT ascending LIMITS_US in one pass,
+ * into COUNTS, and returns the number of all values seen in that pass.
+ */
+uint64_t bd_histogram_cumulate (const struct bd_histogram *histogram,
+                                const int64_t *limits_us, size_t count,
+                                uint64_t *counts);
+
 #endif
