--- a/src/core/run.c
+++ b/src/core/run.c
@@ -20,9 +20,9 @@
 
 /* A model's answer that is no stream is checked and counted as JSON. */
 static bool
-is_model_json (const struct bd_runner *runner, const struct task *task)
+is_model_json (const struct task *task)
 {
-  return !runner->settings.service && !is_event_stream (task);
+  return !(task->flags & BD_FLAG_SERVICE) && !is_event_stream (task);
 }
 
 void
@@ -89,7 +89,7 @@
 static void
 keep_answer (struct bd_runner *runner, struct task *task, struct bd_chunk data)
 {
-  if (!task->keyed && !is_model_json (runner, task))
+  if (!task->keyed && !is_model_json (task))
     return;
   if (task->body.length + data.length <= runner->settings.answer_max_bytes)
     bd_buffer_append (&task->body, data);
@@ -166,9 +166,9 @@
 }
 
 static bool
-answer_is_whole (const struct bd_runner *runner, struct task *task)
+answer_is_whole (struct task *task)
 {
-  if (runner->settings.service)
+  if (task->flags & BD_FLAG_SERVICE)
     return true;
   if (is_event_stream (task))
     return task->closed && task->sse.pending.length == 0;
@@ -284,7 +284,7 @@
 
   if (!task || task->state != TASK_RUNNING)
     return;
-  if (!answer_is_whole (runner, task))
+  if (!answer_is_whole (task))
     {
       finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
       fail_task (runner, task, BD_ERR_BROKEN, BD_RAN_UNKNOWN, false, false);
--- a/src/core/runner.h
+++ b/src/core/runner.h
@@ -67,7 +67,6 @@
   uint64_t incarnation;
   uint32_t slots;
   bool fifo;    /**< Baseline: order of arrival, no tiers. */
-  bool service; /**< A plain service, no model engine. */
   struct bd_queue_limits queue;
   struct bd_custody_settings custody;
   uint64_t answer_max_bytes; /**< Of one recorded answer. */
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -204,14 +204,13 @@
 }
 
 static struct bd_runner *
-make_runner (struct bd_sidecar *s, bool service)
+make_runner (struct bd_sidecar *s)
 {
   const struct bd_settings *settings = s->settings;
   struct bd_runner_settings r = {
     .incarnation = s->incarnation,
     .slots = (uint32_t)settings->slots,
     .fifo = strcmp (settings->policy, "late-binding") != 0,
-    .service = service,
     .queue = { .max_items = (uint32_t)settings->queue_items,
                .max_bytes = (uint64_t)settings->queue_bytes,
                .low_tier_share_permille = LOW_TIER_SHARE_PERMILLE },
@@ -265,7 +264,7 @@
       *error = BD_ERR_NOMEM;
       s->events = bd_mailbox_create ();
       s->exchange = bd_exchange_create (&s->exchange_port);
-      s->runner = make_runner (s, strcmp (settings->pool_kind, "service") == 0);
+      s->runner = make_runner (s);
       if (s->events)
         s->engine = make_engine (s);
     }
