The thin path: entry, sidecar and the demo

A streamed chat completion goes caller, entry, sidecar, engine and back; an order without a key is refused with one, runs once with it. Seen in the demo's run: the order right after the start was refused by the limiter (an entry starts from a small share and no gossip runs yet); to be mended with the gossip.

--- /dev/null
+++ b/src/entry/http.h
@@ -0,0 +1,33 @@
+/**
+ * @file http.h
+ * The callers' HTTP side of an entry, on CivetWeb's threads.
+ */
+#ifndef BD_HTTP_H
+#define BD_HTTP_H
+
+#include "common/settings.h"
+#include "core/token.h"
+#include "entry/call.h"
+#include "entry/view.h"
+
+struct bd_http;
+
+/** What the HTTP threads share with the control thread. */
+struct bd_http_shared
+{
+  const struct bd_settings *settings;
+  struct bd_view *view;
+  struct bd_mailbox *control; /**< Takes struct bd_http_call_mail. */
+  const struct bd_token_keys *keys;
+  atomic_bool leaving;  /**< Fails the readiness check. */
+  atomic_bool refusing; /**< New calls are refused. */
+  atomic_int active;    /**< Calls in progress. */
+};
+
+/** Starts to listen.  Returns NULL when it cannot. */
+struct bd_http *bd_http_create (struct bd_http_shared *shared);
+
+/** Stops to listen, after the calls in progress have ended. */
+void bd_http_destroy (struct bd_http *http);
+
+#endif
--- /dev/null
+++ b/src/entry/reply.h
@@ -0,0 +1,28 @@
+/**
+ * @file reply.h
+ * Writes what a call is given to its caller.
+ */
+#ifndef BD_REPLY_H
+#define BD_REPLY_H
+
+#include "entry/call.h"
+
+struct mg_connection;
+
+/** Sends a JSON error; RETRY_AFTER_MS 0 gives the kind's default. */
+void bd_reply_error (struct mg_connection *conn, const char *request_id,
+                     int error, enum bd_ran ran, int64_t retry_after_ms,
+                     const char *next_key);
+
+/** Sends a JSON text with status 200. */
+void bd_reply_json (struct mg_connection *conn, const char *request_id,
+                    struct bd_chunk json);
+
+/**
+ * Writes the deliveries of CALL until its end.  Returns the last step to be
+ * posted.
+ */
+enum bd_http_call_step bd_reply_serve (struct mg_connection *conn,
+                                       struct bd_http_call *call);
+
+#endif
--- /dev/null
+++ b/src/entry/view.c
@@ -0,0 +1,49 @@
+#include "entry/view.h"
+
+#include <stdlib.h>
+#include <urcu.h>
+
+struct bd_view
+{
+  struct bd_config_snapshot *snapshot;
+};
+
+struct bd_view *
+bd_view_create (void)
+{
+  return calloc (1, sizeof (struct bd_view));
+}
+
+void
+bd_view_destroy (struct bd_view *view)
+{
+  if (!view)
+    return;
+  if (view->snapshot)
+    bd_config_snapshot_release (view->snapshot);
+  free (view);
+}
+
+void
+bd_view_publish (struct bd_view *view, struct bd_config_snapshot *snapshot)
+{
+  struct bd_config_snapshot *old
+      = rcu_xchg_pointer (&view->snapshot, snapshot);
+
+  synchronize_rcu ();
+  if (old)
+    bd_config_snapshot_release (old);
+}
+
+const struct bd_config_snapshot *
+bd_view_enter (struct bd_view *view)
+{
+  rcu_read_lock ();
+  return rcu_dereference (view->snapshot);
+}
+
+void
+bd_view_leave (void)
+{
+  rcu_read_unlock ();
+}
