--- a/src/core/limiter.h
+++ b/src/core/limiter.h
@@ -2,38 +2,39 @@
  * @file limiter.h
  * Limits per workspace, kept over all entries by shares without shared
  * state.  Each entry holds a share of each limit, which follows the demand
- * that entries tell each other; an unreachable peer keeps its last share
- * until it expires.
+ * that entries tell each other (see share.h).
+ *
+ * Over-admission, when a message of every entry reaches every other in touch
+ * within BD_SHARE_HOLD_MS but for a loss of up to 30 %, and the number of
+ * entries is the published one:
+ *  - the shares sum up to at most 1 + BD_SHARE_EXCESS at any time, through
+ *    partitions, deaths, restarts and replacements in any mix;
+ *  - over any time T the fleet admits at most (1 + BD_SHARE_EXCESS) * limit *
+ *    (T + BD_BUCKET_BURST_MS), and one request an entry; each start of an
+ *    entry adds one bucket at the floor's rate, at least one request;
+ *  - at most (1 + BD_SHARE_EXCESS) * concurrency requests run, and one an
+ *    entry, but for those admitted before a partition that lasts longer than
+ *    BD_SHARE_LEASE_MS, which run to their end.
+ * A partition adds nothing: each side comes down to its equal parts before
+ * the other takes more.  A dead entry's share lies idle for
+ * BD_SHARE_EXPIRE_MS, and an equal part of it until the entry is no longer
+ * published.  After a restart of all entries at once they share
+ * BD_SHARE_FLOOR of each limit for BD_SHARE_START_MS.
+ * An entry that is alive but not published adds an equal part during a
+ * partition; a loss in one direction only is not covered.
  */
 #ifndef BD_LIMITER_H
 #define BD_LIMITER_H
 
 #include "core/contract.h"
 
-/** Part of each limit that is split equally and does not move. */
-#define BD_LIMITER_FLOOR_PERMYRIAD 1000
-/** Capacity of a bucket, in time at the share's rate; at least one request. */
-#define BD_LIMITER_BURST_MS 1000
-/** Time after which all peers in touch know what was told. */
-#define BD_LIMITER_HOLD_MS 1000
-/** A share or demand is told again after this time. */
-#define BD_LIMITER_REFRESH_MS 2000
-/** No share is raised before an entry has listened this long. */
-#define BD_LIMITER_START_MS 4000
-/** Out of touch this long, each side comes down to an equal part. */
-#define BD_LIMITER_LEASE_MS 8000
-/** Silent this long, a peer counts as holding an equal part only. */
-#define BD_LIMITER_EXPIRE_MS 12000
-/** Most peers that are remembered. */
-#define BD_LIMITER_PEERS_MAX 1024
-
 /** What an entry tells its peers of one workspace. */
 struct bd_demand
 {
   uint64_t workspace;      /**< Hash of the name. */
   uint32_t requests_per_s; /**< Offered here, smoothed, in thousandths. */
   uint32_t tokens_per_s;   /**< Offered here, smoothed, in thousandths. */
-  uint32_t running;
+  uint32_t running;        /**< And would, were they not refused. */
   /** Share held now beyond the equal floor, in 1/10000 of the limit. */
   uint32_t share_permyriad;
 };
--- /dev/null
+++ b/src/core/share.c
@@ -0,0 +1,410 @@
+#include "core/share.h"
+
+#include "basildock.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MOVABLE (1.0 - BD_SHARE_FLOOR)
+/** Entries that are assumed before their number is known. */
+#define UNKNOWN_ENTRIES 16
+/** A surplus this small is given up at once, a larger one by halves. */
+#define SURPLUS_MIN 0.01
+#define START_PEERS 8
+
+struct bd_share_peer
+{
+  struct bd_table_node node; /**< The name is the hash. */
+  int64_t heard_ms;
+  int64_t since_ms;    /**< In touch without a break since then. */
+  uint64_t generation; /**< Tells apart the peers that had this place. */
+  int place;
+};
+
+/** What a peer told last. */
+struct bd_share_record
+{
+  uint64_t generation; /**< Of the peer it is of; 0: none. */
+  int64_t told_ms;
+  double held;
+  double demand;
+};
+
+/** The shares as seen from here. */
+struct view
+{
+  double equal;     /**< One equal part. */
+  double available; /**< For this entry and the peers in touch. */
+  double held;      /**< By them. */
+  double demand;
+  double gaps; /**< What they lack of their parts. */
+};
+
+void
+bd_share_group_clear (struct bd_share_group *group)
+{
+  for (size_t i = 0; i < group->peer_capacity; i++)
+    free (group->peers[i]);
+  free ((void *)group->peers);
+  bd_table_clear (&group->by_name);
+  memset (group, 0, sizeof *group);
+}
+
+void
+bd_share_group_start (struct bd_share_group *group, int64_t now_ms)
+{
+  if (group->started)
+    return;
+  group->started = true;
+  group->changed_ms = now_ms;
+}
+
+static int
+group_grow (struct bd_share_group *group)
+{
+  size_t before = group->peer_capacity;
+  size_t capacity = before > 0 ? before * 2 : START_PEERS;
+  void *peers = realloc ((void *)group->peers,
+                         capacity * sizeof (struct bd_share_peer *));
+
+  if (!peers)
+    return BD_ERR_NOMEM;
+  group->peers = (struct bd_share_peer **)peers;
+  group->peer_capacity = capacity;
+  for (size_t i = before; i < capacity; i++)
+    group->peers[i] = NULL;
+  return BD_OK;
+}
+
+/** What was told while a peer could not hear counts as not told. */
+static void
+note_return (struct bd_share_group *group, struct bd_share_peer *p,
+             int64_t now_ms)
+{
+  p->since_ms = now_ms;
+  group->changed_ms = now_ms;
+}
+
+static struct bd_share_peer *
+peer_create (struct bd_share_group *group, int64_t now_ms, uint64_t name)
+{
+  struct bd_share_peer *p;
+  size_t place = 0;
+
+  if (group->peer_count >= BD_SHARE_PEERS_MAX)
+    return NULL;
+  while (place < group->peer_capacity && group->peers[place])
+    place++;
+  if (place == group->peer_capacity && group_grow (group) != BD_OK)
+    return NULL;
+  p = calloc (1, sizeof *p);
+  if (!p || bd_table_insert (&group->by_name, &p->node, name) != BD_OK)
+    {
+      free (p);
+      return NULL;
+    }
+  p->place = (int)place;
+  p->generation = ++group->generation;
+  p->heard_ms = now_ms;
+  note_return (group, p, now_ms);
+  group->peers[place] = p;
+  group->peer_count++;
+  return p;
+}
+
+int
+bd_share_group_heard (struct bd_share_group *group, int64_t now_ms,
+                      uint64_t name)
+{
+  struct bd_share_peer *p
+      = (struct bd_share_peer *)bd_table_first (&group->by_name, name);
+
+  if (!p)
+    p = peer_create (group, now_ms, name);
+  if (!p)
+    return -1;
+  if (now_ms - p->heard_ms >= BD_SHARE_HOLD_MS)
+    note_return (group, p, now_ms);
+  p->heard_ms = now_ms;
+  return p->place;
+}
+
+void
+bd_share_group_tick (struct bd_share_group *group, int64_t now_ms)
+{
+  for (size_t i = 0; i < group->peer_capacity; i++)
+    {
+      struct bd_share_peer *p = group->peers[i];
+
+      if (!p || now_ms - p->heard_ms < BD_SHARE_EXPIRE_MS)
+        continue;
+      bd_table_remove (&group->by_name, &p->node);
+      group->peers[i] = NULL;
+      group->peer_count--;
+      free (p);
+    }
+}
+
+/** Entries that divide: as set, or more when more are heard. */
+static double
+entry_count (const struct bd_share_group *group)
+{
+  double known = group->entries > 0 ? group->entries : UNKNOWN_ENTRIES;
+
+  return fmax (known, (double)group->peer_count + 1.0);
+}
+
+static bool
+alone (const struct bd_share_group *group)
+{
+  return group->entries == 1 && group->peer_count == 0;
+}
+
+void
+bd_share_clear (struct bd_share *share)
+{
+  free (share->records);
+  memset (share, 0, sizeof *share);
+}
+
+void
+bd_share_note (struct bd_share *share, const struct bd_share_group *group,
+               int place, int64_t now_ms, double held, double demand)
+{
+  size_t capacity = group->peer_capacity;
+
+  if (share->record_capacity < capacity)
+    {
+      struct bd_share_record *records
+          = realloc (share->records, capacity * sizeof *records);
+
+      if (!records)
+        return;
+      memset (&records[share->record_capacity], 0,
+              (capacity - share->record_capacity) * sizeof *records);
+      share->records = records;
+      share->record_capacity = capacity;
+    }
+  share->records[place]
+      = (struct bd_share_record){ .generation
+                                  = group->peers[place]->generation,
+                                  .told_ms = now_ms,
+                                  .held = fmin (fmax (held, 0.0), 1.0),
+                                  .demand = fmin (fmax (demand, 0.0), 1.0) };
+}
+
+void
+bd_share_told (struct bd_share *share, int64_t now_ms, double demand)
+{
+  if (share->pending)
+    return;
+  share->pending = true;
+  share->pending_ms = now_ms;
+  share->pending_demand = demand;
+}
+
+/** What peer I told, or NULL when it stopped telling. */
+static const struct bd_share_record *
+record_of (const struct bd_share *share, const struct bd_share_group *group,
+           size_t i, int64_t now_ms)
+{
+  const struct bd_share_record *r;
+
+  if (i >= share->record_capacity || !group->peers[i])
+    return NULL;
+  r = &share->records[i];
+  if (r->generation != group->peers[i]->generation
+      || now_ms - r->told_ms >= BD_SHARE_EXPIRE_MS)
+    return NULL;
+  return r;
+}
+
+/**
+ * Whether what peer I told, R, can be relied on.  After a silence, and at
+ * first, the peer must have told, or had the time to.
+ */
+static bool
+in_touch (const struct bd_share_group *group, size_t i,
+          const struct bd_share_record *r, int64_t now_ms)
+{
+  const struct bd_share_peer *p = group->peers[i];
+
+  if (now_ms - p->heard_ms >= BD_SHARE_LEASE_MS)
+    return false;
+  return now_ms - p->since_ms >= BD_SHARE_START_MS
+         || (r && r->told_ms >= p->since_ms);
+}
+
+/**
+ * Sums up what is held and wanted.  A silent peer is left at least an equal
+ * part: it comes down to that before its last share expires here.
+ */
+static struct view
+look (const struct bd_share *share, const struct bd_share_group *group,
+      int64_t now_ms)
+{
+  double entries = entry_count (group);
+  struct view v = { .equal = MOVABLE / entries,
+                    .held = share->held,
+                    .demand = share->demand };
+  double reserved = v.equal * (entries - 1.0 - (double)group->peer_count);
+
+  for (size_t i = 0; i < group->peer_capacity; i++)
+    {
+      const struct bd_share_record *r = record_of (share, group, i, now_ms);
+
+      if (!group->peers[i])
+        continue;
+      if (!in_touch (group, i, r, now_ms))
+        reserved += r ? fmax (v.equal, r->held) : v.equal;
+      else if (r)
+        {
+          v.held += r->held;
+          v.demand += r->demand;
+        }
+    }
+  v.available = fmax (0.0, MOVABLE - reserved);
+  return v;
+}
+
+/** The part of what is available that DEMAND entitles to. */
+static double
+target (const struct view *v, double demand)
+{
+  return v->demand > 0.0 ? v->available * demand / v->demand : 0.0;
+}
+
+/** What this entry and the peers in touch lack together. */
+static double
+sum_gaps (const struct bd_share *share, const struct bd_share_group *group,
+          const struct view *v, int64_t now_ms)
+{
+  double gaps = fmax (0.0, target (v, share->demand) - share->held);
+
+  for (size_t i = 0; i < group->peer_capacity; i++)
+    {
+      const struct bd_share_record *r = record_of (share, group, i, now_ms);
+
+      if (r && in_touch (group, i, r, now_ms))
+        gaps += fmax (0.0, target (v, r->demand) - r->held);
+    }
+  return gaps;
+}
+
+enum sight
+{
+  SIGHT_NONE,    /**< A peer fell silent; what it does is not known. */
+  SIGHT_PARTIAL, /**< Some peers are out of touch for good. */
+  SIGHT_FULL     /**< All entries were heard lately. */
+};
+
+static enum sight
+sight (const struct bd_share_group *group, int64_t now_ms)
+{
+  size_t heard = 0;
+
+  for (size_t i = 0; i < group->peer_capacity; i++)
+    {
+      const struct bd_share_peer *p = group->peers[i];
+      int64_t silent_ms = p ? now_ms - p->heard_ms : 0;
+
+      if (silent_ms >= BD_SHARE_HOLD_MS && silent_ms < BD_SHARE_LEASE_MS)
+        return SIGHT_NONE;
+      heard += p && silent_ms < BD_SHARE_HOLD_MS ? 1 : 0;
+    }
+  return (double)heard + 1.0 >= entry_count (group) ? SIGHT_FULL
+                                                    : SIGHT_PARTIAL;
+}
+
+/**
+ * Whether enough was heard to know who holds what.  Without sight of all, a
+ * part that came with a returned peer may still be held beyond the partition
+ * that it came from, until the lease there ends.
+ */
+static bool
+may_raise (const struct bd_share *share, const struct bd_share_group *group,
+           int64_t now_ms)
+{
+  int64_t since_ms = share->since_ms > group->changed_ms ? share->since_ms
+                                                         : group->changed_ms;
+
+  if (group->entries == 0 || now_ms - share->raised_ms < BD_SHARE_HOLD_MS)
+    return false;
+  switch (sight (group, now_ms))
+    {
+    case SIGHT_FULL:
+      return now_ms - since_ms >= BD_SHARE_START_MS;
+    case SIGHT_PARTIAL:
+      return now_ms - since_ms >= BD_SHARE_EXPIRE_MS;
+    case SIGHT_NONE:
+      break;
+    }
+  return false;
+}
+
+static void
+lower (struct bd_share *share, const struct view *v, int64_t now_ms)
+{
+  double surplus = share->held - target (v, share->demand);
+
+  if (now_ms - share->lowered_ms < BD_SHARE_HOLD_MS)
+    return;
+  if (v->held > v->available)
+    share->held *= v->available / v->held;
+  else if (v->demand > 0.0 && surplus > 0.0)
+    share->held -= surplus > SURPLUS_MIN ? surplus / 2.0 : surplus;
+  else
+    return;
+  share->lowered_ms = now_ms;
+}
+
+static void
+raise (struct bd_share *share, const struct bd_share_group *group,
+       const struct view *v, int64_t now_ms)
+{
+  double gap = target (v, share->demand) - share->held;
+  double free_part = v->available - v->held;
+  double part;
+
+  if (gap <= 0.0 || free_part <= 0.0 || !may_raise (share, group, now_ms))
+    return;
+  part = free_part * gap / sum_gaps (share, group, v, now_ms);
+  share->held += fmin (fmin (part, gap), v->equal);
+  share->raised_ms = now_ms;
+}
+
+void
+bd_share_update (struct bd_share *share, const struct bd_share_group *group,
+                 int64_t now_ms, double demand)
+{
+  struct view v;
+
+  if (share->pending && now_ms - share->pending_ms >= BD_SHARE_HOLD_MS)
+    {
+      share->settled_demand = share->pending_demand;
+      share->pending = false;
+    }
+  share->demand = fmin (demand, share->settled_demand);
+  if (alone (group))
+    {
+      share->held = MOVABLE;
+      return;
+    }
+  v = look (share, group, now_ms);
+  lower (share, &v, now_ms);
+  raise (share, group, &v, now_ms);
+}
+
+double
+bd_share_floor (const struct bd_share_group *group)
+{
+  return BD_SHARE_FLOOR / entry_count (group);
+}
+
+double
+bd_share_value (const struct bd_share *share,
+                const struct bd_share_group *group)
+{
+  return bd_share_floor (group) + share->held;
+}
--- /dev/null
+++ b/src/core/share.h
@@ -0,0 +1,109 @@
+/**
+ * @file share.h
+ * An entry's share of something that all entries divide among themselves by
+ * gossip, without shared state.
+ *
+ * A floor of BD_SHARE_FLOOR is split equally and does not move.  The rest
+ * follows demand: an entry gives up what it holds beyond its part by halves,
+ * and takes of what is free in proportion to what each still lacks, no more
+ * than an equal part per BD_SHARE_HOLD_MS.  Its own demand counts from
+ * BD_SHARE_HOLD_MS after it was told, so that all divide by the same figures.
+ *
+ * Partition: an entry that is out of touch with peers for BD_SHARE_LEASE_MS
+ * comes down, with those still in touch, to as many equal parts as they are.
+ * Only after BD_SHARE_EXPIRE_MS does it count a silent peer with an equal part
+ * in place of the last share told.  So both sides of a partition together
+ * never hold more than before, for as long as both know of all the entries.
+ */
+#ifndef BD_SHARE_H
+#define BD_SHARE_H
+
+#include "core/table.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define BD_SHARE_FLOOR 0.1
+/** Time after which the peers in touch know what was told. */
+#define BD_SHARE_HOLD_MS 1000
+/** What is held or wanted is told again after this time. */
+#define BD_SHARE_REFRESH_MS 2000
+/** No share is raised until this long after a start or a peer's return. */
+#define BD_SHARE_START_MS 3000
+#define BD_SHARE_LEASE_MS 8000
+#define BD_SHARE_EXPIRE_MS 12000
+/** Most by which the sum of all shares exceeds 1; see limiter.h. */
+#define BD_SHARE_EXCESS 0.2
+/** Most peers that are remembered. */
+#define BD_SHARE_PEERS_MAX 1024
+
+struct bd_share_peer;
+
+/** The entries that divide.  Zero is a valid start. */
+struct bd_share_group
+{
+  struct bd_table by_name;
+  struct bd_share_peer **peers; /**< NULL: a free place. */
+  size_t peer_capacity;
+  size_t peer_count;
+  uint64_t generation;
+  uint32_t entries; /**< This one included; 0: not known yet. */
+  bool started;
+  int64_t changed_ms; /**< When this entry started or a peer came back. */
+};
+
+void bd_share_group_clear (struct bd_share_group *group);
+
+/** Notes when this entry began to listen; later calls do nothing. */
+void bd_share_group_start (struct bd_share_group *group, int64_t now_ms);
+
+/** Notes a message of peer NAME.  Returns its place, or -1: no room. */
+int bd_share_group_heard (struct bd_share_group *group, int64_t now_ms,
+                          uint64_t name);
+
+/** Forgets peers that were silent for BD_SHARE_EXPIRE_MS. */
+void bd_share_group_tick (struct bd_share_group *group, int64_t now_ms);
+
+struct bd_share_record;
+
+/** One thing divided.  Zero is a valid start, with SINCE_MS set. */
+struct bd_share
+{
+  double held;           /**< Beyond the floor. */
+  double demand;         /**< The lesser of now's and the settled one. */
+  double settled_demand; /**< Told long enough ago to be known. */
+  double pending_demand;
+  int64_t pending_ms;
+  bool pending;
+  int64_t since_ms;
+  int64_t raised_ms;
+  int64_t lowered_ms;
+  struct bd_share_record *records; /**< By the peer's place. */
+  size_t record_capacity;
+};
+
+void bd_share_clear (struct bd_share *share);
+
+/** Takes in what the peer at PLACE holds beyond the floor, and wants. */
+void bd_share_note (struct bd_share *share, const struct bd_share_group *group,
+                    int place, int64_t now_ms, double held, double demand);
+
+/** This entry's demand was told to its peers. */
+void bd_share_told (struct bd_share *share, int64_t now_ms, double demand);
+
+/**
+ * Moves the share; call it a few times per BD_SHARE_HOLD_MS.  DEMAND is that
+ * of now, a part of the whole; it counts as far as it was told in time.
+ */
+void bd_share_update (struct bd_share *share,
+                      const struct bd_share_group *group, int64_t now_ms,
+                      double demand);
+
+/** One entry's part of the floor. */
+double bd_share_floor (const struct bd_share_group *group);
+
+/** The share in force, floor included. */
+double bd_share_value (const struct bd_share *share,
+                       const struct bd_share_group *group);
+
+#endif
