--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -230,7 +230,8 @@
     bd_job_free (dispatch, now_ms, job);
   else
     bd_job_fail (dispatch, now_ms, job, BD_ERR_CANCELLED,
-                 job->runs > 0 || job->keyed ? BD_RAN_UNKNOWN : BD_RAN_NO);
+                 job->state == JOB_RUNNING || job->keyed ? BD_RAN_UNKNOWN
+                                                         : BD_RAN_NO);
 }
 
 static void
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -158,6 +158,8 @@
                                   .ran = ran,
                                   .retry_after_ms = job->retry_after_ms };
 
+  if (job->may_have_run && ran == BD_RAN_NO)
+    delivery.ran = BD_RAN_UNKNOWN;
   if (job->state == JOB_ASKING)
     decline_asks (dispatch, job, NULL);
   dispatch->open--;
@@ -339,8 +341,7 @@
   if (error != BD_OK)
     bd_job_fail (dispatch, now_ms, job, error, bd_error_answer (error)->ran);
   else if (job->ask_count == 0)
-    bd_job_fail (dispatch, now_ms, job, BD_ERR_NO_RUNNER,
-                 job->runs > 0 ? BD_RAN_UNKNOWN : BD_RAN_NO);
+    bd_job_fail (dispatch, now_ms, job, BD_ERR_NO_RUNNER, BD_RAN_NO);
 }
 
 void
@@ -395,7 +396,7 @@
   job->state = JOB_RUNNING;
   job->runs++;
   job->heard_ms = now_ms;
-  bd_stream_attempt (job->stream, job->attempt);
+  bd_stream_resume (job->stream, job->attempt, job->stream_bytes);
   send_run (dispatch, now_ms, job, runner);
 }
 
@@ -426,11 +427,24 @@
     return;
   if (job->last_error == BD_ERR_STALE)
     job->last_error = job->keyed ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER;
-  if (job->runs > 0)
-    job->last_ran = BD_RAN_UNKNOWN;
   bd_job_fail (dispatch, now_ms, job, job->last_error, job->last_ran);
 }
 
+/* A stream goes on after what was delivered; another answer starts anew. */
+static bool
+begin_again (struct job *job)
+{
+  job->ended = false;
+  bd_buffer_reset (&job->held);
+  if (job->streamed)
+    return true;
+  bd_buffer_reset (&job->kept);
+  job->stream_bytes = 0;
+  bd_stream_destroy (job->stream);
+  job->stream = bd_stream_create ();
+  return job->stream != NULL;
+}
+
 void
 bd_job_retry (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
               int error, enum bd_ran ran)
@@ -438,7 +452,9 @@
   bool again = job->idempotent || (ran == BD_RAN_NO && !job->keyed);
 
   set_runner (job, NULL);
-  if (job->data_sent && !job->streamed)
+  if (ran != BD_RAN_NO)
+    job->may_have_run = true;
+  if (job->data_sent && job->kept.length >= KEPT_MAX_BYTES)
     again = false;
   if (!again || job->runs >= RUNS_MAX || now_ms >= job->deadline_ms
       || bd_suspects_look (dispatch->suspects, now_ms,
@@ -451,10 +467,11 @@
   job->alone
       = bd_suspects_look (dispatch->suspects, now_ms, job->request.fingerprint)
         == BD_SUSPICION_ISOLATE;
-  job->ended = false;
-  bd_buffer_reset (&job->held);
-  if (!job->streamed)
-    bd_buffer_reset (&job->kept);
+  if (!begin_again (job))
+    {
+      bd_job_fail (dispatch, now_ms, job, BD_ERR_NOMEM, ran);
+      return;
+    }
   dispatch->port->count (dispatch->port, BD_DISPATCH_RETRY);
   dispatch->port->note (dispatch->port, BD_EVENT_REQUEST_RETRY,
                         job->request.request, job->attempt,
@@ -526,6 +543,7 @@
   struct deliver_context *context = data;
   struct job *job = context->job;
 
+  job->stream_bytes += chunk.length;
   if (job->streamed)
     deliver_event (context, chunk);
   else if (job->kept.length + chunk.length <= KEPT_MAX_BYTES)
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -39,7 +39,8 @@
   bool alone;
   enum job_state state;
   uint32_t attempt;
-  uint32_t runs; /**< Attempts that were given a body. */
+  uint32_t runs;     /**< Attempts that were given a body. */
+  bool may_have_run; /**< An earlier attempt may have reached an engine. */
   struct ask asks[BD_ASKS_MAX];
   size_t ask_count;
   struct bd_fleet_runner *runner; /**< With RUNNING and ANSWERED. */
@@ -53,6 +54,7 @@
   int64_t retry_after_ms;
   /* The answer. */
   struct bd_stream *stream;
+  uint64_t stream_bytes; /**< Taken in order from the stream. */
   bool head_sent;
   bool data_sent;
   int status;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -243,6 +243,32 @@
   bd_task_send (runner, task, &m);
 }
 
+#define REPLAY_PIECE_BYTES ((size_t)64 * 1024)
+
+/* A recorded stream is sent event by event, as it was the first time. */
+static void
+send_recorded (struct bd_runner *runner, struct task *task,
+               struct bd_chunk recorded)
+{
+  if (!is_event_stream (task))
+    {
+      send_chunk (runner, task, recorded);
+      return;
+    }
+  while (recorded.length > 0)
+    {
+      struct bd_chunk piece = recorded;
+
+      if (piece.length > REPLAY_PIECE_BYTES)
+        piece.length = REPLAY_PIECE_BYTES;
+      bd_sse_feed (&task->sse, piece);
+      while (bd_sse_next (&task->sse, &task->event))
+        send_chunk (runner, task, bd_buffer_chunk (&task->event));
+      recorded.data += piece.length;
+      recorded.length -= piece.length;
+    }
+}
+
 void
 bd_task_replay (struct bd_runner *runner, int64_t now_ms, struct task *task,
                 const struct bd_custody_answer *answer)
@@ -253,9 +279,11 @@
 
   task->replayed = true;
   task->status = answer->status;
+  free (task->content_type);
+  task->content_type = bd_chunk_copy (answer->content_type);
   bd_task_send (runner, task, &head);
   if (answer->recorded.length > 0)
-    send_chunk (runner, task, answer->recorded);
+    send_recorded (runner, task, answer->recorded);
   await_receipt (runner, now_ms, task, BD_FLAG_REPLAY);
 }
 
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -159,7 +159,12 @@
   switch (answer.verdict)
     {
     case BD_CUSTODY_RUN:
-      enqueue (runner, now_ms, task);
+      /* A key that is new here is ended by a runner that leaves; it waits
+         for an engine that is down. */
+      if (runner->leaving)
+        withdraw_and_refuse (runner, now_ms, task, BD_ERR_LEAVING);
+      else
+        enqueue (runner, now_ms, task);
       break;
     case BD_CUSTODY_JOIN:
       task->state = TASK_JOINED;
@@ -173,21 +178,18 @@
     }
 }
 
-/* Why a reservation cannot be queued, or BD_OK. */
+/* Why a reservation without a key cannot be queued, or BD_OK. */
 static int
 reservation_error (const struct bd_runner *runner, const struct bd_message *m)
 {
-  bool keyed = m->key_text.length > 0;
-
   if (m->target_incarnation != 0
       && m->target_incarnation != runner->settings.incarnation)
     return BD_ERR_STALE;
   if (runner->leaving)
     return BD_ERR_LEAVING;
-  /* A keyed request can run nowhere else, so it waits for the engine. */
-  if (!runner->engine_up && !keyed)
+  if (!runner->engine_up)
     return BD_ERR_NO_RUNNER;
-  if (!keyed && !(m->flags & BD_FLAG_IDEMPOTENT))
+  if (!(m->flags & BD_FLAG_IDEMPOTENT))
     return BD_ERR_KEY_REQUIRED;
   return BD_OK;
 }
@@ -207,7 +209,7 @@
                   struct bd_chunk entry, const struct bd_message *m)
 {
   struct task *task = bd_task_find (runner, m->request, m->attempt);
-  int error = reservation_error (runner, m);
+  int error;
 
   if (task)
     {
@@ -220,10 +222,14 @@
   if (!task)
     return;
   task->state = TASK_JOINED;
+  if (task->keyed)
+    {
+      claim_and_enqueue (runner, now_ms, wall_ms, task);
+      return;
+    }
+  error = reservation_error (runner, m);
   if (error != BD_OK)
     bd_task_refuse (runner, task, error, BD_RAN_NO);
-  else if (task->keyed)
-    claim_and_enqueue (runner, now_ms, wall_ms, task);
   else
     enqueue (runner, now_ms, task);
 }
@@ -317,25 +323,23 @@
 
 static void
 take_run (struct bd_runner *runner, int64_t now_ms, struct bd_chunk entry,
-          const struct bd_message *m)
+          struct task *task, const struct bd_message *m)
 {
-  struct task *task = bd_task_find (runner, m->request, m->attempt);
+  /* Whether a task that is gone has run is not known any more. */
   struct bd_message refusal = { .type = BD_MESSAGE_REFUSE,
                                 .request = m->request,
                                 .attempt = m->attempt,
                                 .incarnation = runner->settings.incarnation,
                                 .error = BD_ERR_STALE,
-                                .ran = BD_RAN_NO };
+                                .ran = BD_RAN_UNKNOWN };
 
-  if (task && task->state == TASK_GRANTED && task->until_ms > now_ms
-      && m->target_incarnation == runner->settings.incarnation)
-    {
-      bd_task_run (runner, now_ms, task, m);
-      return;
-    }
-  /* A copy of a RUN that was followed is not answered. */
-  if (!task || task->state == TASK_QUEUED || task->state == TASK_GRANTED)
+  if (!task)
     runner->port->send (runner->port, entry, &refusal);
+  else if (task->state == TASK_GRANTED && task->until_ms > now_ms
+           && m->target_incarnation == runner->settings.incarnation)
+    bd_task_run (runner, now_ms, task, m);
+  else if (task->state <= TASK_GRANTED)
+    withdraw_and_refuse (runner, now_ms, task, BD_ERR_STALE);
 }
 
 void
@@ -352,7 +356,7 @@
       take_reservation (runner, now_ms, wall_ms, entry, message);
       break;
     case BD_MESSAGE_RUN:
-      take_run (runner, now_ms, entry, message);
+      take_run (runner, now_ms, entry, task, message);
       break;
     case BD_MESSAGE_DECLINE:
       if (task)
--- /dev/null
+++ b/src/wire/gossip.h
@@ -0,0 +1,35 @@
+/**
+ * @file gossip.h
+ * The body of a GOSSIP message: what entries tell each other.
+ */
+#ifndef BD_WIRE_GOSSIP_H
+#define BD_WIRE_GOSSIP_H
+
+#include "core/limiter.h"
+#include "core/membership.h"
+#include "core/suspect.h"
+#include "wire/pack.h"
+
+#define BD_GOSSIP_DEMANDS_MAX 64
+#define BD_GOSSIP_STRIKES_MAX 64
+#define BD_GOSSIP_MEMBERS_MAX 8
+
+/** Members' chunks point into the decoded body. */
+struct bd_gossip_body
+{
+  struct bd_demand demands[BD_GOSSIP_DEMANDS_MAX];
+  size_t demand_count;
+  struct bd_strike strikes[BD_GOSSIP_STRIKES_MAX];
+  size_t strike_count;
+  struct bd_member members[BD_GOSSIP_MEMBERS_MAX];
+  size_t member_count;
+};
+
+/** Appends the body to BUFFER.  Returns BD_OK or BD_ERR_NOMEM. */
+int bd_gossip_encode (const struct bd_gossip_body *body,
+                      struct bd_buffer *buffer);
+
+/** Reads a body.  Returns BD_OK or BD_ERR_PROTOCOL. */
+int bd_gossip_decode (struct bd_chunk bytes, struct bd_gossip_body *body);
+
+#endif
