--- a/src/core/custody.c
+++ b/src/core/custody.c
@@ -237,7 +237,8 @@
   if (h->expires_wall_ms <= wall_ms
       || h->expires_wall_ms <= c->handed_floor_wall_ms)
     return BD_ERR_KEY_EXPIRED;
-  if (h->expires_wall_ms - wall_ms > 2 * BD_CUSTODY_MAX_KEEP_MS)
+  if (h->hops < 1 || h->hops > BD_HAND_OVER_MAX_HOPS
+      || h->expires_wall_ms - wall_ms > 2 * BD_CUSTODY_MAX_KEEP_MS)
     return BD_ERR_KEY_INVALID;
   return BD_OK;
 }
--- /dev/null
+++ b/test/naive_custody.c
@@ -0,0 +1,391 @@
+#include "naive_custody.h"
+
+#include "common/string.h"
+
+#include <string.h>
+
+static void
+record_free (gpointer data)
+{
+  struct naive_record *r = data;
+
+  g_array_free (r->waiters, TRUE);
+  g_string_free (r->answer, TRUE);
+  g_string_free (r->content_type, TRUE);
+  g_free (r);
+}
+
+struct naive_custody *
+naive_custody_create (const struct bd_custody_settings *settings)
+{
+  struct naive_custody *n = g_new0 (struct naive_custody, 1);
+
+  n->settings = *settings;
+  n->home_wall_ms = settings->started_wall_ms;
+  n->confirmed_ms = INT64_MIN / 2;
+  n->records = g_ptr_array_new_with_free_func (record_free);
+  return n;
+}
+
+void
+naive_custody_destroy (struct naive_custody *n)
+{
+  g_ptr_array_free (n->records, TRUE);
+  g_free (n);
+}
+
+static struct naive_record *
+record_at (const struct naive_custody *n, guint i)
+{
+  return g_ptr_array_index (n->records, i);
+}
+
+static struct naive_record *
+find (const struct naive_custody *n, struct bd_key key)
+{
+  for (guint i = 0; i < n->records->len; i++)
+    if (!record_at (n, i)->dropped
+        && bd_id_equal (record_at (n, i)->claim.key.id, key.id))
+      return record_at (n, i);
+  return NULL;
+}
+
+static guint
+waiter (const struct naive_record *r, struct bd_id request)
+{
+  for (guint i = 0; i < r->waiters->len; i++)
+    if (bd_id_equal (g_array_index (r->waiters, struct bd_id, i), request))
+      return i;
+  return r->waiters->len;
+}
+
+uint32_t
+naive_custody_count (const struct naive_custody *n)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < n->records->len; i++)
+    count += !record_at (n, i)->dropped;
+  return count;
+}
+
+/* True when a record that was dropped makes this claim too old. */
+static bool
+outlived (const struct naive_custody *n, const struct bd_custody_claim *c)
+{
+  for (guint i = 0; i < n->records->len; i++)
+    {
+      const struct naive_record *r = record_at (n, i);
+
+      if (!r->dropped)
+        continue;
+      if (c->hand_over)
+        {
+          if (r->claim.hand_over
+              && c->hand_over->expires_wall_ms <= r->received.expires_wall_ms)
+            return true;
+        }
+      else if (c->origin == BD_KEY_ISSUED)
+        {
+          if (r->claim.origin == BD_KEY_ISSUED && !r->claim.hand_over
+              && c->expires_wall_ms <= r->claim.expires_wall_ms)
+            return true;
+        }
+      else if (r->claim.origin == BD_KEY_TIMED
+               && c->key_wall_ms <= r->claim.key_wall_ms)
+        return true;
+    }
+  return false;
+}
+
+static int
+sealed_error (const struct naive_custody *n, int64_t wall_ms, int64_t most,
+              uint64_t incarnation, int64_t expires,
+              const struct bd_custody_claim *c)
+{
+  if (incarnation != n->settings.incarnation)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  if (expires <= wall_ms || outlived (n, c))
+    return BD_ERR_KEY_EXPIRED;
+  if (c->hand_over
+      && (c->hand_over->hops == 0
+          || c->hand_over->hops > BD_HAND_OVER_MAX_HOPS))
+    return BD_ERR_KEY_INVALID;
+  return expires - wall_ms > most ? BD_ERR_KEY_INVALID : BD_OK;
+}
+
+static int
+new_error (const struct naive_custody *n, int64_t now_ms, int64_t wall_ms,
+           const struct bd_custody_claim *c)
+{
+  int64_t confirm = n->settings.confirm_window_ms;
+  int64_t skew = n->settings.clock_skew_ms;
+  int64_t since = MAX (n->settings.started_wall_ms, n->home_wall_ms + confirm);
+
+  if (c->retry_window_ms < 1 || c->retry_window_ms > BD_CUSTODY_MAX_KEEP_MS)
+    return BD_ERR_INVALID;
+  if (c->hand_over)
+    return sealed_error (n, wall_ms, 2 * BD_CUSTODY_MAX_KEEP_MS,
+                         c->hand_over->successor_incarnation,
+                         c->hand_over->expires_wall_ms, c);
+  if (c->origin == BD_KEY_ISSUED)
+    return sealed_error (n, wall_ms, BD_CUSTODY_MAX_KEEP_MS, c->incarnation,
+                         c->expires_wall_ms, c);
+  if (confirm != 0 && now_ms - n->confirmed_ms > confirm)
+    return BD_ERR_OUTCOME_UNKNOWN;
+  if (c->origin == BD_KEY_OPAQUE)
+    return wall_ms > since + c->retry_window_ms ? BD_OK
+                                                : BD_ERR_OUTCOME_UNKNOWN;
+  if (c->key_wall_ms - wall_ms > skew)
+    return BD_ERR_KEY_INVALID;
+  if (c->key_wall_ms - since <= 2 * skew || outlived (n, c))
+    return BD_ERR_OUTCOME_UNKNOWN;
+  return BD_OK;
+}
+
+static void
+refuse (struct bd_custody_answer *a, int error, enum bd_ran ran)
+{
+  a->verdict = BD_CUSTODY_REFUSE;
+  a->error = error;
+  a->ran = ran;
+}
+
+static void
+claim_again (struct naive_record *r, const struct bd_custody_claim *c,
+             struct bd_custody_answer *a)
+{
+  static const struct
+  {
+    int error;
+    enum bd_ran ran;
+  } refusals[]
+      = { [NAIVE_RAN] = { BD_ERR_ALREADY_RAN, BD_RAN_YES },
+          [NAIVE_UNKNOWN] = { BD_ERR_OUTCOME_UNKNOWN, BD_RAN_UNKNOWN },
+          [NAIVE_ENDED] = { BD_ERR_KEY_ENDED, BD_RAN_NO },
+          [NAIVE_HANDED] = { BD_ERR_STALE, BD_RAN_UNKNOWN } };
+
+  if (c->fingerprint != r->claim.fingerprint)
+    refuse (a, BD_ERR_KEY_MISMATCH, BD_RAN_NO);
+  else if (r->state == NAIVE_RECORDED)
+    {
+      a->verdict = BD_CUSTODY_REPLAY;
+      a->status = r->status;
+      a->recorded = (struct bd_chunk){ r->answer->str, r->answer->len };
+      a->content_type
+          = (struct bd_chunk){ r->content_type->str, r->content_type->len };
+    }
+  else if (r->state > NAIVE_RUNNING)
+    {
+      refuse (a, refusals[r->state].error, refusals[r->state].ran);
+      if (r->state == NAIVE_HANDED)
+        {
+          a->hand_over = &r->given;
+          a->successor = bd_chunk_of (r->given.successor);
+        }
+    }
+  else if (waiter (r, c->request) == r->waiters->len
+           && r->waiters->len >= BD_CUSTODY_MAX_WAITERS)
+    refuse (a, BD_ERR_OUTCOME_UNKNOWN, BD_RAN_UNKNOWN);
+  else
+    {
+      if (waiter (r, c->request) == r->waiters->len)
+        g_array_append_val (r->waiters, c->request);
+      a->verdict = BD_CUSTODY_JOIN;
+      a->running = r->owner;
+    }
+}
+
+static void
+record_new (struct naive_custody *n, int64_t now_ms, int64_t wall_ms,
+            const struct bd_custody_claim *c)
+{
+  struct naive_record *r = g_new0 (struct naive_record, 1);
+
+  r->claim = *c;
+  if (c->hand_over)
+    r->received = *c->hand_over;
+  r->waiters = g_array_new (FALSE, FALSE, sizeof (struct bd_id));
+  g_array_append_val (r->waiters, c->request);
+  r->answer = g_string_new ("");
+  r->content_type = g_string_new ("");
+  r->owner = c->request;
+  r->claimed_ms = now_ms;
+  r->claimed_wall_ms = wall_ms;
+  r->finished_ms = INT64_MIN / 2;
+  g_ptr_array_add (n->records, r);
+}
+
+void
+naive_custody_claim (struct naive_custody *n, int64_t now_ms, int64_t wall_ms,
+                     const struct bd_custody_claim *c,
+                     struct bd_custody_answer *a)
+{
+  struct naive_record *r = find (n, c->key);
+  int error;
+
+  memset (a, 0, sizeof *a);
+  if (c->hand_over
+      && (c->hand_over->fingerprint != c->fingerprint
+          || !bd_id_equal (c->hand_over->key.id, c->key.id)))
+    {
+      refuse (a, BD_ERR_KEY_MISMATCH, BD_RAN_UNKNOWN);
+      return;
+    }
+  if (r)
+    {
+      claim_again (r, c, a);
+      return;
+    }
+  error = new_error (n, now_ms, wall_ms, c);
+  if (error == BD_OK && naive_custody_count (n) >= n->settings.max_records)
+    error = BD_ERR_FULL;
+  if (error == BD_OK)
+    record_new (n, now_ms, wall_ms, c);
+  else
+    refuse (a, error, BD_RAN_UNKNOWN);
+}
+
+static int64_t
+run_until (const struct naive_record *r)
+{
+  int64_t until = r->claimed_ms + r->claim.retry_window_ms;
+
+  if (r->claim.hand_over)
+    until = MIN (until, r->claimed_ms + r->received.expires_wall_ms
+                            - r->claimed_wall_ms);
+  return until;
+}
+
+static int64_t
+keep_until (const struct naive_custody *n, const struct naive_record *r)
+{
+  int64_t keep = r->claim.retry_window_ms;
+
+  if (r->claim.hand_over)
+    keep = MAX (keep, r->received.expires_wall_ms - r->claimed_wall_ms);
+  else if (r->claim.origin == BD_KEY_ISSUED)
+    keep = MAX (keep, r->claim.expires_wall_ms - r->claimed_wall_ms);
+  return MAX (r->claimed_ms + keep + n->settings.clock_skew_ms,
+              r->finished_ms + r->claim.retry_window_ms);
+}
+
+bool
+naive_custody_start (struct naive_custody *n, int64_t now_ms,
+                     struct bd_key key, struct bd_id request)
+{
+  struct naive_record *r = find (n, key);
+
+  if (!r || r->state != NAIVE_QUEUED || run_until (r) <= now_ms)
+    return false;
+  if (waiter (r, request) == r->waiters->len
+      && !bd_id_equal (request, r->owner))
+    return false;
+  r->state = NAIVE_RUNNING;
+  r->owner = request;
+  return true;
+}
+
+int
+naive_custody_withdraw (struct naive_custody *n, struct bd_key key,
+                        struct bd_id request)
+{
+  struct naive_record *r = find (n, key);
+
+  if (r && r->state <= NAIVE_RUNNING && waiter (r, request) < r->waiters->len)
+    {
+      g_array_remove_index (r->waiters, waiter (r, request));
+      if (r->state == NAIVE_QUEUED && r->waiters->len == 0)
+        r->state = NAIVE_ENDED;
+    }
+  return r && r->state == NAIVE_ENDED ? BD_OK : BD_ERR_OUTCOME_UNKNOWN;
+}
+
+int
+naive_custody_hand_over (struct naive_custody *n, int64_t now_ms,
+                         int64_t wall_ms, struct bd_key key,
+                         struct bd_chunk successor, uint64_t incarnation,
+                         const struct bd_hand_over **out)
+{
+  static const int errors[] = { [NAIVE_RUNNING] = BD_ERR_OUTCOME_UNKNOWN,
+                                [NAIVE_RECORDED] = BD_ERR_ALREADY_RAN,
+                                [NAIVE_RAN] = BD_ERR_ALREADY_RAN,
+                                [NAIVE_UNKNOWN] = BD_ERR_OUTCOME_UNKNOWN,
+                                [NAIVE_ENDED] = BD_ERR_KEY_ENDED };
+  struct naive_record *r = find (n, key);
+
+  *out = NULL;
+  if (!r)
+    return BD_ERR_NOT_FOUND;
+  if (r->state != NAIVE_HANDED)
+    {
+      if (r->state != NAIVE_QUEUED)
+        return errors[r->state];
+      if (run_until (r) <= now_ms)
+        return BD_ERR_KEY_EXPIRED;
+      if (r->received.hops >= BD_HAND_OVER_MAX_HOPS)
+        return BD_ERR_FULL;
+      if (successor.length < 1 || successor.length > BD_CUSTODY_NAME_BYTES
+          || incarnation == n->settings.incarnation
+          || (r->claim.hand_over
+              && incarnation == r->received.from_incarnation))
+        return BD_ERR_INVALID;
+      r->given.key = key;
+      r->given.fingerprint = r->claim.fingerprint;
+      memcpy (r->given.successor, successor.data, successor.length);
+      r->given.successor_incarnation = incarnation;
+      r->given.from_incarnation = n->settings.incarnation;
+      r->given.hops = r->received.hops + 1;
+      r->given.expires_wall_ms = wall_ms + run_until (r) - now_ms;
+      r->state = NAIVE_HANDED;
+    }
+  *out = &r->given;
+  return BD_OK;
+}
+
+void
+naive_custody_finish (struct naive_custody *n, int64_t now_ms,
+                      struct bd_key key, int error, int status,
+                      struct bd_chunk content_type, struct bd_chunk answer)
+{
+  struct naive_record *r = find (n, key);
+  uint64_t bytes = content_type.length + answer.length;
+
+  if (!r || r->state != NAIVE_RUNNING)
+    return;
+  r->finished_ms = now_ms;
+  r->state = error == BD_OK ? NAIVE_RAN : NAIVE_UNKNOWN;
+  for (guint i = 0; i < n->records->len; i++)
+    if (!record_at (n, i)->dropped)
+      bytes += record_at (n, i)->answer->len
+               + record_at (n, i)->content_type->len;
+  if (error != BD_OK || bytes > n->settings.max_answer_bytes)
+    return;
+  r->state = NAIVE_RECORDED;
+  r->status = status;
+  g_string_append_len (r->answer, answer.data, (gssize)answer.length);
+  g_string_append_len (r->content_type, content_type.data,
+                       (gssize)content_type.length);
+}
+
+void
+naive_custody_not_sent (struct naive_custody *n, struct bd_key key,
+                        struct bd_id request)
+{
+  struct naive_record *r = find (n, key);
+
+  if (r && r->state == NAIVE_RUNNING && bd_id_equal (r->owner, request))
+    r->state = r->waiters->len > 0 ? NAIVE_QUEUED : NAIVE_ENDED;
+}
+
+void
+naive_custody_tick (struct naive_custody *n, int64_t now_ms)
+{
+  for (guint i = 0; i < n->records->len; i++)
+    {
+      struct naive_record *r = record_at (n, i);
+
+      if (r->state != NAIVE_RUNNING && keep_until (n, r) <= now_ms)
+        r->dropped = true;
+    }
+}
