--- a/test/test_custody.c
+++ b/test/test_custody.c
@@ -7,7 +7,7 @@
 
 #define INCARNATION 100
 #define STARTED_MS 1000000
-#define SKEW_MS 50
+#define SKEW_MS INT64_C (50)
 #define WINDOW_MS 1000
 #define CONFIRM_MS 200
 
