--- /dev/null
+++ b/test/test_custody_histories.c
@@ -0,0 +1,289 @@
+/*
+ * Random histories of custody against the naive version, and what must hold
+ * whatever the clocks do: a key of which nobody said that it was not sent
+ * starts once, and not after a refusal that said that it did not run.
+ */
+#include "common/string.h"
+#include "core/custody.h"
+#include "naive_custody.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define INCARNATION 100
+#define STARTED_MS 1000000
+#define KEYS 6
+#define HISTORIES 100000
+#define OPS 60
+
+static struct bd_key
+key_of (int number)
+{
+  return (struct bd_key){ .id = { .high = 1, .low = (uint64_t)number } };
+}
+
+static struct bd_id
+request_of (int number)
+{
+  return (struct bd_id){ .high = 2, .low = (uint64_t)number };
+}
+
+struct key_facts
+{
+  struct bd_custody_claim claim;
+  struct bd_hand_over hand_over;
+  bool running;
+  struct bd_id runner;
+  bool ran;
+  bool refused; /* Somebody was told that it did not run. */
+};
+
+struct history
+{
+  GRand *rand;
+  struct bd_custody *custody;
+  struct naive_custody *naive;
+  struct key_facts keys[KEYS];
+  int64_t now_ms;
+  int64_t wall_ms;
+};
+
+static int
+below (struct history *h, int bound)
+{
+  return g_rand_int_range (h->rand, 0, bound);
+}
+
+static void
+key_facts_init (struct history *h, int i)
+{
+  struct key_facts *k = &h->keys[i];
+  struct bd_custody_claim *c = &k->claim;
+
+  c->key = key_of (i);
+  c->origin = (enum bd_key_origin)below (h, 3);
+  c->incarnation = INCARNATION - (below (h, 4) == 0);
+  c->key_wall_ms = STARTED_MS - 100 + below (h, 800);
+  c->expires_wall_ms = STARTED_MS + below (h, 2000);
+  c->fingerprint = (uint64_t)below (h, 2);
+  c->retry_window_ms = below (h, 20) == 0 ? 0 : 1 + below (h, 400);
+  k->hand_over = (struct bd_hand_over){ .key = c->key,
+                                        .fingerprint = c->fingerprint,
+                                        .successor_incarnation
+                                        = INCARNATION - (below (h, 4) == 0),
+                                        .from_incarnation = 9,
+                                        .hops = (uint32_t)below (h, 4),
+                                        .expires_wall_ms
+                                        = STARTED_MS + below (h, 1000) };
+  if (below (h, 3) == 0)
+    {
+      c->hand_over = &k->hand_over;
+      c->incarnation = INCARNATION - 1;
+    }
+}
+
+static void
+assert_chunk (struct bd_chunk a, struct bd_chunk b)
+{
+  g_assert_cmpmem (a.data, a.length, b.data, b.length);
+}
+
+static void
+random_claim (struct history *h, struct key_facts *k)
+{
+  struct bd_custody_claim c = k->claim;
+  struct bd_custody_answer a;
+  struct bd_custody_answer b;
+
+  c.request = request_of (below (h, 11));
+  if (below (h, 16) == 0)
+    c.fingerprint ^= 1;
+  if (below (h, 16) == 0 && c.origin == BD_KEY_ISSUED)
+    c.hand_over = NULL;
+  bd_custody_claim (h->custody, h->now_ms, h->wall_ms, &c, &a);
+  naive_custody_claim (h->naive, h->now_ms, h->wall_ms, &c, &b);
+  g_assert_cmpint (a.verdict, ==, b.verdict);
+  g_assert_cmpint (a.error, ==, b.error);
+  g_assert_cmpint (a.ran, ==, b.ran);
+  g_assert_cmpint (a.status, ==, b.status);
+  g_assert_true (bd_id_equal (a.running, b.running));
+  assert_chunk (a.recorded, b.recorded);
+  assert_chunk (a.content_type, b.content_type);
+  assert_chunk (a.successor, b.successor);
+  if (a.verdict == BD_CUSTODY_REFUSE && a.ran == BD_RAN_NO
+      && a.error != BD_ERR_KEY_MISMATCH)
+    {
+      k->refused = true;
+      g_assert_false (k->ran);
+    }
+}
+
+static void
+random_start (struct history *h, struct key_facts *k)
+{
+  struct bd_id request = request_of (below (h, 11));
+  bool a = bd_custody_start (h->custody, h->now_ms, k->claim.key, request);
+  bool b = naive_custody_start (h->naive, h->now_ms, k->claim.key, request);
+
+  g_assert_cmpint (a, ==, b);
+  if (!a)
+    return;
+  k->running = true;
+  k->runner = request;
+  if (k->claim.origin == BD_KEY_OPAQUE)
+    return;
+  g_assert_false (k->ran);
+  g_assert_false (k->refused);
+  k->ran = true;
+}
+
+static void
+random_not_sent (struct history *h, struct key_facts *k)
+{
+  struct bd_id request = request_of (below (h, 11));
+  bool before
+      = bd_custody_start (h->custody, h->now_ms, k->claim.key, request);
+
+  g_assert_cmpint (
+      before, ==,
+      naive_custody_start (h->naive, h->now_ms, k->claim.key, request));
+  if (before)
+    g_assert_false (k->claim.origin != BD_KEY_OPAQUE
+                    && (k->ran || k->refused));
+  bd_custody_not_sent (h->custody, h->now_ms, k->claim.key, request);
+  naive_custody_not_sent (h->naive, k->claim.key, request);
+  if (!before && k->running && bd_id_equal (k->runner, request))
+    k->ran = k->running = false;
+}
+
+static void
+random_withdraw (struct history *h, struct key_facts *k)
+{
+  struct bd_id request = request_of (below (h, 11));
+  int a = bd_custody_withdraw (h->custody, h->now_ms, k->claim.key, request);
+
+  g_assert_cmpint (a, ==,
+                   naive_custody_withdraw (h->naive, k->claim.key, request));
+  if (a == BD_OK && k->claim.origin != BD_KEY_OPAQUE)
+    {
+      g_assert_false (k->ran);
+      k->refused = true;
+    }
+}
+
+static void
+random_hand_over (struct history *h, struct key_facts *k)
+{
+  uint64_t incarnation
+      = below (h, 4) == 0 ? INCARNATION : (uint64_t)below (h, 12);
+  struct bd_chunk name = { "successor", (size_t)below (h, 10) };
+  const struct bd_hand_over *x;
+  const struct bd_hand_over *y;
+
+  g_assert_cmpint (bd_custody_hand_over (h->custody, h->now_ms, h->wall_ms,
+                                         k->claim.key, name, incarnation, &x),
+                   ==,
+                   naive_custody_hand_over (h->naive, h->now_ms, h->wall_ms,
+                                            k->claim.key, name, incarnation,
+                                            &y));
+  g_assert_true (!x == !y);
+  if (x)
+    g_assert_cmpmem (x, sizeof *x, y, sizeof *y);
+}
+
+static void
+random_finish (struct history *h, struct key_facts *k)
+{
+  struct bd_chunk answer = { "0123456789abcdef", (size_t)below (h, 16) };
+  struct bd_chunk type = { "text/plain", (size_t)below (h, 6) };
+  int error = below (h, 3) == 0 ? BD_ERR_ENGINE : BD_OK;
+
+  bd_custody_finish (h->custody, h->now_ms, k->claim.key, error, 200, type,
+                     answer);
+  naive_custody_finish (h->naive, h->now_ms, k->claim.key, error, 200, type,
+                        answer);
+  k->running = false;
+}
+
+static void
+random_time (struct history *h)
+{
+  int step = below (h, 200);
+
+  h->now_ms += step;
+  h->wall_ms += below (h, 6) == 0 ? 400 - below (h, 800) : step;
+  if (below (h, 2) == 0)
+    {
+      bd_custody_tick (h->custody, h->now_ms);
+      naive_custody_tick (h->naive, h->now_ms);
+    }
+  if (below (h, 10) == 0)
+    {
+      bd_custody_home_since (h->custody, h->wall_ms);
+      h->naive->home_wall_ms = MAX (h->naive->home_wall_ms, h->wall_ms);
+    }
+  if (below (h, 2) == 0)
+    {
+      bd_custody_confirm (h->custody, h->now_ms);
+      h->naive->confirmed_ms = h->now_ms;
+    }
+}
+
+static void
+random_op (struct history *h)
+{
+  struct key_facts *k = &h->keys[below (h, KEYS)];
+  int pick = below (h, 16);
+
+  if (pick < 6)
+    random_claim (h, k);
+  else if (pick < 9)
+    random_start (h, k);
+  else if (pick < 11)
+    random_withdraw (h, k);
+  else if (pick < 12)
+    random_hand_over (h, k);
+  else if (pick < 14)
+    random_finish (h, k);
+  else if (pick < 15)
+    random_time (h);
+  else
+    random_not_sent (h, k);
+  g_assert_cmpuint (bd_custody_count (h->custody), ==,
+                    naive_custody_count (h->naive));
+}
+
+static void
+test_histories (void)
+{
+  struct bd_custody_settings s = { .incarnation = INCARNATION,
+                                   .started_wall_ms = STARTED_MS,
+                                   .clock_skew_ms = 50,
+                                   .max_answer_bytes = 20 };
+
+  for (guint32 seed = 0; seed < HISTORIES; seed++)
+    {
+      struct history h
+          = { .rand = g_rand_new_with_seed (seed), .wall_ms = STARTED_MS };
+
+      s.max_records = (uint32_t)(1 + below (&h, 5));
+      s.confirm_window_ms = below (&h, 2) == 0 ? 0 : 150;
+      h.custody = bd_custody_create (&s);
+      h.naive = naive_custody_create (&s);
+      for (int i = 0; i < KEYS; i++)
+        key_facts_init (&h, i);
+      for (int i = 0; i < OPS; i++)
+        random_op (&h);
+      bd_custody_destroy (h.custody);
+      naive_custody_destroy (h.naive);
+      g_rand_free (h.rand);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/custody-histories/naive", test_histories);
+  return g_test_run ();
+}
