--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -232,9 +232,7 @@
     error = call->error;
   else if (code != CURLE_OK)
     error = error_of_curl (code);
-  else if (!call->head_given)
-    error = BD_ERR_PROTOCOL;
-  else if (!end_is_known (call))
+  else if (!call->head_given || !end_is_known (call))
     error = BD_ERR_BROKEN;
   if (error == BD_ERR_TIMEOUT && bd_clock_ms () >= call->deadline_ms)
     error = BD_ERR_DEADLINE;
--- /dev/null
+++ b/test/support_engine.c
@@ -0,0 +1,132 @@
+#include "support_engine.h"
+
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static void
+note_event (struct record *r, const struct bd_engine_event *e)
+{
+  if (r->finals > 0)
+    r->disorder = true;
+  r->sent = e->sent;
+  switch (e->kind)
+    {
+    case BD_ENGINE_STARTED:
+      r->disorder = r->disorder || r->starts++ > 0 || !e->sent;
+      break;
+    case BD_ENGINE_HEAD:
+      r->disorder = r->disorder || r->heads++ > 0 || r->starts == 0;
+      r->status = e->status;
+      g_strlcpy (r->type, e->content_type.data ? e->content_type.data : "",
+                 sizeof r->type);
+      break;
+    case BD_ENGINE_DATA:
+      r->disorder = r->disorder || r->heads == 0;
+      bd_buffer_append (&r->data, e->data);
+      break;
+    case BD_ENGINE_END:
+      r->disorder = r->disorder || r->heads == 0 || e->error != BD_OK;
+      r->finals++;
+      break;
+    case BD_ENGINE_FAILED:
+      r->disorder = r->disorder || e->error == BD_OK;
+      r->error = e->error;
+      r->finals++;
+      break;
+    }
+}
+
+static void
+record_event (struct bd_engine_sink *sink, const struct bd_engine_event *event)
+{
+  struct recorder *recorder = (struct recorder *)sink;
+
+  pthread_mutex_lock (&recorder->lock);
+  note_event (&recorder->records[event->attempt], event);
+  if (event->kind == BD_ENGINE_END || event->kind == BD_ENGINE_FAILED)
+    recorder->finals++;
+  pthread_cond_broadcast (&recorder->changed);
+  pthread_mutex_unlock (&recorder->lock);
+}
+
+struct recorder *
+recorder_create (void)
+{
+  struct recorder *recorder = g_new0 (struct recorder, 1);
+
+  recorder->sink.event = record_event;
+  pthread_mutex_init (&recorder->lock, NULL);
+  pthread_cond_init (&recorder->changed, NULL);
+  return recorder;
+}
+
+/* Every one of the COUNT calls has had one last event, in order. */
+void
+recorder_finish (struct recorder *recorder, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      g_assert_cmpint (recorder->records[i].finals, ==, 1);
+      g_assert_false (recorder->records[i].disorder);
+      bd_buffer_clear (&recorder->records[i].data);
+    }
+  g_assert_cmpint (recorder->finals, ==, count);
+  pthread_mutex_destroy (&recorder->lock);
+  pthread_cond_destroy (&recorder->changed);
+  g_free (recorder);
+}
+
+void
+wait_finals (struct recorder *recorder, int count)
+{
+  pthread_mutex_lock (&recorder->lock);
+  while (recorder->finals < count)
+    pthread_cond_wait (&recorder->changed, &recorder->lock);
+  pthread_mutex_unlock (&recorder->lock);
+}
+
+void
+wait_data (struct recorder *recorder, int call)
+{
+  struct record *r = &recorder->records[call];
+
+  pthread_mutex_lock (&recorder->lock);
+  while (r->data.length == 0 && r->finals == 0)
+    pthread_cond_wait (&recorder->changed, &recorder->lock);
+  pthread_mutex_unlock (&recorder->lock);
+}
+
+void
+standin_start (struct standin *s, const char *program, const char *token_us,
+               const char *kind)
+{
+  char *argv[]
+      = { (char *)program,      (char *)"--port",           (char *)"0",
+          (char *)"--token-us", (char *)token_us,           (char *)"--kind",
+          (char *)kind,         (char *)"--checks-fencing", NULL };
+  char line[64] = "";
+  size_t length = 0;
+  int out = -1;
+
+  g_assert_true (
+      g_spawn_async_with_pipes (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+                                NULL, NULL, &s->pid, NULL, &out, NULL, NULL));
+  while (!strchr (line, '\n') && length < sizeof line - 1)
+    {
+      ssize_t n = read (out, line + length, sizeof line - 1 - length);
+
+      g_assert_cmpint (n, >, 0);
+      length += (size_t)n;
+    }
+  close (out);
+  s->port = (int)g_ascii_strtoll (line + strlen ("ready "), NULL, 10);
+}
+
+void
+standin_stop (const struct standin *s)
+{
+  kill (s->pid, SIGTERM);
+  waitpid (s->pid, NULL, 0);
+}
