--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -39,6 +39,7 @@
   char request_id[64];
   char code[48];
   char ran[16];
+  char retry_after[16];
   long status;
   int64_t first_us; /* First token, from the scheduled time; 0: none. */
   int64_t last_us;
@@ -102,6 +103,7 @@
 
   copy_header (line, "X-Request-Id:", e->request_id, sizeof e->request_id);
   copy_header (line, "X-Basildock-Ran:", e->ran, sizeof e->ran);
+  copy_header (line, "Retry-After:", e->retry_after, sizeof e->retry_after);
   copy_header (line, "Content-Type:", text, sizeof text);
   if (strncmp (text, "text/event-stream", 17) == 0)
     e->is_stream = true;
@@ -266,11 +268,13 @@
     return;
   fprintf (load.receipts,
            "{\"request\":\"%s\",\"key\":\"%s\",\"class\":\"%s\","
-           "\"outcome\":\"%s\",\"code\":\"%s\",\"ran\":\"%s\","
+           "\"outcome\":\"%s\",\"code\":\"%s\",\"ran\":\"%s\",\"retry_after\":"
+           "\"%s\","
            "\"whole\":%s,\"replay\":%s,\"duplicate\":%s,\"tokens\":%d,"
            "\"bytes\":%zu,\"at_ms\":%lld,\"first_token_us\":%lld}\n",
            e->request_id, e->key, e->class->name, outcome_names[outcome],
-           e->code, e->ran, outcome == OUTCOME_WHOLE ? "true" : "false",
+           e->code, e->ran, e->retry_after,
+           outcome == OUTCOME_WHOLE ? "true" : "false",
            e->replay ? "true" : "false",
            e->arrival.duplicate ? "true" : "false", tokens, e->text.length,
            (long long)(e->arrival.at_us / 1000), (long long)e->first_us);
--- a/bench/load_plan.h
+++ b/bench/load_plan.h
@@ -7,7 +7,8 @@
  * A scenario is a JSON object: "targets" (base URLs), "duration_ms",
  * "drain_ms" (longest wait after the last arrival) and "classes", each with
  * "name", "header" (X-Basildock-Class), "credential", "model", "path",
- * "method", "phases" (each "from_ms", "to_ms", "rate" a second), and
+ * "method", "phases" (each "from_ms", "to_ms", "rate" a
+ * second, or "count" in all), and
  * optionally "targets", "stream", "service", "keyed", "max_tokens",
  * "prompt_bytes", "prefix_bytes", "prefix_groups", "first_token_ms",
  * "token_gap_ms", "duplicate_permille", "poison" (text put into the prompts)
@@ -31,7 +32,8 @@
 {
   int64_t from_us;
   int64_t to_us;
-  double rate; /* Requests a second. */
+  double rate; /* Requests a second, at random times. */
+  int count;   /* Instead of a rate: requests evenly spaced. */
 };
 
 struct load_class
@@ -123,6 +125,7 @@
       p->from_us = (int64_t)read_number (item, "from_ms", 0) * 1000;
       p->to_us = (int64_t)read_number (item, "to_ms", 0) * 1000;
       p->rate = json_number_value (json_object_get (item, "rate"));
+      p->count = read_number (item, "count", 0);
     }
 }
 
@@ -183,6 +186,25 @@
   return add_arrival (plan, arrival);
 }
 
+/* Requests at equal distances. */
+static bool
+space_phase (struct plan *plan, size_t index, const struct phase *phase,
+             uint64_t *state)
+{
+  for (int i = 0; i < phase->count; i++)
+    {
+      struct arrival a = { .class_index = index };
+
+      *state = answer_mix (*state);
+      a.at_us = phase->from_us
+                + (phase->to_us - phase->from_us) * i / phase->count;
+      a.draw = answer_mix (*state ^ 5);
+      if (!add_request (plan, a))
+        return false;
+    }
+  return true;
+}
+
 /* A Poisson process in each phase. */
 static bool
 draw_phase (struct plan *plan, size_t index, const struct phase *phase,
@@ -190,6 +212,8 @@
 {
   double at = (double)phase->from_us;
 
+  if (phase->count > 0)
+    return space_phase (plan, index, phase, state);
   if (phase->rate <= 0)
     return true;
   for (;;)
