--- a/src/common/setting_table.c
+++ b/src/common/setting_table.c
@@ -84,9 +84,8 @@
   return errno == 0 && *value >= least && *value <= most;
 }
 
-/* TEXT, of LENGTH bytes, is an IPv4 number and a port. */
-static bool
-is_address (const char *text, size_t length)
+bool
+bd_is_address (const char *text, size_t length)
 {
   char copy[INET_ADDRSTRLEN + 8];
   struct in_addr ip;
@@ -109,7 +108,7 @@
 accept_address (const struct bd_setting *setting, const char *text,
                 struct bd_settings *settings)
 {
-  return is_address (text, strlen (text))
+  return bd_is_address (text, strlen (text))
          && store_text (setting, text, settings);
 }
 
@@ -123,7 +122,7 @@
     {
       size_t length = strcspn (next, ",");
 
-      if (!is_address (next, length))
+      if (!bd_is_address (next, length))
         return false;
       if (next[length] == '\0')
         return store_text (setting, text, settings);
--- a/src/common/setting_table.h
+++ b/src/common/setting_table.h
@@ -40,6 +40,9 @@
 
 extern const struct bd_setting bd_setting_table[BD_SETTING_COUNT];
 
+/** True when TEXT, of LENGTH bytes, is an IPv4 number and a port. */
+bool bd_is_address (const char *text, size_t length);
+
 /** Behind bd_settings.owned: the texts, by row. */
 struct bd_owned_texts
 {
