--- a/src/core/run.c
+++ b/src/core/run.c
@@ -20,9 +20,9 @@
 
 /* A model's answer that is no stream is checked and counted as JSON. */
 static bool
-is_model_json (const struct bd_runner *runner, const struct task *task)
+is_model_json (const struct task *task)
 {
-  return !runner->settings.service && !is_event_stream (task);
+  return !(task->flags & BD_FLAG_SERVICE) && !is_event_stream (task);
 }
 
 void
@@ -89,7 +89,7 @@
 static void
 keep_answer (struct bd_runner *runner, struct task *task, struct bd_chunk data)
 {
-  if (!task->keyed && !is_model_json (runner, task))
+  if (!task->keyed && !is_model_json (task))
     return;
   if (task->body.length + data.length <= runner->settings.answer_max_bytes)
     bd_buffer_append (&task->body, data);
@@ -166,9 +166,9 @@
 }
 
 static bool
-answer_is_whole (const struct bd_runner *runner, struct task *task)
+answer_is_whole (struct task *task)
 {
-  if (runner->settings.service)
+  if (task->flags & BD_FLAG_SERVICE)
     return true;
   if (is_event_stream (task))
     return task->closed && task->sse.pending.length == 0;
@@ -220,8 +220,7 @@
           if (answer.verdict == BD_CUSTODY_REPLAY)
             bd_task_replay (runner, now_ms, task, &answer);
           else if (answer.verdict == BD_CUSTODY_REFUSE)
-            bd_task_refuse (runner, task, answer.error,
-                            bd_error_answer (answer.error)->ran);
+            bd_task_refuse (runner, task, answer.error, answer.ran);
         }
       task = next;
     }
@@ -271,6 +270,7 @@
     return;
   if (error == BD_OK && !kept)
     error = BD_ERR_ALREADY_RAN;
+  bd_custody_used (runner->custody, task->claim.key, task->tokens);
   bd_custody_finish (runner->custody, now_ms, task->claim.key, error,
                      task->status, type, bd_buffer_chunk (&task->body));
   answer_joined (runner, now_ms, task);
@@ -284,7 +284,7 @@
 
   if (!task || task->state != TASK_RUNNING)
     return;
-  if (!answer_is_whole (runner, task))
+  if (!answer_is_whole (task))
     {
       finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
       fail_task (runner, task, BD_ERR_BROKEN, BD_RAN_UNKNOWN, false, false);
@@ -322,10 +322,7 @@
     {
       bd_custody_not_sent (runner->custody, now_ms, task->claim.key,
                            task->request);
-      if (bd_custody_withdraw (runner->custody, now_ms, task->claim.key,
-                               task->request)
-          != BD_OK)
-        ran = BD_RAN_UNKNOWN;
+      ran = bd_task_withdraw (runner, now_ms, task);
     }
   else
     finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
@@ -350,14 +347,9 @@
   if (task->state != TASK_ENDED)
     return;
   if (task->keyed)
-    {
-      billable = billable
-                 && !bd_map_get (runner->billed, task->claim.key.id, 0)
-                 && bd_map_put (runner->billed, task->claim.key.id, 0, runner)
-                        == BD_OK;
-    }
-  else
-    billable = billable && !task->replayed;
+    billable = billable
+               && bd_custody_bill (runner->custody, task->claim.key,
+                                   &bill.tokens);
   if (billable)
     runner->port->bill (runner->port, &bill);
   bd_task_remove (runner, task);
