--- a/src/core/custody.c
+++ b/src/core/custody.c
@@ -622,8 +622,7 @@
 {
   struct record *r = record_find (custody, key);
 
-  if (!r || r->billed
-      || (r->state != STATE_RECORDED && r->state != STATE_RAN))
+  if (!r || r->billed || (r->state != STATE_RECORDED && r->state != STATE_RAN))
     return false;
   r->billed = true;
   *tokens = r->tokens;
--- a/src/core/exchange.c
+++ b/src/core/exchange.c
@@ -137,8 +137,8 @@
 {
   struct bd_exchange_port *port = exchange->port;
   char reason[REASON_BYTES] = "";
-  int rc = bd_config_offer (exchange->config, name, json, reason,
-                            sizeof reason);
+  int rc
+      = bd_config_offer (exchange->config, name, json, reason, sizeof reason);
 
   if (rc == BD_ERR_CONTRACT)
     port->note (port, BD_EVENT_CONFIG_REFUSED, name, reason);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -347,9 +347,9 @@
   if (task->state != TASK_ENDED)
     return;
   if (task->keyed)
-    billable = billable
-               && bd_custody_bill (runner->custody, task->claim.key,
-                                   &bill.tokens);
+    billable
+        = billable
+          && bd_custody_bill (runner->custody, task->claim.key, &bill.tokens);
   if (billable)
     runner->port->bill (runner->port, &bill);
   bd_task_remove (runner, task);
--- a/src/core/runner.h
+++ b/src/core/runner.h
@@ -66,7 +66,7 @@
 {
   uint64_t incarnation;
   uint32_t slots;
-  bool fifo;    /**< Baseline: order of arrival, no tiers. */
+  bool fifo; /**< Baseline: order of arrival, no tiers. */
   struct bd_queue_limits queue;
   struct bd_custody_settings custody;
   uint64_t answer_max_bytes; /**< Of one recorded answer. */
--- /dev/null
+++ b/src/ctl/fetch.c
@@ -0,0 +1,87 @@
+#include "ctl/ctl.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 2000L
+#define WHOLE_TIMEOUT_MS 10000L
+#define ANSWER_MAX_BYTES ((size_t)64 << 20)
+
+enum bd_ctl_exit
+bd_ctl_worse (enum bd_ctl_exit a, enum bd_ctl_exit b)
+{
+  return a > b ? a : b;
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *context)
+{
+  struct bd_buffer *body = context;
+  size_t length = size * count;
+
+  if (body->length + length > ANSWER_MAX_BYTES
+      || bd_buffer_append (body, (struct bd_chunk){ data, length }) != BD_OK)
+    return 0;
+  return length;
+}
+
+static enum bd_ctl_exit
+tell (const char *address, const char *path, const char *reason,
+      enum bd_ctl_exit code)
+{
+  fprintf (stderr, "basildockctl: %s%s: %s\n", address, path, reason);
+  return code;
+}
+
+static CURLcode
+get (const char *address, const char *path, struct bd_buffer *body,
+     long *status)
+{
+  CURL *curl = curl_easy_init ();
+  struct bd_buffer url = { 0 };
+  CURLcode code = CURLE_OUT_OF_MEMORY;
+
+  if (curl && bd_buffer_printf (&url, "http://%s%s", address, path) == BD_OK)
+    {
+      curl_easy_setopt (curl, CURLOPT_URL, url.data);
+      curl_easy_setopt (curl, CURLOPT_PROXY, "");
+      curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+      curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+      curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, WHOLE_TIMEOUT_MS);
+      curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, take_body);
+      curl_easy_setopt (curl, CURLOPT_WRITEDATA, body);
+      code = curl_easy_perform (curl);
+      curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, status);
+    }
+  bd_buffer_clear (&url);
+  curl_easy_cleanup (curl);
+  return code;
+}
+
+enum bd_ctl_exit
+bd_ctl_fetch (const char *address, const char *path, json_t **root)
+{
+  struct bd_buffer body = { 0 };
+  enum bd_ctl_exit rc = BD_CTL_OK;
+  char reason[64];
+  long status = 0;
+  CURLcode code = get (address, path, &body, &status);
+
+  *root = NULL;
+  if (code != CURLE_OK)
+    rc = tell (address, path, curl_easy_strerror (code), BD_CTL_UNREACHABLE);
+  else if (status != 200)
+    {
+      snprintf (reason, sizeof reason, "answered with status %ld", status);
+      rc = tell (address, path, reason, BD_CTL_BAD);
+    }
+  else
+    {
+      *root = json_loadb (body.data ? body.data : "", body.length, 0, NULL);
+      if (!*root)
+        rc = tell (address, path, "the answer is not JSON", BD_CTL_BAD);
+    }
+  bd_buffer_clear (&body);
+  return rc;
+}
--- /dev/null
+++ b/src/ctl/print.c
@@ -0,0 +1,273 @@
+/* Prints text and values that come from outside. */
+#include "ctl/ctl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define INDENT_COLUMNS 2
+#define GAP_COLUMNS 2
+
+/* UTF-8 sequences that steer a terminal or the direction of writing: the
+   first bytes, then a range for the last. */
+static const struct
+{
+  const char *first;
+  unsigned char low;
+  unsigned char high;
+} steering[] = {
+  { "\xc2", 0x80, 0x9f },     /* C1 controls. */
+  { "\xe2\x80", 0x8b, 0x8f }, /* Zero width and direction marks. */
+  { "\xe2\x80", 0xa8, 0xae }, /* Separators, embeddings, overrides. */
+  { "\xe2\x81", 0xa0, 0xaf }, /* Invisible operators, isolates. */
+  { "\xef\xbb", 0xbf, 0xbf }, /* Byte order mark. */
+};
+
+/* Length of the steering sequence at the start of TEXT, or 0. */
+static size_t
+steering_length (struct bd_chunk text)
+{
+  unsigned char c = (unsigned char)text.data[0];
+
+  if (c < 0x20 || c == 0x7f)
+    return 1;
+  for (size_t i = 0; i < sizeof steering / sizeof steering[0]; i++)
+    {
+      size_t n = strlen (steering[i].first);
+      unsigned char last;
+
+      if (text.length <= n || memcmp (text.data, steering[i].first, n) != 0)
+        continue;
+      last = (unsigned char)text.data[n];
+      if (last >= steering[i].low && last <= steering[i].high)
+        return n + 1;
+    }
+  return 0;
+}
+
+int
+bd_ctl_escape (struct bd_chunk text, struct bd_buffer *buffer)
+{
+  int rc = BD_OK;
+  size_t i = 0;
+
+  while (i < text.length && rc == BD_OK)
+    {
+      struct bd_chunk rest = { text.data + i, text.length - i };
+      size_t steers = steering_length (rest);
+
+      for (size_t j = 0; j < steers && rc == BD_OK; j++)
+        rc = bd_buffer_printf (buffer, "\\x%02x", (unsigned char)rest.data[j]);
+      if (steers == 0)
+        rc = bd_buffer_append (buffer, (struct bd_chunk){ rest.data, 1 });
+      i += steers > 0 ? steers : 1;
+    }
+  return rc;
+}
+
+void
+bd_ctl_print_text (struct bd_chunk text)
+{
+  struct bd_buffer b = { 0 };
+
+  if (bd_ctl_escape (text, &b) == BD_OK && b.length > 0)
+    fwrite (b.data, 1, b.length, stdout);
+  bd_buffer_clear (&b);
+}
+
+void
+bd_ctl_print_json (const json_t *value)
+{
+  char *text = json_dumps (value, JSON_INDENT (2) | JSON_ENSURE_ASCII
+                                      | JSON_ENCODE_ANY);
+
+  puts (text ? text : "null");
+  free (text);
+}
+
+/* Returns a new escaped text for one value, or NULL. */
+static char *
+cell_of (const json_t *value)
+{
+  struct bd_buffer b = { 0 };
+  char *dumped;
+
+  if (!value || json_is_null (value))
+    return bd_chunk_copy (BD_CHUNK ("-"));
+  if (json_is_string (value))
+    {
+      bd_ctl_escape ((struct bd_chunk){ json_string_value (value),
+                                        json_string_length (value) },
+                     &b);
+      return b.data ? b.data : bd_chunk_copy (BD_CHUNK (""));
+    }
+  dumped
+      = json_dumps (value, JSON_COMPACT | JSON_ENSURE_ASCII | JSON_ENCODE_ANY);
+  return dumped;
+}
+
+/* Columns of TEXT, one for each character. */
+static size_t
+width_of (const char *text)
+{
+  size_t width = 0;
+
+  for (; *text; text++)
+    width += ((unsigned char)*text & 0xc0) != 0x80;
+  return width;
+}
+
+static void
+print_padded (const char *text, size_t width)
+{
+  size_t used = width_of (text);
+
+  fputs (text, stdout);
+  for (; used < width; used++)
+    putchar (' ');
+}
+
+/* A table under construction: the head, then a row for each object. */
+struct table
+{
+  size_t columns;
+  size_t rows;
+  char **cells;
+  size_t *widths;
+};
+
+static void
+put_cell (struct table *table, size_t row, size_t column, char *text)
+{
+  size_t width;
+
+  table->cells[row * table->columns + column] = text;
+  width = text ? width_of (text) : 0;
+  if (width > table->widths[column])
+    table->widths[column] = width;
+}
+
+static void
+fill_table (struct table *table, const json_t *array)
+{
+  json_t *first = json_array_get (array, 0);
+  const char *key;
+  json_t *value;
+  size_t column = 0;
+
+  json_object_foreach (first, key, value)
+  {
+    json_t *head = json_string (key);
+
+    put_cell (table, 0, column, cell_of (head));
+    json_decref (head);
+    for (size_t row = 1; row < table->rows; row++)
+      put_cell (
+          table, row, column,
+          cell_of (json_object_get (json_array_get (array, row - 1), key)));
+    column++;
+  }
+}
+
+static void
+print_rows (const struct table *table, size_t indent)
+{
+  for (size_t row = 0; row < table->rows; row++)
+    {
+      printf ("%*s", (int)indent, "");
+      for (size_t column = 0; column < table->columns; column++)
+        {
+          const char *text = table->cells[row * table->columns + column];
+          bool last = column + 1 == table->columns;
+
+          print_padded (text ? text : "-",
+                        last ? 0 : table->widths[column] + GAP_COLUMNS);
+        }
+      putchar ('\n');
+    }
+}
+
+static void
+print_table (const json_t *array, size_t indent)
+{
+  struct table table
+      = { .columns = json_object_size (json_array_get (array, 0)),
+          .rows = json_array_size (array) + 1 };
+
+  table.cells = calloc (table.columns * table.rows + 1, sizeof (char *));
+  table.widths = calloc (table.columns + 1, sizeof (size_t));
+  if (table.cells && table.widths)
+    {
+      fill_table (&table, array);
+      print_rows (&table, indent);
+      for (size_t i = 0; i < table.columns * table.rows; i++)
+        free (table.cells[i]);
+    }
+  free (table.cells);
+  free (table.widths);
+}
+
+static bool
+is_plain (const json_t *value)
+{
+  return !json_is_object (value)
+         && !(json_is_array (value)
+              && json_is_object (json_array_get (value, 0)));
+}
+
+static void print_object (const json_t *object, size_t indent);
+
+static void
+print_member (const char *key, const json_t *value, size_t width,
+              size_t indent)
+{
+  struct bd_buffer name = { 0 };
+  char *cell;
+
+  bd_ctl_escape (bd_chunk_of (key), &name);
+  printf ("%*s", (int)indent, "");
+  if (is_plain (value))
+    {
+      cell = cell_of (value);
+      print_padded (name.data ? name.data : "", width + GAP_COLUMNS);
+      printf ("%s\n", cell ? cell : "-");
+      free (cell);
+    }
+  else
+    {
+      printf ("%s:\n", name.data ? name.data : "");
+      if (json_is_object (value))
+        print_object (value, indent + INDENT_COLUMNS);
+      else
+        print_table (value, indent + INDENT_COLUMNS);
+    }
+  bd_buffer_clear (&name);
+}
+
+/* Nesting is bounded by the JSON library's limit. */
+static void
+print_object (const json_t *object, size_t indent)
+{
+  size_t width = 0;
+  const char *key;
+  json_t *value;
+
+  json_object_foreach ((json_t *)object, key, value)
+  {
+    if (is_plain (value) && width_of (key) > width)
+      width = width_of (key);
+  }
+  json_object_foreach ((json_t *)object, key, value)
+  {
+    print_member (key, value, width, indent);
+  }
+}
+
+void
+bd_ctl_print_value (const json_t *value)
+{
+  if (json_is_object (value))
+    print_object (value, 0);
+  else if (!is_plain (value))
+    print_table (value, 0);
+}
--- /dev/null
+++ b/src/ctl/show.c
@@ -0,0 +1,91 @@
+/* Commands that show what a daemon answers: status, runners, contracts. */
+#include "ctl/ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Keeps only the contract of the wanted workspace. */
+static void
+select_workspace (json_t *root, const char *workspace)
+{
+  json_t *contracts = json_object_get (root, "contracts");
+
+  if (!workspace)
+    return;
+  for (size_t i = json_array_size (contracts); i > 0; i--)
+    {
+      const char *name = json_string_value (
+          json_object_get (json_array_get (contracts, i - 1), "workspace"));
+
+      if (!name || strcmp (name, workspace) != 0)
+        json_array_remove (contracts, i - 1);
+    }
+}
+
+static void
+print_contracts (const json_t *root)
+{
+  const json_t *contracts = json_object_get (root, "contracts");
+  size_t i;
+  json_t *contract;
+
+  json_array_foreach (contracts, i, contract)
+  {
+    if (i > 0)
+      putchar ('\n');
+    bd_ctl_print_value (contract);
+  }
+}
+
+/* Reads PATH of each daemon; prints by PRINT, or as one JSON object with the
+   addresses as keys. */
+static enum bd_ctl_exit
+show (const struct bd_ctl_options *options, const char *path,
+      void (*print) (const json_t *root))
+{
+  enum bd_ctl_exit rc = BD_CTL_OK;
+  json_t *all = json_object ();
+
+  for (size_t i = 0; i < options->address_count; i++)
+    {
+      const char *address = options->addresses[i];
+      json_t *root;
+      enum bd_ctl_exit one = bd_ctl_fetch (address, path, &root);
+
+      rc = bd_ctl_worse (rc, one);
+      if (one != BD_CTL_OK)
+        continue;
+      select_workspace (root, options->workspace);
+      if (options->json)
+        json_object_set (all, address, root);
+      else
+        {
+          if (options->address_count > 1)
+            printf ("%s== %s\n", i > 0 ? "\n" : "", address);
+          print (root);
+        }
+      json_decref (root);
+    }
+  if (options->json)
+    bd_ctl_print_json (all);
+  json_decref (all);
+  return rc;
+}
+
+enum bd_ctl_exit
+bd_ctl_status (const struct bd_ctl_options *options)
+{
+  return show (options, "/status", bd_ctl_print_value);
+}
+
+enum bd_ctl_exit
+bd_ctl_runners (const struct bd_ctl_options *options)
+{
+  return show (options, "/runners", bd_ctl_print_value);
+}
+
+enum bd_ctl_exit
+bd_ctl_contract_show (const struct bd_ctl_options *options)
+{
+  return show (options, "/contracts", print_contracts);
+}
--- a/src/sidecar/mail.h
+++ b/src/sidecar/mail.h
@@ -23,8 +23,7 @@
 };
 
 /** Sets up POST to deliver to BOX. */
-void bd_engine_post_init (struct bd_engine_post *post,
-                          struct bd_mailbox *box);
+void bd_engine_post_init (struct bd_engine_post *post, struct bd_mailbox *box);
 
 /** Takes the oldest event, or returns NULL.  Free with free (). */
 struct bd_engine_mail *bd_engine_mail_take (struct bd_mailbox *box);
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -34,7 +34,7 @@
 
 struct bd_sidecar
 {
-  struct bd_runner_port runner_port;     /* Must stay the first member. */
+  struct bd_runner_port runner_port; /* Must stay the first member. */
   struct bd_exchange_port exchange_port;
   const struct bd_settings *settings;
   uint64_t incarnation;
@@ -84,8 +84,8 @@
   int rc = bd_engine_start (s->engine, &c);
 
   if (rc != BD_OK)
-    bd_runner_failed (s->runner, bd_clock_ms (), call->request,
-                      call->attempt, rc, false);
+    bd_runner_failed (s->runner, bd_clock_ms (), call->request, call->attempt,
+                      rc, false);
 }
 
 static void
--- /dev/null
+++ b/test/test_ctl.c
@@ -0,0 +1,197 @@
+#include "common/admin.h"
+#include "common/log.h"
+#include "support_capture.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#define HERE "127.0.0.1:17941"
+#define NOWHERE "127.0.0.1:17942"
+#define ID "0123456789abcdef0123456789abcdef"
+#define OTHER_ID "ffffffffffffffffffffffffffffffff"
+
+static bool
+is_ready (struct bd_admin_source *source)
+{
+  (void)source;
+  return true;
+}
+
+static int
+write_status (struct bd_admin_source *source, struct bd_buffer *json)
+{
+  (void)source;
+  return bd_buffer_printf (
+      json, "{\"role\":\"entry\",\"revision\":7,\"name\":\"a\\u001b[2Jb"
+            "\\u202ec\\u009bd\",\"inner\":{\"zone\":\"Bra\\u0219ov\"}}");
+}
+
+static int
+write_runners (struct bd_admin_source *source, struct bd_buffer *json)
+{
+  (void)source;
+  return bd_buffer_printf (json,
+                           "{\"runners\":[{\"instance\":\"r-1\",\"queued\":3},"
+                           "{\"instance\":\"runner-2\",\"x\\ny\":1}]}");
+}
+
+static int
+write_contracts (struct bd_admin_source *source, struct bd_buffer *json)
+{
+  (void)source;
+  return bd_buffer_printf (
+      json, "{\"contracts\":[{\"workspace\":\"first\",\"revision\":1},"
+            "{\"workspace\":\"second\",\"revision\":2}]}");
+}
+
+static const char good_contract[]
+    = "{\"workspace\":\"w\",\"revision\":3,\"default_class\":\"chat\","
+      "\"retry_window_s\":600,\"credentials\":[\"" OTHER_ID OTHER_ID "\"],"
+      "\"limits\":{\"requests_per_s\":10,\"tokens_per_s\":1000,"
+      "\"concurrency\":5},\"classes\":{\"chat\":{\"tier\":0,"
+      "\"first_token_ms\":800,\"token_gap_ms\":30,\"deadline_ms\":60000,"
+      "\"idempotent\":true,\"min_share_permille\":100,"
+      "\"max_output_tokens\":1000}}}";
+
+struct run
+{
+  const char *words; /* FILE stands for the contract's file. */
+  int code;
+  const char *out;
+  const char *err;
+  const char *hidden;
+};
+
+static const struct run cases[] = {
+  { "--help", 0, "contract check", "", "" },
+  { "--version", 0, "basildockctl " BD_VERSION, "", "" },
+  { "", 2, "", "COMMAND", "" },
+  { "frobnicate", 2, "", "frobnicate", "" },
+  { "status", 2, "", "--admin", "" },
+  { "--admin localhost:1 status", 2, "", "IP:PORT", "" },
+  { "--admin " HERE " status extra", 2, "", "number of words", "" },
+  { "--admin " HERE " --bogus status", 2, "", "bogus", "" },
+  { "--admin " HERE " --last 0 events", 2, "", "1 to 100000", "" },
+  { "--admin " HERE " status", 0, "role      entry\n", "", "\033" },
+  { "--admin " HERE " status", 0, "a\\x1b[2Jb\\xe2\\x80\\xaec\\xc2\\x9bd", "",
+    "\xe2\x80\xae" },
+  { "--admin " HERE " status", 0, "zone  Bra\xc8\x99ov\n", "", "== " },
+  { "--admin " HERE " --json status", 0, "\"role\": \"entry\"", "", "\033" },
+  { "--admin " HERE " --json status", 0, "\"" HERE "\": {", "", "\xc8\x99" },
+  { "--admin " HERE "," NOWHERE " status", 3, "== " HERE, NOWHERE "/status",
+    "" },
+  { "--admin " NOWHERE " runners", 3, "", "/runners", "" },
+  { "--admin " HERE " runners", 0, "  r-1       3\n  runner-2  -\n", "", "" },
+  { "--admin " HERE " contract show", 0, "workspace  first", "", "" },
+  { "--admin " HERE " --workspace second contract show", 0,
+    "workspace  second", "", "first" },
+  { "--admin " HERE " histogram", 0, "w c first_token: count 3, p50 1.49 ms",
+    "", "whole" },
+  { "--admin " HERE " histogram", 0,
+    "<=     2 ms |######################################## 2", "", "1 ms |" },
+  { "--admin " HERE " histogram", 0,
+    "<=     5 ms |                                         0", "", "more" },
+  { "--admin " HERE " histogram", 0,
+    "<=    10 ms |####################                     1", "", "20 ms |" },
+  { "--admin " HERE " --duration whole histogram", 0, "more |####", "",
+    "first_token" },
+  { "--admin " HERE " --duration nonsense histogram", 2, "", "--duration",
+    "" },
+  { "--admin " HERE " --class none histogram", 0, "no such class", "", "|" },
+  { "--admin " HERE " --json histogram", 0, "\"workspace\": \"w\"", "", "|" },
+  { "--admin " HERE " --last 1 events", 0, "tokens=2", "", "tokens=1" },
+  { "--admin " HERE " events", 0, "tokens=1", "", "" },
+  { "--admin " HERE " trace " ID, 0, "tokens=1", "", "tokens=2" },
+  { "--admin " HERE " --json trace " ID, 0, "\"lines\": [", "", "tokens=2" },
+  { "--admin " HERE " trace " OTHER_ID, 1, "", "no line", "" },
+  { "--admin " HERE " trace 12", 2, "", "32 hex digits", "" },
+  { "contract check FILE", 0, "valid, workspace w, revision 3, 1 classes", "",
+    "" },
+  { "--json contract check FILE", 0, "\"valid\": true", "", "" },
+  { "contract check /nonexistent", 1, "cannot be read", "", "" },
+  { "contract check /proc/self/cmdline", 1, "", "", "valid, " },
+  { "--json contract check /nonexistent", 1, "\"valid\": false", "", "" },
+};
+
+static void
+run_case (const struct run *run, const char *file)
+{
+  char **words = g_strsplit (run->words, " ", -1);
+  GPtrArray *argv = g_ptr_array_new ();
+  char *out, *err;
+  int status;
+
+  g_ptr_array_add (argv, (char *)BUILD_DIR "/basildockctl");
+  for (char **w = words; *w; w++)
+    if (**w)
+      g_ptr_array_add (argv, strcmp (*w, "FILE") == 0 ? (char *)file : *w);
+  g_ptr_array_add (argv, NULL);
+  g_test_message ("basildockctl %s", run->words);
+  g_assert_true (g_spawn_sync (NULL, (char **)argv->pdata, NULL, 0, NULL, NULL,
+                               &out, &err, &status, NULL));
+  g_test_message ("%s", out);
+  g_assert_true (WIFEXITED (status));
+  g_assert_cmpint (WEXITSTATUS (status), ==, run->code);
+  g_assert_nonnull (strstr (out, run->out));
+  g_assert_nonnull (strstr (err, run->err));
+  g_assert_true (!run->hidden[0] || !strstr (out, run->hidden));
+  g_ptr_array_free (argv, TRUE);
+  g_strfreev (words);
+  g_free (out);
+  g_free (err);
+}
+
+static void
+fill_metrics (struct bd_metrics *metrics)
+{
+  struct bd_class_metrics *pair
+      = bd_metrics_class (metrics, BD_CHUNK ("w"), BD_CHUNK ("c"));
+
+  bd_class_metrics_add (pair, BD_DURATION_FIRST_TOKEN, 1500);
+  bd_class_metrics_add (pair, BD_DURATION_FIRST_TOKEN, 1500);
+  bd_class_metrics_add (pair, BD_DURATION_FIRST_TOKEN, 9000);
+  bd_class_metrics_add (pair, BD_DURATION_WHOLE, 400000000);
+}
+
+static void
+test_commands (void)
+{
+  struct bd_admin_source source
+      = { is_ready, write_status, write_runners, write_contracts };
+  static const struct run by_variable
+      = { "status", 0, "== " HERE "\nrole", "", "" };
+  struct bd_metrics *metrics = bd_metrics_create ();
+  struct bd_admin *admin;
+  struct capture capture;
+  char *file = NULL;
+  int fd = g_file_open_tmp (NULL, &file, NULL);
+  int error;
+
+  g_assert_true (g_file_set_contents (file, good_contract, -1, NULL));
+  fill_metrics (metrics);
+  capture_begin (&capture, 2);
+  bd_log (BD_EVENT_REQUEST_DONE, "request=%s tokens=1", ID);
+  bd_log (BD_EVENT_REQUEST_DONE, "request=none tokens=2");
+  g_free (capture_end (&capture));
+  admin = bd_admin_create (HERE, metrics, &source, &error);
+  g_assert_nonnull (admin);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    run_case (&cases[i], file);
+  g_setenv ("BASILDOCK_ADMIN", HERE "," HERE, TRUE);
+  run_case (&by_variable, file);
+  bd_admin_destroy (admin);
+  bd_metrics_destroy (metrics);
+  g_unlink (file);
+  g_close (fd, NULL);
+  g_free (file);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_unsetenv ("BASILDOCK_ADMIN");
+  g_test_add_func ("/ctl/commands", test_commands);
+  return g_test_run ();
+}
