--- a/src/common/log.h
+++ b/src/common/log.h
@@ -34,8 +34,8 @@
 
 /**
  * Writes VALUE in double quotes to TEXT, of SIZE bytes (at least 3): quotes
- * and backslashes are escaped, control bytes become \xNN, and what does not
- * fit is cut.  Returns TEXT.
+ * and backslashes are escaped, control bytes become "\\xNN", and what does
+ * not fit is cut.  Returns TEXT.
  */
 const char *bd_log_quote (struct bd_chunk value, char *text, size_t size);
 
--- a/src/common/setting_table.c
+++ b/src/common/setting_table.c
@@ -12,6 +12,7 @@
 #define SEEDS_MAX 64
 #define Z85_KEY_LENGTH 40
 #define TOKEN_KEY_LENGTH 64
+#define TOKEN_KEYS_MAX 3
 
 static bool
 store_text (const struct bd_setting *setting, const char *text,
@@ -209,14 +210,26 @@
   return store_text (setting, text, settings);
 }
 
+/* Keys separated by commas, so that an old one can still open. */
 static bool
-accept_hex (const struct bd_setting *setting, const char *text,
-            struct bd_settings *settings)
+accept_keys (const struct bd_setting *setting, const char *text,
+             struct bd_settings *settings)
 {
-  if (strlen (text) != TOKEN_KEY_LENGTH
-      || strspn (text, "0123456789abcdefABCDEF") != TOKEN_KEY_LENGTH)
-    return false;
-  return store_text (setting, text, settings);
+  const char *next = text;
+
+  for (size_t count = 0; count < TOKEN_KEYS_MAX; count++)
+    {
+      size_t length = strspn (next, "0123456789abcdefABCDEF");
+
+      if (length != TOKEN_KEY_LENGTH)
+        return false;
+      if (next[length] == '\0')
+        return store_text (setting, text, settings);
+      if (next[length] != ',')
+        return false;
+      next += length + 1;
+    }
+  return false;
 }
 
 #define TEXT_OF(value) #value
@@ -307,6 +320,7 @@
         "40 Z85 characters", "", "secret key between daemons"),
   TEXT (NULL, "CURVE_PUBLIC", accept_z85, curve_public, BD_SETTING_OPTIONAL,
         "40 Z85 characters", "", "public key between daemons"),
-  TEXT (NULL, "TOKEN_KEY", accept_hex, token_key, BD_SETTING_OPTIONAL,
-        "64 hex digits", "", "key that seals idempotency keys"),
+  TEXT (NULL, "TOKEN_KEY", accept_keys, token_key, BD_SETTING_OPTIONAL,
+        "1 to 3 keys of 64 hex digits, separated by commas", "",
+        "the first seals idempotency keys, all open them"),
 };
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -47,8 +47,10 @@
   /* Secrets: by environment or file only. */
   const char *curve_secret; /**< BASILDOCK_CURVE_SECRET[_FILE], Z85 */
   const char *curve_public; /**< BASILDOCK_CURVE_PUBLIC, Z85 */
-  const char *token_key;    /**< BASILDOCK_TOKEN_KEY[_FILE], 64 hex digits */
-  void *owned;              /**< Private. */
+  /** BASILDOCK_TOKEN_KEY[_FILE]: 1 to 3 keys of 64 hex digits, separated by
+      commas; the first seals. */
+  const char *token_key;
+  void *owned; /**< Private. */
 };
 
 /**
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -75,7 +75,7 @@
 
 /**
  * Appends TEXT with each byte that could steer a terminal, or change the
- * direction of writing, as \xNN.  Returns BD_OK or BD_ERR_NOMEM.
+ * direction of writing, as "\\xNN".  Returns BD_OK or BD_ERR_NOMEM.
  */
 int bd_ctl_escape (struct bd_chunk text, struct bd_buffer *buffer);
 
--- /dev/null
+++ b/test/test_docs.c
@@ -0,0 +1,267 @@
+/* The pages say what the code does: events, settings, errors, metrics. */
+#include "common/event.h"
+#include "common/metrics.h"
+#include "common/settings.h"
+#include "core/contract.h"
+#include "core/roster.h"
+
+#include <glib.h>
+#include <string.h>
+
+static char *
+read_page (const char *name)
+{
+  char *path = g_build_filename (SOURCE_DIR, name, NULL);
+  char *text;
+
+  g_assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  g_free (path);
+  return text;
+}
+
+static void
+must_have (const char *page, const char *text, const char *wanted)
+{
+  if (!strstr (text, wanted))
+    g_error ("%s lacks: %s", page, wanted);
+}
+
+/* Number of lines of TEXT that match PATTERN. */
+static guint
+count_lines (const char *text, const char *pattern)
+{
+  GRegex *regex = g_regex_new (pattern, G_REGEX_MULTILINE, 0, NULL);
+  GMatchInfo *info;
+  guint count = 0;
+
+  g_assert_nonnull (regex);
+  for (g_regex_match (regex, text, 0, &info); g_match_info_matches (info);
+       g_match_info_next (info, NULL))
+    count++;
+  g_match_info_free (info);
+  g_regex_unref (regex);
+  return count;
+}
+
+static const char *
+severity_name (enum bd_severity severity)
+{
+  static const char *const names[]
+      = { "", "", "", "error", "warning", "notice", "info", "debug" };
+
+  return names[severity];
+}
+
+struct event
+{
+  const char *name;
+  const char *text;
+  int number;
+  enum bd_severity severity;
+};
+
+static const struct event events[] = {
+#define EVENT(number, name, severity, text)                                   \
+  { #name, (text), (number), BD_SEVERITY_##severity },
+  BD_EVENT_TABLE (EVENT)
+#undef EVENT
+};
+
+static void
+test_events (void)
+{
+  char *page = read_page ("docs/EVENTS.md");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+    {
+      char *row = g_strdup_printf (
+          "\n| %d | %s | %s | %s | ", events[i].number, events[i].name,
+          severity_name (events[i].severity), events[i].text);
+
+      must_have ("docs/EVENTS.md", page, row);
+      g_free (row);
+    }
+  g_assert_cmpuint (count_lines (page, "^\\| \\d+ \\|"), ==,
+                    G_N_ELEMENTS (events));
+  g_free (page);
+}
+
+static char *
+setting_row (const struct bd_setting_info *s)
+{
+  const char *standard = s->standard[0] ? s->standard : "none";
+
+  if (s->flag)
+    return g_strdup_printf ("\n| `--%s` | `%s` | %s | %s | ", s->flag,
+                            s->variable, s->range, standard);
+  return g_strdup_printf ("\n| | `%s` or `%s_FILE` | %s | %s | ", s->variable,
+                          s->variable, s->range, standard);
+}
+
+/* TEXT as a manual page has it: with the hyphens escaped. */
+static char *
+manual_text (const char *text)
+{
+  char **parts = g_strsplit (text, "-", -1);
+  char *joined = g_strjoinv ("\\-", parts);
+
+  g_strfreev (parts);
+  return joined;
+}
+
+static void
+test_settings (void)
+{
+  char *page = read_page ("docs/OPERATORS.md");
+  char *manual = read_page ("man/basildockd.8");
+  struct bd_setting_info info;
+  size_t count = 0;
+
+  for (; bd_setting_info (count, &info); count++)
+    {
+      char *row = setting_row (&info);
+      char *range = manual_text (info.range);
+      char *flag = info.flag ? manual_text (info.flag) : g_strdup ("");
+      char *option = g_strconcat (info.flag ? "\\-\\-" : "", flag, NULL);
+
+      must_have ("docs/OPERATORS.md", page, row);
+      must_have ("man/basildockd.8", manual, option);
+      must_have ("man/basildockd.8", manual, info.variable);
+      must_have ("man/basildockd.8", manual, range);
+      g_free (row);
+      g_free (range);
+      g_free (flag);
+      g_free (option);
+    }
+  g_assert_cmpuint (count_lines (page, "^\\| (`--[a-z-]+`)? ?\\| `BASILDOCK"),
+                    ==, count);
+  g_free (page);
+  g_free (manual);
+}
+
+/* Every option and command that the tool's help names. */
+static void
+test_tool_manual (void)
+{
+  char *manual = read_page ("man/basildockctl.1");
+  char *argv[] = { (char *)BUILD_DIR "/basildockctl", (char *)"--help", NULL };
+  GRegex *regex
+      = g_regex_new ("^  (--[a-z]+|[a-z]+)", G_REGEX_MULTILINE, 0, NULL);
+  GMatchInfo *info;
+  char *help;
+  guint count = 0;
+
+  g_assert_true (
+      g_spawn_sync (NULL, argv, NULL, 0, NULL, NULL, &help, NULL, NULL, NULL));
+  for (g_regex_match (regex, help, 0, &info); g_match_info_matches (info);
+       g_match_info_next (info, NULL))
+    {
+      char *word = g_match_info_fetch (info, 1);
+      char *wanted = manual_text (word);
+
+      must_have ("man/basildockctl.1", manual, wanted);
+      count++;
+      g_free (wanted);
+      g_free (word);
+    }
+  g_assert_cmpuint (count, >=, 15);
+  g_match_info_free (info);
+  g_regex_unref (regex);
+  g_free (help);
+  g_free (manual);
+}
+
+static void
+test_errors (void)
+{
+  char *page = read_page ("docs/CALLERS.md");
+  guint count = 0;
+
+  for (int e = -1; e > BD_ERR_LIMIT; e--)
+    {
+      const struct bd_answer *a = bd_error_answer (e);
+      char *after = a->retry_after_s > 0
+                        ? g_strdup_printf ("%d s", a->retry_after_s)
+                        : g_strdup ("none");
+      char *row = g_strdup_printf ("\n| `%s` | %d | %s | %s | ", a->code,
+                                   a->status, bd_ran_name (a->ran), after);
+
+      must_have ("docs/CALLERS.md", page, row);
+      count++;
+      g_free (row);
+      g_free (after);
+    }
+  g_assert_cmpuint (count_lines (page, "^\\| `[a-z_]+` \\| \\d{3} \\|"), ==,
+                    count);
+  g_free (page);
+}
+
+static void
+test_metrics (void)
+{
+  static const char *const names[] = {
+#define TOTAL(id, name, help) "`basildock_" name "_total`",
+#define CLASS_TOTAL(id, name, help) "`basildock_class_" name "_total`",
+#define SECONDS(id, name, help) "`basildock_" name "_seconds`",
+    BD_COUNTER_TABLE (TOTAL) BD_CLASS_COUNTER_TABLE (CLASS_TOTAL)
+        BD_DURATION_TABLE (SECONDS)
+  };
+  char *page = read_page ("docs/OPERATORS.md");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    must_have ("docs/OPERATORS.md", page, names[i]);
+  g_free (page);
+}
+
+/* One of the page's documents goes through the parser that daemons use. */
+static void
+parse_example (const char *json, guint counts[3])
+{
+  struct bd_chunk text = { json, strlen (json) };
+  struct bd_contract *contract = NULL;
+  struct bd_manifest *manifest = NULL;
+  struct bd_pool *pool = NULL;
+  char reason[256] = "";
+  int rc = BD_OK;
+
+  if (strstr (json, "\"credentials\"") && ++counts[0])
+    rc = bd_contract_parse (text, &contract, reason, sizeof reason);
+  else if (strstr (json, "\"runners\"") && ++counts[1])
+    rc = bd_pool_parse (text, &pool, reason, sizeof reason);
+  else if (strstr (json, "\"contracts\"") && ++counts[2])
+    rc = bd_manifest_parse (text, &manifest, reason, sizeof reason);
+  g_assert_cmpstr (reason, ==, "");
+  g_assert_cmpint (rc, ==, BD_OK);
+  bd_contract_destroy (contract);
+  bd_manifest_destroy (manifest);
+  bd_pool_destroy (pool);
+}
+
+static void
+test_examples (void)
+{
+  char *page = read_page ("docs/OPERATORS.md");
+  char **blocks = g_strsplit (page, "```", -1);
+  guint counts[3] = { 0, 0, 0 };
+
+  for (char **b = blocks; *b; b++)
+    if (g_str_has_prefix (*b, "json\n"))
+      parse_example (*b + strlen ("json\n"), counts);
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    g_assert_cmpuint (counts[i], >=, 1);
+  g_strfreev (blocks);
+  g_free (page);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/docs/events", test_events);
+  g_test_add_func ("/docs/settings", test_settings);
+  g_test_add_func ("/docs/tool-manual", test_tool_manual);
+  g_test_add_func ("/docs/errors", test_errors);
+  g_test_add_func ("/docs/metrics", test_metrics);
+  g_test_add_func ("/docs/examples", test_examples);
+  return g_test_run ();
+}
