--- a/src/common/setting_table.c
+++ b/src/common/setting_table.c
@@ -12,6 +12,7 @@
 #define SEEDS_MAX 64
 #define Z85_KEY_LENGTH 40
 #define TOKEN_KEY_LENGTH 64
+#define TOKEN_KEYS_MAX 3
 
 static bool
 store_text (const struct bd_setting *setting, const char *text,
@@ -84,9 +85,8 @@
   return errno == 0 && *value >= least && *value <= most;
 }
 
-/* TEXT, of LENGTH bytes, is an IPv4 number and a port. */
-static bool
-is_address (const char *text, size_t length)
+bool
+bd_is_address (const char *text, size_t length)
 {
   char copy[INET_ADDRSTRLEN + 8];
   struct in_addr ip;
@@ -109,7 +109,7 @@
 accept_address (const struct bd_setting *setting, const char *text,
                 struct bd_settings *settings)
 {
-  return is_address (text, strlen (text))
+  return bd_is_address (text, strlen (text))
          && store_text (setting, text, settings);
 }
 
@@ -123,7 +123,7 @@
     {
       size_t length = strcspn (next, ",");
 
-      if (!is_address (next, length))
+      if (!bd_is_address (next, length))
         return false;
       if (next[length] == '\0')
         return store_text (setting, text, settings);
@@ -210,14 +210,26 @@
   return store_text (setting, text, settings);
 }
 
+/* Keys separated by commas, so that an old one can still open. */
 static bool
-accept_hex (const struct bd_setting *setting, const char *text,
-            struct bd_settings *settings)
+accept_keys (const struct bd_setting *setting, const char *text,
+             struct bd_settings *settings)
 {
-  if (strlen (text) != TOKEN_KEY_LENGTH
-      || strspn (text, "0123456789abcdefABCDEF") != TOKEN_KEY_LENGTH)
-    return false;
-  return store_text (setting, text, settings);
+  const char *next = text;
+
+  for (size_t count = 0; count < TOKEN_KEYS_MAX; count++)
+    {
+      size_t length = strspn (next, "0123456789abcdefABCDEF");
+
+      if (length != TOKEN_KEY_LENGTH)
+        return false;
+      if (next[length] == '\0')
+        return store_text (setting, text, settings);
+      if (next[length] != ',')
+        return false;
+      next += length + 1;
+    }
+  return false;
 }
 
 #define TEXT_OF(value) #value
@@ -308,6 +320,7 @@
         "40 Z85 characters", "", "secret key between daemons"),
   TEXT (NULL, "CURVE_PUBLIC", accept_z85, curve_public, BD_SETTING_OPTIONAL,
         "40 Z85 characters", "", "public key between daemons"),
-  TEXT (NULL, "TOKEN_KEY", accept_hex, token_key, BD_SETTING_OPTIONAL,
-        "64 hex digits", "", "key that seals idempotency keys"),
+  TEXT (NULL, "TOKEN_KEY", accept_keys, token_key, BD_SETTING_OPTIONAL,
+        "1 to 3 keys of 64 hex digits, separated by commas", "",
+        "the first seals idempotency keys, all open them"),
 };
