--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -40,13 +40,9 @@
   free (runner);
 }
 
-static void enqueue (struct bd_runner *runner, int64_t now_ms,
-                     struct task *task);
-
-/* Queues one of those that wait for the key. */
+/* Marks one of those that wait for the key, to be queued by the pump. */
 static void
-promote_joined (struct bd_runner *runner, int64_t now_ms,
-                const struct task *leaver)
+promote_joined (struct bd_runner *runner, const struct task *leaver)
 {
   struct task *task = runner->first;
 
@@ -54,14 +50,16 @@
          && (task == leaver || task->state != TASK_JOINED || !task->keyed
              || !bd_id_equal (task->claim.key.id, leaver->claim.key.id)))
     task = task->next;
-  if (task)
-    enqueue (runner, now_ms, task);
+  if (!task || task->promoted)
+    return;
+  task->promoted = true;
+  runner->promoted++;
 }
 
 enum bd_ran
 bd_task_withdraw (struct bd_runner *runner, int64_t now_ms, struct task *task)
 {
-  bool owner = task->state != TASK_JOINED || task->owner;
+  bool owner = task->state != TASK_JOINED || task->owner || task->promoted;
 
   if (!task->keyed)
     return BD_RAN_NO;
@@ -70,7 +68,7 @@
       == BD_OK)
     return BD_RAN_NO;
   if (owner)
-    promote_joined (runner, now_ms, task);
+    promote_joined (runner, task);
   return BD_RAN_UNKNOWN;
 }
 
@@ -101,6 +99,7 @@
             shed->for_tier);
   shed->runner->port->note (shed->runner->port, BD_EVENT_REQUEST_SHED,
                             item->request, item->attempt, detail);
+  task->state = TASK_JOINED;
   withdraw_and_refuse (shed->runner, shed->now_ms, task, BD_ERR_OVERLOADED);
 }
 
@@ -266,11 +265,28 @@
   return NULL;
 }
 
+static void
+queue_promoted (struct bd_runner *runner, int64_t now_ms)
+{
+  while (runner->promoted > 0)
+    {
+      struct task *task = runner->first;
+
+      while (!task->promoted)
+        task = task->next;
+      task->promoted = false;
+      runner->promoted--;
+      enqueue (runner, now_ms, task);
+    }
+}
+
 void
 bd_runner_pump (struct bd_runner *runner, int64_t now_ms)
 {
   uint32_t slots = runner->settings.slots;
 
+  queue_promoted (runner, now_ms);
+
   while (runner->engine_up && runner->granted + runner->running < slots)
     {
       struct task *task = runner->alone;
@@ -406,10 +422,11 @@
 void
 bd_runner_tick (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms)
 {
-  struct task *task = runner->first;
+  struct task *task;
 
   runner->wall_offset_ms = wall_ms - now_ms;
   expire_queue (runner, now_ms);
+  task = runner->first;
   while (task)
     {
       struct task *next = task->next;
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -116,6 +116,7 @@
   leave_state (runner, task);
   if (runner->alone == task)
     runner->alone = NULL;
+  runner->promoted -= task->promoted;
   bd_map_remove (runner->tasks, task->request, task->attempt);
   if (task->previous)
     task->previous->next = task->next;
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -28,6 +28,7 @@
   uint8_t tier;
   bool keyed;
   bool owner;    /**< Was queued itself, not only joined. */
+  bool promoted; /**< Is to be queued by the pump. */
   bool replayed; /**< The answer is a recorded one. */
   char *entry;   /**< Instance that is answered. */
   char *workspace;
@@ -67,6 +68,7 @@
   uint32_t granted;
   uint32_t running;
   uint32_t ended;
+  uint32_t promoted;      /**< Tasks that the pump has to queue. */
   uint32_t token_time_us; /**< Smoothed. */
   uint64_t crash_number;
   bool engine_up;
