Membership: states, passes over peers, and the election of watchers

Cause: entries must know which peers are there, and just a few per zone may hold a watch on the service.

- A peer is believed only about itself.
A third party's word adds a member or, for a gone one, names a higher incarnation; a false one locks nobody out, since staleness is judged by what was heard.
- The instance list counts by its changes, so the word about a former incarnation does not hold for the present one.
- rotation.c: shuffled passes, one for the own zone and one for the rest.
Silence is judged by three passes, so a larger fleet is not suspected for talking to each member less often.
A pause of this process is not silence of the others.
- Members that are only named count as candidates for the time of suspicion, so a fleet that starts at once elects two per zone and not everybody.

--- /dev/null
+++ b/src/core/membership.c
@@ -0,0 +1,575 @@
+#include "core/membership.h"
+
+#include "common/string.h"
+#include "core/rotation.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TEXT_BYTES 64
+/* Passes of silence before suspicion. */
+#define SUSPECT_PASSES 3
+/* Weight of the newest interval between calls of targets: 1/8. */
+#define INTERVAL_SHIFT 3
+
+struct peer
+{
+  struct bd_member member;
+  char instance[TEXT_BYTES];
+  char address[TEXT_BYTES];
+  char zone[TEXT_BYTES];
+  uint64_t name_hash;
+  uint64_t heard_incarnation; /* Highest that spoke itself; 0: none. */
+  int64_t gone_at_ms;
+  bool listed_leaving; /* Last word of the instance list. */
+  bool told_leaving;   /* By itself, or for good. */
+  bool same_zone;
+  uint8_t passed_over;
+  uint64_t picked; /* Number of the call that picked it last. */
+};
+
+enum
+{
+  PASS_ZONE = 0,
+  PASS_OTHER = 1,
+  PASS_COUNT = 2
+};
+
+struct bd_membership
+{
+  struct bd_membership_settings settings;
+  struct peer self;    /* Copies of the settings' strings. */
+  struct peer **peers; /* Ordered by instance. */
+  size_t count;
+  struct bd_rotation passes[PASS_COUNT];
+  int64_t now_ms; /* The latest that was given. */
+  int64_t targets_ms;
+  int64_t interval_ms; /* Between calls of targets; 0: not known. */
+  uint64_t call;
+  size_t share; /* Most that the last call of targets could pick. */
+  int64_t tick_ms;
+  bool self_leaving;
+};
+
+static bool
+text_valid (struct bd_chunk text)
+{
+  return text.length > 0 && text.length < TEXT_BYTES;
+}
+
+static bool
+member_valid (const struct bd_membership *m, const struct bd_member *member)
+{
+  return text_valid (member->instance) && text_valid (member->address)
+         && text_valid (member->zone)
+         && !bd_chunk_equal (member->instance, m->self.member.instance);
+}
+
+static struct bd_chunk
+copy_text (char target[TEXT_BYTES], struct bd_chunk text)
+{
+  struct bd_chunk c = { .data = target, .length = text.length };
+
+  if (text.length > 0)
+    memcpy (target, text.data, text.length);
+  return c;
+}
+
+/* Where a peer is: address and zone may change with its incarnation. */
+static void
+peer_place (struct peer *p, const struct bd_member *member)
+{
+  p->member.address = copy_text (p->address, member->address);
+  p->member.zone = copy_text (p->zone, member->zone);
+}
+
+static struct peer *
+peer_create (const struct bd_member *member)
+{
+  struct peer *p = calloc (1, sizeof *p);
+
+  if (!p)
+    return NULL;
+  p->member.instance = copy_text (p->instance, member->instance);
+  p->name_hash = bd_chunk_hash (member->instance);
+  peer_place (p, member);
+  return p;
+}
+
+static size_t
+find_position (const struct bd_membership *m, struct bd_chunk instance,
+               bool *found)
+{
+  size_t low = 0;
+  size_t high = m->count;
+
+  *found = false;
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      int order
+          = bd_chunk_compare (m->peers[middle]->member.instance, instance);
+
+      if (order == 0)
+        *found = true;
+      if (order >= 0)
+        high = middle;
+      else
+        low = middle + 1;
+    }
+  return low;
+}
+
+static struct peer *
+find_peer (const struct bd_membership *m, struct bd_chunk instance)
+{
+  bool found;
+  size_t i = find_position (m, instance, &found);
+
+  return found ? m->peers[i] : NULL;
+}
+
+static struct bd_rotation *
+pass_of (struct bd_membership *m, const struct peer *p)
+{
+  return &m->passes[p->same_zone ? PASS_ZONE : PASS_OTHER];
+}
+
+static void
+pass_add (struct bd_membership *m, struct peer *p)
+{
+  p->same_zone = bd_chunk_equal (p->member.zone, m->self.member.zone);
+  bd_rotation_add (pass_of (m, p), p);
+}
+
+static void
+remove_peer (struct bd_membership *m, struct peer *p)
+{
+  bool found;
+  size_t at = find_position (m, p->member.instance, &found);
+
+  bd_rotation_remove (pass_of (m, p), p);
+  m->count--;
+  memmove (m->peers + at, m->peers + at + 1,
+           (m->count - at) * sizeof (struct peer *));
+  free (p);
+}
+
+/* Whether A should be forgotten before B, which may be NULL. */
+static bool
+forgotten_before (const struct peer *a, const struct peer *b)
+{
+  if (!b || b->member.state != BD_MEMBER_GONE)
+    return !b || a->member.state == BD_MEMBER_GONE;
+  return a->member.state == BD_MEMBER_GONE && a->gone_at_ms < b->gone_at_ms;
+}
+
+/* Makes room by forgetting the oldest gone member, or one only named. */
+static bool
+make_room (struct bd_membership *m, bool heard)
+{
+  struct peer *victim = NULL;
+
+  if (m->count < m->settings.max_members)
+    return true;
+  for (size_t i = 0; i < m->count; i++)
+    {
+      struct peer *p = m->peers[i];
+      bool may_go = p->member.state == BD_MEMBER_GONE
+                    || (heard && p->member.state == BD_MEMBER_JOINING);
+
+      if (may_go && forgotten_before (p, victim))
+        victim = p;
+    }
+  if (!victim)
+    return false;
+  remove_peer (m, victim);
+  return true;
+}
+
+static int
+add_peer (struct bd_membership *m, const struct bd_member *member, bool heard,
+          struct peer **added)
+{
+  struct peer *p;
+  bool found;
+  size_t at;
+
+  if (!make_room (m, heard))
+    return BD_ERR_FULL;
+  p = peer_create (member);
+  if (!p)
+    return BD_ERR_NOMEM;
+  at = find_position (m, member->instance, &found);
+  memmove (m->peers + at + 1, m->peers + at,
+           (m->count - at) * sizeof (struct peer *));
+  m->peers[at] = p;
+  m->count++;
+  pass_add (m, p);
+  *added = p;
+  return BD_OK;
+}
+
+static void
+set_joining (struct peer *p, int64_t now_ms, uint64_t incarnation)
+{
+  p->member.state = BD_MEMBER_JOINING;
+  p->member.incarnation = incarnation;
+  p->member.heard_ms = now_ms;
+  p->told_leaving = false;
+}
+
+/* A peer at another place may belong to the other pass. */
+static void
+move_peer (struct bd_membership *m, struct peer *p,
+           const struct bd_member *member)
+{
+  if (bd_chunk_equal (p->member.address, member->address)
+      && bd_chunk_equal (p->member.zone, member->zone))
+    return;
+  bd_rotation_remove (pass_of (m, p), p);
+  peer_place (p, member);
+  pass_add (m, p);
+}
+
+int
+bd_membership_named (struct bd_membership *membership, int64_t now_ms,
+                     const struct bd_member *member)
+{
+  struct peer *p;
+  int rc;
+
+  membership->now_ms = now_ms;
+  if (!member_valid (membership, member))
+    return BD_ERR_INVALID;
+  p = find_peer (membership, member->instance);
+  if (!p)
+    {
+      if (member->state == BD_MEMBER_GONE)
+        return BD_OK;
+      rc = add_peer (membership, member, false, &p);
+      if (rc == BD_OK)
+        set_joining (p, now_ms, member->incarnation);
+      return rc;
+    }
+  if (p->member.state != BD_MEMBER_GONE
+      || member->incarnation <= p->member.incarnation)
+    return BD_OK;
+  move_peer (membership, p, member);
+  set_joining (p, now_ms, member->incarnation);
+  return BD_OK;
+}
+
+int
+bd_membership_heard (struct bd_membership *membership, int64_t now_ms,
+                     const struct bd_member *member)
+{
+  struct peer *p;
+  int rc;
+
+  membership->now_ms = now_ms;
+  if (!member_valid (membership, member) || member->incarnation == 0)
+    return BD_ERR_INVALID;
+  p = find_peer (membership, member->instance);
+  if (!p)
+    {
+      rc = add_peer (membership, member, true, &p);
+      if (rc != BD_OK)
+        return rc;
+    }
+  if (member->incarnation < p->heard_incarnation)
+    return BD_ERR_STALE;
+  if (member->incarnation > p->heard_incarnation)
+    {
+      p->heard_incarnation = member->incarnation;
+      /* The list's word, if any, was about the former incarnation. */
+      p->told_leaving = false;
+    }
+  move_peer (membership, p, member);
+  if (member->state == BD_MEMBER_LEAVING)
+    p->told_leaving = true;
+  p->member.incarnation = member->incarnation;
+  p->member.heard_ms = now_ms;
+  p->member.state = p->told_leaving ? BD_MEMBER_LEAVING : BD_MEMBER_LIVE;
+  return BD_OK;
+}
+
+void
+bd_membership_leaving (struct bd_membership *membership, int64_t now_ms,
+                       struct bd_chunk instance)
+{
+  struct peer *p = find_peer (membership, instance);
+
+  membership->now_ms = now_ms;
+  if (bd_chunk_equal (instance, membership->self.member.instance))
+    membership->self_leaving = true;
+  if (!p || p->member.state == BD_MEMBER_GONE)
+    return;
+  p->told_leaving = true;
+  p->member.state = BD_MEMBER_LEAVING;
+}
+
+void
+bd_membership_listed (struct bd_membership *membership, int64_t now_ms,
+                      struct bd_chunk instance, bool leaving)
+{
+  struct peer *p = find_peer (membership, instance);
+
+  membership->now_ms = now_ms;
+  if (!p || p->listed_leaving == leaving)
+    return;
+  p->listed_leaving = leaving;
+  if (leaving)
+    bd_membership_leaving (membership, now_ms, instance);
+  else if (p->member.state == BD_MEMBER_LEAVING)
+    {
+      /* It proves that it lives, or says that it leaves, by itself. */
+      p->told_leaving = false;
+      p->member.state = BD_MEMBER_SUSPECT;
+    }
+}
+
+int64_t
+bd_membership_suspect_limit_ms (const struct bd_membership *membership,
+                                bool same_zone)
+{
+  const struct bd_rotation *pass
+      = &membership->passes[same_zone ? PASS_ZONE : PASS_OTHER];
+  const struct bd_rotation *rest
+      = &membership->passes[same_zone ? PASS_OTHER : PASS_ZONE];
+  int64_t least = membership->settings.suspect_after_ms;
+  size_t in_two_calls = membership->share * (rest->count > 0 ? 1 : 2);
+  size_t calls;
+  int64_t limit;
+
+  if (in_two_calls == 0)
+    return least;
+  calls = (2 * pass->count + in_two_calls - 1) / in_two_calls;
+  limit = SUSPECT_PASSES * (int64_t)calls * membership->interval_ms;
+  return limit > least ? limit : least;
+}
+
+static int64_t
+gone_limit_ms (const struct bd_membership *m, const struct peer *p)
+{
+  int64_t suspect = bd_membership_suspect_limit_ms (m, p->same_zone);
+
+  return 2 * suspect > m->settings.gone_after_ms ? 2 * suspect
+                                                 : m->settings.gone_after_ms;
+}
+
+static void
+tick_peer (struct bd_membership *m, struct peer *p)
+{
+  int64_t silence = m->now_ms - p->member.heard_ms;
+
+  if (p->member.state == BD_MEMBER_GONE)
+    return;
+  if (silence > gone_limit_ms (m, p))
+    {
+      p->member.state = BD_MEMBER_GONE;
+      p->gone_at_ms = m->now_ms;
+    }
+  else if (p->member.state == BD_MEMBER_LIVE
+           && silence > bd_membership_suspect_limit_ms (m, p->same_zone))
+    p->member.state = BD_MEMBER_SUSPECT;
+}
+
+void
+bd_membership_tick (struct bd_membership *membership, int64_t now_ms)
+{
+  int64_t forget
+      = BD_MEMBERSHIP_FORGET_FACTOR * membership->settings.gone_after_ms;
+
+  int64_t pause = now_ms - membership->tick_ms;
+
+  if (membership->tick_ms == 0
+      || pause <= membership->settings.suspect_after_ms)
+    pause = 0;
+  membership->now_ms = now_ms;
+  membership->tick_ms = now_ms;
+  for (size_t i = membership->count; i > 0; i--)
+    {
+      struct peer *p = membership->peers[i - 1];
+
+      if (pause > 0 && p->member.heard_ms < now_ms - pause)
+        p->member.heard_ms += pause;
+      tick_peer (membership, p);
+      if (p->member.state == BD_MEMBER_GONE && now_ms - p->gone_at_ms > forget)
+        remove_peer (membership, p);
+    }
+}
+
+static bool
+peer_due (struct peer *p)
+{
+  if (p->member.state == BD_MEMBER_LEAVING)
+    return false;
+  if (p->member.state != BD_MEMBER_GONE)
+    return true;
+  p->passed_over++;
+  if (p->passed_over < BD_MEMBERSHIP_PROBE_PASSES)
+    return false;
+  p->passed_over = 0;
+  return true;
+}
+
+/* Picks up to MAX, each at most once in a call. */
+static size_t
+pass_pick (struct bd_membership *m, struct bd_rotation *pass,
+           const struct bd_member **targets, size_t max)
+{
+  size_t n = 0;
+
+  for (size_t looked = 0; looked < pass->count && n < max; looked++)
+    {
+      struct peer *p = bd_rotation_next (pass);
+
+      if (p->picked == m->call || !peer_due (p))
+        continue;
+      p->picked = m->call;
+      targets[n++] = &p->member;
+    }
+  return n;
+}
+
+static void
+measure_interval (struct bd_membership *m)
+{
+  int64_t interval = m->now_ms - m->targets_ms;
+
+  /* A pause of this process says nothing of the usual interval. */
+  if (interval > m->settings.suspect_after_ms)
+    interval = m->settings.suspect_after_ms;
+
+  if (m->call > 1 && m->interval_ms == 0)
+    m->interval_ms = interval;
+  else if (m->call > 1)
+    m->interval_ms += (interval - m->interval_ms) / (1 << INTERVAL_SHIFT);
+  m->targets_ms = m->now_ms;
+}
+
+size_t
+bd_membership_targets (struct bd_membership *membership,
+                       const struct bd_member **targets, size_t max)
+{
+  struct bd_rotation *zone = &membership->passes[PASS_ZONE];
+  struct bd_rotation *other = &membership->passes[PASS_OTHER];
+  size_t share = max;
+  size_t n;
+
+  membership->call++;
+  membership->share = max;
+  measure_interval (membership);
+  /* An odd MAX gives the extra one to each in turn. */
+  if (other->count > 0 && zone->count > 0)
+    share = (max + membership->call % 2) / 2;
+  n = pass_pick (membership, zone, targets, share);
+  n += pass_pick (membership, other, targets + n, max - n);
+  /* The other pass may leave room for this zone. */
+  return n + pass_pick (membership, zone, targets + n, max - n);
+}
+
+size_t
+bd_membership_count (const struct bd_membership *membership)
+{
+  return membership->count;
+}
+
+const struct bd_member *
+bd_membership_at (const struct bd_membership *membership, size_t index)
+{
+  return &membership->peers[index]->member;
+}
+
+const struct bd_member *
+bd_membership_find (const struct bd_membership *membership,
+                    struct bd_chunk instance)
+{
+  const struct peer *p = find_peer (membership, instance);
+
+  return p ? &p->member : NULL;
+}
+
+/* Whether a peer of this zone is believed to run, heard or only named. */
+static bool
+is_candidate (const struct bd_membership *m, const struct peer *p)
+{
+  int64_t silence = m->now_ms - p->member.heard_ms;
+
+  if (!p->same_zone)
+    return false;
+  if (p->member.state == BD_MEMBER_JOINING)
+    return silence <= bd_membership_suspect_limit_ms (m, true);
+  return p->member.state == BD_MEMBER_LIVE;
+}
+
+bool
+bd_membership_ranked (const struct bd_membership *membership,
+                      struct bd_chunk subject, size_t count)
+{
+  uint64_t salt = bd_chunk_hash (subject);
+  uint64_t own = bd_rotation_mix (salt ^ membership->self.name_hash);
+  size_t ahead = 0;
+
+  if (membership->self_leaving)
+    return false;
+  for (size_t i = 0; i < membership->count; i++)
+    {
+      const struct peer *p = membership->peers[i];
+
+      if (is_candidate (membership, p)
+          && bd_rotation_mix (salt ^ p->name_hash) > own)
+        ahead++;
+    }
+  return ahead < count;
+}
+
+struct bd_membership *
+bd_membership_create (const struct bd_membership_settings *settings)
+{
+  struct bd_membership *m = calloc (1, sizeof *m);
+  struct bd_member self = { .instance = settings->instance,
+                            .address = settings->address,
+                            .zone = settings->zone };
+  size_t room = settings->max_members > 0 ? settings->max_members : 1;
+
+  if (!m)
+    return NULL;
+  if (!text_valid (self.instance) || !text_valid (self.zone)
+      || self.address.length >= TEXT_BYTES)
+    {
+      free (m);
+      return NULL;
+    }
+  m->settings = *settings;
+  m->settings.max_members = (uint32_t)room;
+  m->self.member.instance = copy_text (m->self.instance, self.instance);
+  m->self.name_hash = bd_chunk_hash (self.instance);
+  peer_place (&m->self, &self);
+  m->settings.instance = m->self.member.instance;
+  m->settings.address = m->self.member.address;
+  m->settings.zone = m->self.member.zone;
+  m->peers = calloc (room, sizeof (struct peer *));
+  if (m->peers
+      && bd_rotation_init (&m->passes[PASS_ZONE], room, settings->seed)
+             == BD_OK
+      && bd_rotation_init (&m->passes[PASS_OTHER], room, ~settings->seed)
+             == BD_OK)
+    return m;
+  bd_membership_destroy (m);
+  return NULL;
+}
+
+void
+bd_membership_destroy (struct bd_membership *membership)
+{
+  if (!membership)
+    return;
+  for (size_t i = 0; membership->peers && i < membership->count; i++)
+    free (membership->peers[i]);
+  free (membership->peers);
+  for (int i = 0; i < PASS_COUNT; i++)
+    bd_rotation_clear (&membership->passes[i]);
+  free (membership);
+}
--- /dev/null
+++ b/src/core/rotation.h
@@ -0,0 +1,37 @@
+/**
+ * @file rotation.h
+ * Round-robin over a shuffled list: each pass takes every item once in a
+ * random order, so that an item waits for two passes at most.
+ */
+#ifndef BD_ROTATION_H
+#define BD_ROTATION_H
+
+#include "basildock.h"
+
+struct bd_rotation
+{
+  void **items;
+  size_t count;
+  size_t capacity;
+  size_t position; /**< Items before it were taken in this pass. */
+  uint64_t random;
+};
+
+/** Makes room for CAPACITY items.  Returns BD_OK or BD_ERR_NOMEM. */
+int bd_rotation_init (struct bd_rotation *rotation, size_t capacity,
+                      uint64_t seed);
+void bd_rotation_clear (struct bd_rotation *rotation);
+
+/** Adds ITEM somewhere in what is left of this pass; there must be room. */
+void bd_rotation_add (struct bd_rotation *rotation, void *item);
+
+/** Removes ITEM, which must be there. */
+void bd_rotation_remove (struct bd_rotation *rotation, const void *item);
+
+/** Takes the next item, or NULL when there is none. */
+void *bd_rotation_next (struct bd_rotation *rotation);
+
+/** Scrambles the bits of X (splitmix64). */
+uint64_t bd_rotation_mix (uint64_t x);
+
+#endif
