--- /dev/null
+++ b/test/test_custody.c
@@ -0,0 +1,436 @@
+#include "common/string.h"
+#include "core/custody.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define INCARNATION 100
+#define STARTED_MS 1000000
+#define SKEW_MS INT64_C (50)
+#define WINDOW_MS 1000
+#define CONFIRM_MS 200
+
+/* One step of a fault case. */
+enum op
+{
+  END = 0,
+  CLAIM, /* ARG: see the key's kind; expects a verdict or an error. */
+  START, /* Expects 0 or 1. */
+  WITHDRAW,
+  FINISH, /* ARG: error. */
+  BIG,    /* Finishes with an answer that is too large to keep. */
+  NOT_SENT,
+  HAND,    /* ARG: incarnation of the successor. */
+  HOLDER,  /* A claim must name the incarnation ARG as the successor. */
+  PASS,    /* Both clocks go on by ARG, then a tick. */
+  WALL,    /* The wall clock alone goes on by ARG. */
+  PAUSE,   /* Both clocks go on by ARG without a tick. */
+  HOME,    /* Becomes home now. */
+  CONFIRM, /* The configuration is confirmed now. */
+  RAN      /* What the last refusal said. */
+};
+
+enum kind
+{
+  OPAQUE = 0,
+  TIMED,    /* Dated ARG after the start. */
+  ISSUED,   /* Expires ARG after the start. */
+  FOREIGN,  /* Issued to another incarnation. */
+  RECEIVED, /* Came by a hand-over that expires ARG after the start. */
+  SECOND,   /* The same, by a second hand-over. */
+  MISNAMED  /* A hand-over to another incarnation. */
+};
+
+struct step
+{
+  enum op op;
+  int request;
+  int key; /* 0: the first. */
+  enum kind kind;
+  int64_t arg;
+  int expected;
+};
+
+struct fault_case
+{
+  const char *name;
+  struct step steps[16];
+};
+
+/* Clocks stand at STARTED_MS and all times are relative to it. */
+#define C(who, key, kind, arg, expected)                                      \
+  {                                                                           \
+    CLAIM, who, key, kind, arg, expected                                      \
+  }
+#define S(who, expected)                                                      \
+  {                                                                           \
+    START, who, 0, OPAQUE, 0, expected                                        \
+  }
+#define W(who, expected)                                                      \
+  {                                                                           \
+    WITHDRAW, who, 0, OPAQUE, 0, expected                                     \
+  }
+#define DO(what, arg)                                                         \
+  {                                                                           \
+    what, 1, 0, OPAQUE, arg, 0                                                \
+  }
+#define H(incarnation, expected)                                              \
+  {                                                                           \
+    HAND, 1, 0, OPAQUE, incarnation, expected                                 \
+  }
+#define RUN BD_CUSTODY_RUN
+#define JOIN BD_CUSTODY_JOIN
+#define REPLAY BD_CUSTODY_REPLAY
+#define UNKNOWN BD_ERR_OUTCOME_UNKNOWN
+
+static const struct fault_case cases[] = {
+  { "once-then-replay",
+    { C (1, 0, ISSUED, 500, RUN), C (1, 0, ISSUED, 500, JOIN), S (1, 1),
+      S (1, 0), C (2, 0, ISSUED, 500, JOIN), S (2, 0), DO (FINISH, 0),
+      C (3, 0, ISSUED, 500, REPLAY), S (3, 0) } },
+  { "withdrawn-never-runs",
+    { C (1, 0, ISSUED, 500, RUN), W (1, BD_OK), S (1, 0),
+      C (2, 0, ISSUED, 500, BD_ERR_KEY_ENDED), DO (RAN, BD_RAN_NO), S (2, 0),
+      W (2, BD_OK) } },
+  { "withdrawn-while-another-waits",
+    { C (1, 0, ISSUED, 500, RUN), C (2, 0, ISSUED, 500, JOIN), W (1, UNKNOWN),
+      W (1, UNKNOWN), S (2, 1), W (2, UNKNOWN) } },
+  { "item-of-the-withdrawn-runs-for-the-other",
+    { C (1, 0, ISSUED, 500, RUN), C (2, 0, ISSUED, 500, JOIN), W (1, UNKNOWN),
+      S (1, 1), S (2, 0) } },
+  { "last-waiter-ends",
+    { C (1, 0, ISSUED, 500, RUN), C (2, 0, ISSUED, 500, JOIN), W (2, UNKNOWN),
+      W (1, BD_OK), S (1, 0), S (2, 0) } },
+  { "withdrawn-after-start",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), W (1, UNKNOWN) } },
+  { "withdrawn-without-claim",
+    { W (1, UNKNOWN), C (1, 0, ISSUED, 500, RUN), W (2, UNKNOWN), S (2, 0),
+      S (1, 1) } },
+  { "other-incarnation",
+    { C (1, 0, FOREIGN, 500, UNKNOWN), DO (RAN, BD_RAN_UNKNOWN), S (1, 0) } },
+  { "token-expired",
+    { DO (PASS, 500), C (1, 0, ISSUED, 500, BD_ERR_KEY_EXPIRED),
+      DO (RAN, BD_RAN_UNKNOWN) } },
+  { "token-replayed-after-its-record-and-a-clock-set-back",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), DO (FINISH, 0), DO (PASS, 1100),
+      DO (WALL, -1050), C (2, 0, ISSUED, 500, BD_ERR_KEY_EXPIRED),
+      C (3, 1, ISSUED, 501, RUN) } },
+  { "record-outlives-the-window-until-the-token-expires",
+    { C (1, 0, ISSUED, 9000, RUN), S (1, 1), DO (FINISH, 0), DO (PASS, 8900),
+      C (2, 0, ISSUED, 9000, REPLAY) } },
+  { "running-is-never-dropped",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), DO (PASS, 90000),
+      C (2, 0, ISSUED, 500, JOIN), DO (FINISH, 0), DO (PASS, 999),
+      C (3, 0, ISSUED, 500, REPLAY) } },
+  { "engine-failed",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), DO (FINISH, BD_ERR_ENGINE),
+      C (2, 0, ISSUED, 500, UNKNOWN), DO (RAN, BD_RAN_UNKNOWN), S (1, 0) } },
+  { "not-sent-may-run-again",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), DO (NOT_SENT, 0), S (1, 1),
+      S (1, 0) } },
+  { "not-sent-and-nobody-waits",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), W (1, UNKNOWN), DO (NOT_SENT, 0),
+      S (1, 0), C (2, 0, ISSUED, 500, BD_ERR_KEY_ENDED) } },
+  { "not-sent-and-handed-over",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), H (7, UNKNOWN), DO (NOT_SENT, 0),
+      H (7, BD_OK), S (1, 0) } },
+  { "answer-too-large",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), DO (BIG, 0),
+      C (2, 0, ISSUED, 500, BD_ERR_ALREADY_RAN), DO (RAN, BD_RAN_YES) } },
+  { "full-refuses-the-new-and-keeps-the-old",
+    { C (1, 0, ISSUED, 500, RUN), S (1, 1), DO (FINISH, 0),
+      C (2, 1, ISSUED, 600, RUN), C (3, 2, ISSUED, 600, BD_ERR_FULL),
+      DO (RAN, BD_RAN_UNKNOWN), C (4, 0, ISSUED, 500, REPLAY), DO (PASS, 1050),
+      C (5, 2, ISSUED, 1500, RUN) } },
+  { "timed-before-the-start", { C (1, 0, TIMED, -1, UNKNOWN) } },
+  { "timed-within-twice-the-skew",
+    { DO (PASS, 500), C (1, 0, TIMED, 2 * SKEW_MS, UNKNOWN),
+      DO (RAN, BD_RAN_UNKNOWN), C (1, 0, TIMED, 2 * SKEW_MS + 1, RUN),
+      S (1, 1) } },
+  { "timed-in-the-future",
+    { DO (PASS, 500), C (1, 0, TIMED, 501 + SKEW_MS, BD_ERR_KEY_INVALID),
+      DO (RAN, BD_RAN_UNKNOWN), C (1, 0, TIMED, 500 + SKEW_MS, RUN) } },
+  { "timed-before-the-change-of-home",
+    { DO (PASS, 500), DO (HOME, 0), DO (PASS, 300),
+      C (1, 0, TIMED, 500 + 2 * SKEW_MS, UNKNOWN),
+      C (2, 1, TIMED, 501 + 2 * SKEW_MS, RUN) } },
+  { "timed-replayed-after-its-record",
+    { DO (PASS, 500), C (1, 0, TIMED, 400, RUN), S (1, 1), DO (FINISH, 0),
+      DO (PASS, 1050), C (2, 0, TIMED, 400, UNKNOWN),
+      C (3, 1, TIMED, 401, RUN) } },
+  { "opaque-within-the-window-of-the-start",
+    { DO (PASS, WINDOW_MS), C (1, 0, OPAQUE, 0, UNKNOWN), DO (PASS, 1),
+      C (1, 0, OPAQUE, 0, RUN) } },
+  { "opaque-within-the-window-of-the-home",
+    { DO (PASS, 1500), DO (HOME, 0), DO (PASS, WINDOW_MS),
+      C (1, 0, OPAQUE, 0, UNKNOWN), DO (PASS, 1), C (1, 0, OPAQUE, 0, RUN) } },
+  { "paused-past-the-window-does-not-start",
+    { C (1, 0, ISSUED, 9000, RUN), DO (PAUSE, WINDOW_MS), S (1, 0),
+      H (7, BD_ERR_KEY_EXPIRED), W (1, BD_OK) } },
+  { "handed-over-to-one",
+    { C (1, 0, ISSUED, 500, RUN), C (2, 0, ISSUED, 500, JOIN), H (7, BD_OK),
+      H (8, BD_OK), C (3, 0, ISSUED, 500, BD_ERR_STALE),
+      DO (RAN, BD_RAN_UNKNOWN), DO (HOLDER, 7), S (1, 0), S (2, 0),
+      W (1, UNKNOWN), W (2, UNKNOWN) } },
+  { "handed-over-to-itself",
+    { C (1, 0, ISSUED, 500, RUN), H (INCARNATION, BD_ERR_INVALID), S (1, 1),
+      H (7, UNKNOWN), DO (FINISH, 0), H (7, BD_ERR_ALREADY_RAN) } },
+  { "ended-is-not-handed-over",
+    { C (1, 0, ISSUED, 500, RUN), W (1, BD_OK), H (7, BD_ERR_KEY_ENDED) } },
+  { "received-runs-once",
+    { C (1, 0, FOREIGN, 500, UNKNOWN), C (1, 0, RECEIVED, 500, RUN),
+      C (2, 0, RECEIVED, 500, JOIN), S (1, 1), DO (FINISH, 0),
+      C (3, 0, RECEIVED, 500, REPLAY) } },
+  { "received-names-another-incarnation",
+    { C (1, 0, MISNAMED, 500, UNKNOWN), S (1, 0) } },
+  { "received-expired",
+    { DO (PASS, 500), C (1, 0, RECEIVED, 500, BD_ERR_KEY_EXPIRED) } },
+  { "received-starts-before-it-expires",
+    { C (1, 0, RECEIVED, 500, RUN), DO (PAUSE, 500), S (1, 0) } },
+  { "received-replayed-after-its-record-and-a-clock-set-back",
+    { C (1, 0, RECEIVED, 500, RUN), S (1, 1), DO (FINISH, 0), DO (PASS, 1100),
+      DO (WALL, -1050), C (2, 0, RECEIVED, 500, BD_ERR_KEY_EXPIRED) } },
+  { "received-is-not-sent-back",
+    { C (1, 0, RECEIVED, 500, RUN), H (9, BD_ERR_INVALID), H (7, BD_OK) } },
+  { "hops-are-bounded", { C (1, 0, SECOND, 500, RUN), H (7, BD_ERR_FULL) } },
+};
+
+struct world
+{
+  struct bd_custody *custody;
+  int64_t now_ms;
+  int64_t wall_ms;
+  struct bd_custody_answer last;
+};
+
+static struct bd_key
+key_of (int number)
+{
+  return (struct bd_key){ .id = { .high = 1, .low = (uint64_t)number } };
+}
+
+static struct bd_id
+request_of (int number)
+{
+  return (struct bd_id){ .high = 2, .low = (uint64_t)number };
+}
+
+static int
+claim_step (struct world *w, const struct step *s)
+{
+  struct bd_hand_over h = { .key = key_of (s->key),
+                            .fingerprint = 5,
+                            .successor = "me",
+                            .successor_incarnation = INCARNATION,
+                            .from_incarnation = 9,
+                            .hops = s->kind == SECOND ? 2 : 1,
+                            .expires_wall_ms = STARTED_MS + s->arg };
+  struct bd_custody_claim c = { .key = key_of (s->key),
+                                .origin = BD_KEY_ISSUED,
+                                .incarnation = INCARNATION,
+                                .key_wall_ms = STARTED_MS + s->arg,
+                                .expires_wall_ms = STARTED_MS + s->arg,
+                                .fingerprint = 5,
+                                .request = request_of (s->request),
+                                .retry_window_ms = WINDOW_MS };
+
+  if (s->kind == OPAQUE)
+    c.origin = BD_KEY_OPAQUE;
+  if (s->kind == TIMED)
+    c.origin = BD_KEY_TIMED;
+  if (s->kind >= FOREIGN)
+    c.incarnation = INCARNATION - 1;
+  if (s->kind == MISNAMED)
+    h.successor_incarnation = INCARNATION - 1;
+  if (s->kind >= RECEIVED)
+    c.hand_over = &h;
+  bd_custody_claim (w->custody, w->now_ms, w->wall_ms, &c, &w->last);
+  return w->last.verdict == BD_CUSTODY_REFUSE ? w->last.error
+                                              : (int)w->last.verdict;
+}
+
+static int
+finish_step (struct world *w, const struct step *s)
+{
+  static const char big[100];
+  struct bd_chunk answer = s->op == BIG ? (struct bd_chunk){ big, sizeof big }
+                                        : BD_CHUNK ("done");
+
+  bd_custody_finish (w->custody, w->now_ms, key_of (s->key), (int)s->arg, 200,
+                     BD_CHUNK ("text"), answer);
+  return 0;
+}
+
+static int
+hand_step (struct world *w, const struct step *s)
+{
+  const struct bd_hand_over *h;
+  int rc = bd_custody_hand_over (w->custody, w->now_ms, w->wall_ms,
+                                 key_of (s->key), BD_CHUNK ("other"),
+                                 (uint64_t)s->arg, &h);
+
+  g_assert_true ((rc == BD_OK) == (h != NULL));
+  return rc;
+}
+
+static int
+clock_step (struct world *w, const struct step *s)
+{
+  w->wall_ms += s->arg;
+  if (s->op != WALL)
+    w->now_ms += s->arg;
+  if (s->op == PASS)
+    bd_custody_tick (w->custody, w->now_ms);
+  return 0;
+}
+
+static int
+step_run (struct world *w, const struct step *s)
+{
+  switch (s->op)
+    {
+    case CLAIM:
+      return claim_step (w, s);
+    case START:
+      return bd_custody_start (w->custody, w->now_ms, key_of (s->key),
+                               request_of (s->request));
+    case WITHDRAW:
+      return bd_custody_withdraw (w->custody, w->now_ms, key_of (s->key),
+                                  request_of (s->request));
+    case FINISH:
+    case BIG:
+      return finish_step (w, s);
+    case NOT_SENT:
+      bd_custody_not_sent (w->custody, w->now_ms, key_of (s->key),
+                           request_of (s->request));
+      return 0;
+    case HAND:
+      return hand_step (w, s);
+    case HOLDER:
+      g_assert_cmpuint (w->last.hand_over->successor_incarnation, ==, s->arg);
+      g_assert_cmpuint (w->last.hand_over->from_incarnation, ==, INCARNATION);
+      return 0;
+    case RAN:
+      g_assert_cmpint (w->last.ran, ==, s->arg);
+      return 0;
+    case HOME:
+      bd_custody_home_since (w->custody, w->wall_ms);
+      return 0;
+    case CONFIRM:
+      bd_custody_confirm (w->custody, w->now_ms);
+      return 0;
+    default:
+      return clock_step (w, s);
+    }
+}
+
+static void
+case_run (const struct fault_case *c,
+          const struct bd_custody_settings *settings)
+{
+  struct world w = { .custody = bd_custody_create (settings),
+                     .now_ms = 0,
+                     .wall_ms = STARTED_MS };
+
+  for (const struct step *s = c->steps; s->op != END; s++)
+    {
+      int got = step_run (&w, s);
+
+      if (got != s->expected)
+        g_error ("%s, step %d: expected %d, got %d", c->name,
+                 (int)(s - c->steps) + 1, s->expected, got);
+    }
+  bd_custody_destroy (w.custody);
+}
+
+static const struct bd_custody_settings settings
+    = { .incarnation = INCARNATION,
+        .started_wall_ms = STARTED_MS,
+        .clock_skew_ms = SKEW_MS,
+        .max_records = 2,
+        .max_answer_bytes = 20 };
+
+static void
+test_fault_case (gconstpointer data)
+{
+  case_run (data, &settings);
+}
+
+/* Callers' own keys need a configuration that was confirmed lately. */
+static void
+test_confirmation (void)
+{
+  static const struct fault_case own
+      = { "confirmation",
+          { DO (PASS, 5000), C (1, 0, OPAQUE, 0, UNKNOWN), DO (CONFIRM, 0),
+            C (1, 0, OPAQUE, 0, RUN), DO (PASS, CONFIRM_MS),
+            C (2, 1, TIMED, 5000, RUN), DO (PASS, 1),
+            C (3, 2, TIMED, 5150, UNKNOWN), C (4, 1, TIMED, 5000, JOIN),
+            DO (HOME, 0), DO (PASS, 500), DO (CONFIRM, 0),
+            C (5, 3, TIMED, 5201 + 300, UNKNOWN),
+            C (6, 3, ISSUED, 9999, BD_ERR_FULL) } };
+  struct bd_custody_settings s = settings;
+
+  s.confirm_window_ms = CONFIRM_MS;
+  case_run (&own, &s);
+}
+
+static void
+test_mismatch (void)
+{
+  struct world w
+      = { .custody = bd_custody_create (&settings), .wall_ms = STARTED_MS };
+  struct bd_hand_over h = { .key = key_of (1), .fingerprint = 1 };
+  struct bd_custody_claim c = { .incarnation = INCARNATION,
+                                .expires_wall_ms = STARTED_MS + 1,
+                                .fingerprint = 1,
+                                .request = request_of (1),
+                                .retry_window_ms = WINDOW_MS };
+
+  bd_custody_claim (w.custody, 0, w.wall_ms, &c, &w.last);
+  g_assert_cmpint (w.last.verdict, ==, BD_CUSTODY_RUN);
+  c.fingerprint = 2;
+  bd_custody_claim (w.custody, 0, w.wall_ms, &c, &w.last);
+  g_assert_cmpint (w.last.error, ==, BD_ERR_KEY_MISMATCH);
+  c.fingerprint = 1;
+  c.hand_over = &h;
+  bd_custody_claim (w.custody, 0, w.wall_ms, &c, &w.last);
+  g_assert_cmpint (w.last.error, ==, BD_ERR_KEY_MISMATCH);
+  g_assert_cmpint (w.last.ran, ==, BD_RAN_UNKNOWN);
+  bd_custody_destroy (w.custody);
+}
+
+static void
+test_waiters_are_bounded (void)
+{
+  struct world w
+      = { .custody = bd_custody_create (&settings), .wall_ms = STARTED_MS };
+
+  for (int i = 0; i <= BD_CUSTODY_MAX_WAITERS; i++)
+    {
+      struct step s = C (i, 0, ISSUED, 500, 0);
+      int expected = i == 0 ? RUN : JOIN;
+
+      if (i == BD_CUSTODY_MAX_WAITERS)
+        expected = UNKNOWN;
+      g_assert_cmpint (claim_step (&w, &s), ==, expected);
+    }
+  bd_custody_destroy (w.custody);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *path = g_strdup_printf ("/custody/case/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_fault_case);
+      g_free (path);
+    }
+  g_test_add_func ("/custody/confirmation", test_confirmation);
+  g_test_add_func ("/custody/mismatch", test_mismatch);
+  g_test_add_func ("/custody/waiters-are-bounded", test_waiters_are_bounded);
+  return g_test_run ();
+}
