--- /dev/null
+++ b/src/common/state.c
@@ -0,0 +1,145 @@
+#include "common/state.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <time.h>
+
+/* Longest time that the admin port waits for the control thread. */
+#define ANSWER_TIMEOUT_S 2
+
+struct bd_state
+{
+  struct bd_admin_source source; /* Must stay the first member. */
+  pthread_mutex_t turn;          /* One question at a time. */
+  pthread_mutex_t lock;
+  pthread_cond_t answered;
+  atomic_bool asked;
+  bool done;
+  enum bd_state_kind kind;
+  int result;
+  struct bd_buffer answer;
+  atomic_bool ready;
+};
+
+static bool
+source_ready (struct bd_admin_source *source)
+{
+  return atomic_load (&((struct bd_state *)source)->ready);
+}
+
+static int
+wait_answer (struct bd_state *s, struct bd_buffer *json)
+{
+  struct timespec until;
+  int rc = 0;
+
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += ANSWER_TIMEOUT_S;
+  while (!s->done && rc == 0)
+    rc = pthread_cond_timedwait (&s->answered, &s->lock, &until);
+  atomic_store (&s->asked, false);
+  if (!s->done)
+    return BD_ERR_TIMEOUT;
+  if (s->result != BD_OK)
+    return s->result;
+  return bd_buffer_append (json, bd_buffer_chunk (&s->answer));
+}
+
+static int
+ask (struct bd_admin_source *source, enum bd_state_kind kind,
+     struct bd_buffer *json)
+{
+  struct bd_state *s = (struct bd_state *)source;
+  int rc;
+
+  pthread_mutex_lock (&s->turn);
+  pthread_mutex_lock (&s->lock);
+  s->kind = kind;
+  s->done = false;
+  bd_buffer_reset (&s->answer);
+  atomic_store (&s->asked, true);
+  rc = wait_answer (s, json);
+  pthread_mutex_unlock (&s->lock);
+  pthread_mutex_unlock (&s->turn);
+  return rc;
+}
+
+static int
+source_status (struct bd_admin_source *source, struct bd_buffer *json)
+{
+  return ask (source, BD_STATE_STATUS, json);
+}
+
+static int
+source_runners (struct bd_admin_source *source, struct bd_buffer *json)
+{
+  return ask (source, BD_STATE_RUNNERS, json);
+}
+
+static int
+source_contracts (struct bd_admin_source *source, struct bd_buffer *json)
+{
+  return ask (source, BD_STATE_CONTRACTS, json);
+}
+
+struct bd_state *
+bd_state_create (void)
+{
+  struct bd_state *s = calloc (1, sizeof *s);
+
+  if (!s)
+    return NULL;
+  s->source = (struct bd_admin_source){
+    .ready = source_ready,
+    .status = source_status,
+    .runners = source_runners,
+    .contracts = source_contracts,
+  };
+  pthread_mutex_init (&s->turn, NULL);
+  pthread_mutex_init (&s->lock, NULL);
+  pthread_cond_init (&s->answered, NULL);
+  return s;
+}
+
+void
+bd_state_destroy (struct bd_state *state)
+{
+  if (!state)
+    return;
+  pthread_cond_destroy (&state->answered);
+  pthread_mutex_destroy (&state->lock);
+  pthread_mutex_destroy (&state->turn);
+  bd_buffer_clear (&state->answer);
+  free (state);
+}
+
+struct bd_admin_source *
+bd_state_source (struct bd_state *state)
+{
+  return &state->source;
+}
+
+void
+bd_state_set_ready (struct bd_state *state, bool ready)
+{
+  atomic_store (&state->ready, ready);
+}
+
+void
+bd_state_serve (struct bd_state *state,
+                int (*write) (void *context, enum bd_state_kind kind,
+                              struct bd_buffer *json),
+                void *context)
+{
+  if (!atomic_load (&state->asked))
+    return;
+  pthread_mutex_lock (&state->lock);
+  if (atomic_load (&state->asked) && !state->done)
+    {
+      state->result = write (context, state->kind, &state->answer);
+      state->done = true;
+      pthread_cond_signal (&state->answered);
+    }
+  pthread_mutex_unlock (&state->lock);
+}
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -100,6 +100,19 @@
   return owned;
 }
 
+/* A plain service generates no tokens. */
+static uint32_t
+expected_tokens (const struct bd_dispatch *dispatch,
+                 const struct bd_dispatch_request *r)
+{
+  uint64_t class_hash
+      = bd_chunk_hash (r->workspace) * 31 + bd_chunk_hash (r->class_name);
+
+  if (r->flags & BD_FLAG_SERVICE)
+    return 1;
+  return bd_job_expected (dispatch, class_hash, r->max_tokens);
+}
+
 static void
 fill_job (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
 {
@@ -107,8 +120,7 @@
 
   job->workspace_hash = bd_chunk_hash (r->workspace);
   job->class_hash = job->workspace_hash * 31 + bd_chunk_hash (r->class_name);
-  job->expected_tokens
-      = bd_job_expected (dispatch, job->class_hash, r->max_tokens);
+  job->expected_tokens = expected_tokens (dispatch, r);
   job->keyed = r->key_text.length > 0;
   job->idempotent = (r->flags & BD_FLAG_IDEMPOTENT) != 0;
   job->streamed = (r->flags & BD_FLAG_STREAM) != 0;
@@ -164,9 +176,7 @@
   enum bd_suspicion suspicion
       = bd_suspects_look (dispatch->suspects, now_ms, request->fingerprint);
   uint64_t workspace = bd_chunk_hash (request->workspace);
-  uint64_t class_hash = workspace * 31 + bd_chunk_hash (request->class_name);
-  uint32_t tokens
-      = bd_job_expected (dispatch, class_hash, request->max_tokens);
+  uint32_t tokens = expected_tokens (dispatch, request);
   int32_t retry_after_ms = 0;
   struct job *job;
   int rc;
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -111,6 +111,23 @@
   task->last_data_ms = now_ms;
 }
 
+/* An engine that counts tells so in one of the last events. */
+static void
+take_usage (struct task *task, struct bd_chunk data)
+{
+  json_t *root;
+  json_int_t tokens;
+
+  if (!memmem (data.data, data.length, "\"usage\"", 7))
+    return;
+  root = json_loadb (data.data, data.length, 0, NULL);
+  tokens = json_integer_value (
+      json_object_get (json_object_get (root, "usage"), "completion_tokens"));
+  if (tokens > 0 && tokens < UINT32_MAX)
+    task->tokens = (uint32_t)tokens;
+  json_decref (root);
+}
+
 static void
 take_event (struct bd_runner *runner, int64_t now_ms, struct task *task)
 {
@@ -120,7 +137,10 @@
   if (bd_chunk_equal (data, BD_CHUNK ("[DONE]")))
     task->closed = true;
   else if (data.length > 0)
-    count_token (runner, now_ms, task);
+    {
+      count_token (runner, now_ms, task);
+      take_usage (task, data);
+    }
   keep_answer (runner, task, event);
   send_chunk (runner, task, event);
 }
--- a/src/entry/call.h
+++ b/src/entry/call.h
@@ -8,6 +8,7 @@
 #define BD_CALL_H
 
 #include "common/mailbox.h"
+#include "common/metrics.h"
 #include "core/dispatch.h"
 
 #include <stdatomic.h>
@@ -50,6 +51,8 @@
   atomic_bool slow;            /**< The caller does not read. */
   char id_text[BD_ID_HEX_LENGTH + 1];
   int64_t arrived_us;
+  struct bd_class_metrics *metrics; /**< NULL until the class is known. */
+  int32_t token_gap_ms;             /**< Target of the class. */
 };
 
 /** Returns a new call with a fresh identifier, or NULL. */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,8 +3,12 @@
 #include "common/incarnation.h"
 #include "common/log.h"
 #include "common/map.h"
+#include "common/state.h"
+#include "core/describe.h"
 #include "core/exchange.h"
 #include "entry/http.h"
+#include "entry/peers.h"
+#include "entry/status.h"
 #include "platform/watch.h"
 #include "wire/link.h"
 
@@ -22,7 +26,7 @@
 /* After the readiness check fails, callers are still served for this long. */
 #define LEAVING_GRACE_MS 1000
 /* Without news of the configuration for this long the service is asked. */
-#define REFRESH_MS 10000
+#define REFRESH_MS 30000
 #define KEY_LIFE_MS ((int64_t)24 * 3600 * 1000)
 
 /* A document from the platform's service, on its way to the control
@@ -46,6 +50,10 @@
   struct bd_exchange *exchange;
   struct bd_watch *watch;
   struct bd_view *view;
+  struct bd_peers *peers;
+  struct bd_metrics *metrics;
+  struct bd_state *state;
+  struct bd_admin *admin;
   struct bd_http *http;
   struct bd_http_shared shared;
   struct bd_token_keys keys;
@@ -55,6 +63,7 @@
   size_t heartbeat_next;
   int64_t heartbeat_ms;
   int64_t refresh_ms;
+  bool watching;
   bool changed;
 };
 
@@ -109,8 +118,10 @@
 static void
 port_count (struct bd_dispatch_port *port, enum bd_dispatch_count what)
 {
-  (void)port;
-  (void)what;
+  struct bd_entry *e = (struct bd_entry *)port;
+
+  if (what == BD_DISPATCH_RETRY || what == BD_DISPATCH_RESUME)
+    bd_metrics_count (e->metrics, BD_COUNTER_RETRIES, 1);
 }
 
 static void
@@ -261,8 +272,14 @@
   e->view = bd_view_create ();
   e->exchange = bd_exchange_create (&e->exchange_port);
   e->dispatch = make_dispatch (e);
+  e->metrics = bd_metrics_create ();
+  e->state = bd_state_create ();
   if (!e->control || !e->documents || !e->calls || !e->view || !e->exchange
-      || !e->dispatch)
+      || !e->dispatch || !e->metrics || !e->state)
+    return false;
+  e->peers = bd_peers_create (e->settings, e->incarnation, e->link,
+                              e->dispatch, e->exchange);
+  if (!e->peers)
     return false;
   e->watch = bd_watch_create (e->settings->platform_url, e->incarnation,
                               &e->watch_sink);
@@ -270,6 +287,7 @@
   e->shared.view = e->view;
   e->shared.control = e->control;
   e->shared.keys = &e->keys;
+  e->shared.metrics = e->metrics;
   return e->watch != NULL;
 }
 
@@ -298,6 +316,14 @@
           *error = BD_ERR_IO;
           e->http = bd_http_create (&e->shared);
         }
+      if (e->http && settings->admin_address[0])
+        e->admin = bd_admin_create (settings->admin_address, e->metrics,
+                                    bd_state_source (e->state), error);
+    }
+  if (e->http && settings->admin_address[0] && !e->admin)
+    {
+      bd_entry_destroy (e);
+      return NULL;
     }
   if (e->http)
     return e;
@@ -314,6 +340,7 @@
 
   if (!entry)
     return;
+  bd_admin_destroy (entry->admin);
   bd_http_destroy (entry->http);
   bd_watch_destroy (entry->watch);
   while (entry->control && (mail = bd_mailbox_take (entry->control)))
@@ -333,6 +360,9 @@
   bd_mailbox_destroy (entry->control);
   bd_mailbox_destroy (entry->documents);
   bd_map_destroy (entry->calls);
+  bd_peers_destroy (entry->peers);
+  bd_state_destroy (entry->state);
+  bd_metrics_destroy (entry->metrics);
   bd_dispatch_destroy (entry->dispatch);
   bd_exchange_destroy (entry->exchange);
   bd_view_destroy (entry->view);
@@ -504,8 +534,11 @@
   if (!snapshot)
     return;
   bd_dispatch_configure (e->dispatch, now_ms, snapshot);
+  bd_peers_configure (e->peers, now_ms, snapshot);
   bd_view_publish (e->view, snapshot);
+  bd_state_set_ready (e->state, true);
   heartbeat_all (e);
+  bd_peers_announce (e->peers, now_ms);
 }
 
 static void
@@ -521,6 +554,20 @@
     bd_link_send (e->link, to, &m);
 }
 
+/* Another entry that knows this one as a seed only asks for the revision. */
+static void
+take_heartbeat (struct bd_entry *e, int64_t now_ms, struct bd_chunk from,
+                const struct bd_message *m)
+{
+  struct bd_message reply = { .flags = BD_FLAG_REPLY };
+
+  bd_exchange_heard (e->exchange, now_ms, from, m->revision, m->digest);
+  if (m->flags & BD_FLAG_REPLY || m->slots > 0)
+    return;
+  fill_heartbeat (e, &reply);
+  bd_link_send (e->link, from, &reply);
+}
+
 static void
 take_message (struct bd_entry *e, int64_t now_ms, struct bd_chunk from,
               const struct bd_message *m)
@@ -533,8 +580,11 @@
     case BD_MESSAGE_CONFIG:
       bd_exchange_document (e->exchange, now_ms, from, m->name, m->body);
       return;
+    case BD_MESSAGE_GOSSIP:
+      bd_peers_message (e->peers, now_ms, from, m);
+      return;
     case BD_MESSAGE_HEARTBEAT:
-      bd_exchange_heard (e->exchange, now_ms, from, m->revision, m->digest);
+      take_heartbeat (e, now_ms, from, m);
       break;
     default:
       break;
@@ -596,18 +646,63 @@
       bd_dispatch_cancel (e->dispatch, now_ms, call->request.request);
 }
 
+/* Only some entries of a zone hold queries at the service; the others learn
+   from them. */
+static void
+choose_watcher (struct bd_entry *e, int64_t now_ms)
+{
+  bool watcher = bd_peers_watcher (e->peers);
+
+  if (watcher != e->watching)
+    {
+      e->watching = watcher;
+      bd_watch_hold (e->watch, watcher);
+    }
+  if (!watcher && now_ms - e->refresh_ms >= REFRESH_MS)
+    {
+      e->refresh_ms = now_ms;
+      bd_watch_fetch (e->watch, BD_CHUNK ("manifest"));
+    }
+}
+
+static int
+write_state (void *context, enum bd_state_kind kind, struct bd_buffer *json)
+{
+  struct bd_entry *e = context;
+  struct bd_status_input input = {
+    .settings = e->settings,
+    .incarnation = e->incarnation,
+    .config = bd_exchange_config (e->exchange),
+    .dispatch = e->dispatch,
+    .membership = bd_peers_membership (e->peers),
+    .counts = bd_link_counts (e->link),
+    .platform_calls = bd_watch_calls (e->watch),
+    .watching = e->watching,
+    .leaving = atomic_load (&e->shared.leaving),
+  };
+
+  switch (kind)
+    {
+    case BD_STATE_STATUS:
+      return bd_status_write (&input, json);
+    case BD_STATE_RUNNERS:
+      return bd_status_runners (&input, bd_clock_ms (), json);
+    case BD_STATE_CONTRACTS:
+      return bd_describe_contracts (input.config, json);
+    }
+  return BD_ERR_NOT_FOUND;
+}
+
 static void
 tick (struct bd_entry *e, int64_t now_ms)
 {
   bd_dispatch_tick (e->dispatch, now_ms);
   bd_exchange_tick (e->exchange, now_ms);
+  bd_peers_tick (e->peers, now_ms);
+  bd_state_serve (e->state, write_state, e);
+  choose_watcher (e, now_ms);
   send_heartbeats (e, now_ms);
   drop_slow_calls (e, now_ms);
-  if (now_ms - e->refresh_ms >= REFRESH_MS)
-    {
-      e->refresh_ms = now_ms;
-      bd_watch_fetch (e->watch, BD_CHUNK ("manifest"));
-    }
 }
 
 /* Steps of leaving: the readiness check fails, then new calls are refused.
@@ -633,7 +728,7 @@
   int64_t tick_ms = 0;
   int64_t leaving_ms = 0;
 
-  bd_watch_hold (entry->watch, true);
+  bd_watch_fetch (entry->watch, BD_CHUNK ("manifest"));
   bd_log (BD_EVENT_DAEMON_READY, "role=entry incarnation=%llu",
           (unsigned long long)entry->incarnation);
   for (;;)
@@ -660,6 +755,8 @@
           leaving_ms = now_ms;
           bd_log (BD_EVENT_DAEMON_LEAVING, "drain_timeout_s=%d",
                   entry->settings->drain_timeout_s);
+          bd_state_set_ready (entry->state, false);
+          bd_peers_leave (entry->peers, now_ms);
         }
       if (leave (entry, now_ms, leaving_ms))
         return BD_OK;
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -146,8 +146,10 @@
 }
 
 static void
-refuse (struct mg_connection *conn, struct bd_http_call *call, int error)
+refuse (struct bd_http *http, struct mg_connection *conn,
+        struct bd_http_call *call, int error)
 {
+  bd_metrics_refused (http->shared->metrics, error);
   bd_log (BD_EVENT_REQUEST_REFUSED, "request=%s code=%s", call->id_text,
           bd_error_answer (error)->code);
   bd_reply_error (conn, call->id_text, error, bd_error_answer (error)->ran, 0,
@@ -171,11 +173,15 @@
   if (rc == BD_ERR_KEY_REQUIRED)
     demand_key (http, conn, call);
   else if (rc != BD_OK)
-    refuse (conn, call, rc);
+    refuse (http, conn, call, rc);
   else
     {
+      call->metrics = bd_metrics_class (
+          shared->metrics, call->request.workspace, call->request.class_name);
+      bd_class_metrics_count (call->metrics, BD_CLASS_COUNTER_REQUESTS, 1);
       bd_http_call_post (call, shared->control, BD_CALL_SUBMIT);
-      bd_http_call_post (call, shared->control, bd_reply_serve (conn, call));
+      bd_http_call_post (call, shared->control,
+                         bd_reply_serve (conn, call, shared->metrics));
     }
 }
 
@@ -231,7 +237,7 @@
   /* A class whose requests may run again needs no key, but may have one. */
   if (rc != BD_OK && rc != BD_ERR_KEY_REQUIRED)
     {
-      refuse (conn, call, rc);
+      refuse (http, conn, call, rc);
       return;
     }
   rc = issue_key (http, call);
@@ -291,7 +297,7 @@
   else if (get && strcmp (path, "/v1/models") == 0)
     serve_models (http, conn, call);
   else
-    refuse (conn, call, BD_ERR_NOT_FOUND);
+    refuse (http, conn, call, BD_ERR_NOT_FOUND);
 }
 
 /* Health: the process answers; readiness: it may get new callers. */
@@ -333,13 +339,14 @@
   if (serve_health (http, conn))
     return 200;
   active = atomic_fetch_add (&shared->active, 1);
+  bd_metrics_count (shared->metrics, BD_COUNTER_REQUESTS, 1);
   call = bd_http_call_create ();
   if (!call)
     bd_reply_error (conn, "", BD_ERR_NOMEM, BD_RAN_NO, 0, NULL);
   else if (atomic_load (&shared->refusing))
-    refuse (conn, call, BD_ERR_LEAVING);
+    refuse (http, conn, call, BD_ERR_LEAVING);
   else if (active >= shared->settings->max_streams)
-    refuse (conn, call, BD_ERR_FULL);
+    refuse (http, conn, call, BD_ERR_FULL);
   else
     route (http, conn, call);
   atomic_fetch_sub (&shared->active, 1);
--- a/src/entry/http.h
+++ b/src/entry/http.h
@@ -5,6 +5,7 @@
 #ifndef BD_HTTP_H
 #define BD_HTTP_H
 
+#include "common/metrics.h"
 #include "common/settings.h"
 #include "core/token.h"
 #include "entry/call.h"
@@ -19,6 +20,7 @@
   struct bd_view *view;
   struct bd_mailbox *control; /**< Takes struct bd_http_call_mail. */
   const struct bd_token_keys *keys;
+  struct bd_metrics *metrics;
   atomic_bool leaving;  /**< Fails the readiness check. */
   atomic_bool refusing; /**< New calls are refused. */
   atomic_int active;    /**< Calls in progress. */
--- /dev/null
+++ b/src/entry/peers.c
@@ -0,0 +1,293 @@
+#include "entry/peers.h"
+#include "wire/gossip.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GOSSIP_MS 250
+/* Every peer hears from this entry at least this often. */
+#define PEER_PERIOD_MS 1500
+#define SUSPECT_MS 4000
+#define GONE_MS 15000
+#define MEMBERS_MAX 1024
+#define TARGETS_MAX 64
+#define WATCHERS_PER_ZONE 2
+#define SEED_MAX_BYTES 63
+
+struct bd_peers
+{
+  const struct bd_settings *settings;
+  uint64_t incarnation;
+  struct bd_link *link;
+  struct bd_dispatch *dispatch;
+  struct bd_exchange *exchange;
+  struct bd_membership *membership;
+  struct bd_buffer body;
+  struct bd_gossip_body told;
+  size_t next_member;
+  int64_t gossip_ms;
+  bool leaving;
+};
+
+/* Seeds are connected to under their address, until their name is known. */
+static void
+connect_seeds (struct bd_peers *p)
+{
+  const char *at = p->settings->seeds;
+
+  while (at && *at)
+    {
+      size_t length = strcspn (at, ",");
+      struct bd_chunk seed = { at, length };
+
+      if (length > 0 && length <= SEED_MAX_BYTES
+          && !bd_chunk_equal (seed, bd_chunk_of (p->settings->peer_address)))
+        bd_link_connect (p->link, seed, seed);
+      at += length + (at[length] == ',');
+    }
+}
+
+struct bd_peers *
+bd_peers_create (const struct bd_settings *settings, uint64_t incarnation,
+                 struct bd_link *link, struct bd_dispatch *dispatch,
+                 struct bd_exchange *exchange)
+{
+  struct bd_membership_settings m = {
+    .instance = bd_chunk_of (settings->instance),
+    .address = bd_chunk_of (settings->peer_address),
+    .zone = bd_chunk_of (settings->zone),
+    .incarnation = incarnation,
+    .suspect_after_ms = SUSPECT_MS,
+    .gone_after_ms = GONE_MS,
+    .max_members = MEMBERS_MAX,
+    .seed = incarnation,
+  };
+  struct bd_peers *p = calloc (1, sizeof *p);
+
+  if (!p)
+    return NULL;
+  p->settings = settings;
+  p->incarnation = incarnation;
+  p->link = link;
+  p->dispatch = dispatch;
+  p->exchange = exchange;
+  p->membership = bd_membership_create (&m);
+  if (!p->membership)
+    {
+      free (p);
+      return NULL;
+    }
+  connect_seeds (p);
+  return p;
+}
+
+void
+bd_peers_destroy (struct bd_peers *peers)
+{
+  if (!peers)
+    return;
+  bd_membership_destroy (peers->membership);
+  bd_buffer_clear (&peers->body);
+  free (peers);
+}
+
+static bool
+is_self (const struct bd_peers *p, struct bd_chunk instance)
+{
+  return bd_chunk_equal (instance, bd_chunk_of (p->settings->instance));
+}
+
+static void
+named (struct bd_peers *p, int64_t now_ms, const struct bd_member *member)
+{
+  if (is_self (p, member->instance))
+    return;
+  if (bd_membership_named (p->membership, now_ms, member) == BD_OK)
+    bd_link_connect (p->link, member->instance, member->address);
+}
+
+void
+bd_peers_configure (struct bd_peers *peers, int64_t now_ms,
+                    const struct bd_config_snapshot *snapshot)
+{
+  size_t entries = snapshot->entry_count;
+
+  for (size_t i = 0; i < entries; i++)
+    {
+      const struct bd_roster_entry *e = &snapshot->entries[i];
+      struct bd_member member = { .instance = e->instance,
+                                  .address = e->address,
+                                  .zone = e->zone };
+
+      named (peers, now_ms, &member);
+    }
+  bd_limiter_set_peers (bd_dispatch_limiter (peers->dispatch), now_ms,
+                        entries > 0 ? (uint32_t)entries : 1);
+}
+
+static void
+take_strikes (struct bd_peers *p, int64_t now_ms,
+              const struct bd_gossip_body *body)
+{
+  struct bd_suspects *suspects = bd_dispatch_suspects (p->dispatch);
+
+  for (size_t i = 0; i < body->strike_count; i++)
+    bd_suspects_strike (suspects, now_ms, &body->strikes[i]);
+}
+
+void
+bd_peers_message (struct bd_peers *peers, int64_t now_ms, struct bd_chunk from,
+                  const struct bd_message *message)
+{
+  struct bd_member sender = { .instance = from,
+                              .address = message->address,
+                              .zone = message->zone,
+                              .incarnation = message->incarnation,
+                              .state = BD_MEMBER_LIVE };
+  struct bd_gossip_body body;
+
+  if (is_self (peers, from)
+      || bd_gossip_decode (message->body, &body) != BD_OK)
+    return;
+  if (message->flags & BD_FLAG_LEAVING)
+    sender.state = BD_MEMBER_LEAVING;
+  if (bd_membership_heard (peers->membership, now_ms, &sender) != BD_OK)
+    return;
+  bd_link_connect (peers->link, from, message->address);
+  bd_exchange_heard (peers->exchange, now_ms, from, message->revision,
+                     message->digest);
+  bd_limiter_peer_demand (bd_dispatch_limiter (peers->dispatch), now_ms,
+                          bd_chunk_hash (from), body.demands,
+                          body.demand_count);
+  take_strikes (peers, now_ms, &body);
+  for (size_t i = 0; i < body.member_count; i++)
+    named (peers, now_ms, &body.members[i]);
+}
+
+/* Names some of the members, in turn. */
+static void
+add_members (struct bd_peers *p, struct bd_gossip_body *body)
+{
+  size_t count = bd_membership_count (p->membership);
+
+  while (body->member_count < BD_GOSSIP_MEMBERS_MAX / 4
+         && body->member_count < count)
+    {
+      const struct bd_member *m
+          = bd_membership_at (p->membership, p->next_member++ % count);
+
+      if (m->state != BD_MEMBER_LIVE)
+        return;
+      body->members[body->member_count++] = *m;
+    }
+}
+
+static void
+fill_message (struct bd_peers *p, struct bd_message *m)
+{
+  struct bd_config *config = bd_exchange_config (p->exchange);
+
+  bd_buffer_reset (&p->body);
+  bd_gossip_encode (&p->told, &p->body);
+  *m = (struct bd_message){
+    .type = BD_MESSAGE_GOSSIP,
+    .flags = p->leaving ? BD_FLAG_LEAVING : 0,
+    .incarnation = p->incarnation,
+    .address = bd_chunk_of (p->settings->peer_address),
+    .zone = bd_chunk_of (p->settings->zone),
+    .revision = bd_config_revision (config),
+    .digest = bd_config_digest (config),
+    .body = bd_buffer_chunk (&p->body),
+  };
+}
+
+static void
+send_to_all (struct bd_peers *p, const struct bd_message *m)
+{
+  for (size_t i = 0; i < bd_membership_count (p->membership); i++)
+    {
+      const struct bd_member *member = bd_membership_at (p->membership, i);
+
+      if (!is_self (p, member->instance) && member->state != BD_MEMBER_GONE)
+        bd_link_send (p->link, member->instance, m);
+    }
+}
+
+/* So many that every peer is reached within the period. */
+static void
+send_to_some (struct bd_peers *p, const struct bd_message *m)
+{
+  const struct bd_member *targets[TARGETS_MAX];
+  size_t count = bd_membership_count (p->membership);
+  size_t want = (count * GOSSIP_MS + PEER_PERIOD_MS - 1) / PEER_PERIOD_MS;
+
+  if (want > TARGETS_MAX)
+    want = TARGETS_MAX;
+  want = bd_membership_targets (p->membership, targets, want);
+  for (size_t i = 0; i < want; i++)
+    bd_link_send (p->link, targets[i]->instance, m);
+}
+
+static void
+collect (struct bd_peers *p, int64_t now_ms)
+{
+  struct bd_gossip_body *told = &p->told;
+
+  told->member_count = 0;
+  told->demand_count
+      = bd_limiter_demands (bd_dispatch_limiter (p->dispatch), now_ms,
+                            told->demands, BD_GOSSIP_DEMANDS_MAX);
+  told->strike_count
+      = bd_suspects_news (bd_dispatch_suspects (p->dispatch), now_ms,
+                          told->strikes, BD_GOSSIP_STRIKES_MAX);
+  add_members (p, told);
+}
+
+void
+bd_peers_announce (struct bd_peers *peers, int64_t now_ms)
+{
+  struct bd_message m;
+
+  collect (peers, now_ms);
+  fill_message (peers, &m);
+  send_to_all (peers, &m);
+}
+
+void
+bd_peers_tick (struct bd_peers *peers, int64_t now_ms)
+{
+  struct bd_message m;
+
+  if (now_ms - peers->gossip_ms < GOSSIP_MS)
+    return;
+  peers->gossip_ms = now_ms;
+  bd_membership_tick (peers->membership, now_ms);
+  collect (peers, now_ms);
+  fill_message (peers, &m);
+  if (peers->told.demand_count + peers->told.strike_count > 0)
+    send_to_all (peers, &m);
+  else
+    send_to_some (peers, &m);
+}
+
+void
+bd_peers_leave (struct bd_peers *peers, int64_t now_ms)
+{
+  peers->leaving = true;
+  bd_membership_leaving (peers->membership, now_ms,
+                         bd_chunk_of (peers->settings->instance));
+  bd_peers_announce (peers, now_ms);
+}
+
+bool
+bd_peers_watcher (const struct bd_peers *peers)
+{
+  return bd_membership_ranked (peers->membership, BD_CHUNK ("platform"),
+                               WATCHERS_PER_ZONE);
+}
+
+const struct bd_membership *
+bd_peers_membership (const struct bd_peers *p)
+{
+  return p->membership;
+}
--- a/src/entry/reply.c
+++ b/src/entry/reply.c
@@ -1,4 +1,5 @@
 #include "entry/reply.h"
+#include "common/clock.h"
 
 #include <civetweb.h>
 #include <jansson.h>
@@ -114,8 +115,50 @@
   bool broken;           /* The caller does not take what is written. */
   struct bd_buffer body; /* Of an answer that is no stream. */
   int quiet_ms;
+  struct bd_metrics *metrics;
+  int64_t first_us; /* When the first data came; 0: none yet. */
+  int64_t last_us;
 };
 
+/* Measures the first data and the gaps after it. */
+static void
+measure_data (struct progress *p)
+{
+  struct bd_class_metrics *m = p->call->metrics;
+  int64_t now_us = bd_clock_us ();
+
+  if (p->first_us == 0)
+    {
+      p->first_us = now_us;
+      bd_class_metrics_add (m, BD_DURATION_FIRST_TOKEN,
+                            now_us - p->call->arrived_us);
+    }
+  else
+    bd_class_metrics_add (m, BD_DURATION_TOKEN_GAP, now_us - p->last_us);
+  p->last_us = now_us;
+}
+
+/* The whole answer's time, and whether it met the class's targets: the first
+   token's, and the mean gap between tokens. */
+static void
+measure_end (struct progress *p, const struct bd_delivery *end)
+{
+  struct bd_class_metrics *m = p->call->metrics;
+  int64_t whole_us = bd_clock_us () - p->call->arrived_us;
+  int64_t first_us = p->first_us - p->call->arrived_us;
+  int64_t gaps = end->tokens > 1 ? (int64_t)end->tokens - 1 : 1;
+  int64_t gap_us = (p->last_us - p->first_us) / gaps;
+
+  bd_metrics_count (p->metrics, BD_COUNTER_ANSWERED, 1);
+  bd_metrics_count (p->metrics, BD_COUNTER_TOKENS_OUT, end->tokens);
+  bd_class_metrics_count (m, BD_CLASS_COUNTER_ANSWERED, 1);
+  bd_class_metrics_count (m, BD_CLASS_COUNTER_TOKENS_OUT, end->tokens);
+  bd_class_metrics_add (m, BD_DURATION_WHOLE, whole_us);
+  if (first_us <= (int64_t)p->call->request.first_token_ms * 1000
+      && gap_us <= (int64_t)p->call->token_gap_ms * 1000)
+    bd_class_metrics_count (m, BD_CLASS_COUNTER_ON_TARGET, 1);
+}
+
 static bool
 is_stream (const struct progress *p)
 {
@@ -149,6 +192,7 @@
 static void
 take_data (struct progress *p, struct bd_chunk data)
 {
+  measure_data (p);
   if (is_stream (p))
     write_chunk (p, data);
   else if (bd_buffer_append (&p->body, data) != BD_OK)
@@ -156,7 +200,7 @@
 }
 
 static enum bd_http_call_step
-take_end (struct progress *p)
+take_end (struct progress *p, const struct bd_delivery *end)
 {
   struct bd_chunk body = bd_buffer_chunk (&p->body);
 
@@ -173,6 +217,8 @@
           && mg_write (p->conn, body.data, body.length) != (int)body.length)
         p->broken = true;
     }
+  if (!p->broken)
+    measure_end (p, end);
   return p->broken ? BD_CALL_CANCELLED : BD_CALL_DELIVERED;
 }
 
@@ -193,6 +239,8 @@
 static enum bd_http_call_step
 take_fail (struct progress *p, const struct bd_delivery *d)
 {
+  bd_metrics_refused (p->metrics, d->error);
+  bd_class_metrics_count (p->call->metrics, BD_CLASS_COUNTER_REFUSED, 1);
   if (p->head_sent)
     break_stream (p, d);
   else
@@ -215,9 +263,10 @@
 }
 
 enum bd_http_call_step
-bd_reply_serve (struct mg_connection *conn, struct bd_http_call *call)
+bd_reply_serve (struct mg_connection *conn, struct bd_http_call *call,
+                struct bd_metrics *metrics)
 {
-  struct progress p = { .conn = conn, .call = call };
+  struct progress p = { .conn = conn, .call = call, .metrics = metrics };
   enum bd_http_call_step last = BD_CALL_SUBMIT;
 
   while (last == BD_CALL_SUBMIT && !p.broken)
@@ -238,7 +287,7 @@
           take_data (&p, mail->delivery.data);
           break;
         case BD_DELIVERY_END:
-          last = take_end (&p);
+          last = take_end (&p, &mail->delivery);
           break;
         case BD_DELIVERY_FAIL:
           last = take_fail (&p, &mail->delivery);
--- a/src/entry/reply.h
+++ b/src/entry/reply.h
@@ -5,6 +5,7 @@
 #ifndef BD_REPLY_H
 #define BD_REPLY_H
 
+#include "common/metrics.h"
 #include "entry/call.h"
 
 struct mg_connection;
@@ -23,6 +24,7 @@
  * posted.
  */
 enum bd_http_call_step bd_reply_serve (struct mg_connection *conn,
-                                       struct bd_http_call *call);
+                                       struct bd_http_call *call,
+                                       struct bd_metrics *metrics);
 
 #endif
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -215,6 +215,7 @@
   if (!class)
     return BD_ERR_NOT_FOUND;
   fill_class (r, contract, class);
+  call->token_gap_ms = class->token_gap_ms;
   fill_work (r, class, fields);
   rc = fill_target (r, class, input, fields->model, snapshot);
   if (rc != BD_OK)
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -3,11 +3,15 @@
 #include "common/incarnation.h"
 #include "common/log.h"
 #include "common/mailbox.h"
+#include "common/state.h"
+#include "core/describe.h"
 #include "core/exchange.h"
 #include "core/runner.h"
 #include "sidecar/mail.h"
 #include "wire/link.h"
 
+#include <inttypes.h>
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -44,6 +48,9 @@
   struct bd_engine *engine;
   struct bd_engine_post engine_post;
   struct bd_mailbox *events;
+  struct bd_metrics *metrics;
+  struct bd_state *state;
+  struct bd_admin *admin;
   struct entry entries[ENTRIES_MAX];
   size_t entry_count;
   int64_t probe_ms;
@@ -103,7 +110,8 @@
   char request[BD_ID_HEX_LENGTH + 1];
   char key[BD_ID_HEX_LENGTH + 1];
 
-  (void)port;
+  bd_metrics_count (((struct bd_sidecar *)port)->metrics, BD_COUNTER_BILLED,
+                    1);
   bd_id_format (bill->request, request);
   bd_id_format (bill->key, key);
   bd_log (BD_EVENT_BILLING_LINE,
@@ -118,9 +126,13 @@
 port_note (struct bd_runner_port *port, enum bd_event event,
            struct bd_id request, uint32_t attempt, const char *detail)
 {
+  struct bd_metrics *metrics = ((struct bd_sidecar *)port)->metrics;
   char text[BD_ID_HEX_LENGTH + 1];
 
-  (void)port;
+  if (event == BD_EVENT_REQUEST_SHED)
+    bd_metrics_count (metrics, BD_COUNTER_SHED, 1);
+  else if (event == BD_EVENT_REQUEST_EXPIRED)
+    bd_metrics_count (metrics, BD_COUNTER_EXPIRED, 1);
   if (!bd_log_shows (event))
     return;
   bd_id_format (request, text);
@@ -132,10 +144,10 @@
 port_waited (struct bd_runner_port *port, struct bd_chunk workspace,
              struct bd_chunk class_name, int64_t wait_ms)
 {
-  (void)port;
-  (void)workspace;
-  (void)class_name;
-  (void)wait_ms;
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+
+  bd_class_metrics_add (bd_metrics_class (s->metrics, workspace, class_name),
+                        BD_DURATION_QUEUE_WAIT, wait_ms * 1000);
 }
 
 static void
@@ -240,6 +252,16 @@
   return bd_engine_create (&e, &s->engine_post.sink);
 }
 
+static bool
+open_admin (struct bd_sidecar *s, int *error)
+{
+  if (!s->settings->admin_address[0])
+    return true;
+  s->admin = bd_admin_create (s->settings->admin_address, s->metrics,
+                              bd_state_source (s->state), error);
+  return s->admin != NULL;
+}
+
 struct bd_sidecar *
 bd_sidecar_create (const struct bd_settings *settings, int *error)
 {
@@ -263,12 +285,15 @@
     {
       *error = BD_ERR_NOMEM;
       s->events = bd_mailbox_create ();
+      s->metrics = bd_metrics_create ();
+      s->state = bd_state_create ();
       s->exchange = bd_exchange_create (&s->exchange_port);
       s->runner = make_runner (s);
       if (s->events)
         s->engine = make_engine (s);
     }
-  if (s->engine && s->exchange && s->runner)
+  if (s->engine && s->exchange && s->runner && s->metrics && s->state
+      && open_admin (s, error))
     return s;
   bd_sidecar_destroy (s);
   return NULL;
@@ -281,12 +306,15 @@
 
   if (!sidecar)
     return;
+  bd_admin_destroy (sidecar->admin);
   bd_engine_destroy (sidecar->engine);
   while (sidecar->events && (mail = bd_engine_mail_take (sidecar->events)))
     free (mail);
   bd_mailbox_destroy (sidecar->events);
   bd_runner_destroy (sidecar->runner);
   bd_exchange_destroy (sidecar->exchange);
+  bd_state_destroy (sidecar->state);
+  bd_metrics_destroy (sidecar->metrics);
   bd_link_destroy (sidecar->link);
   free (sidecar);
 }
@@ -474,9 +502,55 @@
   announce (s);
 }
 
+static int
+write_status (struct bd_sidecar *s, struct bd_buffer *json)
+{
+  struct bd_config *config = bd_exchange_config (s->exchange);
+  const struct bd_link_counts *c = bd_link_counts (s->link);
+  struct bd_load load;
+
+  bd_runner_load (s->runner, &load);
+  return bd_describe_json (
+      json_pack (
+          "{s:s, s:s, s:s, s:o, s:s, s:I, s:o, s:s, s:b, s:b, s:I, s:I, s:I, "
+          "s:I, s:I, s:I, s:I}",
+          "role", "sidecar", "instance", s->settings->instance, "zone",
+          s->settings->zone, "incarnation",
+          json_sprintf ("%016" PRIx64, s->incarnation), "version", BD_VERSION,
+          "revision", (json_int_t)bd_config_revision (config), "digest",
+          json_sprintf ("%016" PRIx64, bd_config_digest (config)), "pool",
+          s->settings->pool, "engine_up", bd_runner_engine_up (s->runner),
+          "leaving", bd_runner_is_leaving (s->runner), "queued",
+          (json_int_t)load.queued, "running", (json_int_t)load.running,
+          "slots", (json_int_t)load.slots, "token_time_us",
+          (json_int_t)load.token_time_us, "entries",
+          (json_int_t)s->entry_count, "control_sent_bytes",
+          (json_int_t)c->sent_bytes[1], "control_received_bytes",
+          (json_int_t)c->received_bytes[1]),
+      json);
+}
+
+static int
+write_state (void *context, enum bd_state_kind kind, struct bd_buffer *json)
+{
+  struct bd_sidecar *s = context;
+
+  switch (kind)
+    {
+    case BD_STATE_STATUS:
+      return write_status (s, json);
+    case BD_STATE_CONTRACTS:
+      return bd_describe_contracts (bd_exchange_config (s->exchange), json);
+    case BD_STATE_RUNNERS:
+      break;
+    }
+  return BD_ERR_NOT_FOUND;
+}
+
 static void
 tick (struct bd_sidecar *s, int64_t now_ms)
 {
+  bd_state_serve (s->state, write_state, s);
   bd_runner_tick (s->runner, now_ms, bd_clock_wall_ms ());
   bd_exchange_tick (s->exchange, now_ms);
   probe_engine (s, now_ms);
@@ -489,6 +563,7 @@
 {
   bd_log (BD_EVENT_DAEMON_LEAVING, "drain_timeout_s=%d",
           s->settings->drain_timeout_s);
+  bd_state_set_ready (s->state, false);
   bd_runner_leave (s->runner, now_ms);
   announce (s);
 }
@@ -510,6 +585,7 @@
   int64_t tick_ms = 0;
   int64_t leaving_ms = 0;
 
+  bd_state_set_ready (sidecar->state, true);
   bd_log (BD_EVENT_DAEMON_READY, "role=sidecar incarnation=%llu",
           (unsigned long long)sidecar->incarnation);
   for (;;)
--- a/src/wire/link.c
+++ b/src/wire/link.c
@@ -27,6 +27,7 @@
   void *monitor;
   struct peer **peers;
   size_t peer_count;
+  char bound[ENDPOINT_MAX_BYTES];
   struct bd_buffer frame;
   zmq_msg_t from;
   zmq_msg_t body;
@@ -93,6 +94,7 @@
 {
   struct bd_link *link = calloc (1, sizeof *link);
   char endpoint[ENDPOINT_MAX_BYTES];
+  size_t size = sizeof link->bound;
 
   *error = BD_ERR_NOMEM;
   if (!link)
@@ -110,10 +112,17 @@
       bd_link_destroy (link);
       return NULL;
     }
+  zmq_getsockopt (link->inbox, ZMQ_LAST_ENDPOINT, link->bound, &size);
   *error = BD_OK;
   return link;
 }
 
+const char *
+bd_link_address (const struct bd_link *link)
+{
+  return link->bound + sizeof "tcp://" - 1;
+}
+
 void
 bd_link_destroy (struct bd_link *link)
 {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -37,11 +37,15 @@
 
 struct bd_link;
 
-/** Binds.  Returns NULL and sets *ERROR (BD_ERR_IO, BD_ERR_NOMEM). */
+/** Binds; port 0 takes a free one.  Returns NULL and sets *ERROR (BD_ERR_IO,
+ * BD_ERR_NOMEM). */
 struct bd_link *bd_link_create (const struct bd_link_settings *settings,
                                 int *error);
 void bd_link_destroy (struct bd_link *link);
 
+/** The address that is bound, as "IP:PORT". */
+const char *bd_link_address (const struct bd_link *link);
+
 /**
  * Opens a connection to a daemon that binds ADDRESS ("IP:PORT").  It is
  * reopened by itself when lost.  Returns BD_OK or BD_ERR_IO.
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <zmq.h>
 
+#define ANY "127.0.0.1:0"
 #define WAIT_MS 20
 #define WAITS_MAX 500
 
@@ -40,19 +41,18 @@
 }
 
 static void
-exchange (const char *public_key, const char *secret_key, const char *a_addr,
-          const char *b_addr)
+exchange (const char *public_key, const char *secret_key)
 {
-  struct bd_link *a = make ("entry-1", a_addr, public_key, secret_key);
-  struct bd_link *b = make ("runner-1", b_addr, public_key, secret_key);
+  struct bd_link *a = make ("entry-1", ANY, public_key, secret_key);
+  struct bd_link *b = make ("runner-1", ANY, public_key, secret_key);
   struct bd_message m = { .type = BD_MESSAGE_RESERVE };
   char from[64];
 
   g_assert_cmpint (bd_link_send (a, BD_CHUNK ("runner-1"), &m), ==,
                    BD_ERR_NOT_FOUND);
-  g_assert_cmpint (
-      bd_link_connect (a, BD_CHUNK ("runner-1"), bd_chunk_of (b_addr)), ==,
-      BD_OK);
+  g_assert_cmpint (bd_link_connect (a, BD_CHUNK ("runner-1"),
+                                    bd_chunk_of (bd_link_address (b))),
+                   ==, BD_OK);
   g_assert_cmpint (bd_link_send (a, BD_CHUNK ("runner-1"), &m), ==, BD_OK);
   g_assert_true (receive (b, BD_MESSAGE_RESERVE, from));
   g_assert_cmpstr (from, ==, "entry-1");
@@ -69,7 +69,7 @@
 static void
 test_plain (void)
 {
-  exchange ("", "", "127.0.0.1:17911", "127.0.0.1:17912");
+  exchange ("", "");
 }
 
 static void
@@ -79,7 +79,7 @@
   char secret_key[41];
 
   zmq_curve_keypair (public_key, secret_key);
-  exchange (public_key, secret_key, "127.0.0.1:17913", "127.0.0.1:17914");
+  exchange (public_key, secret_key);
 }
 
 static bool
@@ -103,16 +103,18 @@
 static void
 test_lost_and_back (void)
 {
-  struct bd_link *a = make ("entry-1", "127.0.0.1:17915", "", "");
-  struct bd_link *b = make ("runner-1", "127.0.0.1:17916", "", "");
+  struct bd_link *a = make ("entry-1", ANY, "", "");
+  struct bd_link *b = make ("runner-1", ANY, "", "");
   struct bd_message m = { .type = BD_MESSAGE_RESERVE };
+  char address[64];
   char from[64];
 
-  bd_link_connect (a, BD_CHUNK ("runner-1"), BD_CHUNK ("127.0.0.1:17916"));
+  g_strlcpy (address, bd_link_address (b), sizeof address);
+  bd_link_connect (a, BD_CHUNK ("runner-1"), bd_chunk_of (address));
   g_assert_true (changed (a, BD_LINK_UP));
   bd_link_destroy (b);
   g_assert_true (changed (a, BD_LINK_LOST));
-  b = make ("runner-1", "127.0.0.1:17916", "", "");
+  b = make ("runner-1", address, "", "");
   g_assert_true (changed (a, BD_LINK_UP));
   g_assert_cmpint (bd_link_send (a, BD_CHUNK ("runner-1"), &m), ==, BD_OK);
   g_assert_true (receive (b, BD_MESSAGE_RESERVE, from));
