--- a/src/core/run.c
+++ b/src/core/run.c
@@ -111,6 +111,23 @@
   task->last_data_ms = now_ms;
 }
 
+/* An engine that counts tells so in one of the last events. */
+static void
+take_usage (struct task *task, struct bd_chunk data)
+{
+  json_t *root;
+  json_int_t tokens;
+
+  if (!memmem (data.data, data.length, "\"usage\"", 7))
+    return;
+  root = json_loadb (data.data, data.length, 0, NULL);
+  tokens = json_integer_value (
+      json_object_get (json_object_get (root, "usage"), "completion_tokens"));
+  if (tokens > 0 && tokens < UINT32_MAX)
+    task->tokens = (uint32_t)tokens;
+  json_decref (root);
+}
+
 static void
 take_event (struct bd_runner *runner, int64_t now_ms, struct task *task)
 {
@@ -120,7 +137,10 @@
   if (bd_chunk_equal (data, BD_CHUNK ("[DONE]")))
     task->closed = true;
   else if (data.length > 0)
-    count_token (runner, now_ms, task);
+    {
+      count_token (runner, now_ms, task);
+      take_usage (task, data);
+    }
   keep_answer (runner, task, event);
   send_chunk (runner, task, event);
 }
@@ -243,6 +263,32 @@
   bd_task_send (runner, task, &m);
 }
 
+#define REPLAY_PIECE_BYTES ((size_t)64 * 1024)
+
+/* A recorded stream is sent event by event, as it was the first time. */
+static void
+send_recorded (struct bd_runner *runner, struct task *task,
+               struct bd_chunk recorded)
+{
+  if (!is_event_stream (task))
+    {
+      send_chunk (runner, task, recorded);
+      return;
+    }
+  while (recorded.length > 0)
+    {
+      struct bd_chunk piece = recorded;
+
+      if (piece.length > REPLAY_PIECE_BYTES)
+        piece.length = REPLAY_PIECE_BYTES;
+      bd_sse_feed (&task->sse, piece);
+      while (bd_sse_next (&task->sse, &task->event))
+        send_chunk (runner, task, bd_buffer_chunk (&task->event));
+      recorded.data += piece.length;
+      recorded.length -= piece.length;
+    }
+}
+
 void
 bd_task_replay (struct bd_runner *runner, int64_t now_ms, struct task *task,
                 const struct bd_custody_answer *answer)
@@ -253,9 +299,11 @@
 
   task->replayed = true;
   task->status = answer->status;
+  free (task->content_type);
+  task->content_type = bd_chunk_copy (answer->content_type);
   bd_task_send (runner, task, &head);
   if (answer->recorded.length > 0)
-    send_chunk (runner, task, answer->recorded);
+    send_recorded (runner, task, answer->recorded);
   await_receipt (runner, now_ms, task, BD_FLAG_REPLAY);
 }
 
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -40,13 +40,9 @@
   free (runner);
 }
 
-static void enqueue (struct bd_runner *runner, int64_t now_ms,
-                     struct task *task);
-
-/* Queues one of those that wait for the key. */
+/* Marks one of those that wait for the key, to be queued by the pump. */
 static void
-promote_joined (struct bd_runner *runner, int64_t now_ms,
-                const struct task *leaver)
+promote_joined (struct bd_runner *runner, const struct task *leaver)
 {
   struct task *task = runner->first;
 
@@ -54,14 +50,16 @@
          && (task == leaver || task->state != TASK_JOINED || !task->keyed
              || !bd_id_equal (task->claim.key.id, leaver->claim.key.id)))
     task = task->next;
-  if (task)
-    enqueue (runner, now_ms, task);
+  if (!task || task->promoted)
+    return;
+  task->promoted = true;
+  runner->promoted++;
 }
 
 enum bd_ran
 bd_task_withdraw (struct bd_runner *runner, int64_t now_ms, struct task *task)
 {
-  bool owner = task->state != TASK_JOINED || task->owner;
+  bool owner = task->state != TASK_JOINED || task->owner || task->promoted;
 
   if (!task->keyed)
     return BD_RAN_NO;
@@ -70,7 +68,7 @@
       == BD_OK)
     return BD_RAN_NO;
   if (owner)
-    promote_joined (runner, now_ms, task);
+    promote_joined (runner, task);
   return BD_RAN_UNKNOWN;
 }
 
@@ -101,6 +99,7 @@
             shed->for_tier);
   shed->runner->port->note (shed->runner->port, BD_EVENT_REQUEST_SHED,
                             item->request, item->attempt, detail);
+  task->state = TASK_JOINED;
   withdraw_and_refuse (shed->runner, shed->now_ms, task, BD_ERR_OVERLOADED);
 }
 
@@ -159,7 +158,12 @@
   switch (answer.verdict)
     {
     case BD_CUSTODY_RUN:
-      enqueue (runner, now_ms, task);
+      /* A key that is new here is ended by a runner that leaves; it waits
+         for an engine that is down. */
+      if (runner->leaving)
+        withdraw_and_refuse (runner, now_ms, task, BD_ERR_LEAVING);
+      else
+        enqueue (runner, now_ms, task);
       break;
     case BD_CUSTODY_JOIN:
       task->state = TASK_JOINED;
@@ -173,21 +177,18 @@
     }
 }
 
-/* Why a reservation cannot be queued, or BD_OK. */
+/* Why a reservation without a key cannot be queued, or BD_OK. */
 static int
 reservation_error (const struct bd_runner *runner, const struct bd_message *m)
 {
-  bool keyed = m->key_text.length > 0;
-
   if (m->target_incarnation != 0
       && m->target_incarnation != runner->settings.incarnation)
     return BD_ERR_STALE;
   if (runner->leaving)
     return BD_ERR_LEAVING;
-  /* A keyed request can run nowhere else, so it waits for the engine. */
-  if (!runner->engine_up && !keyed)
+  if (!runner->engine_up)
     return BD_ERR_NO_RUNNER;
-  if (!keyed && !(m->flags & BD_FLAG_IDEMPOTENT))
+  if (!(m->flags & BD_FLAG_IDEMPOTENT))
     return BD_ERR_KEY_REQUIRED;
   return BD_OK;
 }
@@ -207,7 +208,7 @@
                   struct bd_chunk entry, const struct bd_message *m)
 {
   struct task *task = bd_task_find (runner, m->request, m->attempt);
-  int error = reservation_error (runner, m);
+  int error;
 
   if (task)
     {
@@ -220,10 +221,14 @@
   if (!task)
     return;
   task->state = TASK_JOINED;
+  if (task->keyed)
+    {
+      claim_and_enqueue (runner, now_ms, wall_ms, task);
+      return;
+    }
+  error = reservation_error (runner, m);
   if (error != BD_OK)
     bd_task_refuse (runner, task, error, BD_RAN_NO);
-  else if (task->keyed)
-    claim_and_enqueue (runner, now_ms, wall_ms, task);
   else
     enqueue (runner, now_ms, task);
 }
@@ -260,11 +265,28 @@
   return NULL;
 }
 
+static void
+queue_promoted (struct bd_runner *runner, int64_t now_ms)
+{
+  while (runner->promoted > 0)
+    {
+      struct task *task = runner->first;
+
+      while (!task->promoted)
+        task = task->next;
+      task->promoted = false;
+      runner->promoted--;
+      enqueue (runner, now_ms, task);
+    }
+}
+
 void
 bd_runner_pump (struct bd_runner *runner, int64_t now_ms)
 {
   uint32_t slots = runner->settings.slots;
 
+  queue_promoted (runner, now_ms);
+
   while (runner->engine_up && runner->granted + runner->running < slots)
     {
       struct task *task = runner->alone;
@@ -317,25 +339,23 @@
 
 static void
 take_run (struct bd_runner *runner, int64_t now_ms, struct bd_chunk entry,
-          const struct bd_message *m)
+          struct task *task, const struct bd_message *m)
 {
-  struct task *task = bd_task_find (runner, m->request, m->attempt);
+  /* Whether a task that is gone has run is not known any more. */
   struct bd_message refusal = { .type = BD_MESSAGE_REFUSE,
                                 .request = m->request,
                                 .attempt = m->attempt,
                                 .incarnation = runner->settings.incarnation,
                                 .error = BD_ERR_STALE,
-                                .ran = BD_RAN_NO };
+                                .ran = BD_RAN_UNKNOWN };
 
-  if (task && task->state == TASK_GRANTED && task->until_ms > now_ms
-      && m->target_incarnation == runner->settings.incarnation)
-    {
-      bd_task_run (runner, now_ms, task, m);
-      return;
-    }
-  /* A copy of a RUN that was followed is not answered. */
-  if (!task || task->state == TASK_QUEUED || task->state == TASK_GRANTED)
+  if (!task)
     runner->port->send (runner->port, entry, &refusal);
+  else if (task->state == TASK_GRANTED && task->until_ms > now_ms
+           && m->target_incarnation == runner->settings.incarnation)
+    bd_task_run (runner, now_ms, task, m);
+  else if (task->state <= TASK_GRANTED)
+    withdraw_and_refuse (runner, now_ms, task, BD_ERR_STALE);
 }
 
 void
@@ -352,7 +372,7 @@
       take_reservation (runner, now_ms, wall_ms, entry, message);
       break;
     case BD_MESSAGE_RUN:
-      take_run (runner, now_ms, entry, message);
+      take_run (runner, now_ms, entry, task, message);
       break;
     case BD_MESSAGE_DECLINE:
       if (task)
@@ -402,10 +422,11 @@
 void
 bd_runner_tick (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms)
 {
-  struct task *task = runner->first;
+  struct task *task;
 
   runner->wall_offset_ms = wall_ms - now_ms;
   expire_queue (runner, now_ms);
+  task = runner->first;
   while (task)
     {
       struct task *next = task->next;
