--- a/src/core/stream.h
+++ b/src/core/stream.h
@@ -20,9 +20,9 @@
 void bd_stream_destroy (struct bd_stream *stream);
 
 /**
- * Starts to accept ATTEMPT only; held chunks of others are dropped.  The
- * attempt begins the answer anew: after anything was delivered the answer
- * can no longer become whole.
+ * Starts to accept ATTEMPT only (at first it is 0); held chunks of others are
+ * dropped.  The attempt begins the answer anew: after anything was delivered
+ * the answer can no longer become whole.
  */
 void bd_stream_attempt (struct bd_stream *stream, uint32_t attempt);
 
--- /dev/null
+++ b/test/naive_stream.h
@@ -0,0 +1,32 @@
+/* A plain stream: keeps all chunks of the attempt and joins them anew. */
+#ifndef NAIVE_STREAM_H
+#define NAIVE_STREAM_H
+
+#include "core/stream.h"
+
+#include <glib.h>
+
+struct naive_stream
+{
+  uint32_t attempt;
+  GPtrArray *chunks; /* GString by sequence, or NULL. */
+  int64_t count;     /* -1: the end is not known. */
+  bool broken;
+  gsize offset; /* Where the attempt's text begins in OUT. */
+  GString *out; /* Everything delivered. */
+  gsize limit;  /* Bytes of OUT that are kept. */
+};
+
+struct naive_stream *naive_stream_create (void);
+void naive_stream_destroy (struct naive_stream *n);
+void naive_stream_attempt (struct naive_stream *n, uint32_t attempt);
+int naive_stream_resume (struct naive_stream *n, uint32_t attempt,
+                         uint64_t offset);
+int naive_stream_chunk (struct naive_stream *n, uint32_t attempt,
+                        uint64_t sequence, struct bd_chunk data);
+int naive_stream_end (struct naive_stream *n, uint32_t attempt,
+                      uint64_t count);
+bool naive_stream_whole (const struct naive_stream *n);
+uint64_t naive_stream_delivered (const struct naive_stream *n);
+
+#endif
--- /dev/null
+++ b/test/test_stream.c
@@ -0,0 +1,485 @@
+#include "common/string.h"
+#include "core/stream.h"
+#include "naive_stream.h"
+
+#include <glib.h>
+#include <string.h>
+
+static void
+take (void *context, struct bd_chunk data)
+{
+  g_string_append_len (context, data.data, (gssize)data.length);
+}
+
+enum op
+{
+  STOP = 0,
+  CHUNK,
+  ENDED,
+  ATTEMPT,
+  RESUME,
+  KEEP
+};
+
+struct step
+{
+  enum op op;
+  uint32_t attempt;
+  uint64_t number; /* Sequence, count, offset or bytes. */
+  const char *text;
+  int expected;
+};
+
+struct fault_case
+{
+  const char *name;
+  struct step steps[12];
+  const char *delivered;
+  bool whole;
+};
+
+#define C(attempt, sequence, text, rc)                                        \
+  {                                                                           \
+    CHUNK, attempt, sequence, text, rc                                        \
+  }
+#define E(attempt, count, rc)                                                 \
+  {                                                                           \
+    ENDED, attempt, count, NULL, rc                                           \
+  }
+#define A(attempt)                                                            \
+  {                                                                           \
+    ATTEMPT, attempt, 0, NULL, 0                                              \
+  }
+#define R(attempt, offset, rc)                                                \
+  {                                                                           \
+    RESUME, attempt, offset, NULL, rc                                         \
+  }
+#define K(bytes)                                                              \
+  {                                                                           \
+    KEEP, 0, bytes, NULL, 0                                                   \
+  }
+
+static const struct fault_case cases[] = {
+  { "in-order",
+    { A (1), C (1, 0, "ab", 0), C (1, 1, "cd", 0), E (1, 2, 0) },
+    "abcd",
+    true },
+  { "reordered-duplicated-end-first",
+    { A (1), E (1, 3, 0), C (1, 2, "ef", 0), C (1, 1, "cd", 0),
+      C (1, 1, "cd", 0), C (1, 0, "ab", 0), C (1, 0, "ab", 0),
+      C (1, 2, "ef", 0), E (1, 3, 0) },
+    "abcdef",
+    true },
+  { "no-end", { A (1), C (1, 0, "ab", 0) }, "ab", false },
+  { "chunk-missing",
+    { A (1), C (1, 0, "ab", 0), C (1, 2, "ef", 0), E (1, 3, 0) },
+    "ab",
+    false },
+  { "empty-answer", { A (1), E (1, 0, 0) }, "", true },
+  { "no-attempt-yet", { C (1, 0, "ab", BD_ERR_STALE) }, "", false },
+  { "late-attempt-is-dropped",
+    { A (1), C (1, 1, "xx", 0), A (2), C (1, 0, "xx", BD_ERR_STALE),
+      E (1, 2, BD_ERR_STALE), C (2, 0, "ab", 0), E (2, 1, 0) },
+    "ab",
+    true },
+  { "held-chunk-of-the-former-attempt-is-dropped",
+    { A (1), C (1, 1, "xx", 0), A (2), C (2, 0, "ab", 0), E (2, 2, 0) },
+    "ab",
+    false },
+  { "anew-after-delivery-is-never-whole",
+    { A (1), C (1, 0, "ab", 0), A (2), C (2, 0, "ab", BD_ERR_BROKEN),
+      E (2, 1, BD_ERR_BROKEN) },
+    "ab",
+    false },
+  { "chunk-after-the-end",
+    { A (1), C (1, 0, "ab", 0), E (1, 1, 0), C (1, 1, "x", BD_ERR_PROTOCOL) },
+    "ab",
+    false },
+  { "end-before-what-was-taken-in",
+    { A (1), C (1, 0, "ab", 0), C (1, 2, "x", 0), E (1, 2, BD_ERR_PROTOCOL),
+      C (1, 1, "cd", BD_ERR_BROKEN) },
+    "ab",
+    false },
+  { "two-ends",
+    { A (1), C (1, 0, "ab", 0), E (1, 2, 0), E (1, 1, BD_ERR_PROTOCOL) },
+    "ab",
+    false },
+  { "beyond-the-window",
+    { A (1), C (1, BD_STREAM_WINDOW_CHUNKS, "x", BD_ERR_FULL),
+      C (1, BD_STREAM_WINDOW_CHUNKS - 1, "x", 0),
+      C (1, UINT64_MAX, "x", BD_ERR_FULL) },
+    "",
+    false },
+  { "resumed-where-it-was-cut",
+    { A (1), C (1, 0, "ab", 0), R (2, 2, 0), C (1, 1, "xx", BD_ERR_STALE),
+      C (2, 0, "cd", 0), E (2, 1, 0) },
+    "abcd",
+    true },
+  { "resumed-from-the-start",
+    { K (99), A (1), C (1, 0, "abc", 0), R (2, 0, 0), C (2, 1, "bcd", 0),
+      C (2, 0, "a", 0), E (2, 2, 0) },
+    "abcd",
+    true },
+  { "resumed-with-another-text",
+    { K (99), A (1), C (1, 0, "abc", 0), R (2, 1, 0),
+      C (2, 0, "bx", BD_ERR_BROKEN), E (2, 1, BD_ERR_BROKEN) },
+    "abc",
+    false },
+  { "resumed-and-ended-before-the-cut",
+    { K (99), A (1), C (1, 0, "abc", 0), R (2, 0, 0), C (2, 0, "ab", 0),
+      E (2, 1, 0) },
+    "abc",
+    false },
+  { "resumed-beyond-what-was-delivered",
+    { A (1), C (1, 0, "ab", 0), R (2, 3, BD_ERR_INVALID), C (1, 1, "c", 0) },
+    "abc",
+    false },
+  { "repeat-was-not-kept",
+    { K (2), A (1), C (1, 0, "abc", 0), R (2, 1, BD_ERR_TOO_LARGE),
+      R (3, 3, 0), C (3, 0, "d", 0), E (3, 1, 0) },
+    "abcd",
+    true },
+  { "resumed-twice",
+    { K (99), A (1), C (1, 0, "ab", 0), R (2, 1, 0), C (2, 0, "b", 0),
+      C (2, 1, "cd", 0), R (3, 0, 0), C (3, 0, "abcd", 0), C (3, 1, "e", 0),
+      E (3, 2, 0) },
+    "abcde",
+    true },
+  { "resumed-after-it-broke",
+    { A (1), C (1, 0, "ab", 0), E (1, 1, 0), E (1, 2, BD_ERR_PROTOCOL),
+      R (2, 2, BD_ERR_BROKEN) },
+    "ab",
+    false },
+};
+
+static int
+step_run (struct bd_stream *stream, const struct step *s, GString *out)
+{
+  switch (s->op)
+    {
+    case CHUNK:
+      return bd_stream_chunk (stream, s->attempt, s->number,
+                              bd_chunk_of (s->text), take, out);
+    case ENDED:
+      return bd_stream_end (stream, s->attempt, s->number);
+    case RESUME:
+      return bd_stream_resume (stream, s->attempt, s->number);
+    case KEEP:
+      bd_stream_keep (stream, s->number);
+      return 0;
+    default:
+      bd_stream_attempt (stream, s->attempt);
+      return 0;
+    }
+}
+
+static void
+test_fault_case (gconstpointer data)
+{
+  const struct fault_case *c = data;
+  struct bd_stream *stream = bd_stream_create ();
+  GString *out = g_string_new ("");
+
+  for (const struct step *s = c->steps; s->op != STOP; s++)
+    {
+      int got = step_run (stream, s, out);
+
+      if (got != s->expected)
+        g_error ("%s, step %d: expected %d, got %d", c->name,
+                 (int)(s - c->steps) + 1, s->expected, got);
+    }
+  g_assert_cmpstr (out->str, ==, c->delivered);
+  g_assert_cmpint (bd_stream_whole (stream), ==, c->whole);
+  g_string_free (out, TRUE);
+  bd_stream_destroy (stream);
+}
+
+static void
+test_held_bytes_are_bounded (void)
+{
+  struct bd_stream *stream = bd_stream_create ();
+  GString *out = g_string_new ("");
+  char *half = g_malloc0 (BD_STREAM_WINDOW_BYTES / 2);
+  struct bd_chunk data = { half, BD_STREAM_WINDOW_BYTES / 2 };
+
+  bd_stream_attempt (stream, 1);
+  for (uint64_t i = 1; i <= 3; i++)
+    g_assert_cmpint (bd_stream_chunk (stream, 1, i, data, take, out), ==,
+                     i < 3 ? BD_OK : BD_ERR_FULL);
+  g_assert_cmpint (bd_stream_chunk (stream, 1, 0, data, take, out), ==, BD_OK);
+  g_assert_cmpuint (bd_stream_delivered (stream), ==, 3);
+  g_assert_cmpint (bd_stream_chunk (stream, 1, 4, data, take, out), ==, BD_OK);
+  g_assert_cmpuint (out->len, ==, 3 * data.length);
+  g_free (half);
+  g_string_free (out, TRUE);
+  bd_stream_destroy (stream);
+}
+
+static void
+test_kept_text (void)
+{
+  struct bd_stream *stream = bd_stream_create ();
+  GString *out = g_string_new ("");
+  struct bd_chunk kept;
+
+  bd_stream_keep (stream, 4);
+  bd_stream_attempt (stream, 1);
+  bd_stream_chunk (stream, 1, 0, BD_CHUNK ("abcd"), take, out);
+  g_assert_cmpint (bd_stream_kept (stream, &kept), ==, BD_OK);
+  g_assert_cmpmem (kept.data, kept.length, "abcd", 4);
+  bd_stream_chunk (stream, 1, 1, BD_CHUNK ("e"), take, out);
+  g_assert_cmpint (bd_stream_kept (stream, &kept), ==, BD_ERR_TOO_LARGE);
+  g_assert_cmpmem (kept.data, kept.length, "abcd", 4);
+  g_assert_cmpstr (out->str, ==, "abcde");
+  g_string_free (out, TRUE);
+  bd_stream_destroy (stream);
+}
+
+/* Random calls, against the naive version. */
+#define HISTORIES 30000
+#define OPS 60
+
+struct history
+{
+  GRand *rand;
+  struct bd_stream *stream;
+  struct naive_stream *naive;
+  GString *out;
+};
+
+static int
+below (struct history *h, int bound)
+{
+  return g_rand_int_range (h->rand, 0, bound);
+}
+
+static void
+random_op (struct history *h)
+{
+  uint32_t attempt = (uint32_t)below (h, 12) == 0 ? (uint32_t)below (h, 3)
+                                                  : h->naive->attempt;
+  uint64_t sequence = naive_stream_delivered (h->naive);
+  struct bd_chunk data = { "aaabaa", (size_t)below (h, 4) };
+  int pick = below (h, 40);
+
+  data.data += below (h, 3);
+  if (pick == 0)
+    {
+      bd_stream_attempt (h->stream, attempt);
+      naive_stream_attempt (h->naive, attempt);
+    }
+  else if (pick < 4)
+    {
+      uint64_t offset = (uint64_t)below (h, (int)h->naive->out->len + 2);
+
+      g_assert_cmpint (bd_stream_resume (h->stream, attempt, offset), ==,
+                       naive_stream_resume (h->naive, attempt, offset));
+    }
+  else if (pick < 6)
+    {
+      sequence += (uint64_t)below (h, 4);
+      g_assert_cmpint (bd_stream_end (h->stream, attempt, sequence), ==,
+                       naive_stream_end (h->naive, attempt, sequence));
+    }
+  else
+    {
+      sequence += (uint64_t)below (h, below (h, 30) == 0 ? 70 : 4);
+      sequence -= MIN (sequence, (uint64_t)below (h, 2));
+      g_assert_cmpint (
+          bd_stream_chunk (h->stream, attempt, sequence, data, take, h->out),
+          ==, naive_stream_chunk (h->naive, attempt, sequence, data));
+    }
+  g_assert_cmpstr (h->out->str, ==, h->naive->out->str);
+  g_assert_cmpint (bd_stream_whole (h->stream), ==,
+                   naive_stream_whole (h->naive));
+  if (!h->naive->broken)
+    g_assert_cmpuint (bd_stream_delivered (h->stream), ==,
+                      naive_stream_delivered (h->naive));
+}
+
+static void
+test_histories (void)
+{
+  for (guint32 seed = 0; seed < HISTORIES; seed++)
+    {
+      struct history h = { .rand = g_rand_new_with_seed (seed),
+                           .stream = bd_stream_create (),
+                           .naive = naive_stream_create (),
+                           .out = g_string_new ("") };
+
+      h.naive->limit = (gsize)below (&h, 40);
+      bd_stream_keep (h.stream, h.naive->limit);
+      for (int i = 0; i < OPS; i++)
+        random_op (&h);
+      bd_stream_destroy (h.stream);
+      naive_stream_destroy (h.naive);
+      g_string_free (h.out, TRUE);
+      g_rand_free (h.rand);
+    }
+}
+
+/*
+ * Whole answers: an answer is sent in up to 4 attempts, each cut off
+ * somewhere, over a network that reorders, duplicates and loses; a chunk of
+ * another request comes with the number of an attempt that is over.
+ */
+#define ANSWERS 30000
+#define MAX_SENT 200
+
+struct sent
+{
+  bool end;
+  uint32_t attempt;
+  uint64_t number;
+  struct bd_chunk data;
+};
+
+struct answer
+{
+  struct history h;
+  char text[120];
+  size_t length;
+  struct sent sent[MAX_SENT];
+  size_t sent_count;
+  bool lost; /* Perhaps something of the last attempt. */
+};
+
+static void
+post (struct answer *a, struct sent s)
+{
+  if (a->sent_count < MAX_SENT)
+    a->sent[a->sent_count++] = s;
+  else
+    a->lost = true;
+}
+
+/* Sends the answer from OFFSET on; an attempt that is cut sends no end. */
+static void
+attempt_send (struct answer *a, uint32_t attempt, size_t offset, bool cut)
+{
+  size_t stop
+      = cut ? offset + (size_t)below (&a->h, (int)(a->length - offset) + 1)
+            : a->length;
+  uint64_t n = 0;
+
+  while (offset < stop)
+    {
+      size_t length = (size_t)below (&a->h, 9);
+
+      length = MIN (length, stop - offset);
+      post (a, (struct sent){
+                   false, attempt, n++, { a->text + offset, length } });
+      offset += length;
+    }
+  if (!cut)
+    post (a, (struct sent){ true, attempt, n, { NULL, 0 } });
+}
+
+static void
+receive (struct answer *a, struct sent s)
+{
+  int rc;
+
+  if (s.end)
+    rc = bd_stream_end (a->h.stream, s.attempt, s.number);
+  else
+    rc = bd_stream_chunk (a->h.stream, s.attempt, s.number, s.data, take,
+                          a->h.out);
+  if (rc == BD_ERR_FULL)
+    a->lost = true;
+  g_assert_true (rc == BD_OK || rc == BD_ERR_STALE || rc == BD_ERR_FULL);
+  g_assert_true (g_str_has_prefix (a->text, a->h.out->str));
+  if (bd_stream_whole (a->h.stream))
+    g_assert_cmpstr (a->h.out->str, ==, a->text);
+}
+
+/* Delivers what is on its way, or some of it, in any order. */
+static void
+network_run (struct answer *a, bool all, uint32_t attempt)
+{
+  while (a->sent_count > 0 && (all || below (&a->h, 12) > 0))
+    {
+      size_t i = (size_t)below (&a->h, MIN ((int)a->sent_count, 40));
+      struct sent s = a->sent[i];
+      int fate = below (&a->h, 40);
+
+      if (fate == 0 && s.attempt == attempt)
+        a->lost = true;
+      if (fate > 0)
+        receive (a, s);
+      if (fate >= 4 || fate == 0)
+        a->sent[i] = a->sent[--a->sent_count];
+    }
+}
+
+/* True when it became whole. */
+static bool
+answer_run (struct answer *a)
+{
+  uint32_t attempts = 1 + (uint32_t)below (&a->h, 4);
+
+  bd_stream_keep (a->h.stream, sizeof a->text);
+  bd_stream_attempt (a->h.stream, 1);
+  for (uint32_t n = 1; n <= attempts; n++)
+    {
+      size_t offset = 0;
+
+      if (n > 1)
+        {
+          offset = (size_t)below (&a->h, (int)a->h.out->len + 1);
+          g_assert_cmpint (bd_stream_resume (a->h.stream, n, offset), ==,
+                           BD_OK);
+          post (a,
+                (struct sent){ false, n - 1, bd_stream_delivered (a->h.stream),
+                               BD_CHUNK ("other") });
+        }
+      a->lost = false;
+      attempt_send (a, n, offset, n < attempts);
+      network_run (a, n == attempts, n);
+    }
+  g_assert_true (a->lost || bd_stream_whole (a->h.stream));
+  return bd_stream_whole (a->h.stream);
+}
+
+static void
+test_answers (void)
+{
+  int whole = 0;
+
+  for (guint32 seed = 0; seed < ANSWERS; seed++)
+    {
+      struct answer a = { .h = { .rand = g_rand_new_with_seed (seed),
+                                 .stream = bd_stream_create (),
+                                 .out = g_string_new ("") } };
+
+      a.length = (size_t)below (&a.h, sizeof a.text);
+      for (size_t i = 0; i < a.length; i++)
+        a.text[i] = (char)('a' + below (&a.h, 2));
+      whole += answer_run (&a);
+      bd_stream_destroy (a.h.stream);
+      g_string_free (a.h.out, TRUE);
+      g_rand_free (a.h.rand);
+    }
+  g_test_message ("%d of %d answers whole", whole, ANSWERS);
+  g_assert_cmpint (whole, >, ANSWERS / 4);
+  g_assert_cmpint (whole, <, ANSWERS);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *path = g_strdup_printf ("/stream/case/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_fault_case);
+      g_free (path);
+    }
+  g_test_add_func ("/stream/held-bytes-are-bounded",
+                   test_held_bytes_are_bounded);
+  g_test_add_func ("/stream/kept-text", test_kept_text);
+  g_test_add_func ("/stream/histories", test_histories);
+  g_test_add_func ("/stream/answers", test_answers);
+  return g_test_run ();
+}
