--- a/src/core/suspect.c
+++ b/src/core/suspect.c
@@ -187,25 +187,41 @@
   return crash_weight (incoming) > crash_weight (least) ? least : NULL;
 }
 
+/*
+ * A completion elsewhere clears all strikes among others: entries remember
+ * MAX_CRASHES each, and not the same ones when there were more.
+ */
+static void
+shared_clear (struct suspect *x)
+{
+  for (uint32_t i = 0; i < x->crash_count; i++)
+    if (!x->crashes[i].alone)
+      x->crashes[i].cleared = true;
+}
+
+static struct crash *
+crash_find (struct suspect *x, struct bd_id id)
+{
+  for (uint32_t i = 0; i < x->crash_count; i++)
+    if (bd_id_equal (x->crashes[i].id, id))
+      return &x->crashes[i];
+  return NULL;
+}
+
 /* Takes a strike into X.  True when it changed something. */
 static bool
 crash_merge (struct suspect *x, const struct bd_strike *strike)
 {
   struct crash crash
       = { strike->crash, strike->alone, strike->cleared, false };
-  struct crash *slot;
+  struct crash *slot = crash_find (x, strike->crash);
 
-  for (uint32_t i = 0; i < x->crash_count; i++)
-    if (bd_id_equal (x->crashes[i].id, strike->crash))
-      {
-        slot = &x->crashes[i];
-        if (slot->cleared || !strike->cleared)
-          return false;
-        slot->cleared = true;
-        slot->told = false;
-        return true;
-      }
-  slot = crash_slot (x, &crash);
+  if (slot && (slot->cleared || !strike->cleared))
+    return false;
+  if (strike->cleared)
+    shared_clear (x);
+  if (!slot)
+    slot = crash_slot (x, &crash);
   if (!slot)
     return false;
   *slot = crash;
@@ -343,7 +359,7 @@
 
       n += news_of (&suspects->suspects[i], now_ms, strikes + n, max - n);
       if (n == max)
-        suspects->news_at = i;
+        suspects->news_at = i + 1;
     }
   return n;
 }
--- a/src/core/suspect.h
+++ b/src/core/suspect.h
@@ -13,9 +13,10 @@
 /**
  * Runners that a request which crashes each of its runs can take down, once
  * its strikes have reached every entry: one among others, then one at a time
- * alone.  Copies that already run while the strikes travel come on top, one
- * runner each.  A request that completes some of its runs is cleared by each
- * of them, so this does not bound it.
+ * alone.  While they travel, each entry lets this many through one after
+ * the other, and copies that already run come on top.  A request that
+ * completes some of its runs is cleared by each of them, so this does not
+ * bound it.
  */
 #define BD_SUSPECT_MAX_RUNNERS (1 + BD_SUSPECT_ALONE_STRIKES)
 
@@ -41,7 +42,8 @@
 /**
  * Keeps at most MAX_FINGERPRINTS; when full the least suspected, then the
  * oldest, makes room.  Strikes are kept for KEEP_MS after the last crash or,
- * once quarantined, the last attempt that was refused.
+ * once quarantined, the last attempt that was refused; peers are told of
+ * such an attempt when the last news of it is a quarter of KEEP_MS old.
  */
 struct bd_suspects *bd_suspects_create (uint32_t max_fingerprints,
                                         int64_t keep_ms);
@@ -53,7 +55,8 @@
 
 /**
  * A request with FINGERPRINT completed: it is cleared of the strikes known
- * here, and peers are told which these were.
+ * here, and peers are told which these were.  They clear it of these, and of
+ * all that they know of in which it was not alone.
  */
 void bd_suspects_completed (struct bd_suspects *suspects, int64_t now_ms,
                             uint64_t fingerprint);
--- /dev/null
+++ b/test/test_suspect.c
@@ -0,0 +1,451 @@
+#include "common/string.h"
+#include "core/suspect.h"
+
+#include <glib.h>
+
+#define KEEP_MS 60000
+#define POISON 7777
+
+static struct bd_strike
+strike_of (uint64_t fingerprint, uint64_t crash, bool alone, bool cleared)
+{
+  return (struct bd_strike){ .fingerprint = fingerprint,
+                             .crash = { .high = 1, .low = crash },
+                             .alone = alone,
+                             .cleared = cleared };
+}
+
+/* Each string is a history of one fingerprint: what comes, what is seen. */
+static void
+test_histories (void)
+{
+  /*
+   * a-d: shared crash 1-4; A-D: alone; x, X: the same crash is cleared by a
+   * peer; c!: see below; '+': completed here; 'w': the keep time less 1 ms
+   * passes; 't': 1 ms and a tick.  After each: n, i or q.
+   */
+  static const struct
+  {
+    const char *events;
+    const char *seen;
+  } cases[] = {
+    { "a", "i" },
+    { "aa", "ii" },
+    { "aaaa", "iiii" },
+    { "aA", "ii" },
+    { "aB", "ii" },
+    { "aBC", "iiq" },
+    { "AB", "iq" },
+    { "AA", "ii" },
+    { "ABA", "iqq" },
+    { "abcd", "iiii" },
+    { "a+", "in" },
+    { "ab+", "iin" },
+    { "aB+", "iin" },
+    { "a+a", "inn" },
+    { "a+b", "ini" },
+    { "xa", "nn" },
+    { "ax", "in" },
+    { "axa", "inn" },
+    { "xb", "ni" },
+    { "awt", "iin" },
+    { "AwBt", "iiqq" },
+    { "ABwwwtt", "iqqqqqq" },
+    { "ABwtwt", "iqqqqq" },
+    { "+", "n" },
+    { "a+wta", "inn"
+               "ni" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct bd_suspects *s = bd_suspects_create (4, KEEP_MS);
+      int64_t now = 0;
+
+      for (size_t k = 0; cases[i].events[k]; k++)
+        {
+          char e = cases[i].events[k];
+          bool alone = e >= 'A' && e <= 'D';
+          struct bd_strike strike = strike_of (
+              POISON, (uint64_t)(e == 'x' ? 1 : (e | 0x20) - 'a' + 1), alone,
+              e == 'x');
+
+          if (e == '+')
+            bd_suspects_completed (s, now, POISON);
+          else if (e == 'w')
+            now += KEEP_MS - 1;
+          else if (e == 't')
+            bd_suspects_tick (s, ++now);
+          else
+            bd_suspects_strike (s, now, &strike);
+          if ("niq"[bd_suspects_look (s, now, POISON)] != cases[i].seen[k])
+            g_error ("%s: wrong after %zu", cases[i].events, k + 1);
+        }
+      bd_suspects_destroy (s);
+    }
+}
+
+static void
+test_news_are_told_once (void)
+{
+  struct bd_suspects *a = bd_suspects_create (8, KEEP_MS);
+  struct bd_suspects *b = bd_suspects_create (8, KEEP_MS);
+  struct bd_strike news[4];
+  struct bd_strike strike = strike_of (1, 1, false, false);
+  size_t told = 0;
+  size_t n;
+
+  for (uint64_t f = 0; f < 6; f++)
+    {
+      strike.fingerprint = f;
+      g_assert_true (bd_suspects_strike (a, 100, &strike));
+      g_assert_false (bd_suspects_strike (a, 100, &strike));
+    }
+  while ((n = bd_suspects_news (a, 300, news, 4)) > 0)
+    for (size_t i = 0; i < n; i++, told++)
+      {
+        g_assert_cmpint (news[i].age_ms, ==, 200);
+        g_assert_true (bd_suspects_strike (b, 5000, &news[i]));
+      }
+  g_assert_cmpuint (told, ==, 6);
+  bd_suspects_tick (b, 5000 - 200 + KEEP_MS);
+  g_assert_cmpint (bd_suspects_look (b, 5000, 3), ==, BD_SUSPICION_NONE);
+  bd_suspects_completed (a, 400, 3);
+  g_assert_cmpuint (bd_suspects_news (a, 400, news, 4), ==, 1);
+  g_assert_true (news[0].cleared && news[0].fingerprint == 3);
+  strike.age_ms = KEEP_MS;
+  g_assert_false (bd_suspects_strike (b, 5000, &strike));
+  bd_suspects_destroy (a);
+  bd_suspects_destroy (b);
+}
+
+/* News of one that is struck again and again do not hold up the others'. */
+static void
+test_news_are_fair (void)
+{
+  struct bd_suspects *s = bd_suspects_create (8, KEEP_MS);
+  struct bd_strike strike = strike_of (2, 1, false, false);
+  struct bd_strike news = { 0 };
+
+  for (uint64_t crash = 2; news.fingerprint != 2; crash++)
+    {
+      struct bd_strike again = strike_of (1, crash, false, false);
+
+      g_assert_cmpuint (crash, <, 10);
+      bd_suspects_strike (s, 0, &again);
+      bd_suspects_strike (s, 0, &strike);
+      bd_suspects_completed (s, 0, 1);
+      g_assert_cmpuint (bd_suspects_news (s, 0, &news, 1), ==, 1);
+    }
+  bd_suspects_destroy (s);
+}
+
+static void
+test_table_is_bounded (void)
+{
+  struct bd_suspects *s = bd_suspects_create (64, KEEP_MS);
+  struct bd_strike news[100];
+  int isolated = 0;
+
+  for (uint64_t crash = 1; crash <= 2; crash++)
+    {
+      struct bd_strike strike = strike_of (POISON, crash, true, false);
+
+      bd_suspects_strike (s, 0, &strike);
+    }
+  for (uint64_t f = 0; f < 100000; f++)
+    {
+      struct bd_strike strike = strike_of (1 << 20 | f, 9, false, false);
+
+      g_assert_true (bd_suspects_strike (s, (int64_t)f / 100, &strike));
+    }
+  for (uint64_t f = 0; f < 1000; f++)
+    {
+      struct bd_strike strike = strike_of (1 << 25 | f, 9, false, true);
+
+      g_assert_false (bd_suspects_strike (s, 1000, &strike));
+    }
+  for (uint64_t f = 0; f < 100000; f++)
+    isolated
+        += bd_suspects_look (s, 1000, 1 << 20 | f) == BD_SUSPICION_ISOLATE;
+  g_assert_cmpint (isolated, ==, 63);
+  g_assert_cmpint (bd_suspects_look (s, 1000, POISON), ==,
+                   BD_SUSPICION_QUARANTINE);
+  g_assert_cmpuint (bd_suspects_news (s, 1000, news, 100), <=, 100);
+  bd_suspects_destroy (s);
+}
+
+/* The same runner at every entry, and only its own loss moves a request. */
+static void
+test_runner (void)
+{
+  struct bd_chunk names[12];
+  struct bd_chunk turned[12];
+  char text[12][8];
+  guint hits[12] = { 0 };
+
+  for (int i = 0; i < 12; i++)
+    {
+      g_snprintf (text[i], sizeof text[i], "r-%d", i);
+      names[i] = bd_chunk_of (text[i]);
+      turned[11 - i] = names[i];
+    }
+  for (uint64_t f = 0; f < 12000; f++)
+    {
+      uint32_t at = bd_suspects_runner (f, names, 12);
+      uint32_t fewer = bd_suspects_runner (f, names, 11);
+
+      hits[at]++;
+      g_assert_cmpuint (bd_suspects_runner (f, turned, 12), ==, 11 - at);
+      if (at != 11)
+        g_assert_cmpuint (fewer, ==, at);
+    }
+  for (int i = 0; i < 12; i++)
+    {
+      g_assert_cmpuint (hits[i], >, 700);
+      g_assert_cmpuint (hits[i], <, 1300);
+    }
+}
+
+/*
+ * A fleet in virtual time: a caller repeats a request that crashes every
+ * runner, through any entry.  A strike is told to the entry of the request;
+ * news travel to each other entry with a delay of their own, some twice.
+ */
+#define ENTRIES 5
+#define MOST_CRASHES ((guint64)ENTRIES * BD_SUSPECT_MAX_RUNNERS)
+#define RUNNERS 12
+#define MAX_DELAY_MS 500
+#define MAX_NEWS 4096
+#define NEIGHBOURS 40
+
+struct news
+{
+  int64_t at_ms;
+  int entry;
+  struct bd_strike strike;
+};
+
+struct fleet
+{
+  GRand *rand;
+  struct bd_suspects *entries[ENTRIES];
+  GArray *news;
+  int64_t now_ms;
+  uint64_t crashes;
+  struct bd_chunk names[RUNNERS];
+  char text[RUNNERS][8];
+};
+
+static int
+below (struct fleet *f, int bound)
+{
+  return g_rand_int_range (f->rand, 0, bound);
+}
+
+static void
+fleet_init (struct fleet *f, guint32 seed)
+{
+  f->rand = g_rand_new_with_seed (seed);
+  f->news = g_array_new (FALSE, FALSE, sizeof (struct news));
+  f->now_ms = 0;
+  f->crashes = 0;
+  for (int i = 0; i < ENTRIES; i++)
+    f->entries[i] = bd_suspects_create (256, KEEP_MS);
+  for (int i = 0; i < RUNNERS; i++)
+    {
+      g_snprintf (f->text[i], sizeof f->text[i], "r-%d", i);
+      f->names[i] = bd_chunk_of (f->text[i]);
+    }
+}
+
+static void
+fleet_destroy (struct fleet *f)
+{
+  for (int i = 0; i < ENTRIES; i++)
+    bd_suspects_destroy (f->entries[i]);
+  g_array_free (f->news, TRUE);
+  g_rand_free (f->rand);
+}
+
+static void
+news_post (struct fleet *f, int from, const struct bd_strike *strike)
+{
+  for (int to = 0; to < ENTRIES; to++)
+    for (int copy = 0; to != from && copy < 1 + (below (f, 8) == 0); copy++)
+      {
+        struct news n
+            = { f->now_ms + 1 + below (f, MAX_DELAY_MS), to, *strike };
+
+        g_array_append_val (f->news, n);
+      }
+}
+
+static void
+news_deliver (struct fleet *f)
+{
+  for (guint i = 0; i < f->news->len;)
+    {
+      struct news n = g_array_index (f->news, struct news, i);
+
+      if (n.at_ms > f->now_ms)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index_fast (f->news, i);
+      bd_suspects_strike (f->entries[n.entry], f->now_ms, &n.strike);
+    }
+}
+
+static void
+fleet_pass (struct fleet *f, int64_t ms)
+{
+  for (int64_t end = f->now_ms + ms; f->now_ms < end; f->now_ms += 50)
+    {
+      news_deliver (f);
+      for (int e = 0; e < ENTRIES; e++)
+        {
+          struct bd_strike news[16];
+          size_t n = bd_suspects_news (f->entries[e], f->now_ms, news, 16);
+
+          for (size_t i = 0; i < n; i++)
+            news_post (f, e, &news[i]);
+          bd_suspects_tick (f->entries[e], f->now_ms);
+        }
+    }
+}
+
+static void
+crash (struct fleet *f, int entry, const uint64_t *fingerprints, size_t count)
+{
+  f->crashes++;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct bd_strike s
+          = strike_of (fingerprints[i], f->crashes, count == 1, false);
+
+      bd_suspects_strike (f->entries[entry], f->now_ms, &s);
+    }
+}
+
+/* One attempt of the request that crashes its runner. */
+static enum bd_suspicion
+poison_attempt (struct fleet *f, int entry)
+{
+  uint64_t fingerprints[4] = { POISON };
+  size_t count = 1;
+  enum bd_suspicion look
+      = bd_suspects_look (f->entries[entry], f->now_ms, POISON);
+
+  if (look == BD_SUSPICION_QUARANTINE)
+    return look;
+  if (look == BD_SUSPICION_NONE)
+    for (int n = below (f, 4); n > 0; n--)
+      fingerprints[count++] = (uint64_t)below (f, NEIGHBOURS);
+  crash (f, entry, fingerprints, count);
+  return look;
+}
+
+/* Once the strikes have spread: 3 runners, however long it goes on. */
+static void
+test_repeated_after_gossip (void)
+{
+  guint most = 0;
+
+  for (guint32 seed = 0; seed < 200; seed++)
+    {
+      struct fleet f;
+
+      fleet_init (&f, seed);
+      for (int i = 0; i < 40; i++)
+        {
+          poison_attempt (&f, below (&f, ENTRIES));
+          fleet_pass (&f, 2 * MAX_DELAY_MS + below (&f, KEEP_MS / 2));
+        }
+      g_assert_cmpuint (f.crashes, <=, BD_SUSPECT_MAX_RUNNERS);
+      most = MAX (most, (guint)f.crashes);
+      fleet_destroy (&f);
+    }
+  g_assert_cmpuint (most, ==, BD_SUSPECT_MAX_RUNNERS);
+}
+
+/*
+ * Sent through all entries at once: besides the 3, what entries that had not
+ * heard yet let through, at most 3 each; and none once all have heard.
+ */
+static void
+test_repeated_faster_than_gossip (void)
+{
+  guint most = 0;
+
+  for (guint32 seed = 0; seed < 200; seed++)
+    {
+      struct fleet f;
+
+      fleet_init (&f, seed);
+      for (int i = 0; i < 100; i++)
+        {
+          poison_attempt (&f, below (&f, ENTRIES));
+          fleet_pass (&f, 50);
+        }
+      g_assert_cmpuint (f.crashes, <=, MOST_CRASHES);
+      most = MAX (most, (guint)f.crashes);
+      fleet_pass (&f, 2 * MAX_DELAY_MS);
+      for (int e = 0; e < ENTRIES; e++)
+        g_assert_cmpint (poison_attempt (&f, e), ==, BD_SUSPICION_QUARANTINE);
+      fleet_destroy (&f);
+    }
+  g_test_message ("at most %u runners were taken down", most);
+}
+
+/* Neighbours are never refused, and are cleared by completing anywhere. */
+static void
+test_neighbours (void)
+{
+  for (guint32 seed = 0; seed < 100; seed++)
+    {
+      struct fleet f;
+
+      fleet_init (&f, seed);
+      for (int i = 0; i < 60; i++)
+        {
+          uint64_t crowd[4] = { POISON + (uint64_t)i, 1, 2, 3 };
+
+          crash (&f, below (&f, ENTRIES), crowd, 4);
+          fleet_pass (&f, 50 * below (&f, 30));
+          for (int e = 0; e < ENTRIES; e++)
+            for (uint64_t n = 1; n <= 3; n++)
+              g_assert_cmpint (bd_suspects_look (f.entries[e], f.now_ms, n), <,
+                               BD_SUSPICION_QUARANTINE);
+        }
+      fleet_pass (&f, 2 * MAX_DELAY_MS);
+      bd_suspects_completed (f.entries[below (&f, ENTRIES)], f.now_ms, 1);
+      fleet_pass (&f, 2 * MAX_DELAY_MS);
+      for (int e = 0; e < ENTRIES; e++)
+        {
+          g_assert_cmpint (bd_suspects_look (f.entries[e], f.now_ms, 1), ==,
+                           BD_SUSPICION_NONE);
+          g_assert_cmpint (bd_suspects_look (f.entries[e], f.now_ms, 2), ==,
+                           BD_SUSPICION_ISOLATE);
+        }
+      fleet_destroy (&f);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/suspect/histories", test_histories);
+  g_test_add_func ("/suspect/news-are-told-once", test_news_are_told_once);
+  g_test_add_func ("/suspect/news-are-fair", test_news_are_fair);
+  g_test_add_func ("/suspect/table-is-bounded", test_table_is_bounded);
+  g_test_add_func ("/suspect/runner", test_runner);
+  g_test_add_func ("/suspect/repeated-after-gossip",
+                   test_repeated_after_gossip);
+  g_test_add_func ("/suspect/repeated-faster-than-gossip",
+                   test_repeated_faster_than_gossip);
+  g_test_add_func ("/suspect/neighbours", test_neighbours);
+  return g_test_run ();
+}
