--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -47,8 +47,10 @@
   /* Secrets: by environment or file only. */
   const char *curve_secret; /**< BASILDOCK_CURVE_SECRET[_FILE], Z85 */
   const char *curve_public; /**< BASILDOCK_CURVE_PUBLIC, Z85 */
-  const char *token_key;    /**< BASILDOCK_TOKEN_KEY[_FILE], 64 hex digits */
-  void *owned;              /**< Private. */
+  /** BASILDOCK_TOKEN_KEY[_FILE]: 1 to 3 keys of 64 hex digits, separated by
+      commas; the first seals. */
+  const char *token_key;
+  void *owned; /**< Private. */
 };
 
 /**
@@ -60,4 +62,17 @@
 
 void bd_settings_release (struct bd_settings *settings);
 
+/** What the help and the pages say of one setting. */
+struct bd_setting_info
+{
+  const char *flag;     /**< Without the dashes; NULL: environment only. */
+  const char *variable; /**< Name in the environment. */
+  const char *range;    /**< What is accepted. */
+  const char *standard; /**< Value when none is given; "": none. */
+  const char *help;
+};
+
+/** Describes the setting at INDEX.  False beyond the last one. */
+bool bd_setting_info (size_t index, struct bd_setting_info *info);
+
 #endif
