--- a/test/test_suspect.c
+++ b/test/test_suspect.c
@@ -299,7 +299,7 @@
 }
 
 static void
-fleet_pass (struct fleet *f, int64_t ms)
+fleet_pass (struct fleet *f, int ms)
 {
   for (int64_t end = f->now_ms + ms; f->now_ms < end; f->now_ms += 50)
     {
