Custody: whether a key without a record may run moves to admission

Also bd_token_check (): a token is good for its workspace and class only, until it expires. Seen to fail with the workspace, the class or the exact millisecond of the expiry not looked at.

--- a/src/core/custody.c
+++ b/src/core/custody.c
@@ -2,6 +2,7 @@
 
 #include "common/map.h"
 #include "common/string.h"
+#include "core/admission.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -51,13 +52,7 @@
 struct bd_custody
 {
   struct bd_custody_settings settings;
-  int64_t home_since_wall_ms;
-  int64_t confirmed_ms;
-  bool confirmed;
-  /* Keys up to these were dropped, so none of them is accepted again. */
-  int64_t issued_floor_wall_ms;
-  int64_t timed_floor_wall_ms;
-  int64_t handed_floor_wall_ms;
+  struct bd_admission admission;
   uint64_t answer_bytes;
   uint32_t count;
   uint32_t used; /* Records that were ever in use. */
@@ -74,10 +69,7 @@
   if (!c)
     return NULL;
   c->settings = *settings;
-  c->home_since_wall_ms = settings->started_wall_ms;
-  c->issued_floor_wall_ms = INT64_MIN;
-  c->timed_floor_wall_ms = INT64_MIN;
-  c->handed_floor_wall_ms = INT64_MIN;
+  bd_admission_init (&c->admission, settings->started_wall_ms);
   c->free = NONE;
   c->records = calloc (settings->max_records + 1ULL, sizeof *c->records);
   c->by_key = bd_map_create ();
@@ -116,16 +108,17 @@
 void
 bd_custody_home_since (struct bd_custody *custody, int64_t wall_ms)
 {
-  if (wall_ms > custody->home_since_wall_ms)
-    custody->home_since_wall_ms = wall_ms;
+  if (wall_ms > custody->admission.home_since_wall_ms)
+    custody->admission.home_since_wall_ms = wall_ms;
 }
 
 void
 bd_custody_confirm (struct bd_custody *custody, int64_t now_ms)
 {
-  if (!custody->confirmed || now_ms > custody->confirmed_ms)
-    custody->confirmed_ms = now_ms;
-  custody->confirmed = true;
+  if (!custody->admission.confirmed
+      || now_ms > custody->admission.confirmed_ms)
+    custody->admission.confirmed_ms = now_ms;
+  custody->admission.confirmed = true;
 }
 
 uint32_t
@@ -167,22 +160,22 @@
 
 /* Raises the floors, so that no copy of the dropped key is accepted again. */
 static void
-floors_raise (struct bd_custody *c, const struct record *r)
+floors_raise (struct bd_admission *a, const struct record *r)
 {
   if (r->hops > 0)
-    c->handed_floor_wall_ms
-        = later (c->handed_floor_wall_ms, r->received_expires_wall_ms);
+    a->handed_floor_wall_ms
+        = later (a->handed_floor_wall_ms, r->received_expires_wall_ms);
   else if (r->origin == BD_KEY_ISSUED)
-    c->issued_floor_wall_ms
-        = later (c->issued_floor_wall_ms, r->expires_wall_ms);
+    a->issued_floor_wall_ms
+        = later (a->issued_floor_wall_ms, r->expires_wall_ms);
   if (r->origin == BD_KEY_TIMED)
-    c->timed_floor_wall_ms = later (c->timed_floor_wall_ms, r->key_wall_ms);
+    a->timed_floor_wall_ms = later (a->timed_floor_wall_ms, r->key_wall_ms);
 }
 
 static void
 record_drop (struct bd_custody *c, struct record *r)
 {
-  floors_raise (c, r);
+  floors_raise (&c->admission, r);
   answer_drop (c, r);
   bd_map_remove (c->by_key, r->key.id, 0);
   r->state = STATE_FREE;
@@ -212,85 +205,6 @@
   answer->ran = ran;
 }
 
-/* Decides on an issued key that has no record here. */
-static int
-issued_check (const struct bd_custody *c, int64_t wall_ms,
-              const struct bd_custody_claim *claim)
-{
-  if (claim->incarnation != c->settings.incarnation)
-    return BD_ERR_OUTCOME_UNKNOWN;
-  if (claim->expires_wall_ms <= wall_ms
-      || claim->expires_wall_ms <= c->issued_floor_wall_ms)
-    return BD_ERR_KEY_EXPIRED;
-  if (claim->expires_wall_ms - wall_ms > BD_CUSTODY_MAX_KEEP_MS)
-    return BD_ERR_KEY_INVALID;
-  return BD_OK;
-}
-
-/* Decides on a received hand-over of a key that has no record here. */
-static int
-handed_check (const struct bd_custody *c, int64_t wall_ms,
-              const struct bd_custody_claim *claim)
-{
-  const struct bd_hand_over *h = claim->hand_over;
-
-  if (h->successor_incarnation != c->settings.incarnation)
-    return BD_ERR_OUTCOME_UNKNOWN;
-  if (h->expires_wall_ms <= wall_ms
-      || h->expires_wall_ms <= c->handed_floor_wall_ms)
-    return BD_ERR_KEY_EXPIRED;
-  if (h->hops < 1 || h->hops > BD_HAND_OVER_MAX_HOPS
-      || h->expires_wall_ms - wall_ms > 2 * BD_CUSTODY_MAX_KEEP_MS)
-    return BD_ERR_KEY_INVALID;
-  return BD_OK;
-}
-
-/* True when this sidecar may still be the home of callers' own keys. */
-static bool
-home_confirmed (const struct bd_custody *c, int64_t now_ms)
-{
-  if (c->settings.confirm_window_ms == 0)
-    return true;
-  return c->confirmed
-         && now_ms - c->confirmed_ms <= c->settings.confirm_window_ms;
-}
-
-/* Decides on a caller's own key that has no record here. */
-static int
-own_check (const struct bd_custody *c, int64_t now_ms, int64_t wall_ms,
-           const struct bd_custody_claim *claim)
-{
-  int64_t skew = c->settings.clock_skew_ms;
-  int64_t home = c->home_since_wall_ms + c->settings.confirm_window_ms;
-  int64_t since = later (c->settings.started_wall_ms, home);
-
-  if (!home_confirmed (c, now_ms))
-    return BD_ERR_OUTCOME_UNKNOWN;
-  if (claim->origin == BD_KEY_OPAQUE)
-    return wall_ms - since > claim->retry_window_ms ? BD_OK
-                                                    : BD_ERR_OUTCOME_UNKNOWN;
-  if (claim->key_wall_ms > wall_ms + skew)
-    return BD_ERR_KEY_INVALID;
-  if (claim->key_wall_ms <= since + 2 * skew
-      || claim->key_wall_ms <= c->timed_floor_wall_ms)
-    return BD_ERR_OUTCOME_UNKNOWN;
-  return BD_OK;
-}
-
-static int
-new_check (const struct bd_custody *c, int64_t now_ms, int64_t wall_ms,
-           const struct bd_custody_claim *claim)
-{
-  if (claim->retry_window_ms < 1
-      || claim->retry_window_ms > BD_CUSTODY_MAX_KEEP_MS)
-    return BD_ERR_INVALID;
-  if (claim->hand_over)
-    return handed_check (c, wall_ms, claim);
-  if (claim->origin == BD_KEY_ISSUED)
-    return issued_check (c, wall_ms, claim);
-  return own_check (c, now_ms, wall_ms, claim);
-}
-
 static void
 record_keep (struct bd_custody *c, struct record *r, int64_t now_ms,
              int64_t wall_ms, const struct bd_custody_claim *claim)
@@ -320,7 +234,8 @@
            const struct bd_custody_claim *claim,
            struct bd_custody_answer *answer)
 {
-  int error = new_check (c, now_ms, wall_ms, claim);
+  int error = bd_admission_check (&c->admission, &c->settings, now_ms, wall_ms,
+                                  claim);
   struct record *r;
 
   if (error != BD_OK)
--- a/src/core/custody.h
+++ b/src/core/custody.h
@@ -107,7 +107,10 @@
 bd_custody_create (const struct bd_custody_settings *settings);
 void bd_custody_destroy (struct bd_custody *custody);
 
-/** Tells when this sidecar became home of callers' own keys. */
+/**
+ * Tells when this sidecar became home of callers' own keys; before it is
+ * told, that is the start.
+ */
 void bd_custody_home_since (struct bd_custody *custody, int64_t wall_ms);
 
 /**
--- a/src/core/token.c
+++ b/src/core/token.c
@@ -164,6 +164,15 @@
   return unpack_done (&u) ? BD_OK : BD_ERR_KEY_INVALID;
 }
 
+int
+bd_token_check (const struct bd_token *token, uint64_t workspace,
+                uint64_t class_id, int64_t wall_ms)
+{
+  if (token->workspace != workspace || token->class_id != class_id)
+    return BD_ERR_KEY_INVALID;
+  return token->expires_wall_ms > wall_ms ? BD_OK : BD_ERR_KEY_EXPIRED;
+}
+
 int
 bd_token_seal_hand_over (const unsigned char key[BD_TOKEN_KEY_BYTES],
                          const struct bd_hand_over *hand_over,
--- a/src/core/token.h
+++ b/src/core/token.h
@@ -59,6 +59,14 @@
 int bd_token_open (const struct bd_token_keys *keys, struct bd_chunk text,
                    struct bd_token *token);
 
+/**
+ * Tells whether an opened token is good for a request of WORKSPACE and
+ * CLASS_ID, hashes as in the token.  Returns BD_OK, BD_ERR_KEY_INVALID for
+ * another workspace or class, or BD_ERR_KEY_EXPIRED.
+ */
+int bd_token_check (const struct bd_token *token, uint64_t workspace,
+                    uint64_t class_id, int64_t wall_ms);
+
 /** As bd_token_seal (), for a hand-over. */
 int bd_token_seal_hand_over (const unsigned char key[BD_TOKEN_KEY_BYTES],
                              const struct bd_hand_over *hand_over,
--- a/test/test_token.c
+++ b/test/test_token.c
@@ -167,6 +167,30 @@
   bd_buffer_clear (&text);
 }
 
+static void
+test_check (void)
+{
+  static const struct
+  {
+    uint64_t workspace;
+    uint64_t class_id;
+    int64_t before_expiry_ms;
+    int expected;
+  } cases[] = { { 0, 0, 1, BD_OK },
+                { 1, 0, 1, BD_ERR_KEY_INVALID },
+                { 0, 1, 1, BD_ERR_KEY_INVALID },
+                { 1, 0, 0, BD_ERR_KEY_INVALID },
+                { 0, 0, 0, BD_ERR_KEY_EXPIRED },
+                { 0, 0, -1, BD_ERR_KEY_EXPIRED } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    g_assert_cmpint (
+        bd_token_check (&token, token.workspace ^ cases[i].workspace,
+                        token.class_id ^ cases[i].class_id,
+                        token.expires_wall_ms - cases[i].before_expiry_ms),
+        ==, cases[i].expected);
+}
+
 static void
 test_classify (void)
 {
@@ -237,6 +261,7 @@
   g_test_add_func ("/token/key-replacement", test_key_replacement);
   g_test_add_func ("/token/forged-and-truncated", test_forged_and_truncated);
   g_test_add_func ("/token/names-are-bounded", test_names_are_bounded);
+  g_test_add_func ("/token/check", test_check);
   g_test_add_func ("/token/classify", test_classify);
   g_test_add_func ("/token/key-make", test_key_make);
   return g_test_run ();
