Custody: an answer that ran whole but is not kept; tokens of the run only

Cause: the sidecar's core ends a run whose answer is too large with BD_ERR_ALREADY_RAN, and custody recorded that as an unknown outcome: the duplicate was told less than is known, and the delivered answer could not be billed. The histories now bill at random, and found that the tokens noted for a key could still be changed after its run; now only while it runs.

Before: duplicates of such a key got BD_ERR_OUTCOME_UNKNOWN, its bill was refused. After: BD_ERR_ALREADY_RAN, billed once. Seen to fail with each part taken out again, and with a key billed twice (4 mutations).

--- a/src/core/custody.c
+++ b/src/core/custody.c
@@ -502,9 +502,9 @@
   r->keep_until_ms = later (r->keep_until_ms, now_ms + r->keep_ms);
   r->waiter_count = 0;
   r->status = status;
-  if (error != BD_OK)
+  if (error != BD_OK && error != BD_ERR_ALREADY_RAN)
     r->state = STATE_UNKNOWN;
-  else if (answer_keep (custody, r, content_type, answer))
+  else if (error == BD_OK && answer_keep (custody, r, content_type, answer))
     r->state = STATE_RECORDED;
   else
     r->state = STATE_RAN;
@@ -528,7 +528,7 @@
 {
   struct record *r = record_find (custody, key);
 
-  if (r)
+  if (r && r->state == STATE_RUNNING)
     r->tokens = tokens;
 }
 
--- a/src/core/custody.h
+++ b/src/core/custody.h
@@ -174,12 +174,16 @@
                           struct bd_chunk successor, uint64_t incarnation,
                           const struct bd_hand_over **out);
 
-/** Records the end of a run: the answer, or that the outcome is unknown. */
+/**
+ * Records the end of a run: the answer with BD_OK, that it ran whole but the
+ * answer is not kept with BD_ERR_ALREADY_RAN, otherwise that the outcome is
+ * unknown.
+ */
 void bd_custody_finish (struct bd_custody *custody, int64_t now_ms,
                         struct bd_key key, int error, int status,
                         struct bd_chunk content_type, struct bd_chunk answer);
 
-/** Notes the tokens of a run, for its bill. */
+/** Notes the tokens of a run that has not ended yet, for its bill. */
 void bd_custody_used (struct bd_custody *custody, struct bd_key key,
                       uint32_t tokens);
 
--- a/test/naive_custody.c
+++ b/test/naive_custody.c
@@ -354,7 +354,9 @@
   if (!r || r->state != NAIVE_RUNNING)
     return;
   r->finished_ms = now_ms;
-  r->state = error == BD_OK ? NAIVE_RAN : NAIVE_UNKNOWN;
+  r->state = NAIVE_UNKNOWN;
+  if (error == BD_OK || error == BD_ERR_ALREADY_RAN)
+    r->state = NAIVE_RAN;
   for (guint i = 0; i < n->records->len; i++)
     if (!record_at (n, i)->dropped)
       bytes += record_at (n, i)->answer->len
@@ -389,3 +391,15 @@
         r->dropped = true;
     }
 }
+
+bool
+naive_custody_bill (struct naive_custody *n, struct bd_key key)
+{
+  struct naive_record *r = find (n, key);
+  bool first = r && (r->state == NAIVE_RECORDED || r->state == NAIVE_RAN)
+               && !r->billed;
+
+  if (first)
+    r->billed = true;
+  return first;
+}
--- a/test/naive_custody.h
+++ b/test/naive_custody.h
@@ -24,6 +24,7 @@
   struct bd_hand_over given;
   enum naive_state state;
   bool dropped;
+  bool billed;
   GArray *waiters; /* struct bd_id */
   int64_t claimed_ms;
   int64_t claimed_wall_ms;
@@ -63,6 +64,7 @@
                            struct bd_chunk answer);
 void naive_custody_not_sent (struct naive_custody *n, struct bd_key key,
                              struct bd_id request);
+bool naive_custody_bill (struct naive_custody *n, struct bd_key key);
 void naive_custody_tick (struct naive_custody *n, int64_t now_ms);
 uint32_t naive_custody_count (const struct naive_custody *n);
 
--- a/test/test_custody_histories.c
+++ b/test/test_custody_histories.c
@@ -35,6 +35,8 @@
   bool running;
   struct bd_id runner;
   bool ran;
+  bool billed;
+  uint32_t tokens;
   bool refused; /* Somebody was told that it did not run. */
 };
 
@@ -196,8 +198,14 @@
 {
   struct bd_chunk answer = { "0123456789abcdef", (size_t)below (h, 16) };
   struct bd_chunk type = { "text/plain", (size_t)below (h, 6) };
-  int error = below (h, 3) == 0 ? BD_ERR_ENGINE : BD_OK;
+  static const int errors[]
+      = { BD_OK, BD_OK, BD_ERR_ENGINE, BD_ERR_ALREADY_RAN };
+  int error = errors[below (h, G_N_ELEMENTS (errors))];
+  uint32_t tokens = (uint32_t)below (h, 9);
 
+  if (k->running)
+    k->tokens = tokens;
+  bd_custody_used (h->custody, k->claim.key, tokens);
   bd_custody_finish (h->custody, h->now_ms, k->claim.key, error, 200, type,
                      answer);
   naive_custody_finish (h->naive, h->now_ms, k->claim.key, error, 200, type,
@@ -205,6 +213,21 @@
   k->running = false;
 }
 
+/* A key is billed once, for the tokens of its run. */
+static void
+random_bill (struct history *h, struct key_facts *k)
+{
+  uint32_t tokens = 0;
+  bool first = bd_custody_bill (h->custody, k->claim.key, &tokens);
+
+  g_assert_cmpint (first, ==, naive_custody_bill (h->naive, k->claim.key));
+  if (!first)
+    return;
+  g_assert_cmpuint (tokens, ==, k->tokens);
+  g_assert_false (k->billed && k->claim.origin != BD_KEY_OPAQUE);
+  k->billed = true;
+}
+
 static void
 random_time (struct history *h)
 {
@@ -233,7 +256,7 @@
 random_op (struct history *h)
 {
   struct key_facts *k = &h->keys[below (h, KEYS)];
-  int pick = below (h, 16);
+  int pick = below (h, 17);
 
   if (pick < 6)
     random_claim (h, k);
@@ -247,6 +270,8 @@
     random_finish (h, k);
   else if (pick < 15)
     random_time (h);
+  else if (pick < 16)
+    random_bill (h, k);
   else
     random_not_sent (h, k);
   g_assert_cmpuint (bd_custody_count (h->custody), ==,
