--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -12,6 +12,8 @@
 token_us=20000
 threads=64
 max_streams=512
+# Level 7 shows what a sidecar queues, for the check of tiers.
+log_level=7
 fault_plan=""
 
 class_contract () {
@@ -142,7 +144,7 @@
 # The same number of engines serves both ways; 100 requests/s each.
 scenario_overhead () {
   local i list="" direct
-  model_runners=4 service_runners=0 entries=1 slots=64 token_us=2000
+  model_runners=4 service_runners=0 entries=1 slots=64 token_us=2000 log_level=6
   direct_engines=4
   for i in $(seq "$direct_engines"); do
     list+="\"http://127.0.0.1:$((base + 500 + i))\","
