test_settings: the same cases in denser tables

The refusals stand in three tables: flags behind a good entry, whole command lines, variables. New: token keys with another separator than the comma, which a mutation showed to be missing.

--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -11,17 +11,15 @@
 #define ENTRY "--role entry --http-address 127.0.0.1:7002 " BOTH
 #define SIDECAR "--role sidecar --engine-url http://127.0.0.1:1 --pool m " BOTH
 #define Z85 "rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7"
+#define TOKEN "BASILDOCK_TOKEN_KEY"
+#define CURVE "BASILDOCK_CURVE_"
 #define HEX "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 
-/* One run: flags, up to two variables, what is expected. */
+/* One run: flags, up to two variables. */
 struct run
 {
   const char *flags;
   const char *variables[2];
-  int rc;
-  const char *setting; /* Named in the refusal. */
-  const char *shown;   /* Must stand in the refusal. */
-  const char *hidden;  /* Must not. */
 };
 
 static void
@@ -64,256 +62,132 @@
   return rc;
 }
 
-static const struct run bad_runs[] = {
-  { "", { 0 }, BD_ERR_SETTING, "--role", "missing", NULL },
-  { "--role", { 0 }, BD_ERR_SETTING, "--role", "value missing", NULL },
-  { "--role both", { 0 }, BD_ERR_SETTING, "--role", "entry or sidecar", NULL },
-  { "--role entry --role entry",
-    { 0 },
-    BD_ERR_SETTING,
-    "--role",
-    "twice",
-    NULL },
-  { "--role entry " BOTH,
-    { 0 },
-    BD_ERR_SETTING,
-    "--http-address",
-    "missing",
-    NULL },
-  { "--role sidecar --pool m " BOTH,
-    { 0 },
-    BD_ERR_SETTING,
-    "--engine-url",
-    "missing",
-    NULL },
-  { "--role sidecar --engine-url http://h:1 " BOTH,
-    { 0 },
-    BD_ERR_SETTING,
-    "--pool",
-    "missing",
-    NULL },
-  { "--role entry --instance i --zone z",
-    { 0 },
-    BD_ERR_SETTING,
-    "--peer-address",
-    "missing",
-    NULL },
-  { ENTRY "--slots 0", { 0 }, BD_ERR_SETTING, "--slots", "1 to 4096", NULL },
-  { ENTRY "--slots 4097",
-    { 0 },
-    BD_ERR_SETTING,
-    "--slots",
-    "value=\"4097\"",
-    NULL },
-  { ENTRY "--slots ' 8'",
-    { 0 },
-    BD_ERR_SETTING,
-    "--slots",
-    "1 to 4096",
-    NULL },
-  { ENTRY "--slots 8x", { 0 }, BD_ERR_SETTING, "--slots", "1 to 4096", NULL },
-  { ENTRY "--slots -1", { 0 }, BD_ERR_SETTING, "--slots", "1 to 4096", NULL },
-  { ENTRY "--slots ''", { 0 }, BD_ERR_SETTING, "--slots", "1 to 4096", NULL },
-  { ENTRY "--slots=",
-    { 0 },
-    BD_ERR_SETTING,
-    "--slots",
-    "value missing",
-    NULL },
-  { ENTRY "--version=3",
-    { 0 },
-    BD_ERR_SETTING,
-    "command line",
-    "unknown",
-    NULL },
-  { ENTRY "--queue-bytes 99999999999999999999",
-    { 0 },
-    BD_ERR_SETTING,
-    "--queue-bytes",
-    "65536 to 17179869184",
-    NULL },
-  { ENTRY "--log-level 8",
-    { 0 },
-    BD_ERR_SETTING,
-    "--log-level",
-    "3 to 7",
-    NULL },
-  { ENTRY "--policy best",
-    { 0 },
-    BD_ERR_SETTING,
-    "--policy",
-    "late-binding",
-    NULL },
-  { ENTRY "--admin-address 127.0.0.1",
-    { 0 },
-    BD_ERR_SETTING,
-    "--admin-address",
-    "IP:PORT",
-    NULL },
-  { ENTRY "--admin-address 127.0.0.1:0",
-    { 0 },
-    BD_ERR_SETTING,
-    "--admin-address",
-    "IP:PORT",
-    NULL },
-  { ENTRY "--admin-address 127.0.0.1:65536",
-    { 0 },
-    BD_ERR_SETTING,
-    "--admin-address",
-    "IP:PORT",
-    NULL },
-  { ENTRY "--admin-address localhost:80",
-    { 0 },
-    BD_ERR_SETTING,
-    "--admin-address",
-    "IP:PORT",
-    NULL },
-  { ENTRY "--seeds 127.0.0.1:1,",
-    { 0 },
-    BD_ERR_SETTING,
-    "--seeds",
-    "at most 64",
-    NULL },
-  { ENTRY "--tls-certificate /nonexistent",
-    { 0 },
-    BD_ERR_SETTING,
-    "--tls-certificate",
-    "readable file",
-    NULL },
-  { "--role entry --instance 'a b'",
-    { 0 },
-    BD_ERR_SETTING,
-    "--instance",
-    "letters",
-    NULL },
-  { "--role entry --instance ''",
-    { 0 },
-    BD_ERR_SETTING,
-    "--instance",
-    "letters",
-    NULL },
-  { SIDECAR "--engine-url ftp://h",
-    { 0 },
-    BD_ERR_SETTING,
-    "--engine-url",
-    "twice",
-    NULL },
-  { "--role entry --instance i --zone z --peer-address 127.0.0.1:1 "
-    "--platform-url ftp://h",
-    { 0 },
-    BD_ERR_SETTING,
-    "--platform-url",
-    "http://",
-    NULL },
-  { ENTRY "--slot-count 3",
-    { 0 },
-    BD_ERR_SETTING,
-    "--slot-count",
-    "unknown",
-    NULL },
-  { ENTRY "--token-key=" HEX,
-    { 0 },
-    BD_ERR_SETTING,
-    "--token-key",
-    "unknown",
-    HEX },
-  { ENTRY "stray", { 0 }, BD_ERR_SETTING, "stray", "unknown", NULL },
-  { ENTRY,
-    { "BASILDOCK_SLTOS=3" },
-    BD_ERR_SETTING,
-    "BASILDOCK_SLTOS",
-    "unknown",
-    NULL },
-  { ENTRY,
-    { "BASILDOCK_SLOTS=none" },
-    BD_ERR_SETTING,
-    "BASILDOCK_SLOTS",
-    "1 to 4096",
-    NULL },
-  { ENTRY,
-    { "BASILDOCK_TOKEN_KEY=sesame" },
-    BD_ERR_SETTING,
-    "BASILDOCK_TOKEN_KEY",
-    "64 hex digits",
-    "sesame" },
-  { ENTRY,
-    { "BASILDOCK_TOKEN_KEY_FILE=/nonexistent" },
-    BD_ERR_SETTING,
-    "BASILDOCK_TOKEN_KEY_FILE",
-    "unreadable",
-    NULL },
-  { ENTRY,
-    { "BASILDOCK_TOKEN_KEY=" HEX, "BASILDOCK_TOKEN_KEY_FILE=/x" },
-    BD_ERR_SETTING,
-    "BASILDOCK_TOKEN_KEY_FILE",
-    "twice",
-    HEX },
-  { ENTRY,
-    { "BASILDOCK_CURVE_SECRET=" Z85 },
-    BD_ERR_SETTING,
-    "BASILDOCK_CURVE_PUBLIC",
-    "both CURVE keys",
-    Z85 },
-  { ENTRY,
-    { "BASILDOCK_CURVE_PUBLIC=" Z85 },
-    BD_ERR_SETTING,
-    "BASILDOCK_CURVE_SECRET",
-    "both CURVE keys",
-    NULL },
-  { ENTRY,
-    { "BASILDOCK_SLOTS_FILE=/x" },
-    BD_ERR_SETTING,
+/* The refusal is one line that names SETTING and has SHOWN, not HIDDEN. */
+static void
+assert_refused (const struct run *run, const char *setting, const char *shown,
+                const char *hidden)
+{
+  struct bd_settings settings;
+  char *named = g_strdup_printf ("setting=\"%s\"", setting);
+  char *out, *err;
+
+  g_test_message ("%s", run->flags);
+  g_assert_cmpint (read_settings (run, &settings, &out, &err), ==,
+                   BD_ERR_SETTING);
+  g_test_message ("%s", err);
+  g_assert_cmpstr (out, ==, "");
+  g_assert_nonnull (strstr (err, " BD1005 SETTING_BAD "));
+  g_assert_nonnull (strstr (err, named));
+  g_assert_nonnull (strstr (err, shown));
+  g_assert_true (!hidden || !strstr (err, hidden));
+  g_assert_true (strchr (err, '\n') == err + strlen (err) - 1);
+  bd_settings_release (&settings);
+  g_free (named);
+  g_free (out);
+  g_free (err);
+}
+
+/* Behind the flags of a good entry: what is added, what the refusal shows and
+   hides.  The first word is the setting. */
+static const char *const added[][3] = {
+  { "--slots 0", "1 to 4096", NULL },
+  { "--slots 4097", "value=\"4097\"", NULL },
+  { "--slots ' 8'", "1 to 4096", NULL },
+  { "--slots 8x", "1 to 4096", NULL },
+  { "--slots -1", "1 to 4096", NULL },
+  { "--slots ''", "1 to 4096", NULL },
+  { "--slots=", "value missing", NULL },
+  { "--queue-bytes 99999999999999999999", "65536 to 17179869184", NULL },
+  { "--log-level 8", "3 to 7", NULL },
+  { "--policy best", "late-binding", NULL },
+  { "--admin-address 127.0.0.1", "IP:PORT", NULL },
+  { "--admin-address 127.0.0.1:0", "IP:PORT", NULL },
+  { "--admin-address 127.0.0.1:65536", "IP:PORT", NULL },
+  { "--admin-address localhost:80", "IP:PORT", NULL },
+  { "--seeds 127.0.0.1:1,", "at most 64", NULL },
+  { "--tls-certificate /nonexistent", "readable file", NULL },
+  { "--engine-url ftp://h", "http://", NULL },
+  { "--zone z2", "given twice", NULL },
+  { "--slot-count 3", "unknown", NULL },
+  { "--token-key=" HEX, "unknown", HEX },
+  { "stray", "unknown", NULL },
+};
+
+/* Whole command lines: the setting that is refused, what is shown. */
+static const char *const lines[][3] = {
+  { "", "--role", "missing" },
+  { "--role", "--role", "value missing" },
+  { "--role both", "--role", "entry or sidecar" },
+  { "--role entry " BOTH, "--http-address", "missing" },
+  { "--role sidecar --pool m " BOTH, "--engine-url", "missing" },
+  { "--role sidecar --engine-url http://h:1 " BOTH, "--pool", "missing" },
+  { "--role entry --instance i --zone z", "--peer-address", "missing" },
+  { "--role entry --instance 'a b'", "--instance", "letters" },
+  { "--role entry --instance ''", "--instance", "letters" },
+  { ENTRY "--version=3", "command line", "unknown" },
+};
+
+/* Variables beside a good entry: what is refused, shown and hidden. */
+static const struct
+{
+  const char *pairs[2];
+  const char *setting;
+  const char *shown;
+  const char *hidden;
+} variables[] = {
+  { { "BASILDOCK_SLTOS=3", NULL }, "BASILDOCK_SLTOS", "unknown", NULL },
+  { { "BASILDOCK_SLOTS=no", NULL }, "BASILDOCK_SLOTS", "1 to 4096", NULL },
+  { { "BASILDOCK_SLOTS_FILE=/x", NULL },
     "BASILDOCK_SLOTS_FILE",
     "unknown",
     NULL },
+  { { TOKEN "=sesame", NULL }, TOKEN, "64 hex digits", "sesame" },
+  { { TOKEN "=" HEX ",", NULL }, TOKEN, "1 to 3 keys", HEX },
+  { { TOKEN "=" HEX "," HEX "," HEX "," HEX, NULL }, TOKEN, "1 to 3", HEX },
+  { { TOKEN "=" HEX ";" HEX, NULL }, TOKEN, "1 to 3", HEX },
+  { { TOKEN "_FILE=/nonexistent", NULL }, TOKEN "_FILE", "unreadable", NULL },
+  { { TOKEN "=" HEX, TOKEN "_FILE=/x" }, TOKEN "_FILE", "twice", HEX },
+  { { CURVE "SECRET=" Z85, NULL }, CURVE "PUBLIC", "both CURVE keys", Z85 },
+  { { CURVE "PUBLIC=" Z85, NULL }, CURVE "SECRET", "both CURVE keys", NULL },
 };
 
 static void
 test_refused (void)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (bad_runs); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (added); i++)
     {
-      const struct run *run = &bad_runs[i];
-      struct bd_settings settings;
-      char *out, *err;
-      char *named = g_strdup_printf ("setting=\"%s\"", run->setting);
+      struct run run = { .flags = NULL };
+      char *flags = g_strconcat (ENTRY, added[i][0], NULL);
+      char *setting = g_strndup (added[i][0], strcspn (added[i][0], " ="));
 
-      g_test_message ("%s", run->flags);
-      g_assert_cmpint (read_settings (run, &settings, &out, &err), ==,
-                       run->rc);
-      g_assert_cmpstr (out, ==, "");
-      g_assert_nonnull (strstr (err, " BD1005 SETTING_BAD "));
-      g_test_message ("%s", err);
-      g_assert_nonnull (strstr (err, named));
-      g_assert_nonnull (strstr (err, run->shown));
-      g_assert_true (!run->hidden || !strstr (err, run->hidden));
-      g_assert_true (strchr (err, '\n') == err + strlen (err) - 1);
-      bd_settings_release (&settings);
-      g_free (named);
-      g_free (out);
-      g_free (err);
+      run.flags = flags;
+      assert_refused (&run, setting, added[i][1], added[i][2]);
+      g_free (flags);
+      g_free (setting);
     }
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    assert_refused (&(struct run){ lines[i][0], { NULL } }, lines[i][1],
+                    lines[i][2], NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (variables); i++)
+    assert_refused (
+        &(struct run){ ENTRY,
+                       { variables[i].pairs[0], variables[i].pairs[1] } },
+        variables[i].setting, variables[i].shown, variables[i].hidden);
 }
 
 static void
 test_ends_well (void)
 {
   static const struct run runs[] = {
-    { "--help",
-      { 0 },
-      1,
-      "--queue-items VALUE [BASILDOCK_QUEUE_ITEMS]",
-      0,
-      0 },
-    { "--version", { 0 }, 1, "basildockd " BD_VERSION, 0, 0 },
-    { ENTRY "--check-settings", { 0 }, 1, "settings are valid", 0, 0 },
-    { SIDECAR "--check-settings",
-      { "BASILDOCK_ADMIN=127.0.0.1:1" },
-      1,
-      "settings are valid",
-      0,
-      0 },
+    { "--help", { NULL } },
+    { "--version", { NULL } },
+    { ENTRY "--check-settings", { NULL } },
+    { SIDECAR "--check-settings", { "BASILDOCK_ADMIN=127.0.0.1:1" } },
   };
+  static const char *const shown[]
+      = { "--queue-items VALUE [BASILDOCK_QUEUE_ITEMS]",
+          "basildockd " BD_VERSION, "settings are valid",
+          "settings are valid" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (runs); i++)
     {
@@ -321,7 +195,7 @@
       char *out, *err;
 
       g_assert_cmpint (read_settings (&runs[i], &settings, &out, &err), ==, 1);
-      g_assert_nonnull (strstr (out, runs[i].setting));
+      g_assert_nonnull (strstr (out, shown[i]));
       g_assert_cmpstr (err, ==, "");
       bd_settings_release (&settings);
       g_free (out);
