--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -1,6 +1,6 @@
 # Functions that start a small fleet of stand-ins and daemons on loopback: an
 # entry, a model "cutplan" and a service "order-desk" with a runner each.
-# Sets URL, ADMIN, CREDENTIAL; the workspace is "gebeya" with the classes plan
+# Sets URL, CREDENTIAL and ADMIN (all admin addresses); the workspace is "gebeya" with the classes plan
 # (default), query and dispatch (not idempotent).
 # usage: source test/fleet.sh; fleet_start BUILD BASE_PORT; ...; fleet_stop
 
@@ -79,7 +79,7 @@
   fleet_pids=()
   CREDENTIAL=demo-secret
   URL=http://127.0.0.1:$((base + 10))
-  ADMIN=127.0.0.1:$((base + 30))
+  ADMIN=127.0.0.1:$((base + 30)),127.0.0.1:$((base + 31)),127.0.0.1:$((base + 32))
   fleet_documents "$base"
   fleet_run platform "$build/standin_platform" --port "$base" \
     --dir "$fleet_dir/conf"
@@ -89,7 +89,8 @@
     "$build/basildockd" --role entry --instance entry-1 --zone bole \
     --peer-address "127.0.0.1:$((base + 1))" \
     --http-address "127.0.0.1:$((base + 10))" \
-    --platform-url "http://127.0.0.1:$base" --admin-address "$ADMIN"
+    --platform-url "http://127.0.0.1:$base" \
+    --admin-address "127.0.0.1:$((base + 30))"
   fleet_wait "$URL/readyz"
 }
 
