basildockctl: classes as a table, sidecars have no runners, nothing measured

Cause: seen on a live fleet with sidecars among the addresses: runners ended with status 1 because a sidecar answers 404, histogram showed classes with a count of 0, and contract show took nine lines for a class.

runners leaves out daemons that do not have the path; an object of objects is drawn as a table with the names in the first column; histogram leaves out what has no values. A 404 on the other paths stays an error: it means that the address is not an admin port.

--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -59,10 +59,11 @@
 /**
  * Reads PATH of the daemon at ADDRESS.  On an error, tells it on standard
  * error and returns BD_CTL_UNREACHABLE or BD_CTL_BAD; else *ROOT is to be
- * released by the caller.
+ * released by the caller.  With OPTIONAL, a daemon whose role does not have
+ * PATH (status 404) gives BD_CTL_OK and no *ROOT.
  */
 enum bd_ctl_exit bd_ctl_fetch (const char *address, const char *path,
-                               json_t **root);
+                               bool optional, json_t **root);
 
 /** The worse of two exit codes. */
 enum bd_ctl_exit bd_ctl_worse (enum bd_ctl_exit a, enum bd_ctl_exit b);
--- a/src/ctl/fetch.c
+++ b/src/ctl/fetch.c
@@ -6,6 +6,8 @@
 
 #define CONNECT_TIMEOUT_MS 2000L
 #define WHOLE_TIMEOUT_MS 10000L
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
 #define ANSWER_MAX_BYTES ((size_t)64 << 20)
 
 enum bd_ctl_exit
@@ -60,7 +62,8 @@
 }
 
 enum bd_ctl_exit
-bd_ctl_fetch (const char *address, const char *path, json_t **root)
+bd_ctl_fetch (const char *address, const char *path, bool optional,
+              json_t **root)
 {
   struct bd_buffer body = { 0 };
   enum bd_ctl_exit rc = BD_CTL_OK;
@@ -71,7 +74,9 @@
   *root = NULL;
   if (code != CURLE_OK)
     rc = tell (address, path, curl_easy_strerror (code), BD_CTL_UNREACHABLE);
-  else if (status != 200)
+  else if (optional && status == STATUS_NOT_FOUND)
+    rc = BD_CTL_OK;
+  else if (status != STATUS_OK)
     {
       snprintf (reason, sizeof reason, "answered with status %ld", status);
       rc = tell (address, path, reason, BD_CTL_BAD);
--- a/src/ctl/histogram.c
+++ b/src/ctl/histogram.c
@@ -133,7 +133,16 @@
   return !wanted || (name && strcmp (name, wanted) == 0);
 }
 
-/* Removes the classes that are not asked for. */
+static bool
+has_values (const json_t *item, const char *duration_name)
+{
+  return number (json_object_get (json_object_get (item, "durations"),
+                                  duration_name),
+                 "count")
+         > 0;
+}
+
+/* Removes the classes that are not asked for or have nothing to show. */
 static json_t *
 select_classes (const json_t *root, const struct bd_ctl_options *options)
 {
@@ -144,7 +153,8 @@
       const json_t *item = json_array_get (classes, i - 1);
 
       if (!is_wanted (item, "workspace", options->workspace)
-          || !is_wanted (item, "class", options->class_name))
+          || !is_wanted (item, "class", options->class_name)
+          || !has_values (item, options->duration))
         json_array_remove (classes, i - 1);
     }
   return classes;
@@ -160,7 +170,7 @@
   if (options->address_count > 1)
     printf ("== %s\n", address);
   if (json_array_size (classes) == 0)
-    puts ("no such class has had a request");
+    puts ("nothing measured");
   json_array_foreach (classes, i, item)
   {
     print_class (item, options->duration);
@@ -187,7 +197,8 @@
       json_t *root;
       json_t *classes;
 
-      rc = bd_ctl_worse (rc, bd_ctl_fetch (address, "/metrics.json", &root));
+      rc = bd_ctl_worse (
+          rc, bd_ctl_fetch (address, "/metrics.json", false, &root));
       if (!root)
         continue;
       classes = select_classes (root, options);
--- a/src/ctl/lines.c
+++ b/src/ctl/lines.c
@@ -43,8 +43,8 @@
     {
       json_t *root;
 
-      rc = bd_ctl_worse (rc,
-                         bd_ctl_fetch (options->addresses[i], path, &root));
+      rc = bd_ctl_worse (
+          rc, bd_ctl_fetch (options->addresses[i], path, false, &root));
       if (root)
         json_array_extend (all, json_object_get (root, "lines"));
       json_decref (root);
--- a/src/ctl/print.c
+++ b/src/ctl/print.c
@@ -215,8 +215,60 @@
               && json_is_object (json_array_get (value, 0)));
 }
 
+/* True for an object that has objects only. */
+static bool
+is_map (const json_t *value)
+{
+  const char *key;
+  json_t *member;
+
+  if (json_object_size (value) == 0)
+    return false;
+  json_object_foreach ((json_t *)value, key, member)
+  {
+    if (!json_is_object (member))
+      return false;
+  }
+  return true;
+}
+
+/* Returns the members of a map as a new array, each with its name. */
+static json_t *
+array_of_map (const json_t *map)
+{
+  json_t *array = json_array ();
+  const char *key;
+  json_t *member;
+
+  json_object_foreach ((json_t *)map, key, member)
+  {
+    json_t *row = json_pack ("{s:s}", "name", key);
+
+    json_object_update_missing (row, member);
+    json_array_append_new (array, row);
+  }
+  return array;
+}
+
 static void print_object (const json_t *object, size_t indent);
 
+static void
+print_nested (const json_t *value, size_t indent)
+{
+  json_t *rows;
+
+  if (is_map (value))
+    {
+      rows = array_of_map (value);
+      print_table (rows, indent);
+      json_decref (rows);
+    }
+  else if (json_is_object (value))
+    print_object (value, indent);
+  else
+    print_table (value, indent);
+}
+
 static void
 print_member (const char *key, const json_t *value, size_t width,
               size_t indent)
@@ -236,10 +288,7 @@
   else
     {
       printf ("%s:\n", name.data ? name.data : "");
-      if (json_is_object (value))
-        print_object (value, indent + INDENT_COLUMNS);
-      else
-        print_table (value, indent + INDENT_COLUMNS);
+      print_nested (value, indent + INDENT_COLUMNS);
     }
   bd_buffer_clear (&name);
 }
--- a/src/ctl/show.c
+++ b/src/ctl/show.c
@@ -29,6 +29,8 @@
   size_t i;
   json_t *contract;
 
+  if (json_array_size (contracts) == 0)
+    puts ("none");
   json_array_foreach (contracts, i, contract)
   {
     if (i > 0)
@@ -37,10 +39,10 @@
   }
 }
 
-/* Reads PATH of each daemon; prints by PRINT, or as one JSON object with the
-   addresses as keys. */
+/* Reads PATH of each daemon, or with OPTIONAL of those that have it; prints by
+   PRINT, or as one JSON object with the addresses as keys. */
 static enum bd_ctl_exit
-show (const struct bd_ctl_options *options, const char *path,
+show (const struct bd_ctl_options *options, const char *path, bool optional,
       void (*print) (const json_t *root))
 {
   enum bd_ctl_exit rc = BD_CTL_OK;
@@ -50,10 +52,10 @@
     {
       const char *address = options->addresses[i];
       json_t *root;
-      enum bd_ctl_exit one = bd_ctl_fetch (address, path, &root);
+      enum bd_ctl_exit one = bd_ctl_fetch (address, path, optional, &root);
 
       rc = bd_ctl_worse (rc, one);
-      if (one != BD_CTL_OK)
+      if (!root)
         continue;
       select_workspace (root, options->workspace);
       if (options->json)
@@ -75,17 +77,17 @@
 enum bd_ctl_exit
 bd_ctl_status (const struct bd_ctl_options *options)
 {
-  return show (options, "/status", bd_ctl_print_value);
+  return show (options, "/status", false, bd_ctl_print_value);
 }
 
 enum bd_ctl_exit
 bd_ctl_runners (const struct bd_ctl_options *options)
 {
-  return show (options, "/runners", bd_ctl_print_value);
+  return show (options, "/runners", true, bd_ctl_print_value);
 }
 
 enum bd_ctl_exit
 bd_ctl_contract_show (const struct bd_ctl_options *options)
 {
-  return show (options, "/contracts", print_contracts);
+  return show (options, "/contracts", false, print_contracts);
 }
