--- a/test/test_admin.c
+++ b/test/test_admin.c
@@ -1,15 +1,16 @@
 #include "common/admin.h"
 #include "common/log.h"
 #include "support_capture.h"
+#include "support_port.h"
 
 #include <curl/curl.h>
 #include <glib.h>
 #include <string.h>
 
-#define ADDRESS "127.0.0.1:17931"
 #define ID_A "0123456789abcdef0123456789abcdef"
 #define ID_B "0123456789abcdef0123456789abcdee"
 
+static char address[SUPPORT_ADDRESS_BYTES];
 static bool ready;
 
 static bool
@@ -53,7 +54,7 @@
 request (const char *method, const char *path, struct bd_buffer *body)
 {
   CURL *curl = curl_easy_init ();
-  char *url = g_strconcat ("http://" ADDRESS, path, NULL);
+  char *url = g_strconcat ("http://", address, path, NULL);
   long status = 0;
 
   bd_buffer_reset (body);
@@ -111,6 +112,7 @@
   struct bd_admin *admin;
   int error;
 
+  support_free_address (address);
   bd_metrics_count (metrics, BD_COUNTER_REQUESTS, 3);
   capture_begin (&capture, 2);
   bd_log (BD_EVENT_REQUEST_DONE, "request=%s tokens=1", ID_A);
@@ -119,9 +121,9 @@
   bd_log (BD_EVENT_REQUEST_DONE, "xrequest=%s tokens=4", ID_A);
   bd_log (BD_EVENT_REQUEST_DONE, "cut=\xc3\x28");
   g_free (capture_end (&capture));
-  admin = bd_admin_create (ADDRESS, metrics, &source, &error);
+  admin = bd_admin_create (address, metrics, &source, &error);
   g_assert_nonnull (admin);
-  g_assert_null (bd_admin_create (ADDRESS, metrics, &source, &error));
+  g_assert_null (bd_admin_create (address, metrics, &source, &error));
   g_assert_cmpint (error, ==, BD_ERR_IO);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -1,17 +1,23 @@
 #include "common/admin.h"
 #include "common/log.h"
 #include "support_capture.h"
+#include "support_port.h"
 
 #include <glib.h>
 #include <glib/gstdio.h>
 #include <string.h>
 
-#define HERE "127.0.0.1:17941"
-#define NOWHERE "127.0.0.1:17942"
-#define SIDECAR "127.0.0.1:17943"
+/* Stand for the addresses below, in commands and in what is expected. */
+#define HERE "@here"
+#define NOWHERE "@nowhere"
+#define SIDECAR "@sidecar"
 #define ID "0123456789abcdef0123456789abcdef"
 #define OTHER_ID "ffffffffffffffffffffffffffffffff"
 
+static char here[SUPPORT_ADDRESS_BYTES];
+static char nowhere[SUPPORT_ADDRESS_BYTES];
+static char sidecar_address[SUPPORT_ADDRESS_BYTES];
+
 static bool
 is_ready (struct bd_admin_source *source)
 {
@@ -142,10 +148,33 @@
   { "--json contract check /nonexistent", 1, "\"valid\": false", "", "" },
 };
 
+/* Returns a new TEXT with the addresses put in. */
+static char *
+with_addresses (const char *text)
+{
+  GString *string = g_string_new (text);
+
+  g_string_replace (string, HERE, here, 0);
+  g_string_replace (string, NOWHERE, nowhere, 0);
+  g_string_replace (string, SIDECAR, sidecar_address, 0);
+  return g_string_free (string, FALSE);
+}
+
+static bool
+has (const char *text, const char *wanted)
+{
+  char *full = with_addresses (wanted);
+  bool found = strstr (text, full) != NULL;
+
+  g_free (full);
+  return found;
+}
+
 static void
 run_case (const struct run *run, const char *file)
 {
-  char **words = g_strsplit (run->words, " ", -1);
+  char *line = with_addresses (run->words);
+  char **words = g_strsplit (line, " ", -1);
   GPtrArray *argv = g_ptr_array_new ();
   char *out, *err;
   int status;
@@ -155,17 +184,18 @@
     if (**w)
       g_ptr_array_add (argv, strcmp (*w, "FILE") == 0 ? (char *)file : *w);
   g_ptr_array_add (argv, NULL);
-  g_test_message ("basildockctl %s", run->words);
+  g_test_message ("basildockctl %s", line);
   g_assert_true (g_spawn_sync (NULL, (char **)argv->pdata, NULL, 0, NULL, NULL,
                                &out, &err, &status, NULL));
   g_test_message ("%s", out);
   g_assert_true (WIFEXITED (status));
   g_assert_cmpint (WEXITSTATUS (status), ==, run->code);
-  g_assert_nonnull (strstr (out, run->out));
-  g_assert_nonnull (strstr (err, run->err));
-  g_assert_true (!run->hidden[0] || !strstr (out, run->hidden));
+  g_assert_true (has (out, run->out));
+  g_assert_true (has (err, run->err));
+  g_assert_true (!run->hidden[0] || !has (out, run->hidden));
   g_ptr_array_free (argv, TRUE);
   g_strfreev (words);
+  g_free (line);
   g_free (out);
   g_free (err);
 }
@@ -195,22 +225,29 @@
   struct bd_admin *admin, *sidecar;
   struct capture capture;
   char *file = NULL;
+  char *twice;
   int fd = g_file_open_tmp (NULL, &file, NULL);
   int error;
 
   g_assert_true (g_file_set_contents (file, good_contract, -1, NULL));
+  support_free_address (here);
+  support_free_address (nowhere);
+  support_free_address (sidecar_address);
   fill_metrics (metrics);
   capture_begin (&capture, 2);
   bd_log (BD_EVENT_REQUEST_DONE, "request=%s tokens=1", ID);
   bd_log (BD_EVENT_REQUEST_DONE, "request=none tokens=2");
   g_free (capture_end (&capture));
-  admin = bd_admin_create (HERE, metrics, &source, &error);
+  admin = bd_admin_create (here, metrics, &source, &error);
   g_assert_nonnull (admin);
-  sidecar = bd_admin_create (SIDECAR, metrics, &sidecar_source, &error);
+  sidecar
+      = bd_admin_create (sidecar_address, metrics, &sidecar_source, &error);
   g_assert_nonnull (sidecar);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     run_case (&cases[i], file);
-  g_setenv ("BASILDOCK_ADMIN", HERE "," HERE, TRUE);
+  twice = with_addresses (HERE "," HERE);
+  g_setenv ("BASILDOCK_ADMIN", twice, TRUE);
+  g_free (twice);
   run_case (&by_variable, file);
   bd_admin_destroy (admin);
   bd_admin_destroy (sidecar);
