bench_core: run one group of benchmarks by name

Cause: a single group is wanted when comparing two builds. What was ruled out: keys inside the heap's array. Before: all groups or none. After: bench_core [queue|placement|limiter]. Conclusion: the heap stays as it was.

--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -461,18 +461,35 @@
   fit_ns (&s);
 }
 
+/** Whether the benchmarks whose names start with GROUP are wanted. */
+static bool
+wanted (int argc, char **argv, const char *group)
+{
+  return argc < 2 || strcmp (argv[1], group) == 0;
+}
+
+/** usage: bench_core [queue|placement|limiter] */
 int
-main (void)
+main (int argc, char **argv)
 {
-  bench_queue (POP_PUSH, "queue_pop_push");
-  bench_queue (REMOVE_PUSH, "queue_remove_push");
-  bench_queue (EXPIRE_PUSH, "queue_expire_push");
-  bench_queue (SHED_PUSH, "queue_push_sheds");
-  bench_placement (BD_POLICY_LATE_BINDING, "placement_late_binding");
-  bench_placement (BD_POLICY_BETTER_OF_TWO, "placement_better_of_two");
-  bench_limiter_tick (3, "limiter_tick_4_entries");
-  bench_limiter_tick (479, "limiter_tick_480_entries");
-  bench_limiter_admit ();
-  bench_limiter_hear ();
+  if (wanted (argc, argv, "queue"))
+    {
+      bench_queue (POP_PUSH, "queue_pop_push");
+      bench_queue (REMOVE_PUSH, "queue_remove_push");
+      bench_queue (EXPIRE_PUSH, "queue_expire_push");
+      bench_queue (SHED_PUSH, "queue_push_sheds");
+    }
+  if (wanted (argc, argv, "placement"))
+    {
+      bench_placement (BD_POLICY_LATE_BINDING, "placement_late_binding");
+      bench_placement (BD_POLICY_BETTER_OF_TWO, "placement_better_of_two");
+    }
+  if (wanted (argc, argv, "limiter"))
+    {
+      bench_limiter_tick (3, "limiter_tick_4_entries");
+      bench_limiter_tick (479, "limiter_tick_480_entries");
+      bench_limiter_admit ();
+      bench_limiter_hear ();
+    }
   return 0;
 }
