--- a/src/core/run.c
+++ b/src/core/run.c
@@ -91,8 +91,9 @@
 {
   if (!task->keyed && !is_model_json (task))
     return;
-  if (task->body.length + data.length <= runner->settings.answer_max_bytes)
-    bd_buffer_append (&task->body, data);
+  if (task->body.length + data.length > runner->settings.answer_max_bytes
+      || bd_buffer_append (&task->body, data) != BD_OK)
+    task->body_cut = true;
 }
 
 #define TOKEN_TIME_WEIGHT 16
@@ -312,11 +313,10 @@
             int error)
 {
   struct bd_chunk type = bd_chunk_of (task->content_type);
-  bool kept = task->body.length < runner->settings.answer_max_bytes;
 
   if (!task->keyed)
     return;
-  if (error == BD_OK && !kept)
+  if (error == BD_OK && task->body_cut)
     error = BD_ERR_ALREADY_RAN;
   bd_custody_used (runner->custody, task->claim.key, task->tokens);
   bd_custody_finish (runner->custody, now_ms, task->claim.key, error,
@@ -349,19 +349,30 @@
   bd_runner_pump (runner, now_ms);
 }
 
+/* The engine refuses connections, or one broke off: it is down until its
+   probe is answered. */
+static bool
+engine_is_gone (int error, bool sent)
+{
+  if (error == BD_ERR_ENGINE || error == BD_ERR_IO)
+    return true;
+  return sent ? error == BD_ERR_BROKEN : error == BD_ERR_TIMEOUT;
+}
+
 void
 bd_runner_failed (struct bd_runner *runner, int64_t now_ms,
                   struct bd_id request, uint32_t attempt, int error, bool sent)
 {
   struct task *task = bd_task_find (runner, request, attempt);
-  bool crashed = sent && error == BD_ERR_IO;
+  bool gone = engine_is_gone (error, sent);
+  bool crashed = sent && gone;
   bool alone = crashed && runner->running == 1 && runner->engine_up;
   enum bd_ran ran = sent ? BD_RAN_UNKNOWN : BD_RAN_NO;
 
   if (!task || task->state != TASK_RUNNING)
     return;
   /* The first of the requests that a crash cuts off starts a new number. */
-  if (error == BD_ERR_IO && runner->engine_up)
+  if (gone && runner->engine_up)
     {
       runner->crash_number++;
       bd_runner_set_engine (runner, now_ms, false);
@@ -374,6 +385,8 @@
     }
   else
     finish_key (runner, now_ms, task, BD_ERR_OUTCOME_UNKNOWN);
+  if (gone && !sent)
+    error = BD_ERR_NO_RUNNER;
   fail_task (runner, task, error, ran, crashed, alone);
   bd_runner_pump (runner, now_ms);
 }
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -50,6 +50,7 @@
   struct bd_sse sse;
   struct bd_buffer event;
   struct bd_buffer body; /**< The whole answer, where it is needed. */
+  bool body_cut;         /**< BODY is not the whole answer. */
   struct task *next;     /**< In the runner's list of all tasks. */
   struct task *previous;
 };
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -19,6 +19,7 @@
 
 #define TICK_MS 20
 #define MESSAGES_PER_TURN 256
+#define REASON_BYTES 300
 /* Heartbeats sent to runners in a second, and the least time between two to
    the same runner. */
 #define HEARTBEATS_PER_S 20
@@ -158,9 +159,14 @@
 exchange_note (struct bd_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
+  char reason[REASON_BYTES];
+
   (void)port;
-  bd_log (event, "document=%.*s%s%s", (int)name.length, name.data,
-          detail[0] ? " reason=" : "", detail);
+  if (detail[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
 }
 
 static void
@@ -218,9 +224,10 @@
   };
 }
 
-/* Without a setting the key is drawn; it is then good at this entry only. */
+/* The first key seals, the others still open.  Without a setting a key is
+   drawn, which is good at this entry only. */
 static int
-set_token_key (struct bd_entry *e)
+set_token_keys (struct bd_entry *e)
 {
   const char *hex = e->settings->token_key;
   size_t length = 0;
@@ -231,11 +238,12 @@
       randombytes_buf (e->keys.keys[0], BD_TOKEN_KEY_BYTES);
       return BD_OK;
     }
-  if (sodium_hex2bin (e->keys.keys[0], BD_TOKEN_KEY_BYTES, hex, strlen (hex),
-                      NULL, &length, NULL)
+  if (sodium_hex2bin ((unsigned char *)e->keys.keys, sizeof e->keys.keys, hex,
+                      strlen (hex), ",", &length, NULL)
           != 0
-      || length != BD_TOKEN_KEY_BYTES)
+      || length == 0 || length % BD_TOKEN_KEY_BYTES != 0)
     return BD_ERR_SETTING;
+  e->keys.count = length / BD_TOKEN_KEY_BYTES;
   return BD_OK;
 }
 
@@ -310,7 +318,7 @@
   e->link = bd_link_create (&link, error);
   if (e->link && make_parts (e))
     {
-      *error = set_token_key (e);
+      *error = set_token_keys (e);
       if (*error == BD_OK)
         {
           *error = BD_ERR_IO;
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -259,17 +259,26 @@
 {
   const struct bd_config_snapshot *snapshot
       = bd_view_enter (http->shared->view);
+  bool known
+      = snapshot
+        && bd_request_contract (snapshot, header (conn, "Authorization"));
   json_t *list = json_array ();
   json_t *root;
   char *text;
 
-  for (size_t i = 0; snapshot && i < snapshot->pool_count; i++)
+  for (size_t i = 0; known && i < snapshot->pool_count; i++)
     if (snapshot->pools[i]->kind == BD_POOL_MODEL)
       json_array_append_new (
           list,
           json_pack ("{s:s#, s:s}", "id", snapshot->pools[i]->name.data,
                      (int)snapshot->pools[i]->name.length, "object", "model"));
   bd_view_leave ();
+  if (!known)
+    {
+      json_decref (list);
+      refuse (http, conn, call, BD_ERR_UNAUTHORIZED);
+      return;
+    }
   root = json_pack ("{s:s, s:o}", "object", "list", "data", list);
   text = json_dumps (root, JSON_COMPACT);
   bd_reply_json (conn, call->id_text, bd_chunk_of (text));
--- a/src/entry/request.c
+++ b/src/entry/request.c
@@ -1,4 +1,5 @@
 #include "entry/request.h"
+#include "common/clock.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -78,6 +79,13 @@
                             authorization.length - prefix };
 }
 
+const struct bd_contract *
+bd_request_contract (const struct bd_config_snapshot *snapshot,
+                     struct bd_chunk authorization)
+{
+  return bd_config_find_credential (snapshot, bearer_secret (authorization));
+}
+
 /* Copies the texts into the call, in one block that does not move. */
 static int
 keep_texts (struct bd_http_call *call, struct bd_chunk **texts, size_t count)
@@ -105,9 +113,10 @@
 
   if (rc != BD_OK)
     return rc;
-  if (token->workspace != bd_chunk_hash (r->workspace)
-      || token->class_id != bd_chunk_hash (r->class_name))
-    return BD_ERR_KEY_INVALID;
+  rc = bd_token_check (token, bd_chunk_hash (r->workspace),
+                       bd_chunk_hash (r->class_name), bd_clock_wall_ms ());
+  if (rc != BD_OK)
+    return rc;
   r->key_custodian = bd_chunk_of (token->custodian);
   r->key_incarnation = token->incarnation;
   r->key_wall_ms = token->made_wall_ms;
@@ -200,8 +209,8 @@
                     const struct bd_token_keys *keys)
 {
   struct bd_dispatch_request *r = &call->request;
-  const struct bd_contract *contract = bd_config_find_credential (
-      snapshot, bearer_secret (input->authorization));
+  const struct bd_contract *contract
+      = bd_request_contract (snapshot, input->authorization);
   const struct bd_class *class;
   struct bd_token token;
   struct bd_chunk *texts[]
@@ -254,8 +263,7 @@
     rc = BD_ERR_NOT_READY;
   /* Who asks is settled before what is wrong with the request. */
   else if (rc != BD_OK
-           && !bd_config_find_credential (
-               snapshot, bearer_secret (input->authorization)))
+           && !bd_request_contract (snapshot, input->authorization))
     rc = BD_ERR_UNAUTHORIZED;
   else if (rc == BD_OK)
     rc = fill_from_contract (call, input, snapshot, &fields, keys);
--- a/src/entry/request.h
+++ b/src/entry/request.h
@@ -24,6 +24,11 @@
   struct bd_chunk service; /**< Set for a plain service. */
 };
 
+/** The contract whose credential an Authorization header holds, or NULL. */
+const struct bd_contract *
+bd_request_contract (const struct bd_config_snapshot *snapshot,
+                     struct bd_chunk authorization);
+
 /**
  * Fills in CALL's request from INPUT and the call's body: credential to
  * workspace, class by contract, model, key.  Returns BD_OK or the error that
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -28,6 +28,7 @@
 #define ANSWER_MAX_BYTES ((uint64_t)4 * 1024 * 1024)
 #define LOW_TIER_SHARE_PERMILLE 50
 #define MESSAGES_PER_TURN 256
+#define REASON_BYTES 300
 
 /* An entry that was heard. */
 struct entry
@@ -164,9 +165,14 @@
 exchange_note (struct bd_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
+  char reason[REASON_BYTES];
+
   (void)port;
-  bd_log (event, "document=%.*s%s%s", (int)name.length, name.data,
-          detail[0] ? " reason=" : "", detail);
+  if (detail[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
 }
 
 static void
