Limiter: a share is claimed first and taken when the peers have answered

Before: a raise trusted that what was told is known after 1 s. After: a claim is told in every message, as if it were held, and taken once each peer in touch was heard 500 ms after it was told; what is claimed twice nobody takes. The wait for settled demand is gone.

--- a/src/core/limiter.c
+++ b/src/core/limiter.c
@@ -405,7 +405,7 @@
 demand_now (const struct bd_limiter *l, const struct workspace *w)
 {
   struct bd_demand d = { .workspace = w->node.hash };
-  double used = w->share.held;
+  double used = bd_share_in_use (&w->share);
 
   if (w->concurrency > 0)
     used = fmax (used, (double)w->running / w->concurrency
@@ -451,7 +451,7 @@
       l->tell_cursor = (l->tell_cursor + 1) % l->workspace_count;
       w = l->workspaces[l->tell_cursor];
       d = demand_now (l, w);
-      if (worth_telling (w, &d, now_ms))
+      if (worth_telling (w, &d, now_ms) || w->share.claim > 0.0)
         w->tell_again = TELL_TIMES;
       if (w->tell_again == 0)
         continue;
@@ -459,7 +459,7 @@
       demands[written++] = d;
       w->told = d;
       w->told_ms = now_ms;
-      bd_share_told (&w->share, now_ms, w->demand);
+      bd_share_told (&w->share, now_ms);
     }
   return written;
 }
--- a/src/core/share.c
+++ b/src/core/share.c
@@ -11,6 +11,8 @@
 #define UNKNOWN_ENTRIES 16
 /** A surplus this small is given up at once, a larger one by halves. */
 #define SURPLUS_MIN 0.01
+/** Least claim, as a part of an equal part. */
+#define CLAIM_MIN 0.02
 #define START_PEERS 8
 
 struct bd_share_peer
@@ -124,7 +126,7 @@
     p = peer_create (group, now_ms, name);
   if (!p)
     return -1;
-  if (now_ms - p->heard_ms >= BD_SHARE_HOLD_MS)
+  if (now_ms - p->heard_ms >= BD_SHARE_SILENT_MS)
     note_return (group, p, now_ms);
   p->heard_ms = now_ms;
   return p->place;
@@ -194,14 +196,19 @@
                                   .demand = fmin (fmax (demand, 0.0), 1.0) };
 }
 
+double
+bd_share_in_use (const struct bd_share *share)
+{
+  return share->held + share->claim;
+}
+
 void
-bd_share_told (struct bd_share *share, int64_t now_ms, double demand)
+bd_share_told (struct bd_share *share, int64_t now_ms)
 {
-  if (share->pending)
+  if (share->claim <= 0.0 || share->told)
     return;
-  share->pending = true;
-  share->pending_ms = now_ms;
-  share->pending_demand = demand;
+  share->told = true;
+  share->told_ms = now_ms;
 }
 
 /** What peer I told, or NULL when it stopped telling. */
@@ -246,7 +253,7 @@
 {
   double entries = entry_count (group);
   struct view v = { .equal = MOVABLE / entries,
-                    .held = share->held,
+                    .held = bd_share_in_use (share),
                     .demand = share->demand };
   double reserved = v.equal * (entries - 1.0 - (double)group->peer_count);
 
@@ -292,66 +299,79 @@
   return gaps;
 }
 
-enum sight
-{
-  SIGHT_NONE,    /**< A peer fell silent; what it does is not known. */
-  SIGHT_PARTIAL, /**< Some peers are out of touch for good. */
-  SIGHT_FULL     /**< All entries were heard lately. */
-};
-
-static enum sight
-sight (const struct bd_share_group *group, int64_t now_ms)
+/** Whether each entry there is was heard lately. */
+static bool
+all_heard (const struct bd_share_group *group, int64_t now_ms)
 {
-  size_t heard = 0;
+  double heard = 1.0;
 
   for (size_t i = 0; i < group->peer_capacity; i++)
     {
       const struct bd_share_peer *p = group->peers[i];
-      int64_t silent_ms = p ? now_ms - p->heard_ms : 0;
 
-      if (silent_ms >= BD_SHARE_HOLD_MS && silent_ms < BD_SHARE_LEASE_MS)
-        return SIGHT_NONE;
-      heard += p && silent_ms < BD_SHARE_HOLD_MS ? 1 : 0;
+      if (p && now_ms - p->heard_ms < BD_SHARE_SILENT_MS)
+        heard += 1.0;
     }
-  return (double)heard + 1.0 >= entry_count (group) ? SIGHT_FULL
-                                                    : SIGHT_PARTIAL;
+  return heard >= entry_count (group);
 }
 
 /**
- * Whether enough was heard to know who holds what.  Without sight of all, a
+ * Whether enough was heard to know who holds what.  Unless all are heard, a
  * part that came with a returned peer may still be held beyond the partition
  * that it came from, until the lease there ends.
  */
 static bool
-may_raise (const struct bd_share *share, const struct bd_share_group *group,
-           int64_t now_ms)
+knows_enough (const struct bd_share *share, const struct bd_share_group *group,
+              int64_t now_ms)
 {
   int64_t since_ms = share->since_ms > group->changed_ms ? share->since_ms
                                                          : group->changed_ms;
+  int64_t need_ms
+      = all_heard (group, now_ms) ? BD_SHARE_START_MS : BD_SHARE_EXPIRE_MS;
 
-  if (group->entries == 0 || now_ms - share->raised_ms < BD_SHARE_HOLD_MS)
+  return group->entries > 0 && now_ms - since_ms >= need_ms;
+}
+
+/** Whether every peer in touch was heard after it knew of the claim. */
+static bool
+claim_known (const struct bd_share *share, const struct bd_share_group *group,
+             int64_t now_ms)
+{
+  if (!share->told)
     return false;
-  switch (sight (group, now_ms))
+  for (size_t i = 0; i < group->peer_capacity; i++)
     {
-    case SIGHT_FULL:
-      return now_ms - since_ms >= BD_SHARE_START_MS;
-    case SIGHT_PARTIAL:
-      return now_ms - since_ms >= BD_SHARE_EXPIRE_MS;
-    case SIGHT_NONE:
-      break;
+      const struct bd_share_peer *p = group->peers[i];
+
+      if (p && now_ms - p->heard_ms < BD_SHARE_LEASE_MS
+          && p->heard_ms - share->told_ms < BD_SHARE_ANSWER_MS)
+        return false;
     }
-  return false;
+  return true;
 }
 
 static void
-lower (struct bd_share *share, const struct view *v, int64_t now_ms)
+drop_claim (struct bd_share *share, struct view *v)
+{
+  v->held -= share->claim;
+  share->claim = 0.0;
+  share->told = false;
+}
+
+static void
+lower (struct bd_share *share, struct view *v, int64_t now_ms)
 {
   double surplus = share->held - target (v, share->demand);
 
+  if (surplus > 0.0)
+    drop_claim (share, v);
   if (now_ms - share->lowered_ms < BD_SHARE_HOLD_MS)
     return;
-  if (v->held > v->available)
-    share->held *= v->available / v->held;
+  if (v->held - share->claim > v->available)
+    {
+      drop_claim (share, v);
+      share->held *= v->available / v->held;
+    }
   else if (v->demand > 0.0 && surplus > 0.0)
     share->held -= surplus > SURPLUS_MIN ? surplus / 2.0 : surplus;
   else
@@ -360,18 +380,35 @@
 }
 
 static void
-raise (struct bd_share *share, const struct bd_share_group *group,
-       const struct view *v, int64_t now_ms)
+make_claim (struct bd_share *share, const struct bd_share_group *group,
+            const struct view *v, int64_t now_ms)
 {
   double gap = target (v, share->demand) - share->held;
   double free_part = v->available - v->held;
   double part;
 
-  if (gap <= 0.0 || free_part <= 0.0 || !may_raise (share, group, now_ms))
+  if (gap <= 0.0 || free_part <= 0.0
+      || now_ms - share->raised_ms < BD_SHARE_HOLD_MS
+      || !knows_enough (share, group, now_ms))
     return;
   part = free_part * gap / sum_gaps (share, group, v, now_ms);
-  share->held += fmin (fmin (part, gap), v->equal);
+  part = fmin (fmin (part, gap), v->equal);
+  if (part >= CLAIM_MIN * v->equal)
+    share->claim = part;
+}
+
+static void
+take_claim (struct bd_share *share, const struct bd_share_group *group,
+            struct view *v, int64_t now_ms)
+{
+  double excess = fmax (0.0, v->held - v->available);
+
+  if (!claim_known (share, group, now_ms)
+      || !knows_enough (share, group, now_ms))
+    return;
+  share->held += fmax (0.0, share->claim - excess);
   share->raised_ms = now_ms;
+  drop_claim (share, v);
 }
 
 void
@@ -380,12 +417,7 @@
 {
   struct view v;
 
-  if (share->pending && now_ms - share->pending_ms >= BD_SHARE_HOLD_MS)
-    {
-      share->settled_demand = share->pending_demand;
-      share->pending = false;
-    }
-  share->demand = fmin (demand, share->settled_demand);
+  share->demand = demand;
   if (alone (group))
     {
       share->held = MOVABLE;
@@ -393,7 +425,10 @@
     }
   v = look (share, group, now_ms);
   lower (share, &v, now_ms);
-  raise (share, group, &v, now_ms);
+  if (share->claim > 0.0)
+    take_claim (share, group, &v, now_ms);
+  else
+    make_claim (share, group, &v, now_ms);
 }
 
 double
--- a/src/core/share.h
+++ b/src/core/share.h
@@ -5,9 +5,11 @@
  *
  * A floor of BD_SHARE_FLOOR is split equally and does not move.  The rest
  * follows demand: an entry gives up what it holds beyond its part by halves,
- * and takes of what is free in proportion to what each still lacks, no more
- * than an equal part per BD_SHARE_HOLD_MS.  Its own demand counts from
- * BD_SHARE_HOLD_MS after it was told, so that all divide by the same figures.
+ * and claims of what is free in proportion to what each still lacks, at most
+ * an equal part at a time.  A claim is told as if it were held.  It is taken
+ * once every peer in touch was heard BD_SHARE_ANSWER_MS after it was told: by
+ * then the peer knows of it, and has told its own claims.  What turns out to
+ * be claimed twice is taken by nobody.
  *
  * Partition: an entry that is out of touch with peers for BD_SHARE_LEASE_MS
  * comes down, with those still in touch, to as many equal parts as they are.
@@ -24,16 +26,20 @@
 #include <stdint.h>
 
 #define BD_SHARE_FLOOR 0.1
-/** Time after which the peers in touch know what was told. */
+/** Least time between two claims, and between two reductions. */
 #define BD_SHARE_HOLD_MS 1000
+/** Longer than a message takes. */
+#define BD_SHARE_ANSWER_MS 500
+/** After a silence this long a peer may have missed what was told. */
+#define BD_SHARE_SILENT_MS 4000
 /** What is held or wanted is told again after this time. */
 #define BD_SHARE_REFRESH_MS 2000
-/** No share is raised until this long after a start or a peer's return. */
+/** Nothing is claimed until this long after a start or a peer's return. */
 #define BD_SHARE_START_MS 3000
 #define BD_SHARE_LEASE_MS 8000
 #define BD_SHARE_EXPIRE_MS 12000
 /** Most by which the sum of all shares exceeds 1; see limiter.h. */
-#define BD_SHARE_EXCESS 0.2
+#define BD_SHARE_EXCESS 0.02
 /** Most peers that are remembered. */
 #define BD_SHARE_PEERS_MAX 1024
 
@@ -69,12 +75,11 @@
 /** One thing divided.  Zero is a valid start, with SINCE_MS set. */
 struct bd_share
 {
-  double held;           /**< Beyond the floor. */
-  double demand;         /**< The lesser of now's and the settled one. */
-  double settled_demand; /**< Told long enough ago to be known. */
-  double pending_demand;
-  int64_t pending_ms;
-  bool pending;
+  double held;   /**< Beyond the floor. */
+  double claim;  /**< Told as held, but not taken yet. */
+  bool told;     /**< The claim was told. */
+  double demand; /**< A part of the whole. */
+  int64_t told_ms;
   int64_t since_ms;
   int64_t raised_ms;
   int64_t lowered_ms;
@@ -88,12 +93,15 @@
 void bd_share_note (struct bd_share *share, const struct bd_share_group *group,
                     int place, int64_t now_ms, double held, double demand);
 
-/** This entry's demand was told to its peers. */
-void bd_share_told (struct bd_share *share, int64_t now_ms, double demand);
+/** Held and claimed beyond the floor: what the peers are told. */
+double bd_share_in_use (const struct bd_share *share);
+
+/** That was told, in a message to all peers. */
+void bd_share_told (struct bd_share *share, int64_t now_ms);
 
 /**
- * Moves the share; call it a few times per BD_SHARE_HOLD_MS.  DEMAND is that
- * of now, a part of the whole; it counts as far as it was told in time.
+ * Moves the share; call it a few times per BD_SHARE_HOLD_MS.  DEMAND is a
+ * part of the whole.
  */
 void bd_share_update (struct bd_share *share,
                       const struct bd_share_group *group, int64_t now_ms,
--- a/test/test_limiter.c
+++ b/test/test_limiter.c
@@ -9,7 +9,9 @@
 #define ENTRIES_MAX 12
 #define STEP_MS 10
 #define TICK_MS 100
-#define GOSSIP_MS 200
+#define GOSSIP_MS 250
+/** An entry with nothing to tell reaches every peer in this time. */
+#define PEER_PERIOD_MS 1500
 #define WORKSPACE 77
 #define DEMANDS_MAX 4
 /** Most that the shares sum to; see limiter.h. */
@@ -151,17 +153,21 @@
   g_array_free (f->running, TRUE);
 }
 
+/** Tells all peers, or with nothing to tell some of them in turn. */
 static void
 fleet_gossip (struct fleet *f, int from)
 {
   struct entry *e = &f->entries[from];
   struct message m = { .from = e->name };
+  int64_t round = f->now_ms / GOSSIP_MS;
 
   m.count = bd_limiter_demands (e->limiter, f->now_ms, m.demands, DEMANDS_MAX);
   for (m.to = 0; m.to < f->count; m.to++)
     {
       m.arrives_ms
           = f->now_ms + 1 + bd_random_below (&f->random, f->delay_max_ms);
+      if (m.count == 0 && (round + m.to) % (PEER_PERIOD_MS / GOSSIP_MS) != 0)
+        continue;
       if (m.to != from && f->entries[m.to].side == e->side
           && bd_random_below (&f->random, 1000) >= f->loss_permille)
         g_array_append_val (f->messages, m);
@@ -268,7 +274,7 @@
         continue;
       if (f->now_ms % TICK_MS == 0)
         bd_limiter_tick (e->limiter, f->now_ms);
-      if ((f->now_ms + (int64_t)20 * i) % GOSSIP_MS == 0)
+      if ((f->now_ms + (int64_t)20 * i) % GOSSIP_MS < STEP_MS)
         fleet_gossip (f, i);
       while (bd_random_below (&f->random, 1000000) < expected * 1e6)
         {
@@ -405,7 +411,7 @@
                       part, f.share_max);
       g_assert_cmpfloat (part, >=, cases[c].least);
       g_assert_cmpfloat (part, <=, 1.05);
-      g_assert_cmpfloat (f.share_max, <=, 1.05);
+      g_assert_cmpfloat (f.share_max, <=, SHARES_MAX);
       fleet_clear (&f);
     }
 }
@@ -443,7 +449,7 @@
       f.entries[1].side = 0;
       f.entries[2].side = 0;
       g_assert_cmpfloat (compared_to_central (&f, 30000), <=, 1.05);
-      g_assert_cmpfloat (f.share_max, <=, 1.05);
+      g_assert_cmpfloat (f.share_max, <=, SHARES_MAX);
       fleet_clear (&f);
     }
 }
@@ -502,7 +508,7 @@
   fleet_name (&f, 3);
   fleet_run (&f, 20000);
   g_assert_cmpfloat (f.share_sum, >=, 0.95);
-  g_assert_cmpfloat (f.share_max, <=, 1.05);
+  g_assert_cmpfloat (f.share_max, <=, SHARES_MAX);
   fleet_clear (&f);
 }
 
@@ -528,7 +534,7 @@
       g_assert_cmpfloat (part, <=, all ? 0.2 : 1.0);
       fleet_run (&f, 15000);
       g_assert_cmpfloat (f.share_sum, >=, 0.9);
-      g_assert_cmpfloat (f.share_max, <=, 1.05);
+      g_assert_cmpfloat (f.share_max, <=, SHARES_MAX);
       fleet_clear (&f);
     }
 }
@@ -601,6 +607,125 @@
   bd_limiter_destroy (l);
 }
 
+/** Drives one share by hand, with one peer; updates it each 250 ms. */
+struct pair
+{
+  struct bd_share_group group;
+  struct bd_share share;
+  int64_t now_ms;
+  int place;
+};
+
+static void
+pair_init (struct pair *p)
+{
+  *p = (struct pair){ .now_ms = 1000 };
+  bd_share_group_start (&p->group, p->now_ms);
+  p->group.entries = 2;
+  p->share.since_ms = p->now_ms;
+}
+
+static void
+pair_hear (struct pair *p, bool told, double held)
+{
+  p->place = bd_share_group_heard (&p->group, p->now_ms, 9);
+  if (told)
+    bd_share_note (&p->share, &p->group, p->place, p->now_ms, held, 0.1);
+}
+
+/** Goes on to UNTIL_MS; HEARD and TOLD: the peer speaks, tells HELD. */
+static void
+pair_run (struct pair *p, int64_t until_ms, bool heard, bool told, double held,
+          bool tell)
+{
+  while (p->now_ms < until_ms)
+    {
+      p->now_ms += 250;
+      if (heard)
+        pair_hear (p, told, held);
+      bd_share_group_tick (&p->group, p->now_ms);
+      bd_share_update (&p->share, &p->group, p->now_ms, 0.8);
+      if (tell)
+        bd_share_told (&p->share, p->now_ms);
+    }
+}
+
+/** A claim is taken when told and answered, not before. */
+static void
+test_claim_needs_answer (void)
+{
+  struct pair p;
+
+  pair_init (&p);
+  pair_run (&p, 3500, true, true, 0.1, false);
+  g_assert_cmpfloat (bd_share_in_use (&p.share), ==, 0.0);
+  pair_run (&p, 9000, true, true, 0.1, false);
+  g_assert_cmpfloat (bd_share_in_use (&p.share), >, 0.4);
+  g_assert_cmpfloat (p.share.held, ==, 0.0);
+  bd_share_told (&p.share, p.now_ms);
+  pair_run (&p, 12000, false, false, 0.0, false);
+  g_assert_cmpfloat (p.share.held, ==, 0.0);
+  pair_run (&p, 12250, true, true, 0.1, false);
+  g_assert_cmpfloat (p.share.held, >, 0.4);
+  /* The next claim needs its own. */
+  pair_run (&p, 16000, true, true, 0.1, false);
+  g_assert_cmpfloat (p.share.claim, >, 0.1);
+  g_assert_cmpfloat (p.share.held, <, 0.5);
+  /* What the peer claimed at the same time is not taken. */
+  bd_share_told (&p.share, p.now_ms);
+  pair_run (&p, 17000, true, true, 0.4, false);
+  g_assert_cmpfloat (p.share.held, <=, 0.5);
+  bd_share_clear (&p.share);
+  bd_share_group_clear (&p.group);
+}
+
+/** After a silence what was told before is not relied on. */
+static void
+test_return_after_silence (void)
+{
+  struct pair p;
+
+  pair_init (&p);
+  pair_run (&p, 10000, true, true, 0.45, true);
+  g_assert_cmpfloat (p.share.held, >=, 0.44);
+  pair_run (&p, 21000, false, false, 0.0, true);
+  g_assert_cmpfloat (p.share.held, <=, 0.46);
+  /* The last telling expires now; the peer speaks but has not told again. */
+  pair_run (&p, 23500, true, false, 0.0, true);
+  g_assert_cmpfloat (bd_share_in_use (&p.share), <=, 0.46);
+  bd_share_clear (&p.share);
+  bd_share_group_clear (&p.group);
+}
+
+/** A claim is in every message until it is taken. */
+static void
+test_claim_is_told_always (void)
+{
+  struct bd_limits limits = { 100, 0, 0 };
+  struct bd_limiter *l = bd_limiter_create (1);
+  struct bd_demand d;
+  int32_t retry_ms;
+  int in_a_row = 0;
+
+  bd_limiter_set_peers (l, 1000, 2);
+  g_assert_cmpint (bd_limiter_set (l, 1000, 5, &limits), ==, BD_OK);
+  for (int64_t now_ms = 1000; now_ms < 9000; now_ms += 250)
+    {
+      if (now_ms < 4500)
+        bd_limiter_peer_demand (l, now_ms, 2, NULL, 0);
+      for (int i = 0; i < 10; i++)
+        bd_limiter_admit (l, now_ms, 5, 1, &retry_ms);
+      bd_limiter_tick (l, now_ms);
+      if (bd_limiter_demands (l, now_ms, &d, 1) == 1 && d.share_permyriad > 0)
+        in_a_row++;
+      else
+        g_assert_cmpint (in_a_row, ==, 0);
+    }
+  g_assert_cmpint (in_a_row, >, 10);
+  g_assert_cmpuint (bd_limiter_share (l, 5), ==, 500);
+  bd_limiter_destroy (l);
+}
+
 /** What did not change is not told; what did is, whatever the room. */
 static void
 test_gossip_is_sparse (void)
@@ -653,6 +778,9 @@
   g_test_add_func ("/limiter/restarts", test_restarts);
   g_test_add_func ("/limiter/refusals", test_refusals);
   g_test_add_func ("/limiter/unknown-fleet", test_unknown_fleet);
+  g_test_add_func ("/limiter/claim-needs-answer", test_claim_needs_answer);
+  g_test_add_func ("/limiter/return-after-silence", test_return_after_silence);
+  g_test_add_func ("/limiter/claim-is-told-always", test_claim_is_told_always);
   g_test_add_func ("/limiter/gossip-is-sparse", test_gossip_is_sparse);
   return g_test_run ();
 }
