Callers' own keys: home by roster, confirmed configuration, instance list

A sidecar refuses a new own key whose home is elsewhere, counts from a change of its pool's roster, and accepts own keys only while its configuration is confirmed. The confirmation is counted from the receiver's own clock, which heartbeats echo, so that a message that lay around cannot look fresh. Ruled out: confirming by the time of arrival. The instance list now takes leaving runners and peers out.

--- a/src/common/setting_table.c
+++ b/src/common/setting_table.c
@@ -305,6 +305,10 @@
   NUMBER ("idle-timeout-ms", "IDLE_TIMEOUT_MS", accept_int32, idle_timeout_ms,
           1, 3600000, "10000",
           "time limit between two reads from the engine, in milliseconds"),
+  NUMBER ("confirm-window-ms", "CONFIRM_WINDOW_MS", accept_int32,
+          confirm_window_ms, 0, 600000, "15000",
+          "callers' own idempotency keys are accepted by a sidecar for this "
+          "long after its configuration was confirmed; 0: not checked"),
   NUMBER ("max-streams", "MAX_STREAMS", accept_int32, max_streams, 1, 16384,
           "512", "callers' connections served at a time by an entry"),
   NUMBER ("body-bytes", "BODY_BYTES", accept_int32, body_bytes, 1024, 67108864,
--- a/src/common/setting_table.h
+++ b/src/common/setting_table.h
@@ -8,7 +8,7 @@
 #include "common/settings.h"
 
 /** Number of rows. */
-#define BD_SETTING_COUNT 27
+#define BD_SETTING_COUNT 28
 
 struct bd_setting;
 
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -37,6 +37,7 @@
   int32_t connect_timeout_ms;
   int32_t first_byte_timeout_ms;
   int32_t idle_timeout_ms;
+  int32_t confirm_window_ms; /**< --confirm-window-ms */
   /* Entry. */
   int32_t max_streams; /**< --max-streams */
   int32_t body_bytes;  /**< --body-bytes, largest request body */
--- a/src/core/custody.c
+++ b/src/core/custody.c
@@ -544,3 +544,9 @@
   *tokens = r->tokens;
   return true;
 }
+
+bool
+bd_custody_knows (const struct bd_custody *custody, struct bd_key key)
+{
+  return record_find (custody, key) != NULL;
+}
--- a/src/core/custody.h
+++ b/src/core/custody.h
@@ -209,6 +209,9 @@
  */
 void bd_custody_tick (struct bd_custody *custody, int64_t now_ms);
 
+/** True when there is a record of KEY. */
+bool bd_custody_knows (const struct bd_custody *custody, struct bd_key key);
+
 uint32_t bd_custody_count (const struct bd_custody *custody);
 
 #endif
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -527,5 +527,6 @@
     .incarnation = r->incarnation,
     .load = r->load,
     .heard_ms = r->heard_ms,
+    .peer_clock_ms = r->peer_clock_ms,
   };
 }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -165,6 +165,7 @@
   uint64_t incarnation;
   struct bd_load load;
   int64_t heard_ms;
+  int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
 };
 
 /** Number of runners in this entry's subsets. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,6 +1,7 @@
 #include "core/fleet.h"
 #include "common/map.h"
 #include "common/string.h"
+#include "core/home.h"
 
 #include <stdlib.h>
 #include <xxhash.h>
@@ -325,9 +326,8 @@
 
   for (size_t i = 0; i < pool->runner_count; i++)
     {
-      struct bd_id name = name_id (bd_chunk_of (pool->runners[i]->instance));
-      uint64_t words[4] = { key.high, key.low, name.high, name.low };
-      uint64_t rank = XXH64 (words, sizeof words, 0);
+      uint64_t rank
+          = bd_home_rank (key, bd_chunk_of (pool->runners[i]->instance));
 
       if (!home || rank > best)
         {
@@ -378,6 +378,8 @@
     return false;
   runner->incarnation = message->incarnation;
   runner->heard_ms = now_ms;
+  if (message->sent_ms != 0)
+    runner->peer_clock_ms = message->sent_ms;
   /* Only messages that carry the load tell the state. */
   if (message->slots == 0)
     return true;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -18,6 +18,7 @@
   uint64_t incarnation; /**< 0: not heard of yet. */
   struct bd_load load;
   int64_t heard_ms;
+  int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
   int64_t used_ms;
   bool in_subset;
   bool connected; /**< The port was asked to connect. */
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -148,12 +148,38 @@
                       task->attempt, detail);
 }
 
+void
+bd_runner_home_since (struct bd_runner *runner, int64_t wall_ms)
+{
+  bd_custody_home_since (runner->custody, wall_ms);
+}
+
+void
+bd_runner_confirm (struct bd_runner *runner, int64_t now_ms)
+{
+  bd_custody_confirm (runner->custody, now_ms);
+}
+
+/* A key that is new here, but whose home is elsewhere by now. */
+static bool
+is_astray (struct bd_runner *runner, const struct task *task)
+{
+  return task->claim.origin != BD_KEY_ISSUED
+         && !bd_custody_knows (runner->custody, task->claim.key)
+         && !runner->port->is_home (runner->port, task->claim.key.id);
+}
+
 static void
 claim_and_enqueue (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms,
                    struct task *task)
 {
   struct bd_custody_answer answer;
 
+  if (is_astray (runner, task))
+    {
+      bd_task_refuse (runner, task, BD_ERR_OUTCOME_UNKNOWN, BD_RAN_UNKNOWN);
+      return;
+    }
   bd_custody_claim (runner->custody, now_ms, wall_ms, &task->claim, &answer);
   switch (answer.verdict)
     {
--- a/src/core/runner.h
+++ b/src/core/runner.h
@@ -57,6 +57,8 @@
   void (*bill) (struct bd_runner_port *port, const struct bd_bill *bill);
   void (*note) (struct bd_runner_port *port, enum bd_event event,
                 struct bd_id request, uint32_t attempt, const char *detail);
+  /** True when this runner is the home of callers' own KEY now. */
+  bool (*is_home) (struct bd_runner_port *port, struct bd_id key);
   /** Measured times of a request: its wait for a grant. */
   void (*waited) (struct bd_runner_port *port, struct bd_chunk workspace,
                   struct bd_chunk class_name, int64_t wait_ms);
@@ -97,6 +99,12 @@
                        struct bd_id request, uint32_t attempt, int error,
                        bool sent);
 
+/** The published runners of the pool changed: homes may have moved. */
+void bd_runner_home_since (struct bd_runner *runner, int64_t wall_ms);
+
+/** The configuration in force was confirmed by a read sent at NOW_MS. */
+void bd_runner_confirm (struct bd_runner *runner, int64_t now_ms);
+
 /** Expires leases, deadlines and receipts; grants what can be granted. */
 void bd_runner_tick (struct bd_runner *runner, int64_t now_ms,
                      int64_t wall_ms);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -12,6 +12,7 @@
 #include "platform/watch.h"
 #include "wire/link.h"
 
+#include <jansson.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,6 +38,7 @@
   struct bd_mail mail;
   struct bd_chunk name;
   struct bd_chunk json;
+  int64_t sent_ms; /* Of a confirmation, whose JSON is empty. */
 };
 
 struct bd_entry
@@ -64,6 +66,7 @@
   size_t heartbeat_next;
   int64_t heartbeat_ms;
   int64_t refresh_ms;
+  uint64_t service_manifest; /* Hash of what the service gave last. */
   bool watching;
   bool changed;
 };
@@ -176,10 +179,9 @@
 }
 
 static void
-watch_document (struct bd_watch_sink *sink, struct bd_chunk name,
-                struct bd_chunk json)
+post_document (struct bd_entry *e, struct bd_chunk name, struct bd_chunk json,
+               int64_t sent_ms)
 {
-  struct bd_entry *e = of_watch (sink);
   struct document_mail *mail
       = malloc (sizeof *mail + name.length + json.length);
   char *bytes;
@@ -192,9 +194,26 @@
     memcpy (bytes + name.length, json.data, json.length);
   mail->name = (struct bd_chunk){ bytes, name.length };
   mail->json = (struct bd_chunk){ bytes + name.length, json.length };
+  mail->sent_ms = sent_ms;
   bd_mailbox_post (e->documents, &mail->mail);
 }
 
+static void
+watch_document (struct bd_watch_sink *sink, struct bd_chunk name,
+                struct bd_chunk json)
+{
+  post_document (of_watch (sink), name, json, 0);
+}
+
+static void
+watch_confirmed (struct bd_watch_sink *sink, struct bd_chunk name,
+                 int64_t sent_ms)
+{
+  if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
+    post_document (of_watch (sink), name, (struct bd_chunk){ NULL, 0 },
+                   sent_ms);
+}
+
 static void
 watch_reachable (struct bd_watch_sink *sink, bool up)
 {
@@ -221,6 +240,7 @@
   e->watch_sink = (struct bd_watch_sink){
     .document = watch_document,
     .reachable = watch_reachable,
+    .confirmed = watch_confirmed,
   };
 }
 
@@ -468,19 +488,79 @@
     take_call (e, bd_clock_ms (), (struct bd_http_call_mail *)mail);
 }
 
+/* The list lags, so it only takes runners and peers out. */
 static void
-read_documents (struct bd_entry *e, int64_t now_ms)
+take_instances (struct bd_entry *e, int64_t now_ms, struct bd_chunk json)
+{
+  json_t *root = json_loadb (json.data ? json.data : "", json.length, 0, NULL);
+  json_t *list = json_object_get (root, "instances");
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    const char *state = json_string_value (json_object_get (item, "state"));
+    struct bd_chunk instance
+        = bd_chunk_of (json_string_value (json_object_get (item, "instance")));
+
+    if (!state || instance.length == 0)
+      continue;
+    bd_peers_listed (e->peers, now_ms, instance,
+                     strcmp (state, "leaving") == 0);
+    if (strcmp (state, "leaving") == 0)
+      bd_dispatch_leaving (e->dispatch, instance);
+  }
+  json_decref (root);
+}
+
+static void
+count_missing (void *context, struct bd_chunk name)
+{
+  (void)name;
+  ++*(size_t *)context;
+}
+
+/* What is in force is confirmed when the service gives the same manifest and
+   every document that it names has come. */
+static void
+take_confirmation (struct bd_entry *e, int64_t sent_ms)
+{
+  struct bd_config *config = bd_exchange_config (e->exchange);
+  struct bd_chunk manifest
+      = bd_config_document (config, BD_CHUNK ("manifest"));
+  size_t missing = 0;
+
+  bd_config_missing (config, count_missing, &missing);
+  if (missing == 0 && bd_chunk_hash (manifest) == e->service_manifest)
+    bd_peers_confirm (e->peers, sent_ms);
+}
+
+static void
+take_document (struct bd_entry *e, int64_t now_ms, struct bd_chunk name,
+               struct bd_chunk json)
 {
   struct bd_chunk service = { NULL, 0 };
+
+  if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
+    e->service_manifest = bd_chunk_hash (json);
+  bd_exchange_document (e->exchange, now_ms, service, name, json);
+}
+
+static void
+read_documents (struct bd_entry *e, int64_t now_ms)
+{
   struct bd_mail *mail;
 
   while ((mail = bd_mailbox_take (e->documents)))
     {
       struct document_mail *document = (struct document_mail *)mail;
 
-      if (!bd_chunk_equal (document->name, BD_CHUNK ("instances")))
-        bd_exchange_document (e->exchange, now_ms, service, document->name,
-                              document->json);
+      if (document->sent_ms != 0)
+        take_confirmation (e, document->sent_ms);
+      else if (bd_chunk_equal (document->name, BD_CHUNK ("instances")))
+        take_instances (e, now_ms, document->json);
+      else
+        take_document (e, now_ms, document->name, document->json);
       free (document);
     }
 }
@@ -494,6 +574,7 @@
   m->incarnation = e->incarnation;
   m->revision = bd_config_revision (config);
   m->digest = bd_config_digest (config);
+  m->confirm_age_ms = bd_peers_confirm_age (e->peers, bd_clock_ms ());
 }
 
 static void
@@ -504,6 +585,7 @@
 
   bd_dispatch_runner (e->dispatch, index, &view);
   fill_heartbeat (e, &m);
+  m.echo_ms = view.peer_clock_ms;
   bd_link_send (e->link, view.instance, &m);
 }
 
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -1,4 +1,6 @@
 #include "entry/peers.h"
+#include "common/clock.h"
+#include "common/map.h"
 #include "wire/gossip.h"
 
 #include <stdlib.h>
@@ -26,6 +28,8 @@
   struct bd_gossip_body told;
   size_t next_member;
   int64_t gossip_ms;
+  int64_t confirmed_ms;  /* 0: never. */
+  struct bd_map *clocks; /* A peer's clock when it last sent, by name. */
   bool leaving;
 };
 
@@ -72,9 +76,10 @@
   p->dispatch = dispatch;
   p->exchange = exchange;
   p->membership = bd_membership_create (&m);
-  if (!p->membership)
+  p->clocks = bd_map_create ();
+  if (!p->membership || !p->clocks)
     {
-      free (p);
+      bd_peers_destroy (p);
       return NULL;
     }
   connect_seeds (p);
@@ -84,8 +89,14 @@
 void
 bd_peers_destroy (struct bd_peers *peers)
 {
+  size_t cursor = 0;
+  void *clock;
+
   if (!peers)
     return;
+  while (peers->clocks && (clock = bd_map_next (peers->clocks, &cursor)))
+    free (clock);
+  bd_map_destroy (peers->clocks);
   bd_membership_destroy (peers->membership);
   bd_buffer_clear (&peers->body);
   free (peers);
@@ -125,6 +136,54 @@
                         entries > 0 ? (uint32_t)entries : 1);
 }
 
+static struct bd_id
+clock_id (struct bd_chunk peer)
+{
+  return (struct bd_id){ bd_chunk_hash (peer), 0 };
+}
+
+static void
+note_clock (struct bd_peers *p, struct bd_chunk peer, int64_t sent_ms)
+{
+  int64_t *clock = bd_map_get (p->clocks, clock_id (peer), 0);
+
+  if (!clock)
+    {
+      clock = malloc (sizeof *clock);
+      if (!clock || bd_map_put (p->clocks, clock_id (peer), 0, clock) != BD_OK)
+        {
+          free (clock);
+          return;
+        }
+    }
+  *clock = sent_ms;
+}
+
+void
+bd_peers_confirm (struct bd_peers *peers, int64_t sent_ms)
+{
+  if (sent_ms > peers->confirmed_ms)
+    peers->confirmed_ms = sent_ms;
+}
+
+int64_t
+bd_peers_confirm_age (const struct bd_peers *peers, int64_t now_ms)
+{
+  return peers->confirmed_ms > 0 ? now_ms - peers->confirmed_ms + 1 : 0;
+}
+
+/* A peer's confirmation, counted from this process's own clock. */
+static void
+take_confirmation (struct bd_peers *p, const struct bd_message *m)
+{
+  struct bd_config *config = bd_exchange_config (p->exchange);
+
+  if (m->echo_ms != 0 && m->confirm_age_ms > 0
+      && m->revision == bd_config_revision (config)
+      && m->digest == bd_config_digest (config))
+    bd_peers_confirm (p, m->echo_ms - (m->confirm_age_ms - 1));
+}
+
 static void
 take_strikes (struct bd_peers *p, int64_t now_ms,
               const struct bd_gossip_body *body)
@@ -156,6 +215,8 @@
   bd_link_connect (peers->link, from, message->address);
   bd_exchange_heard (peers->exchange, now_ms, from, message->revision,
                      message->digest);
+  note_clock (peers, from, message->sent_ms);
+  take_confirmation (peers, message);
   bd_limiter_peer_demand (bd_dispatch_limiter (peers->dispatch), now_ms,
                           bd_chunk_hash (from), body.demands,
                           body.demand_count);
@@ -198,24 +259,35 @@
     .revision = bd_config_revision (config),
     .digest = bd_config_digest (config),
     .body = bd_buffer_chunk (&p->body),
+    .sent_ms = bd_clock_ms (),
+    .confirm_age_ms = bd_peers_confirm_age (p, bd_clock_ms ()),
   };
 }
 
 static void
-send_to_all (struct bd_peers *p, const struct bd_message *m)
+send_to (struct bd_peers *p, struct bd_chunk peer, struct bd_message *m)
+{
+  const int64_t *clock = bd_map_get (p->clocks, clock_id (peer), 0);
+
+  m->echo_ms = clock ? *clock : 0;
+  bd_link_send (p->link, peer, m);
+}
+
+static void
+send_to_all (struct bd_peers *p, struct bd_message *m)
 {
   for (size_t i = 0; i < bd_membership_count (p->membership); i++)
     {
       const struct bd_member *member = bd_membership_at (p->membership, i);
 
       if (!is_self (p, member->instance) && member->state != BD_MEMBER_GONE)
-        bd_link_send (p->link, member->instance, m);
+        send_to (p, member->instance, m);
     }
 }
 
 /* So many that every peer is reached within the period. */
 static void
-send_to_some (struct bd_peers *p, const struct bd_message *m)
+send_to_some (struct bd_peers *p, struct bd_message *m)
 {
   const struct bd_member *targets[TARGETS_MAX];
   size_t count = bd_membership_count (p->membership);
@@ -225,7 +297,7 @@
     want = TARGETS_MAX;
   want = bd_membership_targets (p->membership, targets, want);
   for (size_t i = 0; i < want; i++)
-    bd_link_send (p->link, targets[i]->instance, m);
+    send_to (p, targets[i]->instance, m);
 }
 
 static void
@@ -279,6 +351,13 @@
   bd_peers_announce (peers, now_ms);
 }
 
+void
+bd_peers_listed (struct bd_peers *peers, int64_t now_ms,
+                 struct bd_chunk instance, bool leaving)
+{
+  bd_membership_listed (peers->membership, now_ms, instance, leaving);
+}
+
 bool
 bd_peers_watcher (const struct bd_peers *peers)
 {
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -41,6 +41,17 @@
 /** True when this entry is among its zone's watchers. */
 bool bd_peers_watcher (const struct bd_peers *peers);
 
+/** The service confirmed what is in force by a read sent at SENT_MS. */
+void bd_peers_confirm (struct bd_peers *peers, int64_t sent_ms);
+
+/** Age of the last confirmation, by the service or a peer, plus 1 ms; 0 when
+    there was none. */
+int64_t bd_peers_confirm_age (const struct bd_peers *peers, int64_t now_ms);
+
+/** What the instance list says of a peer. */
+void bd_peers_listed (struct bd_peers *peers, int64_t now_ms,
+                      struct bd_chunk instance, bool leaving);
+
 /** The members known, for the admin port. */
 const struct bd_membership *bd_peers_membership (const struct bd_peers *p);
 
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WAIT_S 10
+#define WAIT_S 3
 #define ANSWER_TIMEOUT_MS 3000
 #define CONNECT_TIMEOUT_MS 1000
 #define RETRY_MIN_MS 100
@@ -47,6 +47,7 @@
   uint64_t index;     /* Blocking query: index of the value last seen. */
   uint64_t new_index; /* From the answer's header. */
   int64_t not_before_ms;
+  int64_t sent_ms;
   struct call *next;
 };
 
@@ -151,6 +152,7 @@
   CURL *easy = curl_easy_init ();
 
   call->not_before_ms = now_ms + HOLD_INTERVAL_MS;
+  call->sent_ms = now_ms;
   if (!easy)
     return;
   if (call->kind != CALL_FETCH)
@@ -225,6 +227,8 @@
   if (status == HTTP_OK && news)
     w->sink->document (w->sink, bd_chunk_of (call->name),
                        bd_buffer_chunk (&call->body));
+  if (status == HTTP_OK && w->sink->confirmed)
+    w->sink->confirmed (w->sink, bd_chunk_of (call->name), call->sent_ms);
 }
 
 static void
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -19,6 +19,12 @@
                     struct bd_chunk json);
   /** The service became reachable or unreachable. */
   void (*reachable) (struct bd_watch_sink *sink, bool up);
+  /**
+   * A read of NAME that was sent at SENT_MS (monotonic) was answered, after
+   * the document, if it was news.  May be NULL.
+   */
+  void (*confirmed) (struct bd_watch_sink *sink, struct bd_chunk name,
+                     int64_t sent_ms);
 };
 
 struct bd_watch;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -6,6 +6,7 @@
 #include "common/state.h"
 #include "core/describe.h"
 #include "core/exchange.h"
+#include "core/home.h"
 #include "core/runner.h"
 #include "sidecar/mail.h"
 #include "wire/link.h"
@@ -49,6 +50,8 @@
   struct bd_engine *engine;
   struct bd_engine_post engine_post;
   struct bd_mailbox *events;
+  struct bd_config_snapshot *snapshot; /* In force. */
+  uint64_t roster;                     /* Of the own pool; 0: none yet. */
   struct bd_metrics *metrics;
   struct bd_state *state;
   struct bd_admin *admin;
@@ -183,6 +186,7 @@
   m->type = BD_MESSAGE_HEARTBEAT;
   m->revision = bd_config_revision (config);
   m->digest = bd_config_digest (config);
+  m->sent_ms = bd_clock_ms ();
   bd_runner_fill (s->runner, m);
 }
 
@@ -197,10 +201,39 @@
     bd_link_send (s->link, bd_chunk_of (s->entries[i].name), &m);
 }
 
+static const struct bd_pool *
+own_pool (const struct bd_sidecar *s)
+{
+  return s->snapshot ? bd_config_find_pool (s->snapshot,
+                                            bd_chunk_of (s->settings->pool))
+                     : NULL;
+}
+
+static bool
+port_is_home (struct bd_runner_port *port, struct bd_id key)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+  const struct bd_pool *pool = own_pool (s);
+
+  return pool && bd_home_is (pool, key, bd_chunk_of (s->settings->instance));
+}
+
 static void
 exchange_changed (struct bd_exchange_port *port)
 {
-  announce (of_exchange (port));
+  struct bd_sidecar *s = of_exchange (port);
+  const struct bd_pool *pool;
+  uint64_t roster;
+
+  if (s->snapshot)
+    bd_config_snapshot_release (s->snapshot);
+  s->snapshot = bd_config_snapshot (bd_exchange_config (s->exchange));
+  pool = own_pool (s);
+  roster = pool ? bd_home_roster (pool) : 0;
+  if (roster != s->roster)
+    bd_runner_home_since (s->runner, bd_clock_wall_ms ());
+  s->roster = roster;
+  announce (s);
 }
 
 static void
@@ -212,6 +245,7 @@
     .cancel = port_cancel,
     .bill = port_bill,
     .note = port_note,
+    .is_home = port_is_home,
     .waited = port_waited,
   };
   s->exchange_port = (struct bd_exchange_port){
@@ -235,6 +269,7 @@
     .custody = { .incarnation = s->incarnation,
                  .started_wall_ms = bd_clock_wall_ms (),
                  .clock_skew_ms = CLOCK_SKEW_MS,
+                 .confirm_window_ms = settings->confirm_window_ms,
                  .max_records = RECORDS_MAX,
                  .max_answer_bytes = (uint64_t)settings->answer_bytes },
     .answer_max_bytes = ANSWER_MAX_BYTES,
@@ -318,6 +353,8 @@
     free (mail);
   bd_mailbox_destroy (sidecar->events);
   bd_runner_destroy (sidecar->runner);
+  if (sidecar->snapshot)
+    bd_config_snapshot_release (sidecar->snapshot);
   bd_exchange_destroy (sidecar->exchange);
   bd_state_destroy (sidecar->state);
   bd_metrics_destroy (sidecar->metrics);
@@ -357,6 +394,21 @@
       i++;
 }
 
+/* The entry's confirmation is as old as it says, or younger, counted from
+   this process's own clock which it echoes: a message that lay around, or a
+   pause, cannot make it look fresh. */
+static void
+take_confirmation (struct bd_sidecar *s, const struct bd_message *m)
+{
+  struct bd_config *config = bd_exchange_config (s->exchange);
+
+  if (m->echo_ms == 0 || m->confirm_age_ms <= 0
+      || m->revision != bd_config_revision (config)
+      || m->digest != bd_config_digest (config))
+    return;
+  bd_runner_confirm (s->runner, m->echo_ms - (m->confirm_age_ms - 1));
+}
+
 static void
 take_heartbeat (struct bd_sidecar *s, int64_t now_ms, struct bd_chunk from,
                 const struct bd_message *m)
@@ -365,6 +417,7 @@
 
   hear_entry (s, now_ms, from);
   bd_exchange_heard (s->exchange, now_ms, from, m->revision, m->digest);
+  take_confirmation (s, m);
   if (m->flags & BD_FLAG_REPLY)
     return;
   fill_heartbeat (s, &reply);
--- a/src/wire/message.c
+++ b/src/wire/message.c
@@ -69,6 +69,9 @@
   FIELD (40, CHUNK, address),
   FIELD (41, CHUNK, pool),
   FIELD (42, CHUNK, key_text),
+  FIELD (43, I64, sent_ms),
+  FIELD (44, I64, echo_ms),
+  FIELD (45, I64, confirm_age_ms),
 };
 
 #define FIELD_COUNT (sizeof fields / sizeof fields[0])
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -103,6 +103,10 @@
   struct bd_chunk address;
   struct bd_chunk pool;
   struct bd_chunk key_text; /**< RESERVE: the caller's own words. */
+  int64_t sent_ms;          /**< HEARTBEAT, GOSSIP: the sender's clock. */
+  int64_t echo_ms;          /**< The receiver's clock, as last heard of it. */
+  int64_t confirm_age_ms;   /**< Since the service confirmed what is in force,
+                                 plus 1; 0: it never did. */
 };
 
 /** Appends the message to BUFFER.  Returns BD_OK or BD_ERR_NOMEM. */
