README and the messages between the daemons

Cause: a newcomer had no first page, and the messages were only in headers. test_docs takes the types from BD_MESSAGE_TABLE and reads the fields and flags from src/wire: each must have its row in docs/PROTOCOL.md.

What was ruled out: generating the page (the meaning of a field is not in the table). Seen to fail: another number for STRIKES, another kind for path, another bit for ALONE: each ends with 'docs/PROTOCOL.md lacks'.

--- a/test/test_docs.c
+++ b/test/test_docs.c
@@ -4,6 +4,7 @@
 #include "common/settings.h"
 #include "core/contract.h"
 #include "core/roster.h"
+#include "wire/message.h"
 
 #include <glib.h>
 #include <string.h>
@@ -213,6 +214,75 @@
   g_free (page);
 }
 
+static void
+test_message_types (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *sender;
+    int number;
+    bool control;
+  } types[] = {
+#define TYPE(number, name, sender, control)                                   \
+  { #name, (sender), (number), (control) != 0 },
+    BD_MESSAGE_TABLE (TYPE)
+#undef TYPE
+  };
+  char *page = read_page ("docs/PROTOCOL.md");
+
+  for (size_t i = 0; i < G_N_ELEMENTS (types); i++)
+    {
+      char *row = g_strdup_printf ("\n| %d | %s | %s | %s | ", types[i].number,
+                                   types[i].name, types[i].sender,
+                                   types[i].control ? "control" : "work");
+
+      must_have ("docs/PROTOCOL.md", page, row);
+      g_free (row);
+    }
+  g_assert_cmpuint (
+      count_lines (page, "^\\| \\d+ \\| [A-Z_]+ \\| (both|entry|s)"), ==,
+      G_N_ELEMENTS (types));
+  g_free (page);
+}
+
+/* Every row of a table in the sources: the page's row has its parts in the
+   order of the pattern's groups. */
+static void
+check_rows (const char *source, const char *pattern, const char *page_pattern)
+{
+  char *page = read_page ("docs/PROTOCOL.md");
+  char *code = read_page (source);
+  GRegex *regex = g_regex_new (pattern, G_REGEX_MULTILINE, 0, NULL);
+  GMatchInfo *info;
+  guint count = 0;
+
+  for (g_regex_match (regex, code, 0, &info); g_match_info_matches (info);
+       g_match_info_next (info, NULL))
+    {
+      char *row = g_match_info_expand_references (info, page_pattern, NULL);
+
+      must_have ("docs/PROTOCOL.md", page, row);
+      count++;
+      g_free (row);
+    }
+  g_assert_cmpuint (count, >, 8);
+  g_match_info_free (info);
+  g_regex_unref (regex);
+  g_free (code);
+  g_free (page);
+}
+
+static void
+test_message_fields (void)
+{
+  check_rows ("src/wire/message.c",
+              "^  FIELD \\((\\d+), ([A-Z0-9]+), (\\w+)\\)",
+              "\n| \\1 | \\3 | \\2 | ");
+  check_rows ("src/wire/message.h", "^  BD_FLAG_([A-Z_]+) = (\\d+)",
+              "\n| \\2 | \\1 | ");
+}
+
 /* One of the page's documents goes through the parser that daemons use. */
 static void
 parse_example (const char *json, guint counts[3])
@@ -262,6 +332,8 @@
   g_test_add_func ("/docs/tool-manual", test_tool_manual);
   g_test_add_func ("/docs/errors", test_errors);
   g_test_add_func ("/docs/metrics", test_metrics);
+  g_test_add_func ("/docs/message-types", test_message_types);
+  g_test_add_func ("/docs/message-fields", test_message_fields);
   g_test_add_func ("/docs/examples", test_examples);
   return g_test_run ();
 }
