--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -302,11 +302,10 @@
 
 /* A recorded answer comes without a grant. */
 static bool
-accepts_answer (struct job *job, struct bd_fleet_runner *runner,
-                const struct bd_message *m)
+accepts_answer (struct job *job, struct bd_fleet_runner *runner)
 {
-  if (job->state == JOB_ASKING && job->keyed && m->type == BD_MESSAGE_HEAD
-      && job->ask_count > 0 && job->asks[0].runner == runner)
+  if (job->state == JOB_ASKING && job->keyed && job->ask_count > 0
+      && job->asks[0].runner == runner)
     {
       job->state = JOB_RUNNING;
       job->runner = runner;
@@ -316,6 +315,20 @@
   return job->state == JOB_RUNNING && job->runner == runner;
 }
 
+/* The head's fields come with the head, the first chunk and the end, whichever
+   is first. */
+static void
+take_answer (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+             const struct bd_message *m)
+{
+  if (m->status != 0)
+    bd_job_head (job, m);
+  if (m->type == BD_MESSAGE_CHUNK)
+    bd_job_chunk (dispatch, now_ms, job, m);
+  else if (m->type == BD_MESSAGE_END)
+    bd_job_end (dispatch, now_ms, job, m);
+}
+
 static void
 take_message (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
               struct bd_fleet_runner *runner, const struct bd_message *m)
@@ -324,14 +337,8 @@
     take_refusal (dispatch, now_ms, job, runner, m);
   else if (m->type == BD_MESSAGE_FAIL)
     take_fail (dispatch, now_ms, job, runner, m);
-  else if (!accepts_answer (job, runner, m))
-    return;
-  else if (m->type == BD_MESSAGE_HEAD)
-    bd_job_head (dispatch, job, m);
-  else if (m->type == BD_MESSAGE_CHUNK)
-    bd_job_chunk (dispatch, now_ms, job, m);
-  else if (m->type == BD_MESSAGE_END)
-    bd_job_end (dispatch, now_ms, job, m);
+  else if (accepts_answer (job, runner))
+    take_answer (dispatch, now_ms, job, m);
 }
 
 /* What a runner held is lost: its connection, or its process, is gone. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -6,8 +6,10 @@
 #include <stdlib.h>
 #include <xxhash.h>
 
-/* A connected runner that says nothing for this long counts as down. */
+/* A connected runner that says nothing for this long, or for this many
+   rounds of heartbeats, counts as down. */
 #define RUNNER_SILENT_MS 15000
+#define RUNNER_SILENT_ROUNDS 3
 /* A connection outside the subset is closed when unused for this long. */
 #define EXTRA_IDLE_MS 60000
 
@@ -393,11 +395,22 @@
   return true;
 }
 
+/* A round takes longer the more runners there are. */
+static int64_t
+silence_limit_ms (const struct bd_fleet *fleet)
+{
+  int64_t rounds_ms = (int64_t)fleet->runner_count * 1000
+                      * RUNNER_SILENT_ROUNDS / BD_FLEET_HEARTBEATS_PER_S;
+
+  return rounds_ms > RUNNER_SILENT_MS ? rounds_ms : RUNNER_SILENT_MS;
+}
+
 void
 bd_fleet_tick (struct bd_fleet *fleet, int64_t now_ms,
                void (*on_down) (void *context, struct bd_fleet_runner *runner),
                void *context)
 {
+  int64_t silent_ms = silence_limit_ms (fleet);
   size_t unpublished = 0;
 
   for (size_t i = 0; i < fleet->runner_count; i++)
@@ -408,7 +421,7 @@
       if (!runner->connected)
         continue;
       if (runner->state == BD_RUNNER_LIVE
-          && now_ms - runner->heard_ms > RUNNER_SILENT_MS)
+          && now_ms - runner->heard_ms > silent_ms)
         {
           bd_fleet_set_state (runner, BD_RUNNER_DOWN);
           on_down (context, runner);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -7,6 +7,9 @@
 
 #include "core/dispatch.h"
 
+/** Heartbeats that an entry sends to runners in a second, at most. */
+#define BD_FLEET_HEARTBEATS_PER_S 20
+
 /** A runner of the published configuration. */
 struct bd_fleet_runner
 {
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -494,10 +494,8 @@
 }
 
 void
-bd_job_head (struct bd_dispatch *dispatch, struct job *job,
-             const struct bd_message *message)
+bd_job_head (struct job *job, const struct bd_message *message)
 {
-  (void)dispatch;
   job->status = message->status;
   free (job->content_type);
   job->content_type = bd_chunk_copy (message->content_type);
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -118,8 +118,7 @@
                    struct job *job, int error, enum bd_ran ran);
 
 /** Messages of the running attempt. */
-void bd_job_head (struct bd_dispatch *dispatch, struct job *job,
-                  const struct bd_message *message);
+void bd_job_head (struct job *job, const struct bd_message *message);
 void bd_job_chunk (struct bd_dispatch *dispatch, int64_t now_ms,
                    struct job *job, const struct bd_message *message);
 void bd_job_end (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -82,6 +82,12 @@
                           .sequence = task->sequence++,
                           .body = data };
 
+  /* The first chunk may pass the head. */
+  if (m.sequence == 0)
+    {
+      m.status = task->status;
+      m.content_type = bd_chunk_of (task->content_type);
+    }
   bd_task_send (runner, task, &m);
 }
 
@@ -255,6 +261,7 @@
                           .flags = flags,
                           .sequence = task->sequence,
                           .status = task->status,
+                          .content_type = bd_chunk_of (task->content_type),
                           .tokens = task->tokens };
 
   task->state = TASK_ENDED;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -6,6 +6,7 @@
 #include "common/state.h"
 #include "core/describe.h"
 #include "core/exchange.h"
+#include "core/fleet.h"
 #include "entry/http.h"
 #include "entry/peers.h"
 #include "entry/status.h"
@@ -21,9 +22,7 @@
 #define TICK_MS 20
 #define MESSAGES_PER_TURN 256
 #define REASON_BYTES 300
-/* Heartbeats sent to runners in a second, and the least time between two to
-   the same runner. */
-#define HEARTBEATS_PER_S 20
+/* The least time between two heartbeats to the same runner. */
 #define HEARTBEAT_MIN_MS 500
 /* After the readiness check fails, callers are still served for this long. */
 #define LEAVING_GRACE_MS 1000
@@ -601,7 +600,7 @@
 send_heartbeats (struct bd_entry *e, int64_t now_ms)
 {
   size_t runners = bd_dispatch_runner_count (e->dispatch);
-  int64_t step_ms = 1000 / HEARTBEATS_PER_S;
+  int64_t step_ms = 1000 / BD_FLEET_HEARTBEATS_PER_S;
 
   if (runners == 0)
     return;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -184,6 +184,7 @@
     {
       struct fleet_call *call = fleet_calls (f)->pdata[i];
 
+      g_assert_cmpint (call->error, ==, BD_OK);
       g_assert_true (call->whole);
     }
   g_rand_free (rand);
