--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -7,6 +7,9 @@
 
 #include "core/dispatch.h"
 
+/** Heartbeats that an entry sends to runners in a second, at most. */
+#define BD_FLEET_HEARTBEATS_PER_S 20
+
 /** A runner of the published configuration. */
 struct bd_fleet_runner
 {
@@ -18,6 +21,7 @@
   uint64_t incarnation; /**< 0: not heard of yet. */
   struct bd_load load;
   int64_t heard_ms;
+  int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
   int64_t used_ms;
   bool in_subset;
   bool connected; /**< The port was asked to connect. */
