The body goes with the reservation where a slot looks free; files split

A direct reservation runs at once when nobody waits; «did not run» is then said only after the runner's word.

--- a/bench/bench_core.c
+++ b/bench/bench_core.c
@@ -24,7 +24,7 @@
 
 #define ROUNDS 7
 #define SIZES_MAX 8
-#define NAME_BYTES 24
+#define NAME_BYTES 32
 #define QUEUE_WORKSPACES 260
 #define QUEUE_CLASSES 4
 #define OPERATIONS 200000
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -248,17 +248,20 @@
 take_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
             struct bd_fleet_runner *runner, const struct bd_message *m)
 {
-  struct bd_message decline = { .type = BD_MESSAGE_DECLINE,
-                                .request = m->request,
-                                .attempt = m->attempt,
-                                .target_incarnation = m->incarnation };
+  struct bd_message decline
+      = { .type
+          = m->flags & BD_FLAG_DIRECT ? BD_MESSAGE_CANCEL : BD_MESSAGE_DECLINE,
+          .request = m->request,
+          .attempt = m->attempt,
+          .target_incarnation = m->incarnation };
   bool asked = false;
 
   for (size_t i = 0; job && i < job->ask_count; i++)
     asked |= job->asks[i].runner == runner && job->asks[i].open;
   if (job && job->state == JOB_ASKING && job->attempt == m->attempt && asked)
     {
-      bd_job_grant (dispatch, now_ms, job, runner);
+      bd_job_grant (dispatch, now_ms, job, runner,
+                    (m->flags & BD_FLAG_DIRECT) != 0);
       return;
     }
   /* A second grant of the attempt that runs there is a copy. */
@@ -347,7 +350,7 @@
              struct bd_fleet_runner *runner)
 {
   struct bd_message lost
-      = { .type = BD_MESSAGE_REFUSE, .error = BD_ERR_NO_RUNNER };
+      = { .type = BD_MESSAGE_REFUSE, .error = BD_ERR_BROKEN };
   struct job *job = dispatch->first;
 
   while (job)
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -24,9 +24,10 @@
   int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
   int64_t used_ms;
   bool in_subset;
-  bool connected; /**< The port was asked to connect. */
-  uint32_t jobs;  /**< Requests that refer to it. */
-  bool kept;      /**< Still published. */
+  bool connected;  /**< The port was asked to connect. */
+  uint32_t jobs;   /**< Requests that refer to it. */
+  uint32_t asking; /**< Reservations that are open there. */
+  bool kept;       /**< Still published. */
 };
 
 /** A model or service. */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -12,9 +12,10 @@
 /* Tokens of an answer before anything was learned. */
 #define TOKENS_START 128
 #define LEARN_WEIGHT 8
-/* Longest text kept to resume a stream, or body of an answer that is no
-   stream. */
-#define KEPT_MAX_BYTES ((size_t)4 * 1024 * 1024)
+/* How new a runner's report must be, and how long a body may be, to be sent
+   with the reservation. */
+#define DIRECT_REPORT_MS 3000
+#define DIRECT_MAX_BYTES ((size_t)16 * 1024)
 
 int
 bd_job_send (struct bd_dispatch *dispatch, const struct job *job,
@@ -101,6 +102,7 @@
   if (!ask->open)
     return;
   ask->open = false;
+  ask->runner->asking--;
   count_asked (ask->runner, -1);
 }
 
@@ -126,6 +128,9 @@
 
       if (!job->asks[i].open || job->asks[i].runner == but)
         continue;
+      /* It may run there already, and is stopped. */
+      if (job->asks[i].direct)
+        m.type = BD_MESSAGE_CANCEL;
       bd_job_send (dispatch, job, job->asks[i].runner, &m);
       dispatch->port->count (dispatch->port, BD_DISPATCH_DECLINE);
     }
@@ -149,6 +154,16 @@
   free (job);
 }
 
+/* A runner that has not answered may run the body that it was sent. */
+static bool
+body_is_out (const struct job *job)
+{
+  for (size_t i = 0; i < job->ask_count; i++)
+    if (job->asks[i].open && job->asks[i].direct)
+      return true;
+  return false;
+}
+
 void
 bd_job_fail (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
              int error, enum bd_ran ran)
@@ -158,7 +173,7 @@
                                   .ran = ran,
                                   .retry_after_ms = job->retry_after_ms };
 
-  if (job->may_have_run && ran == BD_RAN_NO)
+  if ((job->may_have_run || body_is_out (job)) && ran == BD_RAN_NO)
     delivery.ran = BD_RAN_UNKNOWN;
   if (job->state == JOB_ASKING)
     decline_asks (dispatch, job, NULL);
@@ -167,9 +182,22 @@
   bd_job_free (dispatch, now_ms, job);
 }
 
+/* What goes to the engine. */
+static void
+fill_body (const struct job *job, struct bd_message *m)
+{
+  const struct bd_dispatch_request *r = &job->request;
+
+  m->method = r->method;
+  m->path = r->path;
+  m->content_type = r->content_type;
+  m->key_text = r->key_text;
+  m->body = r->body;
+}
+
 static void
 send_reserve (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-              struct bd_fleet_runner *runner)
+              struct bd_fleet_runner *runner, bool direct)
 {
   const struct bd_dispatch_request *r = &job->request;
   struct bd_message m = {
@@ -197,20 +225,42 @@
       m.key_expires_ms = r->key_expires_ms;
       m.retry_window_ms = r->retry_window_ms;
     }
+  if (direct)
+    {
+      m.flags |= BD_FLAG_DIRECT;
+      fill_body (job, &m);
+    }
   bd_job_send (dispatch, job, runner, &m);
 }
 
+/* A runner whose last report shows a free slot is sent the body with the
+   reservation, which saves the round trip of a grant. */
+static bool
+looks_idle (const struct bd_fleet_runner *runner, int64_t now_ms)
+{
+  return runner->state == BD_RUNNER_LIVE && runner->load.queued == 0
+         && runner->load.running + runner->asking < runner->load.slots
+         && now_ms - runner->load.measured_ms < DIRECT_REPORT_MS;
+}
+
 static void
 add_ask (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
          struct bd_fleet_runner *runner)
 {
+  bool direct = job->ask_count == 0 && !job->alone && !job->data_sent
+                && dispatch->settings.policy == BD_POLICY_LATE_BINDING
+                && job->request.body.length <= DIRECT_MAX_BYTES
+                && looks_idle (runner, now_ms);
+
   if (job->ask_count == BD_ASKS_MAX)
     return;
-  job->asks[job->ask_count++] = (struct ask){ .runner = runner, .open = true };
+  job->asks[job->ask_count++]
+      = (struct ask){ .runner = runner, .open = true, .direct = direct };
   runner->jobs++;
+  runner->asking++;
   count_asked (runner, 1);
   bd_fleet_use (dispatch->fleet, now_ms, runner);
-  send_reserve (dispatch, now_ms, job, runner);
+  send_reserve (dispatch, now_ms, job, runner, direct);
 }
 
 static size_t
@@ -317,6 +367,17 @@
   job->queue_until_ms = job->deadline_ms - work_ms;
 }
 
+/* One runner that takes the body at once is enough. */
+static void
+ask_first (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+           size_t want)
+{
+  if (ask_more (dispatch, now_ms, job, 1) == 0 || job->asks[0].direct)
+    return;
+  if (want > 1)
+    ask_more (dispatch, now_ms, job, want - 1);
+}
+
 void
 bd_job_ask (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
 {
@@ -337,7 +398,7 @@
   else if (job->alone)
     ask_isolated (dispatch, now_ms, job, pool);
   else
-    ask_more (dispatch, now_ms, job, late ? FIRST_ASKS : 1);
+    ask_first (dispatch, now_ms, job, late ? FIRST_ASKS : 1);
   if (error != BD_OK)
     bd_job_fail (dispatch, now_ms, job, error, bd_error_answer (error)->ran);
   else if (job->ask_count == 0)
@@ -353,7 +414,7 @@
     {
       /* The reservation or its grant may have been lost. */
       if (job->ask_count > 0 && job->asks[0].open)
-        send_reserve (dispatch, now_ms, job, job->asks[0].runner);
+        send_reserve (dispatch, now_ms, job, job->asks[0].runner, false);
       return;
     }
   if (dispatch->settings.policy == BD_POLICY_LATE_BINDING
@@ -369,13 +430,9 @@
   struct bd_buffer resumed = { 0 };
   struct bd_message m = { .type = BD_MESSAGE_RUN,
                           .flags = r->flags,
-                          .budget_ms = job->deadline_ms - now_ms,
-                          .method = r->method,
-                          .path = r->path,
-                          .content_type = r->content_type,
-                          .key_text = r->key_text,
-                          .body = r->body };
+                          .budget_ms = job->deadline_ms - now_ms };
 
+  fill_body (job, &m);
   if (job->streamed && job->data_sent
       && bd_resume_body (r->body, bd_buffer_chunk (&job->kept), &resumed)
              == BD_OK)
@@ -389,7 +446,7 @@
 
 void
 bd_job_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-              struct bd_fleet_runner *runner)
+              struct bd_fleet_runner *runner, bool runs)
 {
   set_runner (job, runner);
   decline_asks (dispatch, job, runner);
@@ -397,7 +454,8 @@
   job->runs++;
   job->heard_ms = now_ms;
   bd_stream_resume (job->stream, job->attempt, job->stream_bytes);
-  send_run (dispatch, now_ms, job, runner);
+  if (!runs)
+    send_run (dispatch, now_ms, job, runner);
 }
 
 void
@@ -406,15 +464,22 @@
                 const struct bd_message *message)
 {
   size_t open = 0;
+  bool lost = message->error == BD_ERR_BROKEN;
   bool elsewhere = message->error == BD_ERR_NO_RUNNER
                    || message->error == BD_ERR_LEAVING
                    || message->error == BD_ERR_OVERLOADED
-                   || message->error == BD_ERR_STALE;
+                   || message->error == BD_ERR_STALE || lost;
 
   for (size_t i = 0; i < job->ask_count; i++)
     {
       if (job->asks[i].runner == runner)
-        close_ask (&job->asks[i]);
+        {
+          /* The body of a direct reservation went where the connection was
+             lost. */
+          if (job->asks[i].direct && (lost || message->ran != BD_RAN_NO))
+            job->may_have_run = true;
+          close_ask (&job->asks[i]);
+        }
       open += job->asks[i].open;
     }
   job->last_error = message->error;
@@ -425,7 +490,7 @@
     return;
   if (!job->keyed && elsewhere && ask_more (dispatch, now_ms, job, 1) > 0)
     return;
-  if (job->last_error == BD_ERR_STALE)
+  if (job->last_error == BD_ERR_STALE || lost)
     job->last_error = job->keyed ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER;
   bd_job_fail (dispatch, now_ms, job, job->last_error, job->last_ran);
 }
@@ -454,7 +519,7 @@
   set_runner (job, NULL);
   if (ran != BD_RAN_NO)
     job->may_have_run = true;
-  if (job->data_sent && job->kept.length >= KEPT_MAX_BYTES)
+  if (job->data_sent && job->kept.length >= BD_JOB_KEPT_MAX_BYTES)
     again = false;
   if (!again || job->runs >= RUNS_MAX || now_ms >= job->deadline_ms
       || bd_suspects_look (dispatch->suspects, now_ms,
@@ -478,122 +543,3 @@
                         bd_error_answer (error)->code);
   bd_job_ask (dispatch, now_ms, job);
 }
-
-static void
-deliver_head (struct bd_dispatch *dispatch, struct job *job)
-{
-  struct bd_delivery head = { .kind = BD_DELIVERY_HEAD,
-                              .status = job->status,
-                              .content_type = bd_chunk_of (job->content_type),
-                              .replay = job->replay };
-
-  if (job->head_sent)
-    return;
-  job->head_sent = true;
-  dispatch->port->deliver (dispatch->port, job->request.request, &head);
-}
-
-void
-bd_job_head (struct job *job, const struct bd_message *message)
-{
-  job->status = message->status;
-  free (job->content_type);
-  job->content_type = bd_chunk_copy (message->content_type);
-}
-
-static void
-deliver_data (struct bd_dispatch *dispatch, struct job *job,
-              struct bd_chunk data)
-{
-  struct bd_delivery delivery = { .kind = BD_DELIVERY_DATA, .data = data };
-
-  deliver_head (dispatch, job);
-  job->data_sent = true;
-  dispatch->port->deliver (dispatch->port, job->request.request, &delivery);
-}
-
-struct deliver_context
-{
-  struct bd_dispatch *dispatch;
-  struct job *job;
-};
-
-/* A chunk of a stream is one event, or a whole recorded answer. */
-static void
-deliver_event (struct deliver_context *context, struct bd_chunk event)
-{
-  struct job *job = context->job;
-  struct bd_chunk json = bd_sse_data (event);
-
-  if (bd_chunk_equal (json, BD_CHUNK ("[DONE]")))
-    {
-      bd_buffer_append (&job->held, event);
-      return;
-    }
-  if (job->idempotent && job->kept.length < KEPT_MAX_BYTES)
-    bd_resume_collect (json, &job->kept);
-  deliver_data (context->dispatch, job, event);
-}
-
-static void
-on_chunk (void *data, struct bd_chunk chunk)
-{
-  struct deliver_context *context = data;
-  struct job *job = context->job;
-
-  job->stream_bytes += chunk.length;
-  if (job->streamed)
-    deliver_event (context, chunk);
-  else if (job->kept.length + chunk.length <= KEPT_MAX_BYTES)
-    bd_buffer_append (&job->kept, chunk);
-}
-
-static void
-finish (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
-{
-  struct bd_delivery end = { .kind = BD_DELIVERY_END,
-                             .status = job->status,
-                             .tokens = job->tokens,
-                             .replay = job->replay };
-  struct bd_chunk rest
-      = bd_buffer_chunk (job->streamed ? &job->held : &job->kept);
-
-  deliver_head (dispatch, job);
-  if (rest.length > 0)
-    deliver_data (dispatch, job, rest);
-  job->state = JOB_ANSWERED;
-  dispatch->open--;
-  bd_job_learn (dispatch, job->class_hash, job->tokens);
-  bd_suspects_completed (dispatch->suspects, now_ms, job->request.fingerprint);
-  dispatch->port->deliver (dispatch->port, job->request.request, &end);
-}
-
-void
-bd_job_chunk (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-              const struct bd_message *message)
-{
-  struct deliver_context context = { dispatch, job };
-  int rc = bd_stream_chunk (job->stream, message->attempt, message->sequence,
-                            message->body, on_chunk, &context);
-
-  job->heard_ms = now_ms;
-  if (rc == BD_ERR_FULL || rc == BD_ERR_PROTOCOL)
-    bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN);
-  else if (job->ended && bd_stream_whole (job->stream))
-    finish (dispatch, now_ms, job);
-}
-
-void
-bd_job_end (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-            const struct bd_message *message)
-{
-  job->heard_ms = now_ms;
-  if (bd_stream_end (job->stream, message->attempt, message->sequence)
-      != BD_OK)
-    return;
-  job->ended = true;
-  job->tokens += message->tokens;
-  job->replay = (message->flags & BD_FLAG_REPLAY) != 0;
-  if (bd_stream_whole (job->stream))
-    finish (dispatch, now_ms, job);
-}
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -9,6 +9,9 @@
 #include "core/fleet.h"
 #include "core/stream.h"
 
+/** Longest text kept to resume a stream, or body of another answer. */
+#define BD_JOB_KEPT_MAX_BYTES ((size_t)4 * 1024 * 1024)
+
 /** Most runners that are asked for one attempt. */
 #define BD_ASKS_MAX 6
 
@@ -23,7 +26,8 @@
 struct ask
 {
   struct bd_fleet_runner *runner;
-  bool open; /**< No answer yet. */
+  bool open;   /**< No answer yet. */
+  bool direct; /**< The body went with the reservation. */
 };
 
 struct job
@@ -61,6 +65,7 @@
   char *content_type;
   struct bd_buffer kept; /**< Delivered text, or the body so far. */
   struct bd_buffer held; /**< The closing event, until the counted end. */
+  bool cut; /**< KEPT lacks something of an answer that is no stream. */
   uint32_t tokens;
   bool ended; /**< END was taken in, chunks are missing. */
   bool replay;
@@ -104,9 +109,12 @@
 void bd_job_widen (struct bd_dispatch *dispatch, int64_t now_ms,
                    struct job *job);
 
-/** Takes a grant: the runner gets the body, the others are declined. */
+/**
+ * Takes a grant: the runner gets the body, unless it RUNS already; the others
+ * are declined.
+ */
 void bd_job_grant (struct bd_dispatch *dispatch, int64_t now_ms,
-                   struct job *job, struct bd_fleet_runner *runner);
+                   struct job *job, struct bd_fleet_runner *runner, bool runs);
 
 /** Takes a refusal: asks another runner, or fails the job. */
 void bd_job_refused (struct bd_dispatch *dispatch, int64_t now_ms,
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -54,6 +54,8 @@
   runner->running++;
   runner->port->note (runner->port, BD_EVENT_REQUEST_STARTED, task->request,
                       task->attempt, "");
+  if (task->direct)
+    bd_task_granted (runner, task);
   runner->port->start (runner->port, &call);
 }
 
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -148,6 +148,41 @@
                       task->attempt, detail);
 }
 
+/* A reservation that brought its body runs at once when a slot is free and
+   nobody waits. */
+static bool
+runs_at_once (const struct bd_runner *runner, const struct bd_message *m)
+{
+  return m->flags & BD_FLAG_DIRECT && !runner->alone && runner->engine_up
+         && bd_tier_queue_length (runner->queue) == 0
+         && runner->granted + runner->running < runner->settings.slots
+         && m->target_incarnation == runner->settings.incarnation;
+}
+
+static void
+run_at_once (struct bd_runner *runner, int64_t now_ms, struct task *task,
+             const struct bd_message *m)
+{
+  task->owner = true;
+  task->direct = true;
+  runner->port->waited (runner->port, bd_chunk_of (task->workspace),
+                        bd_chunk_of (task->class_name), 0);
+  task->state = TASK_GRANTED;
+  runner->granted++;
+  bd_task_run (runner, now_ms, task, m);
+}
+
+/* Runs the task now, or queues it. */
+static void
+enter (struct bd_runner *runner, int64_t now_ms, struct task *task,
+       const struct bd_message *m)
+{
+  if (runs_at_once (runner, m))
+    run_at_once (runner, now_ms, task, m);
+  else
+    enqueue (runner, now_ms, task);
+}
+
 void
 bd_runner_home_since (struct bd_runner *runner, int64_t wall_ms)
 {
@@ -170,8 +205,8 @@
 }
 
 static void
-claim_and_enqueue (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms,
-                   struct task *task)
+claim (struct bd_runner *runner, int64_t now_ms, int64_t wall_ms,
+       struct task *task, const struct bd_message *m)
 {
   struct bd_custody_answer answer;
 
@@ -189,7 +224,7 @@
       if (runner->leaving)
         withdraw_and_refuse (runner, now_ms, task, BD_ERR_LEAVING);
       else
-        enqueue (runner, now_ms, task);
+        enter (runner, now_ms, task, m);
       break;
     case BD_CUSTODY_JOIN:
       task->state = TASK_JOINED;
@@ -219,12 +254,15 @@
   return BD_OK;
 }
 
-static void
-send_grant (struct bd_runner *runner, const struct task *task)
+void
+bd_task_granted (struct bd_runner *runner, const struct task *task)
 {
   struct bd_message m
       = { .type = BD_MESSAGE_GRANT, .budget_ms = BD_GRANT_LEASE_MS };
 
+  if (task->state == TASK_RUNNING)
+    m.flags |= BD_FLAG_DIRECT;
+
   bd_runner_fill (runner, &m);
   bd_task_send (runner, task, &m);
 }
@@ -239,8 +277,9 @@
   if (task)
     {
       /* Asked again: the grant may have been lost. */
-      if (task->state == TASK_GRANTED)
-        send_grant (runner, task);
+      if (task->state == TASK_GRANTED
+          || (task->state == TASK_RUNNING && task->direct))
+        bd_task_granted (runner, task);
       return;
     }
   task = bd_task_add (runner, now_ms, entry, m);
@@ -249,14 +288,14 @@
   task->state = TASK_JOINED;
   if (task->keyed)
     {
-      claim_and_enqueue (runner, now_ms, wall_ms, task);
+      claim (runner, now_ms, wall_ms, task, m);
       return;
     }
   error = reservation_error (runner, m);
   if (error != BD_OK)
     bd_task_refuse (runner, task, error, BD_RAN_NO);
   else
-    enqueue (runner, now_ms, task);
+    enter (runner, now_ms, task, m);
 }
 
 static void
@@ -265,7 +304,7 @@
   task->state = TASK_GRANTED;
   task->until_ms = now_ms + BD_GRANT_LEASE_MS;
   runner->granted++;
-  send_grant (runner, task);
+  bd_task_granted (runner, task);
   runner->port->waited (runner->port, bd_chunk_of (task->workspace),
                         bd_chunk_of (task->class_name),
                         now_ms - task->queued_ms);
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -28,6 +28,7 @@
   uint8_t tier;
   bool keyed;
   bool owner;    /**< Was queued itself, not only joined. */
+  bool direct;   /**< Was run at once, without a grant. */
   bool promoted; /**< Is to be queued by the pump. */
   bool replayed; /**< The answer is a recorded one. */
   char *entry;   /**< Instance that is answered. */
@@ -105,6 +106,9 @@
 enum bd_ran bd_task_withdraw (struct bd_runner *runner, int64_t now_ms,
                               struct task *task);
 
+/** Tells the entry that the task has its slot, or runs. */
+void bd_task_granted (struct bd_runner *runner, const struct task *task);
+
 /** Gives a granted task to the engine. */
 void bd_task_run (struct bd_runner *runner, int64_t now_ms, struct task *task,
                   const struct bd_message *message);
--- /dev/null
+++ b/src/entry/calls.c
@@ -0,0 +1,128 @@
+/* Calls of HTTP threads, as the control thread sees them. */
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/map.h"
+#include "entry/control.h"
+
+#include <string.h>
+
+#define KEY_LIFE_MS ((int64_t)24 * 3600 * 1000)
+
+static void
+issue_key (struct bd_entry *e, int64_t wall_ms, struct bd_http_call *call)
+{
+  struct bd_delivery reply
+      = { .kind = BD_DELIVERY_FAIL, .error = BD_ERR_NO_RUNNER };
+  struct bd_token token = {
+    .workspace = bd_chunk_hash (call->request.workspace),
+    .class_id = bd_chunk_hash (call->request.class_name),
+    .made_wall_ms = wall_ms,
+    .expires_wall_ms = wall_ms + KEY_LIFE_MS,
+    .id = bd_id_random (),
+  };
+  struct bd_buffer text = { 0 };
+  struct bd_chunk custodian;
+
+  if (bd_dispatch_custodian (e->dispatch, call->request.pool, &custodian,
+                             &token.incarnation)
+      && custodian.length <= BD_CUSTODY_NAME_BYTES)
+    {
+      memcpy (token.custodian, custodian.data, custodian.length);
+      if (bd_token_seal (e->keys.keys[0], &token, &text) == BD_OK)
+        {
+          reply.kind = BD_DELIVERY_DATA;
+          reply.data = bd_buffer_chunk (&text);
+        }
+    }
+  bd_http_call_deliver (call, &reply);
+  bd_buffer_clear (&text);
+}
+
+static void
+submit_call (struct bd_entry *e, int64_t now_ms, struct bd_http_call *call)
+{
+  struct bd_delivery failure
+      = { .kind = BD_DELIVERY_FAIL, .error = BD_ERR_NOMEM };
+
+  if (bd_map_put (e->calls, call->request.request, 0, call) != BD_OK)
+    {
+      bd_http_call_deliver (call, &failure);
+      return;
+    }
+  bd_dispatch_submit (e->dispatch, now_ms, &call->request);
+}
+
+static void
+end_call (struct bd_entry *e, struct bd_http_call *call)
+{
+  bd_map_remove (e->calls, call->request.request, 0);
+  bd_http_call_destroy (call);
+}
+
+static void
+take_call (struct bd_entry *e, int64_t now_ms, struct bd_http_call_mail *mail)
+{
+  struct bd_http_call *call = mail->call;
+
+  switch (mail->step)
+    {
+    case BD_CALL_SUBMIT:
+      submit_call (e, now_ms, call);
+      break;
+    case BD_CALL_ISSUE:
+      issue_key (e, bd_clock_wall_ms (), call);
+      break;
+    case BD_CALL_DELIVERED:
+      bd_log (BD_EVENT_REQUEST_DONE, "request=%s time_us=%lld", call->id_text,
+              (long long)(bd_clock_us () - call->arrived_us));
+      bd_dispatch_delivered (e->dispatch, now_ms, call->request.request);
+      end_call (e, call);
+      break;
+    case BD_CALL_CANCELLED:
+      bd_dispatch_cancel (e->dispatch, now_ms, call->request.request);
+      end_call (e, call);
+      break;
+    case BD_CALL_RELEASED:
+      end_call (e, call);
+      break;
+    }
+}
+
+void
+bd_control_calls (struct bd_entry *e)
+{
+  struct bd_mail *mail;
+
+  while ((mail = bd_mailbox_take (e->control)))
+    take_call (e, bd_clock_ms (), (struct bd_http_call_mail *)mail);
+}
+
+void
+bd_control_drop_slow (struct bd_entry *e, int64_t now_ms)
+{
+  struct bd_http_call *call;
+  size_t cursor = 0;
+
+  while ((call = bd_map_next (e->calls, &cursor)))
+    if (atomic_exchange (&call->slow, false))
+      bd_dispatch_cancel (e->dispatch, now_ms, call->request.request);
+}
+
+void
+bd_control_drop_calls (struct bd_entry *e)
+{
+  struct bd_mail *mail;
+  struct bd_http_call *call;
+  size_t cursor = 0;
+
+  while ((mail = bd_mailbox_take (e->control)))
+    {
+      struct bd_http_call_mail *last = (struct bd_http_call_mail *)mail;
+
+      if (last->step > BD_CALL_ISSUE)
+        end_call (e, last->call);
+    }
+  while ((call = bd_map_next (e->calls, &cursor)))
+    bd_http_call_destroy (call);
+}
--- /dev/null
+++ b/src/entry/ports.c
@@ -0,0 +1,127 @@
+/* Where the decisions' actions go. */
+
+#include "common/log.h"
+#include "common/map.h"
+#include "entry/control.h"
+
+#include <stddef.h>
+
+#define REASON_BYTES 300
+
+static struct bd_entry *
+of_exchange (struct bd_exchange_port *port)
+{
+  return (struct bd_entry *)((char *)port
+                             - offsetof (struct bd_entry, exchange_port));
+}
+
+static int
+port_send (struct bd_dispatch_port *port, struct bd_chunk runner,
+           const struct bd_message *message)
+{
+  struct bd_entry *e = (struct bd_entry *)port;
+
+  return bd_link_send (e->link, runner, message);
+}
+
+static void
+port_deliver (struct bd_dispatch_port *port, struct bd_id request,
+              const struct bd_delivery *delivery)
+{
+  struct bd_entry *e = (struct bd_entry *)port;
+  struct bd_http_call *call = bd_map_get (e->calls, request, 0);
+
+  if (call)
+    bd_http_call_deliver (call, delivery);
+}
+
+static void
+port_note (struct bd_dispatch_port *port, enum bd_event event,
+           struct bd_id request, uint32_t attempt, const char *detail)
+{
+  char text[BD_ID_HEX_LENGTH + 1];
+
+  (void)port;
+  if (!bd_log_shows (event))
+    return;
+  bd_id_format (request, text);
+  bd_log (event, "request=%s attempt=%u%s%s", text, attempt,
+          detail[0] ? " detail=" : "", detail);
+}
+
+static void
+port_count (struct bd_dispatch_port *port, enum bd_dispatch_count what)
+{
+  struct bd_entry *e = (struct bd_entry *)port;
+
+  if (what == BD_DISPATCH_RETRY || what == BD_DISPATCH_RESUME)
+    bd_metrics_count (e->metrics, BD_COUNTER_RETRIES, 1);
+}
+
+static void
+port_connect (struct bd_dispatch_port *port, struct bd_chunk instance,
+              struct bd_chunk address)
+{
+  struct bd_entry *e = (struct bd_entry *)port;
+
+  bd_link_connect (e->link, instance, address);
+}
+
+static void
+port_disconnect (struct bd_dispatch_port *port, struct bd_chunk instance)
+{
+  struct bd_entry *e = (struct bd_entry *)port;
+
+  bd_link_disconnect (e->link, instance);
+}
+
+static void
+exchange_fetch (struct bd_exchange_port *port, struct bd_chunk peer,
+                struct bd_chunk name)
+{
+  struct bd_entry *e = of_exchange (port);
+  struct bd_message m = { .type = BD_MESSAGE_CONFIG_GET, .name = name };
+
+  if (peer.length > 0)
+    bd_link_send (e->link, peer, &m);
+  else
+    bd_watch_fetch (e->watch, name);
+}
+
+static void
+exchange_note (struct bd_exchange_port *port, enum bd_event event,
+               struct bd_chunk name, const char *detail)
+{
+  char reason[REASON_BYTES];
+
+  (void)port;
+  if (detail[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
+}
+
+static void
+exchange_changed (struct bd_exchange_port *port)
+{
+  of_exchange (port)->changed = true;
+}
+
+void
+bd_control_set_ports (struct bd_entry *e)
+{
+  e->dispatch_port = (struct bd_dispatch_port){
+    .send = port_send,
+    .deliver = port_deliver,
+    .note = port_note,
+    .count = port_count,
+    .connect = port_connect,
+    .disconnect = port_disconnect,
+  };
+  e->exchange_port = (struct bd_exchange_port){
+    .fetch = exchange_fetch,
+    .note = exchange_note,
+    .changed = exchange_changed,
+  };
+}
--- /dev/null
+++ b/src/sidecar/control.h
@@ -0,0 +1,62 @@
+/**
+ * @file control.h
+ * Private to the sidecar's control thread: its state and its parts.
+ */
+#ifndef BD_SIDECAR_CONTROL_H
+#define BD_SIDECAR_CONTROL_H
+
+#include "common/state.h"
+#include "core/exchange.h"
+#include "core/runner.h"
+#include "sidecar/mail.h"
+#include "sidecar/sidecar.h"
+#include "wire/link.h"
+
+#define BD_SIDECAR_ENTRIES_MAX 512
+#define BD_SIDECAR_NAME_BYTES 64
+
+/* An entry that was heard. */
+struct entry
+{
+  char name[BD_SIDECAR_NAME_BYTES];
+  int64_t heard_ms;
+};
+
+struct bd_sidecar
+{
+  struct bd_runner_port runner_port; /* Must stay the first member. */
+  struct bd_exchange_port exchange_port;
+  const struct bd_settings *settings;
+  uint64_t incarnation;
+  struct bd_link *link;
+  struct bd_runner *runner;
+  struct bd_exchange *exchange;
+  struct bd_engine *engine;
+  struct bd_engine_post engine_post;
+  struct bd_mailbox *events;
+  struct bd_config_snapshot *snapshot; /* In force. */
+  uint64_t roster;                     /* Of the own pool; 0: none yet. */
+  struct bd_metrics *metrics;
+  struct bd_state *state;
+  struct bd_admin *admin;
+  struct entry entries[BD_SIDECAR_ENTRIES_MAX];
+  size_t entry_count;
+  int64_t probe_ms;
+  bool probing;
+  bool reported_up;
+};
+
+/** Sets where the decisions' actions go. */
+void bd_sidecar_set_ports (struct bd_sidecar *s);
+
+/** Fills in a heartbeat. */
+void bd_sidecar_heartbeat (struct bd_sidecar *s, struct bd_message *m);
+
+/** Tells every entry that was heard lately. */
+void bd_sidecar_announce (struct bd_sidecar *s);
+
+/** For bd_state_serve (); CONTEXT is the sidecar. */
+int bd_sidecar_state (void *context, enum bd_state_kind kind,
+                      struct bd_buffer *json);
+
+#endif
--- /dev/null
+++ b/src/sidecar/ports.c
@@ -0,0 +1,202 @@
+/* Where the decisions' actions go. */
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "core/home.h"
+#include "sidecar/control.h"
+
+#include <stddef.h>
+
+#define REASON_BYTES 300
+
+static struct bd_sidecar *
+of_exchange (struct bd_exchange_port *port)
+{
+  return (struct bd_sidecar *)((char *)port
+                               - offsetof (struct bd_sidecar, exchange_port));
+}
+
+static void
+port_send (struct bd_runner_port *port, struct bd_chunk entry,
+           const struct bd_message *message)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+
+  bd_link_send (s->link, entry, message);
+}
+
+static void
+port_start (struct bd_runner_port *port, const struct bd_runner_call *call)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+  struct bd_engine_call c = { .request = call->request,
+                              .attempt = call->attempt,
+                              .method = call->method,
+                              .path = call->path,
+                              .content_type = call->content_type,
+                              .body = call->body,
+                              .key = call->key_text,
+                              .tier = call->tier,
+                              .fencing = s->incarnation,
+                              .deadline_left_ms = call->budget_ms };
+  int rc = bd_engine_start (s->engine, &c);
+
+  if (rc != BD_OK)
+    bd_runner_failed (s->runner, bd_clock_ms (), call->request, call->attempt,
+                      rc, false);
+}
+
+static void
+port_cancel (struct bd_runner_port *port, struct bd_id request,
+             uint32_t attempt)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+
+  bd_engine_cancel (s->engine, request, attempt);
+}
+
+static void
+port_bill (struct bd_runner_port *port, const struct bd_bill *bill)
+{
+  char request[BD_ID_HEX_LENGTH + 1];
+  char key[BD_ID_HEX_LENGTH + 1];
+
+  bd_metrics_count (((struct bd_sidecar *)port)->metrics, BD_COUNTER_BILLED,
+                    1);
+  bd_id_format (bill->request, request);
+  bd_id_format (bill->key, key);
+  bd_log (BD_EVENT_BILLING_LINE,
+          "request=%s attempt=%u key=%s workspace=%.*s class=%.*s tokens=%u "
+          "status=%d",
+          request, bill->attempt, key, (int)bill->workspace.length,
+          bill->workspace.data, (int)bill->class_name.length,
+          bill->class_name.data, bill->tokens, bill->status);
+}
+
+static void
+port_note (struct bd_runner_port *port, enum bd_event event,
+           struct bd_id request, uint32_t attempt, const char *detail)
+{
+  struct bd_metrics *metrics = ((struct bd_sidecar *)port)->metrics;
+  char text[BD_ID_HEX_LENGTH + 1];
+
+  if (event == BD_EVENT_REQUEST_SHED)
+    bd_metrics_count (metrics, BD_COUNTER_SHED, 1);
+  else if (event == BD_EVENT_REQUEST_EXPIRED)
+    bd_metrics_count (metrics, BD_COUNTER_EXPIRED, 1);
+  if (!bd_log_shows (event))
+    return;
+  bd_id_format (request, text);
+  bd_log (event, "request=%s attempt=%u%s%s", text, attempt,
+          detail[0] ? " " : "", detail);
+}
+
+static void
+port_waited (struct bd_runner_port *port, struct bd_chunk workspace,
+             struct bd_chunk class_name, int64_t wait_ms)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+
+  bd_class_metrics_add (bd_metrics_class (s->metrics, workspace, class_name),
+                        BD_DURATION_QUEUE_WAIT, wait_ms * 1000);
+}
+
+static void
+exchange_fetch (struct bd_exchange_port *port, struct bd_chunk peer,
+                struct bd_chunk name)
+{
+  struct bd_message m = { .type = BD_MESSAGE_CONFIG_GET, .name = name };
+
+  if (peer.length > 0)
+    bd_link_send (of_exchange (port)->link, peer, &m);
+}
+
+static void
+exchange_note (struct bd_exchange_port *port, enum bd_event event,
+               struct bd_chunk name, const char *detail)
+{
+  char reason[REASON_BYTES];
+
+  (void)port;
+  if (detail[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
+}
+
+void
+bd_sidecar_heartbeat (struct bd_sidecar *s, struct bd_message *m)
+{
+  struct bd_config *config = bd_exchange_config (s->exchange);
+
+  m->type = BD_MESSAGE_HEARTBEAT;
+  m->revision = bd_config_revision (config);
+  m->digest = bd_config_digest (config);
+  m->sent_ms = bd_clock_ms ();
+  bd_runner_fill (s->runner, m);
+}
+
+void
+bd_sidecar_announce (struct bd_sidecar *s)
+{
+  struct bd_message m = { 0 };
+
+  bd_sidecar_heartbeat (s, &m);
+  for (size_t i = 0; i < s->entry_count; i++)
+    bd_link_send (s->link, bd_chunk_of (s->entries[i].name), &m);
+}
+
+static const struct bd_pool *
+own_pool (const struct bd_sidecar *s)
+{
+  return s->snapshot ? bd_config_find_pool (s->snapshot,
+                                            bd_chunk_of (s->settings->pool))
+                     : NULL;
+}
+
+static bool
+port_is_home (struct bd_runner_port *port, struct bd_id key)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+  const struct bd_pool *pool = own_pool (s);
+
+  return pool && bd_home_is (pool, key, bd_chunk_of (s->settings->instance));
+}
+
+static void
+exchange_changed (struct bd_exchange_port *port)
+{
+  struct bd_sidecar *s = of_exchange (port);
+  const struct bd_pool *pool;
+  uint64_t roster;
+
+  if (s->snapshot)
+    bd_config_snapshot_release (s->snapshot);
+  s->snapshot = bd_config_snapshot (bd_exchange_config (s->exchange));
+  pool = own_pool (s);
+  roster = pool ? bd_home_roster (pool) : 0;
+  if (roster != s->roster)
+    bd_runner_home_since (s->runner, bd_clock_wall_ms ());
+  s->roster = roster;
+  bd_sidecar_announce (s);
+}
+
+void
+bd_sidecar_set_ports (struct bd_sidecar *s)
+{
+  s->runner_port = (struct bd_runner_port){
+    .send = port_send,
+    .start = port_start,
+    .cancel = port_cancel,
+    .bill = port_bill,
+    .note = port_note,
+    .is_home = port_is_home,
+    .waited = port_waited,
+  };
+  s->exchange_port = (struct bd_exchange_port){
+    .fetch = exchange_fetch,
+    .note = exchange_note,
+    .changed = exchange_changed,
+  };
+}
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -2,23 +2,12 @@
 #include "common/clock.h"
 #include "common/incarnation.h"
 #include "common/log.h"
-#include "common/mailbox.h"
-#include "common/state.h"
-#include "core/describe.h"
-#include "core/exchange.h"
-#include "core/home.h"
-#include "core/runner.h"
-#include "sidecar/mail.h"
-#include "wire/link.h"
-
-#include <inttypes.h>
-#include <jansson.h>
+#include "sidecar/control.h"
+
 #include <stdlib.h>
 #include <string.h>
 
 #define TICK_MS 20
-#define ENTRIES_MAX 512
-#define NAME_BYTES 64
 /* An entry that says nothing for this long is forgotten. */
 #define ENTRY_SILENT_MS 60000
 #define PROBE_MS 500
@@ -29,231 +18,6 @@
 #define ANSWER_MAX_BYTES ((uint64_t)4 * 1024 * 1024)
 #define LOW_TIER_SHARE_PERMILLE 50
 #define MESSAGES_PER_TURN 256
-#define REASON_BYTES 300
-
-/* An entry that was heard. */
-struct entry
-{
-  char name[NAME_BYTES];
-  int64_t heard_ms;
-};
-
-struct bd_sidecar
-{
-  struct bd_runner_port runner_port; /* Must stay the first member. */
-  struct bd_exchange_port exchange_port;
-  const struct bd_settings *settings;
-  uint64_t incarnation;
-  struct bd_link *link;
-  struct bd_runner *runner;
-  struct bd_exchange *exchange;
-  struct bd_engine *engine;
-  struct bd_engine_post engine_post;
-  struct bd_mailbox *events;
-  struct bd_config_snapshot *snapshot; /* In force. */
-  uint64_t roster;                     /* Of the own pool; 0: none yet. */
-  struct bd_metrics *metrics;
-  struct bd_state *state;
-  struct bd_admin *admin;
-  struct entry entries[ENTRIES_MAX];
-  size_t entry_count;
-  int64_t probe_ms;
-  bool probing;
-  bool reported_up;
-};
-
-static struct bd_sidecar *
-of_exchange (struct bd_exchange_port *port)
-{
-  return (struct bd_sidecar *)((char *)port
-                               - offsetof (struct bd_sidecar, exchange_port));
-}
-
-static void
-port_send (struct bd_runner_port *port, struct bd_chunk entry,
-           const struct bd_message *message)
-{
-  struct bd_sidecar *s = (struct bd_sidecar *)port;
-
-  bd_link_send (s->link, entry, message);
-}
-
-static void
-port_start (struct bd_runner_port *port, const struct bd_runner_call *call)
-{
-  struct bd_sidecar *s = (struct bd_sidecar *)port;
-  struct bd_engine_call c = { .request = call->request,
-                              .attempt = call->attempt,
-                              .method = call->method,
-                              .path = call->path,
-                              .content_type = call->content_type,
-                              .body = call->body,
-                              .key = call->key_text,
-                              .tier = call->tier,
-                              .fencing = s->incarnation,
-                              .deadline_left_ms = call->budget_ms };
-  int rc = bd_engine_start (s->engine, &c);
-
-  if (rc != BD_OK)
-    bd_runner_failed (s->runner, bd_clock_ms (), call->request, call->attempt,
-                      rc, false);
-}
-
-static void
-port_cancel (struct bd_runner_port *port, struct bd_id request,
-             uint32_t attempt)
-{
-  struct bd_sidecar *s = (struct bd_sidecar *)port;
-
-  bd_engine_cancel (s->engine, request, attempt);
-}
-
-static void
-port_bill (struct bd_runner_port *port, const struct bd_bill *bill)
-{
-  char request[BD_ID_HEX_LENGTH + 1];
-  char key[BD_ID_HEX_LENGTH + 1];
-
-  bd_metrics_count (((struct bd_sidecar *)port)->metrics, BD_COUNTER_BILLED,
-                    1);
-  bd_id_format (bill->request, request);
-  bd_id_format (bill->key, key);
-  bd_log (BD_EVENT_BILLING_LINE,
-          "request=%s attempt=%u key=%s workspace=%.*s class=%.*s tokens=%u "
-          "status=%d",
-          request, bill->attempt, key, (int)bill->workspace.length,
-          bill->workspace.data, (int)bill->class_name.length,
-          bill->class_name.data, bill->tokens, bill->status);
-}
-
-static void
-port_note (struct bd_runner_port *port, enum bd_event event,
-           struct bd_id request, uint32_t attempt, const char *detail)
-{
-  struct bd_metrics *metrics = ((struct bd_sidecar *)port)->metrics;
-  char text[BD_ID_HEX_LENGTH + 1];
-
-  if (event == BD_EVENT_REQUEST_SHED)
-    bd_metrics_count (metrics, BD_COUNTER_SHED, 1);
-  else if (event == BD_EVENT_REQUEST_EXPIRED)
-    bd_metrics_count (metrics, BD_COUNTER_EXPIRED, 1);
-  if (!bd_log_shows (event))
-    return;
-  bd_id_format (request, text);
-  bd_log (event, "request=%s attempt=%u%s%s", text, attempt,
-          detail[0] ? " " : "", detail);
-}
-
-static void
-port_waited (struct bd_runner_port *port, struct bd_chunk workspace,
-             struct bd_chunk class_name, int64_t wait_ms)
-{
-  struct bd_sidecar *s = (struct bd_sidecar *)port;
-
-  bd_class_metrics_add (bd_metrics_class (s->metrics, workspace, class_name),
-                        BD_DURATION_QUEUE_WAIT, wait_ms * 1000);
-}
-
-static void
-exchange_fetch (struct bd_exchange_port *port, struct bd_chunk peer,
-                struct bd_chunk name)
-{
-  struct bd_message m = { .type = BD_MESSAGE_CONFIG_GET, .name = name };
-
-  if (peer.length > 0)
-    bd_link_send (of_exchange (port)->link, peer, &m);
-}
-
-static void
-exchange_note (struct bd_exchange_port *port, enum bd_event event,
-               struct bd_chunk name, const char *detail)
-{
-  char reason[REASON_BYTES];
-
-  (void)port;
-  if (detail[0])
-    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
-            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
-  else
-    bd_log (event, "document=%.*s", (int)name.length, name.data);
-}
-
-static void
-fill_heartbeat (struct bd_sidecar *s, struct bd_message *m)
-{
-  struct bd_config *config = bd_exchange_config (s->exchange);
-
-  m->type = BD_MESSAGE_HEARTBEAT;
-  m->revision = bd_config_revision (config);
-  m->digest = bd_config_digest (config);
-  m->sent_ms = bd_clock_ms ();
-  bd_runner_fill (s->runner, m);
-}
-
-/* Tells every entry that was heard lately. */
-static void
-announce (struct bd_sidecar *s)
-{
-  struct bd_message m = { 0 };
-
-  fill_heartbeat (s, &m);
-  for (size_t i = 0; i < s->entry_count; i++)
-    bd_link_send (s->link, bd_chunk_of (s->entries[i].name), &m);
-}
-
-static const struct bd_pool *
-own_pool (const struct bd_sidecar *s)
-{
-  return s->snapshot ? bd_config_find_pool (s->snapshot,
-                                            bd_chunk_of (s->settings->pool))
-                     : NULL;
-}
-
-static bool
-port_is_home (struct bd_runner_port *port, struct bd_id key)
-{
-  struct bd_sidecar *s = (struct bd_sidecar *)port;
-  const struct bd_pool *pool = own_pool (s);
-
-  return pool && bd_home_is (pool, key, bd_chunk_of (s->settings->instance));
-}
-
-static void
-exchange_changed (struct bd_exchange_port *port)
-{
-  struct bd_sidecar *s = of_exchange (port);
-  const struct bd_pool *pool;
-  uint64_t roster;
-
-  if (s->snapshot)
-    bd_config_snapshot_release (s->snapshot);
-  s->snapshot = bd_config_snapshot (bd_exchange_config (s->exchange));
-  pool = own_pool (s);
-  roster = pool ? bd_home_roster (pool) : 0;
-  if (roster != s->roster)
-    bd_runner_home_since (s->runner, bd_clock_wall_ms ());
-  s->roster = roster;
-  announce (s);
-}
-
-static void
-set_ports (struct bd_sidecar *s)
-{
-  s->runner_port = (struct bd_runner_port){
-    .send = port_send,
-    .start = port_start,
-    .cancel = port_cancel,
-    .bill = port_bill,
-    .note = port_note,
-    .is_home = port_is_home,
-    .waited = port_waited,
-  };
-  s->exchange_port = (struct bd_exchange_port){
-    .fetch = exchange_fetch,
-    .note = exchange_note,
-    .changed = exchange_changed,
-  };
-}
 
 static struct bd_runner *
 make_runner (struct bd_sidecar *s)
@@ -318,7 +82,7 @@
   s->settings = settings;
   s->incarnation = bd_incarnation_now ();
   s->reported_up = true;
-  set_ports (s);
+  bd_sidecar_set_ports (s);
   /* Binding the address comes before anything that reaches the engine: of
      two sidecars on one instance only one gets further. */
   s->link = bd_link_create (&link, error);
@@ -373,8 +137,8 @@
         s->entries[i].heard_ms = now_ms;
         return;
       }
-  if (name.length == 0 || name.length >= NAME_BYTES
-      || s->entry_count == ENTRIES_MAX)
+  if (name.length == 0 || name.length >= BD_SIDECAR_NAME_BYTES
+      || s->entry_count == BD_SIDECAR_ENTRIES_MAX)
     return;
   entry = &s->entries[s->entry_count++];
   memcpy (entry->name, name.data, name.length);
@@ -420,7 +184,7 @@
   take_confirmation (s, m);
   if (m->flags & BD_FLAG_REPLY)
     return;
-  fill_heartbeat (s, &reply);
+  bd_sidecar_heartbeat (s, &reply);
   bd_link_send (s->link, from, &reply);
 }
 
@@ -558,58 +322,13 @@
   s->reported_up = up;
   bd_log (up ? BD_EVENT_ENGINE_UP : BD_EVENT_ENGINE_DOWN, "url=%s",
           s->settings->engine_url);
-  announce (s);
-}
-
-static int
-write_status (struct bd_sidecar *s, struct bd_buffer *json)
-{
-  struct bd_config *config = bd_exchange_config (s->exchange);
-  const struct bd_link_counts *c = bd_link_counts (s->link);
-  struct bd_load load;
-
-  bd_runner_load (s->runner, &load);
-  return bd_describe_json (
-      json_pack (
-          "{s:s, s:s, s:s, s:o, s:s, s:I, s:o, s:s, s:b, s:b, s:I, s:I, s:I, "
-          "s:I, s:I, s:I, s:I}",
-          "role", "sidecar", "instance", s->settings->instance, "zone",
-          s->settings->zone, "incarnation",
-          json_sprintf ("%016" PRIx64, s->incarnation), "version", BD_VERSION,
-          "revision", (json_int_t)bd_config_revision (config), "digest",
-          json_sprintf ("%016" PRIx64, bd_config_digest (config)), "pool",
-          s->settings->pool, "engine_up", bd_runner_engine_up (s->runner),
-          "leaving", bd_runner_is_leaving (s->runner), "queued",
-          (json_int_t)load.queued, "running", (json_int_t)load.running,
-          "slots", (json_int_t)load.slots, "token_time_us",
-          (json_int_t)load.token_time_us, "entries",
-          (json_int_t)s->entry_count, "control_sent_bytes",
-          (json_int_t)c->sent_bytes[1], "control_received_bytes",
-          (json_int_t)c->received_bytes[1]),
-      json);
-}
-
-static int
-write_state (void *context, enum bd_state_kind kind, struct bd_buffer *json)
-{
-  struct bd_sidecar *s = context;
-
-  switch (kind)
-    {
-    case BD_STATE_STATUS:
-      return write_status (s, json);
-    case BD_STATE_CONTRACTS:
-      return bd_describe_contracts (bd_exchange_config (s->exchange), json);
-    case BD_STATE_RUNNERS:
-      break;
-    }
-  return BD_ERR_NOT_FOUND;
+  bd_sidecar_announce (s);
 }
 
 static void
 tick (struct bd_sidecar *s, int64_t now_ms)
 {
-  bd_state_serve (s->state, write_state, s);
+  bd_state_serve (s->state, bd_sidecar_state, s);
   bd_runner_tick (s->runner, now_ms, bd_clock_wall_ms ());
   bd_exchange_tick (s->exchange, now_ms);
   probe_engine (s, now_ms);
@@ -624,7 +343,7 @@
           s->settings->drain_timeout_s);
   bd_state_set_ready (s->state, false);
   bd_runner_leave (s->runner, now_ms);
-  announce (s);
+  bd_sidecar_announce (s);
 }
 
 static bool
--- a/src/wire/message.h
+++ b/src/wire/message.h
@@ -54,7 +54,8 @@
   BD_FLAG_ENGINE_DOWN = 32, /**< HEARTBEAT: the runner does not answer. */
   BD_FLAG_ALONE = 64,       /**< RESERVE: runs with nothing beside it. */
   BD_FLAG_REPLY = 128,      /**< HEARTBEAT: answers one. */
-  BD_FLAG_ANSWERED = 256    /**< CANCEL: the caller has its answer. */
+  BD_FLAG_DIRECT = 256 /**< RESERVE: has the body, runs at once when a slot
+                          is free; GRANT: it runs. */
 };
 
 /** One message.  Chunks in a decoded message point into its frame. */
