--- a/src/core/task.h
+++ b/src/core/task.h
@@ -28,6 +28,7 @@
   uint8_t tier;
   bool keyed;
   bool owner;    /**< Was queued itself, not only joined. */
+  bool promoted; /**< Is to be queued by the pump. */
   bool replayed; /**< The answer is a recorded one. */
   char *entry;   /**< Instance that is answered. */
   char *workspace;
@@ -49,6 +50,7 @@
   struct bd_sse sse;
   struct bd_buffer event;
   struct bd_buffer body; /**< The whole answer, where it is needed. */
+  bool body_cut;         /**< BODY is not the whole answer. */
   struct task *next;     /**< In the runner's list of all tasks. */
   struct task *previous;
 };
@@ -67,6 +69,7 @@
   uint32_t granted;
   uint32_t running;
   uint32_t ended;
+  uint32_t promoted;      /**< Tasks that the pump has to queue. */
   uint32_t token_time_us; /**< Smoothed. */
   uint64_t crash_number;
   bool engine_up;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -3,11 +3,16 @@
 #include "common/incarnation.h"
 #include "common/log.h"
 #include "common/map.h"
+#include "common/state.h"
+#include "core/describe.h"
 #include "core/exchange.h"
 #include "entry/http.h"
+#include "entry/peers.h"
+#include "entry/status.h"
 #include "platform/watch.h"
 #include "wire/link.h"
 
+#include <jansson.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +20,7 @@
 
 #define TICK_MS 20
 #define MESSAGES_PER_TURN 256
+#define REASON_BYTES 300
 /* Heartbeats sent to runners in a second, and the least time between two to
    the same runner. */
 #define HEARTBEATS_PER_S 20
@@ -22,7 +28,7 @@
 /* After the readiness check fails, callers are still served for this long. */
 #define LEAVING_GRACE_MS 1000
 /* Without news of the configuration for this long the service is asked. */
-#define REFRESH_MS 10000
+#define REFRESH_MS 30000
 #define KEY_LIFE_MS ((int64_t)24 * 3600 * 1000)
 
 /* A document from the platform's service, on its way to the control
@@ -32,6 +38,7 @@
   struct bd_mail mail;
   struct bd_chunk name;
   struct bd_chunk json;
+  int64_t sent_ms; /* Of a confirmation, whose JSON is empty. */
 };
 
 struct bd_entry
@@ -46,6 +53,10 @@
   struct bd_exchange *exchange;
   struct bd_watch *watch;
   struct bd_view *view;
+  struct bd_peers *peers;
+  struct bd_metrics *metrics;
+  struct bd_state *state;
+  struct bd_admin *admin;
   struct bd_http *http;
   struct bd_http_shared shared;
   struct bd_token_keys keys;
@@ -55,6 +66,8 @@
   size_t heartbeat_next;
   int64_t heartbeat_ms;
   int64_t refresh_ms;
+  uint64_t service_manifest; /* Hash of what the service gave last. */
+  bool watching;
   bool changed;
 };
 
@@ -109,8 +122,10 @@
 static void
 port_count (struct bd_dispatch_port *port, enum bd_dispatch_count what)
 {
-  (void)port;
-  (void)what;
+  struct bd_entry *e = (struct bd_entry *)port;
+
+  if (what == BD_DISPATCH_RETRY || what == BD_DISPATCH_RESUME)
+    bd_metrics_count (e->metrics, BD_COUNTER_RETRIES, 1);
 }
 
 static void
@@ -147,9 +162,14 @@
 exchange_note (struct bd_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
+  char reason[REASON_BYTES];
+
   (void)port;
-  bd_log (event, "document=%.*s%s%s", (int)name.length, name.data,
-          detail[0] ? " reason=" : "", detail);
+  if (detail[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
 }
 
 static void
@@ -159,10 +179,9 @@
 }
 
 static void
-watch_document (struct bd_watch_sink *sink, struct bd_chunk name,
-                struct bd_chunk json)
+post_document (struct bd_entry *e, struct bd_chunk name, struct bd_chunk json,
+               int64_t sent_ms)
 {
-  struct bd_entry *e = of_watch (sink);
   struct document_mail *mail
       = malloc (sizeof *mail + name.length + json.length);
   char *bytes;
@@ -175,9 +194,26 @@
     memcpy (bytes + name.length, json.data, json.length);
   mail->name = (struct bd_chunk){ bytes, name.length };
   mail->json = (struct bd_chunk){ bytes + name.length, json.length };
+  mail->sent_ms = sent_ms;
   bd_mailbox_post (e->documents, &mail->mail);
 }
 
+static void
+watch_document (struct bd_watch_sink *sink, struct bd_chunk name,
+                struct bd_chunk json)
+{
+  post_document (of_watch (sink), name, json, 0);
+}
+
+static void
+watch_confirmed (struct bd_watch_sink *sink, struct bd_chunk name,
+                 int64_t sent_ms)
+{
+  if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
+    post_document (of_watch (sink), name, (struct bd_chunk){ NULL, 0 },
+                   sent_ms);
+}
+
 static void
 watch_reachable (struct bd_watch_sink *sink, bool up)
 {
@@ -204,12 +240,14 @@
   e->watch_sink = (struct bd_watch_sink){
     .document = watch_document,
     .reachable = watch_reachable,
+    .confirmed = watch_confirmed,
   };
 }
 
-/* Without a setting the key is drawn; it is then good at this entry only. */
+/* The first key seals, the others still open.  Without a setting a key is
+   drawn, which is good at this entry only. */
 static int
-set_token_key (struct bd_entry *e)
+set_token_keys (struct bd_entry *e)
 {
   const char *hex = e->settings->token_key;
   size_t length = 0;
@@ -220,11 +258,12 @@
       randombytes_buf (e->keys.keys[0], BD_TOKEN_KEY_BYTES);
       return BD_OK;
     }
-  if (sodium_hex2bin (e->keys.keys[0], BD_TOKEN_KEY_BYTES, hex, strlen (hex),
-                      NULL, &length, NULL)
+  if (sodium_hex2bin ((unsigned char *)e->keys.keys, sizeof e->keys.keys, hex,
+                      strlen (hex), ",", &length, NULL)
           != 0
-      || length != BD_TOKEN_KEY_BYTES)
+      || length == 0 || length % BD_TOKEN_KEY_BYTES != 0)
     return BD_ERR_SETTING;
+  e->keys.count = length / BD_TOKEN_KEY_BYTES;
   return BD_OK;
 }
 
@@ -261,8 +300,14 @@
   e->view = bd_view_create ();
   e->exchange = bd_exchange_create (&e->exchange_port);
   e->dispatch = make_dispatch (e);
+  e->metrics = bd_metrics_create ();
+  e->state = bd_state_create ();
   if (!e->control || !e->documents || !e->calls || !e->view || !e->exchange
-      || !e->dispatch)
+      || !e->dispatch || !e->metrics || !e->state)
+    return false;
+  e->peers = bd_peers_create (e->settings, e->incarnation, e->link,
+                              e->dispatch, e->exchange);
+  if (!e->peers)
     return false;
   e->watch = bd_watch_create (e->settings->platform_url, e->incarnation,
                               &e->watch_sink);
@@ -270,6 +315,7 @@
   e->shared.view = e->view;
   e->shared.control = e->control;
   e->shared.keys = &e->keys;
+  e->shared.metrics = e->metrics;
   return e->watch != NULL;
 }
 
@@ -292,12 +338,20 @@
   e->link = bd_link_create (&link, error);
   if (e->link && make_parts (e))
     {
-      *error = set_token_key (e);
+      *error = set_token_keys (e);
       if (*error == BD_OK)
         {
           *error = BD_ERR_IO;
           e->http = bd_http_create (&e->shared);
         }
+      if (e->http && settings->admin_address[0])
+        e->admin = bd_admin_create (settings->admin_address, e->metrics,
+                                    bd_state_source (e->state), error);
+    }
+  if (e->http && settings->admin_address[0] && !e->admin)
+    {
+      bd_entry_destroy (e);
+      return NULL;
     }
   if (e->http)
     return e;
@@ -314,6 +368,7 @@
 
   if (!entry)
     return;
+  bd_admin_destroy (entry->admin);
   bd_http_destroy (entry->http);
   bd_watch_destroy (entry->watch);
   while (entry->control && (mail = bd_mailbox_take (entry->control)))
@@ -333,6 +388,9 @@
   bd_mailbox_destroy (entry->control);
   bd_mailbox_destroy (entry->documents);
   bd_map_destroy (entry->calls);
+  bd_peers_destroy (entry->peers);
+  bd_state_destroy (entry->state);
+  bd_metrics_destroy (entry->metrics);
   bd_dispatch_destroy (entry->dispatch);
   bd_exchange_destroy (entry->exchange);
   bd_view_destroy (entry->view);
@@ -430,19 +488,79 @@
     take_call (e, bd_clock_ms (), (struct bd_http_call_mail *)mail);
 }
 
+/* The list lags, so it only takes runners and peers out. */
 static void
-read_documents (struct bd_entry *e, int64_t now_ms)
+take_instances (struct bd_entry *e, int64_t now_ms, struct bd_chunk json)
+{
+  json_t *root = json_loadb (json.data ? json.data : "", json.length, 0, NULL);
+  json_t *list = json_object_get (root, "instances");
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    const char *state = json_string_value (json_object_get (item, "state"));
+    struct bd_chunk instance
+        = bd_chunk_of (json_string_value (json_object_get (item, "instance")));
+
+    if (!state || instance.length == 0)
+      continue;
+    bd_peers_listed (e->peers, now_ms, instance,
+                     strcmp (state, "leaving") == 0);
+    if (strcmp (state, "leaving") == 0)
+      bd_dispatch_leaving (e->dispatch, instance);
+  }
+  json_decref (root);
+}
+
+static void
+count_missing (void *context, struct bd_chunk name)
+{
+  (void)name;
+  ++*(size_t *)context;
+}
+
+/* What is in force is confirmed when the service gives the same manifest and
+   every document that it names has come. */
+static void
+take_confirmation (struct bd_entry *e, int64_t sent_ms)
+{
+  struct bd_config *config = bd_exchange_config (e->exchange);
+  struct bd_chunk manifest
+      = bd_config_document (config, BD_CHUNK ("manifest"));
+  size_t missing = 0;
+
+  bd_config_missing (config, count_missing, &missing);
+  if (missing == 0 && bd_chunk_hash (manifest) == e->service_manifest)
+    bd_peers_confirm (e->peers, sent_ms);
+}
+
+static void
+take_document (struct bd_entry *e, int64_t now_ms, struct bd_chunk name,
+               struct bd_chunk json)
 {
   struct bd_chunk service = { NULL, 0 };
+
+  if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
+    e->service_manifest = bd_chunk_hash (json);
+  bd_exchange_document (e->exchange, now_ms, service, name, json);
+}
+
+static void
+read_documents (struct bd_entry *e, int64_t now_ms)
+{
   struct bd_mail *mail;
 
   while ((mail = bd_mailbox_take (e->documents)))
     {
       struct document_mail *document = (struct document_mail *)mail;
 
-      if (!bd_chunk_equal (document->name, BD_CHUNK ("instances")))
-        bd_exchange_document (e->exchange, now_ms, service, document->name,
-                              document->json);
+      if (document->sent_ms != 0)
+        take_confirmation (e, document->sent_ms);
+      else if (bd_chunk_equal (document->name, BD_CHUNK ("instances")))
+        take_instances (e, now_ms, document->json);
+      else
+        take_document (e, now_ms, document->name, document->json);
       free (document);
     }
 }
@@ -456,6 +574,7 @@
   m->incarnation = e->incarnation;
   m->revision = bd_config_revision (config);
   m->digest = bd_config_digest (config);
+  m->confirm_age_ms = bd_peers_confirm_age (e->peers, bd_clock_ms ());
 }
 
 static void
@@ -466,6 +585,7 @@
 
   bd_dispatch_runner (e->dispatch, index, &view);
   fill_heartbeat (e, &m);
+  m.echo_ms = view.peer_clock_ms;
   bd_link_send (e->link, view.instance, &m);
 }
 
@@ -504,8 +624,11 @@
   if (!snapshot)
     return;
   bd_dispatch_configure (e->dispatch, now_ms, snapshot);
+  bd_peers_configure (e->peers, now_ms, snapshot);
   bd_view_publish (e->view, snapshot);
+  bd_state_set_ready (e->state, true);
   heartbeat_all (e);
+  bd_peers_announce (e->peers, now_ms);
 }
 
 static void
@@ -521,6 +644,20 @@
     bd_link_send (e->link, to, &m);
 }
 
+/* Another entry that knows this one as a seed only asks for the revision. */
+static void
+take_heartbeat (struct bd_entry *e, int64_t now_ms, struct bd_chunk from,
+                const struct bd_message *m)
+{
+  struct bd_message reply = { .flags = BD_FLAG_REPLY };
+
+  bd_exchange_heard (e->exchange, now_ms, from, m->revision, m->digest);
+  if (m->flags & BD_FLAG_REPLY || m->slots > 0)
+    return;
+  fill_heartbeat (e, &reply);
+  bd_link_send (e->link, from, &reply);
+}
+
 static void
 take_message (struct bd_entry *e, int64_t now_ms, struct bd_chunk from,
               const struct bd_message *m)
@@ -533,8 +670,11 @@
     case BD_MESSAGE_CONFIG:
       bd_exchange_document (e->exchange, now_ms, from, m->name, m->body);
       return;
+    case BD_MESSAGE_GOSSIP:
+      bd_peers_message (e->peers, now_ms, from, m);
+      return;
     case BD_MESSAGE_HEARTBEAT:
-      bd_exchange_heard (e->exchange, now_ms, from, m->revision, m->digest);
+      take_heartbeat (e, now_ms, from, m);
       break;
     default:
       break;
@@ -596,18 +736,63 @@
       bd_dispatch_cancel (e->dispatch, now_ms, call->request.request);
 }
 
+/* Only some entries of a zone hold queries at the service; the others learn
+   from them. */
+static void
+choose_watcher (struct bd_entry *e, int64_t now_ms)
+{
+  bool watcher = bd_peers_watcher (e->peers);
+
+  if (watcher != e->watching)
+    {
+      e->watching = watcher;
+      bd_watch_hold (e->watch, watcher);
+    }
+  if (!watcher && now_ms - e->refresh_ms >= REFRESH_MS)
+    {
+      e->refresh_ms = now_ms;
+      bd_watch_fetch (e->watch, BD_CHUNK ("manifest"));
+    }
+}
+
+static int
+write_state (void *context, enum bd_state_kind kind, struct bd_buffer *json)
+{
+  struct bd_entry *e = context;
+  struct bd_status_input input = {
+    .settings = e->settings,
+    .incarnation = e->incarnation,
+    .config = bd_exchange_config (e->exchange),
+    .dispatch = e->dispatch,
+    .membership = bd_peers_membership (e->peers),
+    .counts = bd_link_counts (e->link),
+    .platform_calls = bd_watch_calls (e->watch),
+    .watching = e->watching,
+    .leaving = atomic_load (&e->shared.leaving),
+  };
+
+  switch (kind)
+    {
+    case BD_STATE_STATUS:
+      return bd_status_write (&input, json);
+    case BD_STATE_RUNNERS:
+      return bd_status_runners (&input, bd_clock_ms (), json);
+    case BD_STATE_CONTRACTS:
+      return bd_describe_contracts (input.config, json);
+    }
+  return BD_ERR_NOT_FOUND;
+}
+
 static void
 tick (struct bd_entry *e, int64_t now_ms)
 {
   bd_dispatch_tick (e->dispatch, now_ms);
   bd_exchange_tick (e->exchange, now_ms);
+  bd_peers_tick (e->peers, now_ms);
+  bd_state_serve (e->state, write_state, e);
+  choose_watcher (e, now_ms);
   send_heartbeats (e, now_ms);
   drop_slow_calls (e, now_ms);
-  if (now_ms - e->refresh_ms >= REFRESH_MS)
-    {
-      e->refresh_ms = now_ms;
-      bd_watch_fetch (e->watch, BD_CHUNK ("manifest"));
-    }
 }
 
 /* Steps of leaving: the readiness check fails, then new calls are refused.
@@ -633,7 +818,7 @@
   int64_t tick_ms = 0;
   int64_t leaving_ms = 0;
 
-  bd_watch_hold (entry->watch, true);
+  bd_watch_fetch (entry->watch, BD_CHUNK ("manifest"));
   bd_log (BD_EVENT_DAEMON_READY, "role=entry incarnation=%llu",
           (unsigned long long)entry->incarnation);
   for (;;)
@@ -660,6 +845,8 @@
           leaving_ms = now_ms;
           bd_log (BD_EVENT_DAEMON_LEAVING, "drain_timeout_s=%d",
                   entry->settings->drain_timeout_s);
+          bd_state_set_ready (entry->state, false);
+          bd_peers_leave (entry->peers, now_ms);
         }
       if (leave (entry, now_ms, leaving_ms))
         return BD_OK;
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -3,11 +3,16 @@
 #include "common/incarnation.h"
 #include "common/log.h"
 #include "common/mailbox.h"
+#include "common/state.h"
+#include "core/describe.h"
 #include "core/exchange.h"
+#include "core/home.h"
 #include "core/runner.h"
 #include "sidecar/mail.h"
 #include "wire/link.h"
 
+#include <inttypes.h>
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -24,6 +29,7 @@
 #define ANSWER_MAX_BYTES ((uint64_t)4 * 1024 * 1024)
 #define LOW_TIER_SHARE_PERMILLE 50
 #define MESSAGES_PER_TURN 256
+#define REASON_BYTES 300
 
 /* An entry that was heard. */
 struct entry
@@ -44,6 +50,11 @@
   struct bd_engine *engine;
   struct bd_engine_post engine_post;
   struct bd_mailbox *events;
+  struct bd_config_snapshot *snapshot; /* In force. */
+  uint64_t roster;                     /* Of the own pool; 0: none yet. */
+  struct bd_metrics *metrics;
+  struct bd_state *state;
+  struct bd_admin *admin;
   struct entry entries[ENTRIES_MAX];
   size_t entry_count;
   int64_t probe_ms;
@@ -103,7 +114,8 @@
   char request[BD_ID_HEX_LENGTH + 1];
   char key[BD_ID_HEX_LENGTH + 1];
 
-  (void)port;
+  bd_metrics_count (((struct bd_sidecar *)port)->metrics, BD_COUNTER_BILLED,
+                    1);
   bd_id_format (bill->request, request);
   bd_id_format (bill->key, key);
   bd_log (BD_EVENT_BILLING_LINE,
@@ -118,9 +130,13 @@
 port_note (struct bd_runner_port *port, enum bd_event event,
            struct bd_id request, uint32_t attempt, const char *detail)
 {
+  struct bd_metrics *metrics = ((struct bd_sidecar *)port)->metrics;
   char text[BD_ID_HEX_LENGTH + 1];
 
-  (void)port;
+  if (event == BD_EVENT_REQUEST_SHED)
+    bd_metrics_count (metrics, BD_COUNTER_SHED, 1);
+  else if (event == BD_EVENT_REQUEST_EXPIRED)
+    bd_metrics_count (metrics, BD_COUNTER_EXPIRED, 1);
   if (!bd_log_shows (event))
     return;
   bd_id_format (request, text);
@@ -132,10 +148,10 @@
 port_waited (struct bd_runner_port *port, struct bd_chunk workspace,
              struct bd_chunk class_name, int64_t wait_ms)
 {
-  (void)port;
-  (void)workspace;
-  (void)class_name;
-  (void)wait_ms;
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+
+  bd_class_metrics_add (bd_metrics_class (s->metrics, workspace, class_name),
+                        BD_DURATION_QUEUE_WAIT, wait_ms * 1000);
 }
 
 static void
@@ -152,9 +168,14 @@
 exchange_note (struct bd_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
+  char reason[REASON_BYTES];
+
   (void)port;
-  bd_log (event, "document=%.*s%s%s", (int)name.length, name.data,
-          detail[0] ? " reason=" : "", detail);
+  if (detail[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
 }
 
 static void
@@ -165,6 +186,7 @@
   m->type = BD_MESSAGE_HEARTBEAT;
   m->revision = bd_config_revision (config);
   m->digest = bd_config_digest (config);
+  m->sent_ms = bd_clock_ms ();
   bd_runner_fill (s->runner, m);
 }
 
@@ -179,10 +201,39 @@
     bd_link_send (s->link, bd_chunk_of (s->entries[i].name), &m);
 }
 
+static const struct bd_pool *
+own_pool (const struct bd_sidecar *s)
+{
+  return s->snapshot ? bd_config_find_pool (s->snapshot,
+                                            bd_chunk_of (s->settings->pool))
+                     : NULL;
+}
+
+static bool
+port_is_home (struct bd_runner_port *port, struct bd_id key)
+{
+  struct bd_sidecar *s = (struct bd_sidecar *)port;
+  const struct bd_pool *pool = own_pool (s);
+
+  return pool && bd_home_is (pool, key, bd_chunk_of (s->settings->instance));
+}
+
 static void
 exchange_changed (struct bd_exchange_port *port)
 {
-  announce (of_exchange (port));
+  struct bd_sidecar *s = of_exchange (port);
+  const struct bd_pool *pool;
+  uint64_t roster;
+
+  if (s->snapshot)
+    bd_config_snapshot_release (s->snapshot);
+  s->snapshot = bd_config_snapshot (bd_exchange_config (s->exchange));
+  pool = own_pool (s);
+  roster = pool ? bd_home_roster (pool) : 0;
+  if (roster != s->roster)
+    bd_runner_home_since (s->runner, bd_clock_wall_ms ());
+  s->roster = roster;
+  announce (s);
 }
 
 static void
@@ -194,6 +245,7 @@
     .cancel = port_cancel,
     .bill = port_bill,
     .note = port_note,
+    .is_home = port_is_home,
     .waited = port_waited,
   };
   s->exchange_port = (struct bd_exchange_port){
@@ -217,6 +269,7 @@
     .custody = { .incarnation = s->incarnation,
                  .started_wall_ms = bd_clock_wall_ms (),
                  .clock_skew_ms = CLOCK_SKEW_MS,
+                 .confirm_window_ms = settings->confirm_window_ms,
                  .max_records = RECORDS_MAX,
                  .max_answer_bytes = (uint64_t)settings->answer_bytes },
     .answer_max_bytes = ANSWER_MAX_BYTES,
@@ -240,6 +293,16 @@
   return bd_engine_create (&e, &s->engine_post.sink);
 }
 
+static bool
+open_admin (struct bd_sidecar *s, int *error)
+{
+  if (!s->settings->admin_address[0])
+    return true;
+  s->admin = bd_admin_create (s->settings->admin_address, s->metrics,
+                              bd_state_source (s->state), error);
+  return s->admin != NULL;
+}
+
 struct bd_sidecar *
 bd_sidecar_create (const struct bd_settings *settings, int *error)
 {
@@ -263,12 +326,15 @@
     {
       *error = BD_ERR_NOMEM;
       s->events = bd_mailbox_create ();
+      s->metrics = bd_metrics_create ();
+      s->state = bd_state_create ();
       s->exchange = bd_exchange_create (&s->exchange_port);
       s->runner = make_runner (s);
       if (s->events)
         s->engine = make_engine (s);
     }
-  if (s->engine && s->exchange && s->runner)
+  if (s->engine && s->exchange && s->runner && s->metrics && s->state
+      && open_admin (s, error))
     return s;
   bd_sidecar_destroy (s);
   return NULL;
@@ -281,12 +347,17 @@
 
   if (!sidecar)
     return;
+  bd_admin_destroy (sidecar->admin);
   bd_engine_destroy (sidecar->engine);
   while (sidecar->events && (mail = bd_engine_mail_take (sidecar->events)))
     free (mail);
   bd_mailbox_destroy (sidecar->events);
   bd_runner_destroy (sidecar->runner);
+  if (sidecar->snapshot)
+    bd_config_snapshot_release (sidecar->snapshot);
   bd_exchange_destroy (sidecar->exchange);
+  bd_state_destroy (sidecar->state);
+  bd_metrics_destroy (sidecar->metrics);
   bd_link_destroy (sidecar->link);
   free (sidecar);
 }
@@ -323,6 +394,21 @@
       i++;
 }
 
+/* The entry's confirmation is as old as it says, or younger, counted from
+   this process's own clock which it echoes: a message that lay around, or a
+   pause, cannot make it look fresh. */
+static void
+take_confirmation (struct bd_sidecar *s, const struct bd_message *m)
+{
+  struct bd_config *config = bd_exchange_config (s->exchange);
+
+  if (m->echo_ms == 0 || m->confirm_age_ms <= 0
+      || m->revision != bd_config_revision (config)
+      || m->digest != bd_config_digest (config))
+    return;
+  bd_runner_confirm (s->runner, m->echo_ms - (m->confirm_age_ms - 1));
+}
+
 static void
 take_heartbeat (struct bd_sidecar *s, int64_t now_ms, struct bd_chunk from,
                 const struct bd_message *m)
@@ -331,6 +417,7 @@
 
   hear_entry (s, now_ms, from);
   bd_exchange_heard (s->exchange, now_ms, from, m->revision, m->digest);
+  take_confirmation (s, m);
   if (m->flags & BD_FLAG_REPLY)
     return;
   fill_heartbeat (s, &reply);
@@ -474,9 +561,55 @@
   announce (s);
 }
 
+static int
+write_status (struct bd_sidecar *s, struct bd_buffer *json)
+{
+  struct bd_config *config = bd_exchange_config (s->exchange);
+  const struct bd_link_counts *c = bd_link_counts (s->link);
+  struct bd_load load;
+
+  bd_runner_load (s->runner, &load);
+  return bd_describe_json (
+      json_pack (
+          "{s:s, s:s, s:s, s:o, s:s, s:I, s:o, s:s, s:b, s:b, s:I, s:I, s:I, "
+          "s:I, s:I, s:I, s:I}",
+          "role", "sidecar", "instance", s->settings->instance, "zone",
+          s->settings->zone, "incarnation",
+          json_sprintf ("%016" PRIx64, s->incarnation), "version", BD_VERSION,
+          "revision", (json_int_t)bd_config_revision (config), "digest",
+          json_sprintf ("%016" PRIx64, bd_config_digest (config)), "pool",
+          s->settings->pool, "engine_up", bd_runner_engine_up (s->runner),
+          "leaving", bd_runner_is_leaving (s->runner), "queued",
+          (json_int_t)load.queued, "running", (json_int_t)load.running,
+          "slots", (json_int_t)load.slots, "token_time_us",
+          (json_int_t)load.token_time_us, "entries",
+          (json_int_t)s->entry_count, "control_sent_bytes",
+          (json_int_t)c->sent_bytes[1], "control_received_bytes",
+          (json_int_t)c->received_bytes[1]),
+      json);
+}
+
+static int
+write_state (void *context, enum bd_state_kind kind, struct bd_buffer *json)
+{
+  struct bd_sidecar *s = context;
+
+  switch (kind)
+    {
+    case BD_STATE_STATUS:
+      return write_status (s, json);
+    case BD_STATE_CONTRACTS:
+      return bd_describe_contracts (bd_exchange_config (s->exchange), json);
+    case BD_STATE_RUNNERS:
+      break;
+    }
+  return BD_ERR_NOT_FOUND;
+}
+
 static void
 tick (struct bd_sidecar *s, int64_t now_ms)
 {
+  bd_state_serve (s->state, write_state, s);
   bd_runner_tick (s->runner, now_ms, bd_clock_wall_ms ());
   bd_exchange_tick (s->exchange, now_ms);
   probe_engine (s, now_ms);
@@ -489,6 +622,7 @@
 {
   bd_log (BD_EVENT_DAEMON_LEAVING, "drain_timeout_s=%d",
           s->settings->drain_timeout_s);
+  bd_state_set_ready (s->state, false);
   bd_runner_leave (s->runner, now_ms);
   announce (s);
 }
@@ -510,6 +644,7 @@
   int64_t tick_ms = 0;
   int64_t leaving_ms = 0;
 
+  bd_state_set_ready (sidecar->state, true);
   bd_log (BD_EVENT_DAEMON_READY, "role=sidecar incarnation=%llu",
           (unsigned long long)sidecar->incarnation);
   for (;;)
