--- a/test/test_config.c
+++ b/test/test_config.c
@@ -2,6 +2,7 @@
 #include "core/config.h"
 #include "naive_config.h"
 
+#include <pthread.h>
 #include <string.h>
 
 #define WORKSPACES 4
@@ -439,14 +440,52 @@
   bd_config_destroy (config);
 }
 
-/* Reads snapshots on another thread while the owner goes on. */
-static gpointer
-read_snapshots (gpointer queue)
+/*
+ * One snapshot at a time goes to the reader.  POSIX locks, which
+ * ThreadSanitizer sees, unlike those of GLib.
+ */
+struct handover
+{
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  struct bd_config_snapshot *view;
+  bool done;
+};
+
+static struct bd_config_snapshot *
+take_view (struct handover *h)
+{
+  struct bd_config_snapshot *view;
+
+  pthread_mutex_lock (&h->lock);
+  while (!h->view && !h->done)
+    pthread_cond_wait (&h->changed, &h->lock);
+  view = h->view;
+  h->view = NULL;
+  pthread_cond_signal (&h->changed);
+  pthread_mutex_unlock (&h->lock);
+  return view;
+}
+
+static void
+give_view (struct handover *h, struct bd_config_snapshot *view)
+{
+  pthread_mutex_lock (&h->lock);
+  while (h->view)
+    pthread_cond_wait (&h->changed, &h->lock);
+  h->view = view;
+  h->done = !view;
+  pthread_cond_signal (&h->changed);
+  pthread_mutex_unlock (&h->lock);
+}
+
+static void *
+read_snapshots (void *handover)
 {
   struct bd_config_snapshot *view;
   guint64 last = 0;
 
-  while ((view = g_async_queue_pop (queue)) != queue)
+  while ((view = take_view (handover)))
     {
       const struct bd_contract *c
           = bd_config_find_credential (view, BD_CHUNK ("w"));
@@ -459,24 +498,26 @@
   return NULL;
 }
 
+/* A reader on another thread goes on after the owner has moved on. */
 static void
 test_snapshots_outlive (void)
 {
   struct bd_config *config = bd_config_create ();
-  GAsyncQueue *queue = g_async_queue_new ();
-  GThread *reader = g_thread_new ("reader", read_snapshots, queue);
+  struct handover h = { .lock = PTHREAD_MUTEX_INITIALIZER,
+                        .changed = PTHREAD_COND_INITIALIZER };
+  pthread_t reader;
 
+  g_assert_cmpint (pthread_create (&reader, NULL, read_snapshots, &h), ==, 0);
   offer_new (config, manifest_of (1, "contract/w", 1, "pool/p", 1, NULL));
   for (int r = 1; r <= 200; r++)
     {
       offer_new (config, naive_contract ("w", (guint64)r, 0, false));
       offer_new (config, naive_pool ("p", (guint64)r, 0, r));
-      g_async_queue_push (queue, bd_config_snapshot (config));
+      give_view (&h, bd_config_snapshot (config));
     }
   bd_config_destroy (config);
-  g_async_queue_push (queue, queue);
-  g_thread_join (reader);
-  g_async_queue_unref (queue);
+  give_view (&h, NULL);
+  pthread_join (reader, NULL);
 }
 
 /* The size of the future: 260 contracts and four pools of 3000 runners. */
