--- a/bench/bench_check.c
+++ b/bench/bench_check.c
@@ -358,7 +358,7 @@
     }
   if (r->bills == 1 && r->whole && r->billed_tokens != r->delivered)
     check.billed_other_tokens++;
-  if (r->bills == 0 && r->whole && !r->replay)
+  if (r->bills == 0 && r->whole && !r->replay && !r->key)
     check.whole_not_billed++;
 }
 
@@ -367,7 +367,10 @@
 {
   judge_bills (r);
   if (r->key)
-    r->key->bills += r->bills;
+    {
+      r->key->bills += r->bills;
+      r->key->whole = r->key->whole || r->whole;
+    }
   if (r->says_not_run && r->runs > 0)
     {
       check.false_refusals++;
@@ -401,6 +404,8 @@
           check.billed_twice++;
           show ("key billed twice", r->id);
         }
+      if (r->bills == 0 && r->whole)
+        check.whole_not_billed++;
     }
 }
 
--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -226,7 +226,7 @@
 
   if (e->class->service)
     {
-      *tokens = 1;
+      *tokens = 0;
       return bd_chunk_equal (bd_buffer_chunk (&e->text),
                              bd_buffer_chunk (&e->body));
     }
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -339,7 +339,6 @@
   while (engine.fault == FAULT_STALL)
     pthread_cond_wait (&engine.work, &engine.lock);
   fault = engine.fault;
-  s->produced = 1;
   pthread_mutex_unlock (&engine.lock);
   sleep_until (bd_clock_us () + engine.token_us);
   json = json_pack ("{s:s,s:s,s:s%,s:I}", "method", r->info->request_method,
