--- a/test/support_fleet.c
+++ b/test/support_fleet.c
@@ -365,6 +365,14 @@
   (void)detail;
 }
 
+static bool
+runner_is_home (struct bd_runner_port *port, struct bd_id key)
+{
+  (void)port;
+  (void)key;
+  return true;
+}
+
 static void
 runner_waited (struct bd_runner_port *port, struct bd_chunk workspace,
                struct bd_chunk class_name, int64_t wait_ms)
@@ -402,8 +410,9 @@
   struct runner *r = &f->runners[index];
 
   r->port
-      = (struct bd_runner_port){ runner_send, runner_start, runner_cancel,
-                                 runner_bill, runner_note,  runner_waited };
+      = (struct bd_runner_port){ runner_send,  runner_start, runner_cancel,
+                                 runner_bill,  runner_note,  runner_is_home,
+                                 runner_waited };
   r->fleet = f;
   r->index = index;
   r->jobs = g_ptr_array_new_with_free_func (g_free);
@@ -624,7 +633,7 @@
 {
   if (!job->run || job->words == 0)
     {
-      fail_job (f, r, job, job->run ? BD_ERR_CANCELLED : BD_ERR_IO,
+      fail_job (f, r, job, job->run ? BD_ERR_CANCELLED : BD_ERR_ENGINE,
                 job->run != NULL);
       return TRUE;
     }
@@ -647,9 +656,7 @@
       struct job *job = r->jobs->pdata[i];
       guint before = r->jobs->len;
 
-      if (job->due_ms > f->now_ms)
-        i++;
-      else if (run_job (f, r, job))
+      if (job->due_ms <= f->now_ms && run_job (f, r, job))
         g_ptr_array_remove_fast (r->jobs, job);
       else if (r->jobs->len == before)
         i++;
@@ -884,7 +891,8 @@
     {
       struct job *job = jobs->pdata[i];
 
-      fail_job (f, r, job, BD_ERR_IO, job->run != NULL);
+      fail_job (f, r, job, job->run ? BD_ERR_BROKEN : BD_ERR_ENGINE,
+                job->run != NULL);
     }
   g_ptr_array_free (jobs, TRUE);
 }
