--- a/test/test_bench_check.c
+++ b/test/test_bench_check.c
@@ -89,6 +89,8 @@
     "retries", 1, false },
 };
 
+static const char program[] = BUILD_DIR "/bench_check";
+
 static char *
 write_file (const char *folder, const char *name, const char *text)
 {
