--- a/test/test_bench_check.c
+++ b/test/test_bench_check.c
@@ -110,16 +110,9 @@
   char *receipts = write_file (folder, "receipts", c->receipts);
   char *runs = write_file (folder, "runs", c->runs);
   char *events = write_file (folder, "events", c->events);
-  const char *argv[] = { BUILD_DIR "/bench_check",
-                         "--scenario",
-                         scenario,
-                         "--receipts",
-                         receipts,
-                         "--engine",
-                         runs,
-                         "--log",
-                         events,
-                         NULL };
+  const char *argv[]
+      = { program,    "--scenario", scenario, "--receipts", receipts,
+          "--engine", runs,         "--log",  events,       NULL };
   char *out = NULL;
   int status = 0;
   json_t *json;
