Bench: requests that crash engines; runs found by the engine's key too

A run whose request got no receipt is joined by the Idempotency-Key that the engine logged (the case fails with the checker before). Scenario poison starts each ended engine again and counts the crashes.

--- a/bench/bench_check.c
+++ b/bench/bench_check.c
@@ -156,14 +156,16 @@
 take_run (const json_t *json)
 {
   struct record *r = find_request (text_of (json, "request"));
+  struct record *key = r && r->key ? r->key : find_key (text_of (json, "key"));
 
   if (strcmp (text_of (json, "event"), "start") != 0)
     check.computed += number_of (json, "tokens");
-  else if (r)
+  else
     {
-      r->runs++;
-      if (r->key)
-        r->key->runs++;
+      if (r)
+        r->runs++;
+      if (key)
+        key->runs++;
     }
 }
 
--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -141,6 +141,21 @@
     "$(orders_class "$(phase 2000 25000 5)")"
 }
 
+# Three requests, each under a prompt of its own, end every engine that runs
+# them; an engine that has ended is started again.
+scenario_poison () {
+  local i
+  poison_text=poisoned-sheet
+  for i in $(seq "$model_runners"); do
+    fault_plan+="0 poison $i; "
+  done
+  write_load 25000 40000 "$(entry_targets)" "$(three_classes \
+    "$(phase 0 25000 7)" "$(phase 0 25000 8)" "$(phase 0 25000 7)")" \
+    "$(load_class poisoned batch secret-apa 2 20000 200 \
+      '{"from_ms": 5000, "to_ms": 20000, "count": 3}' \
+      ", \"poison\": \"$poison_text\", \"poison_permille\": 1000")"
+}
+
 # The same number of engines serves both ways; 100 requests/s each.
 scenario_overhead () {
   local i list="" direct
@@ -168,4 +183,4 @@
       '{"from_ms": 1200, "to_ms": 1300, "count": 10}')"
 }
 
-scenarios="morning-burst van-calls two-stragglers flood crash outage overhead streams500"
+scenarios="morning-burst van-calls two-stragglers flood crash outage poison overhead streams500"
