--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -12,6 +12,7 @@
 token_us=20000
 threads=64
 max_streams=512
+queue_items=1000
 # Level 7 shows what a sidecar queues, for the check of tiers.
 log_level=7
 fault_plan=""
@@ -98,6 +99,15 @@
     "$(orders_class "$(phase 2000 38000 2)")"
 }
 
+# The burst at 2.5 times the capacity with short queues, so that they overflow.
+scenario_shed () {
+  queue_items=10
+  write_load 25000 40000 "$(entry_targets)" "$(three_classes \
+    "$(phase 0 5000 5),$(phase 5000 20000 20)" \
+    "$(phase 0 5000 8),$(phase 5000 20000 40)" \
+    "$(phase 0 5000 7),$(phase 5000 20000 35)")"
+}
+
 scenario_van-calls () {
   write_load 30000 30000 "$(entry_targets)" "$(three_classes \
     "$(phase 0 30000 5)" \
@@ -183,4 +193,4 @@
       '{"from_ms": 1200, "to_ms": 1300, "count": 10}')"
 }
 
-scenarios="morning-burst van-calls two-stragglers flood crash outage poison overhead streams500"
+scenarios="morning-burst shed van-calls two-stragglers flood crash outage poison overhead streams500"
