--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -248,17 +248,20 @@
 take_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
             struct bd_fleet_runner *runner, const struct bd_message *m)
 {
-  struct bd_message decline = { .type = BD_MESSAGE_DECLINE,
-                                .request = m->request,
-                                .attempt = m->attempt,
-                                .target_incarnation = m->incarnation };
+  struct bd_message decline
+      = { .type
+          = m->flags & BD_FLAG_DIRECT ? BD_MESSAGE_CANCEL : BD_MESSAGE_DECLINE,
+          .request = m->request,
+          .attempt = m->attempt,
+          .target_incarnation = m->incarnation };
   bool asked = false;
 
   for (size_t i = 0; job && i < job->ask_count; i++)
     asked |= job->asks[i].runner == runner && job->asks[i].open;
   if (job && job->state == JOB_ASKING && job->attempt == m->attempt && asked)
     {
-      bd_job_grant (dispatch, now_ms, job, runner);
+      bd_job_grant (dispatch, now_ms, job, runner,
+                    (m->flags & BD_FLAG_DIRECT) != 0);
       return;
     }
   /* A second grant of the attempt that runs there is a copy. */
@@ -302,11 +305,10 @@
 
 /* A recorded answer comes without a grant. */
 static bool
-accepts_answer (struct job *job, struct bd_fleet_runner *runner,
-                const struct bd_message *m)
+accepts_answer (struct job *job, struct bd_fleet_runner *runner)
 {
-  if (job->state == JOB_ASKING && job->keyed && m->type == BD_MESSAGE_HEAD
-      && job->ask_count > 0 && job->asks[0].runner == runner)
+  if (job->state == JOB_ASKING && job->keyed && job->ask_count > 0
+      && job->asks[0].runner == runner)
     {
       job->state = JOB_RUNNING;
       job->runner = runner;
@@ -316,6 +318,20 @@
   return job->state == JOB_RUNNING && job->runner == runner;
 }
 
+/* The head's fields come with the head, the first chunk and the end, whichever
+   is first. */
+static void
+take_answer (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+             const struct bd_message *m)
+{
+  if (m->status != 0)
+    bd_job_head (job, m);
+  if (m->type == BD_MESSAGE_CHUNK)
+    bd_job_chunk (dispatch, now_ms, job, m);
+  else if (m->type == BD_MESSAGE_END)
+    bd_job_end (dispatch, now_ms, job, m);
+}
+
 static void
 take_message (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
               struct bd_fleet_runner *runner, const struct bd_message *m)
@@ -324,14 +340,8 @@
     take_refusal (dispatch, now_ms, job, runner, m);
   else if (m->type == BD_MESSAGE_FAIL)
     take_fail (dispatch, now_ms, job, runner, m);
-  else if (!accepts_answer (job, runner, m))
-    return;
-  else if (m->type == BD_MESSAGE_HEAD)
-    bd_job_head (dispatch, job, m);
-  else if (m->type == BD_MESSAGE_CHUNK)
-    bd_job_chunk (dispatch, now_ms, job, m);
-  else if (m->type == BD_MESSAGE_END)
-    bd_job_end (dispatch, now_ms, job, m);
+  else if (accepts_answer (job, runner))
+    take_answer (dispatch, now_ms, job, m);
 }
 
 /* What a runner held is lost: its connection, or its process, is gone. */
@@ -340,7 +350,7 @@
              struct bd_fleet_runner *runner)
 {
   struct bd_message lost
-      = { .type = BD_MESSAGE_REFUSE, .error = BD_ERR_NO_RUNNER };
+      = { .type = BD_MESSAGE_REFUSE, .error = BD_ERR_BROKEN };
   struct job *job = dispatch->first;
 
   while (job)
