Watch: calls that end together no longer leave the thread asleep

The time to sleep was computed before the results were taken, and the guard compared two counts that had both been lowered, so that it always held. With the service down, both blocking queries failed in one turn, and the thread slept for up to 60 s: nothing asked the service again.

Ruled out: a query left hanging at the stand-in (ss showed no connection), a spinning loop (0 % processor time), backoff (at most 5 s).

Before: test/check_failures platform_faults failed with "up again: revision 3 in force" after 20 s. After: it passes, the case takes 3 to 5 s.

--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -366,13 +366,14 @@
   while (!w->stop)
     {
       int timeout_ms = start_calls (w);
+      size_t started = w->running;
       int running;
 
       curl_multi_perform (w->multi, &running);
       take_results (w);
       box.revents = 0;
-      /* A finished call may let the next start at once. */
-      if ((size_t)running == w->running)
+      /* A finished call may let the next start sooner. */
+      if (w->running == started)
         curl_multi_poll (w->multi, &box, 1, timeout_ms, NULL);
       take_orders (w);
     }
