Fault table: two faults at a time in every combination, and more

The support fleet can now lose an entry for good; callers that went away need no final answer, all other rules hold for them as well.

--- a/test/support_fleet.c
+++ b/test/support_fleet.c
@@ -556,6 +556,8 @@
                            bd_chunk_of (entry->name), &m);
       return TRUE;
     }
+  if (!entry->dispatch)
+    return TRUE;
   if (f->now_ms < entry->paused_until_ms)
     return FALSE;
   if (e->kind == EVENT_CONNECTION)
@@ -687,11 +689,14 @@
 
   for (int a = 0; f->gossip && a < f->settings.entries; a++)
     {
-      size_t count = bd_suspects_news (
-          bd_dispatch_suspects (f->entries[a].dispatch), f->now_ms, news, 16);
+      size_t count;
 
+      if (!f->entries[a].dispatch)
+        continue;
+      count = bd_suspects_news (bd_dispatch_suspects (f->entries[a].dispatch),
+                                f->now_ms, news, 16);
       for (int b = 0; b < f->settings.entries; b++)
-        for (size_t i = 0; b != a && i < count; i++)
+        for (size_t i = 0; b != a && f->entries[b].dispatch && i < count; i++)
           bd_suspects_strike (bd_dispatch_suspects (f->entries[b].dispatch),
                               f->now_ms, &news[i]);
     }
@@ -705,7 +710,8 @@
     {
       struct fleet_call *call = f->calls->pdata[i];
 
-      if (call->whole && f->now_ms >= f->entries[call->entry].paused_until_ms)
+      if (call->whole && !call->gone
+          && f->now_ms >= f->entries[call->entry].paused_until_ms)
         bd_dispatch_delivered (f->entries[call->entry].dispatch, f->now_ms,
                                call->id);
     }
@@ -715,7 +721,7 @@
 tick (struct fleet *f)
 {
   for (int i = 0; i < f->settings.entries; i++)
-    if (f->now_ms >= f->entries[i].paused_until_ms)
+    if (f->entries[i].dispatch && f->now_ms >= f->entries[i].paused_until_ms)
       bd_dispatch_tick (f->entries[i].dispatch, f->now_ms);
   for (int i = 0; i < f->settings.runners; i++)
     if (f->runners[i].runner && f->now_ms >= f->runners[i].paused_until_ms)
@@ -821,6 +827,7 @@
 void
 fleet_cancel (struct fleet *f, struct fleet_call *call)
 {
+  call->gone = TRUE;
   bd_dispatch_cancel (f->entries[call->entry].dispatch, f->now_ms, call->id);
 }
 
@@ -858,6 +865,28 @@
   tell_connection (f, runner, FALSE);
 }
 
+void
+fleet_crash_entry (struct fleet *f, int entry)
+{
+  struct entry *e = &f->entries[entry];
+
+  for (guint i = 0; i < f->calls->len; i++)
+    {
+      struct fleet_call *call = f->calls->pdata[i];
+
+      if (call->entry == entry)
+        call->gone = TRUE;
+    }
+  bd_dispatch_destroy (e->dispatch);
+  e->dispatch = NULL;
+}
+
+gboolean
+fleet_entry_alive (const struct fleet *f, int entry)
+{
+  return f->entries[entry].dispatch != NULL;
+}
+
 void
 fleet_restart_runner (struct fleet *f, int runner)
 {
@@ -988,7 +1017,7 @@
   int runs = runs_of (f, call->id, key_of (call));
   char *answer = fleet_answer (call->content);
 
-  if (!call->whole && !call->failed)
+  if (!call->whole && !call->failed && !call->gone)
     BREACH (call, "no final answer");
   if (call->keyed && runs > 1)
     BREACH (call, "the key ran twice");
--- a/test/support_fleet.h
+++ b/test/support_fleet.h
@@ -40,6 +40,7 @@
   gboolean whole;
   gboolean failed;
   gboolean replay;
+  gboolean gone; /**< Its caller or its entry went away. */
   int error;
   enum bd_ran ran;
   gint64 submitted_ms;
@@ -75,12 +76,15 @@
 struct fleet_call *fleet_order (struct fleet *fleet, int entry,
                                 guint64 content, int key_number);
 
-/** The caller of CALL goes away. */
+/** The caller of CALL goes away: it may end without an answer. */
 void fleet_cancel (struct fleet *fleet, struct fleet_call *call);
 
 /** Faults. */
 void fleet_crash_runner (struct fleet *fleet, int runner);
 void fleet_restart_runner (struct fleet *fleet, int runner);
+/** The entry is gone for good, with its callers' connections. */
+void fleet_crash_entry (struct fleet *fleet, int entry);
+gboolean fleet_entry_alive (const struct fleet *fleet, int entry);
 void fleet_pause_runner (struct fleet *fleet, int runner, gint64 ms);
 void fleet_pause_entry (struct fleet *fleet, int entry, gint64 ms);
 void fleet_crash_engine (struct fleet *fleet, int runner);
--- /dev/null
+++ b/test/test_fleet_pairs.c
@@ -0,0 +1,360 @@
+/* Two faults at a time in each combination, many keys, callers who cancel,
+   and engines slower than every deadline, in virtual time. */
+
+#include "support_fleet.h"
+
+#define ENTRIES 2
+#define RUNNERS 3
+#define MORTAL_ENTRY 1 /* The other one stays for the callers. */
+#define FOREVER_MS 10000000
+#define SETTLE_MS 40000
+#define DEADLINE_MS 10000
+#define PAIR_SEEDS 8
+#define KEY_SEEDS 30
+#define KEYS 100
+
+/* A fault that begins at a runner or an entry and ends there. */
+struct fault
+{
+  const char *name;
+  void (*begin) (struct fleet *fleet, int target);
+  void (*end) (struct fleet *fleet, int target);
+};
+
+static void
+end_pause_entry (struct fleet *f, int target)
+{
+  fleet_pause_entry (f, target % ENTRIES, 0);
+}
+
+static void
+begin_pause_entry (struct fleet *f, int target)
+{
+  fleet_pause_entry (f, target % ENTRIES, FOREVER_MS);
+}
+
+static void
+begin_pause_runner (struct fleet *f, int target)
+{
+  fleet_pause_runner (f, target, FOREVER_MS);
+}
+
+static void
+end_pause_runner (struct fleet *f, int target)
+{
+  fleet_pause_runner (f, target, 0);
+}
+
+static void
+begin_stall (struct fleet *f, int target)
+{
+  fleet_stall_engine (f, target, FOREVER_MS);
+}
+
+static void
+end_stall (struct fleet *f, int target)
+{
+  fleet_stall_engine (f, target, 0);
+}
+
+static void
+begin_leave (struct fleet *f, int target)
+{
+  if (fleet_runner (f, target))
+    fleet_leave_runner (f, target);
+}
+
+static void
+cut_one (struct fleet *f, int target)
+{
+  fleet_cut (f, target % ENTRIES, target, TRUE);
+}
+
+static void
+join_one (struct fleet *f, int target)
+{
+  fleet_cut (f, target % ENTRIES, target, FALSE);
+}
+
+/* Entry 0 keeps only the target, entry 1 all others. */
+static void
+set_split (struct fleet *f, int target, gboolean cut)
+{
+  for (int r = 0; r < RUNNERS; r++)
+    fleet_cut (f, r == target ? 1 : 0, r, cut);
+}
+
+static void
+begin_split (struct fleet *f, int target)
+{
+  set_split (f, target, TRUE);
+}
+
+static void
+end_split (struct fleet *f, int target)
+{
+  set_split (f, target, FALSE);
+}
+
+static void
+kill_entry (struct fleet *f, int target)
+{
+  (void)target;
+  if (fleet_entry_alive (f, MORTAL_ENTRY))
+    fleet_crash_entry (f, MORTAL_ENTRY);
+}
+
+static const struct fault faults[] = {
+  { "runner-dies", fleet_crash_runner, fleet_restart_runner },
+  { "runner-pauses", begin_pause_runner, end_pause_runner },
+  { "runner-leaves", begin_leave, fleet_restart_runner },
+  { "entry-pauses", begin_pause_entry, end_pause_entry },
+  { "entry-dies", kill_entry, NULL },
+  { "engine-crashes", fleet_crash_engine, NULL },
+  { "engine-stalls", begin_stall, end_stall },
+  { "cut", cut_one, join_one },
+  { "split", begin_split, end_split },
+};
+
+static int
+any (GRand *rand, int count)
+{
+  return g_rand_int_range (rand, 0, count);
+}
+
+static int
+live_entry (struct fleet *f, GRand *rand)
+{
+  int entry = any (rand, ENTRIES);
+
+  return fleet_entry_alive (f, entry) ? entry : 1 - entry;
+}
+
+static void
+order (struct fleet *f, GRand *rand, int key)
+{
+  fleet_order (f, live_entry (f, rand), 5000 + (guint64)key, key);
+}
+
+/* Requests, and the keys 1 to 4: each phase repeats those of the others. */
+static void
+send_phase (struct fleet *f, GRand *rand)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      fleet_ask (f, live_entry (f, rand), 1000 + (guint64)any (rand, 400),
+                 any (rand, 4));
+      order (f, rand, i + 1);
+      fleet_run (f, any (rand, 40));
+    }
+}
+
+static struct fleet *
+make_fleet (guint32 seed, int slots, int delay_max_ms, int double_permille)
+{
+  struct fleet_settings settings = { .seed = seed,
+                                     .entries = ENTRIES,
+                                     .runners = RUNNERS,
+                                     .slots = slots,
+                                     .double_permille = double_permille,
+                                     .delay_max_ms = delay_max_ms,
+                                     .token_ms = 20 };
+
+  return fleet_new (&settings);
+}
+
+static void
+finish (struct fleet *f, GRand *rand, const char *title)
+{
+  fleet_run (f, SETTLE_MS);
+  fleet_check (f, title);
+  for (int i = 0; i < RUNNERS; i++)
+    if (fleet_runner (f, i) && !bd_runner_idle (fleet_runner (f, i)))
+      g_error ("%s: runner %d still holds something", title, i);
+  g_rand_free (rand);
+  fleet_free (f);
+}
+
+static void
+run_pair (const struct fault *a, const struct fault *b, guint32 seed)
+{
+  char *title = g_strdup_printf ("%s and %s, seed %u", a->name, b->name, seed);
+  struct fleet *f = make_fleet (seed, 2, seed % 2 ? 5 : 40, 50);
+  GRand *rand = g_rand_new_with_seed (seed * 7919 + 1);
+  int at_a = any (rand, RUNNERS);
+  int at_b = any (rand, RUNNERS);
+  const struct fault *first = any (rand, 2) ? a : b;
+
+  send_phase (f, rand);
+  a->begin (f, at_a);
+  fleet_run (f, any (rand, 300));
+  b->begin (f, at_b);
+  send_phase (f, rand);
+  fleet_run (f, any (rand, any (rand, 2) ? 1000 : 14000));
+  if (first->end)
+    first->end (f, first == a ? at_a : at_b);
+  fleet_run (f, any (rand, 500));
+  send_phase (f, rand);
+  if (a->end)
+    a->end (f, at_a);
+  if (b->end)
+    b->end (f, at_b);
+  send_phase (f, rand);
+  finish (f, rand, title);
+  g_free (title);
+}
+
+static void
+test_pairs (gconstpointer data)
+{
+  const struct fault *a = data;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    for (guint32 seed = 1; seed <= PAIR_SEEDS; seed++)
+      run_pair (a, &faults[i], seed);
+  g_test_message ("%zu histories", G_N_ELEMENTS (faults) * PAIR_SEEDS);
+}
+
+/* Each key is sent three times through either entry, and once more when the
+   faults are over. */
+static void
+run_keys (guint32 seed)
+{
+  struct fleet *f = make_fleet (seed, 4, 20, 50);
+  GRand *rand = g_rand_new_with_seed (seed);
+  const struct fault *fault = NULL;
+  int target = 0;
+
+  for (int i = 0; i < 3 * KEYS; i++)
+    {
+      order (f, rand, any (rand, KEYS) + 1);
+      fleet_run (f, any (rand, 20));
+      if (i % 25 != 24)
+        continue;
+      if (fault && fault->end)
+        fault->end (f, target);
+      fault = &faults[any (rand, G_N_ELEMENTS (faults))];
+      target = any (rand, RUNNERS);
+      fault->begin (f, target);
+    }
+  if (fault && fault->end)
+    fault->end (f, target);
+  for (int key = 1; key <= KEYS; key++)
+    {
+      order (f, rand, key);
+      fleet_run (f, any (rand, 20));
+    }
+  finish (f, rand, "hundred keys");
+}
+
+static void
+test_hundred_keys (void)
+{
+  for (guint32 seed = 1; seed <= KEY_SEEDS; seed++)
+    run_keys (seed);
+}
+
+/* The caller goes away after MS, whatever state the request is in by then;
+   a keyed one is then repeated. */
+static void
+run_cancel (int ms, gboolean keyed, gboolean busy)
+{
+  struct fleet *f = make_fleet ((guint32)ms + 1, 1, 5, 0);
+  GRand *rand = g_rand_new_with_seed ((guint32)ms);
+  struct fleet_call *call;
+
+  for (int i = 0; busy && i < 6; i++)
+    fleet_ask (f, i % ENTRIES, 1000 + (guint64)i, 0);
+  call = keyed ? fleet_order (f, 0, 5001, 1) : fleet_ask (f, 0, 1014, 1);
+  fleet_run (f, ms);
+  fleet_cancel (f, call);
+  fleet_run (f, any (rand, 100));
+  if (keyed)
+    fleet_order (f, 1, 5001, 1);
+  finish (f, rand, "cancel");
+}
+
+static void
+test_cancel_in_each_state (void)
+{
+  for (int ms = 0; ms <= 700; ms += 7)
+    for (int kind = 0; kind < 4; kind++)
+      run_cancel (ms, kind % 2 == 1, kind / 2 == 1);
+}
+
+/* Engines that write nothing for longer than the deadline. */
+static void
+test_engines_beyond_deadline (void)
+{
+  for (guint32 seed = 1; seed <= KEY_SEEDS; seed++)
+    {
+      struct fleet *f = make_fleet (seed, 2, 5, 0);
+      GRand *rand = g_rand_new_with_seed (seed);
+      gint64 before_ms = 200 + any (rand, 400);
+
+      send_phase (f, rand);
+      fleet_run (f, before_ms);
+      for (int i = 0; i < RUNNERS; i++)
+        fleet_stall_engine (f, i, DEADLINE_MS + 3000);
+      send_phase (f, rand);
+      fleet_run (f, DEADLINE_MS + 1000);
+      for (guint i = 0; i < fleet_calls (f)->len; i++)
+        {
+          struct fleet_call *call = fleet_calls (f)->pdata[i];
+
+          g_assert_true (call->whole || call->failed);
+          g_assert_cmpint (call->ended_ms - call->submitted_ms, <=,
+                           DEADLINE_MS + 500);
+        }
+      send_phase (f, rand);
+      finish (f, rand, "engines beyond the deadline");
+    }
+}
+
+/* Requests under suspicion run alone while their runners restart. */
+static void
+test_suspects_and_restarts (void)
+{
+  for (guint32 seed = 1; seed <= KEY_SEEDS; seed++)
+    {
+      struct fleet *f = make_fleet (seed, 2, 5, 0);
+      GRand *rand = g_rand_new_with_seed (seed);
+
+      fleet_poison (f, 666);
+      fleet_gossip (f);
+      for (int round = 0; round < 6; round++)
+        {
+          int target = any (rand, RUNNERS);
+
+          fleet_ask (f, live_entry (f, rand), 666, 0);
+          send_phase (f, rand);
+          fleet_crash_runner (f, target);
+          fleet_run (f, any (rand, 600));
+          fleet_restart_runner (f, target);
+          fleet_run (f, any (rand, 1500));
+        }
+      g_assert_cmpint (fleet_engine_crashes (f), <=, BD_SUSPECT_MAX_RUNNERS);
+      finish (f, rand, "suspects and restarts");
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/fleet-pairs/hundred-keys", test_hundred_keys);
+  g_test_add_func ("/fleet-pairs/cancel-in-each-state",
+                   test_cancel_in_each_state);
+  g_test_add_func ("/fleet-pairs/engines-beyond-deadline",
+                   test_engines_beyond_deadline);
+  g_test_add_func ("/fleet-pairs/suspects-and-restarts",
+                   test_suspects_and_restarts);
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      char *path = g_strdup_printf ("/fleet-pairs/%s-and-all", faults[i].name);
+
+      g_test_add_data_func (path, &faults[i], test_pairs);
+      g_free (path);
+    }
+  return g_test_run ();
+}
