--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -519,14 +519,14 @@
 size_t
 bd_dispatch_runner_count (const struct bd_dispatch *dispatch)
 {
-  return bd_fleet_count (dispatch->fleet);
+  return bd_fleet_linked_count (dispatch->fleet);
 }
 
 void
 bd_dispatch_runner (const struct bd_dispatch *dispatch, size_t index,
                     struct bd_runner_view *view)
 {
-  const struct bd_fleet_runner *r = bd_fleet_at (dispatch->fleet, index);
+  const struct bd_fleet_runner *r = bd_fleet_linked (dispatch->fleet, index);
 
   *view = (struct bd_runner_view){
     .instance = bd_chunk_of (r->instance),
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -168,10 +168,10 @@
   int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
 };
 
-/** Number of runners in this entry's subsets. */
+/** Number of runners that this entry is connected to. */
 size_t bd_dispatch_runner_count (const struct bd_dispatch *dispatch);
 
-/** The runner at INDEX; valid until the next configuration. */
+/** The connected runner at INDEX; valid until the next call that acts. */
 void bd_dispatch_runner (const struct bd_dispatch *dispatch, size_t index,
                          struct bd_runner_view *view);
 
--- a/src/core/exchange.c
+++ b/src/core/exchange.c
@@ -10,6 +10,9 @@
 #define FETCH_TIMEOUT_MS 500
 /* How often peers with the same manifest and other content are compared. */
 #define FORK_CHECK_MS 10000
+/* A difference counts when nothing has changed here for this long: while a
+   change spreads, peers differ for a moment. */
+#define FORK_QUIET_MS 5000
 #define REASON_BYTES 256
 
 struct bd_exchange
@@ -20,6 +23,7 @@
   uint64_t asked_revision;
   int64_t asked_ms;
   int64_t fork_ms;
+  int64_t changed_ms; /* When something was last put in force. */
   int64_t retry_ms;
 };
 
@@ -103,7 +107,8 @@
 {
   struct fetch_context context = { x, peer };
 
-  if (x->fork_ms != INT64_MIN && now_ms - x->fork_ms < FORK_CHECK_MS)
+  if (now_ms - x->changed_ms < FORK_QUIET_MS
+      || (x->fork_ms != INT64_MIN && now_ms - x->fork_ms < FORK_CHECK_MS))
     return;
   x->fork_ms = now_ms;
   bd_config_list (x->config, fetch_listed, &context);
@@ -146,6 +151,7 @@
     return;
   set_source (exchange, peer);
   exchange->retry_ms = now_ms + FETCH_TIMEOUT_MS;
+  exchange->changed_ms = now_ms;
   port->note (port, BD_EVENT_CONFIG_IN_FORCE, name, "");
   if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
     fetch_missing (exchange, peer);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -20,6 +20,9 @@
   struct bd_map *by_name; /* hash of the instance: runner */
   struct bd_fleet_runner **runners;
   size_t runner_count;
+  struct bd_fleet_runner **linked; /* Those that are connected to. */
+  size_t linked_count;
+  size_t linked_room;
   struct bd_fleet_pool **pools;
   size_t pool_count;
 };
@@ -79,6 +82,7 @@
   for (size_t i = 0; i < fleet->pool_count; i++)
     free_pool (fleet->pools[i]);
   free (fleet->runners);
+  free (fleet->linked);
   free (fleet->pools);
   bd_map_destroy (fleet->by_name);
   free (fleet);
@@ -100,10 +104,39 @@
   return bd_map_get (fleet->by_name, name_id (instance), 0);
 }
 
+static bool
+add_linked (struct bd_fleet *fleet, struct bd_fleet_runner *runner)
+{
+  size_t room = fleet->linked_room * 2 + 16;
+  struct bd_fleet_runner **grown;
+
+  if (fleet->linked_count == fleet->linked_room)
+    {
+      grown
+          = realloc (fleet->linked, room * sizeof (struct bd_fleet_runner *));
+      if (!grown)
+        return false;
+      fleet->linked = grown;
+      fleet->linked_room = room;
+    }
+  runner->link = fleet->linked_count;
+  fleet->linked[fleet->linked_count++] = runner;
+  return true;
+}
+
+static void
+remove_linked (struct bd_fleet *fleet, const struct bd_fleet_runner *runner)
+{
+  struct bd_fleet_runner *last = fleet->linked[--fleet->linked_count];
+
+  fleet->linked[runner->link] = last;
+  last->link = runner->link;
+}
+
 static void
 connect_runner (struct bd_fleet *fleet, struct bd_fleet_runner *runner)
 {
-  if (runner->connected)
+  if (runner->connected || !add_linked (fleet, runner))
     return;
   runner->connected = true;
   fleet->port->connect (fleet->port, bd_chunk_of (runner->instance),
@@ -116,6 +149,7 @@
   if (!runner->connected)
     return;
   runner->connected = false;
+  remove_linked (fleet, runner);
   fleet->port->disconnect (fleet->port, bd_chunk_of (runner->instance));
 }
 
@@ -399,7 +433,7 @@
 static int64_t
 silence_limit_ms (const struct bd_fleet *fleet)
 {
-  int64_t rounds_ms = (int64_t)fleet->runner_count * 1000
+  int64_t rounds_ms = (int64_t)fleet->linked_count * 1000
                       * RUNNER_SILENT_ROUNDS / BD_FLEET_HEARTBEATS_PER_S;
 
   return rounds_ms > RUNNER_SILENT_MS ? rounds_ms : RUNNER_SILENT_MS;
@@ -444,3 +478,15 @@
 {
   return fleet->runners[index];
 }
+
+size_t
+bd_fleet_linked_count (const struct bd_fleet *fleet)
+{
+  return fleet->linked_count;
+}
+
+struct bd_fleet_runner *
+bd_fleet_linked (const struct bd_fleet *fleet, size_t index)
+{
+  return fleet->linked[index];
+}
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -25,6 +25,7 @@
   int64_t used_ms;
   bool in_subset;
   bool connected;  /**< The port was asked to connect. */
+  size_t link;     /**< Place among the connected ones. */
   uint32_t jobs;   /**< Requests that refer to it. */
   uint32_t asking; /**< Reservations that are open there. */
   bool kept;       /**< Still published. */
@@ -83,6 +84,11 @@
                                      struct bd_fleet_runner *runner),
                     void *context);
 
+/** The runners that are connected to. */
+size_t bd_fleet_linked_count (const struct bd_fleet *fleet);
+struct bd_fleet_runner *bd_fleet_linked (const struct bd_fleet *fleet,
+                                         size_t index);
+
 size_t bd_fleet_count (const struct bd_fleet *fleet);
 struct bd_fleet_runner *bd_fleet_at (const struct bd_fleet *fleet,
                                      size_t index);
