--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -272,9 +272,10 @@
   dispatch->port->count (dispatch->port, BD_DISPATCH_DECLINE);
 }
 
+/* A strike counts also when the request has been given up meanwhile. */
 static void
-take_fail (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-           struct bd_fleet_runner *runner, const struct bd_message *m)
+take_strike (struct bd_dispatch *dispatch, int64_t now_ms,
+             const struct bd_fleet_runner *runner, const struct bd_message *m)
 {
   struct bd_strike strike = {
     .fingerprint = m->fingerprint,
@@ -287,8 +288,6 @@
       && bd_suspects_strike (dispatch->suspects, now_ms, &strike))
     dispatch->port->note (dispatch->port, BD_EVENT_STRIKE, m->request,
                           m->attempt, runner->instance);
-  if (job->state == JOB_RUNNING)
-    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran);
 }
 
 static void
@@ -338,8 +337,8 @@
 {
   if (m->type == BD_MESSAGE_REFUSE)
     take_refusal (dispatch, now_ms, job, runner, m);
-  else if (m->type == BD_MESSAGE_FAIL)
-    take_fail (dispatch, now_ms, job, runner, m);
+  else if (m->type == BD_MESSAGE_FAIL && job->state == JOB_RUNNING)
+    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran);
   else if (accepts_answer (job, runner))
     take_answer (dispatch, now_ms, job, m);
 }
@@ -387,6 +386,8 @@
     lose_runner (dispatch, now_ms, sender);
   if (message->type == BD_MESSAGE_HEARTBEAT)
     return;
+  if (message->type == BD_MESSAGE_FAIL)
+    take_strike (dispatch, now_ms, sender, message);
   job = find_job (dispatch, message->request);
   if (message->type == BD_MESSAGE_GRANT)
     take_grant (dispatch, now_ms, job, sender, message);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -467,18 +467,6 @@
     forget_unpublished (fleet);
 }
 
-size_t
-bd_fleet_count (const struct bd_fleet *fleet)
-{
-  return fleet->runner_count;
-}
-
-struct bd_fleet_runner *
-bd_fleet_at (const struct bd_fleet *fleet, size_t index)
-{
-  return fleet->runners[index];
-}
-
 size_t
 bd_fleet_linked_count (const struct bd_fleet *fleet)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -89,8 +89,4 @@
 struct bd_fleet_runner *bd_fleet_linked (const struct bd_fleet *fleet,
                                          size_t index);
 
-size_t bd_fleet_count (const struct bd_fleet *fleet);
-struct bd_fleet_runner *bd_fleet_at (const struct bd_fleet *fleet,
-                                     size_t index);
-
 #endif
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -309,6 +309,19 @@
   return count;
 }
 
+/* Copies of a request under suspicion run one after the other, so that each
+   learns from the one before. */
+static bool
+copy_in_flight (const struct bd_dispatch *dispatch, const struct job *job)
+{
+  for (const struct job *other = dispatch->first; other; other = other->next)
+    if (other != job && other->alone
+        && other->request.fingerprint == job->request.fingerprint
+        && (other->state == JOB_RUNNING || other->ask_count > 0))
+      return true;
+  return false;
+}
+
 static void
 ask_isolated (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
               struct bd_fleet_pool *pool)
@@ -316,9 +329,10 @@
   struct bd_chunk *names = calloc (pool->runner_count + 1, sizeof *names);
   struct bd_fleet_runner **live
       = calloc (pool->runner_count + 1, sizeof (struct bd_fleet_runner *));
+  bool wait = copy_in_flight (dispatch, job);
   size_t count = 0;
 
-  for (size_t i = 0; names && live && i < pool->runner_count; i++)
+  for (size_t i = 0; names && live && !wait && i < pool->runner_count; i++)
     if (pool->runners[i]->state <= BD_RUNNER_LIVE)
       {
         names[count] = bd_chunk_of (pool->runners[i]->instance);
@@ -401,13 +415,38 @@
     ask_first (dispatch, now_ms, job, late ? FIRST_ASKS : 1);
   if (error != BD_OK)
     bd_job_fail (dispatch, now_ms, job, error, bd_error_answer (error)->ran);
-  else if (job->ask_count == 0)
+  else if (job->ask_count == 0
+           && !(job->alone && copy_in_flight (dispatch, job)))
     bd_job_fail (dispatch, now_ms, job, BD_ERR_NO_RUNNER, BD_RAN_NO);
 }
 
+/* A copy that waited its turn: by now the request may be refused, or clear. */
+static void
+ask_waiting (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  enum bd_suspicion suspicion = bd_suspects_look (dispatch->suspects, now_ms,
+                                                  job->request.fingerprint);
+
+  if (suspicion == BD_SUSPICION_QUARANTINE)
+    {
+      bd_job_fail (dispatch, now_ms, job, BD_ERR_QUARANTINED, BD_RAN_NO);
+      return;
+    }
+  if (copy_in_flight (dispatch, job))
+    return;
+  job->alone = suspicion == BD_SUSPICION_ISOLATE;
+  bd_job_ask (dispatch, now_ms, job);
+}
+
 void
 bd_job_widen (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
 {
+  if (job->alone && job->ask_count == 0)
+    {
+      job->widen_ms = now_ms + WIDEN_MS;
+      ask_waiting (dispatch, now_ms, job);
+      return;
+    }
   job->widen_step_ms *= 2;
   job->widen_ms = now_ms + job->widen_step_ms;
   if (job->keyed || job->alone)
@@ -458,6 +497,21 @@
     send_run (dispatch, now_ms, job, runner);
 }
 
+/* Asks a runner that was not asked yet; true when there is one. */
+static bool
+ask_another (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job)
+{
+  struct bd_fleet_pool *pool
+      = bd_fleet_pool (dispatch->fleet, job->request.pool);
+  size_t before = job->ask_count;
+
+  if (!job->alone)
+    return ask_more (dispatch, now_ms, job, 1) > 0;
+  if (pool)
+    ask_isolated (dispatch, now_ms, job, pool);
+  return job->ask_count > before;
+}
+
 void
 bd_job_refused (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
                 struct bd_fleet_runner *runner,
@@ -488,7 +542,7 @@
     job->retry_after_ms = message->retry_after_ms;
   if (!job->keyed && open > 0)
     return;
-  if (!job->keyed && elsewhere && ask_more (dispatch, now_ms, job, 1) > 0)
+  if (!job->keyed && elsewhere && ask_another (dispatch, now_ms, job))
     return;
   if (job->last_error == BD_ERR_STALE || lost)
     job->last_error = job->keyed ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER;
