A recorded answer counts as heard from its first message on

The time of the last word of a run was set at the grant, by chunks and by the end; an answer to a duplicate has no grant. When a tick fell between its HEAD and the rest, the silence was counted from 0, and the call ended with answer_incomplete (ran unknown) although the answer was there.

Seen: test/check_failures duplicate_orders, 5 of 6 runs with 1 to 2 of 30 calls 502; with 40 keys at once 4 of 80 calls in one of 3 runs.

--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -324,6 +324,7 @@
 take_answer (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
              const struct bd_message *m)
 {
+  job->heard_ms = now_ms;
   if (m->status != 0)
     bd_job_head (job, m);
   if (m->type == BD_MESSAGE_CHUNK)
--- a/test/test_fleet_pairs.c
+++ b/test/test_fleet_pairs.c
@@ -282,6 +282,35 @@
       run_cancel (ms, kind % 2 == 1, kind / 2 == 1);
 }
 
+/* Duplicates that wait for the run have its answer, whatever falls between
+   the head and the rest of it. */
+static void
+test_duplicates_in_the_calm (void)
+{
+  for (guint32 seed = 1; seed <= KEY_SEEDS; seed++)
+    {
+      struct fleet *f = make_fleet (seed, 4, 20, 0);
+      GRand *rand = g_rand_new_with_seed (seed);
+
+      for (int key = 1; key <= 20; key++)
+        {
+          for (int entry = 0; entry < ENTRIES; entry++)
+            fleet_order (f, entry, 5000 + (guint64)key, key);
+          fleet_run (f, any (rand, 60));
+        }
+      fleet_run (f, SETTLE_MS);
+      for (guint i = 0; i < fleet_calls (f)->len; i++)
+        {
+          struct fleet_call *call = fleet_calls (f)->pdata[i];
+
+          if (!call->whole)
+            g_error ("seed %u: call %u of key %d is not whole", seed, i,
+                     call->key_number);
+        }
+      finish (f, rand, "duplicates in the calm");
+    }
+}
+
 /* Engines that write nothing for longer than the deadline. */
 static void
 test_engines_beyond_deadline (void)
@@ -345,6 +374,8 @@
   g_test_add_func ("/fleet-pairs/hundred-keys", test_hundred_keys);
   g_test_add_func ("/fleet-pairs/cancel-in-each-state",
                    test_cancel_in_each_state);
+  g_test_add_func ("/fleet-pairs/duplicates-in-the-calm",
+                   test_duplicates_in_the_calm);
   g_test_add_func ("/fleet-pairs/engines-beyond-deadline",
                    test_engines_beyond_deadline);
   g_test_add_func ("/fleet-pairs/suspects-and-restarts",
