Placement: time does not go back

Cause: bd_dispatch_custodian () chooses a runner with time 0; a crash noted next was dated to 0 and so forgotten at once. What was ruled out: leaving it to the caller only; the core takes any input. Before: the new lines of crashed-runner-comes-back-slowly fail (109 of 400 choices went to a runner that crashed a second ago). After: they pass. Conclusion: an earlier time counts as the latest one.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -534,7 +534,8 @@
     return 0;
   if (want > BD_PLACEMENT_WANT_MAX)
     want = BD_PLACEMENT_WANT_MAX;
-  p->now_ms = now_ms;
+  if (now_ms > p->now_ms)
+    p->now_ms = now_ms;
   update_statistics (p);
   collect_eligible (p, request);
   return p->policy->choose (p, request, indexes, want);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -111,7 +111,8 @@
 /**
  * Chooses up to WANT runners to ask, best first; runners that are DOWN,
  * LEAVING or excluded never.  Returns how many; 0 when no runner may be
- * asked.  Policies that bind at once choose one.  A runner that is expected
+ * asked.  NOW_MS never goes back: an earlier one counts as the latest.
+ * Policies that bind at once choose one.  A runner that is expected
  * to miss the request's target is chosen only when no other is at hand.
  */
 size_t bd_placement_choose (struct bd_placement *placement, int64_t now_ms,
--- a/test/test_placement.c
+++ b/test/test_placement.c
@@ -396,6 +396,12 @@
   g_assert_cmpuint (times_first (p, 2000, &request, 0, 400), ==, 0);
   report_all (p, 12000);
   g_assert_cmpuint (times_first (p, 12000, &request, 0, 400), >, 50);
+  /* A choice without the time does not turn it back. */
+  times_first (p, 50000, &request, 0, 1);
+  times_first (p, 0, &request, 0, 1);
+  bd_placement_set_state (p, 0, BD_RUNNER_DOWN);
+  report_all (p, 51000);
+  g_assert_cmpuint (times_first (p, 51000, &request, 0, 400), ==, 0);
   bd_placement_destroy (p);
 }
 
