--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -231,6 +231,17 @@
     w->sink->confirmed (w->sink, bd_chunk_of (call->name), call->sent_ms);
 }
 
+/*
+ * A service that comes back may count from the start, and an equal index
+ * would hide a change: ask for the value itself once more.
+ */
+static void
+forget_indexes (struct bd_watch *w)
+{
+  for (int i = 0; i < HOLD_COUNT; i++)
+    w->holds[i].index = 0;
+}
+
 static void
 call_done (struct bd_watch *w, struct call *call, CURLcode result)
 {
@@ -247,6 +258,7 @@
       if (now >= w->retry_at_ms)
         w->retry_at_ms = now + bd_backoff_next (&w->backoff);
       say_reachable (w, false);
+      forget_indexes (w);
       return;
     }
   bd_backoff_reset (&w->backoff);
@@ -259,10 +271,12 @@
     call->not_before_ms = now + w->settings.retry_max_ms;
 }
 
-static void
+/* Returns true when a call has ended, so that another may start. */
+static bool
 take_results (struct bd_watch *w)
 {
   CURLMsg *message;
+  bool ended = false;
   int left;
 
   while ((message = curl_multi_info_read (w->multi, &left)))
@@ -274,7 +288,9 @@
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &data);
       call_done (w, (struct call *)data, result);
+      ended = true;
     }
+  return ended;
 }
 
 static void
@@ -369,10 +385,8 @@
       int running;
 
       curl_multi_perform (w->multi, &running);
-      take_results (w);
       box.revents = 0;
-      /* A finished call may let the next start at once. */
-      if ((size_t)running == w->running)
+      if (!take_results (w))
         curl_multi_poll (w->multi, &box, 1, timeout_ms, NULL);
       take_orders (w);
     }
