A runner listed as leaving stays so; the limit of a planned stop holds

Cause 1: the instance list's word set the runner's state once, and its next heartbeat set it back to live, so that a leaving runner went on to get work (test/check_failures listed_leaving: 8 of 8 new streams ran there). The word is now kept until the list says otherwise or the runner starts anew.

At the limit open requests are now ended: refused with leaving, streams broken by an error event.

--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -226,8 +226,8 @@
 }
 
 void
-bd_dispatch_cancel (struct bd_dispatch *dispatch, int64_t now_ms,
-                    struct bd_id request)
+bd_dispatch_give_up (struct bd_dispatch *dispatch, int64_t now_ms,
+                     struct bd_id request, int error)
 {
   struct job *job = find_job (dispatch, request);
   struct bd_message m = { .type = BD_MESSAGE_CANCEL };
@@ -239,11 +239,18 @@
   if (job->state == JOB_ANSWERED)
     bd_job_free (dispatch, now_ms, job);
   else
-    bd_job_fail (dispatch, now_ms, job, BD_ERR_CANCELLED,
+    bd_job_fail (dispatch, now_ms, job, error,
                  job->state == JOB_RUNNING || job->keyed ? BD_RAN_UNKNOWN
                                                          : BD_RAN_NO);
 }
 
+void
+bd_dispatch_cancel (struct bd_dispatch *dispatch, int64_t now_ms,
+                    struct bd_id request)
+{
+  bd_dispatch_give_up (dispatch, now_ms, request, BD_ERR_CANCELLED);
+}
+
 static void
 take_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
             struct bd_fleet_runner *runner, const struct bd_message *m)
@@ -415,11 +422,16 @@
 }
 
 void
-bd_dispatch_leaving (struct bd_dispatch *dispatch, struct bd_chunk runner)
+bd_dispatch_listed (struct bd_dispatch *dispatch, struct bd_chunk runner,
+                    bool leaving)
 {
   struct bd_fleet_runner *r = bd_fleet_runner (dispatch->fleet, runner);
 
-  if (r && r->state != BD_RUNNER_DOWN)
+  if (!r)
+    return;
+  /* Without the word the runner's own next message tells its state. */
+  r->listed_leaving = leaving;
+  if (leaving && r->state != BD_RUNNER_DOWN)
     bd_fleet_set_state (r, BD_RUNNER_LEAVING);
 }
 
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -125,6 +125,10 @@
 void bd_dispatch_delivered (struct bd_dispatch *dispatch, int64_t now_ms,
                             struct bd_id request);
 
+/** Ends a request; FAIL with ERROR is delivered unless the end came before. */
+void bd_dispatch_give_up (struct bd_dispatch *dispatch, int64_t now_ms,
+                          struct bd_id request, int error);
+
 /** The caller went away; FAIL is delivered unless the end came before. */
 void bd_dispatch_cancel (struct bd_dispatch *dispatch, int64_t now_ms,
                          struct bd_id request);
@@ -138,9 +142,12 @@
 void bd_dispatch_connection (struct bd_dispatch *dispatch, int64_t now_ms,
                              struct bd_chunk runner, bool up);
 
-/** The instance list says that a runner leaves. */
-void bd_dispatch_leaving (struct bd_dispatch *dispatch,
-                          struct bd_chunk runner);
+/**
+ * What the instance list says of a runner.  One that is LEAVING gets no new
+ * work until the list says otherwise or it starts anew.
+ */
+void bd_dispatch_listed (struct bd_dispatch *dispatch, struct bd_chunk runner,
+                         bool leaving);
 
 void bd_dispatch_tick (struct bd_dispatch *dispatch, int64_t now_ms);
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -412,6 +412,8 @@
   (void)fleet;
   if (message->incarnation < runner->incarnation)
     return false;
+  if (message->incarnation > runner->incarnation && runner->incarnation != 0)
+    runner->listed_leaving = false;
   runner->incarnation = message->incarnation;
   runner->heard_ms = now_ms;
   if (message->sent_ms != 0)
@@ -419,7 +421,7 @@
   /* Only messages that carry the load tell the state. */
   if (message->slots == 0)
     return true;
-  if (message->flags & BD_FLAG_LEAVING)
+  if (message->flags & BD_FLAG_LEAVING || runner->listed_leaving)
     state = BD_RUNNER_LEAVING;
   else if (message->flags & BD_FLAG_ENGINE_DOWN)
     state = BD_RUNNER_DOWN;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -19,6 +19,7 @@
   struct bd_fleet_pool *pool;
   enum bd_runner_state state;
   uint64_t incarnation; /**< 0: not heard of yet. */
+  bool listed_leaving;  /**< By the instance list, until it starts anew. */
   struct bd_load load;
   int64_t heard_ms;
   int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
--- a/src/entry/documents.c
+++ b/src/entry/documents.c
@@ -98,8 +98,7 @@
       continue;
     bd_peers_listed (e->peers, now_ms, instance,
                      strcmp (state, "leaving") == 0);
-    if (strcmp (state, "leaving") == 0)
-      bd_dispatch_leaving (e->dispatch, instance);
+    bd_dispatch_listed (e->dispatch, instance, strcmp (state, "leaving") == 0);
   }
   json_decref (root);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -15,6 +15,8 @@
 #define TICK_MS 20
 /* After the readiness check fails, callers are still served for this long. */
 #define LEAVING_GRACE_MS 1000
+/* For the last answers, when the limit of a planned stop has passed. */
+#define LAST_ANSWERS_MS 500
 /* An entry that does not watch asks the service this often. */
 #define REFRESH_MS 30000
 
@@ -219,8 +221,21 @@
   bd_control_drop_slow (e, now_ms);
 }
 
-/* Steps of leaving: the readiness check fails, then new calls are refused.
-   True when the process may end. */
+/* The limit of a planned stop has passed: what is open ends now. */
+static void
+give_up_calls (struct bd_entry *e, int64_t now_ms)
+{
+  struct bd_http_call *call;
+  size_t cursor = 0;
+
+  while ((call = bd_map_next (e->calls, &cursor)))
+    bd_dispatch_give_up (e->dispatch, now_ms, call->request.request,
+                         BD_ERR_LEAVING);
+}
+
+/* Steps of leaving: the readiness check fails, then new calls are refused;
+   at the limit, if there is one, open calls end.  True when the process may
+   end. */
 static bool
 leave (struct bd_entry *e, int64_t now_ms, int64_t leaving_ms)
 {
@@ -233,7 +248,10 @@
   atomic_store (&e->shared.refusing, true);
   if (atomic_load (&e->shared.active) == 0 && bd_map_count (e->calls) == 0)
     return true;
-  return limit_ms > 0 && gone_ms >= limit_ms;
+  if (limit_ms == 0 || gone_ms < limit_ms)
+    return false;
+  give_up_calls (e, now_ms);
+  return gone_ms >= limit_ms + LAST_ANSWERS_MS;
 }
 
 int
