A refusal before a keyed request is placed does not say that it did not run

Now such an answer says unknown when the request has an Idempotency-Key.

Before: check_failures entry_leaves failed with the new check; after: it passes, and check_pages passes.

--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -145,6 +145,17 @@
   bd_http_call_post (call, http->shared->control, BD_CALL_RELEASED);
 }
 
+/* What is said of the run when a request is refused before it was placed.  Of
+   a key nothing is known here: another entry may have run it. */
+static enum bd_ran
+ran_of_refused (struct mg_connection *conn, int error)
+{
+  enum bd_ran ran = bd_error_answer (error)->ran;
+  bool keyed = header (conn, BD_HEADER_KEY).length > 0;
+
+  return keyed && ran == BD_RAN_NO ? BD_RAN_UNKNOWN : ran;
+}
+
 static void
 refuse (struct bd_http *http, struct mg_connection *conn,
         struct bd_http_call *call, int error)
@@ -152,7 +163,7 @@
   bd_metrics_refused (http->shared->metrics, error);
   bd_log (BD_EVENT_REQUEST_REFUSED, "request=%s code=%s", call->id_text,
           bd_error_answer (error)->code);
-  bd_reply_error (conn, call->id_text, error, bd_error_answer (error)->ran, 0,
+  bd_reply_error (conn, call->id_text, error, ran_of_refused (conn, error), 0,
                   NULL);
   bd_http_call_destroy (call);
 }
