Watcher: a document that always fails does not keep the others back

Cause: a value above 1 MB counted as an outage, and the request for it stayed at the head of the queue, so with one probe at a time nothing else was fetched. Such an answer now ends the request, and a request that fails goes to the end of the queue.

Ruled out: a last attempt for each request, which would leave a daemon without its documents after a long outage.

Before: with the first part taken out, /watch/fetch counted 3 calls for the large document in place of 1. After: 5 cases pass, under ASan and UBSan too. The change of place in the queue has no case of its own.

--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -26,7 +26,6 @@
 #define FETCHES_AT_ONCE 8
 #define IDLE_POLL_MS 60000
 #define HTTP_OK 200
-#define HTTP_NOT_FOUND 404
 #define HTTP_SERVER_ERROR 500
 
 enum call_kind
@@ -46,6 +45,7 @@
   struct bd_buffer body;
   uint64_t index;     /* Blocking query: index of the value last seen. */
   uint64_t new_index; /* From the answer's header. */
+  bool too_large;     /* The answer was cut off. */
   int64_t not_before_ms;
   int64_t sent_ms;
   struct call *next;
@@ -110,7 +110,10 @@
   struct bd_chunk c = { .data = data, .length = size * count };
 
   if (call->body.length + c.length > VALUE_MAX_BYTES)
-    return 0;
+    {
+      call->too_large = true;
+      return 0;
+    }
   return bd_buffer_append (&call->body, c) == BD_OK ? c.length : 0;
 }
 
@@ -160,6 +163,7 @@
   call_url (w, call, url, sizeof url);
   bd_buffer_reset (&call->body);
   call->new_index = 0;
+  call->too_large = false;
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
@@ -203,15 +207,39 @@
 }
 
 static void
-fetch_remove (struct bd_watch *w, struct call *call)
+fetch_unlink (struct bd_watch *w, struct call *call)
 {
   struct call **place = &w->fetches;
 
-  while (*place != call)
+  while (*place && *place != call)
     place = &(*place)->next;
+  if (!*place)
+    return;
   *place = call->next;
   if (!*place)
     w->fetches_end = place;
+  call->next = NULL;
+}
+
+static void
+fetch_link (struct bd_watch *w, struct call *call)
+{
+  *w->fetches_end = call;
+  w->fetches_end = &call->next;
+}
+
+/* One document that always fails must not keep the others back. */
+static void
+fetch_to_end (struct bd_watch *w, struct call *call)
+{
+  fetch_unlink (w, call);
+  fetch_link (w, call);
+}
+
+static void
+fetch_remove (struct bd_watch *w, struct call *call)
+{
+  fetch_unlink (w, call);
   w->fetch_count--;
   bd_buffer_clear (&call->body);
   free (call);
@@ -251,7 +279,8 @@
 
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
   call_stop (w, call);
-  answered = result == CURLE_OK && status < HTTP_SERVER_ERROR;
+  answered
+      = call->too_large || (result == CURLE_OK && status < HTTP_SERVER_ERROR);
   if (!answered)
     {
       /* Calls that fail together count as one failure. */
@@ -259,15 +288,18 @@
         w->retry_at_ms = now + bd_backoff_next (&w->backoff);
       say_reachable (w, false);
       forget_indexes (w);
+      if (call->kind == CALL_FETCH)
+        fetch_to_end (w, call);
       return;
     }
   bd_backoff_reset (&w->backoff);
   w->retry_at_ms = 0;
   say_reachable (w, true);
-  call_deliver (w, call, status);
+  if (!call->too_large)
+    call_deliver (w, call, status);
   if (call->kind == CALL_FETCH)
     fetch_remove (w, call);
-  else if (status != HTTP_OK)
+  else if (status != HTTP_OK || call->too_large)
     call->not_before_ms = now + w->settings.retry_max_ms;
 }
 
@@ -308,8 +340,7 @@
     return;
   call->kind = CALL_FETCH;
   snprintf (call->name, sizeof call->name, "%s", name);
-  *w->fetches_end = call;
-  w->fetches_end = &call->next;
+  fetch_link (w, call);
   w->fetch_count++;
 }
 
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -27,7 +27,8 @@
 
 #define FILES_MAX 1024
 #define NAME_BYTES 160
-#define VALUE_MAX_BYTES 1048576
+/* Twice what the platform holds, to be refused. */
+#define VALUE_MAX_BYTES 2097152
 #define SLOW_MS 300
 #define WAIT_MAX_S 60
 #define THREADS "512"
--- a/test/test_watch.c
+++ b/test/test_watch.c
@@ -228,10 +228,14 @@
 static void
 set_up (struct fixture *f, gconstpointer data)
 {
+  char *big = g_strnfill (1048577, ' ');
+
   (void)data;
   f->dir = g_dir_make_tmp ("watch-XXXXXX", NULL);
   write_file (f, "instances", "{\"index\":1,\"instances\":[]}");
   write_file (f, "contract/w", "{}");
+  write_file (f, "contract/big", big);
+  g_free (big);
   write_manifest (f, 5);
   start_standin (f);
 }
@@ -240,7 +244,8 @@
 tear_down (struct fixture *f, gconstpointer data)
 {
   static const char *const files[]
-      = { "manifest.json", "instances.json", "contract/w.json", "contract" };
+      = { "manifest.json", "instances.json", "contract/w.json",
+          "contract/big.json", "contract" };
 
   (void)data;
   stop_standin (f);
@@ -358,12 +363,15 @@
   set_mode (f, "up");
   expect (w, "up");
   expect (w, "contract/w");
+  /* One that is too large is given up and keeps nothing back. */
+  bd_watch_fetch (w->watch, BD_CHUNK ("contract/big"));
   bd_watch_fetch (w->watch, BD_CHUNK ("contract/none"));
   bd_watch_fetch (w->watch, BD_CHUNK ("instances"));
   expect (w, "instances");
   bd_watch_fetch (w->watch, BD_CHUNK ("manifest"));
   expect (w, "manifest=5");
   g_assert_cmpint (calls_to (f, "/v1/kv/contract/none"), ==, 1);
+  g_assert_cmpint (calls_to (f, "/v1/kv/contract/big"), ==, 1);
   g_assert_cmpint (calls_to (f, "/v1/instances"), ==, 1);
   g_assert_cmpint (g_async_queue_length (w->events), ==, 0);
   watcher_destroy (w);
