The bound on crashes stays strict: it holds with the mend of the late strikes

The soak lane had let strikes that die with their sidecar count on top of the bound; with late strikes taken in, the bound holds over all seeds as it was.

--- a/test/test_fleet_pairs.c
+++ b/test/test_fleet_pairs.c
@@ -12,7 +12,6 @@
 #define PAIR_SEEDS 8
 #define KEY_SEEDS 30
 #define KEYS 100
-#define STRIKE_WAY_MS 10 /* Above the longest delay and a tick. */
 
 /* A fault that begins at a runner or an entry and ends there. */
 struct fault
@@ -341,9 +340,7 @@
     }
 }
 
-/* Requests under suspicion run alone while their runners restart.  A strike
-   that was on its way when its sidecar died may be lost, and does not count
-   towards the bound. */
+/* Requests under suspicion run alone while their runners restart. */
 static void
 test_suspects_and_restarts (void)
 {
@@ -351,27 +348,21 @@
     {
       struct fleet *f = make_fleet (seed, 2, 5, 0);
       GRand *rand = g_rand_new_with_seed (seed);
-      int lost = 0;
 
       fleet_poison (f, 666);
       fleet_gossip (f);
       for (int round = 0; round < 6; round++)
         {
           int target = any (rand, RUNNERS);
-          int before;
 
           fleet_ask (f, live_entry (f, rand), 666, 0);
           send_phase (f, rand);
-          before = fleet_engine_crashes (f);
-          fleet_run (f, STRIKE_WAY_MS);
-          lost += fleet_engine_crashes (f) - before;
           fleet_crash_runner (f, target);
           fleet_run (f, any (rand, 600));
           fleet_restart_runner (f, target);
           fleet_run (f, any (rand, 1500));
         }
-      g_assert_cmpint (fleet_engine_crashes (f), <=,
-                       BD_SUSPECT_MAX_RUNNERS + lost);
+      g_assert_cmpint (fleet_engine_crashes (f), <=, BD_SUSPECT_MAX_RUNNERS);
       finish (f, rand, "suspects and restarts");
     }
 }
