--- a/src/core/answer.c
+++ b/src/core/answer.c
@@ -59,6 +59,7 @@
     }
   if (job->idempotent && job->kept.length < BD_JOB_KEPT_MAX_BYTES)
     bd_resume_collect (json, &job->kept);
+  job->delivered++;
   deliver_data (context->dispatch, job, event);
 }
 
@@ -111,7 +112,7 @@
 
   job->heard_ms = now_ms;
   if (rc == BD_ERR_FULL || rc == BD_ERR_PROTOCOL)
-    bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN);
+    bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN, false);
   else if (job->ended && bd_stream_whole (job->stream))
     finish (dispatch, now_ms, job);
 }
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -54,17 +54,45 @@
   bd_map_destroy (dispatch->jobs);
   bd_fleet_destroy (dispatch->fleet);
   bd_limiter_destroy (dispatch->limiter);
+  free (dispatch->limited);
   bd_suspects_destroy (dispatch->suspects);
   free (dispatch->instance);
   free (dispatch->zone);
   free (dispatch);
 }
 
+/* Workspaces whose contract is gone have no limits any more. */
+static void
+remove_limits (struct bd_dispatch *dispatch,
+               const struct bd_config_snapshot *snapshot)
+{
+  size_t count = snapshot->contract_count;
+  uint64_t *now = calloc (count + 1, sizeof *now);
+
+  if (!now)
+    return;
+  for (size_t i = 0; i < count; i++)
+    now[i] = bd_chunk_hash (snapshot->contracts[i]->workspace);
+  for (size_t i = 0; i < dispatch->limited_count; i++)
+    {
+      size_t j = 0;
+
+      while (j < count && now[j] != dispatch->limited[i])
+        j++;
+      if (j == count)
+        bd_limiter_remove (dispatch->limiter, dispatch->limited[i]);
+    }
+  free (dispatch->limited);
+  dispatch->limited = now;
+  dispatch->limited_count = count;
+}
+
 void
 bd_dispatch_configure (struct bd_dispatch *dispatch, int64_t now_ms,
                        const struct bd_config_snapshot *snapshot)
 {
   bd_fleet_configure (dispatch->fleet, snapshot);
+  remove_limits (dispatch, snapshot);
   for (size_t i = 0; i < snapshot->contract_count; i++)
     bd_limiter_set (dispatch->limiter, now_ms,
                     bd_chunk_hash (snapshot->contracts[i]->workspace),
@@ -306,7 +334,7 @@
   else if (job->state == JOB_RUNNING && job->runner == runner)
     bd_job_retry (dispatch, now_ms, job,
                   m->error == BD_ERR_STALE ? BD_ERR_NO_RUNNER : m->error,
-                  (enum bd_ran)m->ran);
+                  (enum bd_ran)m->ran, true);
 }
 
 /* A recorded answer comes without a grant. */
@@ -346,7 +374,8 @@
   if (m->type == BD_MESSAGE_REFUSE)
     take_refusal (dispatch, now_ms, job, runner, m);
   else if (m->type == BD_MESSAGE_FAIL && job->state == JOB_RUNNING)
-    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran);
+    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran,
+                  m->sequence != 0 || m->ran == BD_RAN_NO);
   else if (accepts_answer (job, runner))
     take_answer (dispatch, now_ms, job, m);
 }
@@ -372,7 +401,7 @@
       else if (job->state == JOB_RUNNING && job->runner == runner)
         bd_job_retry (dispatch, now_ms, job,
                       job->keyed ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_BROKEN,
-                      BD_RAN_UNKNOWN);
+                      BD_RAN_UNKNOWN, true);
       job = next;
     }
 }
@@ -460,7 +489,8 @@
   else if (now_ms - job->heard_ms >= PROGRESS_TIMEOUT_MS)
     {
       bd_job_send (dispatch, job, job->runner, &cancel);
-      bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN);
+      bd_job_retry (dispatch, now_ms, job, BD_ERR_BROKEN, BD_RAN_UNKNOWN,
+                    false);
     }
 }
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -7,8 +7,6 @@
 /* Runners asked at first, and how soon more are. */
 #define FIRST_ASKS 2
 #define WIDEN_MS 20
-/* Runs of an idempotent request, the first included. */
-#define RUNS_MAX 3
 /* Tokens of an answer before anything was learned. */
 #define TOKENS_START 128
 #define LEARN_WEIGHT 8
@@ -477,6 +475,7 @@
              == BD_OK)
     {
       m.body = bd_buffer_chunk (&resumed);
+      m.tokens = job->delivered;
       dispatch->port->count (dispatch->port, BD_DISPATCH_RESUME);
     }
   bd_job_send (dispatch, job, runner, &m);
@@ -490,7 +489,8 @@
   set_runner (job, runner);
   decline_asks (dispatch, job, runner);
   job->state = JOB_RUNNING;
-  job->runs++;
+  if (job->runs++ == 0)
+    bd_retry_first (&dispatch->budget);
   job->heard_ms = now_ms;
   bd_stream_resume (job->stream, job->attempt, job->stream_bytes);
   if (!runs)
@@ -519,10 +519,7 @@
 {
   size_t open = 0;
   bool lost = message->error == BD_ERR_BROKEN;
-  bool elsewhere = message->error == BD_ERR_NO_RUNNER
-                   || message->error == BD_ERR_LEAVING
-                   || message->error == BD_ERR_OVERLOADED
-                   || message->error == BD_ERR_STALE || lost;
+  bool elsewhere = bd_retry_elsewhere ((enum bd_error)message->error);
 
   for (size_t i = 0; i < job->ask_count; i++)
     {
@@ -566,7 +563,7 @@
 
 void
 bd_job_retry (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-              int error, enum bd_ran ran)
+              int error, enum bd_ran ran, bool cut)
 {
   bool again = job->idempotent || (ran == BD_RAN_NO && !job->keyed);
 
@@ -575,7 +572,11 @@
     job->may_have_run = true;
   if (job->data_sent && job->kept.length >= BD_JOB_KEPT_MAX_BYTES)
     again = false;
-  if (!again || job->runs >= RUNS_MAX || now_ms >= job->deadline_ms
+  if (!again || job->runs >= BD_RETRY_ATTEMPTS_MAX
+      || now_ms >= job->deadline_ms
+      || (!cut && !job->data_sent
+          && !bd_retry_take (&dispatch->budget, BD_RETRY_AFTER_ERROR, true,
+                             job->runs, (enum bd_error)error))
       || bd_suspects_look (dispatch->suspects, now_ms,
                            job->request.fingerprint)
              == BD_SUSPICION_QUARANTINE)
--- a/src/core/job.h
+++ b/src/core/job.h
@@ -7,6 +7,7 @@
 
 #include "common/map.h"
 #include "core/fleet.h"
+#include "core/retry.h"
 #include "core/stream.h"
 
 /** Longest text kept to resume a stream, or body of another answer. */
@@ -67,7 +68,8 @@
   struct bd_buffer held; /**< The closing event, until the counted end. */
   bool cut; /**< KEPT lacks something of an answer that is no stream. */
   uint32_t tokens;
-  bool ended; /**< END was taken in, chunks are missing. */
+  uint32_t delivered; /**< Events with data that the caller was given. */
+  bool ended;         /**< END was taken in, chunks are missing. */
   bool replay;
   struct job *next;
   struct job *previous;
@@ -86,6 +88,9 @@
   struct bd_map *classes; /**< Learned work by class. */
   struct job *first;
   struct job *last;
+  struct bd_retry_budget budget;
+  uint64_t *limited; /**< Workspaces that have limits. */
+  size_t limited_count;
   size_t open; /**< Jobs without END or FAIL. */
 };
 
@@ -122,8 +127,12 @@
                      const struct bd_message *message);
 
 /** The running attempt failed: tries again, resumes, or fails the job. */
+/**
+ * CUT: the runner or its engine went away, or never took the request; what
+ * fails otherwise may fail everywhere and is charged to the retry budget.
+ */
 void bd_job_retry (struct bd_dispatch *dispatch, int64_t now_ms,
-                   struct job *job, int error, enum bd_ran ran);
+                   struct job *job, int error, enum bd_ran ran, bool cut);
 
 /** Messages of the running attempt. */
 void bd_job_head (struct job *job, const struct bd_message *message);
--- a/src/core/run.c
+++ b/src/core/run.c
@@ -49,6 +49,7 @@
       return;
     }
   task->state = TASK_RUNNING;
+  task->prior_tokens = message->type == BD_MESSAGE_RUN ? message->tokens : 0;
   task->last_data_ms = now_ms;
   runner->granted--;
   runner->running++;
@@ -114,9 +115,11 @@
 
   task->tokens++;
   /* The first token follows the prompt's processing. */
-  if (task->tokens > 1)
+  if (task->tokens > 1 && smooth_us == 0)
+    smooth_us = gap_us;
+  else if (task->tokens > 1)
     smooth_us += (gap_us - smooth_us) / TOKEN_TIME_WEIGHT;
-  runner->token_time_us = (uint32_t)(smooth_us > 0 ? smooth_us : 1);
+  runner->token_time_us = (uint32_t)(smooth_us > 0 ? smooth_us : 0);
   task->last_data_ms = now_ms;
 }
 
@@ -409,7 +412,7 @@
     .key = task->claim.key.id,
     .workspace = bd_chunk_of (task->workspace),
     .class_name = bd_chunk_of (task->class_name),
-    .tokens = task->tokens,
+    .tokens = task->prior_tokens + task->tokens,
     .status = task->status,
   };
   bool billable = task->state == TASK_ENDED && task->status < STATUS_OK_END;
--- a/src/core/runner.c
+++ b/src/core/runner.c
@@ -3,9 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Smoothed token time before anything was measured. */
-#define TOKEN_TIME_START_US 10000
-
 struct bd_runner *
 bd_runner_create (const struct bd_runner_settings *settings,
                   struct bd_runner_port *port)
@@ -17,7 +14,6 @@
   runner->settings = *settings;
   runner->port = port;
   runner->engine_up = true;
-  runner->token_time_us = TOKEN_TIME_START_US;
   runner->queue = bd_tier_queue_create (&settings->queue);
   runner->custody = bd_custody_create (&settings->custody);
   runner->tasks = bd_map_create ();
--- a/src/core/task.c
+++ b/src/core/task.c
@@ -2,6 +2,9 @@
 
 #include <stdlib.h>
 
+/* Time per token before it was measured. */
+#define TOKEN_TIME_START_US 10000
+
 struct task *
 bd_task_find (const struct bd_runner *runner, struct bd_id request,
               uint32_t attempt)
@@ -145,8 +148,10 @@
 {
   uint64_t work = bd_tier_queue_work_ahead (runner->queue, tier);
   uint64_t slots = runner->settings.slots > 0 ? runner->settings.slots : 1;
+  uint64_t token_time_us = runner->token_time_us > 0 ? runner->token_time_us
+                                                     : TOKEN_TIME_START_US;
 
-  return (int64_t)(work * runner->token_time_us / slots / 1000);
+  return (int64_t)(work * token_time_us / slots / 1000);
 }
 
 void
--- a/src/core/task.h
+++ b/src/core/task.h
@@ -46,7 +46,8 @@
   char *content_type;
   uint64_t sequence; /**< Chunks sent. */
   uint32_t tokens;
-  bool closed; /**< The stream's [DONE] was seen. */
+  uint32_t prior_tokens; /**< Of the answer, delivered by earlier attempts. */
+  bool closed;           /**< The stream's [DONE] was seen. */
   int64_t last_data_ms;
   struct bd_sse sse;
   struct bd_buffer event;
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -124,6 +124,7 @@
                     const struct bd_config_snapshot *snapshot)
 {
   size_t entries = snapshot->entry_count;
+  size_t known = bd_membership_count (peers->membership);
 
   for (size_t i = 0; i < entries; i++)
     {
@@ -135,7 +136,7 @@
       named (peers, now_ms, &member);
     }
   bd_limiter_set_peers (bd_dispatch_limiter (peers->dispatch), now_ms,
-                        entries > 0 ? (uint32_t)entries : 1);
+                        (uint32_t)(entries > 0 ? entries : known + 1));
 }
 
 static struct bd_id
