--- a/src/core/job.c
+++ b/src/core/job.c
@@ -124,7 +124,7 @@
     {
       struct bd_message m = { .type = BD_MESSAGE_DECLINE };
 
-      if (!job->asks[i].open || job->asks[i].runner == but)
+      if (!job->asks[i].open || (but && job->asks[i].runner == but))
         continue;
       /* It may run there already, and is stopped. */
       if (job->asks[i].direct)
--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -21,7 +21,7 @@
 {
   for (int fd = 3; fd < SOCKETS_MAX; fd++)
     {
-      struct sockaddr_in peer;
+      struct sockaddr_in peer = { 0 };
       socklen_t length = sizeof peer;
 
       if (getpeername (fd, (struct sockaddr *)&peer, &length) == 0
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -5,7 +5,7 @@
 
 #define ANY "127.0.0.1:0"
 #define WAIT_MS 20
-#define LIMIT_US (10 * G_USEC_PER_SEC)
+#define LIMIT_US ((gint64)10 * G_USEC_PER_SEC)
 
 static struct bd_link *
 make (const char *name, const char *address, const char *public_key,
