process_fleet: signals go only to own children

Cause: the lists of started processes kept the numbers of those that had ended and been replaced.

Now a process gets a signal only while /proc names this shell as its parent.

--- a/test/process_fleet.sh
+++ b/test/process_fleet.sh
@@ -51,9 +51,21 @@
   pf_pids+=($!)
 }
 
-pf_signal () { kill "-$1" "${pf_pid[$2]}" 2>/dev/null; }
+# Whether PID is still a child of this shell: the number of one that has ended
+# may be another process's by now.
+pf_owned () {
+  local name value
+  while read -r name value; do
+    [ "$name" = PPid: ] && [ "$value" = "$BASHPID" ] && return 0
+  done 2>/dev/null <"/proc/$1/status"
+  return 1
+}
 
-pf_gone () { ! kill -0 "${pf_pid[$1]}" 2>/dev/null; }
+pf_signal () {
+  pf_owned "${pf_pid[$2]}" && kill "-$1" "${pf_pid[$2]}" 2>/dev/null
+}
+
+pf_gone () { ! pf_owned "${pf_pid[$1]}"; }
 
 # Waits for the end of a process; its exit status goes to "status".
 pf_wait_end () {
@@ -71,9 +83,8 @@
 pf_stop_all () {
   local pid
   for pid in "${pf_pids[@]}"; do
-    kill -CONT "$pid" 2>/dev/null
-    kill -KILL "$pid" 2>/dev/null
-  done
+    pf_owned "$pid" && kill -CONT "$pid" && kill -KILL "$pid"
+  done 2>/dev/null
   for pid in "${pf_pids[@]}"; do wait "$pid" 2>/dev/null; done
   pf_pids=()
   pf_pid=()
