--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -226,8 +226,8 @@
 }
 
 void
-bd_dispatch_cancel (struct bd_dispatch *dispatch, int64_t now_ms,
-                    struct bd_id request)
+bd_dispatch_give_up (struct bd_dispatch *dispatch, int64_t now_ms,
+                     struct bd_id request, int error)
 {
   struct job *job = find_job (dispatch, request);
   struct bd_message m = { .type = BD_MESSAGE_CANCEL };
@@ -239,11 +239,18 @@
   if (job->state == JOB_ANSWERED)
     bd_job_free (dispatch, now_ms, job);
   else
-    bd_job_fail (dispatch, now_ms, job, BD_ERR_CANCELLED,
+    bd_job_fail (dispatch, now_ms, job, error,
                  job->state == JOB_RUNNING || job->keyed ? BD_RAN_UNKNOWN
                                                          : BD_RAN_NO);
 }
 
+void
+bd_dispatch_cancel (struct bd_dispatch *dispatch, int64_t now_ms,
+                    struct bd_id request)
+{
+  bd_dispatch_give_up (dispatch, now_ms, request, BD_ERR_CANCELLED);
+}
+
 static void
 take_grant (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
             struct bd_fleet_runner *runner, const struct bd_message *m)
@@ -272,9 +279,10 @@
   dispatch->port->count (dispatch->port, BD_DISPATCH_DECLINE);
 }
 
+/* A strike counts also when the request has been given up meanwhile. */
 static void
-take_fail (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
-           struct bd_fleet_runner *runner, const struct bd_message *m)
+take_strike (struct bd_dispatch *dispatch, int64_t now_ms,
+             const struct bd_fleet_runner *runner, const struct bd_message *m)
 {
   struct bd_strike strike = {
     .fingerprint = m->fingerprint,
@@ -287,8 +295,6 @@
       && bd_suspects_strike (dispatch->suspects, now_ms, &strike))
     dispatch->port->note (dispatch->port, BD_EVENT_STRIKE, m->request,
                           m->attempt, runner->instance);
-  if (job->state == JOB_RUNNING)
-    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran);
 }
 
 static void
@@ -324,6 +330,7 @@
 take_answer (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
              const struct bd_message *m)
 {
+  job->heard_ms = now_ms;
   if (m->status != 0)
     bd_job_head (job, m);
   if (m->type == BD_MESSAGE_CHUNK)
@@ -338,8 +345,8 @@
 {
   if (m->type == BD_MESSAGE_REFUSE)
     take_refusal (dispatch, now_ms, job, runner, m);
-  else if (m->type == BD_MESSAGE_FAIL)
-    take_fail (dispatch, now_ms, job, runner, m);
+  else if (m->type == BD_MESSAGE_FAIL && job->state == JOB_RUNNING)
+    bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran);
   else if (accepts_answer (job, runner))
     take_answer (dispatch, now_ms, job, m);
 }
@@ -387,6 +394,8 @@
     lose_runner (dispatch, now_ms, sender);
   if (message->type == BD_MESSAGE_HEARTBEAT)
     return;
+  if (message->type == BD_MESSAGE_FAIL)
+    take_strike (dispatch, now_ms, sender, message);
   job = find_job (dispatch, message->request);
   if (message->type == BD_MESSAGE_GRANT)
     take_grant (dispatch, now_ms, job, sender, message);
@@ -413,11 +422,16 @@
 }
 
 void
-bd_dispatch_leaving (struct bd_dispatch *dispatch, struct bd_chunk runner)
+bd_dispatch_listed (struct bd_dispatch *dispatch, struct bd_chunk runner,
+                    bool leaving)
 {
   struct bd_fleet_runner *r = bd_fleet_runner (dispatch->fleet, runner);
 
-  if (r && r->state != BD_RUNNER_DOWN)
+  if (!r)
+    return;
+  /* Without the word the runner's own next message tells its state. */
+  r->listed_leaving = leaving;
+  if (leaving && r->state != BD_RUNNER_DOWN)
     bd_fleet_set_state (r, BD_RUNNER_LEAVING);
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -19,6 +19,7 @@
   struct bd_fleet_pool *pool;
   enum bd_runner_state state;
   uint64_t incarnation; /**< 0: not heard of yet. */
+  bool listed_leaving;  /**< By the instance list, until it starts anew. */
   struct bd_load load;
   int64_t heard_ms;
   int64_t peer_clock_ms; /**< Its clock when it last sent a heartbeat. */
@@ -89,8 +90,4 @@
 struct bd_fleet_runner *bd_fleet_linked (const struct bd_fleet *fleet,
                                          size_t index);
 
-size_t bd_fleet_count (const struct bd_fleet *fleet);
-struct bd_fleet_runner *bd_fleet_at (const struct bd_fleet *fleet,
-                                     size_t index);
-
 #endif
