An entry is ready when every document that the manifest names is there

Found by the soak lane: a restarted entry told two valid callers «unauthorized», ready with the manifest before the contract.

--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -40,6 +40,8 @@
   int64_t refresh_ms;
   uint64_t service_manifest; /* Hash of what the service gave last. */
   bool watching;
+  bool published;          /* A configuration is in use. */
+  int64_t first_change_ms; /* 0: nothing has come yet. */
   bool changed;
 };
 
--- a/src/entry/documents.c
+++ b/src/entry/documents.c
@@ -9,6 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Longest wait for documents that do not come, at the start. */
+#define FIRST_DOCUMENTS_MS 10000
+
 /* A document from the platform's service, on its way to the control
    thread. */
 struct document_mail
@@ -164,12 +167,32 @@
     free (mail);
 }
 
+/* Before the first publication every document that the manifest names is
+   waited for: a caller whose contract has not come yet would be told that its
+   credential is unknown. */
+static bool
+is_complete (struct bd_entry *e, int64_t now_ms)
+{
+  size_t missing = 0;
+
+  if (e->published)
+    return true;
+  if (e->first_change_ms == 0)
+    e->first_change_ms = now_ms;
+  bd_config_missing (bd_exchange_config (e->exchange), count_missing,
+                     &missing);
+  return missing == 0 || now_ms - e->first_change_ms >= FIRST_DOCUMENTS_MS;
+}
+
 void
 bd_control_publish (struct bd_entry *e, int64_t now_ms)
 {
   struct bd_config *config = bd_exchange_config (e->exchange);
   struct bd_config_snapshot *snapshot = bd_config_snapshot (config);
 
+  if (!is_complete (e, now_ms))
+    return;
+  e->published = true;
   e->changed = false;
   if (!snapshot)
     return;
