--- a/src/entry/documents.c
+++ b/src/entry/documents.c
@@ -188,12 +188,13 @@
 bd_control_publish (struct bd_entry *e, int64_t now_ms)
 {
   struct bd_config *config = bd_exchange_config (e->exchange);
-  struct bd_config_snapshot *snapshot = bd_config_snapshot (config);
+  struct bd_config_snapshot *snapshot;
 
   if (!is_complete (e, now_ms))
     return;
   e->published = true;
   e->changed = false;
+  snapshot = bd_config_snapshot (config);
   if (!snapshot)
     return;
   bd_dispatch_configure (e->dispatch, now_ms, snapshot);
