A keyed request refused before its custodian was asked does not deny its run

Cause: limits, quarantine and missing runners were answered «did not run» by the entry alone, while the key may have run through another entry. Failed first (/fleet/limited-order-does-not-deny): told no, one run.

--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -185,16 +185,19 @@
   return job;
 }
 
+/* A key may have run already: its custodian was not asked. */
 static void
-refuse_new (struct bd_dispatch *dispatch, struct bd_id request, int error,
+refuse_new (struct bd_dispatch *dispatch,
+            const struct bd_dispatch_request *request, int error,
             int64_t retry_after_ms)
 {
+  bool keyed = request->key_text.length > 0;
   struct bd_delivery delivery = { .kind = BD_DELIVERY_FAIL,
                                   .error = error,
-                                  .ran = BD_RAN_NO,
+                                  .ran = keyed ? BD_RAN_UNKNOWN : BD_RAN_NO,
                                   .retry_after_ms = retry_after_ms };
 
-  dispatch->port->deliver (dispatch->port, request, &delivery);
+  dispatch->port->deliver (dispatch->port, request->request, &delivery);
 }
 
 void
@@ -213,21 +216,21 @@
     {
       dispatch->port->note (dispatch->port, BD_EVENT_QUARANTINE,
                             request->request, 0, "");
-      refuse_new (dispatch, request->request, BD_ERR_QUARANTINED, 0);
+      refuse_new (dispatch, request, BD_ERR_QUARANTINED, 0);
       return;
     }
   rc = bd_limiter_admit (dispatch->limiter, now_ms, workspace, tokens,
                          &retry_after_ms);
   if (rc != BD_OK)
     {
-      refuse_new (dispatch, request->request, rc, retry_after_ms);
+      refuse_new (dispatch, request, rc, retry_after_ms);
       return;
     }
   job = add_job (dispatch, now_ms, request);
   if (!job)
     {
       bd_limiter_release (dispatch->limiter, now_ms, workspace, tokens, 0);
-      refuse_new (dispatch, request->request, BD_ERR_NOMEM, 0);
+      refuse_new (dispatch, request, BD_ERR_NOMEM, 0);
       return;
     }
   job->alone = suspicion == BD_SUSPICION_ISOLATE;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -412,7 +412,8 @@
   else
     ask_first (dispatch, now_ms, job, late ? FIRST_ASKS : 1);
   if (error != BD_OK)
-    bd_job_fail (dispatch, now_ms, job, error, bd_error_answer (error)->ran);
+    bd_job_fail (dispatch, now_ms, job, error,
+                 job->keyed ? BD_RAN_UNKNOWN : bd_error_answer (error)->ran);
   else if (job->ask_count == 0
            && !(job->alone && copy_in_flight (dispatch, job)))
     bd_job_fail (dispatch, now_ms, job, BD_ERR_NO_RUNNER, BD_RAN_NO);
--- a/test/support_fleet.c
+++ b/test/support_fleet.c
@@ -956,6 +956,15 @@
   f->gossip = TRUE;
 }
 
+void
+fleet_limit (struct fleet *f, int entry)
+{
+  struct bd_limits limits = { .requests_per_s = 1 };
+
+  bd_limiter_set (bd_dispatch_limiter (f->entries[entry].dispatch), f->now_ms,
+                  bd_chunk_hash (BD_CHUNK ("w")), &limits);
+}
+
 GPtrArray *
 fleet_calls (struct fleet *f)
 {
--- a/test/support_fleet.h
+++ b/test/support_fleet.h
@@ -96,6 +96,9 @@
 /** Passes strikes among the entries from now on. */
 void fleet_gossip (struct fleet *fleet);
 
+/** Lets ENTRY admit one request a second. */
+void fleet_limit (struct fleet *fleet, int entry);
+
 GPtrArray *fleet_calls (struct fleet *fleet);
 GPtrArray *fleet_runs (struct fleet *fleet);
 int fleet_engine_crashes (const struct fleet *fleet);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -217,6 +217,33 @@
   fleet_free (f);
 }
 
+/* A refusal that comes before the key's custodian was asked does not say that
+   the key did not run: it ran through the other entry. */
+static void
+test_limited_order_does_not_deny (void)
+{
+  struct fleet_settings settings = { .seed = 5,
+                                     .entries = 2,
+                                     .runners = 3,
+                                     .slots = 2,
+                                     .delay_max_ms = 2,
+                                     .token_ms = 10 };
+  struct fleet *f = fleet_new (&settings);
+  struct fleet_call *again = NULL;
+
+  fleet_order (f, 0, 5001, 1);
+  fleet_run (f, 1000);
+  fleet_limit (f, 1);
+  for (int i = 0; i < 20; i++)
+    again = fleet_order (f, 1, 5001, 1);
+  g_assert_true (again->failed);
+  g_assert_cmpint (again->error, ==, BD_ERR_RATE_LIMITED);
+  g_assert_cmpint (again->ran, ==, BD_RAN_UNKNOWN);
+  fleet_run (f, 20000);
+  fleet_check (f, "limited order");
+  fleet_free (f);
+}
+
 /* Repeated through every entry, a request that crashes engines takes down a
    bounded number of them; requests that were merely beside it are served. */
 static void
@@ -261,6 +288,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/fleet/calm-answers-all", test_calm_answers_all);
   g_test_add_func ("/fleet/stream-resumes", test_stream_resumes);
+  g_test_add_func ("/fleet/limited-order-does-not-deny",
+                   test_limited_order_does_not_deny);
   g_test_add_func ("/fleet/poison-is-bounded", test_poison_is_bounded);
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
