--- a/src/common/log.c
+++ b/src/common/log.c
@@ -8,6 +8,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#define REASON_BYTES 300
 #define INSTANCE_MAX_BYTES 64
 
 struct event_row
@@ -220,3 +221,29 @@
         visit (context, (struct bd_chunk){ line, length });
     }
 }
+
+void
+bd_log_request (enum bd_event event, struct bd_id request, uint32_t attempt,
+                const char *detail)
+{
+  const char *lead = strchr (detail, '=') ? " " : " detail=";
+  char text[BD_ID_HEX_LENGTH + 1];
+
+  if (!bd_log_shows (event))
+    return;
+  bd_id_format (request, text);
+  bd_log (event, "request=%s attempt=%u%s%s", text, attempt,
+          detail[0] ? lead : "", detail);
+}
+
+void
+bd_log_document (enum bd_event event, struct bd_chunk name, const char *reason)
+{
+  char quoted[REASON_BYTES];
+
+  if (reason[0])
+    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
+            bd_log_quote (bd_chunk_of (reason), quoted, sizeof quoted));
+  else
+    bd_log (event, "document=%.*s", (int)name.length, name.data);
+}
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -29,6 +29,17 @@
 void bd_log (enum bd_event event, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/**
+ * Writes a line about a request.  DETAIL is empty, one word, or key=value
+ * text.
+ */
+void bd_log_request (enum bd_event event, struct bd_id request,
+                     uint32_t attempt, const char *detail);
+
+/** Writes a line about a document; REASON, if not empty, is quoted. */
+void bd_log_document (enum bd_event event, struct bd_chunk name,
+                      const char *reason);
+
 /** True when the event's severity would be shown. */
 bool bd_log_shows (enum bd_event event);
 
--- /dev/null
+++ b/src/core/expected.c
@@ -0,0 +1,44 @@
+/* The work of a class, learned from its answers. */
+
+#include "core/job.h"
+
+#include <stdlib.h>
+
+/* Tokens of an answer before anything was learned. */
+#define TOKENS_START 128
+#define LEARN_WEIGHT 8
+
+uint32_t
+bd_job_expected (const struct bd_dispatch *dispatch, uint64_t class_hash,
+                 int32_t max_tokens)
+{
+  uint32_t *learned
+      = bd_map_get (dispatch->classes, (struct bd_id){ class_hash, 0 }, 0);
+  uint32_t tokens = learned ? *learned / LEARN_WEIGHT : TOKENS_START;
+
+  if (max_tokens > 0 && tokens > (uint32_t)max_tokens)
+    tokens = (uint32_t)max_tokens;
+  return tokens > 0 ? tokens : 1;
+}
+
+void
+bd_job_learn (struct bd_dispatch *dispatch, uint64_t class_hash,
+              uint32_t tokens)
+{
+  struct bd_id id = { class_hash, 0 };
+  uint32_t *learned = bd_map_get (dispatch->classes, id, 0);
+
+  if (tokens == 0)
+    return;
+  if (learned)
+    {
+      *learned = *learned - *learned / LEARN_WEIGHT + tokens;
+      return;
+    }
+  learned = malloc (sizeof *learned);
+  if (!learned)
+    return;
+  *learned = tokens * LEARN_WEIGHT;
+  if (bd_map_put (dispatch->classes, id, 0, learned) != BD_OK)
+    free (learned);
+}
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -7,9 +7,6 @@
 /* Runners asked at first, and how soon more are. */
 #define FIRST_ASKS 2
 #define WIDEN_MS 20
-/* Tokens of an answer before anything was learned. */
-#define TOKENS_START 128
-#define LEARN_WEIGHT 8
 /* How new a runner's report must be, and how long a body may be, to be sent
    with the reservation. */
 #define DIRECT_REPORT_MS 3000
@@ -26,41 +23,6 @@
                                message);
 }
 
-uint32_t
-bd_job_expected (const struct bd_dispatch *dispatch, uint64_t class_hash,
-                 int32_t max_tokens)
-{
-  uint32_t *learned
-      = bd_map_get (dispatch->classes, (struct bd_id){ class_hash, 0 }, 0);
-  uint32_t tokens = learned ? *learned / LEARN_WEIGHT : TOKENS_START;
-
-  if (max_tokens > 0 && tokens > (uint32_t)max_tokens)
-    tokens = (uint32_t)max_tokens;
-  return tokens > 0 ? tokens : 1;
-}
-
-void
-bd_job_learn (struct bd_dispatch *dispatch, uint64_t class_hash,
-              uint32_t tokens)
-{
-  struct bd_id id = { class_hash, 0 };
-  uint32_t *learned = bd_map_get (dispatch->classes, id, 0);
-
-  if (tokens == 0)
-    return;
-  if (learned)
-    {
-      *learned = *learned - *learned / LEARN_WEIGHT + tokens;
-      return;
-    }
-  learned = malloc (sizeof *learned);
-  if (!learned)
-    return;
-  *learned = tokens * LEARN_WEIGHT;
-  if (bd_map_put (dispatch->classes, id, 0, learned) != BD_OK)
-    free (learned);
-}
-
 static void
 unlink_job (struct bd_dispatch *dispatch, struct job *job)
 {
--- a/src/entry/ports.c
+++ b/src/entry/ports.c
@@ -6,8 +6,6 @@
 
 #include <stddef.h>
 
-#define REASON_BYTES 300
-
 static struct bd_entry *
 of_exchange (struct bd_exchange_port *port)
 {
@@ -39,14 +37,8 @@
 port_note (struct bd_dispatch_port *port, enum bd_event event,
            struct bd_id request, uint32_t attempt, const char *detail)
 {
-  char text[BD_ID_HEX_LENGTH + 1];
-
   (void)port;
-  if (!bd_log_shows (event))
-    return;
-  bd_id_format (request, text);
-  bd_log (event, "request=%s attempt=%u%s%s", text, attempt,
-          detail[0] ? " detail=" : "", detail);
+  bd_log_request (event, request, attempt, detail);
 }
 
 static void
@@ -92,14 +84,8 @@
 exchange_note (struct bd_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
-  char reason[REASON_BYTES];
-
   (void)port;
-  if (detail[0])
-    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
-            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
-  else
-    bd_log (event, "document=%.*s", (int)name.length, name.data);
+  bd_log_document (event, name, detail);
 }
 
 static void
--- a/src/sidecar/ports.c
+++ b/src/sidecar/ports.c
@@ -7,8 +7,6 @@
 
 #include <stddef.h>
 
-#define REASON_BYTES 300
-
 static struct bd_sidecar *
 of_exchange (struct bd_exchange_port *port)
 {
@@ -78,17 +76,12 @@
            struct bd_id request, uint32_t attempt, const char *detail)
 {
   struct bd_metrics *metrics = ((struct bd_sidecar *)port)->metrics;
-  char text[BD_ID_HEX_LENGTH + 1];
 
   if (event == BD_EVENT_REQUEST_SHED)
     bd_metrics_count (metrics, BD_COUNTER_SHED, 1);
   else if (event == BD_EVENT_REQUEST_EXPIRED)
     bd_metrics_count (metrics, BD_COUNTER_EXPIRED, 1);
-  if (!bd_log_shows (event))
-    return;
-  bd_id_format (request, text);
-  bd_log (event, "request=%s attempt=%u%s%s", text, attempt,
-          detail[0] ? " " : "", detail);
+  bd_log_request (event, request, attempt, detail);
 }
 
 static void
@@ -115,14 +108,8 @@
 exchange_note (struct bd_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
-  char reason[REASON_BYTES];
-
   (void)port;
-  if (detail[0])
-    bd_log (event, "document=%.*s reason=%s", (int)name.length, name.data,
-            bd_log_quote (bd_chunk_of (detail), reason, sizeof reason));
-  else
-    bd_log (event, "document=%.*s", (int)name.length, name.data);
+  bd_log_document (event, name, detail);
 }
 
 void
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -163,12 +163,35 @@
   g_free (err);
 }
 
+/* Values with spaces are quoted, and a lone word gets a name. */
+static void
+test_forms (void)
+{
+  struct bd_id id = { 0, 1 };
+  struct capture capture;
+  char *err;
+
+  bd_log_open ("i-1", BD_SEVERITY_INFO);
+  capture_begin (&capture, 2);
+  bd_log_document (BD_EVENT_CONFIG_REFUSED, BD_CHUNK ("manifest"), "a b");
+  bd_log_document (BD_EVENT_CONFIG_IN_FORCE, BD_CHUNK ("manifest"), "");
+  bd_log_request (BD_EVENT_REQUEST_SHED, id, 2, "tier=1 for_tier=0");
+  bd_log_request (BD_EVENT_REQUEST_RETRY, id, 2, "engine_failed");
+  err = capture_end (&capture);
+  g_assert_nonnull (strstr (err, " document=manifest reason=\"a b\"\n"));
+  g_assert_nonnull (strstr (err, " document=manifest\n"));
+  g_assert_nonnull (strstr (err, "1 attempt=2 tier=1 for_tier=0\n"));
+  g_assert_nonnull (strstr (err, "1 attempt=2 detail=engine_failed\n"));
+  g_free (err);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/log/line", test_line);
   g_test_add_func ("/log/hostile-values", test_hostile_values);
+  g_test_add_func ("/log/forms", test_forms);
   g_test_add_func ("/log/long-line-is-cut", test_long_line_is_cut);
   g_test_add_func ("/log/severity", test_severity);
   g_test_add_func ("/log/events-ascend", test_events_ascend);
