An answer that passes the grant of its direct reservation is taken in

Cause: the direct reservation's chunks were dropped while the entry still waited for the grant, and the first of them never came again. ZeroMQ keeps the order on a connection, so this needs a lost or late grant.

--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -340,18 +340,16 @@
                   (enum bd_ran)m->ran, true);
 }
 
-/* A recorded answer comes without a grant. */
+/* A recorded answer comes without a grant, and the answer of a direct
+   reservation may pass it. */
 static bool
-accepts_answer (struct job *job, struct bd_fleet_runner *runner)
+accepts_answer (struct bd_dispatch *dispatch, int64_t now_ms, struct job *job,
+                struct bd_fleet_runner *runner)
 {
-  if (job->state == JOB_ASKING && job->keyed && job->ask_count > 0
-      && job->asks[0].runner == runner)
-    {
-      job->state = JOB_RUNNING;
-      job->runner = runner;
-      runner->jobs++;
-      bd_stream_attempt (job->stream, job->attempt);
-    }
+  for (size_t i = 0; job->state == JOB_ASKING && i < job->ask_count; i++)
+    if (job->asks[i].runner == runner && job->asks[i].open
+        && (job->asks[i].direct || job->keyed))
+      bd_job_grant (dispatch, now_ms, job, runner, true);
   return job->state == JOB_RUNNING && job->runner == runner;
 }
 
@@ -376,10 +374,12 @@
 {
   if (m->type == BD_MESSAGE_REFUSE)
     take_refusal (dispatch, now_ms, job, runner, m);
-  else if (m->type == BD_MESSAGE_FAIL && job->state == JOB_RUNNING)
+  else if (!accepts_answer (dispatch, now_ms, job, runner))
+    return;
+  else if (m->type == BD_MESSAGE_FAIL)
     bd_job_retry (dispatch, now_ms, job, m->error, (enum bd_ran)m->ran,
                   m->sequence != 0 || m->ran == BD_RAN_NO);
-  else if (accepts_answer (job, runner))
+  else
     take_answer (dispatch, now_ms, job, m);
 }
 
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -191,6 +191,39 @@
   fleet_free (f);
 }
 
+/* An answer that passes its own grant is taken in: every request is answered
+   at its first run. */
+static void
+test_reorder_runs_once (void)
+{
+  for (guint32 seed = 1; seed <= 40; seed++)
+    {
+      struct fleet_settings settings = { .seed = seed,
+                                         .entries = 2,
+                                         .runners = 3,
+                                         .slots = 8,
+                                         .delay_max_ms = 15,
+                                         .token_ms = 10 };
+      struct fleet *f = fleet_new (&settings);
+
+      for (guint64 i = 0; i < 6; i++)
+        {
+          fleet_ask (f, (int)(i % 2), 1000 + i, 0);
+          fleet_run (f, 40);
+        }
+      fleet_run (f, 8000);
+      for (guint i = 0; i < fleet_calls (f)->len; i++)
+        {
+          struct fleet_call *call = fleet_calls (f)->pdata[i];
+
+          if (!call->whole)
+            g_error ("seed %u: call %u is not whole", seed, i);
+        }
+      fleet_check (f, "reorder");
+      fleet_free (f);
+    }
+}
+
 /* A stream that an engine's crash cuts goes on elsewhere, in one text. */
 static void
 test_stream_resumes (void)
@@ -287,6 +320,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/fleet/calm-answers-all", test_calm_answers_all);
+  g_test_add_func ("/fleet/reorder-runs-once", test_reorder_runs_once);
   g_test_add_func ("/fleet/stream-resumes", test_stream_resumes);
   g_test_add_func ("/fleet/limited-order-does-not-deny",
                    test_limited_order_does_not_deny);
