--- /dev/null
+++ b/src/balance/outlier.c
@@ -0,0 +1,132 @@
+#include "balance/outlier.h"
+
+#include <math.h>
+
+/* Results lose half their weight in this time. */
+#define HALF_LIFE_MS 2500.0
+/* Weight of failures below which a runner is never avoided. */
+#define FAILURES_LEAST 1.8
+/* Failing shares: never avoided below, and this far above its peers'. */
+#define SHARE_LEAST 0.25
+#define SHARE_OVER_PEERS 0.2
+/* A refusal says less of a runner's health than a failure. */
+#define REFUSAL_WEIGHT 0.4
+/* An unreachable runner is avoided at once. */
+#define UNREACHABLE_WEIGHT 2.0
+#define AVOID_FIRST_MS 700
+#define AVOID_MAX_MS 5600
+/* A trial that ends neither way frees the place for the next. */
+#define TRIAL_LIMIT_MS 3000
+
+static void
+decay (struct bd_target_record *record, int64_t now_ms)
+{
+  double keep;
+
+  if (now_ms <= record->updated_ms)
+    return;
+  keep = exp2 (-(double)(now_ms - record->updated_ms) / HALF_LIFE_MS);
+  record->successes *= keep;
+  record->failures *= keep;
+  record->updated_ms = now_ms;
+}
+
+double
+bd_outlier_failing (const struct bd_target *target, int64_t now_ms)
+{
+  struct bd_target_record record = target->record;
+
+  decay (&record, now_ms);
+  return record.failures / (record.successes + record.failures + 1.0);
+}
+
+/* The failing share of all other usable runners of the service together. */
+static double
+peers_failing (const struct bd_target *target, int64_t now_ms,
+               struct bd_target *const *peers, size_t count)
+{
+  double failures = 0.0;
+  double all = 1.0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct bd_target_record record = peers[i]->record;
+
+      if (peers[i] == target || !bd_target_usable (peers[i])
+          || !bd_chunk_equal (peers[i]->service, target->service))
+        continue;
+      decay (&record, now_ms);
+      failures += record.failures;
+      all += record.successes + record.failures;
+    }
+  return failures / all;
+}
+
+static void
+avoid (struct bd_target_record *record, int64_t now_ms)
+{
+  int64_t time = AVOID_FIRST_MS;
+
+  for (uint32_t i = 0; i < record->avoided && time < AVOID_MAX_MS; i++)
+    time *= 2;
+  record->avoided++;
+  record->avoid_until_ms = now_ms + time;
+  record->trial_in_flight = false;
+}
+
+void
+bd_outlier_add (struct bd_target *target, int64_t now_ms,
+                enum bd_result result, struct bd_target *const *peers,
+                size_t count)
+{
+  struct bd_target_record *record = &target->record;
+  double failing;
+
+  decay (record, now_ms);
+  record->trial_in_flight = false;
+  switch (result)
+    {
+    case BD_RESULT_SUCCESS:
+      record->successes += 1.0;
+      if (record->avoided > 0 && now_ms >= record->avoid_until_ms)
+        record->avoided--;
+      return;
+    case BD_RESULT_REFUSED:
+      record->failures += REFUSAL_WEIGHT;
+      break;
+    case BD_RESULT_FAILURE:
+      record->failures += 1.0;
+      break;
+    case BD_RESULT_UNREACHABLE:
+      record->failures += UNREACHABLE_WEIGHT;
+      break;
+    }
+  failing = bd_outlier_failing (target, now_ms);
+  if (record->failures < FAILURES_LEAST || failing < SHARE_LEAST
+      || failing
+             < peers_failing (target, now_ms, peers, count) + SHARE_OVER_PEERS)
+    return;
+  if (now_ms >= record->avoid_until_ms)
+    avoid (record, now_ms);
+}
+
+bool
+bd_outlier_allows (const struct bd_target *target, int64_t now_ms)
+{
+  const struct bd_target_record *record = &target->record;
+
+  if (now_ms < record->avoid_until_ms)
+    return false;
+  if (record->avoided == 0 || !record->trial_in_flight)
+    return true;
+  return now_ms - record->avoid_until_ms > TRIAL_LIMIT_MS;
+}
+
+void
+bd_outlier_sent (struct bd_target *target, int64_t now_ms)
+{
+  struct bd_target_record *record = &target->record;
+
+  if (record->avoided > 0 && now_ms >= record->avoid_until_ms)
+    record->trial_in_flight = true;
+}
--- /dev/null
+++ b/src/balance/target.c
@@ -0,0 +1,253 @@
+#include "balance/target.h"
+
+#include "common/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct slot
+{
+  struct bd_target public;
+  bool listed; /* Seen in the list that is being taken in. */
+};
+
+struct bd_targets
+{
+  struct bd_target **all; /* Each is the start of a slot. */
+  size_t count;
+  size_t capacity;
+  bool store_lost;
+  int64_t lapse_until_ms; /* Deletions before this may be mistaken. */
+};
+
+struct bd_targets *
+bd_targets_create (void)
+{
+  return calloc (1, sizeof (struct bd_targets));
+}
+
+static void
+free_target (struct bd_target *target)
+{
+  free ((char *)target->id.data);
+  free ((char *)target->service.data);
+  free ((char *)target->zone.data);
+  free (target);
+}
+
+void
+bd_targets_destroy (struct bd_targets *targets)
+{
+  if (!targets)
+    return;
+  for (size_t i = 0; i < targets->count; i++)
+    free_target (targets->all[i]);
+  free (targets->all);
+  free (targets);
+}
+
+struct bd_target *
+bd_targets_find (const struct bd_targets *targets, struct bd_chunk id)
+{
+  for (size_t i = 0; i < targets->count; i++)
+    if (bd_chunk_equal (targets->all[i]->id, id))
+      return targets->all[i];
+  return NULL;
+}
+
+static const char *
+state_name (enum bd_target_state state)
+{
+  static const char *const names[] = { "ready", "draining", "lapsed", "gone" };
+
+  return names[state];
+}
+
+static void
+set_state (struct bd_target *target, enum bd_target_state state,
+           uint64_t revision)
+{
+  if (target->state == state)
+    return;
+  bd_log (BD_EVENT_TARGET_STATE, "runner=%s service=%s from=%s to=%s rev=%llu",
+          target->id.data, target->service.data, state_name (target->state),
+          state_name (state), (unsigned long long)revision);
+  target->state = state;
+}
+
+static int
+copy_text (struct bd_chunk from, struct bd_chunk *to)
+{
+  to->data = bd_chunk_copy (from);
+  to->length = from.length;
+  return to->data ? BD_OK : BD_ERR_NOMEM;
+}
+
+static struct bd_target *
+add (struct bd_targets *targets, int64_t now_ms,
+     const struct bd_target_entry *entry)
+{
+  struct slot *slot = calloc (1, sizeof *slot);
+  struct bd_target *target = slot ? &slot->public : NULL;
+
+  if (!slot)
+    return NULL;
+  if (copy_text (entry->id, &target->id) != BD_OK
+      || copy_text (entry->service, &target->service) != BD_OK
+      || copy_text (entry->zone, &target->zone) != BD_OK)
+    {
+      free_target (target);
+      return NULL;
+    }
+  if (targets->count == targets->capacity)
+    {
+      size_t capacity = targets->capacity ? targets->capacity * 2 : 16;
+      struct bd_target **all
+          = realloc (targets->all, capacity * sizeof (struct bd_target *));
+
+      if (!all)
+        {
+          free_target (target);
+          return NULL;
+        }
+      targets->all = all;
+      targets->capacity = capacity;
+    }
+  target->hash = bd_chunk_hash (entry->id);
+  target->since_ms = now_ms;
+  target->state = BD_TARGET_GONE;
+  targets->all[targets->count++] = target;
+  return target;
+}
+
+/* A runner that started anew under its old identifier knows nothing of what
+   was before. */
+static void
+restart (struct bd_target *target, int64_t now_ms)
+{
+  memset (&target->record, 0, sizeof target->record);
+  target->since_ms = now_ms;
+}
+
+int
+bd_targets_put (struct bd_targets *targets, int64_t now_ms,
+                const struct bd_target_entry *entry, uint64_t revision)
+{
+  struct bd_target *target = bd_targets_find (targets, entry->id);
+
+  if (target && !bd_chunk_equal (target->service, entry->service))
+    {
+      /* An identifier never moves; what is in flight keeps the old one. */
+      set_state (target, BD_TARGET_GONE, revision);
+      target->id.length = 0;
+      target = NULL;
+    }
+  if (!target)
+    target = add (targets, now_ms, entry);
+  if (!target)
+    return BD_ERR_NOMEM;
+  ((struct slot *)target)->listed = true;
+  if (revision < target->revision)
+    return BD_OK;
+  if (target->born_ms != 0 && entry->born_ms != target->born_ms)
+    restart (target, now_ms);
+  target->revision = revision;
+  target->ip = entry->ip;
+  target->port = entry->port;
+  target->slots = entry->slots;
+  target->born_ms = entry->born_ms;
+  target->cold_until_ms = now_ms + entry->cold_left_ms;
+  set_state (target, entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY,
+             revision);
+  return BD_OK;
+}
+
+static void
+entry_gone (struct bd_targets *targets, int64_t now_ms,
+            struct bd_target *target, uint64_t revision)
+{
+  bool doubtful = targets->store_lost || now_ms < targets->lapse_until_ms;
+
+  target->revision = revision;
+  if (target->state == BD_TARGET_READY && doubtful)
+    set_state (target, BD_TARGET_LAPSED, revision);
+  else if (target->state != BD_TARGET_LAPSED || !doubtful)
+    set_state (target, BD_TARGET_GONE, revision);
+}
+
+void
+bd_targets_remove (struct bd_targets *targets, int64_t now_ms,
+                   struct bd_chunk id, uint64_t revision)
+{
+  struct bd_target *target = bd_targets_find (targets, id);
+
+  if (target && revision >= target->revision)
+    entry_gone (targets, now_ms, target, revision);
+}
+
+void
+bd_targets_list_begin (struct bd_targets *targets)
+{
+  for (size_t i = 0; i < targets->count; i++)
+    ((struct slot *)targets->all[i])->listed = false;
+}
+
+void
+bd_targets_list_end (struct bd_targets *targets, int64_t now_ms,
+                     uint64_t revision)
+{
+  for (size_t i = 0; i < targets->count; i++)
+    {
+      struct bd_target *target = targets->all[i];
+
+      if (!((struct slot *)target)->listed && target->revision <= revision)
+        entry_gone (targets, now_ms, target, revision);
+    }
+}
+
+void
+bd_targets_store_lost (struct bd_targets *targets)
+{
+  targets->store_lost = true;
+}
+
+void
+bd_targets_store_back (struct bd_targets *targets, int64_t now_ms)
+{
+  if (targets->store_lost)
+    targets->lapse_until_ms = now_ms + BD_TARGET_LAPSE_MS;
+  targets->store_lost = false;
+}
+
+void
+bd_targets_tick (struct bd_targets *targets, int64_t now_ms)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < targets->count; i++)
+    {
+      struct bd_target *target = targets->all[i];
+
+      if (target->state == BD_TARGET_LAPSED && !targets->store_lost
+          && now_ms >= targets->lapse_until_ms)
+        set_state (target, BD_TARGET_GONE, target->revision);
+      if (target->state == BD_TARGET_GONE && target->in_flight == 0)
+        free_target (target);
+      else
+        targets->all[kept++] = target;
+    }
+  targets->count = kept;
+}
+
+struct bd_target *const *
+bd_targets_all (const struct bd_targets *targets, size_t *count)
+{
+  *count = targets->count;
+  return targets->all;
+}
+
+bool
+bd_target_usable (const struct bd_target *target)
+{
+  return target->state == BD_TARGET_READY || target->state == BD_TARGET_LAPSED;
+}
--- /dev/null
+++ b/src/balance/target.h
@@ -0,0 +1,114 @@
+/**
+ * @file target.h
+ * The runners that requests can be sent to: what the platform lists, what is
+ * in flight at each, and how each has done lately.
+ */
+#ifndef BD_TARGET_H
+#define BD_TARGET_H
+
+#include "common/string.h"
+
+/**
+ * How long a runner whose entry went away around an outage of the store may
+ * still be used after the store's return.
+ */
+#define BD_TARGET_LAPSE_MS 2000
+
+enum bd_target_state
+{
+  BD_TARGET_READY = 0,
+  BD_TARGET_DRAINING,
+  BD_TARGET_LAPSED, /**< Its entry went away around an outage. */
+  BD_TARGET_GONE
+};
+
+/** What the platform's list says of a runner. */
+struct bd_target_entry
+{
+  struct bd_chunk id;
+  struct bd_chunk service;
+  struct bd_chunk zone;
+  uint32_t ip;   /**< Network byte order. */
+  uint16_t port; /**< Network byte order. */
+  uint32_t slots;
+  bool draining;
+  int64_t born_ms;      /**< When it started; 0: not said. */
+  int64_t cold_left_ms; /**< How long it stays slow after its start. */
+};
+
+/** Recent results of a runner, weighed down with age. */
+struct bd_target_record
+{
+  double successes;
+  double failures;
+  int64_t updated_ms;
+  int64_t avoid_until_ms;
+  uint32_t avoided;     /**< Times in a row. */
+  bool trial_in_flight; /**< The one request after it was avoided. */
+};
+
+/** A runner.  Kept until it is gone and nothing is in flight. */
+struct bd_target
+{
+  struct bd_chunk id;
+  struct bd_chunk service;
+  struct bd_chunk zone;
+  uint32_t ip;
+  uint16_t port;
+  uint32_t slots;
+  int64_t born_ms;
+  int64_t cold_until_ms;
+  enum bd_target_state state;
+  uint64_t revision; /**< Of the entry. */
+  uint64_t hash;     /**< Of the identifier. */
+  int64_t since_ms;  /**< When it was first seen. */
+  uint32_t in_flight;
+  int64_t heard_ms;        /**< Last byte of any of its responses. */
+  uint64_t prefill_tokens; /**< Sent from here, first event not seen. */
+  uint32_t peers_in_flight;
+  uint64_t peers_prefill_tokens;
+  struct bd_target_record record;
+};
+
+struct bd_targets;
+
+struct bd_targets *bd_targets_create (void);
+void bd_targets_destroy (struct bd_targets *targets);
+
+/**
+ * Takes in an entry as of REVISION; older ones are ignored.  Returns BD_OK
+ * or BD_ERR_NOMEM.
+ */
+int bd_targets_put (struct bd_targets *targets, int64_t now_ms,
+                    const struct bd_target_entry *entry, uint64_t revision);
+
+/** The entry ID was deleted at REVISION. */
+void bd_targets_remove (struct bd_targets *targets, int64_t now_ms,
+                        struct bd_chunk id, uint64_t revision);
+
+/**
+ * A whole list as of REVISION was put: entries that were not in it, and are
+ * not newer, are removed.  Call bd_targets_list_begin () before the puts.
+ */
+void bd_targets_list_begin (struct bd_targets *targets);
+void bd_targets_list_end (struct bd_targets *targets, int64_t now_ms,
+                          uint64_t revision);
+
+/** The store stopped answering, or answers again. */
+void bd_targets_store_lost (struct bd_targets *targets);
+void bd_targets_store_back (struct bd_targets *targets, int64_t now_ms);
+
+/** Ends lapses that are over and frees runners that are gone. */
+void bd_targets_tick (struct bd_targets *targets, int64_t now_ms);
+
+/** All runners; the array is valid until the next put or tick. */
+struct bd_target *const *bd_targets_all (const struct bd_targets *targets,
+                                         size_t *count);
+
+struct bd_target *bd_targets_find (const struct bd_targets *targets,
+                                   struct bd_chunk id);
+
+/** True when new requests may go there. */
+bool bd_target_usable (const struct bd_target *target);
+
+#endif
--- a/src/common/clock.c
+++ b/src/common/clock.c
@@ -23,6 +23,12 @@
   return read_us (CLOCK_MONOTONIC);
 }
 
+int64_t
+bd_clock_boot_ms (void)
+{
+  return read_us (CLOCK_BOOTTIME) / 1000;
+}
+
 int64_t
 bd_clock_wall_ms (void)
 {
--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -13,6 +13,9 @@
 /** Monotonic time in microseconds. */
 int64_t bd_clock_us (void);
 
+/** Like bd_clock_ms (), but time goes on while the machine is suspended. */
+int64_t bd_clock_boot_ms (void);
+
 /** Wall-clock time in milliseconds since 1970. */
 int64_t bd_clock_wall_ms (void);
 
--- a/src/common/error.c
+++ b/src/common/error.c
@@ -80,6 +80,12 @@
   = { 500, "contract", "The contract is not valid.", BD_RAN_NO, 0 },
   [-BD_ERR_NOT_READY]
   = { 503, "not_ready", "No configuration is known yet.", BD_RAN_NO, 1 },
+  [-BD_ERR_HEAD_TOO_LARGE]
+  = { 431, "head_too_large", "The request's head exceeds the size limit.",
+      BD_RAN_NO, 0 },
+  [-BD_ERR_SLOW_CALLER]
+  = { 408, "slow_caller", "The request took too long to arrive.", BD_RAN_NO,
+      0 },
   [-BD_ERR_INTERNAL]
   = { 500, "internal", "An internal fault.", BD_RAN_UNKNOWN, 0 },
 };
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -22,6 +22,10 @@
   X (1003, DAEMON_LEAVING, NOTICE, "shutdown requested, finishing work")      \
   X (1004, DAEMON_STOP, NOTICE, "daemon stopped")                             \
   X (1005, SETTING_BAD, ERROR, "setting refused")                             \
+  X (1006, SETTINGS_READ, NOTICE, "settings read again")                      \
+  X (1007, RESUMED, WARNING, "machine was suspended, beliefs dropped")        \
+  X (1008, ACCEPT_FAILED, WARNING, "connection not accepted")                 \
+  X (1009, LOG_DROPPED, WARNING, "log lines dropped")                         \
   X (2001, REQUEST_DONE, INFO, "request answered whole")                      \
   X (2002, REQUEST_REFUSED, INFO, "request refused")                          \
   X (2003, REQUEST_RETRY, INFO, "request placed again")                       \
@@ -32,6 +36,11 @@
   X (2008, REQUEST_ENDED, INFO, "engine finished the request")                \
   X (2009, BILLING_LINE, INFO, "answer billed")                               \
   X (2010, REQUEST_EXPIRED, INFO, "queued request expired")                   \
+  X (2011, REQUEST_RESUME, INFO, "stream resumed at another runner")          \
+  X (2012, REQUEST_FAILED, NOTICE, "request ended without an answer")         \
+  X (2013, REQUEST_ABORTED, INFO, "caller went away")                         \
+  X (2014, CALLER_REFUSED, NOTICE, "message of a caller refused")             \
+  X (2015, ATTEMPT_FAILED, NOTICE, "attempt at a runner failed")              \
   X (3001, CONFIG_IN_FORCE, NOTICE, "configuration in force")                 \
   X (3002, CONFIG_REFUSED, WARNING, "document refused")                       \
   X (3003, CONFIG_STALE, NOTICE, "older revision ignored")                    \
@@ -41,6 +50,10 @@
   X (4002, MEMBER_SUSPECT, NOTICE, "peer is silent")                          \
   X (4003, MEMBER_GONE, NOTICE, "peer removed")                               \
   X (4004, RUNNER_STATE, NOTICE, "runner changed state")                      \
+  X (4005, TARGET_STATE, NOTICE, "runner's entry changed")                    \
+  X (4006, TARGET_AVOIDED, NOTICE, "runner is avoided for a while")           \
+  X (4007, ENTRY_REFUSED, WARNING, "entry of the store left out")             \
+  X (4008, RETRIES_SHARED, INFO, "retry budget shared anew")                  \
   X (5001, ENGINE_DOWN, WARNING, "engine connection lost")                    \
   X (5002, ENGINE_UP, NOTICE, "engine answers")                               \
   X (5003, ENGINE_ORDER, NOTICE, "order given to the engine")                 \
--- a/src/core/retry.c
+++ b/src/core/retry.c
@@ -87,6 +87,8 @@
     case BD_ERR_PROTOCOL:
     case BD_ERR_SETTING:
     case BD_ERR_CONTRACT:
+    case BD_ERR_HEAD_TOO_LARGE:
+    case BD_ERR_SLOW_CALLER:
     case BD_ERR_INTERNAL:
     case BD_ERR_LIMIT:
       break;
--- a/src/core/sse.c
+++ b/src/core/sse.c
@@ -54,10 +54,10 @@
   return true;
 }
 
-struct bd_chunk
-bd_sse_data (struct bd_chunk event)
+/* The value of the event's first line that begins with FIELD. */
+static struct bd_chunk
+find_field (struct bd_chunk event, struct bd_chunk field)
 {
-  static const char field[] = "data:";
   struct bd_chunk line = { NULL, 0 };
   size_t start = 0;
 
@@ -68,11 +68,10 @@
       size_t length = end ? (size_t)(end - at) : event.length - start;
 
       start += length + 1;
-      if (length < sizeof field - 1
-          || memcmp (at, field, sizeof field - 1) != 0)
+      if (length < field.length || memcmp (at, field.data, field.length) != 0)
         continue;
-      line.data = at + sizeof field - 1;
-      line.length = length - (sizeof field - 1);
+      line.data = at + field.length;
+      line.length = length - field.length;
       while (line.length > 0 && *line.data == ' ')
         line.data++, line.length--;
       while (line.length > 0 && line.data[line.length - 1] == '\r')
@@ -81,3 +80,15 @@
     }
   return line;
 }
+
+struct bd_chunk
+bd_sse_id (struct bd_chunk event)
+{
+  return find_field (event, BD_CHUNK ("id:"));
+}
+
+struct bd_chunk
+bd_sse_data (struct bd_chunk event)
+{
+  return find_field (event, BD_CHUNK ("data:"));
+}
--- a/src/core/sse.h
+++ b/src/core/sse.h
@@ -27,6 +27,9 @@
  */
 bool bd_sse_next (struct bd_sse *sse, struct bd_buffer *event);
 
+/** The event's identifier; data NULL when it has none. */
+struct bd_chunk bd_sse_id (struct bd_chunk event);
+
 /** The event's first data line without "data:"; empty when it has none. */
 struct bd_chunk bd_sse_data (struct bd_chunk event);
 
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,486 @@
+#include "gateway/gateway.h"
+
+#include "balance/choice.h"
+#include "common/clock.h"
+#include "common/log.h"
+#include "core/suspect.h"
+#include "gateway/forward.h"
+#include "gateway/peers.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 100
+/* A jump of this much between the clocks shows that the machine stood. */
+#define SUSPENDED_MS 500
+/* While stopping: how long callers may still be sent here, how long nothing
+   must have come, and how long before the kill the process ends at last. */
+#define STOP_LEAST_MS 3000
+#define STOP_QUIET_MS 700
+#define STOP_MARGIN_MS 300
+#define SUSPECTS_MAX 1024
+#define SUSPECTS_KEEP_MS 60000
+/* How often a peer is asked for the configuration, and for how long a newer
+   one may be on its way from the store before that. */
+#define DOCUMENT_EVERY_MS 1000
+#define DOCUMENT_WAIT_MS 400
+#define DOCUMENT_TIMEOUT_MS 2000
+#define DOCUMENT_MAX_BYTES ((size_t)4 * 1024 * 1024)
+
+struct bd_gateway
+{
+  struct bd_gateway_options options;
+  const struct bd_gateway_handler *handler;
+  void *context;
+  uv_loop_t loop;
+  uv_timer_t tick;
+  uv_signal_t signals[3];
+  struct bd_client *client;
+  struct bd_targets *targets;
+  struct bd_choice *choice;
+  struct bd_retry_share *retries;
+  struct bd_suspects *suspects;
+  struct bd_stats *stats;
+  struct bd_forwarder *forwarder;
+  struct bd_server *callers;
+  struct bd_server *readiness;
+  struct bd_server *internal;
+  struct bd_peers *peers;
+  struct bd_routing *routing;
+  struct bd_buffer document;
+  uint64_t revision;
+  bool listed;
+  bool ready_logged;
+  int64_t stopping_ms;  /* When stopping began; 0: it has not. */
+  int64_t suspended_ms; /* Difference of the clocks at the last tick. */
+  /* A configuration on its way from a peer. */
+  struct bd_call *fetch;
+  struct bd_buffer fetched;
+  int fetch_status;
+  uint64_t fetch_revision;
+  int64_t fetch_ms;
+  int64_t newer_since_ms;
+};
+
+static bool
+is_ready (const struct bd_gateway *gateway)
+{
+  return gateway->routing && gateway->listed && gateway->stopping_ms == 0;
+}
+
+/* Readiness. */
+
+static void
+on_readiness (void *context, struct bd_exchange *exchange)
+{
+  struct bd_gateway *gateway = context;
+  struct bd_chunk path = bd_exchange_head (exchange)->target;
+  struct bd_chunk none = { "", 0 };
+
+  if (!bd_chunk_equal (path, gateway->options.readiness_path))
+    bd_exchange_reply (exchange, 404, none, none);
+  else
+    bd_exchange_reply (exchange, is_ready (gateway) ? 200 : 503, none, none);
+}
+
+static void
+ignore_abort (void *context, struct bd_exchange *exchange)
+{
+  (void)context;
+  (void)exchange;
+}
+
+static const struct bd_server_handler readiness_handler
+    = { .on_request = on_readiness, .on_abort = ignore_abort };
+
+/* Metrics and documents. */
+
+static void
+answer_metrics (struct bd_gateway *gateway, struct bd_exchange *exchange)
+{
+  struct bd_buffer text = { 0 };
+  size_t count;
+  size_t usable = 0;
+  struct bd_target *const *all = bd_targets_all (gateway->targets, &count);
+
+  for (size_t i = 0; i < count; i++)
+    usable += bd_target_usable (all[i]);
+  bd_stats_set (gateway->stats, BD_GAUGE_RUNNERS, (int64_t)usable);
+  bd_stats_set (gateway->stats, BD_GAUGE_ACTIVE,
+                (int64_t)bd_server_active (gateway->callers));
+  bd_stats_set (gateway->stats, BD_GAUGE_CONNECTIONS,
+                (int64_t)bd_server_connections (gateway->callers));
+  bd_stats_write (gateway->stats, &text);
+  bd_exchange_reply (exchange, 200,
+                     BD_CHUNK ("Content-Type: text/plain; version=0.0.4\r\n"),
+                     bd_buffer_chunk (&text));
+  bd_buffer_clear (&text);
+}
+
+static void
+answer_document (struct bd_gateway *gateway, struct bd_exchange *exchange)
+{
+  struct bd_buffer fields = { 0 };
+
+  bd_buffer_printf (&fields, "Basildock-Revision: %" PRIu64 "\r\n",
+                    gateway->revision);
+  bd_exchange_reply (exchange, 200, bd_buffer_chunk (&fields),
+                     bd_buffer_chunk (&gateway->document));
+  bd_buffer_clear (&fields);
+}
+
+static void
+on_internal (void *context, struct bd_exchange *exchange)
+{
+  struct bd_gateway *gateway = context;
+  struct bd_chunk path = bd_exchange_head (exchange)->target;
+
+  if (bd_chunk_equal (path, BD_CHUNK ("/metrics")))
+    answer_metrics (gateway, exchange);
+  else if (bd_chunk_equal (path, BD_CHUNK ("/configuration"))
+           && gateway->routing)
+    answer_document (gateway, exchange);
+  else
+    bd_exchange_reply (exchange, 404, BD_CHUNK (""), BD_CHUNK (""));
+}
+
+static const struct bd_server_handler internal_handler
+    = { .on_request = on_internal, .on_abort = ignore_abort };
+
+/* The configuration from a peer. */
+
+static void
+on_fetch_head (void *context, const struct bd_head *head)
+{
+  struct bd_gateway *gateway = context;
+  struct bd_chunk value
+      = bd_head_value (head, BD_CHUNK ("Basildock-Revision"));
+  int64_t revision;
+
+  gateway->fetch_status = head->status;
+  gateway->fetch_revision = 0;
+  if (value.data && bd_number_parse (value, &revision) == BD_OK)
+    gateway->fetch_revision = (uint64_t)revision;
+}
+
+static void
+on_fetch_body (void *context, struct bd_chunk data)
+{
+  struct bd_gateway *gateway = context;
+
+  if (gateway->fetched.length + data.length <= DOCUMENT_MAX_BYTES)
+    bd_buffer_append (&gateway->fetched, data);
+}
+
+static void
+on_fetch_end (void *context)
+{
+  struct bd_gateway *gateway = context;
+
+  gateway->fetch = NULL;
+  if (gateway->fetch_status == 200
+      && gateway->fetch_revision > gateway->revision)
+    gateway->handler->on_document (gateway->context,
+                                   bd_buffer_chunk (&gateway->fetched),
+                                   gateway->fetch_revision);
+  bd_buffer_clear (&gateway->fetched);
+}
+
+static void
+on_fetch_fail (void *context, const struct bd_call_failure *failure)
+{
+  struct bd_gateway *gateway = context;
+
+  bd_log (BD_EVENT_PROTOCOL_ERROR, "source=peer code=%s",
+          bd_error_answer (failure->error)->code);
+  gateway->fetch = NULL;
+  bd_buffer_clear (&gateway->fetched);
+}
+
+static const struct bd_call_handler fetch_handler
+    = { .on_head = on_fetch_head,
+        .on_body = on_fetch_body,
+        .on_end = on_fetch_end,
+        .on_fail = on_fetch_fail };
+
+static void
+on_newer (void *context, uint32_t ip, uint64_t revision)
+{
+  struct bd_gateway *gateway = context;
+  struct bd_call_request request
+      = { .head = BD_CHUNK ("GET /configuration HTTP/1.1\r\n"
+                            "Host: peer\r\n\r\n"),
+          .connect_timeout_ms = DOCUMENT_TIMEOUT_MS,
+          .idle_max_ms = 0 };
+  int64_t now = bd_clock_boot_ms ();
+
+  (void)revision;
+  if (gateway->newer_since_ms == 0)
+    gateway->newer_since_ms = now;
+  if (gateway->fetch || now - gateway->newer_since_ms < DOCUMENT_WAIT_MS
+      || now - gateway->fetch_ms < DOCUMENT_EVERY_MS)
+    return;
+  request.address = gateway->options.internal;
+  request.address.sin_addr.s_addr = ip;
+  gateway->fetch_ms = now;
+  gateway->fetch
+      = bd_client_call (gateway->client, &request, &fetch_handler, gateway);
+}
+
+static void
+on_members (void *context, uint32_t count)
+{
+  struct bd_gateway *gateway = context;
+
+  bd_retry_share_members (gateway->retries, count);
+  bd_forwarder_members (gateway->forwarder, count);
+}
+
+static const struct bd_peers_handler peers_handler
+    = { .on_members = on_members, .on_newer = on_newer };
+
+/* Ticks and signals. */
+
+static void
+check_suspension (struct bd_gateway *gateway, int64_t now_ms)
+{
+  int64_t difference = now_ms - bd_clock_ms ();
+  int64_t stood = difference - gateway->suspended_ms;
+
+  gateway->suspended_ms = difference;
+  if (stood < SUSPENDED_MS)
+    return;
+  bd_log (BD_EVENT_RESUMED, "suspended_ms=%lld", (long long)stood);
+  bd_client_drop_idle (gateway->client);
+  gateway->handler->on_resume (gateway->context);
+}
+
+static void
+check_stop (struct bd_gateway *gateway, int64_t now_ms)
+{
+  int64_t elapsed = now_ms - gateway->stopping_ms;
+  bool quiet
+      = bd_server_active (gateway->callers) == 0
+        && now_ms - bd_forwarder_last_ms (gateway->forwarder) >= STOP_QUIET_MS;
+
+  if ((elapsed >= STOP_LEAST_MS && quiet)
+      || elapsed >= gateway->options.grace_ms - STOP_MARGIN_MS)
+    uv_stop (&gateway->loop);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct bd_gateway *gateway = timer->data;
+  int64_t now = bd_clock_boot_ms ();
+
+  check_suspension (gateway, now);
+  if (gateway->fetch && now - gateway->fetch_ms > DOCUMENT_TIMEOUT_MS)
+    {
+      bd_call_cancel (gateway->fetch);
+      gateway->fetch = NULL;
+      bd_buffer_clear (&gateway->fetched);
+    }
+  bd_targets_tick (gateway->targets, now);
+  bd_suspects_tick (gateway->suspects, now);
+  bd_forwarder_tick (gateway->forwarder, now);
+  bd_peers_tick (gateway->peers, now);
+  gateway->handler->on_tick (gateway->context, now);
+  if (!gateway->ready_logged && is_ready (gateway))
+    {
+      gateway->ready_logged = true;
+      bd_log (BD_EVENT_DAEMON_READY, "version=%" PRIu64,
+              bd_routing_version (gateway->routing));
+    }
+  if (gateway->stopping_ms != 0)
+    check_stop (gateway, now);
+}
+
+static void
+on_signal (uv_signal_t *signal, int number)
+{
+  struct bd_gateway *gateway = signal->data;
+
+  if (number == SIGHUP)
+    {
+      gateway->handler->on_reload (gateway->context);
+      return;
+    }
+  if (gateway->stopping_ms != 0)
+    return;
+  gateway->stopping_ms = bd_clock_boot_ms ();
+  bd_log (BD_EVENT_DAEMON_LEAVING, "signal=%d active=%zu", number,
+          bd_server_active (gateway->callers));
+  bd_server_drain (gateway->callers);
+}
+
+static int
+open_listeners (struct bd_gateway *gateway)
+{
+  const struct bd_gateway_options *options = &gateway->options;
+  int error = bd_server_create (&gateway->loop, &options->callers,
+                                &bd_forwarder_handler, gateway->forwarder,
+                                &gateway->callers);
+
+  if (error == BD_OK)
+    error
+        = bd_server_create (&gateway->loop, &options->readiness,
+                            &readiness_handler, gateway, &gateway->readiness);
+  if (error == BD_OK)
+    error = bd_server_create (&gateway->loop, &options->internal,
+                              &internal_handler, gateway, &gateway->internal);
+  return error;
+}
+
+static int
+join_peers (struct bd_gateway *gateway)
+{
+  struct bd_peers_options options
+      = { .loop = &gateway->loop,
+          .ip = gateway->options.internal.sin_addr.s_addr,
+          .port = ntohs (gateway->options.internal.sin_port),
+          .seeds = gateway->options.seeds,
+          .seed_count = gateway->options.seed_count,
+          .targets = gateway->targets,
+          .suspects = gateway->suspects,
+          .stats = gateway->stats };
+
+  return bd_peers_create (&options, &peers_handler, gateway, &gateway->peers);
+}
+
+static int
+create_parts (struct bd_gateway *gateway)
+{
+  struct bd_forward_parts parts;
+
+  gateway->client = bd_client_create (&gateway->loop);
+  gateway->targets = bd_targets_create ();
+  gateway->choice = bd_choice_create (bd_id_random ().low);
+  gateway->retries = bd_retry_share_create (&gateway->options.retry);
+  gateway->suspects = bd_suspects_create (SUSPECTS_MAX, SUSPECTS_KEEP_MS);
+  gateway->stats = bd_stats_create ();
+  if (!gateway->client || !gateway->targets || !gateway->choice
+      || !gateway->retries || !gateway->suspects || !gateway->stats)
+    return BD_ERR_NOMEM;
+  parts = (struct bd_forward_parts){ .loop = &gateway->loop,
+                                     .dialect = gateway->options.dialect,
+                                     .client = gateway->client,
+                                     .targets = gateway->targets,
+                                     .choice = gateway->choice,
+                                     .retries = gateway->retries,
+                                     .suspects = gateway->suspects,
+                                     .stats = gateway->stats,
+                                     .zone = gateway->options.zone };
+  gateway->forwarder = bd_forwarder_create (&parts);
+  return gateway->forwarder ? BD_OK : BD_ERR_NOMEM;
+}
+
+int
+bd_gateway_create (const struct bd_gateway_options *options,
+                   const struct bd_gateway_handler *handler, void *context,
+                   struct bd_gateway **out)
+{
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  struct bd_gateway *gateway = calloc (1, sizeof *gateway);
+  int error;
+
+  if (!gateway)
+    return BD_ERR_NOMEM;
+  gateway->options = *options;
+  gateway->handler = handler;
+  gateway->context = context;
+  gateway->suspended_ms = bd_clock_boot_ms () - bd_clock_ms ();
+  uv_loop_init (&gateway->loop);
+  signal (SIGPIPE, SIG_IGN);
+  error = create_parts (gateway);
+  if (error == BD_OK)
+    error = open_listeners (gateway);
+  if (error == BD_OK)
+    error = join_peers (gateway);
+  if (error != BD_OK)
+    return error; /* The process ends: what was made is not taken apart. */
+  for (size_t i = 0; i < 3; i++)
+    {
+      uv_signal_init (&gateway->loop, &gateway->signals[i]);
+      gateway->signals[i].data = gateway;
+      uv_signal_start (&gateway->signals[i], on_signal, numbers[i]);
+    }
+  uv_timer_init (&gateway->loop, &gateway->tick);
+  gateway->tick.data = gateway;
+  uv_timer_start (&gateway->tick, on_tick, 0, TICK_MS);
+  *out = gateway;
+  return BD_OK;
+}
+
+uv_loop_t *
+bd_gateway_loop (struct bd_gateway *gateway)
+{
+  return &gateway->loop;
+}
+
+struct bd_client *
+bd_gateway_client (struct bd_gateway *gateway)
+{
+  return gateway->client;
+}
+
+struct bd_targets *
+bd_gateway_targets (struct bd_gateway *gateway)
+{
+  return gateway->targets;
+}
+
+struct bd_stats *
+bd_gateway_stats (struct bd_gateway *gateway)
+{
+  return gateway->stats;
+}
+
+int
+bd_gateway_route_by (struct bd_gateway *gateway, struct bd_routing *routing,
+                     const struct bd_caller_limits *limits,
+                     struct bd_chunk document, uint64_t revision)
+{
+  struct bd_peer_revisions held = { .configuration = revision };
+
+  if (revision <= gateway->revision)
+    return BD_ERR_STALE;
+  gateway->revision = revision;
+  gateway->newer_since_ms = 0;
+  bd_routing_unref (gateway->routing);
+  gateway->routing = bd_routing_ref (routing);
+  bd_buffer_reset (&gateway->document);
+  bd_buffer_append (&gateway->document, document);
+  bd_forwarder_route_by (gateway->forwarder, routing);
+  bd_server_limit (gateway->callers, limits);
+  bd_peers_hold (gateway->peers, &held);
+  bd_stats_set (gateway->stats, BD_GAUGE_ROUTING_VERSION,
+                (int64_t)bd_routing_version (routing));
+  bd_log (BD_EVENT_CONFIG_IN_FORCE, "version=%" PRIu64 " revision=%" PRIu64,
+          bd_routing_version (routing), revision);
+  return BD_OK;
+}
+
+void
+bd_gateway_listed (struct bd_gateway *gateway)
+{
+  gateway->listed = true;
+}
+
+void
+bd_gateway_bound_retries (struct bd_gateway *gateway,
+                          const struct bd_retry_bounds *bounds)
+{
+  bd_retry_share_bound (gateway->retries, bounds);
+}
+
+void
+bd_gateway_run (struct bd_gateway *gateway)
+{
+  uv_run (&gateway->loop, UV_RUN_DEFAULT);
+  bd_peers_leave (gateway->peers);
+  bd_log (BD_EVENT_DAEMON_STOP, "active=%zu",
+          bd_server_active (gateway->callers));
+}
--- /dev/null
+++ b/src/gateway/http.c
@@ -0,0 +1,475 @@
+#include "gateway/http.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Digits that always fit in an int64_t. */
+#define NUMBER_DIGITS_MAX 18
+
+enum stage
+{
+  STAGE_HEAD = 0,
+  STAGE_BODY,
+  STAGE_DONE
+};
+
+struct bd_http_reader
+{
+  enum bd_http_side side;
+  enum stage stage;
+  size_t head_max;
+  size_t scanned; /* Bytes of the head known to hold no end. */
+  bool no_body;
+  int error;
+  const struct bd_http_handler *handler;
+  void *context;
+  http_parser parser;
+  struct bd_buffer head_bytes;
+  struct bd_buffer ahead; /* After the end of the message. */
+  struct bd_head head;
+};
+
+bool
+bd_field_named (struct bd_chunk a, struct bd_chunk b)
+{
+  return a.length == b.length && strncasecmp (a.data, b.data, a.length) == 0;
+}
+
+struct bd_chunk
+bd_head_value (const struct bd_head *head, struct bd_chunk name)
+{
+  for (size_t i = 0; i < head->field_count; i++)
+    if (bd_field_named (head->fields[i].name, name))
+      return head->fields[i].value;
+  return (struct bd_chunk){ NULL, 0 };
+}
+
+size_t
+bd_head_count (const struct bd_head *head, struct bd_chunk name)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < head->field_count; i++)
+    count += bd_field_named (head->fields[i].name, name);
+  return count;
+}
+
+/* Whether the comma-separated LIST holds the token NAME. */
+static bool
+list_names (struct bd_chunk list, struct bd_chunk name)
+{
+  const char *at = list.data;
+  const char *end = list.data + list.length;
+
+  while (at < end)
+    {
+      const char *comma = memchr (at, ',', (size_t)(end - at));
+      const char *stop = comma ? comma : end;
+      struct bd_chunk token;
+
+      while (at < stop && (*at == ' ' || *at == '\t'))
+        at++;
+      token.data = at;
+      token.length = (size_t)(stop - at);
+      while (token.length > 0
+             && (token.data[token.length - 1] == ' '
+                 || token.data[token.length - 1] == '\t'))
+        token.length--;
+      if (bd_field_named (token, name))
+        return true;
+      at = stop + 1;
+    }
+  return false;
+}
+
+bool
+bd_head_hop_by_hop (const struct bd_head *head, struct bd_chunk name)
+{
+  static const struct bd_chunk names[] = { { "Connection", 10 },
+                                           { "Keep-Alive", 10 },
+                                           { "TE", 2 },
+                                           { "Trailer", 7 },
+                                           { "Upgrade", 7 },
+                                           { "Transfer-Encoding", 17 },
+                                           { "Content-Length", 14 },
+                                           { "Proxy-Connection", 16 },
+                                           { "Proxy-Authenticate", 18 },
+                                           { "Proxy-Authorization", 19 },
+                                           { "Expect", 6 } };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (bd_field_named (names[i], name))
+      return true;
+  for (size_t i = 0; i < head->field_count; i++)
+    if (bd_field_named (head->fields[i].name, BD_CHUNK ("Connection"))
+        && list_names (head->fields[i].value, name))
+      return true;
+  return false;
+}
+
+int
+bd_number_parse (struct bd_chunk text, int64_t *number)
+{
+  int64_t value = 0;
+
+  if (text.length == 0 || text.length > NUMBER_DIGITS_MAX)
+    return BD_ERR_INVALID;
+  for (size_t i = 0; i < text.length; i++)
+    {
+      if (text.data[i] < '0' || text.data[i] > '9')
+        return BD_ERR_INVALID;
+      value = value * 10 + (text.data[i] - '0');
+    }
+  *number = value;
+  return BD_OK;
+}
+
+/* The parser's callbacks.  A head is parsed in one call, so each name and
+   value comes in one piece. */
+
+static int
+on_target (http_parser *parser, const char *at, size_t length)
+{
+  struct bd_http_reader *reader = parser->data;
+
+  reader->head.target = (struct bd_chunk){ at, length };
+  return 0;
+}
+
+static int
+on_name (http_parser *parser, const char *at, size_t length)
+{
+  struct bd_http_reader *reader = parser->data;
+  struct bd_head *head = &reader->head;
+
+  if (reader->stage != STAGE_HEAD)
+    return 0; /* A trailer. */
+  if (head->field_count == BD_HTTP_FIELDS_MAX)
+    {
+      reader->error = BD_ERR_TOO_LARGE;
+      return 1;
+    }
+  head->fields[head->field_count++]
+      = (struct bd_field){ { at, length }, { "", 0 } };
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t length)
+{
+  struct bd_http_reader *reader = parser->data;
+  struct bd_head *head = &reader->head;
+
+  if (reader->stage == STAGE_HEAD && head->field_count > 0)
+    head->fields[head->field_count - 1].value
+        = (struct bd_chunk){ at, length };
+  return 0;
+}
+
+static int
+check_framing (const struct bd_http_reader *reader)
+{
+  const struct bd_head *head = &reader->head;
+  size_t lengths = bd_head_count (head, BD_CHUNK ("Content-Length"));
+  size_t codings = bd_head_count (head, BD_CHUNK ("Transfer-Encoding"));
+
+  if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0))
+    return BD_ERR_INVALID;
+  if (codings > 0
+      && !bd_field_named (bd_head_value (head, BD_CHUNK ("Transfer-Encoding")),
+                          BD_CHUNK ("chunked")))
+    return BD_ERR_INVALID;
+  if (reader->side == BD_HTTP_REQUESTS
+      && bd_head_count (head, BD_CHUNK ("Host")) != 1)
+    return BD_ERR_INVALID;
+  return BD_OK;
+}
+
+static int
+on_headers_complete (http_parser *parser)
+{
+  struct bd_http_reader *reader = parser->data;
+  struct bd_head *head = &reader->head;
+  bool skip = reader->no_body;
+
+  parser->upgrade = 0;
+  if (reader->side == BD_HTTP_REQUESTS)
+    head->method
+        = bd_chunk_of (http_method_str ((enum http_method)parser->method));
+  else
+    head->status = (int)parser->status_code;
+  reader->error = check_framing (reader);
+  if (reader->error == BD_OK
+      && bd_head_count (head, BD_CHUNK ("Content-Length")) == 1)
+    reader->error = bd_number_parse (
+        bd_head_value (head, BD_CHUNK ("Content-Length")), &head->body_length);
+  if (reader->error != BD_OK)
+    return -1;
+  head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  /* A head of 1xx is followed by the final one. */
+  if (reader->side == BD_HTTP_RESPONSES && head->status < 200)
+    return 1;
+  reader->no_body = false;
+  reader->error = reader->handler->on_head (reader->context, head);
+  if (reader->error != BD_OK)
+    return -1;
+  return skip ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  struct bd_http_reader *reader = parser->data;
+
+  reader->error = reader->handler->on_body (reader->context,
+                                            (struct bd_chunk){ at, length });
+  return reader->error == BD_OK ? 0 : 1;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct bd_http_reader *reader = parser->data;
+
+  reader->stage = STAGE_DONE;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_url = on_target,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+static void
+begin_message (struct bd_http_reader *reader)
+{
+  bd_buffer_reset (&reader->head_bytes);
+  reader->scanned = 0;
+  reader->stage = STAGE_HEAD;
+  memset (&reader->head, 0, offsetof (struct bd_head, fields));
+  reader->head.body_length = -1;
+  http_parser_init (&reader->parser, reader->side == BD_HTTP_REQUESTS
+                                         ? HTTP_REQUEST
+                                         : HTTP_RESPONSE);
+  reader->parser.data = reader;
+}
+
+struct bd_http_reader *
+bd_http_reader_create (enum bd_http_side side, size_t head_max,
+                       const struct bd_http_handler *handler, void *context)
+{
+  struct bd_http_reader *reader = calloc (1, sizeof *reader);
+
+  if (!reader)
+    return NULL;
+  reader->side = side;
+  reader->head_max = head_max;
+  reader->handler = handler;
+  reader->context = context;
+  begin_message (reader);
+  return reader;
+}
+
+void
+bd_http_reader_destroy (struct bd_http_reader *reader)
+{
+  if (!reader)
+    return;
+  bd_buffer_clear (&reader->head_bytes);
+  bd_buffer_clear (&reader->ahead);
+  free (reader);
+}
+
+void
+bd_http_reader_limit (struct bd_http_reader *reader, size_t head_max)
+{
+  reader->head_max = head_max;
+}
+
+void
+bd_http_reader_no_body (struct bd_http_reader *reader)
+{
+  reader->no_body = true;
+}
+
+/* Lines end in CR LF and nothing else; NUL and a space before the colon are
+   refused by the parser. */
+static bool
+has_bare_line_feed (struct bd_chunk text)
+{
+  for (size_t i = 0; i < text.length; i++)
+    if (text.data[i] == '\n' && (i == 0 || text.data[i - 1] != '\r'))
+      return true;
+  return false;
+}
+
+/* Length of the head with its blank line, or 0. */
+static size_t
+head_length (struct bd_http_reader *reader)
+{
+  const struct bd_buffer *bytes = &reader->head_bytes;
+  size_t from = reader->scanned > 3 ? reader->scanned - 3 : 0;
+  const char *end;
+
+  if (bytes->length < 4)
+    return 0;
+  end = memmem (bytes->data + from, bytes->length - from, "\r\n\r\n", 4);
+  reader->scanned = bytes->length;
+  return end ? (size_t)(end - bytes->data) + 4 : 0;
+}
+
+/* Feeds body bytes, or a whole head; returns in *USED how many were taken. */
+static int
+execute (struct bd_http_reader *reader, struct bd_chunk data, size_t *used)
+{
+  reader->error = BD_OK;
+  *used = http_parser_execute (&reader->parser, &parser_settings, data.data,
+                               data.length);
+  if (reader->error != BD_OK)
+    return reader->error;
+  if (reader->stage == STAGE_DONE)
+    return BD_OK;
+  if (HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK || *used != data.length)
+    return BD_ERR_INVALID;
+  return BD_OK;
+}
+
+static int
+parse_head (struct bd_http_reader *reader, size_t length)
+{
+  struct bd_chunk head = { reader->head_bytes.data, length };
+  size_t used;
+  int error;
+
+  if (has_bare_line_feed (head))
+    return BD_ERR_INVALID;
+  error = execute (reader, head, &used);
+  if (error != BD_OK)
+    return error;
+  if (reader->side == BD_HTTP_RESPONSES && reader->head.status < 200)
+    begin_message (reader);
+  else if (reader->stage == STAGE_HEAD)
+    reader->stage = STAGE_BODY;
+  return BD_OK;
+}
+
+/* Takes bytes into the head; sets *USED to those that belong to it. */
+static int
+feed_head (struct bd_http_reader *reader, struct bd_chunk data, size_t *used)
+{
+  size_t before = reader->head_bytes.length;
+  size_t length;
+  int error;
+
+  /* Empty lines before a message are passed over, as RFC 9112 asks. */
+  if (before == 0 && data.data[0] == '\r')
+    {
+      *used = data.length > 1 && data.data[1] == '\n' ? 2 : 1;
+      return data.length > 1 && data.data[1] != '\n' ? BD_ERR_INVALID : BD_OK;
+    }
+  if (before == 0 && data.data[0] == '\n')
+    {
+      *used = 1;
+      return BD_OK;
+    }
+  error = bd_buffer_append (&reader->head_bytes, data);
+  if (error != BD_OK)
+    return error;
+  length = head_length (reader);
+  if (length == 0)
+    {
+      *used = data.length;
+      return reader->head_bytes.length > reader->head_max ? BD_ERR_TOO_LARGE
+                                                          : BD_OK;
+    }
+  if (length > reader->head_max)
+    return BD_ERR_TOO_LARGE;
+  *used = length - before;
+  return parse_head (reader, length);
+}
+
+int
+bd_http_reader_feed (struct bd_http_reader *reader, struct bd_chunk data)
+{
+  while (data.length > 0)
+    {
+      size_t used = data.length;
+      int error = BD_OK;
+
+      if (reader->stage == STAGE_DONE)
+        {
+          if (reader->ahead.length + data.length > BD_HTTP_AHEAD_MAX_BYTES)
+            return BD_ERR_TOO_LARGE;
+          return bd_buffer_append (&reader->ahead, data);
+        }
+      if (reader->stage == STAGE_HEAD)
+        error = feed_head (reader, data, &used);
+      else
+        error = execute (reader, data, &used);
+      if (error != BD_OK)
+        return error;
+      data.data += used;
+      data.length -= used;
+      if (reader->stage == STAGE_DONE)
+        {
+          if (data.length > 0)
+            error = bd_buffer_append (&reader->ahead, data);
+          if (error == BD_OK)
+            error = reader->handler->on_end (reader->context);
+          return error;
+        }
+    }
+  return BD_OK;
+}
+
+int
+bd_http_reader_finish (struct bd_http_reader *reader)
+{
+  size_t used;
+
+  if (reader->stage == STAGE_DONE)
+    return BD_OK;
+  if (reader->stage == STAGE_HEAD)
+    return reader->head_bytes.length > 0 ? BD_ERR_BROKEN : BD_OK;
+  if (reader->side == BD_HTTP_REQUESTS || reader->head.chunked
+      || reader->head.body_length >= 0)
+    return BD_ERR_BROKEN;
+  execute (reader, (struct bd_chunk){ "", 0 }, &used);
+  if (reader->stage != STAGE_DONE)
+    return BD_ERR_BROKEN;
+  return reader->handler->on_end (reader->context);
+}
+
+int
+bd_http_reader_next (struct bd_http_reader *reader)
+{
+  struct bd_buffer ahead = reader->ahead;
+  int error = BD_OK;
+
+  begin_message (reader);
+  memset (&reader->ahead, 0, sizeof reader->ahead);
+  if (ahead.length > 0)
+    error = bd_http_reader_feed (reader, bd_buffer_chunk (&ahead));
+  bd_buffer_clear (&ahead);
+  return error;
+}
+
+bool
+bd_http_reader_idle (const struct bd_http_reader *reader)
+{
+  return reader->stage == STAGE_HEAD && reader->head_bytes.length == 0;
+}
+
+bool
+bd_http_reader_in_head (const struct bd_http_reader *reader)
+{
+  return reader->stage == STAGE_HEAD && reader->head_bytes.length > 0;
+}
--- /dev/null
+++ b/src/gateway/peers.h
@@ -0,0 +1,61 @@
+/**
+ * @file peers.h
+ * What the instances of the gateway tell each other in datagrams: that they
+ * live, which revisions they hold, what they have in flight at each runner,
+ * and which requests crashed runners.
+ */
+#ifndef BD_PEERS_H
+#define BD_PEERS_H
+
+#include "balance/target.h"
+#include "core/suspect.h"
+#include "gateway/stats.h"
+
+#include <uv.h>
+
+/** Most peers known at a time. */
+#define BD_PEERS_MAX 512
+
+/** What this instance has of the platform's store. */
+struct bd_peer_revisions
+{
+  uint64_t configuration; /**< Revision of the configuration held. */
+};
+
+struct bd_peers_options
+{
+  uv_loop_t *loop;
+  uint32_t ip; /**< Of this instance, network byte order. */
+  uint16_t port;
+  const uint32_t *seeds; /**< Addresses of peers to begin with. */
+  size_t seed_count;
+  struct bd_targets *targets;
+  struct bd_suspects *suspects;
+  struct bd_stats *stats;
+};
+
+struct bd_peers_handler
+{
+  /** How many instances are alive, this one included. */
+  void (*on_members) (void *context, uint32_t count);
+  /** The peer at IP holds a newer configuration than this instance. */
+  void (*on_newer) (void *context, uint32_t ip, uint64_t revision);
+};
+
+struct bd_peers;
+
+/** Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
+int bd_peers_create (const struct bd_peers_options *options,
+                     const struct bd_peers_handler *handler, void *context,
+                     struct bd_peers **peers);
+
+void bd_peers_hold (struct bd_peers *peers,
+                    const struct bd_peer_revisions *revisions);
+
+/** Sends the news that are due; call several times a second. */
+void bd_peers_tick (struct bd_peers *peers, int64_t now_ms);
+
+/** This instance leaves: peers are told. */
+void bd_peers_leave (struct bd_peers *peers);
+
+#endif
--- /dev/null
+++ b/src/gateway/server.c
@@ -0,0 +1,496 @@
+#include "gateway/server.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "gateway/socket.h"
+
+#include <http_parser.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LISTEN_BACKLOG 1024
+/* How often timeouts of connections are looked at. */
+#define SWEEP_MS 250
+/* Grown by doubling up to this, a body buffer is freed after its request. */
+#define BODY_KEPT_BYTES ((size_t)32 * 1024)
+
+enum phase
+{
+  PHASE_READING = 0, /* No whole request yet. */
+  PHASE_ANSWERING,   /* The handler has it. */
+  PHASE_STREAMING    /* The answer's head is out. */
+};
+
+struct bd_exchange
+{
+  struct bd_server *server;
+  struct bd_socket *socket;
+  struct bd_http_reader *reader;
+  struct bd_exchange *next;
+  struct bd_exchange *previous;
+  const struct bd_head *head;
+  struct bd_buffer body;
+  void *owner;
+  enum phase phase;
+  int64_t arrived_ms; /* First byte of the request; 0: none has come. */
+  int64_t heard_ms;   /* Last byte, or end of the last answer. */
+  bool head_done;
+  bool feeding;  /* The reader is at work further up the stack. */
+  bool next_due; /* The reader is to go on to the next request. */
+  bool closed;   /* Freed when the reader is done. */
+};
+
+struct bd_server
+{
+  uv_tcp_t listener;
+  uv_timer_t sweep;
+  const struct bd_server_handler *handler;
+  void *context;
+  struct bd_caller_limits limits;
+  struct bd_exchange *exchanges;
+  size_t connections;
+  size_t active;
+  bool draining;
+};
+
+static const struct bd_caller_limits default_limits
+    = { .head_max_bytes = (size_t)16 * 1024,
+        .body_max_bytes = (size_t)4 * 1024 * 1024,
+        .head_timeout_ms = 3000,
+        .idle_timeout_ms = 15000 };
+
+static void
+forget (struct bd_exchange *exchange)
+{
+  struct bd_server *server = exchange->server;
+
+  if (exchange->previous)
+    exchange->previous->next = exchange->next;
+  else
+    server->exchanges = exchange->next;
+  if (exchange->next)
+    exchange->next->previous = exchange->previous;
+  server->connections--;
+  bd_http_reader_destroy (exchange->reader);
+  bd_buffer_clear (&exchange->body);
+  free (exchange);
+}
+
+/* Ends the connection; GRACEFUL sends what is pending first. */
+static void
+drop (struct bd_exchange *exchange, bool graceful)
+{
+  if (exchange->closed)
+    return;
+  exchange->closed = true;
+  if (exchange->phase != PHASE_READING)
+    exchange->server->active--;
+  if (graceful)
+    bd_socket_finish (exchange->socket);
+  else
+    bd_socket_close (exchange->socket);
+  exchange->socket = NULL;
+  if (!exchange->feeding)
+    forget (exchange);
+}
+
+static void
+abort_exchange (struct bd_exchange *exchange)
+{
+  if (exchange->phase != PHASE_READING)
+    exchange->server->handler->on_abort (exchange->server->context, exchange);
+  drop (exchange, false);
+}
+
+/* Answers a request that the reader refuses, and closes. */
+static void
+refuse (struct bd_exchange *exchange, int error)
+{
+  const struct bd_answer *answer = bd_error_answer (error);
+  char text[256];
+  int n;
+
+  bd_log (BD_EVENT_CALLER_REFUSED, "status=%d code=%s bytes=%zu",
+          answer->status, answer->code, exchange->body.length);
+  n = snprintf (text, sizeof text,
+                "HTTP/1.1 %d %s\r\nConnection: close\r\n"
+                "Content-Length: 0\r\n\r\n",
+                answer->status,
+                http_status_str ((enum http_status)answer->status));
+  if (bd_socket_write (exchange->socket, (struct bd_chunk){ text, (size_t)n })
+      == BD_OK)
+    drop (exchange, true);
+  else
+    drop (exchange, false);
+}
+
+static int
+on_head (void *context, const struct bd_head *head)
+{
+  struct bd_exchange *exchange = context;
+  struct bd_chunk expect = bd_head_value (head, BD_CHUNK ("Expect"));
+
+  exchange->head = head;
+  exchange->head_done = true;
+  if (bd_field_named (head->method, BD_CHUNK ("CONNECT")))
+    return BD_ERR_INVALID;
+  if (head->body_length > (int64_t)exchange->server->limits.body_max_bytes)
+    return BD_ERR_TOO_LARGE;
+  if (bd_field_named (expect, BD_CHUNK ("100-continue")))
+    return bd_socket_write (exchange->socket,
+                            BD_CHUNK ("HTTP/1.1 100 Continue\r\n\r\n"));
+  return BD_OK;
+}
+
+static int
+on_body (void *context, struct bd_chunk data)
+{
+  struct bd_exchange *exchange = context;
+
+  if (exchange->body.length + data.length
+      > exchange->server->limits.body_max_bytes)
+    return BD_ERR_TOO_LARGE;
+  return bd_buffer_append (&exchange->body, data);
+}
+
+static int
+on_request_end (void *context)
+{
+  struct bd_exchange *exchange = context;
+
+  exchange->phase = PHASE_ANSWERING;
+  exchange->server->active++;
+  exchange->server->handler->on_request (exchange->server->context, exchange);
+  return BD_OK;
+}
+
+static const struct bd_http_handler reader_handler
+    = { .on_head = on_head, .on_body = on_body, .on_end = on_request_end };
+
+/* Lets the reader go on, then acts on what came of it.  The exchange may be
+   gone afterwards. */
+static void
+settle (struct bd_exchange *exchange, int error)
+{
+  while (error == BD_OK && exchange->next_due && !exchange->closed)
+    {
+      exchange->next_due = false;
+      exchange->arrived_ms = 0;
+      exchange->head_done = false;
+      exchange->head = NULL;
+      if (exchange->body.capacity > BODY_KEPT_BYTES)
+        bd_buffer_clear (&exchange->body);
+      bd_buffer_reset (&exchange->body);
+      error = bd_http_reader_next (exchange->reader);
+      if (exchange->arrived_ms == 0 && !bd_http_reader_idle (exchange->reader))
+        exchange->arrived_ms = bd_clock_boot_ms ();
+    }
+  exchange->feeding = false;
+  if (exchange->closed)
+    forget (exchange);
+  else if (error != BD_OK && exchange->phase == PHASE_READING)
+    refuse (exchange, error == BD_ERR_TOO_LARGE && !exchange->head_done
+                          ? BD_ERR_HEAD_TOO_LARGE
+                          : error);
+  else if (error != BD_OK)
+    abort_exchange (exchange);
+}
+
+static void
+on_data (void *context, struct bd_chunk data)
+{
+  struct bd_exchange *exchange = context;
+  int64_t now = bd_clock_boot_ms ();
+
+  exchange->heard_ms = now;
+  if (exchange->phase == PHASE_READING && exchange->arrived_ms == 0)
+    exchange->arrived_ms = now;
+  exchange->feeding = true;
+  settle (exchange, bd_http_reader_feed (exchange->reader, data));
+}
+
+static void
+on_end (void *context, int error)
+{
+  (void)error;
+  abort_exchange (context);
+}
+
+static const struct bd_socket_handler socket_handler
+    = { .on_data = on_data, .on_end = on_end };
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct bd_server *server = listener->data;
+  struct bd_exchange *exchange;
+
+  if (status != 0)
+    {
+      bd_log (BD_EVENT_ACCEPT_FAILED, "reason=%s", uv_err_name (status));
+      return;
+    }
+  exchange = calloc (1, sizeof *exchange);
+  if (!exchange)
+    return;
+  exchange->server = server;
+  exchange->heard_ms = bd_clock_boot_ms ();
+  exchange->reader
+      = bd_http_reader_create (BD_HTTP_REQUESTS, server->limits.head_max_bytes,
+                               &reader_handler, exchange);
+  exchange->socket
+      = bd_socket_create (listener->loop, &socket_handler, exchange);
+  server->connections++;
+  exchange->next = server->exchanges;
+  if (exchange->next)
+    exchange->next->previous = exchange;
+  server->exchanges = exchange;
+  if (!exchange->reader || !exchange->socket
+      || bd_socket_accept (exchange->socket, listener) != BD_OK)
+    {
+      if (exchange->socket)
+        bd_socket_close (exchange->socket);
+      forget (exchange);
+    }
+}
+
+/* True when the connection has been silent for too long at its stage. */
+static bool
+overdue (const struct bd_exchange *exchange, int64_t now)
+{
+  const struct bd_caller_limits *limits = &exchange->server->limits;
+
+  if (exchange->phase != PHASE_READING)
+    return false;
+  if (exchange->arrived_ms != 0 && !exchange->head_done)
+    return now - exchange->arrived_ms > limits->head_timeout_ms;
+  return now - exchange->heard_ms > limits->idle_timeout_ms;
+}
+
+static void
+on_sweep (uv_timer_t *timer)
+{
+  struct bd_server *server = timer->data;
+  int64_t now = bd_clock_boot_ms ();
+  struct bd_exchange *next;
+
+  for (struct bd_exchange *exchange = server->exchanges; exchange;
+       exchange = next)
+    {
+      next = exchange->next;
+      bd_http_reader_limit (exchange->reader, server->limits.head_max_bytes);
+      if (!overdue (exchange, now))
+        continue;
+      if (exchange->arrived_ms != 0)
+        refuse (exchange, BD_ERR_SLOW_CALLER);
+      else
+        drop (exchange, false);
+    }
+}
+
+int
+bd_server_create (uv_loop_t *loop, const struct sockaddr_in *address,
+                  const struct bd_server_handler *handler, void *context,
+                  struct bd_server **out)
+{
+  struct bd_server *server = calloc (1, sizeof *server);
+
+  if (!server)
+    return BD_ERR_NOMEM;
+  server->handler = handler;
+  server->context = context;
+  server->limits = default_limits;
+  uv_tcp_init (loop, &server->listener);
+  uv_timer_init (loop, &server->sweep);
+  server->listener.data = server;
+  server->sweep.data = server;
+  if (uv_tcp_bind (&server->listener, (const struct sockaddr *)address, 0) != 0
+      || uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+                    on_connection)
+             != 0)
+    {
+      free (server);
+      return BD_ERR_IO;
+    }
+  uv_timer_start (&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+  *out = server;
+  return BD_OK;
+}
+
+void
+bd_server_limit (struct bd_server *server,
+                 const struct bd_caller_limits *limits)
+{
+  server->limits = *limits;
+}
+
+void
+bd_server_drain (struct bd_server *server)
+{
+  server->draining = true;
+}
+
+size_t
+bd_server_active (const struct bd_server *server)
+{
+  return server->active;
+}
+
+size_t
+bd_server_connections (const struct bd_server *server)
+{
+  return server->connections;
+}
+
+const struct bd_head *
+bd_exchange_head (const struct bd_exchange *exchange)
+{
+  return exchange->head;
+}
+
+struct bd_chunk
+bd_exchange_body (const struct bd_exchange *exchange)
+{
+  return bd_buffer_chunk (&exchange->body);
+}
+
+int64_t
+bd_exchange_arrived_ms (const struct bd_exchange *exchange)
+{
+  return exchange->arrived_ms;
+}
+
+void
+bd_exchange_set_owner (struct bd_exchange *exchange, void *owner)
+{
+  exchange->owner = owner;
+}
+
+void *
+bd_exchange_owner (const struct bd_exchange *exchange)
+{
+  return exchange->owner;
+}
+
+/* The answer is complete: closes, or waits for the next request. */
+static void
+complete (struct bd_exchange *exchange)
+{
+  bool again = exchange->head->keep_alive && !exchange->server->draining;
+
+  exchange->owner = NULL;
+  if (!again)
+    {
+      drop (exchange, true);
+      return;
+    }
+  exchange->server->active--;
+  exchange->phase = PHASE_READING;
+  exchange->heard_ms = bd_clock_boot_ms ();
+  exchange->next_due = true;
+  if (!exchange->feeding)
+    {
+      exchange->feeding = true;
+      settle (exchange, BD_OK);
+    }
+}
+
+static const char *
+connection_line (const struct bd_exchange *exchange)
+{
+  if (exchange->head->keep_alive && !exchange->server->draining)
+    return "";
+  return "Connection: close\r\n";
+}
+
+static int
+write_head (struct bd_exchange *exchange, struct bd_buffer *out, int status,
+            struct bd_chunk fields)
+{
+  return bd_buffer_printf (out, "HTTP/1.1 %d %s\r\n%.*s%s", status,
+                           http_status_str ((enum http_status)status),
+                           (int)fields.length, fields.data,
+                           connection_line (exchange));
+}
+
+/* Writes OUT; the caller's connection ends when that fails, and on_abort is
+   not called, since the handler is the one that writes. */
+static int
+flush (struct bd_exchange *exchange, struct bd_buffer *out)
+{
+  int error = bd_socket_write (exchange->socket, bd_buffer_chunk (out));
+
+  bd_buffer_clear (out);
+  return error;
+}
+
+void
+bd_exchange_reply (struct bd_exchange *exchange, int status,
+                   struct bd_chunk fields, struct bd_chunk body)
+{
+  bool no_body = status == 204 || status == 304
+                 || bd_field_named (exchange->head->method, BD_CHUNK ("HEAD"));
+  struct bd_buffer out = { 0 };
+
+  write_head (exchange, &out, status, fields);
+  if (status != 204)
+    bd_buffer_printf (&out, "Content-Length: %zu\r\n", body.length);
+  bd_buffer_append (&out, BD_CHUNK ("\r\n"));
+  if (!no_body)
+    bd_buffer_append (&out, body);
+  if (flush (exchange, &out) != BD_OK)
+    drop (exchange, false);
+  else
+    complete (exchange);
+}
+
+void
+bd_exchange_begin (struct bd_exchange *exchange, int status,
+                   struct bd_chunk fields)
+{
+  struct bd_buffer out = { 0 };
+
+  exchange->phase = PHASE_STREAMING;
+  write_head (exchange, &out, status, fields);
+  bd_buffer_append (&out, BD_CHUNK ("Transfer-Encoding: chunked\r\n\r\n"));
+  /* A failed write shows in the next read. */
+  flush (exchange, &out);
+}
+
+void
+bd_exchange_send (struct bd_exchange *exchange, struct bd_chunk data)
+{
+  struct bd_buffer out = { 0 };
+
+  if (data.length == 0)
+    return;
+  bd_buffer_printf (&out, "%zx\r\n", data.length);
+  bd_buffer_append (&out, data);
+  bd_buffer_append (&out, BD_CHUNK ("\r\n"));
+  flush (exchange, &out);
+}
+
+size_t
+bd_exchange_pending (const struct bd_exchange *exchange)
+{
+  return bd_socket_pending (exchange->socket);
+}
+
+void
+bd_exchange_end (struct bd_exchange *exchange)
+{
+  struct bd_buffer out = { 0 };
+
+  bd_buffer_append (&out, BD_CHUNK ("0\r\n\r\n"));
+  if (flush (exchange, &out) != BD_OK)
+    drop (exchange, false);
+  else
+    complete (exchange);
+}
+
+void
+bd_exchange_break (struct bd_exchange *exchange)
+{
+  drop (exchange, false);
+}
--- /dev/null
+++ b/src/gateway/socket.c
@@ -0,0 +1,290 @@
+#include "gateway/socket.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One loop, one thread: all sockets read into the same bytes. */
+#define READ_BYTES ((size_t)64 * 1024)
+/* How long a finished socket waits for the other side to close. */
+#define LINGER_MS 1000
+#define ADDRESS_TEXT_BYTES 32
+
+struct bd_socket
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  uv_shutdown_t shutdown;
+  uv_timer_t linger;
+  const struct bd_socket_handler *handler; /* NULL once closed. */
+  void *context;
+  size_t pending;
+  int open_handles;
+};
+
+struct write
+{
+  uv_write_t request;
+  struct bd_socket *socket;
+  size_t length;
+  char data[];
+};
+
+static char read_bytes[READ_BYTES];
+
+static void
+on_handle_closed (uv_handle_t *handle)
+{
+  struct bd_socket *socket = handle->data;
+
+  if (--socket->open_handles == 0)
+    free (socket);
+}
+
+static void
+close_handles (struct bd_socket *socket)
+{
+  if (uv_is_closing ((uv_handle_t *)&socket->tcp))
+    return;
+  socket->handler = NULL;
+  uv_close ((uv_handle_t *)&socket->tcp, on_handle_closed);
+  uv_close ((uv_handle_t *)&socket->linger, on_handle_closed);
+}
+
+struct bd_socket *
+bd_socket_create (uv_loop_t *loop, const struct bd_socket_handler *handler,
+                  void *context)
+{
+  struct bd_socket *socket = calloc (1, sizeof *socket);
+
+  if (!socket)
+    return NULL;
+  uv_tcp_init (loop, &socket->tcp);
+  uv_timer_init (loop, &socket->linger);
+  socket->tcp.data = socket;
+  socket->linger.data = socket;
+  socket->open_handles = 2;
+  socket->handler = handler;
+  socket->context = context;
+  return socket;
+}
+
+static void
+end (struct bd_socket *socket, int error)
+{
+  const struct bd_socket_handler *handler = socket->handler;
+
+  uv_read_stop ((uv_stream_t *)&socket->tcp);
+  if (!handler)
+    {
+      close_handles (socket);
+      return;
+    }
+  handler->on_end (socket->context, error);
+}
+
+static void
+on_allocate (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  (void)handle;
+  (void)suggested;
+  *buffer = uv_buf_init (read_bytes, READ_BYTES);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+  struct bd_socket *socket = stream->data;
+
+  if (length < 0)
+    end (socket, length == UV_EOF ? BD_OK : BD_ERR_IO);
+  else if (length > 0 && socket->handler)
+    socket->handler->on_data (
+        socket->context, (struct bd_chunk){ buffer->base, (size_t)length });
+}
+
+/* Failures here leave the system's defaults, which are only slower to find a
+   dead connection. */
+static void
+set_options (struct bd_socket *socket)
+{
+  int silence = BD_SOCKET_SILENCE_MS;
+  int interval = BD_SOCKET_PROBE_S;
+  int probes = BD_SOCKET_PROBES;
+  uv_os_fd_t fd;
+
+  uv_tcp_nodelay (&socket->tcp, 1);
+  uv_tcp_keepalive (&socket->tcp, 1, BD_SOCKET_PROBE_S);
+  if (uv_fileno ((uv_handle_t *)&socket->tcp, &fd) != 0)
+    return;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof silence);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
+int
+bd_socket_accept (struct bd_socket *socket, uv_stream_t *listener)
+{
+  if (uv_accept (listener, (uv_stream_t *)&socket->tcp) != 0)
+    return BD_ERR_IO;
+  set_options (socket);
+  bd_socket_resume (socket);
+  return BD_OK;
+}
+
+static void
+on_connected (uv_connect_t *request, int status)
+{
+  struct bd_socket *socket = request->handle->data;
+
+  if (!socket->handler)
+    return;
+  if (status != 0)
+    {
+      end (socket, BD_ERR_IO);
+      return;
+    }
+  set_options (socket);
+  bd_socket_resume (socket);
+  socket->handler->on_connect (socket->context);
+}
+
+int
+bd_socket_connect (struct bd_socket *socket, const struct sockaddr_in *address)
+{
+  if (uv_tcp_connect (&socket->connect, &socket->tcp,
+                      (const struct sockaddr *)address, on_connected)
+      != 0)
+    return BD_ERR_IO;
+  return BD_OK;
+}
+
+static void
+on_written (uv_write_t *request, int status)
+{
+  struct write *write = (struct write *)request;
+  struct bd_socket *socket = write->socket;
+
+  socket->pending -= write->length;
+  free (write);
+  if (!socket->handler)
+    return;
+  if (status != 0)
+    end (socket, BD_ERR_IO);
+  else if (socket->pending == 0 && socket->handler->on_drain)
+    socket->handler->on_drain (socket->context);
+}
+
+int
+bd_socket_write (struct bd_socket *socket, struct bd_chunk data)
+{
+  uv_stream_t *stream = (uv_stream_t *)&socket->tcp;
+  struct write *write;
+  uv_buf_t buffer;
+
+  if (socket->pending == 0)
+    {
+      int n;
+
+      buffer = uv_buf_init ((char *)data.data, (unsigned)data.length);
+      n = uv_try_write (stream, &buffer, 1);
+      if (n < 0 && n != UV_EAGAIN)
+        return BD_ERR_IO;
+      if (n > 0)
+        {
+          data.data += n;
+          data.length -= (size_t)n;
+        }
+      if (data.length == 0)
+        return BD_OK;
+    }
+  write = malloc (sizeof *write + data.length);
+  if (!write)
+    return BD_ERR_NOMEM;
+  write->socket = socket;
+  write->length = data.length;
+  memcpy (write->data, data.data, data.length);
+  buffer = uv_buf_init (write->data, (unsigned)data.length);
+  if (uv_write (&write->request, stream, &buffer, 1, on_written) != 0)
+    {
+      free (write);
+      return BD_ERR_IO;
+    }
+  socket->pending += data.length;
+  return BD_OK;
+}
+
+size_t
+bd_socket_pending (const struct bd_socket *socket)
+{
+  return socket->pending;
+}
+
+void
+bd_socket_pause (struct bd_socket *socket)
+{
+  uv_read_stop ((uv_stream_t *)&socket->tcp);
+}
+
+void
+bd_socket_resume (struct bd_socket *socket)
+{
+  uv_read_start ((uv_stream_t *)&socket->tcp, on_allocate, on_read);
+}
+
+void
+bd_socket_close (struct bd_socket *socket)
+{
+  close_handles (socket);
+}
+
+static void
+on_linger (uv_timer_t *timer)
+{
+  close_handles (timer->data);
+}
+
+static void
+on_shutdown (uv_shutdown_t *request, int status)
+{
+  if (status != 0)
+    close_handles (request->handle->data);
+}
+
+void
+bd_socket_finish (struct bd_socket *socket)
+{
+  socket->handler = NULL;
+  uv_timer_start (&socket->linger, on_linger, LINGER_MS, 0);
+  if (uv_shutdown (&socket->shutdown, (uv_stream_t *)&socket->tcp, on_shutdown)
+      != 0)
+    close_handles (socket);
+}
+
+int
+bd_address_parse (struct bd_chunk text, struct sockaddr_in *address)
+{
+  const char *colon = memchr (text.data, ':', text.length);
+  char host[ADDRESS_TEXT_BYTES];
+  size_t host_length;
+  int port = 0;
+
+  if (!colon)
+    return BD_ERR_INVALID;
+  host_length = (size_t)(colon - text.data);
+  if (host_length >= sizeof host || text.length - host_length - 1 > 5
+      || text.length - host_length - 1 == 0)
+    return BD_ERR_INVALID;
+  for (const char *at = colon + 1; at < text.data + text.length; at++)
+    {
+      if (*at < '0' || *at > '9')
+        return BD_ERR_INVALID;
+      port = port * 10 + (*at - '0');
+    }
+  memcpy (host, text.data, host_length);
+  host[host_length] = '\0';
+  if (port == 0 || port > UINT16_MAX || uv_ip4_addr (host, port, address) != 0)
+    return BD_ERR_INVALID;
+  return BD_OK;
+}
--- /dev/null
+++ b/src/gateway/stats.c
@@ -0,0 +1,112 @@
+#include "gateway/stats.h"
+
+#include "core/histogram.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+struct bd_stats
+{
+  uint64_t counts[BD_STAT_COUNT];
+  int64_t gauges[BD_GAUGE_COUNT];
+  struct bd_histogram *answer_time;
+};
+
+struct row
+{
+  const char *name;
+  const char *help;
+};
+
+static const struct row stat_rows[] = {
+#define ROW(id, name, help) { name, help },
+  BD_STAT_TABLE (ROW)
+};
+
+static const struct row gauge_rows[] = { BD_GAUGE_TABLE (ROW) };
+#undef ROW
+
+/* Upper bounds of the histogram's buckets, in microseconds. */
+static const int64_t limits_us[]
+    = { 10000,  20000,   50000,   100000,  200000,  300000,  500000,
+        800000, 1200000, 2000000, 4000000, 8000000, 15000000 };
+
+#define LIMIT_COUNT (sizeof limits_us / sizeof limits_us[0])
+
+struct bd_stats *
+bd_stats_create (void)
+{
+  struct bd_stats *stats = calloc (1, sizeof *stats);
+
+  if (!stats)
+    return NULL;
+  stats->answer_time = bd_histogram_create ();
+  if (!stats->answer_time)
+    {
+      free (stats);
+      return NULL;
+    }
+  return stats;
+}
+
+void
+bd_stats_destroy (struct bd_stats *stats)
+{
+  if (!stats)
+    return;
+  bd_histogram_destroy (stats->answer_time);
+  free (stats);
+}
+
+void
+bd_stats_count (struct bd_stats *stats, enum bd_stat stat, uint64_t n)
+{
+  stats->counts[stat] += n;
+}
+
+void
+bd_stats_set (struct bd_stats *stats, enum bd_gauge gauge, int64_t value)
+{
+  stats->gauges[gauge] = value;
+}
+
+void
+bd_stats_answer_time (struct bd_stats *stats, int64_t time_us)
+{
+  bd_histogram_add (stats->answer_time, time_us);
+}
+
+int
+bd_stats_write (const struct bd_stats *stats, struct bd_buffer *out)
+{
+  uint64_t counts[LIMIT_COUNT];
+  uint64_t total;
+
+  for (size_t i = 0; i < BD_STAT_COUNT; i++)
+    bd_buffer_printf (out,
+                      "# HELP basildock_%s_total %s.\n"
+                      "# TYPE basildock_%s_total counter\n"
+                      "basildock_%s_total %" PRIu64 "\n",
+                      stat_rows[i].name, stat_rows[i].help, stat_rows[i].name,
+                      stat_rows[i].name, stats->counts[i]);
+  for (size_t i = 0; i < BD_GAUGE_COUNT; i++)
+    bd_buffer_printf (out,
+                      "# HELP basildock_%s %s.\n"
+                      "# TYPE basildock_%s gauge\nbasildock_%s %" PRId64 "\n",
+                      gauge_rows[i].name, gauge_rows[i].help,
+                      gauge_rows[i].name, gauge_rows[i].name,
+                      stats->gauges[i]);
+  total = bd_histogram_cumulate (stats->answer_time, limits_us, LIMIT_COUNT,
+                                 counts);
+  bd_buffer_printf (out, "# TYPE basildock_answer_seconds histogram\n");
+  for (size_t i = 0; i < LIMIT_COUNT; i++)
+    bd_buffer_printf (
+        out, "basildock_answer_seconds_bucket{le=\"%g\"} %" PRIu64 "\n",
+        (double)limits_us[i] / 1e6, counts[i]);
+  return bd_buffer_printf (
+      out,
+      "basildock_answer_seconds_bucket{le=\"+Inf\"} %" PRIu64
+      "\nbasildock_answer_seconds_sum %g\n"
+      "basildock_answer_seconds_count %" PRIu64 "\n",
+      total, (double)bd_histogram_sum_us (stats->answer_time) / 1e6, total);
+}
--- /dev/null
+++ b/src/gateway/stats.h
@@ -0,0 +1,67 @@
+/**
+ * @file stats.h
+ * Counters and latency histograms of the gateway, as Prometheus text.
+ */
+#ifndef BD_STATS_H
+#define BD_STATS_H
+
+#include "common/string.h"
+
+/* Identifier, name, what it counts. */
+#define BD_STAT_TABLE(X)                                                      \
+  X (REQUESTS, "requests", "Requests received whole")                         \
+  X (ANSWERED, "answered", "Runners' answers delivered whole")                \
+  X (FAILED, "failed", "Requests that ended without a runner's answer")       \
+  X (REFUSED, "refused", "Requests refused before any run")                   \
+  X (ABORTED, "aborted", "Requests whose caller went away")                   \
+  X (RETRIES, "retries", "Requests sent to another runner")                   \
+  X (RETRIES_DENIED, "retries_denied", "Retries that the budget refused")     \
+  X (RESUMES, "resumes", "Streams resumed at another runner")                 \
+  X (BROKEN, "broken", "Streams that ended incomplete")                       \
+  X (EVENTS, "events", "Stream events passed on")                             \
+  X (CONNECTS, "connects", "Connections made to runners")                     \
+  X (STORE_CALLS, "store_calls", "Calls to the platform's store")             \
+  X (STORE_FAILURES, "store_failures", "Calls to the store that failed")      \
+  X (ENTRIES_REFUSED, "entries_refused", "Entries of the store left out")     \
+  X (PEER_SENT, "peer_sent", "Datagrams sent to peers")                       \
+  X (PEER_RECEIVED, "peer_received", "Datagrams received from peers")         \
+  X (PEER_REFUSED, "peer_refused", "Datagrams that could not be read")
+
+/* Gauges: identifier, name, what it shows. */
+#define BD_GAUGE_TABLE(X)                                                     \
+  X (ROUTING_VERSION, "routing_version", "Version of the routing in force")   \
+  X (RUNNERS, "runners", "Runners that may get requests")                     \
+  X (PEERS, "peers", "Instances heard from lately")                           \
+  X (ACTIVE, "active", "Requests in flight")                                  \
+  X (CONNECTIONS, "connections", "Callers' connections")                      \
+  X (STORE_AGE_MS, "store_age_ms", "Time since the store last answered")
+
+enum bd_stat
+{
+#define BD_STAT_ENUM(id, name, help) BD_STAT_##id,
+  BD_STAT_TABLE (BD_STAT_ENUM) BD_STAT_COUNT
+#undef BD_STAT_ENUM
+};
+
+enum bd_gauge
+{
+#define BD_STAT_ENUM(id, name, help) BD_GAUGE_##id,
+  BD_GAUGE_TABLE (BD_STAT_ENUM) BD_GAUGE_COUNT
+#undef BD_STAT_ENUM
+};
+
+struct bd_stats;
+
+struct bd_stats *bd_stats_create (void);
+void bd_stats_destroy (struct bd_stats *stats);
+
+void bd_stats_count (struct bd_stats *stats, enum bd_stat stat, uint64_t n);
+void bd_stats_set (struct bd_stats *stats, enum bd_gauge gauge, int64_t value);
+
+/** Adds the time to a whole answer, or to a stream's first event. */
+void bd_stats_answer_time (struct bd_stats *stats, int64_t time_us);
+
+/** Appends all as Prometheus text.  Returns BD_OK or BD_ERR_NOMEM. */
+int bd_stats_write (const struct bd_stats *stats, struct bd_buffer *out);
+
+#endif
