Stopping: requests that would outlive the process are refused

Change: idle connections are closed 2.4 s after SIGTERM; after 2.8 s a request is taken only when its time limit ends before the process does.

--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -44,6 +44,8 @@
   uint32_t members;
   uint64_t random;
   int64_t last_ms;
+  int64_t take_until_ms; /* 0: not stopping. */
+  int64_t end_ms;
 };
 
 /* A request on its way. */
@@ -822,6 +824,27 @@
   return path;
 }
 
+/* How long a request may be kept waiting for its whole answer. */
+static int64_t
+time_limit (const struct bd_route *route, const struct bd_request_facts *facts)
+{
+  if (facts->patience_ms >= 0
+      && (route->timeout_ms <= 0 || facts->patience_ms < route->timeout_ms))
+    return facts->patience_ms;
+  return route->timeout_ms;
+}
+
+/* True when the process may end before the request does. */
+static bool
+too_late (const struct bd_forwarder *forwarder, const struct bd_route *route,
+          const struct bd_request_facts *facts)
+{
+  int64_t now = bd_clock_boot_ms ();
+
+  return forwarder->take_until_ms != 0 && now > forwarder->take_until_ms
+         && now + time_limit (route, facts) > forwarder->end_ms;
+}
+
 /* Checks a request against the routing.  Returns BD_OK or why it is refused,
    and sets what was found. */
 static int
@@ -847,6 +870,8 @@
   if (!*workspace && bd_routing_has_workspaces (routing)
       && !(*route)->is_public)
     return BD_ERR_UNAUTHORIZED;
+  if (too_late (forwarder, *route, facts))
+    return BD_ERR_LEAVING;
   if (bd_suspects_look (forwarder->parts.suspects, bd_clock_boot_ms (),
                         fingerprint_of (exchange, *workspace))
       == BD_SUSPICION_QUARANTINE)
@@ -857,12 +882,9 @@
 static void
 set_deadline (struct forward *f)
 {
-  int64_t limit = f->route->timeout_ms;
+  int64_t limit = time_limit (f->route, &f->facts);
   int64_t now = bd_clock_boot_ms ();
 
-  if (f->facts.patience_ms >= 0
-      && (limit <= 0 || f->facts.patience_ms < limit))
-    limit = f->facts.patience_ms;
   f->arrived_ms = bd_exchange_arrived_ms (f->exchange);
   f->ends_ms = f->arrived_ms + limit;
   uv_timer_start (&f->timer, on_timeout,
@@ -977,6 +999,14 @@
   forwarder->members = count > 0 ? count : 1;
 }
 
+void
+bd_forwarder_stop (struct bd_forwarder *forwarder, int64_t take_until_ms,
+                   int64_t end_ms)
+{
+  forwarder->take_until_ms = take_until_ms;
+  forwarder->end_ms = end_ms;
+}
+
 void
 bd_forwarder_tick (struct bd_forwarder *forwarder, int64_t now_ms)
 {
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -45,6 +45,14 @@
 /** How many instances share the runners' connection limits. */
 void bd_forwarder_members (struct bd_forwarder *forwarder, uint32_t count);
 
+/**
+ * The instance is to stop: the process ends at END_MS at the latest.
+ * Requests that come after TAKE_UNTIL_MS are refused unless they are sure to
+ * end before.
+ */
+void bd_forwarder_stop (struct bd_forwarder *forwarder, int64_t take_until_ms,
+                        int64_t end_ms);
+
 /** Ends requests that are overdue, also after the machine was suspended. */
 void bd_forwarder_tick (struct bd_forwarder *forwarder, int64_t now_ms);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,6 +18,9 @@
 /* While stopping: how long callers may still be sent here, how long nothing
    must have come, and how long before the kill the process ends at last. */
 #define STOP_LEAST_MS 3000
+#define STOP_TAKE_MS 2800
+/* Idle connections are closed once the load balancer sends no new ones. */
+#define STOP_IDLE_MS 2400
 #define STOP_QUIET_MS 700
 #define STOP_MARGIN_MS 300
 #define SUSPECTS_MAX 1024
@@ -265,6 +268,8 @@
       = bd_server_active (gateway->callers) == 0
         && now_ms - bd_forwarder_last_ms (gateway->forwarder) >= STOP_QUIET_MS;
 
+  if (elapsed >= STOP_IDLE_MS)
+    bd_server_close_idle (gateway->callers);
   if ((elapsed >= STOP_LEAST_MS && quiet)
       || elapsed >= gateway->options.grace_ms - STOP_MARGIN_MS)
     uv_stop (&gateway->loop);
@@ -314,6 +319,9 @@
   bd_log (BD_EVENT_DAEMON_LEAVING, "signal=%d active=%zu", number,
           bd_server_active (gateway->callers));
   bd_server_drain (gateway->callers);
+  bd_forwarder_stop (gateway->forwarder, gateway->stopping_ms + STOP_TAKE_MS,
+                     gateway->stopping_ms + gateway->options.grace_ms
+                         - STOP_MARGIN_MS);
 }
 
 static int
--- a/src/gateway/server.c
+++ b/src/gateway/server.c
@@ -331,6 +331,20 @@
   server->draining = true;
 }
 
+void
+bd_server_close_idle (struct bd_server *server)
+{
+  struct bd_exchange *next;
+
+  for (struct bd_exchange *exchange = server->exchanges; exchange;
+       exchange = next)
+    {
+      next = exchange->next;
+      if (exchange->phase == PHASE_READING && exchange->arrived_ms == 0)
+        drop (exchange, false);
+    }
+}
+
 size_t
 bd_server_active (const struct bd_server *server)
 {
--- a/src/gateway/server.h
+++ b/src/gateway/server.h
@@ -45,6 +45,9 @@
 /** From now on each answer closes its connection. */
 void bd_server_drain (struct bd_server *server);
 
+/** Closes connections on which no byte of a request has come. */
+void bd_server_close_idle (struct bd_server *server);
+
 /** Exchanges whose answers are not complete. */
 size_t bd_server_active (const struct bd_server *server);
 
