--- a/src/gateway/socket.c
+++ b/src/gateway/socket.c
@@ -92,13 +92,27 @@
   *buffer = uv_buf_init (read_bytes, READ_BYTES);
 }
 
+/* The loop's library may report a reset that follows data as an end. */
+static bool
+was_reset (const struct bd_socket *socket)
+{
+  int error = 0;
+  socklen_t length = sizeof error;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)&socket->tcp, &fd) != 0)
+    return true;
+  return getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0
+         || error != 0;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
   struct bd_socket *socket = stream->data;
 
   if (length < 0)
-    end (socket, length == UV_EOF ? BD_OK : BD_ERR_IO);
+    end (socket, length == UV_EOF && !was_reset (socket) ? BD_OK : BD_ERR_IO);
   else if (length > 0 && socket->handler)
     socket->handler->on_data (
         socket->context, (struct bd_chunk){ buffer->base, (size_t)length });
