Placement: a shared part has two homes that are held to be warm, and leaves them late

Cause: on the grown sites half of all tokens read were shared parts read again. Each of 31 instances sees a part rarely, so it took its home for cold, counted too much work there and moved on; and a move cost only 1.6 readings. Change: two homes by rendezvous hash, both held to be warm; reading a part elsewhere weighs 15 readings; one runner in six of a zone for short prompts instead of one in three; each placement is logged with what decided.

--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -24,15 +24,17 @@
 /* Weight of failures: the delay that a sure failure is held to cost. */
 #define FAILING_COST_MS 1500.0
 /* Reading a part again also takes the runner's time from others. */
-#define REREAD_WEIGHT 1.6
+#define REREAD_WEIGHT 15.0
+/* Runners at which a shared part is at home; the first is preferred. */
+#define HOMES 2
+/* What the second home costs, in ms of delay. */
+#define SECOND_HOME_MS 150.0
 /* Runners that still warm up after their start. */
 #define COLD_COST_MS 400.0
 
 /* Prompts of up to this many tokens are read in one step of an engine and
    hardly delay the tokens of others. */
 #define SHORT_PROMPT_TOKENS 4096
-/* One runner in so many of a zone is kept for short prompts. */
-#define SHORT_RUNNERS_PART 3
 /* What it costs to place a request among those of the other length. */
 #define LONG_AMONG_SHORT_MS 1500.0
 #define SHORT_AMONG_LONG_MS 500.0
@@ -118,135 +120,156 @@
   return demand->shared_tokens + demand->own_tokens <= SHORT_PROMPT_TOKENS;
 }
 
-/*
- * Long prompts delay every token of the requests that run beside them, so
- * some runners are kept for short ones: the first of each zone in the order
- * of their identifiers' hashes, which every instance sees alike.
- */
-static bool
-kept_for_short (const struct bd_demand *demand, const struct bd_target *target,
-                struct bd_target *const *targets, size_t count)
+/* Same weight at every entry: the highest is the home of the prefix. */
+static uint64_t
+rendezvous (const struct bd_demand *demand, const struct bd_target *target)
 {
-  size_t peers = 1;
-  size_t before = 0;
+  return bd_random_mix (demand->prefix_hash ^ target->hash);
+}
 
+/* The runners at which the shared part is at home, in order; NULL: none. */
+static void
+find_homes (const struct bd_demand *demand, struct bd_target *const *targets,
+            size_t count, const struct bd_target *homes[HOMES])
+{
+  for (size_t h = 0; h < HOMES; h++)
+    homes[h] = NULL;
+  if (!drawn_to_prefix (demand))
+    return;
   for (size_t i = 0; i < count; i++)
     {
-      const struct bd_target *other = targets[i];
+      const struct bd_target *target = targets[i];
 
-      if (other == target || !serves (demand, other)
-          || !bd_chunk_equal (other->zone, target->zone))
+      if (!serves (demand, target)
+          || target->kept_for_short != is_short (demand))
         continue;
-      peers++;
-      before += other->hash < target->hash;
+      for (size_t h = 0; h < HOMES && target; h++)
+        if (!homes[h]
+            || rendezvous (demand, target) > rendezvous (demand, homes[h]))
+          {
+            const struct bd_target *next = homes[h];
+
+            homes[h] = target;
+            target = next;
+          }
     }
-  return before < peers / SHORT_RUNNERS_PART;
 }
 
-/* Same weight at every entry: the highest is the home of the prefix. */
-static uint64_t
-rendezvous (const struct bd_demand *demand, const struct bd_target *target)
+static enum bd_place
+place_of (const struct bd_choice *choice, const struct bd_demand *demand,
+          const struct bd_target *target,
+          const struct bd_target *const homes[HOMES])
 {
-  return bd_random_mix (demand->prefix_hash ^ target->hash);
+  if (target == homes[0])
+    return BD_PLACE_HOME;
+  if (target == homes[1])
+    return BD_PLACE_SECOND;
+  if (demand->prefix_hash != 0 && is_warm (choice, demand, target))
+    return BD_PLACE_WARM;
+  return drawn_to_prefix (demand) ? BD_PLACE_COLD : BD_PLACE_ANY;
 }
 
-static const struct bd_target *
-find_home (const struct bd_demand *demand, struct bd_target *const *targets,
-           size_t count)
+/* Cost at an engine: the prompts queued there, then this one. */
+static double
+engine_cost (const struct bd_demand *demand, const struct bd_pick *pick)
 {
-  const struct bd_target *home = NULL;
-
-  for (size_t i = 0; i < count; i++)
-    if (serves (demand, targets[i])
-        && kept_for_short (demand, targets[i], targets, count)
-               == is_short (demand)
-        && (!home
-            || rendezvous (demand, targets[i]) > rendezvous (demand, home)))
-      home = targets[i];
-  return home;
+  const struct bd_target *target = pick->target;
+  uint32_t running = target->in_flight + target->peers_in_flight;
+  uint64_t queued = target->prefill_tokens + target->peers_prefill_tokens;
+  double ms = (double)(queued + demand->own_tokens) / PREFILL_TOKENS_PER_MS;
+  double shared_ms = (double)demand->shared_tokens / PREFILL_TOKENS_PER_MS;
+
+  ms += running * RUNNING_COST_MS;
+  if (pick->place == BD_PLACE_SECOND)
+    ms += SECOND_HOME_MS;
+  if (pick->place == BD_PLACE_COLD)
+    ms += shared_ms * REREAD_WEIGHT;
+  if (pick->place == BD_PLACE_ANY)
+    ms += shared_ms;
+  if (target->kept_for_short != is_short (demand))
+    ms += target->kept_for_short ? LONG_AMONG_SHORT_MS : SHORT_AMONG_LONG_MS;
+  return ms;
 }
 
-/* Expected delay until the request begins at TARGET, in ms, with what else
-   speaks against it. */
+/* Cost at a plain service: the requests that wait for its slots. */
 static double
-cost (const struct bd_choice *choice, const struct bd_demand *demand,
-      const struct bd_target *target, const struct bd_target *home)
+plain_cost (const struct bd_target *target)
 {
   uint32_t running = target->in_flight + target->peers_in_flight;
-  uint64_t queued = target->prefill_tokens + target->peers_prefill_tokens;
-  bool engine = demand->own_tokens > 0;
-  double ms = 0.0;
+  uint32_t slots = target->slots ? target->slots : 1;
+  double ms = running * PLAIN_COST_MS / slots;
 
-  if (engine)
-    {
-      ms += (double)(queued + demand->own_tokens) / PREFILL_TOKENS_PER_MS;
-      ms += running * RUNNING_COST_MS;
-      if (target != home && !is_warm (choice, demand, target))
-        ms += (double)demand->shared_tokens / PREFILL_TOKENS_PER_MS
-              * (drawn_to_prefix (demand) ? REREAD_WEIGHT : 1.0);
-    }
-  else
-    {
-      uint32_t slots = target->slots ? target->slots : 1;
+  if (running >= slots)
+    ms += (running - slots + 1) * PLAIN_COST_MS;
+  return ms;
+}
 
-      ms += running * PLAIN_COST_MS / slots;
-      if (running >= slots)
-        ms += (running - slots + 1) * PLAIN_COST_MS;
-    }
+/* Fills in what placing the request at TARGET would mean. */
+static struct bd_pick
+weigh (const struct bd_choice *choice, const struct bd_demand *demand,
+       struct bd_target *target, const struct bd_target *const homes[HOMES])
+{
+  struct bd_pick pick = { .target = target };
+
+  pick.place = place_of (choice, demand, target, homes);
+  pick.prefill_tokens = demand->own_tokens;
+  if (pick.place == BD_PLACE_COLD || pick.place == BD_PLACE_ANY)
+    pick.prefill_tokens += demand->shared_tokens;
+  pick.cost_ms = demand->own_tokens > 0 ? engine_cost (demand, &pick)
+                                        : plain_cost (target);
   if (!bd_chunk_equal (target->zone, demand->zone))
-    ms += ZONE_COST_MS;
+    pick.cost_ms += ZONE_COST_MS;
   if (target->cold_until_ms > demand->now_ms)
-    ms += COLD_COST_MS;
-  return ms + bd_outlier_failing (target, demand->now_ms) * FAILING_COST_MS;
+    pick.cost_ms += COLD_COST_MS;
+  pick.cost_ms
+      += bd_outlier_failing (target, demand->now_ms) * FAILING_COST_MS;
+  return pick;
 }
 
-static struct bd_target *
+static struct bd_pick
 cheapest (struct bd_choice *choice, const struct bd_demand *demand,
           struct bd_target *const *targets, size_t count, bool heed_health)
 {
-  const struct bd_target *home = NULL;
-  struct bd_target *best = NULL;
-  double best_cost = DBL_MAX;
+  const struct bd_target *homes[HOMES];
+  struct bd_pick best = { .cost_ms = DBL_MAX };
   uint32_t ties = 0;
 
-  if (drawn_to_prefix (demand))
-    home = find_home (demand, targets, count);
+  find_homes (demand, targets, count, homes);
   for (size_t i = 0; i < count; i++)
     {
-      struct bd_target *target = targets[i];
-      double its_cost;
+      struct bd_pick pick;
 
-      if (!serves (demand, target) || was_tried (demand, target))
-        continue;
-      if (heed_health && !bd_outlier_allows (target, demand->now_ms))
+      if (!serves (demand, targets[i]) || was_tried (demand, targets[i]))
         continue;
-      its_cost = cost (choice, demand, target, home);
-      if (demand->own_tokens > 0
-          && kept_for_short (demand, target, targets, count)
-                 != is_short (demand))
-        its_cost
-            += is_short (demand) ? SHORT_AMONG_LONG_MS : LONG_AMONG_SHORT_MS;
-      if (its_cost < best_cost)
-        ties = 0;
-      else if (its_cost > best_cost)
+      if (heed_health && !bd_outlier_allows (targets[i], demand->now_ms))
         continue;
-      ties++;
-      if (ties > 1 && bd_random_below (&choice->random, ties) != 0)
+      pick = weigh (choice, demand, targets[i], homes);
+      if (pick.cost_ms > best.cost_ms)
         continue;
-      best = target;
-      best_cost = its_cost;
+      ties = pick.cost_ms < best.cost_ms ? 1 : ties + 1;
+      if (ties == 1 || bd_random_below (&choice->random, ties) == 0)
+        best = pick;
     }
   return best;
 }
 
-struct bd_target *
+struct bd_pick
 bd_choice_pick (struct bd_choice *choice, const struct bd_demand *demand,
                 struct bd_target *const *targets, size_t count)
 {
-  struct bd_target *target = cheapest (choice, demand, targets, count, true);
+  struct bd_pick pick = cheapest (choice, demand, targets, count, true);
 
   /* With no healthy runner left, an avoided one is better than none. */
-  return target ? target : cheapest (choice, demand, targets, count, false);
+  return pick.target ? pick : cheapest (choice, demand, targets, count, false);
+}
+
+const char *
+bd_place_name (enum bd_place place)
+{
+  static const char *const names[]
+      = { "home", "second", "warm", "cold", "any" };
+
+  return names[place];
 }
 
 void
@@ -273,13 +296,3 @@
     }
   *place = (struct warm){ demand->prefix_hash, target->hash, demand->now_ms };
 }
-
-uint64_t
-bd_choice_prefill (const struct bd_choice *choice,
-                   const struct bd_demand *demand,
-                   const struct bd_target *target)
-{
-  if (demand->prefix_hash != 0 && is_warm (choice, demand, target))
-    return demand->own_tokens;
-  return demand->own_tokens + demand->shared_tokens;
-}
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -3,8 +3,8 @@
  * Where a request goes: the runner on which it is expected to begin first.
  *
  * A prompt's shared part is read once per runner and kept there, so a
- * request is drawn to the runner that every entry picks for that part
- * (rendezvous hashing over the live list), and leaves it only when the work
+ * request is drawn to the runners that every instance picks for that part
+ * (rendezvous hashing over the live list), and leaves them only when the work
  * queued there costs more than reading the part again elsewhere.
  */
 #ifndef BD_CHOICE_H
@@ -25,31 +25,40 @@
   size_t tried_count;
 };
 
-/** Learned and configured figures of a service. */
-struct bd_speed
+/** Why a runner was picked. */
+enum bd_place
 {
-  double prefill_tokens_per_ms;
+  BD_PLACE_HOME = 0, /**< The shared part's first home. */
+  BD_PLACE_SECOND,   /**< Its second home. */
+  BD_PLACE_WARM,     /**< The part was sent there lately. */
+  BD_PLACE_COLD,     /**< The part has to be read there. */
+  BD_PLACE_ANY       /**< There is no shared part that matters. */
+};
+
+/** The runner picked, with what decided. */
+struct bd_pick
+{
+  struct bd_target *target; /**< NULL: none may get the request. */
+  enum bd_place place;
+  double cost_ms;          /**< Expected delay and what else was weighed. */
+  uint64_t prefill_tokens; /**< Expected to be read there. */
 };
 
 struct bd_choice;
 
-/** SEED spreads ties; the shared part's home does not depend on it. */
+/** SEED spreads ties; the shared part's homes do not depend on it. */
 struct bd_choice *bd_choice_create (uint64_t seed);
 void bd_choice_destroy (struct bd_choice *choice);
 
-/** Returns the runner, or NULL when none may get the request. */
-struct bd_target *bd_choice_pick (struct bd_choice *choice,
-                                  const struct bd_demand *demand,
-                                  struct bd_target *const *targets,
-                                  size_t count);
+/** Picks a runner among the COUNT targets. */
+struct bd_pick bd_choice_pick (struct bd_choice *choice,
+                               const struct bd_demand *demand,
+                               struct bd_target *const *targets, size_t count);
 
 /** The request was sent to TARGET, which now reads its shared part. */
 void bd_choice_sent (struct bd_choice *choice, const struct bd_demand *demand,
                      const struct bd_target *target);
 
-/** Tokens that TARGET is expected to read for DEMAND. */
-uint64_t bd_choice_prefill (const struct bd_choice *choice,
-                            const struct bd_demand *demand,
-                            const struct bd_target *target);
+const char *bd_place_name (enum bd_place place);
 
 #endif
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -18,6 +18,7 @@
   size_t capacity;
   bool store_lost;
   int64_t lapse_until_ms; /* Deletions before this may be mistaken. */
+  bool changed;           /* Since the runners were arranged. */
 };
 
 struct bd_targets *
@@ -64,11 +65,12 @@
 }
 
 static void
-set_state (struct bd_target *target, enum bd_target_state state,
-           uint64_t revision)
+set_state (struct bd_targets *targets, struct bd_target *target,
+           enum bd_target_state state, uint64_t revision)
 {
   if (target->state == state)
     return;
+  targets->changed = true;
   bd_log (BD_EVENT_TARGET_STATE, "runner=%s service=%s from=%s to=%s rev=%llu",
           target->id.data, target->service.data, state_name (target->state),
           state_name (state), (unsigned long long)revision);
@@ -138,7 +140,7 @@
   if (target && !bd_chunk_equal (target->service, entry->service))
     {
       /* An identifier never moves; what is in flight keeps the old one. */
-      set_state (target, BD_TARGET_GONE, revision);
+      set_state (targets, target, BD_TARGET_GONE, revision);
       target->id.length = 0;
       target = NULL;
     }
@@ -157,8 +159,8 @@
   target->slots = entry->slots;
   target->born_ms = entry->born_ms;
   target->cold_until_ms = now_ms + entry->cold_left_ms;
-  set_state (target, entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY,
-             revision);
+  set_state (targets, target,
+             entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY, revision);
   return BD_OK;
 }
 
@@ -170,9 +172,9 @@
 
   target->revision = revision;
   if (target->state == BD_TARGET_READY && doubtful)
-    set_state (target, BD_TARGET_LAPSED, revision);
+    set_state (targets, target, BD_TARGET_LAPSED, revision);
   else if (target->state != BD_TARGET_LAPSED || !doubtful)
-    set_state (target, BD_TARGET_GONE, revision);
+    set_state (targets, target, BD_TARGET_GONE, revision);
 }
 
 void
@@ -230,7 +232,7 @@
 
       if (target->state == BD_TARGET_LAPSED && !targets->store_lost
           && now_ms >= targets->lapse_until_ms)
-        set_state (target, BD_TARGET_GONE, target->revision);
+        set_state (targets, target, BD_TARGET_GONE, target->revision);
       if (target->state == BD_TARGET_GONE && target->in_flight == 0)
         free_target (target);
       else
@@ -239,9 +241,47 @@
   targets->count = kept;
 }
 
+/*
+ * Long prompts delay every token of the requests that run beside them, so
+ * some runners are kept for short ones: the first of each zone in the order
+ * of their identifiers' hashes, which every instance sees alike.
+ */
+static bool
+is_kept_for_short (const struct bd_targets *targets,
+                   const struct bd_target *target)
+{
+  size_t peers = 0;
+  size_t before = 0;
+
+  for (size_t i = 0; i < targets->count; i++)
+    {
+      const struct bd_target *other = targets->all[i];
+
+      if (!bd_target_usable (other)
+          || !bd_chunk_equal (other->service, target->service)
+          || !bd_chunk_equal (other->zone, target->zone))
+        continue;
+      peers++;
+      before += other->hash < target->hash;
+    }
+  return peers >= BD_TARGET_SHORT_LEAST
+         && before < (peers + BD_TARGET_SHORT_PART - 1) / BD_TARGET_SHORT_PART;
+}
+
+static void
+arrange (struct bd_targets *targets)
+{
+  targets->changed = false;
+  for (size_t i = 0; i < targets->count; i++)
+    targets->all[i]->kept_for_short
+        = is_kept_for_short (targets, targets->all[i]);
+}
+
 struct bd_target *const *
-bd_targets_all (const struct bd_targets *targets, size_t *count)
+bd_targets_all (struct bd_targets *targets, size_t *count)
 {
+  if (targets->changed)
+    arrange (targets);
   *count = targets->count;
   return targets->all;
 }
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -59,9 +59,10 @@
   int64_t born_ms;
   int64_t cold_until_ms;
   enum bd_target_state state;
-  uint64_t revision; /**< Of the entry. */
-  uint64_t hash;     /**< Of the identifier. */
-  int64_t since_ms;  /**< When it was first seen. */
+  uint64_t revision;   /**< Of the entry. */
+  uint64_t hash;       /**< Of the identifier. */
+  int64_t since_ms;    /**< When it was first seen. */
+  bool kept_for_short; /**< Meant for short prompts only. */
   uint32_t in_flight;
   int64_t heard_ms;        /**< Last byte of any of its responses. */
   uint64_t prefill_tokens; /**< Sent from here, first event not seen. */
@@ -101,8 +102,15 @@
 /** Ends lapses that are over and frees runners that are gone. */
 void bd_targets_tick (struct bd_targets *targets, int64_t now_ms);
 
+/**
+ * Of the runners of a service in a zone, one in so many (rounded up, when
+ * there are at least BD_TARGET_SHORT_LEAST) is kept for short prompts.
+ */
+#define BD_TARGET_SHORT_PART 6
+#define BD_TARGET_SHORT_LEAST 3
+
 /** All runners; the array is valid until the next put or tick. */
-struct bd_target *const *bd_targets_all (const struct bd_targets *targets,
+struct bd_target *const *bd_targets_all (struct bd_targets *targets,
                                          size_t *count);
 
 struct bd_target *bd_targets_find (const struct bd_targets *targets,
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -41,6 +41,7 @@
   X (2013, REQUEST_ABORTED, INFO, "caller went away")                         \
   X (2014, CALLER_REFUSED, NOTICE, "message of a caller refused")             \
   X (2015, ATTEMPT_FAILED, NOTICE, "attempt at a runner failed")              \
+  X (2016, REQUEST_PLACED, INFO, "request placed")                            \
   X (3001, CONFIG_IN_FORCE, NOTICE, "configuration in force")                 \
   X (3002, CONFIG_REFUSED, WARNING, "document refused")                       \
   X (3003, CONFIG_STALE, NOTICE, "older revision ignored")                    \
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -666,8 +666,9 @@
 }
 
 static int
-send_to (struct forward *f, struct bd_target *target)
+send_to (struct forward *f, const struct bd_pick *pick)
 {
+  struct bd_target *target = pick->target;
   struct bd_forward_parts *parts = &f->forwarder->parts;
   const struct bd_head *head = bd_exchange_head (f->exchange);
   struct bd_call_request request = { 0 };
@@ -698,7 +699,7 @@
       return BD_ERR_IO;
     }
   target->in_flight++;
-  f->charged_tokens = bd_choice_prefill (parts->choice, &f->demand, target);
+  f->charged_tokens = pick->prefill_tokens;
   target->prefill_tokens += f->charged_tokens;
   f->sent_ms = bd_clock_boot_ms ();
   bd_choice_sent (parts->choice, &f->demand, target);
@@ -724,9 +725,10 @@
          >= service->connections_max;
 }
 
-static struct bd_target *
-pick (struct forward *f)
+static struct bd_pick
+pick_target (struct forward *f)
 {
+  struct bd_pick pick = { 0 };
   struct bd_forward_parts *parts = &f->forwarder->parts;
   size_t count;
   struct bd_target *const *all = bd_targets_all (parts->targets, &count);
@@ -734,18 +736,35 @@
   f->demand.now_ms = bd_clock_boot_ms ();
   while (f->tried_count < TRIED_MAX)
     {
-      struct bd_target *target;
-
       f->demand.tried = f->tried;
       f->demand.tried_count = f->tried_count;
-      target = bd_choice_pick (parts->choice, &f->demand, all, count);
-      if (!target)
-        return NULL;
-      f->tried[f->tried_count++] = target;
-      if (!connections_full (f, target))
-        return target;
+      pick = bd_choice_pick (parts->choice, &f->demand, all, count);
+      if (!pick.target)
+        return pick;
+      f->tried[f->tried_count++] = pick.target;
+      if (!connections_full (f, pick.target))
+        return pick;
     }
-  return NULL;
+  pick.target = NULL;
+  return pick;
+}
+
+static void
+log_placed (const struct forward *f, const struct bd_pick *pick)
+{
+  const struct bd_target *target = pick->target;
+  char id[ID_TEXT_BYTES];
+
+  bd_log (BD_EVENT_REQUEST_PLACED,
+          "request=%s route=%s runner=%s place=%s prefix=%08x cost_ms=%.0f "
+          "prefill=%llu in_flight=%u+%u queued=%llu+%llu left_ms=%lld",
+          bd_log_quote (f->facts.attempt_id, id, sizeof id),
+          f->route->name.data, target->id.data, bd_place_name (pick->place),
+          (unsigned)f->demand.prefix_hash, pick->cost_ms,
+          (unsigned long long)pick->prefill_tokens, target->in_flight,
+          target->peers_in_flight, (unsigned long long)target->prefill_tokens,
+          (unsigned long long)target->peers_prefill_tokens,
+          (long long)(f->ends_ms - f->demand.now_ms));
 }
 
 static void
@@ -765,20 +784,21 @@
 static void
 next_attempt (struct forward *f)
 {
-  struct bd_target *target = pick (f);
+  struct bd_pick pick = pick_target (f);
 
-  if (!target)
+  if (!pick.target)
     {
       give_up (f, f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER);
       return;
     }
   if (f->reached > 0)
-    log_repeat (f, target);
+    log_repeat (f, pick.target);
   else
     bd_retry_share_first (f->forwarder->parts.retries, f->demand.now_ms,
                           f->service);
   f->reached++;
-  if (send_to (f, target) != BD_OK)
+  log_placed (f, &pick);
+  if (send_to (f, &pick) != BD_OK)
     give_up (f, BD_ERR_NO_RUNNER);
 }
 
