--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -28,7 +28,7 @@
 /* Runners at which a shared part is at home; the first is preferred. */
 #define HOMES 2
 /* What the second home costs, in ms of delay. */
-#define SECOND_HOME_MS 150.0
+#define SECOND_HOME_MS 1000.0
 /* Runners that still warm up after their start. */
 #define COLD_COST_MS 400.0
 
@@ -169,14 +169,22 @@
   return drawn_to_prefix (demand) ? BD_PLACE_COLD : BD_PLACE_ANY;
 }
 
-/* Cost at an engine: the prompts queued there, then this one. */
+/* Time until the prompts queued at an engine have been read. */
+static double
+engine_wait (const struct bd_target *target)
+{
+  uint64_t queued = target->prefill_tokens + target->peers_prefill_tokens;
+
+  return (double)queued / PREFILL_TOKENS_PER_MS;
+}
+
+/* What else speaks against an engine. */
 static double
 engine_cost (const struct bd_demand *demand, const struct bd_pick *pick)
 {
   const struct bd_target *target = pick->target;
   uint32_t running = target->in_flight + target->peers_in_flight;
-  uint64_t queued = target->prefill_tokens + target->peers_prefill_tokens;
-  double ms = (double)(queued + demand->own_tokens) / PREFILL_TOKENS_PER_MS;
+  double ms = (double)demand->own_tokens / PREFILL_TOKENS_PER_MS;
   double shared_ms = (double)demand->shared_tokens / PREFILL_TOKENS_PER_MS;
 
   ms += running * RUNNING_COST_MS;
@@ -191,17 +199,23 @@
   return ms;
 }
 
-/* Cost at a plain service: the requests that wait for its slots. */
+/* Time until a slot of a plain service is free. */
+static double
+plain_wait (const struct bd_target *target)
+{
+  uint32_t running = target->in_flight + target->peers_in_flight;
+  uint32_t slots = target->slots ? target->slots : 1;
+
+  return running < slots ? 0.0 : (running - slots + 1) * PLAIN_COST_MS / slots;
+}
+
 static double
 plain_cost (const struct bd_target *target)
 {
   uint32_t running = target->in_flight + target->peers_in_flight;
   uint32_t slots = target->slots ? target->slots : 1;
-  double ms = running * PLAIN_COST_MS / slots;
 
-  if (running >= slots)
-    ms += (running - slots + 1) * PLAIN_COST_MS;
-  return ms;
+  return running * PLAIN_COST_MS / slots;
 }
 
 /* Fills in what placing the request at TARGET would mean. */
@@ -215,8 +229,16 @@
   pick.prefill_tokens = demand->own_tokens;
   if (pick.place == BD_PLACE_COLD || pick.place == BD_PLACE_ANY)
     pick.prefill_tokens += demand->shared_tokens;
-  pick.cost_ms = demand->own_tokens > 0 ? engine_cost (demand, &pick)
-                                        : plain_cost (target);
+  if (demand->own_tokens > 0)
+    {
+      pick.wait_ms = engine_wait (target);
+      pick.cost_ms = pick.wait_ms + engine_cost (demand, &pick);
+    }
+  else
+    {
+      pick.wait_ms = plain_wait (target);
+      pick.cost_ms = pick.wait_ms + plain_cost (target);
+    }
   if (!bd_chunk_equal (target->zone, demand->zone))
     pick.cost_ms += ZONE_COST_MS;
   if (target->cold_until_ms > demand->now_ms)
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -40,6 +40,7 @@
 {
   struct bd_target *target; /**< NULL: none may get the request. */
   enum bd_place place;
+  double wait_ms;          /**< Expected before it begins. */
   double cost_ms;          /**< Expected delay and what else was weighed. */
   uint64_t prefill_tokens; /**< Expected to be read there. */
 };
--- /dev/null
+++ b/src/balance/overload.c
@@ -0,0 +1,47 @@
+#include "balance/overload.h"
+
+#include "core/random.h"
+
+/* Shares of the objective that the expected wait may take: for the least
+   urgent requests, for the next ones, and more for each level above. */
+#define LIMIT_LEAST 0.4
+#define LIMIT_ABOVE 4.0
+#define LIMIT_RANGE 2.0
+/* Bounds of the time after which a refused request comes back, and the share
+   of its time left that its caller waits at most. */
+#define RETRY_LEAST_MS 300.0
+#define RETRY_SHARE 0.33
+
+double
+bd_overload_limit_ms (const struct bd_overload_case *request)
+{
+  double objective = (double)request->objective_ms;
+  double above;
+
+  if (request->priority >= request->least_priority)
+    return objective * LIMIT_LEAST;
+  above = (double)(request->least_priority - request->priority)
+          / request->least_priority;
+  return objective * (LIMIT_ABOVE + LIMIT_RANGE * above);
+}
+
+bool
+bd_overload_refuses (const struct bd_overload_case *request)
+{
+  return request->wait_ms > bd_overload_limit_ms (request);
+}
+
+int64_t
+bd_overload_retry_after_ms (const struct bd_overload_case *request,
+                            uint64_t *random)
+{
+  double most = (double)request->left_ms * RETRY_SHARE;
+  double ms = request->wait_ms - bd_overload_limit_ms (request);
+
+  if (ms < RETRY_LEAST_MS)
+    ms = RETRY_LEAST_MS;
+  ms += bd_random_below (random, (uint32_t)ms + 1);
+  if (ms > most)
+    ms = most / 2 + bd_random_below (random, (uint32_t)(most / 2) + 1);
+  return (int64_t)ms;
+}
--- /dev/null
+++ b/src/balance/overload.h
@@ -0,0 +1,36 @@
+/**
+ * @file overload.h
+ * Whether a request is taken or refused at once, by the wait it would meet.
+ *
+ * Work that is taken beyond what runners can do delays every stream beside
+ * it, and much of it is given up by its callers after it has cost its
+ * prompt.  The least urgent requests are refused first.
+ */
+#ifndef BD_OVERLOAD_H
+#define BD_OVERLOAD_H
+
+#include "basildock.h"
+
+struct bd_overload_case
+{
+  double wait_ms;       /**< Expected before the request begins. */
+  int64_t objective_ms; /**< Of its route. */
+  int64_t left_ms;      /**< Until its answer is of no use. */
+  int priority;         /**< 0: most urgent. */
+  int least_priority;   /**< Of all requests of the configuration. */
+};
+
+/** Longest expected wait at which the request is taken, in milliseconds. */
+double bd_overload_limit_ms (const struct bd_overload_case *request);
+
+/** Whether it is to be refused. */
+bool bd_overload_refuses (const struct bd_overload_case *request);
+
+/**
+ * When a refused request should come back, in milliseconds: when the wait
+ * will have shrunk to the limit, spread over as much time again.
+ */
+int64_t bd_overload_retry_after_ms (const struct bd_overload_case *request,
+                                    uint64_t *random);
+
+#endif
--- a/src/balance/routing.c
+++ b/src/balance/routing.c
@@ -309,6 +309,29 @@
   return node ? ((struct key *)node)->workspace : NULL;
 }
 
+int
+bd_routing_least_priority (const struct bd_routing *routing)
+{
+  int least = 0;
+
+  for (size_t i = 0; i < routing->route_count; i++)
+    {
+      const struct workspace *workspace = routing->workspaces;
+      const struct bd_route *route = &routing->routes[i];
+      int priority = bd_request_priority (NULL, route);
+
+      if (priority > least)
+        least = priority;
+      for (; workspace; workspace = workspace->next)
+        {
+          priority = bd_request_priority (&workspace->public, route);
+          if (priority > least)
+            least = priority;
+        }
+    }
+  return least;
+}
+
 int
 bd_request_priority (const struct bd_workspace *workspace,
                      const struct bd_route *route)
--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -92,6 +92,9 @@
 const struct bd_workspace *
 bd_routing_workspace (const struct bd_routing *routing, struct bd_chunk key);
 
+/** The least urgent priority that bd_request_priority () may give. */
+int bd_routing_least_priority (const struct bd_routing *routing);
+
 /**
  * The urgency of a request, 0 to BD_PRIORITY_LEAST: by WORKSPACE (may be
  * NULL) first, by ROUTE within it.
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -1,6 +1,7 @@
 #include "gateway/forward.h"
 
 #include "balance/outlier.h"
+#include "balance/overload.h"
 #include "common/clock.h"
 #include "common/log.h"
 #include "core/random.h"
@@ -44,6 +45,7 @@
   uint32_t members;
   uint64_t random;
   int64_t last_ms;
+  int least_priority;    /* Of the routing. */
   int64_t take_until_ms; /* 0: not stopping. */
   int64_t end_ms;
 };
@@ -160,15 +162,15 @@
 }
 
 static int64_t
-retry_after_ms (struct bd_forwarder *forwarder)
+short_retry_ms (struct bd_forwarder *forwarder)
 {
   return RETRY_AFTER_MS + bd_random_below (&forwarder->random, RETRY_AFTER_MS);
 }
 
 /* Answers with the error's row of the table. */
 static void
-answer_error (struct bd_forwarder *forwarder, struct bd_exchange *exchange,
-              int error, enum bd_ran ran)
+answer_error (struct bd_exchange *exchange, int error, enum bd_ran ran,
+              int64_t retry_ms)
 {
   const struct bd_answer *answer = bd_error_answer (error);
   struct bd_buffer fields = { 0 };
@@ -176,12 +178,8 @@
 
   bd_buffer_append (&fields, BD_CHUNK ("Content-Type: application/json\r\n"));
   if (answer->status == 503 || answer->status == 429)
-    {
-      int64_t ms = retry_after_ms (forwarder);
-
-      bd_buffer_printf (&fields, "Retry-After: %" PRId64 ".%03" PRId64 "\r\n",
-                        ms / 1000, ms % 1000);
-    }
+    bd_buffer_printf (&fields, "Retry-After: %" PRId64 ".%03" PRId64 "\r\n",
+                      retry_ms / 1000, retry_ms % 1000);
   bd_buffer_printf (&body,
                     "{\"error\":{\"code\":\"%s\",\"message\":\"%s\","
                     "\"ran\":\"%s\"}}",
@@ -208,7 +206,7 @@
           forwarder->routing
               ? (unsigned long long)bd_routing_version (forwarder->routing)
               : 0ULL);
-  answer_error (forwarder, exchange, error, BD_RAN_NO);
+  answer_error (exchange, error, BD_RAN_NO, short_retry_ms (forwarder));
 }
 
 /* Ends the request for good with ERROR. */
@@ -239,7 +237,27 @@
   if (f->begun)
     bd_exchange_break (f->exchange);
   else
-    answer_error (f->forwarder, f->exchange, error, ran);
+    answer_error (f->exchange, error, ran, short_retry_ms (f->forwarder));
+  free_forward (f);
+}
+
+/* Refuses a request whose wait would be too long. */
+static void
+refuse_overload (struct forward *f, const struct bd_overload_case *overload)
+{
+  int64_t retry_ms
+      = bd_overload_retry_after_ms (overload, &f->forwarder->random);
+  char id[ID_TEXT_BYTES];
+
+  bd_stats_count (f->forwarder->parts.stats, BD_STAT_REFUSED, 1);
+  bd_log (BD_EVENT_REQUEST_REFUSED,
+          "request=%s route=%s code=%s wait_ms=%.0f limit_ms=%.0f priority=%d "
+          "retry_ms=%lld",
+          bd_log_quote (f->facts.attempt_id, id, sizeof id),
+          f->route->name.data, bd_error_answer (BD_ERR_OVERLOADED)->code,
+          overload->wait_ms, bd_overload_limit_ms (overload),
+          overload->priority, (long long)retry_ms);
+  answer_error (f->exchange, BD_ERR_OVERLOADED, BD_RAN_NO, retry_ms);
   free_forward (f);
 }
 
@@ -785,12 +803,25 @@
 next_attempt (struct forward *f)
 {
   struct bd_pick pick = pick_target (f);
+  struct bd_overload_case overload;
 
   if (!pick.target)
     {
       give_up (f, f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER);
       return;
     }
+  overload = (struct bd_overload_case){
+    .wait_ms = pick.wait_ms,
+    .objective_ms = f->route->objective_ms,
+    .left_ms = f->ends_ms - f->demand.now_ms,
+    .priority = bd_request_priority (f->workspace, f->route),
+    .least_priority = f->forwarder->least_priority
+  };
+  if (f->reached == 0 && bd_overload_refuses (&overload))
+    {
+      refuse_overload (f, &overload);
+      return;
+    }
   if (f->reached > 0)
     log_repeat (f, pick.target);
   else
@@ -1011,6 +1042,7 @@
 {
   bd_routing_unref (forwarder->routing);
   forwarder->routing = bd_routing_ref (routing);
+  forwarder->least_priority = bd_routing_least_priority (routing);
 }
 
 void
