--- a/src/gateway/http.c
+++ b/src/gateway/http.c
@@ -1,5 +1,6 @@
 #include "gateway/http.h"
 
+#include <ctype.h>
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
@@ -168,6 +169,39 @@
   return 0;
 }
 
+/* The parser lets spaces stand before the colon. */
+static bool
+is_token (struct bd_chunk name)
+{
+  for (size_t i = 0; i < name.length; i++)
+    if (!isalnum ((unsigned char)name.data[i])
+        && !memchr ("!#$%&'*+-.^_`|~", name.data[i], 15))
+      return false;
+  return name.length > 0;
+}
+
+/* No control character but the tab, which may stand in values. */
+static bool
+is_text (struct bd_chunk text, bool blanks)
+{
+  for (size_t i = 0; i < text.length; i++)
+    {
+      unsigned char c = (unsigned char)text.data[i];
+
+      if (c == 0x7f || c < ' ' || (c == ' ' && !blanks))
+        if (c != '\t' || !blanks)
+          return false;
+    }
+  return true;
+}
+
+/* Only the origin form: the Host field names the host, and nothing else. */
+static bool
+is_target (struct bd_chunk target)
+{
+  return target.length > 0 && target.data[0] == '/' && is_text (target, false);
+}
+
 static int
 check_framing (const struct bd_http_reader *reader)
 {
@@ -175,6 +209,12 @@
   size_t lengths = bd_head_count (head, BD_CHUNK ("Content-Length"));
   size_t codings = bd_head_count (head, BD_CHUNK ("Transfer-Encoding"));
 
+  for (size_t i = 0; i < head->field_count; i++)
+    if (!is_token (head->fields[i].name)
+        || !is_text (head->fields[i].value, true))
+      return BD_ERR_INVALID;
+  if (reader->side == BD_HTTP_REQUESTS && !is_target (head->target))
+    return BD_ERR_INVALID;
   if (lengths > 1 || codings > 1 || (lengths > 0 && codings > 0))
     return BD_ERR_INVALID;
   if (codings > 0
--- /dev/null
+++ b/test/test_choice.c
@@ -0,0 +1,254 @@
+/* Where requests go. */
+#include "balance/choice.h"
+#include "balance/outlier.h"
+#include "core/random.h"
+#include "support_targets.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define NOW 50000
+#define SHARED 13000
+#define OWN 3700
+
+static struct bd_demand
+long_demand (uint64_t prefix)
+{
+  return (struct bd_demand){ .service = BD_CHUNK ("llm"),
+                             .zone = BD_CHUNK ("z0"),
+                             .prefix_hash = bd_random_mix (prefix + 1),
+                             .shared_tokens = SHARED,
+                             .own_tokens = OWN,
+                             .now_ms = NOW };
+}
+
+static struct bd_demand
+short_demand (uint64_t prefix)
+{
+  struct bd_demand demand = long_demand (prefix);
+
+  demand.shared_tokens = 350;
+  demand.own_tokens = 1100;
+  return demand;
+}
+
+static struct bd_pick
+pick (struct bd_choice *choice, struct bd_targets *targets,
+      const struct bd_demand *demand)
+{
+  size_t count;
+  struct bd_target *const *all = bd_targets_all (targets, &count);
+
+  return bd_choice_pick (choice, demand, all, count);
+}
+
+/* Pattern: the first seconds of a burst of long prompts on cold runners.
+   Instances that never spoke send a part to the same runner, so that it is
+   read once. */
+static void
+test_same_home (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *one = bd_choice_create (1);
+  struct bd_choice *other = bd_choice_create (2);
+
+  support_put_runners (targets, 36, 3);
+  for (uint64_t prefix = 0; prefix < 900; prefix++)
+    {
+      struct bd_demand demand = long_demand (prefix);
+      struct bd_pick a = pick (one, targets, &demand);
+      struct bd_pick b;
+
+      demand.zone = BD_CHUNK ("z2");
+      b = pick (other, targets, &demand);
+      g_assert_true (a.target == b.target);
+      g_assert_cmpint (a.place, ==, BD_PLACE_HOME);
+      g_assert_false (a.target->kept_for_short);
+    }
+  bd_choice_destroy (one);
+  bd_choice_destroy (other);
+  bd_targets_destroy (targets);
+}
+
+/* Pattern: 2.6 requests for each of 900 parts within seconds.  Homes share
+   the work evenly, and less than a tenth of the readings is done twice. */
+static void
+test_burst_spread (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  GHashTable *read = g_hash_table_new (g_str_hash, g_str_equal);
+  uint64_t random = 5;
+  uint64_t most = 0;
+  uint64_t sum = 0;
+  int again = 0;
+  size_t count;
+  struct bd_target *const *all;
+
+  support_put_runners (targets, 36, 3);
+  all = bd_targets_all (targets, &count);
+  for (int i = 0; i < 2340; i++)
+    {
+      struct bd_demand demand = long_demand (bd_random_below (&random, 900));
+      struct bd_pick p = pick (choice, targets, &demand);
+      char *key = g_strdup_printf ("%lx", (unsigned long)demand.prefix_hash);
+      void *before = g_hash_table_lookup (read, key);
+
+      again += before && before != p.target;
+      g_hash_table_insert (read, key, p.target);
+      p.target->prefill_tokens += OWN;
+      /* What each runner reads meanwhile: 2,340 requests in nine seconds. */
+      for (size_t r = 0; r < count; r++)
+        all[r]->prefill_tokens -= MIN (all[r]->prefill_tokens, 210);
+    }
+  for (size_t r = 0; r < count; r++)
+    {
+      sum += all[r]->prefill_tokens;
+      most = MAX (most, all[r]->prefill_tokens);
+    }
+  g_assert_cmpint (again, <, 234);
+  g_assert_cmpuint (most, <, 200000);
+  g_hash_table_destroy (read);
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+/* Pattern: short streams with tight pauses beside long prompts. */
+static void
+test_lengths_apart (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+
+  support_put_runners (targets, 9, 3);
+  for (uint64_t prefix = 0; prefix < 200; prefix++)
+    {
+      struct bd_demand demand = short_demand (prefix);
+
+      g_assert_true (pick (choice, targets, &demand).target->kept_for_short);
+      demand = long_demand (prefix);
+      g_assert_false (pick (choice, targets, &demand).target->kept_for_short);
+    }
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+/* Pattern: all runners for short prompts crash at once. */
+static void
+test_overflow (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_demand demand = short_demand (1);
+  size_t count;
+  struct bd_target *const *all;
+
+  support_put_runners (targets, 9, 3);
+  all = bd_targets_all (targets, &count);
+  for (size_t i = 0; i < count; i++)
+    if (all[i]->kept_for_short)
+      bd_outlier_add (all[i], NOW, BD_RESULT_UNREACHABLE, all, count);
+  g_assert_false (pick (choice, targets, &demand).target->kept_for_short);
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+/* A home that leaves, or was tried, gives way to the second. */
+static void
+test_home_lost (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_demand demand = long_demand (3);
+  struct bd_pick first;
+  struct bd_pick second;
+  const struct bd_target *tried[1];
+
+  support_put_runners (targets, 9, 3);
+  first = pick (choice, targets, &demand);
+  tried[0] = first.target;
+  demand.tried = tried;
+  demand.tried_count = 1;
+  second = pick (choice, targets, &demand);
+  g_assert_true (second.target != first.target);
+  g_assert_cmpint (second.place, ==, BD_PLACE_SECOND);
+  demand.tried_count = 0;
+  bd_targets_remove (targets, NOW, first.target->id, 100);
+  g_assert_true (pick (choice, targets, &demand).target == second.target);
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+/* With no healthy runner, an avoided one is used. */
+static void
+test_last_resort (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_demand demand = short_demand (1);
+  size_t count;
+  struct bd_target *const *all;
+
+  support_put_runners (targets, 1, 1);
+  all = bd_targets_all (targets, &count);
+  bd_outlier_add (all[0], NOW, BD_RESULT_UNREACHABLE, all, count);
+  g_assert_true (pick (choice, targets, &demand).target == all[0]);
+  demand.service = BD_CHUNK ("other");
+  g_assert_null (pick (choice, targets, &demand).target);
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+/* A plain service: the zone's own runner until its slots are taken. */
+static void
+test_plain (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_demand demand = { .service = BD_CHUNK ("llm"),
+                              .zone = BD_CHUNK ("z1"),
+                              .now_ms = NOW };
+  struct bd_pick p;
+
+  support_put_runners (targets, 3, 3);
+  p = pick (choice, targets, &demand);
+  g_assert_true (bd_chunk_equal (p.target->zone, demand.zone));
+  g_assert_cmpfloat (p.wait_ms, ==, 0.0);
+  p.target->in_flight = p.target->slots;
+  p = pick (choice, targets, &demand);
+  g_assert_false (bd_chunk_equal (p.target->zone, demand.zone));
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+/* What peers have in flight counts like one's own. */
+static void
+test_peers_count (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_demand demand = long_demand (3);
+  struct bd_pick p;
+
+  support_put_runners (targets, 9, 3);
+  p = pick (choice, targets, &demand);
+  p.target->peers_prefill_tokens = 1000000;
+  g_assert_true (pick (choice, targets, &demand).target != p.target);
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/choice/same-home", test_same_home);
+  g_test_add_func ("/choice/burst-spread", test_burst_spread);
+  g_test_add_func ("/choice/lengths-apart", test_lengths_apart);
+  g_test_add_func ("/choice/overflow", test_overflow);
+  g_test_add_func ("/choice/home-lost", test_home_lost);
+  g_test_add_func ("/choice/last-resort", test_last_resort);
+  g_test_add_func ("/choice/plain", test_plain);
+  g_test_add_func ("/choice/peers-count", test_peers_count);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_forward.c
@@ -0,0 +1,636 @@
+/* A request's way through the gateway, against scripted runners. */
+#include "support_gateway.h"
+
+#include "common/clock.h"
+
+#include <string.h>
+
+#define HEAD                                                                  \
+  "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: @ID\r\n"                        \
+  "X-Basildock-Response-Signature: sig\r\n"
+#define OK_ANSWER HEAD "Content-Length: 2\r\n\r\nok"
+#define STREAM_HEAD                                                           \
+  HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: "               \
+       "chunked\r\n\r\n"
+/* "id: 1\ndata: a\n\n" and the like are 15 bytes. */
+#define EVENT(n) "f\r\nid: " n "\ndata: a\n\n\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+#define REFUSAL                                                               \
+  "HTTP/1.1 503 Service Unavailable\r\nX-Basildock-Attempt-Id: @ID\r\n"       \
+  "X-Basildock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define FAILURE                                                               \
+  "HTTP/1.1 500 Internal Server Error\r\nX-Basildock-Attempt-Id: @ID\r\n"     \
+  "X-Basildock-Response-Signature: bad\r\nContent-Length: 0\r\n\r\n"
+
+static const struct support_step answers[]
+    = { { OK_ANSWER, SUPPORT_KEEP }, { OK_ANSWER, SUPPORT_KEEP } };
+
+static struct support_caller *
+call (struct support_gateway *gateway, const char *method_path)
+{
+  char *text = support_request (method_path, "a1", "", "");
+  struct support_caller *caller = support_call (gateway, 0, text);
+
+  g_free (text);
+  return caller;
+}
+
+static void
+must_contain (const GString *text, const char *wanted)
+{
+  if (!strstr (text->str, wanted))
+    g_error ("no \"%s\" in: %s", wanted, text->str);
+}
+
+static void
+must_not_contain (const GString *text, const char *unwanted)
+{
+  if (strstr (text->str, unwanted))
+    g_error ("\"%s\" in: %s", unwanted, text->str);
+}
+
+/* Fields that the system sets are its own, and the key stays here. */
+static void
+test_fields (void)
+{
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+  char *text = support_request (
+      "POST /once/x?q=1", "a1",
+      "X-Basildock-Tenant: other\r\nX-Basildock-Kv-Hold: 1\r\n"
+      "Kv-From: 10.0.0.1:1/x\r\nX-Basildock-Pin-Ms: 9\r\n"
+      "X-Basildock-Request-Priority: 0\r\nX-Basildock-Target-Instance: z\r\n"
+      "Connection: X-Basildock-Model, X-Drop\r\nX-Drop: 1\r\nX-Keep: 1\r\n"
+      "X-Basildock-Model: m\r\nX-Basildock-Deadline-Ms: 900\r\n",
+      "body");
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, answers, 2);
+  caller = support_call (&g, 0, text);
+  support_await (caller, "\r\n\r\nok");
+  must_contain (caller->in, "X-Basildock-Response-Signature: sig");
+  must_contain (runner->received, "POST /once/x?q=1 HTTP/1.1\r\n");
+  must_contain (runner->received, "X-Basildock-Tenant: w\r\n");
+  must_contain (runner->received, "X-Basildock-Target-Instance: i-0\r\n");
+  must_contain (runner->received, "X-Basildock-Model: m\r\n");
+  must_contain (runner->received, "X-Keep: 1\r\n");
+  must_contain (runner->received, "\r\n\r\nbody");
+  must_not_contain (runner->received, "other");
+  must_not_contain (runner->received, "Kv-");
+  must_not_contain (runner->received, "Pin-Ms");
+  must_not_contain (runner->received, "X-Drop");
+  must_not_contain (runner->received, "Token");
+  must_not_contain (runner->received, "Instance: z");
+  must_not_contain (runner->received, "Deadline-Ms: 900\r\n"
+                                      "X-Basildock-Deadline-Ms");
+  g_free (text);
+  support_gateway_close (&g);
+}
+
+static void
+test_connections_kept (void)
+{
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, answers, 2);
+  caller = call (&g, "GET /safe/x");
+  support_await (caller, "\r\n\r\nok");
+  g_string_truncate (caller->in, 0);
+  call (&g, "GET /safe/y");
+  support_await (caller, "\r\n\r\nok");
+  g_assert_cmpint (runner->connections, ==, 1);
+  support_gateway_close (&g);
+}
+
+/* Two requests in one write are answered one after the other. */
+static void
+test_pipelined (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+  char *one = support_request ("GET /safe/x", "a1", "", "");
+  char *two = support_request ("GET /none/x", "a2", "", "");
+  char *both = g_strconcat (one, two, NULL);
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, answers, 2);
+  caller = support_call (&g, 0, both);
+  support_await (caller, "\r\n\r\nok");
+  support_await (caller, "HTTP/1.1 404");
+  g_free (one);
+  g_free (two);
+  g_free (both);
+  support_gateway_close (&g);
+}
+
+/* Runs METHOD_PATH against one runner's STEP; the caller must get WANTED. */
+static void
+check_answer (const char *method_path, const struct support_step *step,
+              const char *wanted)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, step, 1);
+  caller = call (&g, method_path);
+  support_await (caller, wanted);
+  support_gateway_close (&g);
+}
+
+struct answer_case
+{
+  const char *name;
+  const char *method_path;
+  struct support_step step;
+  const char *wanted;
+};
+
+static const struct answer_case answer_cases[] = {
+  { "whole", "POST /once/x", { OK_ANSWER, SUPPORT_KEEP }, "HTTP/1.1 200 OK" },
+  { "until-close",
+    "POST /once/x",
+    { HEAD "\r\nall of it", SUPPORT_CLOSE },
+    "Content-Length: 9\r\n\r\nall of it" },
+  /* Found by a day on which a runner crashed inside such an answer. */
+  { "until-reset",
+    "POST /once/x",
+    { HEAD "\r\npart of", SUPPORT_RESET },
+    "HTTP/1.1 502" },
+  { "short",
+    "POST /once/x",
+    { HEAD "Content-Length: 9\r\n\r\npart", SUPPORT_CLOSE },
+    "HTTP/1.1 502" },
+  { "unsigned",
+    "POST /once/x",
+    { "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: @ID\r\n"
+      "Content-Length: 2\r\n\r\nok",
+      SUPPORT_KEEP },
+    "HTTP/1.1 502" },
+  { "not-http",
+    "POST /once/x",
+    { "hello\r\n\r\n", SUPPORT_KEEP },
+    "HTTP/1.1 502" },
+  { "other-request-first",
+    "POST /once/x",
+    { "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: b2\r\n"
+      "X-Basildock-Response-Signature: old\r\nContent-Length: "
+      "3\r\n\r\nold" OK_ANSWER,
+      SUPPORT_KEEP },
+    "Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok" },
+  { "error-passed-on",
+    "POST /once/x",
+    { FAILURE, SUPPORT_KEEP },
+    "Response-Signature: bad" },
+  { "refused", "POST /once/x", { REFUSAL, SUPPORT_KEEP }, "HTTP/1.1 503" },
+  { "refusal-says-when",
+    "POST /once/x",
+    { REFUSAL, SUPPORT_KEEP },
+    "Retry-After: 0." },
+  { "reset-once", "POST /once/x", { "", SUPPORT_RESET }, "HTTP/1.1 502" },
+  { "no-body-for-head",
+    "HEAD /safe/x",
+    { HEAD "Content-Length: 2\r\n\r\n", SUPPORT_KEEP },
+    "Signature: sig" },
+};
+
+static void
+test_answer (gconstpointer data)
+{
+  const struct answer_case *c = data;
+
+  check_answer (c->method_path, &c->step, c->wanted);
+}
+
+/* Runs GET /safe/x where the first runner that gets it plays STEP and the
+   other answers. */
+static void
+check_second (const struct support_step *step, const char *method_path,
+              const char *wanted, int taken)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+  struct support_step steps[2][2];
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 2; i++)
+    support_gateway_runner (&g, i, steps[i], 2);
+  for (int i = 0; i < 2; i++)
+    steps[i][0] = steps[i][1] = *step;
+  caller = call (&g, method_path);
+  /* Whichever was picked, the other one is to answer. */
+  while (g.runners[0].taken + g.runners[1].taken == 0)
+    uv_run (&g.loop, UV_RUN_ONCE);
+  steps[g.runners[0].taken ? 1 : 0][0]
+      = (struct support_step){ OK_ANSWER, SUPPORT_KEEP };
+  support_await (caller, wanted);
+  g_assert_cmpint (g.runners[0].taken + g.runners[1].taken, ==, taken);
+  support_gateway_close (&g);
+}
+
+static void
+test_repeated (void)
+{
+  static const struct support_step refusal = { REFUSAL, SUPPORT_KEEP };
+  static const struct support_step reset = { "", SUPPORT_RESET };
+  static const struct support_step failure = { FAILURE, SUPPORT_KEEP };
+
+  check_second (&refusal, "GET /safe/x", "\r\n\r\nok", 2);
+  check_second (&reset, "GET /safe/x", "\r\n\r\nok", 2);
+  check_second (&failure, "GET /safe/x", "\r\n\r\nok", 2);
+  check_second (&reset, "POST /once/x", "HTTP/1.1 502", 1);
+}
+
+/* A runner that cannot be reached has not got the request. */
+static void
+test_unreachable (void)
+{
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_dead_runner (&g, 0);
+  runner = support_gateway_runner (&g, 1, answers, 2);
+  for (int i = 0; i < 2; i++)
+    {
+      caller = call (&g, "POST /once/x");
+      support_await (caller, "\r\n\r\nok");
+      g_string_truncate (caller->in, 0);
+    }
+  g_assert_cmpint (runner->taken, ==, 2);
+  support_gateway_close (&g);
+}
+
+/* Bytes after a whole answer belong to no request. */
+static void
+test_extra_bytes (void)
+{
+  static const struct support_step steps[]
+      = { { OK_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            SUPPORT_KEEP },
+          { OK_ANSWER, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, steps, 2);
+  caller = call (&g, "POST /once/x");
+  support_await (caller, "\r\n\r\nok");
+  g_string_truncate (caller->in, 0);
+  call (&g, "POST /once/y");
+  support_await (caller, "\r\n\r\nok");
+  g_assert_cmpint (runner->connections, ==, 2);
+  support_gateway_close (&g);
+}
+
+static void
+test_stream (void)
+{
+  static const struct support_step step
+      = { STREAM_HEAD EVENT ("1") EVENT ("2") LAST_CHUNK, SUPPORT_KEEP };
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, &step, 1);
+  caller = call (&g, "POST /stream/x");
+  support_await (caller, "\r\n0\r\n\r\n");
+  must_contain (caller->in, EVENT ("1") EVENT ("2"));
+  support_gateway_close (&g);
+}
+
+/* A stream that breaks inside an event: the part does not go out, and the
+   answer does not look complete. */
+static void
+test_stream_broken (void)
+{
+  static const struct support_step step
+      = { STREAM_HEAD EVENT ("1") "5\r\nid: 2\r\n", SUPPORT_RESET };
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, &step, 1);
+  caller = call (&g, "POST /stream/x");
+  support_await_end (caller);
+  must_contain (caller->in, EVENT ("1"));
+  must_not_contain (caller->in, "id: 2");
+  must_not_contain (caller->in, "\r\n0\r\n\r\n");
+  support_gateway_close (&g);
+}
+
+/* An end in the middle of an event is no end. */
+static void
+test_stream_ends_in_event (void)
+{
+  static const struct support_step step
+      = { STREAM_HEAD EVENT ("1") "5\r\nid: 2\r\n" LAST_CHUNK, SUPPORT_KEEP };
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, &step, 1);
+  caller = call (&g, "POST /stream/x");
+  support_await_end (caller);
+  must_not_contain (caller->in, "\r\n0\r\n\r\n");
+  support_gateway_close (&g);
+}
+
+static void
+test_stream_resumed (void)
+{
+  static const struct support_step rest
+      = { STREAM_HEAD EVENT ("2") LAST_CHUNK, SUPPORT_KEEP };
+  struct support_step steps[2];
+  struct support_gateway g;
+  struct support_caller *caller;
+  int second;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 2; i++)
+    {
+      steps[i]
+          = (struct support_step){ STREAM_HEAD EVENT ("1"), SUPPORT_RESET };
+      support_gateway_runner (&g, i, &steps[i], 1);
+    }
+  caller = call (&g, "POST /resume/x");
+  while (g.runners[0].taken + g.runners[1].taken == 0)
+    uv_run (&g.loop, UV_RUN_ONCE);
+  second = g.runners[0].taken ? 1 : 0;
+  steps[second] = rest;
+  support_await (caller, "\r\n0\r\n\r\n");
+  must_contain (caller->in, EVENT ("1") EVENT ("2"));
+  must_contain (g.runners[second].received, "Last-Event-Id: 1\r\n");
+  /* One head only. */
+  g_assert_null (strstr (caller->in->str + 10, "HTTP/1.1"));
+  support_gateway_close (&g);
+}
+
+/* The caller goes away before, or within, a stream: the runner hears. */
+static void
+test_hang_up (void)
+{
+  static const struct support_step step
+      = { STREAM_HEAD EVENT ("1"), SUPPORT_KEEP };
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, &step, 1);
+  caller = call (&g, "POST /stream/x");
+  support_await (caller, "data: a");
+  support_hang_up (caller);
+  support_await_count (&g, &runner->gone, 1);
+  support_gateway_close (&g);
+}
+
+static void
+test_hang_up_early (void)
+{
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, NULL, 0);
+  caller = call (&g, "POST /once/x");
+  support_await_count (&g, &runner->taken, 1);
+  support_hang_up (caller);
+  support_await_count (&g, &runner->gone, 1);
+  support_gateway_close (&g);
+}
+
+/* The final answer comes when the request's time is over, not later. */
+static void
+test_timeout (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+  char *text = support_request ("POST /once/x", "a1",
+                                "X-Basildock-Deadline-Ms: 150\r\n", "");
+  int64_t start = bd_clock_ms ();
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, NULL, 0);
+  caller = support_call (&g, 0, text);
+  support_await (caller, "HTTP/1.1 504");
+  g_assert_cmpint (bd_clock_ms () - start, >=, 145);
+  must_not_contain (caller->in, "Retry-After");
+  must_contain (caller->in, "\"ran\":\"unknown\"");
+  g_free (text);
+  support_gateway_close (&g);
+}
+
+static void
+test_refused_here (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+  char *no_key = g_strdup ("GET /safe/x HTTP/1.1\r\nHost: h\r\n"
+                           "X-Basildock-Attempt-Id: a\r\n\r\n");
+  char *no_id = g_strdup ("GET /safe/x HTTP/1.1\r\nHost: h\r\n"
+                          "Authorization: Token k\r\n\r\n");
+
+  support_gateway_open (&g);
+  caller = call (&g, "GET /none/x");
+  support_await (caller, "HTTP/1.1 404");
+  caller = support_call (&g, 1, no_key);
+  support_await (caller, "HTTP/1.1 401");
+  caller = support_call (&g, 2, no_id);
+  support_await (caller, "HTTP/1.1 400");
+  g_free (no_key);
+  g_free (no_id);
+  support_gateway_close (&g);
+}
+
+static void
+test_no_runner (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  caller = call (&g, "POST /once/x");
+  support_await (caller, "HTTP/1.1 503");
+  must_contain (caller->in, "\"ran\":\"no\"");
+  must_contain (caller->in, "Retry-After: ");
+  support_gateway_close (&g);
+}
+
+/* Pattern: the queue of every runner is longer than the request may wait. */
+static void
+test_overload (void)
+{
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+  size_t count;
+  char *text = support_request ("POST /stream/x", "a1",
+                                "X-Basildock-Prefix-Hash: aa:9000,bb:4000\r\n"
+                                "X-Basildock-Token-Usage: 13000,80\r\n",
+                                "");
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, answers, 1);
+  bd_targets_all (g.targets, &count)[0]->peers_prefill_tokens = 1000000;
+  caller = support_call (&g, 0, text);
+  support_await (caller, "HTTP/1.1 503");
+  must_contain (caller->in, "\"overloaded\"");
+  must_contain (caller->in, "Retry-After: ");
+  g_assert_cmpint (runner->taken, ==, 0);
+  g_free (text);
+  support_gateway_close (&g);
+}
+
+/* While the instance stops: what would outlive it is refused, what ends in
+   time is served, and each answer closes its connection. */
+static void
+test_stopping (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+  int64_t now = bd_clock_boot_ms ();
+  char *text = support_request ("POST /once/x", "a1",
+                                "X-Basildock-Deadline-Ms: 300\r\n", "");
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, answers, 2);
+  bd_server_drain (g.server);
+  bd_forwarder_stop (g.forwarder, now - 1, now + 1000);
+  caller = call (&g, "POST /once/x");
+  support_await_end (caller);
+  must_contain (caller->in, "HTTP/1.1 503");
+  must_contain (caller->in, "Connection: close");
+  caller = support_call (&g, 1, text);
+  support_await_end (caller);
+  must_contain (caller->in, "\r\n\r\nok");
+  must_contain (caller->in, "Connection: close");
+  g_free (text);
+  support_gateway_close (&g);
+}
+
+/* A kept connection on which nothing has come is closed, one on which a
+   request has begun is not. */
+static void
+test_close_idle (void)
+{
+  struct support_gateway g;
+  struct support_caller *idle;
+  struct support_caller *busy;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, answers, 2);
+  idle = call (&g, "GET /safe/x");
+  support_await (idle, "\r\n\r\nok");
+  busy = support_call (&g, 1, "GET /none/x HTTP/1.1\r\nHost: h\r\n");
+  while (bd_server_connections (g.server) < 2)
+    uv_run (&g.loop, UV_RUN_ONCE);
+  uv_run (&g.loop, UV_RUN_NOWAIT);
+  bd_server_close_idle (g.server);
+  support_await_end (idle);
+  support_call (&g, 1, "X-Basildock-Attempt-Id: a\r\n\r\n");
+  support_await (busy, "HTTP/1.1 404");
+  support_gateway_close (&g);
+}
+
+/* What is no request gets a clear answer and ends the connection. */
+static void
+test_hostile (void)
+{
+  static const char *const texts[] = {
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "zz\r\n",
+    "hello\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      struct support_gateway g;
+      struct support_runner *runner;
+      struct support_caller *caller;
+
+      support_gateway_open (&g);
+      runner = support_gateway_runner (&g, 0, answers, 2);
+      caller = support_call (&g, 0, texts[i]);
+      support_await_end (caller);
+      must_contain (caller->in, "HTTP/1.1 400");
+      g_assert_cmpint (runner->taken, ==, 0);
+      support_gateway_close (&g);
+    }
+}
+
+static void
+test_limits (void)
+{
+  struct bd_caller_limits limits = { .head_max_bytes = 300,
+                                     .body_max_bytes = 10,
+                                     .head_timeout_ms = 50,
+                                     .idle_timeout_ms = 50 };
+  struct support_gateway g;
+  struct support_caller *caller;
+  char *long_head;
+  char *filler = g_strnfill (400, 'x');
+
+  support_gateway_open (&g);
+  bd_server_limit (g.server, &limits);
+  caller = call (&g, "POST /once/x");
+  caller = support_call (&g, 1,
+                         "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                         "Content-Length: 11\r\n\r\n");
+  support_await (caller, "HTTP/1.1 413");
+  long_head = g_strdup_printf ("GET /%s HTTP/1.1\r\n", filler);
+  caller = support_call (&g, 2, long_head);
+  support_await (caller, "HTTP/1.1 431");
+  caller = support_call (&g, 3, "GET /x HTTP/1.1\r\n");
+  support_await (caller, "HTTP/1.1 408");
+  support_await_end (&g.callers[0]);
+  g_free (long_head);
+  g_free (filler);
+  support_gateway_close (&g);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/forward/fields", test_fields);
+  g_test_add_func ("/forward/connections-kept", test_connections_kept);
+  g_test_add_func ("/forward/pipelined", test_pipelined);
+  for (size_t i = 0; i < G_N_ELEMENTS (answer_cases); i++)
+    {
+      char *path
+          = g_strdup_printf ("/forward/answer/%s", answer_cases[i].name);
+
+      g_test_add_data_func (path, &answer_cases[i], test_answer);
+      g_free (path);
+    }
+  g_test_add_func ("/forward/repeated", test_repeated);
+  g_test_add_func ("/forward/unreachable", test_unreachable);
+  g_test_add_func ("/forward/extra-bytes", test_extra_bytes);
+  g_test_add_func ("/forward/stream", test_stream);
+  g_test_add_func ("/forward/stream-broken", test_stream_broken);
+  g_test_add_func ("/forward/stream-ends-in-event", test_stream_ends_in_event);
+  g_test_add_func ("/forward/stream-resumed", test_stream_resumed);
+  g_test_add_func ("/forward/hang-up", test_hang_up);
+  g_test_add_func ("/forward/hang-up-early", test_hang_up_early);
+  g_test_add_func ("/forward/timeout", test_timeout);
+  g_test_add_func ("/forward/refused-here", test_refused_here);
+  g_test_add_func ("/forward/no-runner", test_no_runner);
+  g_test_add_func ("/forward/overload", test_overload);
+  g_test_add_func ("/forward/stopping", test_stopping);
+  g_test_add_func ("/forward/close-idle", test_close_idle);
+  g_test_add_func ("/forward/hostile", test_hostile);
+  g_test_add_func ("/forward/limits", test_limits);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_http.c
@@ -0,0 +1,300 @@
+/* The strict reader of HTTP/1.1 messages. */
+#include "gateway/http.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define HEAD_MAX 512
+
+/* What the reader told, as one line of text. */
+struct record
+{
+  GString *text;
+  struct bd_head head;
+};
+
+static int
+on_head (void *context, const struct bd_head *head)
+{
+  struct record *record = context;
+
+  record->head = *head;
+  if (head->status)
+    g_string_append_printf (record->text, "[%d", head->status);
+  else
+    g_string_append_printf (record->text, "[%.*s %.*s",
+                            (int)head->method.length, head->method.data,
+                            (int)head->target.length, head->target.data);
+  g_string_append_printf (record->text, "%s]",
+                          head->keep_alive ? "" : " close");
+  return BD_OK;
+}
+
+static int
+on_body (void *context, struct bd_chunk data)
+{
+  struct record *record = context;
+
+  g_string_append_len (record->text, data.data, (gssize)data.length);
+  return BD_OK;
+}
+
+static int
+on_end (void *context)
+{
+  struct record *record = context;
+
+  g_string_append (record->text, ".");
+  return BD_OK;
+}
+
+static const struct bd_http_handler handler
+    = { .on_head = on_head, .on_body = on_body, .on_end = on_end };
+
+/* Feeds TEXT in pieces of STEP bytes, going on after each message. */
+static int
+read_all (enum bd_http_side side, const char *text, size_t step,
+          struct record *record)
+{
+  struct bd_http_reader *reader
+      = bd_http_reader_create (side, HEAD_MAX, &handler, record);
+  size_t length = strlen (text);
+  int error = BD_OK;
+
+  record->text = g_string_new (NULL);
+  for (size_t at = 0; at < length && error == BD_OK; at += step)
+    {
+      size_t before = record->text->len;
+
+      error = bd_http_reader_feed (
+          reader, (struct bd_chunk){ text + at, MIN (step, length - at) });
+      while (error == BD_OK && record->text->len > before
+             && g_str_has_suffix (record->text->str, "."))
+        {
+          before = record->text->len;
+          error = bd_http_reader_next (reader);
+        }
+    }
+  if (error == BD_OK)
+    error = bd_http_reader_finish (reader);
+  bd_http_reader_destroy (reader);
+  return error;
+}
+
+struct message_case
+{
+  const char *name;
+  enum bd_http_side side;
+  const char *text;
+  int error;
+  const char *told; /* NULL: does not matter. */
+};
+
+#define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
+#define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
+
+static const struct message_case cases[] = {
+  { "get", BD_HTTP_REQUESTS, GET "\r\n", BD_OK, "[GET /a]." },
+  { "length", BD_HTTP_REQUESTS, POST "Content-Length: 3\r\n\r\nabc", BD_OK,
+    "[POST /a]abc." },
+  { "chunked", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1;x=y\r\nd\r\n0\r\n"
+         "T: v\r\n\r\n",
+    BD_OK, "[POST /a]abcd." },
+  { "pipelined", BD_HTTP_REQUESTS,
+    GET "\r\n" POST "Content-Length: 1\r\n\r\nx" GET "\r\n", BD_OK,
+    "[GET /a].[POST /a]x.[GET /a]." },
+  { "close", BD_HTTP_REQUESTS, GET "Connection: close\r\n\r\n", BD_OK,
+    "[GET /a close]." },
+  { "empty-lines-first", BD_HTTP_REQUESTS, "\r\n\r\n" GET "\r\n", BD_OK,
+    "[GET /a]." },
+  { "upgrade-ignored", BD_HTTP_REQUESTS,
+    GET "Connection: upgrade\r\nUpgrade: h2c\r\n\r\n", BD_OK, "[GET /a]." },
+  /* What lets one side see another message than the next. */
+  { "two-lengths", BD_HTTP_REQUESTS,
+    POST "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", BD_ERR_INVALID,
+    NULL },
+  { "two-equal-lengths", BD_HTTP_REQUESTS,
+    POST "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", BD_ERR_INVALID,
+    NULL },
+  { "length-and-chunked", BD_HTTP_REQUESTS,
+    POST "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    BD_ERR_INVALID, NULL },
+  { "chunked-twice", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\n",
+    BD_ERR_INVALID, NULL },
+  { "other-coding", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", BD_ERR_INVALID,
+    NULL },
+  { "obfuscated-coding", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", BD_ERR_INVALID,
+    NULL },
+  { "chunk-size-no-number", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", BD_ERR_INVALID,
+    NULL },
+  { "chunk-size-overflow", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+    BD_ERR_INVALID, NULL },
+  { "chunk-without-line-end", BD_HTTP_REQUESTS,
+    POST "Transfer-Encoding: chunked\r\n\r\n3\r\nabcX0\r\n\r\n",
+    BD_ERR_INVALID, NULL },
+  { "signed-length", BD_HTTP_REQUESTS, POST "Content-Length: +3\r\n\r\nabc",
+    BD_ERR_INVALID, NULL },
+  { "negative-length", BD_HTTP_REQUESTS, POST "Content-Length: -3\r\n\r\n",
+    BD_ERR_INVALID, NULL },
+  { "length-overflow", BD_HTTP_REQUESTS,
+    POST "Content-Length: 99999999999999999999\r\n\r\n", BD_ERR_INVALID,
+    NULL },
+  { "space-before-colon", BD_HTTP_REQUESTS,
+    POST "Content-Length : 3\r\n\r\nabc", BD_ERR_INVALID, NULL },
+  { "bare-line-feed", BD_HTTP_REQUESTS, "GET /a HTTP/1.1\nHost: h\r\n\r\n",
+    BD_ERR_INVALID, NULL },
+  { "folded-line", BD_HTTP_REQUESTS, GET "A: b\n c\r\n\r\n", BD_ERR_INVALID,
+    NULL },
+  { "no-host", BD_HTTP_REQUESTS, "GET /a HTTP/1.1\r\n\r\n", BD_ERR_INVALID,
+    NULL },
+  { "two-hosts", BD_HTTP_REQUESTS, GET "Host: i\r\n\r\n", BD_ERR_INVALID,
+    NULL },
+  { "absolute-target", BD_HTTP_REQUESTS,
+    "GET http://i/a HTTP/1.1\r\nHost: h\r\n\r\n", BD_ERR_INVALID, NULL },
+  { "control-in-target", BD_HTTP_REQUESTS,
+    "GET /a\001 HTTP/1.1\r\nHost: h\r\n\r\n", BD_ERR_INVALID, NULL },
+  { "control-in-value", BD_HTTP_REQUESTS,
+    "GET /a HTTP/1.1\r\nHost: \001\r\n\r\n", BD_ERR_INVALID, NULL },
+  { "not-http", BD_HTTP_REQUESTS, "hello\r\n\r\n", BD_ERR_INVALID, NULL },
+  { "unfinished-body", BD_HTTP_REQUESTS, POST "Content-Length: 3\r\n\r\nab",
+    BD_ERR_BROKEN, "[POST /a]ab" },
+  { "unfinished-head", BD_HTTP_REQUESTS, GET, BD_ERR_BROKEN, "" },
+  /* Responses. */
+  { "response", BD_HTTP_RESPONSES,
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", BD_OK, "[200]ok." },
+  { "until-close", BD_HTTP_RESPONSES, "HTTP/1.1 200 OK\r\n\r\nall of it",
+    BD_OK, "[200 close]all of it." },
+  { "continue-first", BD_HTTP_RESPONSES,
+    "HTTP/1.1 100 Continue\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+    BD_OK, "[200]x." },
+  { "no-content", BD_HTTP_RESPONSES, "HTTP/1.1 204 No Content\r\n\r\n", BD_OK,
+    "[204]." },
+  { "short-body", BD_HTTP_RESPONSES,
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", BD_ERR_BROKEN,
+    "[200]ok" },
+  { "short-chunks", BD_HTTP_RESPONSES,
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+    BD_ERR_BROKEN, "[200]ok" },
+};
+
+/* Each message reads the same however it is cut into pieces. */
+static void
+test_case (gconstpointer data)
+{
+  const struct message_case *c = data;
+
+  for (size_t step = 1; step <= strlen (c->text); step++)
+    {
+      struct record record;
+      int error = read_all (c->side, c->text, step, &record);
+
+      g_assert_cmpint (error, ==, c->error);
+      if (c->told)
+        g_assert_cmpstr (record.text->str, ==, c->told);
+      g_string_free (record.text, TRUE);
+    }
+}
+
+static void
+test_limits (void)
+{
+  GString *text = g_string_new (GET "A: ");
+  struct record record;
+
+  for (int i = 0; i < HEAD_MAX; i++)
+    g_string_append_c (text, 'x');
+  g_assert_cmpint (read_all (BD_HTTP_REQUESTS, text->str, 7, &record), ==,
+                   BD_ERR_TOO_LARGE);
+  g_string_free (record.text, TRUE);
+  g_string_append (text, "\r\n\r\n");
+  g_assert_cmpint (read_all (BD_HTTP_REQUESTS, text->str, text->len, &record),
+                   ==, BD_ERR_TOO_LARGE);
+  g_string_free (record.text, TRUE);
+  g_string_assign (text, GET);
+  for (int i = 0; i < BD_HTTP_FIELDS_MAX; i++)
+    g_string_append (text, "A:\r\n");
+  g_string_append (text, "\r\n");
+  g_assert_cmpint (read_all (BD_HTTP_REQUESTS, text->str, text->len, &record),
+                   ==, BD_ERR_TOO_LARGE);
+  g_string_free (record.text, TRUE);
+  g_string_free (text, TRUE);
+}
+
+/* Bytes behind an unanswered request are bounded. */
+static void
+test_ahead (void)
+{
+  struct record record = { .text = g_string_new (NULL) };
+  struct bd_http_reader *reader
+      = bd_http_reader_create (BD_HTTP_REQUESTS, HEAD_MAX, &handler, &record);
+  char *more = g_malloc0 (BD_HTTP_AHEAD_MAX_BYTES);
+
+  g_assert_cmpint (bd_http_reader_feed (reader, BD_CHUNK (GET "\r\n")), ==,
+                   BD_OK);
+  g_assert_cmpint (
+      bd_http_reader_feed (reader,
+                           (struct bd_chunk){ more, BD_HTTP_AHEAD_MAX_BYTES }),
+      ==, BD_OK);
+  g_assert_cmpint (bd_http_reader_feed (reader, BD_CHUNK ("x")), ==,
+                   BD_ERR_TOO_LARGE);
+  bd_http_reader_destroy (reader);
+  g_free (more);
+  g_string_free (record.text, TRUE);
+}
+
+static void
+test_fields (void)
+{
+  struct record record;
+
+  read_all (BD_HTTP_REQUESTS,
+            GET "Connection: keep-alive, X-One\r\nX-One: 1\r\nX-Two: 2\r\n"
+                "x-two: 3\r\n\r\n",
+            1000, &record);
+  g_assert_true (bd_head_hop_by_hop (&record.head, BD_CHUNK ("connection")));
+  g_assert_true (bd_head_hop_by_hop (&record.head, BD_CHUNK ("x-one")));
+  g_assert_false (bd_head_hop_by_hop (&record.head, BD_CHUNK ("X-Two")));
+  g_assert_cmpuint (bd_head_count (&record.head, BD_CHUNK ("X-TWO")), ==, 2);
+  g_assert_null (bd_head_value (&record.head, BD_CHUNK ("X-Three")).data);
+  g_string_free (record.text, TRUE);
+}
+
+static void
+test_numbers (void)
+{
+  int64_t n;
+
+  g_assert_cmpint (bd_number_parse (BD_CHUNK ("120"), &n), ==, BD_OK);
+  g_assert_cmpint (n, ==, 120);
+  g_assert_cmpint (bd_number_parse (BD_CHUNK (""), &n), ==, BD_ERR_INVALID);
+  g_assert_cmpint (bd_number_parse (BD_CHUNK ("1x"), &n), ==, BD_ERR_INVALID);
+  g_assert_cmpint (bd_number_parse (BD_CHUNK ("+1"), &n), ==, BD_ERR_INVALID);
+  g_assert_cmpint (bd_number_parse (BD_CHUNK ("9999999999999999999"), &n), ==,
+                   BD_ERR_INVALID);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *path = g_strdup_printf ("/http/message/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], test_case);
+      g_free (path);
+    }
+  g_test_add_func ("/http/limits", test_limits);
+  g_test_add_func ("/http/ahead", test_ahead);
+  g_test_add_func ("/http/fields", test_fields);
+  g_test_add_func ("/http/numbers", test_numbers);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_target.c
@@ -0,0 +1,197 @@
+/* The list of runners: leaving, lapses around outages, restarts. */
+#include "balance/target.h"
+#include "support_targets.h"
+
+#include <glib.h>
+
+#define NOW 100000
+
+static bool
+usable (struct bd_targets *targets, const char *id)
+{
+  struct bd_target *target = bd_targets_find (targets, bd_chunk_of (id));
+
+  return target && bd_target_usable (target);
+}
+
+static void
+test_leaving (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("a", "z0");
+
+  bd_targets_put (targets, NOW, &entry, 10);
+  g_assert_true (usable (targets, "a"));
+  entry.draining = true;
+  bd_targets_put (targets, NOW, &entry, 12);
+  g_assert_false (usable (targets, "a"));
+  /* An older entry does not bring it back. */
+  entry.draining = false;
+  bd_targets_put (targets, NOW, &entry, 11);
+  g_assert_false (usable (targets, "a"));
+  bd_targets_remove (targets, NOW, BD_CHUNK ("a"), 13);
+  bd_targets_tick (targets, NOW);
+  g_assert_null (bd_targets_find (targets, BD_CHUNK ("a")));
+  bd_targets_destroy (targets);
+}
+
+static void
+test_kept_while_in_flight (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("a", "z0");
+  struct bd_target *target;
+
+  bd_targets_put (targets, NOW, &entry, 1);
+  target = support_target (targets, "a");
+  target->in_flight = 1;
+  bd_targets_remove (targets, NOW, BD_CHUNK ("a"), 2);
+  bd_targets_tick (targets, NOW);
+  g_assert_true (support_target (targets, "a") == target);
+  g_assert_false (usable (targets, "a"));
+  target->in_flight = 0;
+  bd_targets_tick (targets, NOW);
+  g_assert_null (bd_targets_find (targets, BD_CHUNK ("a")));
+  bd_targets_destroy (targets);
+}
+
+/* Entries expire during an outage; they are back soon after, or gone. */
+static void
+test_outage (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+
+  support_put_runners (targets, 2, 1);
+  bd_targets_store_lost (targets);
+  bd_targets_remove (targets, NOW, BD_CHUNK ("r0"), 20);
+  bd_targets_remove (targets, NOW, BD_CHUNK ("r1"), 21);
+  bd_targets_tick (targets, NOW + 60000);
+  g_assert_true (usable (targets, "r0"));
+  bd_targets_store_back (targets, NOW + 60000);
+  bd_targets_tick (targets, NOW + 60000 + BD_TARGET_LAPSE_MS - 1);
+  g_assert_true (usable (targets, "r0"));
+  {
+    struct bd_target_entry entry = support_entry ("r0", "z0");
+
+    bd_targets_put (targets, NOW + 61000, &entry, 30);
+  }
+  bd_targets_tick (targets, NOW + 60000 + BD_TARGET_LAPSE_MS);
+  g_assert_true (usable (targets, "r0"));
+  g_assert_false (usable (targets, "r1"));
+  bd_targets_destroy (targets);
+}
+
+/* A runner that was seen draining does not come back by a lapse. */
+static void
+test_drain_then_outage (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("a", "z0");
+
+  entry.draining = true;
+  bd_targets_put (targets, NOW, &entry, 1);
+  bd_targets_store_lost (targets);
+  bd_targets_remove (targets, NOW, BD_CHUNK ("a"), 2);
+  g_assert_false (usable (targets, "a"));
+  bd_targets_destroy (targets);
+}
+
+/* What a list no longer names is gone; what was put since stays. */
+static void
+test_list (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("new", "z0");
+
+  support_put_runners (targets, 2, 1);
+  bd_targets_list_begin (targets);
+  entry = support_entry ("r0", "z0");
+  bd_targets_put (targets, NOW, &entry, 1);
+  bd_targets_list_end (targets, NOW, 50);
+  g_assert_true (usable (targets, "r0"));
+  g_assert_false (usable (targets, "r1"));
+  bd_targets_destroy (targets);
+}
+
+static void
+test_restart (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("a", "z0");
+
+  entry.born_ms = 111;
+  bd_targets_put (targets, NOW, &entry, 1);
+  support_target (targets, "a")->record.failures = 9;
+  entry.born_ms = 222;
+  bd_targets_put (targets, NOW + 5, &entry, 2);
+  g_assert_cmpfloat (support_target (targets, "a")->record.failures, ==, 0);
+  g_assert_cmpint (support_target (targets, "a")->since_ms, ==, NOW + 5);
+  bd_targets_destroy (targets);
+}
+
+/* Every instance keeps the same runners for short prompts, in each zone. */
+static void
+test_short (void)
+{
+  struct bd_targets *one = bd_targets_create ();
+  struct bd_targets *other = bd_targets_create ();
+  size_t count;
+  struct bd_target *const *all;
+  int kept[3] = { 0 };
+
+  support_put_runners (one, 39, 3);
+  for (int i = 38; i >= 0; i--)
+    {
+      char *id = g_strdup_printf ("r%d", i);
+      char *zone = g_strdup_printf ("z%d", i % 3);
+      struct bd_target_entry entry = support_entry (id, zone);
+
+      bd_targets_put (other, 0, &entry, 1);
+      g_free (id);
+      g_free (zone);
+    }
+  all = bd_targets_all (one, &count);
+  g_assert_cmpuint (count, ==, 39);
+  bd_targets_all (other, &count);
+  for (size_t i = 0; i < 39; i++)
+    {
+      g_assert_cmpint (
+          all[i]->kept_for_short, ==,
+          support_target (other, all[i]->id.data)->kept_for_short);
+      kept[i % 3] += all[i]->kept_for_short;
+    }
+  for (int z = 0; z < 3; z++)
+    g_assert_cmpint (kept[z], ==, 3); /* 13 / 6, rounded up. */
+  bd_targets_destroy (one);
+  bd_targets_destroy (other);
+}
+
+/* With so few runners none can be spared. */
+static void
+test_short_few (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  size_t count;
+  struct bd_target *const *all;
+
+  support_put_runners (targets, 2, 1);
+  all = bd_targets_all (targets, &count);
+  g_assert_false (all[0]->kept_for_short);
+  g_assert_false (all[1]->kept_for_short);
+  bd_targets_destroy (targets);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/target/leaving", test_leaving);
+  g_test_add_func ("/target/in-flight", test_kept_while_in_flight);
+  g_test_add_func ("/target/outage", test_outage);
+  g_test_add_func ("/target/drain-then-outage", test_drain_then_outage);
+  g_test_add_func ("/target/list", test_list);
+  g_test_add_func ("/target/restart", test_restart);
+  g_test_add_func ("/target/short", test_short);
+  g_test_add_func ("/target/short-few", test_short_few);
+  return g_test_run ();
+}
