--- a/src/common/log.c
+++ b/src/common/log.c
@@ -1,5 +1,9 @@
 #include "common/log.h"
 
+#include "common/clock.h"
+
+#include <limits.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdarg.h>
@@ -44,6 +48,20 @@
 static _Atomic int least_severity = BD_SEVERITY_INFO;
 static char instance_name[INSTANCE_MAX_BYTES] = "-";
 
+/* Lines that wait for bd_log_flush (); a ring of bytes. */
+struct queue
+{
+  int fd; /* -1: lines are written at once, to standard error. */
+  size_t start;
+  size_t length;
+  int64_t second; /* In which lines_now were queued. */
+  uint32_t lines_now;
+  uint64_t dropped; /* Since the last report. */
+  char bytes[BD_LOG_QUEUE_BYTES];
+};
+
+static struct queue queue = { .fd = -1 };
+
 static void
 init_slots (void)
 {
@@ -143,6 +161,36 @@
   pthread_mutex_unlock (&slot->lock);
 }
 
+static void
+enqueue (enum bd_severity severity, const char *line, size_t length)
+{
+  int64_t second = bd_clock_ms () / 1000;
+  bool ordinary = severity >= BD_SEVERITY_INFO;
+  size_t room = BD_LOG_QUEUE_BYTES - queue.length;
+  size_t end = (queue.start + queue.length) % BD_LOG_QUEUE_BYTES;
+  size_t first = BD_LOG_QUEUE_BYTES - end;
+
+  if (second != queue.second)
+    {
+      queue.second = second;
+      queue.lines_now = 0;
+    }
+  if (length > room
+      || (ordinary
+          && (room < BD_LOG_QUEUE_BYTES / 4
+              || queue.lines_now >= BD_LOG_LINES_PER_S)))
+    {
+      queue.dropped++;
+      return;
+    }
+  queue.lines_now++;
+  if (first > length)
+    first = length;
+  memcpy (queue.bytes + end, line, first);
+  memcpy (queue.bytes, line + first, length - first);
+  queue.length += length;
+}
+
 void
 bd_log (enum bd_event event, const char *format, ...)
 {
@@ -162,12 +210,60 @@
       va_end (args);
     }
   mask_control_bytes (line, length);
-  keep_line (line, length);
+  if (queue.fd < 0)
+    keep_line (line, length);
   line[length++] = '\n';
-  if (write (STDERR_FILENO, line, length) < 0)
+  if (queue.fd >= 0)
+    enqueue (row->severity, line, length);
+  else if (write (STDERR_FILENO, line, length) < 0)
     return;
 }
 
+void
+bd_log_queue (int fd)
+{
+  queue.fd = fd;
+}
+
+/* Writes one piece of the queue.  Returns false when FD takes nothing. */
+static bool
+write_piece (void)
+{
+  struct pollfd poller = { .fd = queue.fd, .events = POLLOUT };
+  size_t length = BD_LOG_QUEUE_BYTES - queue.start;
+  ssize_t n;
+
+  /* A pipe that polls as writable takes PIPE_BUF bytes without blocking. */
+  if (poll (&poller, 1, 0) <= 0 || !(poller.revents & POLLOUT))
+    return false;
+  if (length > queue.length)
+    length = queue.length;
+  if (length > PIPE_BUF)
+    length = PIPE_BUF;
+  n = write (queue.fd, queue.bytes + queue.start, length);
+  if (n <= 0)
+    return false;
+  queue.start = (queue.start + (size_t)n) % BD_LOG_QUEUE_BYTES;
+  queue.length -= (size_t)n;
+  return true;
+}
+
+void
+bd_log_flush (void)
+{
+  int64_t second = bd_clock_ms () / 1000;
+
+  if (queue.dropped > 0 && second != queue.second)
+    {
+      uint64_t dropped = queue.dropped;
+
+      queue.dropped = 0;
+      bd_log (BD_EVENT_LOG_DROPPED, "lines=%llu", (unsigned long long)dropped);
+    }
+  while (queue.length > 0 && write_piece ())
+    ;
+}
+
 const char *
 bd_log_quote (struct bd_chunk value, char *text, size_t size)
 {
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -21,6 +21,24 @@
 /** Sets the name that stands in each line and the least severity shown. */
 void bd_log_open (const char *instance, enum bd_severity least);
 
+/** Bytes of lines that wait to be written, with bd_log_queue (). */
+#define BD_LOG_QUEUE_BYTES ((size_t)128 * 1024)
+/** Ordinary lines (severity info and below) queued in a second at most. */
+#define BD_LOG_LINES_PER_S 400
+
+/**
+ * From now on lines wait in memory for bd_log_flush (), which writes them to
+ * FD.  Ordinary lines beyond BD_LOG_LINES_PER_S, and those that find the
+ * queue three quarters full, are dropped and counted.  One thread only.
+ */
+void bd_log_queue (int fd);
+
+/**
+ * Writes what FD takes without blocking.  Reports dropped lines, once a
+ * second, as an event of its own.
+ */
+void bd_log_flush (void);
+
 /**
  * Writes one line: timestamp, host part, program, event number and name,
  * then FORMAT's key=value text.  Values with spaces must be quoted by "%s"
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -301,6 +301,7 @@
     }
   if (gateway->stopping_ms != 0)
     check_stop (gateway, now);
+  bd_log_flush ();
 }
 
 static void
@@ -491,4 +492,5 @@
   bd_peers_leave (gateway->peers);
   bd_log (BD_EVENT_DAEMON_STOP, "active=%zu",
           bd_server_active (gateway->callers));
+  bd_log_flush ();
 }
--- /dev/null
+++ b/test/test_documents.c
@@ -0,0 +1,169 @@
+/* The operator's and the runners' documents of the Cutline platform. */
+#include "documents.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+
+static const char configuration[]
+    = "{\"version\":7,\"routes\":["
+      "{\"name\":\"r1\",\"host\":\"a.example\",\"prefix\":\"/one/\","
+      "\"type\":\"streaming\",\"timeoutMs\":12000,\"sloMs\":2000,"
+      "\"priority\":2,\"split\":[{\"service\":\"s1\",\"weight\":90},"
+      "{\"service\":\"s2\",\"weight\":10}],\"maxAttempts\":1,"
+      "\"public\":false,\"resumable\":true,\"targetGapMs\":1000},"
+      "{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/two/\","
+      "\"type\":\"idempotent\",\"timeoutMs\":800,\"service\":\"s2\","
+      "\"maxAttempts\":2,\"public\":true},"
+      "{\"name\":\"r3\",\"host\":\"a.example\",\"prefix\":\"/three/\","
+      "\"type\":\"unheard-of\",\"service\":\"s2\"},"
+      "{\"name\":\"r4\",\"host\":\"a.example\",\"prefix\":\"/four/\","
+      "\"type\":\"idempotent\"}],"
+      "\"services\":[{\"name\":\"s1\",\"maxConns\":370,"
+      "\"engine\":{\"slots\":64}},{\"name\":\"s2\",\"maxConns\":110}],"
+      "\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"
+      "\"headerTimeoutMs\":300,\"idleTimeoutMs\":400},"
+      "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\"],"
+      "\"priority\":1}],\"unknown\":{}}";
+
+static const struct bd_route *
+find (struct bd_routing *routing, const char *path)
+{
+  return bd_routing_find (routing, BD_CHUNK ("a.example"), bd_chunk_of (path));
+}
+
+static void
+test_configuration (void)
+{
+  struct bd_routing *routing;
+  struct bd_caller_limits limits;
+  const struct bd_route *route;
+
+  g_assert_cmpint (bd_cutline_read_configuration (BD_CHUNK (configuration),
+                                                  &routing, &limits),
+                   ==, BD_OK);
+  g_assert_cmpuint (bd_routing_version (routing), ==, 7);
+  route = find (routing, "/one/x");
+  g_assert_cmpint (route->repeat, ==, BD_REPEAT_STREAM);
+  g_assert_true (route->resumable);
+  g_assert_cmpuint (route->split_count, ==, 2);
+  g_assert_cmpint (route->timeout_ms, ==, 12000);
+  g_assert_cmpint (route->objective_ms, ==, 2000);
+  g_assert_cmpint (route->gap_ms, ==, 1000);
+  route = find (routing, "/two/x");
+  g_assert_cmpint (route->repeat, ==, BD_REPEAT_SAFE);
+  g_assert_true (route->is_public);
+  g_assert_cmpuint (route->attempts_max, ==, 2);
+  /* One bad route does not take the others along. */
+  g_assert_null (find (routing, "/three/"));
+  g_assert_null (find (routing, "/four/"));
+  g_assert_true (bd_routing_service (routing, BD_CHUNK ("s1"))->engine);
+  g_assert_false (bd_routing_service (routing, BD_CHUNK ("s2"))->engine);
+  g_assert_cmpint (bd_routing_workspace (routing, BD_CHUNK ("k2"))->priority,
+                   ==, 1);
+  g_assert_cmpuint (limits.head_max_bytes, ==, 100);
+  g_assert_cmpuint (limits.body_max_bytes, ==, 200);
+  g_assert_cmpint (limits.head_timeout_ms, ==, 300);
+  g_assert_cmpint (limits.idle_timeout_ms, ==, 400);
+  bd_routing_unref (routing);
+}
+
+static void
+test_configuration_refused (void)
+{
+  static const char *const documents[] = { "",
+                                           "{",
+                                           "[]",
+                                           "{\"routes\":[]}",
+                                           "{\"version\":\"7\",\"routes\":[]}",
+                                           "{\"version\":7}",
+                                           "{\"version\":7,\"routes\":{}}" };
+  struct bd_routing *routing;
+  struct bd_caller_limits limits;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (documents); i++)
+    g_assert_cmpint (bd_cutline_read_configuration (bd_chunk_of (documents[i]),
+                                                    &routing, &limits),
+                     ==, BD_ERR_INVALID);
+}
+
+static int
+read_runner (const char *text, struct bd_target_entry *entry,
+             const char **reason)
+{
+  static json_t *root;
+
+  json_decref (root);
+  root = json_loads (text, 0, NULL);
+  return bd_cutline_read_runner (root, BD_CHUNK ("i-1"), entry, reason);
+}
+
+static void
+test_runner (void)
+{
+  struct bd_target_entry entry;
+  const char *reason;
+
+  g_assert_cmpint (
+      read_runner ("{\"service\":\"s\",\"address\":\"10.1.2.3:8080\","
+                   "\"zone\":\"z\",\"slots\":64,\"state\":\"draining\","
+                   "\"coldRemainingMs\":70,\"born\":1788000000000,"
+                   "\"sequence\":4,\"extra\":[]}",
+                   &entry, &reason),
+      ==, BD_OK);
+  g_assert_true (entry.draining);
+  g_assert_cmpuint (ntohl (entry.ip), ==, 0x0a010203);
+  g_assert_cmpuint (ntohs (entry.port), ==, 8080);
+  g_assert_cmpuint (entry.slots, ==, 64);
+  g_assert_cmpint (entry.cold_left_ms, ==, 70);
+  g_assert_cmpint (entry.born_ms, ==, G_GINT64_CONSTANT (1788000000000));
+}
+
+#define ENTRY(service, address, zone, slots, state)                           \
+  "{\"service\":" service ",\"address\":" address ",\"zone\":" zone           \
+  ",\"slots\":" slots ",\"state\":" state "}"
+
+/* Entries that another writer left name no runner. */
+static void
+test_runner_refused (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *reason;
+  } cases[] = {
+    { "{}", "service" },
+    { "[1]", "service" },
+    { ENTRY ("4", "\"1.2.3.4:5\"", "\"z\"", "1", "\"ready\""), "service" },
+    { ENTRY ("\"s\"", "\"1.2.3.4:5\"", "null", "1", "\"ready\""), "zone" },
+    { ENTRY ("\"s\"", "\"nowhere\"", "\"z\"", "1", "\"ready\""), "address" },
+    { ENTRY ("\"s\"", "\"1.2.3.4:99999\"", "\"z\"", "1", "\"ready\""),
+      "address" },
+    { ENTRY ("\"s\"", "7", "\"z\"", "1", "\"ready\""), "address" },
+    { ENTRY ("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "1", "\"asleep\""), "state" },
+    { ENTRY ("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "1", "true"), "state" },
+    { ENTRY ("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "\"1\"", "\"ready\""),
+      "slots" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct bd_target_entry entry;
+      const char *reason;
+
+      g_assert_cmpint (read_runner (cases[i].text, &entry, &reason), ==,
+                       BD_ERR_INVALID);
+      g_assert_cmpstr (reason, ==, cases[i].reason);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/documents/configuration", test_configuration);
+  g_test_add_func ("/documents/configuration-refused",
+                   test_configuration_refused);
+  g_test_add_func ("/documents/runner", test_runner);
+  g_test_add_func ("/documents/runner-refused", test_runner_refused);
+  return g_test_run ();
+}
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -185,6 +185,43 @@
   g_free (err);
 }
 
+/* Pattern: nobody reads the log.  Lines are dropped, nothing waits, and
+   the oldest stay. */
+static void
+test_queue_unread (void)
+{
+  char *text = g_malloc0 (1 << 20);
+  size_t length = 0;
+  int ends[2];
+
+  g_assert_cmpint (pipe (ends), ==, 0);
+  bd_log_open ("i-1", BD_SEVERITY_INFO);
+  bd_log_queue (ends[1]);
+  for (int i = 0; i < 3000; i++)
+    {
+      bd_log (BD_EVENT_REQUEST_DONE, "n=%d", i);
+      bd_log (BD_EVENT_MEMBER_GONE, "n=%d filler=%0400d", i, 0);
+      bd_log_flush ();
+    }
+  /* A pipe holds 64 KiB, the queue twice as much. */
+  while (length < 150000)
+    {
+      ssize_t n;
+
+      bd_log_flush ();
+      n = read (ends[0], text + length, 4096);
+      g_assert_cmpint (n, >, 0);
+      length += (size_t)n;
+    }
+  bd_log_queue (-1);
+  g_assert_nonnull (strstr (text, "n=0 filler"));
+  /* Ordinary lines go first when room is short. */
+  g_assert_null (strstr (text, "REQUEST_DONE request answered whole n=2999"));
+  close (ends[0]);
+  close (ends[1]);
+  g_free (text);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -196,5 +233,6 @@
   g_test_add_func ("/log/severity", test_severity);
   g_test_add_func ("/log/events-ascend", test_events_ascend);
   g_test_add_func ("/log/threads", test_threads);
+  g_test_add_func ("/log/queue-unread", test_queue_unread);
   return g_test_run ();
 }
