--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -243,8 +243,8 @@
 
 /*
  * Long prompts delay every token of the requests that run beside them, so
- * some runners are kept for short ones: the first of each zone in the order
- * of their identifiers' hashes, which every instance sees alike.
+ * some runners are kept for short ones: the first in the order of their
+ * identifiers' hashes, which every instance sees alike.
  */
 static bool
 is_kept_for_short (const struct bd_targets *targets,
@@ -258,8 +258,7 @@
       const struct bd_target *other = targets->all[i];
 
       if (!bd_target_usable (other)
-          || !bd_chunk_equal (other->service, target->service)
-          || !bd_chunk_equal (other->zone, target->zone))
+          || !bd_chunk_equal (other->service, target->service))
         continue;
       peers++;
       before += other->hash < target->hash;
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -103,10 +103,10 @@
 void bd_targets_tick (struct bd_targets *targets, int64_t now_ms);
 
 /**
- * Of the runners of a service in a zone, one in so many (rounded up, when
+ * Of the runners of a service, one in so many (rounded up, when
  * there are at least BD_TARGET_SHORT_LEAST) is kept for short prompts.
  */
-#define BD_TARGET_SHORT_PART 6
+#define BD_TARGET_SHORT_PART 5
 #define BD_TARGET_SHORT_LEAST 3
 
 /** All runners; the array is valid until the next put or tick. */
