--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -65,13 +65,14 @@
 
 uint64_t bd_routing_version (const struct bd_routing *routing);
 
-/** These copy what they are given.  They return BD_OK or BD_ERR_NOMEM. */
+/** These copy FROM and what it points to.  They return BD_OK or BD_ERR_NOMEM.
+ */
 int bd_routing_add_route (struct bd_routing *routing,
-                          const struct bd_route *route);
+                          const struct bd_route *from);
 int bd_routing_add_service (struct bd_routing *routing,
-                            const struct bd_service *service);
+                            const struct bd_service *from);
 int bd_routing_add_workspace (struct bd_routing *routing,
-                              const struct bd_workspace *workspace,
+                              const struct bd_workspace *from,
                               const struct bd_chunk *keys, size_t key_count);
 
 /** The route of HOST with the longest prefix of PATH, or NULL. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,7 +55,7 @@
 /** Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
 int bd_gateway_create (const struct bd_gateway_options *options,
                        const struct bd_gateway_handler *handler, void *context,
-                       struct bd_gateway **gateway);
+                       struct bd_gateway **out);
 
 uv_loop_t *bd_gateway_loop (struct bd_gateway *gateway);
 struct bd_client *bd_gateway_client (struct bd_gateway *gateway);
--- a/src/gateway/http.c
+++ b/src/gateway/http.c
@@ -173,9 +173,11 @@
 static bool
 is_token (struct bd_chunk name)
 {
+  static const char marks[] = "!#$%&'*+-.^_`|~";
+
   for (size_t i = 0; i < name.length; i++)
     if (!isalnum ((unsigned char)name.data[i])
-        && !memchr ("!#$%&'*+-.^_`|~", name.data[i], 15))
+        && !memchr (marks, name.data[i], sizeof marks - 1))
       return false;
   return name.length > 0;
 }
@@ -401,28 +403,34 @@
   return BD_OK;
 }
 
+/* Empty lines before a message are passed over, as RFC 9112 asks.  Returns
+   how many bytes that were. */
+static size_t
+skip_empty_lines (struct bd_http_reader *reader)
+{
+  struct bd_buffer *bytes = &reader->head_bytes;
+  size_t skipped = 0;
+
+  while (bytes->length - skipped >= 2
+         && memcmp (bytes->data + skipped, "\r\n", 2) == 0)
+    skipped += 2;
+  bd_buffer_consume (bytes, skipped);
+  reader->scanned -= reader->scanned < skipped ? reader->scanned : skipped;
+  return skipped;
+}
+
 /* Takes bytes into the head; sets *USED to those that belong to it. */
 static int
 feed_head (struct bd_http_reader *reader, struct bd_chunk data, size_t *used)
 {
   size_t before = reader->head_bytes.length;
+  int error = bd_buffer_append (&reader->head_bytes, data);
+  size_t skipped;
   size_t length;
-  int error;
 
-  /* Empty lines before a message are passed over, as RFC 9112 asks. */
-  if (before == 0 && data.data[0] == '\r')
-    {
-      *used = data.length > 1 && data.data[1] == '\n' ? 2 : 1;
-      return data.length > 1 && data.data[1] != '\n' ? BD_ERR_INVALID : BD_OK;
-    }
-  if (before == 0 && data.data[0] == '\n')
-    {
-      *used = 1;
-      return BD_OK;
-    }
-  error = bd_buffer_append (&reader->head_bytes, data);
   if (error != BD_OK)
     return error;
+  skipped = skip_empty_lines (reader);
   length = head_length (reader);
   if (length == 0)
     {
@@ -432,7 +440,7 @@
     }
   if (length > reader->head_max)
     return BD_ERR_TOO_LARGE;
-  *used = length - before;
+  *used = length + skipped - before;
   return parse_head (reader, length);
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -47,7 +47,7 @@
 /** Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
 int bd_peers_create (const struct bd_peers_options *options,
                      const struct bd_peers_handler *handler, void *context,
-                     struct bd_peers **peers);
+                     struct bd_peers **out);
 
 void bd_peers_hold (struct bd_peers *peers,
                     const struct bd_peer_revisions *revisions);
--- a/src/gateway/server.h
+++ b/src/gateway/server.h
@@ -37,7 +37,7 @@
 /** Listens at ADDRESS.  Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
 int bd_server_create (uv_loop_t *loop, const struct sockaddr_in *address,
                       const struct bd_server_handler *handler, void *context,
-                      struct bd_server **server);
+                      struct bd_server **out);
 
 void bd_server_limit (struct bd_server *server,
                       const struct bd_caller_limits *limits);
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -584,7 +584,7 @@
 
   support_gateway_open (&g);
   bd_server_limit (g.server, &limits);
-  caller = call (&g, "POST /once/x");
+  call (&g, "POST /once/x");
   caller = support_call (&g, 1,
                          "POST /once/x HTTP/1.1\r\nHost: h\r\n"
                          "Content-Length: 11\r\n\r\n");
