--- a/test/process_fleet.sh
+++ b/test/process_fleet.sh
@@ -52,13 +52,12 @@
 }
 
 # Whether PID is still a child of this shell: the number of one that has ended
-# may be another process's by now.
+# may be another process's by now.  The file is read whole: between two reads
+# of a line the kernel may write it anew, with lines at other places.
 pf_owned () {
-  local name value
-  while read -r name value; do
-    [ "$name" = PPid: ] && [ "$value" = "$BASHPID" ] && return 0
-  done 2>/dev/null <"/proc/$1/status"
-  return 1
+  local status
+  { status=$(<"/proc/$1/status"); } 2>/dev/null || return 1
+  [[ $status =~ $'\n'PPid:[[:space:]]+$BASHPID$'\n' ]]
 }
 
 pf_signal () {
