Crashes are told from spoiled answers; peers say which runners they avoid

Change: after a broken connection the runner is asked for another one; only when it refuses does the strike count. Datagrams name the runners that an instance avoids, which costs them 400 ms in the eyes of others. A request that is refused for its crashes gets 503 and a time to come back. Tests: crashing-request, spoiled-answers.

--- a/include/basildock.h
+++ b/include/basildock.h
@@ -47,7 +47,8 @@
   BD_ERR_INTERNAL = -32,
   BD_ERR_HEAD_TOO_LARGE = -33,
   BD_ERR_SLOW_CALLER = -34,
-  BD_ERR_LIMIT = -35 /**< One below the last kind. */
+  BD_ERR_SUSPENDED = -35,
+  BD_ERR_LIMIT = -36 /**< One below the last kind. */
 };
 
 /** What is known about whether a request ran. */
--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -29,6 +29,10 @@
 #define HOMES 2
 /* What the second home costs, in ms of delay. */
 #define SECOND_HOME_MS 1000.0
+/* A peer avoids the runner.  That may be the peer's own link, so it is a
+   cost and no more, for at most so many peers. */
+#define PEER_AVOIDS_MS 400.0
+#define PEERS_HEEDED 3
 /* Runners that still warm up after their start. */
 #define COLD_COST_MS 400.0
 
@@ -245,6 +249,10 @@
     pick.cost_ms += COLD_COST_MS;
   pick.cost_ms
       += bd_outlier_failing (target, demand->now_ms) * FAILING_COST_MS;
+  pick.cost_ms
+      += (target->peers_avoiding < PEERS_HEEDED ? target->peers_avoiding
+                                                : PEERS_HEEDED)
+         * PEER_AVOIDS_MS;
   return pick;
 }
 
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -68,6 +68,7 @@
   uint64_t prefill_tokens; /**< Sent from here, first event not seen. */
   uint32_t peers_in_flight;
   uint64_t peers_prefill_tokens;
+  uint32_t peers_avoiding; /**< Peers that avoid it at present. */
   struct bd_target_record record;
 };
 
--- a/src/common/error.c
+++ b/src/common/error.c
@@ -86,6 +86,10 @@
   [-BD_ERR_SLOW_CALLER]
   = { 408, "slow_caller", "The request took too long to arrive.", BD_RAN_NO,
       0 },
+  [-BD_ERR_SUSPENDED] = { 503, "request_suspended",
+                          "Runners crashed while they ran this request; it "
+                          "is not run for now.",
+                          BD_RAN_NO, 10 },
   [-BD_ERR_INTERNAL]
   = { 500, "internal", "An internal fault.", BD_RAN_UNKNOWN, 0 },
 };
--- a/src/gateway/client.c
+++ b/src/gateway/client.c
@@ -59,6 +59,7 @@
   bool keep_alive;
   bool skipping; /* The response at hand is not for this call. */
   bool no_body;
+  bool connect_only;
 };
 
 struct bd_client
@@ -255,6 +256,17 @@
 static const struct bd_http_handler reader_handler
     = { .on_head = on_head, .on_body = on_body, .on_end = on_response_end };
 
+/* The connection goes to the idle ones. */
+static void
+rest (struct link *link)
+{
+  link->done = false;
+  link->call = NULL;
+  link->next = link->endpoint->idle;
+  link->endpoint->idle = link;
+  link->idle_since_ms = bd_clock_boot_ms ();
+}
+
 /* The response is whole: the connection goes back, then the call ends. */
 static void
 finish_call (struct link *link)
@@ -263,12 +275,8 @@
   bool reusable = call->keep_alive && bd_socket_pending (link->socket) == 0
                   && link->keep_ms > KEEP_MARGIN_MS;
 
-  link->done = false;
   link->used = true;
-  link->call = NULL;
-  link->next = link->endpoint->idle;
-  link->endpoint->idle = link;
-  link->idle_since_ms = bd_clock_boot_ms ();
+  rest (link);
   if (!reusable || bd_http_reader_next (link->reader) != BD_OK
       || !bd_http_reader_idle (link->reader))
     close_link (link);
@@ -361,6 +369,16 @@
   if (!link->call)
     return;
   uv_timer_stop (&link->call->timer);
+  if (link->call->connect_only)
+    {
+      struct bd_call *call = link->call;
+
+      rest (link);
+      call->link = NULL;
+      call->handler->on_end (call->context);
+      free_call (call);
+      return;
+    }
   send_request (link->call);
 }
 
@@ -431,7 +449,7 @@
 
   if (!call)
     return NULL;
-  link = take_idle (client, request);
+  link = request->connect_only ? NULL : take_idle (client, request);
   if (!link)
     link = create_link (client, &request->address);
   if (!link)
@@ -447,6 +465,7 @@
   call->context = context;
   call->reused = link->used;
   call->no_body = request->no_body;
+  call->connect_only = request->connect_only;
   link->call = call;
   if (request->no_body)
     bd_http_reader_no_body (link->reader);
--- a/src/gateway/client.h
+++ b/src/gateway/client.h
@@ -30,6 +30,11 @@
   /** Only connections that were idle for less are used again. */
   int64_t idle_max_ms;
   bool no_body; /**< The response to HEAD. */
+  /**
+   * Nothing is sent: the call ends when a new connection stands, which goes
+   * to the pool.
+   */
+  bool connect_only;
 };
 
 /** How far a call came that failed. */
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -36,6 +36,9 @@
    random so that callers do not return together. */
 #define RETRY_AFTER_MS 250
 #define ID_TEXT_BYTES 64
+#define MS_PER_S 1000
+/* Checks of runners at a time. */
+#define CHECKS_MAX 16
 
 struct bd_forwarder
 {
@@ -44,6 +47,7 @@
   struct forward *forwards;
   uint32_t members;
   uint64_t random;
+  size_t checks; /* Of runners, on their way. */
   int64_t last_ms;
   int least_priority;    /* Of the routing. */
   int64_t take_until_ms; /* 0: not stopping. */
@@ -179,7 +183,7 @@
   bd_buffer_append (&fields, BD_CHUNK ("Content-Type: application/json\r\n"));
   if (answer->status == 503 || answer->status == 429)
     bd_buffer_printf (&fields, "Retry-After: %" PRId64 ".%03" PRId64 "\r\n",
-                      retry_ms / 1000, retry_ms % 1000);
+                      retry_ms / MS_PER_S, retry_ms % MS_PER_S);
   bd_buffer_printf (&body,
                     "{\"error\":{\"code\":\"%s\",\"message\":\"%s\","
                     "\"ran\":\"%s\"}}",
@@ -206,7 +210,10 @@
           forwarder->routing
               ? (unsigned long long)bd_routing_version (forwarder->routing)
               : 0ULL);
-  answer_error (exchange, error, BD_RAN_NO, short_retry_ms (forwarder));
+  answer_error (exchange, error, BD_RAN_NO,
+                error == BD_ERR_SUSPENDED
+                    ? (int64_t)answer->retry_after_s * MS_PER_S
+                    : short_retry_ms (forwarder));
 }
 
 /* Ends the request for good with ERROR. */
@@ -217,7 +224,7 @@
   char id[ID_TEXT_BYTES];
 
   /* Nothing of it can run any more: a refusal is true, and says more. */
-  if (!f->may_have_run && error != BD_ERR_QUARANTINED)
+  if (!f->may_have_run)
     error = BD_ERR_NO_RUNNER;
   bd_stats_count (f->forwarder->parts.stats,
                   f->may_have_run ? BD_STAT_FAILED : BD_STAT_REFUSED, 1);
@@ -279,19 +286,20 @@
 /* Results of an attempt. */
 
 static void
-note_result (struct forward *f, enum bd_result result)
+note_result (struct bd_forwarder *forwarder, struct bd_target *target,
+             enum bd_result result)
 {
   size_t count;
   struct bd_target *const *all
-      = bd_targets_all (f->forwarder->parts.targets, &count);
+      = bd_targets_all (forwarder->parts.targets, &count);
   int64_t now = bd_clock_boot_ms ();
-  int64_t avoided_before = f->target->record.avoid_until_ms;
+  int64_t avoided_before = target->record.avoid_until_ms;
 
-  bd_outlier_add (f->target, now, result, all, count);
-  if (f->target->record.avoid_until_ms != avoided_before)
+  bd_outlier_add (target, now, result, all, count);
+  if (target->record.avoid_until_ms != avoided_before)
     bd_log (BD_EVENT_TARGET_AVOIDED, "runner=%s failing=%.2f for_ms=%lld",
-            f->target->id.data, bd_outlier_failing (f->target, now),
-            (long long)(f->target->record.avoid_until_ms - now));
+            target->id.data, bd_outlier_failing (target, now),
+            (long long)(target->record.avoid_until_ms - now));
 }
 
 static void
@@ -327,7 +335,7 @@
 after_refusal (struct forward *f)
 {
   log_attempt (f, "refused");
-  note_result (f, BD_RESULT_REFUSED);
+  note_result (f->forwarder, f->target, BD_RESULT_REFUSED);
   leave_target (f);
   if (may_repeat (f))
     next_attempt (f);
@@ -340,7 +348,7 @@
 after_failure (struct forward *f, int error, const char *reason)
 {
   log_attempt (f, reason);
-  note_result (f, BD_RESULT_FAILURE);
+  note_result (f->forwarder, f->target, BD_RESULT_FAILURE);
   leave_target (f);
   f->may_have_run = true;
   if (repeatable (f) && may_repeat (f))
@@ -354,7 +362,7 @@
 after_no_connection (struct forward *f)
 {
   log_attempt (f, "unreachable");
-  note_result (f, BD_RESULT_UNREACHABLE);
+  note_result (f->forwarder, f->target, BD_RESULT_UNREACHABLE);
   f->reached--;
   leave_target (f);
   if (f->tried_count < TRIED_MAX)
@@ -506,7 +514,7 @@
       after_failure (f, BD_ERR_BROKEN, "partial_event");
       return;
     }
-  note_result (f, BD_RESULT_SUCCESS);
+  note_result (f->forwarder, f->target, BD_RESULT_SUCCESS);
   first_event (f);
   done (f);
   bd_exchange_end (f->exchange);
@@ -519,7 +527,8 @@
   if (succeeded (f))
     bd_suspects_completed (f->forwarder->parts.suspects, bd_clock_boot_ms (),
                            f->fingerprint);
-  note_result (f, f->status >= 500 ? BD_RESULT_FAILURE : BD_RESULT_SUCCESS);
+  note_result (f->forwarder, f->target,
+               f->status >= 500 ? BD_RESULT_FAILURE : BD_RESULT_SUCCESS);
   bd_stats_answer_time (f->forwarder->parts.stats, elapsed_ms (f) * 1000);
   done (f);
   bd_exchange_reply (f->exchange, f->status, bd_buffer_chunk (&f->fields),
@@ -564,22 +573,80 @@
     }
 }
 
-/* A runner that dies resets or closes what it has at hand. */
+/* Checks: whether a runner that broke a connection still accepts others. */
+
+struct check
+{
+  struct bd_forwarder *forwarder;
+  char *runner;
+  struct bd_strike strike; /* Counts when it does not. */
+};
+
+static void
+end_check (struct check *check)
+{
+  check->forwarder->checks--;
+  free (check->runner);
+  free (check);
+}
+
 static void
-note_strike (struct forward *f, const struct bd_call_failure *failure)
+on_check_end (void *context)
 {
-  struct bd_strike strike = { 0 };
+  end_check (context);
+}
 
-  if (failure->error != BD_ERR_IO && failure->error != BD_ERR_BROKEN)
-    return;
-  strike.fingerprint = f->fingerprint;
-  strike.crash = bd_id_random ();
-  strike.alone = f->suspected;
-  if (bd_suspects_strike (f->forwarder->parts.suspects, bd_clock_boot_ms (),
-                          &strike))
+static void
+on_check_fail (void *context, const struct bd_call_failure *failure)
+{
+  struct check *check = context;
+  struct bd_forward_parts *parts = &check->forwarder->parts;
+  int64_t now = bd_clock_boot_ms ();
+  struct bd_target *target
+      = bd_targets_find (parts->targets, bd_chunk_of (check->runner));
+
+  (void)failure;
+  if (target)
+    note_result (check->forwarder, target, BD_RESULT_UNREACHABLE);
+  if (bd_suspects_strike (parts->suspects, now, &check->strike))
     bd_log (BD_EVENT_STRIKE, "fingerprint=%016llx runner=%s alone=%d",
-            (unsigned long long)f->fingerprint, f->target->id.data,
-            (int)strike.alone);
+            (unsigned long long)check->strike.fingerprint, check->runner,
+            (int)check->strike.alone);
+  end_check (check);
+}
+
+static const struct bd_call_handler check_handler
+    = { .on_end = on_check_end, .on_fail = on_check_fail };
+
+/* A runner that dies resets or closes what it has at hand, and so does one
+   that merely spoils an answer: only the first refuses new connections. */
+static void
+check_runner (struct forward *f, const struct bd_call_failure *failure)
+{
+  struct bd_forwarder *forwarder = f->forwarder;
+  struct bd_call_request request
+      = { .connect_only = true, .connect_timeout_ms = CONNECT_TIMEOUT_MS };
+  struct check *check;
+
+  if ((failure->error != BD_ERR_IO && failure->error != BD_ERR_BROKEN)
+      || forwarder->checks == CHECKS_MAX)
+    return;
+  check = calloc (1, sizeof *check);
+  if (!check)
+    return;
+  check->forwarder = forwarder;
+  check->runner = bd_chunk_copy (f->target->id);
+  check->strike.fingerprint = f->fingerprint;
+  check->strike.crash = bd_id_random ();
+  check->strike.alone = f->suspected;
+  request.address.sin_family = AF_INET;
+  request.address.sin_addr.s_addr = f->target->ip;
+  request.address.sin_port = f->target->port;
+  forwarder->checks++;
+  if (!check->runner
+      || !bd_client_call (forwarder->parts.client, &request, &check_handler,
+                          check))
+    end_check (check);
 }
 
 static void
@@ -595,7 +662,7 @@
   else
     {
       if (!failure->reused || failure->answered)
-        note_strike (f, failure);
+        check_runner (f, failure);
       after_failure (f, BD_ERR_OUTCOME_UNKNOWN, failure_name (failure));
     }
 }
@@ -664,7 +731,7 @@
   if (f->reached >= f->route->attempts_max || !may_repeat (f))
     return;
   log_attempt (f, "silent");
-  note_result (f, BD_RESULT_FAILURE);
+  note_result (f->forwarder, f->target, BD_RESULT_FAILURE);
   bd_call_cancel (f->call);
   leave_target (f);
   f->may_have_run = true;
@@ -845,7 +912,7 @@
       f->may_have_run = true;
       log_attempt (f, "timeout");
       if (!f->begun && f->route->repeat != BD_REPEAT_STREAM)
-        note_result (f, BD_RESULT_FAILURE);
+        note_result (f->forwarder, f->target, BD_RESULT_FAILURE);
     }
   give_up (f, BD_ERR_TIMEOUT);
 }
@@ -926,7 +993,7 @@
   if (bd_suspects_look (forwarder->parts.suspects, bd_clock_boot_ms (),
                         fingerprint_of (exchange, *workspace))
       == BD_SUSPICION_QUARANTINE)
-    return BD_ERR_QUARANTINED;
+    return BD_ERR_SUSPENDED;
   return BD_OK;
 }
 
--- a/src/gateway/peers.c
+++ b/src/gateway/peers.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 /* First value of each datagram; raised when the layout changes. */
-#define FORMAT 1
+#define FORMAT 2
 /* Time between two datagrams to the same peer. */
 #define SEND_EVERY_MS 500
 /* A peer that was not heard for this long counts as gone. */
@@ -30,6 +30,7 @@
   uint32_t target; /* Low half of the runner's hash. */
   uint32_t in_flight;
   uint32_t token_steps;
+  bool avoided;
 };
 
 struct peer
@@ -121,6 +122,7 @@
     {
       all[i]->peers_in_flight = 0;
       all[i]->peers_prefill_tokens = 0;
+      all[i]->peers_avoiding = 0;
     }
   for (size_t p = 0; p < peers->count; p++)
     {
@@ -133,14 +135,21 @@
           if ((uint32_t)all[i]->hash == peer->loads[l].target)
             {
               all[i]->peers_in_flight += peer->loads[l].in_flight;
+              all[i]->peers_avoiding += peer->loads[l].avoided;
               all[i]->peers_prefill_tokens
                   += (uint64_t)peer->loads[l].token_steps * TOKENS_PER_STEP;
             }
     }
 }
 
+static bool
+is_avoided (const struct bd_target *target, int64_t now_ms)
+{
+  return now_ms < target->record.avoid_until_ms;
+}
+
 static void
-pack_loads (const struct bd_peers *peers, struct bd_pack *pack)
+pack_loads (const struct bd_peers *peers, struct bd_pack *pack, int64_t now_ms)
 {
   size_t count;
   size_t busy = 0;
@@ -148,16 +157,17 @@
       = bd_targets_all (peers->options.targets, &count);
 
   for (size_t i = 0; i < count && busy < LOADS_MAX; i++)
-    busy += all[i]->in_flight > 0;
+    busy += all[i]->in_flight > 0 || is_avoided (all[i], now_ms);
   bd_pack_array (pack, (uint32_t)busy);
   for (size_t i = 0; i < count && busy > 0; i++)
     {
-      if (all[i]->in_flight == 0)
+      if (all[i]->in_flight == 0 && !is_avoided (all[i], now_ms))
         continue;
-      bd_pack_array (pack, 3);
+      bd_pack_array (pack, 4);
       bd_pack_uint (pack, (uint32_t)all[i]->hash);
       bd_pack_uint (pack, all[i]->in_flight);
       bd_pack_uint (pack, all[i]->prefill_tokens / TOKENS_PER_STEP);
+      bd_pack_uint (pack, is_avoided (all[i], now_ms));
       busy--;
     }
 }
@@ -176,6 +186,7 @@
       load.target = (uint32_t)bd_unpack_uint (u);
       load.in_flight = (uint32_t)bd_unpack_uint (u);
       load.token_steps = (uint32_t)bd_unpack_uint (u);
+      load.avoided = bd_unpack_uint (u) != 0;
       if (u->error == BD_OK && peer->load_count < LOADS_MAX)
         peer->loads[peer->load_count++] = load;
     }
@@ -265,7 +276,7 @@
   bd_pack_uint (&pack, leaving);
   bd_pack_uint (&pack, peers->held.configuration);
   pack_names (peers, &pack, now_ms);
-  pack_loads (peers, &pack);
+  pack_loads (peers, &pack, now_ms);
   pack_strikes (peers, &pack);
   return pack.error;
 }
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -58,6 +58,11 @@
   g_clear_pointer (&c->out, g_free);
   if (c->then == SUPPORT_CLOSE)
     close_connection (c);
+  else if (c->then == SUPPORT_DIE)
+    {
+      uv_close ((uv_handle_t *)&c->runner->listener, NULL);
+      uv_tcp_close_reset (&c->tcp, on_connection_closed);
+    }
   else if (c->then == SUPPORT_RESET)
     uv_tcp_close_reset (&c->tcp, on_connection_closed);
 }
@@ -182,7 +187,10 @@
   runner->gateway = gateway;
   runner->steps = steps;
   runner->step_count = count;
+  if (runner->received)
+    g_string_free (runner->received, TRUE);
   runner->received = g_string_new (NULL);
+  runner->taken = runner->connections = runner->gone = 0;
   uv_tcp_init (&gateway->loop, &runner->listener);
   runner->listener.data = runner;
   uv_tcp_bind (&runner->listener, (struct sockaddr *)&address, 0);
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -18,7 +18,8 @@
 {
   SUPPORT_KEEP = 0, /**< Keeps the connection. */
   SUPPORT_CLOSE,
-  SUPPORT_RESET
+  SUPPORT_RESET,
+  SUPPORT_DIE /**< Resets, and listens no more. */
 };
 
 /** One step of a runner: it takes a request, sends BYTES, and goes on. */
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -289,6 +289,67 @@
   support_gateway_close (&g);
 }
 
+/* Calls POST /once/x, which must end with STATUS, on a connection of its
+   own; waits for the checks that follow. */
+static void
+call_once (struct support_gateway *g, const char *status)
+{
+  struct support_caller *caller = call (g, "POST /once/x");
+
+  support_await (caller, status);
+  g_string_truncate (caller->in, 0);
+  for (int i = 0; i < 20; i++)
+    uv_run (&g->loop, UV_RUN_NOWAIT);
+}
+
+/* Pattern: a request crashes each runner that begins to run it.  After the
+   third it is refused, and says that it has not run. */
+static void
+test_crashing_request (void)
+{
+  static const struct support_step death = { "", SUPPORT_DIE };
+  struct support_gateway g;
+  struct support_runner *last;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 3; i++)
+    {
+      support_gateway_runner (&g, i, &death, 1);
+      call_once (&g, "HTTP/1.1 502");
+      g_assert_cmpint (g.runners[i].taken, ==, 1);
+      bd_targets_remove (g.targets, 0, bd_chunk_of (g.runners[i].id), 100);
+      bd_targets_tick (g.targets, 0);
+    }
+  last = support_gateway_runner (&g, 0, answers, 2);
+  caller = call (&g, "POST /once/x");
+  support_await (caller, "HTTP/1.1 503");
+  must_contain (caller->in, "\"request_suspended\"");
+  must_contain (caller->in, "\"ran\":\"no\"");
+  g_assert_cmpint (last->taken, ==, 0);
+  support_gateway_close (&g);
+}
+
+/* Pattern: a runner spoils answers but lives.  The request that met it
+   several times is no danger to others. */
+static void
+test_spoiled_answers (void)
+{
+  static const struct support_step steps[] = { { "", SUPPORT_RESET },
+                                               { "", SUPPORT_RESET },
+                                               { "", SUPPORT_RESET },
+                                               { "", SUPPORT_RESET },
+                                               { OK_ANSWER, SUPPORT_KEEP } };
+  struct support_gateway g;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, steps, 5);
+  for (int i = 0; i < 4; i++)
+    call_once (&g, "HTTP/1.1 502");
+  call_once (&g, "\r\n\r\nok");
+  support_gateway_close (&g);
+}
+
 static void
 test_stream (void)
 {
@@ -618,6 +679,8 @@
   g_test_add_func ("/forward/repeated", test_repeated);
   g_test_add_func ("/forward/unreachable", test_unreachable);
   g_test_add_func ("/forward/extra-bytes", test_extra_bytes);
+  g_test_add_func ("/forward/crashing-request", test_crashing_request);
+  g_test_add_func ("/forward/spoiled-answers", test_spoiled_answers);
   g_test_add_func ("/forward/stream", test_stream);
   g_test_add_func ("/forward/stream-broken", test_stream_broken);
   g_test_add_func ("/forward/stream-ends-in-event", test_stream_ends_in_event);
