--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -5,7 +5,7 @@
 #include "common/log.h"
 #include "core/suspect.h"
 #include "gateway/forward.h"
-#include "gateway/peers.h"
+#include "gateway/mesh.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -50,7 +50,7 @@
   struct bd_server *callers;
   struct bd_server *readiness;
   struct bd_server *internal;
-  struct bd_peers *peers;
+  struct bd_mesh *mesh;
   struct bd_routing *routing;
   struct bd_buffer document;
   uint64_t revision;
@@ -241,7 +241,7 @@
   bd_forwarder_members (gateway->forwarder, count);
 }
 
-static const struct bd_peers_handler peers_handler
+static const struct bd_mesh_handler peers_handler
     = { .on_members = on_members, .on_newer = on_newer };
 
 /* Ticks and signals. */
@@ -291,7 +291,7 @@
   bd_targets_tick (gateway->targets, now);
   bd_suspects_tick (gateway->suspects, now);
   bd_forwarder_tick (gateway->forwarder, now);
-  bd_peers_tick (gateway->peers, now);
+  bd_mesh_tick (gateway->mesh, now);
   gateway->handler->on_tick (gateway->context, now);
   if (!gateway->ready_logged && is_ready (gateway))
     {
@@ -346,7 +346,7 @@
 static int
 join_peers (struct bd_gateway *gateway)
 {
-  struct bd_peers_options options
+  struct bd_mesh_options options
       = { .loop = &gateway->loop,
           .ip = gateway->options.internal.sin_addr.s_addr,
           .port = ntohs (gateway->options.internal.sin_port),
@@ -356,7 +356,7 @@
           .suspects = gateway->suspects,
           .stats = gateway->stats };
 
-  return bd_peers_create (&options, &peers_handler, gateway, &gateway->peers);
+  return bd_mesh_create (&options, &peers_handler, gateway, &gateway->mesh);
 }
 
 static int
@@ -464,7 +464,7 @@
   bd_buffer_append (&gateway->document, document);
   bd_forwarder_route_by (gateway->forwarder, routing);
   bd_server_limit (gateway->callers, limits);
-  bd_peers_hold (gateway->peers, &held);
+  bd_mesh_hold (gateway->mesh, &held);
   bd_stats_set (gateway->stats, BD_GAUGE_ROUTING_VERSION,
                 (int64_t)bd_routing_version (routing));
   bd_log (BD_EVENT_CONFIG_IN_FORCE, "version=%" PRIu64 " revision=%" PRIu64,
@@ -489,7 +489,7 @@
 bd_gateway_run (struct bd_gateway *gateway)
 {
   uv_run (&gateway->loop, UV_RUN_DEFAULT);
-  bd_peers_leave (gateway->peers);
+  bd_mesh_leave (gateway->mesh);
   bd_log (BD_EVENT_DAEMON_STOP, "active=%zu",
           bd_server_active (gateway->callers));
   bd_log_flush ();
--- a/src/gateway/peers.c
+++ b/src/gateway/mesh.c
@@ -1,4 +1,4 @@
-#include "gateway/peers.h"
+#include "gateway/mesh.h"
 
 #include "common/clock.h"
 #include "common/log.h"
@@ -19,8 +19,11 @@
 /* Most peers named in a datagram. */
 #define NAMED_MAX 40
 /* Most runners whose load is told in a datagram. */
-#define LOADS_MAX 100
-#define STRIKES_MAX 8
+#define LOADS_MAX 70
+/* Strikes kept for telling, and how often each is told: datagrams get lost. */
+#define STRIKES_MAX 6
+#define STRIKE_TELLINGS 5
+/* The bounds above keep a datagram below this, and so in one packet. */
 #define DATAGRAM_MAX_BYTES 1400
 /* Loads are told in steps of this many tokens. */
 #define TOKENS_PER_STEP 256
@@ -33,6 +36,14 @@
   bool avoided;
 };
 
+/* A strike to be told to peers. */
+struct news
+{
+  struct bd_strike strike;
+  int64_t taken_ms; /* Its age was right then. */
+  uint32_t tellings_left;
+};
+
 struct peer
 {
   uint32_t ip;
@@ -43,10 +54,10 @@
   struct load loads[LOADS_MAX];
 };
 
-struct bd_peers
+struct bd_mesh
 {
-  struct bd_peers_options options;
-  const struct bd_peers_handler *handler;
+  struct bd_mesh_options options;
+  const struct bd_mesh_handler *handler;
   void *context;
   uv_udp_t socket;
   uint64_t incarnation;
@@ -57,66 +68,66 @@
   struct bd_peer_revisions held;
   int64_t sent_ms;
   int64_t seeded_ms;
-  struct bd_strike strikes[STRIKES_MAX];
-  size_t strike_count;
+  struct news news[STRIKES_MAX];
+  size_t news_count;
   char received[DATAGRAM_MAX_BYTES * 2];
 };
 
 static struct peer *
-find (struct bd_peers *peers, uint32_t ip)
+find (struct bd_mesh *mesh, uint32_t ip)
 {
-  for (size_t i = 0; i < peers->count; i++)
-    if (peers->all[i]->ip == ip)
-      return peers->all[i];
+  for (size_t i = 0; i < mesh->count; i++)
+    if (mesh->all[i]->ip == ip)
+      return mesh->all[i];
   return NULL;
 }
 
 static struct peer *
-need (struct bd_peers *peers, uint32_t ip)
+need (struct bd_mesh *mesh, uint32_t ip)
 {
-  struct peer *peer = find (peers, ip);
+  struct peer *peer = find (mesh, ip);
   struct peer **all;
 
-  if (peer || ip == peers->options.ip || peers->count == BD_PEERS_MAX)
+  if (peer || ip == mesh->options.ip || mesh->count == BD_MESH_PEERS_MAX)
     return peer;
-  all = realloc (peers->all, (peers->count + 1) * sizeof (struct peer *));
+  all = realloc (mesh->all, (mesh->count + 1) * sizeof (struct peer *));
   if (!all)
     return NULL;
-  peers->all = all;
+  mesh->all = all;
   peer = calloc (1, sizeof *peer);
   if (!peer)
     return NULL;
   peer->ip = ip;
-  peers->all[peers->count++] = peer;
+  mesh->all[mesh->count++] = peer;
   return peer;
 }
 
 static void
-count_members (struct bd_peers *peers, int64_t now_ms)
+count_members (struct bd_mesh *mesh, int64_t now_ms)
 {
   uint32_t members = 1;
 
-  for (size_t i = 0; i < peers->count; i++)
-    if (peers->all[i]->heard_ms != 0
-        && now_ms - peers->all[i]->heard_ms <= SILENCE_MS)
+  for (size_t i = 0; i < mesh->count; i++)
+    if (mesh->all[i]->heard_ms != 0
+        && now_ms - mesh->all[i]->heard_ms <= SILENCE_MS)
       members++;
-  bd_stats_set (peers->options.stats, BD_GAUGE_PEERS, members - 1);
-  if (members == peers->members)
+  bd_stats_set (mesh->options.stats, BD_GAUGE_PEERS, members - 1);
+  if (members == mesh->members)
     return;
-  peers->members = members;
+  mesh->members = members;
   bd_log (BD_EVENT_RETRIES_SHARED, "members=%u", members);
-  peers->handler->on_members (peers->context, members);
+  mesh->handler->on_members (mesh->context, members);
 }
 
 /* Loads. */
 
 /* Sums what peers have in flight at each runner. */
 static void
-sum_loads (struct bd_peers *peers, int64_t now_ms)
+sum_loads (struct bd_mesh *mesh, int64_t now_ms)
 {
   size_t count;
   struct bd_target *const *all
-      = bd_targets_all (peers->options.targets, &count);
+      = bd_targets_all (mesh->options.targets, &count);
 
   for (size_t i = 0; i < count; i++)
     {
@@ -124,9 +135,9 @@
       all[i]->peers_prefill_tokens = 0;
       all[i]->peers_avoiding = 0;
     }
-  for (size_t p = 0; p < peers->count; p++)
+  for (size_t p = 0; p < mesh->count; p++)
     {
-      const struct peer *peer = peers->all[p];
+      const struct peer *peer = mesh->all[p];
 
       if (peer->heard_ms == 0 || now_ms - peer->heard_ms > SILENCE_MS)
         continue;
@@ -149,12 +160,12 @@
 }
 
 static void
-pack_loads (const struct bd_peers *peers, struct bd_pack *pack, int64_t now_ms)
+pack_loads (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
 {
   size_t count;
   size_t busy = 0;
   struct bd_target *const *all
-      = bd_targets_all (peers->options.targets, &count);
+      = bd_targets_all (mesh->options.targets, &count);
 
   for (size_t i = 0; i < count && busy < LOADS_MAX; i++)
     busy += all[i]->in_flight > 0 || is_avoided (all[i], now_ms);
@@ -194,25 +205,56 @@
 
 /* Strikes. */
 
+/* Takes in new strikes, in place of the oldest when there is no room. */
+static void
+collect_news (struct bd_mesh *mesh, int64_t now_ms)
+{
+  struct bd_strike fresh[STRIKES_MAX];
+  size_t count
+      = bd_suspects_news (mesh->options.suspects, now_ms, fresh, STRIKES_MAX);
+  size_t over = mesh->news_count + count > STRIKES_MAX
+                    ? mesh->news_count + count - STRIKES_MAX
+                    : 0;
+
+  mesh->news_count -= over;
+  memmove (mesh->news, mesh->news + over,
+           mesh->news_count * sizeof mesh->news[0]);
+  for (size_t i = 0; i < count; i++)
+    mesh->news[mesh->news_count++]
+        = (struct news){ fresh[i], now_ms, STRIKE_TELLINGS };
+}
+
+/* The news were told once, to somebody. */
+static void
+age_news (struct bd_mesh *mesh)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < mesh->news_count; i++)
+    if (--mesh->news[i].tellings_left > 0)
+      mesh->news[kept++] = mesh->news[i];
+  mesh->news_count = kept;
+}
+
 static void
-pack_strikes (const struct bd_peers *peers, struct bd_pack *pack)
+pack_strikes (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
 {
-  bd_pack_array (pack, (uint32_t)peers->strike_count);
-  for (size_t i = 0; i < peers->strike_count; i++)
+  bd_pack_array (pack, (uint32_t)mesh->news_count);
+  for (size_t i = 0; i < mesh->news_count; i++)
     {
-      const struct bd_strike *strike = &peers->strikes[i];
+      const struct news *news = &mesh->news[i];
 
       bd_pack_array (pack, 5);
-      bd_pack_uint (pack, strike->fingerprint);
-      bd_pack_id (pack, strike->crash);
-      bd_pack_uint (pack, strike->alone);
-      bd_pack_uint (pack, strike->cleared);
-      bd_pack_int (pack, strike->age_ms);
+      bd_pack_uint (pack, news->strike.fingerprint);
+      bd_pack_id (pack, news->strike.crash);
+      bd_pack_uint (pack, news->strike.alone);
+      bd_pack_uint (pack, news->strike.cleared);
+      bd_pack_int (pack, news->strike.age_ms + (now_ms - news->taken_ms));
     }
 }
 
 static void
-read_strikes (struct bd_peers *peers, struct bd_unpack *u, int64_t now_ms)
+read_strikes (struct bd_mesh *mesh, struct bd_unpack *u, int64_t now_ms)
 {
   uint32_t count = bd_unpack_array (u);
 
@@ -227,30 +269,30 @@
       strike.cleared = bd_unpack_uint (u) != 0;
       strike.age_ms = bd_unpack_int (u);
       if (u->error == BD_OK)
-        bd_suspects_strike (peers->options.suspects, now_ms, &strike);
+        bd_suspects_strike (mesh->options.suspects, now_ms, &strike);
     }
 }
 
 /* Datagrams. */
 
 static void
-pack_names (const struct bd_peers *peers, struct bd_pack *pack, int64_t now_ms)
+pack_names (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
 {
   uint32_t named = 0;
 
-  for (size_t i = 0; i < peers->count && named < NAMED_MAX; i++)
-    named += now_ms - peers->all[i]->heard_ms <= SILENCE_MS;
+  for (size_t i = 0; i < mesh->count && named < NAMED_MAX; i++)
+    named += now_ms - mesh->all[i]->heard_ms <= SILENCE_MS;
   bd_pack_array (pack, named);
-  for (size_t i = 0; i < peers->count && named > 0; i++)
-    if (now_ms - peers->all[i]->heard_ms <= SILENCE_MS)
+  for (size_t i = 0; i < mesh->count && named > 0; i++)
+    if (now_ms - mesh->all[i]->heard_ms <= SILENCE_MS)
       {
-        bd_pack_uint (pack, peers->all[i]->ip);
+        bd_pack_uint (pack, mesh->all[i]->ip);
         named--;
       }
 }
 
 static void
-read_names (struct bd_peers *peers, struct bd_unpack *u)
+read_names (struct bd_mesh *mesh, struct bd_unpack *u)
 {
   uint32_t count = bd_unpack_array (u);
 
@@ -259,66 +301,67 @@
       uint32_t ip = (uint32_t)bd_unpack_uint (u);
 
       if (u->error == BD_OK)
-        need (peers, ip);
+        need (mesh, ip);
     }
 }
 
 static int
-compose (struct bd_peers *peers, struct bd_buffer *out, bool leaving,
+compose (struct bd_mesh *mesh, struct bd_buffer *out, bool leaving,
          int64_t now_ms)
 {
   struct bd_pack pack = { .buffer = out };
 
   bd_pack_array (&pack, 8);
   bd_pack_uint (&pack, FORMAT);
-  bd_pack_uint (&pack, peers->options.ip);
-  bd_pack_uint (&pack, peers->incarnation);
+  bd_pack_uint (&pack, mesh->options.ip);
+  bd_pack_uint (&pack, mesh->incarnation);
   bd_pack_uint (&pack, leaving);
-  bd_pack_uint (&pack, peers->held.configuration);
-  pack_names (peers, &pack, now_ms);
-  pack_loads (peers, &pack, now_ms);
-  pack_strikes (peers, &pack);
+  bd_pack_uint (&pack, mesh->held.configuration);
+  pack_names (mesh, &pack, now_ms);
+  pack_loads (mesh, &pack, now_ms);
+  pack_strikes (mesh, &pack, now_ms);
   return pack.error;
 }
 
 static void
-send_to (struct bd_peers *peers, uint32_t ip, const struct bd_buffer *out)
+send_to (struct bd_mesh *mesh, uint32_t ip, const struct bd_buffer *out)
 {
   struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_port = htons (peers->options.port) };
+      = { .sin_family = AF_INET, .sin_port = htons (mesh->options.port) };
   uv_buf_t buffer = uv_buf_init (out->data, (unsigned)out->length);
 
   address.sin_addr.s_addr = ip;
   /* A datagram may be lost on its way too; the next one says the same. */
-  if (uv_udp_try_send (&peers->socket, &buffer, 1,
+  if (uv_udp_try_send (&mesh->socket, &buffer, 1,
                        (const struct sockaddr *)&address)
       >= 0)
-    bd_stats_count (peers->options.stats, BD_STAT_PEER_SENT, 1);
+    bd_stats_count (mesh->options.stats, BD_STAT_PEER_SENT, 1);
 }
 
 static void
-send_to_all (struct bd_peers *peers, bool leaving, int64_t now_ms)
+send_to_all (struct bd_mesh *mesh, bool leaving, int64_t now_ms)
 {
-  bool seeds_due = now_ms - peers->seeded_ms >= SEED_EVERY_MS;
+  bool seeds_due = now_ms - mesh->seeded_ms >= SEED_EVERY_MS;
   struct bd_buffer out = { 0 };
 
-  if (compose (peers, &out, leaving, now_ms) == BD_OK
-      && out.length <= DATAGRAM_MAX_BYTES)
+  if (compose (mesh, &out, leaving, now_ms) != BD_OK
+      || out.length > DATAGRAM_MAX_BYTES)
+    bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self bytes=%zu", out.length);
+  else
     {
-      for (size_t i = 0; i < peers->count; i++)
-        send_to (peers, peers->all[i]->ip, &out);
-      for (size_t i = 0; seeds_due && i < peers->options.seed_count; i++)
-        if (peers->seeds[i] != peers->options.ip
-            && !find (peers, peers->seeds[i]))
-          send_to (peers, peers->seeds[i], &out);
+      for (size_t i = 0; i < mesh->count; i++)
+        send_to (mesh, mesh->all[i]->ip, &out);
+      for (size_t i = 0; seeds_due && i < mesh->options.seed_count; i++)
+        if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
+          send_to (mesh, mesh->seeds[i], &out);
     }
   if (seeds_due)
-    peers->seeded_ms = now_ms;
+    mesh->seeded_ms = now_ms;
   bd_buffer_clear (&out);
 }
 
 static void
-take_in (struct bd_peers *peers, struct bd_chunk bytes, uint32_t from)
+take_in (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t from)
 {
   struct bd_unpack u = { .rest = bytes };
   int64_t now_ms = bd_clock_boot_ms ();
@@ -332,12 +375,12 @@
   ip = (uint32_t)bd_unpack_uint (&u);
   incarnation = bd_unpack_uint (&u);
   leaving = bd_unpack_uint (&u) != 0;
-  if (u.error != BD_OK || ip != from || ip == peers->options.ip)
+  if (u.error != BD_OK || ip != from || ip == mesh->options.ip)
     {
-      bd_stats_count (peers->options.stats, BD_STAT_PEER_REFUSED, 1);
+      bd_stats_count (mesh->options.stats, BD_STAT_PEER_REFUSED, 1);
       return;
     }
-  peer = need (peers, ip);
+  peer = need (mesh, ip);
   if (!peer)
     return;
   if (peer->heard_ms == 0 || peer->incarnation != incarnation)
@@ -346,23 +389,23 @@
   peer->incarnation = incarnation;
   peer->heard_ms = leaving ? now_ms - SILENCE_MS - 1 : now_ms;
   peer->configuration = bd_unpack_uint (&u);
-  read_names (peers, &u);
+  read_names (mesh, &u);
   read_loads (peer, &u);
-  read_strikes (peers, &u, now_ms);
+  read_strikes (mesh, &u, now_ms);
   bd_stats_count (
-      peers->options.stats,
+      mesh->options.stats,
       u.error == BD_OK ? BD_STAT_PEER_RECEIVED : BD_STAT_PEER_REFUSED, 1);
-  if (peer->configuration > peers->held.configuration && !leaving)
-    peers->handler->on_newer (peers->context, ip, peer->configuration);
+  if (peer->configuration > mesh->held.configuration && !leaving)
+    mesh->handler->on_newer (mesh->context, ip, peer->configuration);
 }
 
 static void
 on_allocate (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-  struct bd_peers *peers = handle->data;
+  struct bd_mesh *mesh = handle->data;
 
   (void)suggested;
-  *buffer = uv_buf_init (peers->received, sizeof peers->received);
+  *buffer = uv_buf_init (mesh->received, sizeof mesh->received);
 }
 
 static void
@@ -376,58 +419,57 @@
 }
 
 int
-bd_peers_create (const struct bd_peers_options *options,
-                 const struct bd_peers_handler *handler, void *context,
-                 struct bd_peers **out)
+bd_mesh_create (const struct bd_mesh_options *options,
+                const struct bd_mesh_handler *handler, void *context,
+                struct bd_mesh **out)
 {
-  struct bd_peers *peers = calloc (1, sizeof *peers);
+  struct bd_mesh *mesh = calloc (1, sizeof *mesh);
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (options->port) };
 
-  if (!peers)
+  if (!mesh)
     return BD_ERR_NOMEM;
-  peers->options = *options;
-  peers->handler = handler;
-  peers->context = context;
-  peers->incarnation = bd_id_random ().low;
-  peers->seeds = calloc (options->seed_count + 1, sizeof (uint32_t));
-  if (!peers->seeds)
+  mesh->options = *options;
+  mesh->handler = handler;
+  mesh->context = context;
+  mesh->incarnation = bd_id_random ().low;
+  mesh->seeds = calloc (options->seed_count + 1, sizeof (uint32_t));
+  if (!mesh->seeds)
     {
-      free (peers);
+      free (mesh);
       return BD_ERR_NOMEM;
     }
-  memcpy (peers->seeds, options->seeds,
+  memcpy (mesh->seeds, options->seeds,
           options->seed_count * sizeof (uint32_t));
   address.sin_addr.s_addr = options->ip;
-  uv_udp_init (options->loop, &peers->socket);
-  peers->socket.data = peers;
-  if (uv_udp_bind (&peers->socket, (const struct sockaddr *)&address, 0) != 0
-      || uv_udp_recv_start (&peers->socket, on_allocate, on_receive) != 0)
+  uv_udp_init (options->loop, &mesh->socket);
+  mesh->socket.data = mesh;
+  if (uv_udp_bind (&mesh->socket, (const struct sockaddr *)&address, 0) != 0
+      || uv_udp_recv_start (&mesh->socket, on_allocate, on_receive) != 0)
     {
-      free (peers->seeds);
-      free (peers);
+      free (mesh->seeds);
+      free (mesh);
       return BD_ERR_IO;
     }
-  *out = peers;
+  *out = mesh;
   return BD_OK;
 }
 
 void
-bd_peers_hold (struct bd_peers *peers,
-               const struct bd_peer_revisions *revisions)
+bd_mesh_hold (struct bd_mesh *mesh, const struct bd_peer_revisions *revisions)
 {
-  peers->held = *revisions;
+  mesh->held = *revisions;
 }
 
 /* Forgets peers that have been silent for several times the limit. */
 static void
-forget_silent (struct bd_peers *peers, int64_t now_ms)
+forget_silent (struct bd_mesh *mesh, int64_t now_ms)
 {
   size_t kept = 0;
 
-  for (size_t i = 0; i < peers->count; i++)
+  for (size_t i = 0; i < mesh->count; i++)
     {
-      struct peer *peer = peers->all[i];
+      struct peer *peer = mesh->all[i];
 
       if (peer->heard_ms == 0)
         peer->heard_ms = now_ms - SILENCE_MS - 1;
@@ -438,27 +480,28 @@
           free (peer);
         }
       else
-        peers->all[kept++] = peer;
+        mesh->all[kept++] = peer;
     }
-  peers->count = kept;
+  mesh->count = kept;
 }
 
 void
-bd_peers_tick (struct bd_peers *peers, int64_t now_ms)
+bd_mesh_tick (struct bd_mesh *mesh, int64_t now_ms)
 {
-  if (now_ms - peers->sent_ms < SEND_EVERY_MS)
+  if (now_ms - mesh->sent_ms < SEND_EVERY_MS)
     return;
-  peers->sent_ms = now_ms;
-  peers->strike_count = bd_suspects_news (peers->options.suspects, now_ms,
-                                          peers->strikes, STRIKES_MAX);
-  send_to_all (peers, false, now_ms);
-  forget_silent (peers, now_ms);
-  count_members (peers, now_ms);
-  sum_loads (peers, now_ms);
+  mesh->sent_ms = now_ms;
+  collect_news (mesh, now_ms);
+  send_to_all (mesh, false, now_ms);
+  if (mesh->members > 1)
+    age_news (mesh);
+  forget_silent (mesh, now_ms);
+  count_members (mesh, now_ms);
+  sum_loads (mesh, now_ms);
 }
 
 void
-bd_peers_leave (struct bd_peers *peers)
+bd_mesh_leave (struct bd_mesh *mesh)
 {
-  send_to_all (peers, true, bd_clock_boot_ms ());
+  send_to_all (mesh, true, bd_clock_boot_ms ());
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/mesh.h
@@ -1,11 +1,11 @@
 /**
- * @file peers.h
+ * @file mesh.h
  * What the instances of the gateway tell each other in datagrams: that they
  * live, which revisions they hold, what they have in flight at each runner,
  * and which requests crashed runners.
  */
-#ifndef BD_PEERS_H
-#define BD_PEERS_H
+#ifndef BD_MESH_H
+#define BD_MESH_H
 
 #include "balance/target.h"
 #include "core/suspect.h"
@@ -14,7 +14,7 @@
 #include <uv.h>
 
 /** Most peers known at a time. */
-#define BD_PEERS_MAX 512
+#define BD_MESH_PEERS_MAX 512
 
 /** What this instance has of the platform's store. */
 struct bd_peer_revisions
@@ -22,7 +22,7 @@
   uint64_t configuration; /**< Revision of the configuration held. */
 };
 
-struct bd_peers_options
+struct bd_mesh_options
 {
   uv_loop_t *loop;
   uint32_t ip; /**< Of this instance, network byte order. */
@@ -34,7 +34,7 @@
   struct bd_stats *stats;
 };
 
-struct bd_peers_handler
+struct bd_mesh_handler
 {
   /** How many instances are alive, this one included. */
   void (*on_members) (void *context, uint32_t count);
@@ -42,20 +42,20 @@
   void (*on_newer) (void *context, uint32_t ip, uint64_t revision);
 };
 
-struct bd_peers;
+struct bd_mesh;
 
 /** Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
-int bd_peers_create (const struct bd_peers_options *options,
-                     const struct bd_peers_handler *handler, void *context,
-                     struct bd_peers **out);
+int bd_mesh_create (const struct bd_mesh_options *options,
+                    const struct bd_mesh_handler *handler, void *context,
+                    struct bd_mesh **out);
 
-void bd_peers_hold (struct bd_peers *peers,
-                    const struct bd_peer_revisions *revisions);
+void bd_mesh_hold (struct bd_mesh *mesh,
+                   const struct bd_peer_revisions *revisions);
 
 /** Sends the news that are due; call several times a second. */
-void bd_peers_tick (struct bd_peers *peers, int64_t now_ms);
+void bd_mesh_tick (struct bd_mesh *mesh, int64_t now_ms);
 
 /** This instance leaves: peers are told. */
-void bd_peers_leave (struct bd_peers *peers);
+void bd_mesh_leave (struct bd_mesh *mesh);
 
 #endif
--- /dev/null
+++ b/test/test_mesh.c
@@ -0,0 +1,265 @@
+/* What gateways tell each other, over real datagrams on loopback. */
+#include "gateway/mesh.h"
+
+#include "common/clock.h"
+#include "gateway/socket.h"
+#include "support_port.h"
+#include "support_targets.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define PEERS 2
+#define LIMIT_MS 8000
+
+struct side
+{
+  struct bd_targets *targets;
+  struct bd_suspects *suspects;
+  struct bd_stats *stats;
+  struct bd_mesh *mesh;
+  uint32_t ip;
+  uint32_t members;
+  uint32_t newer_ip;
+  uint64_t newer_revision;
+};
+
+struct world
+{
+  uv_loop_t loop;
+  uv_timer_t limit;
+  bool late;
+  struct side sides[PEERS];
+};
+
+static void
+on_members (void *context, uint32_t count)
+{
+  ((struct side *)context)->members = count;
+}
+
+static void
+on_newer (void *context, uint32_t ip, uint64_t revision)
+{
+  struct side *side = context;
+
+  side->newer_ip = ip;
+  side->newer_revision = revision;
+}
+
+static const struct bd_mesh_handler handler
+    = { .on_members = on_members, .on_newer = on_newer };
+
+static void
+on_limit (uv_timer_t *timer)
+{
+  ((struct world *)timer->data)->late = true;
+}
+
+/* Two sides at 127.0.0.1 and 127.0.0.2; the second knows the first. */
+static void
+open_world (struct world *world)
+{
+  char text[SUPPORT_ADDRESS_BYTES];
+  struct sockaddr_in address;
+
+  memset (world, 0, sizeof *world);
+  uv_loop_init (&world->loop);
+  support_free_address (text);
+  bd_address_parse (bd_chunk_of (text), &address);
+  for (uint32_t i = 0; i < PEERS; i++)
+    {
+      struct side *side = &world->sides[i];
+      struct bd_mesh_options options
+          = { .loop = &world->loop, .port = ntohs (address.sin_port) };
+
+      side->ip = htonl (INADDR_LOOPBACK + i);
+      side->targets = bd_targets_create ();
+      support_put_runners (side->targets, 3, 1);
+      side->suspects = bd_suspects_create (16, 60000);
+      side->stats = bd_stats_create ();
+      options.ip = side->ip;
+      options.seeds = &world->sides[0].ip;
+      options.seed_count = 1;
+      options.targets = side->targets;
+      options.suspects = side->suspects;
+      options.stats = side->stats;
+      g_assert_cmpint (bd_mesh_create (&options, &handler, side, &side->mesh),
+                       ==, BD_OK);
+    }
+  uv_timer_init (&world->loop, &world->limit);
+  world->limit.data = world;
+  uv_timer_start (&world->limit, on_limit, LIMIT_MS, 0);
+}
+
+/* Sends both sides' news, as of NOW_MS, and takes in what comes. */
+static void
+exchange (struct world *world, int64_t now_ms)
+{
+  for (int i = 0; i < PEERS; i++)
+    bd_mesh_tick (world->sides[i].mesh, now_ms);
+  for (int i = 0; i < 50; i++)
+    uv_run (&world->loop, UV_RUN_NOWAIT);
+  g_assert_false (world->late);
+}
+
+static void
+meet (struct world *world, int64_t now_ms)
+{
+  for (int i = 0; i < 3; i++)
+    exchange (world, now_ms + i * 1000);
+}
+
+static void
+test_meet_and_part (void)
+{
+  struct world world;
+  int64_t now = bd_clock_boot_ms ();
+
+  open_world (&world);
+  meet (&world, now);
+  g_assert_cmpuint (world.sides[0].members, ==, 2);
+  g_assert_cmpuint (world.sides[1].members, ==, 2);
+  bd_mesh_leave (world.sides[1].mesh);
+  for (int i = 0; i < 50; i++)
+    uv_run (&world.loop, UV_RUN_NOWAIT);
+  bd_mesh_tick (world.sides[0].mesh, now + 10000);
+  g_assert_cmpuint (world.sides[0].members, ==, 1);
+}
+
+static void
+test_loads (void)
+{
+  struct world world;
+  struct bd_target *mine;
+  struct bd_target *seen;
+  int64_t now = bd_clock_boot_ms ();
+
+  open_world (&world);
+  mine = support_target (world.sides[0].targets, "r1");
+  seen = support_target (world.sides[1].targets, "r1");
+  mine->in_flight = 3;
+  mine->prefill_tokens = 10240;
+  support_target (world.sides[0].targets, "r2")->record.avoid_until_ms
+      = now + 60000;
+  meet (&world, now);
+  g_assert_cmpuint (seen->peers_in_flight, ==, 3);
+  g_assert_cmpuint (seen->peers_prefill_tokens, ==, 10240);
+  g_assert_cmpuint (seen->peers_avoiding, ==, 0);
+  g_assert_cmpuint (
+      support_target (world.sides[1].targets, "r2")->peers_avoiding, ==, 1);
+  mine->in_flight = 0;
+  mine->prefill_tokens = 0;
+  meet (&world, now + 5000);
+  g_assert_cmpuint (seen->peers_in_flight, ==, 0);
+}
+
+static void
+test_newer_configuration (void)
+{
+  struct bd_peer_revisions held = { .configuration = 7 };
+  struct world world;
+
+  open_world (&world);
+  bd_mesh_hold (world.sides[0].mesh, &held);
+  meet (&world, bd_clock_boot_ms ());
+  g_assert_cmpuint (world.sides[1].newer_revision, ==, 7);
+  g_assert_cmpuint (world.sides[1].newer_ip, ==, world.sides[0].ip);
+  g_assert_cmpuint (world.sides[0].newer_revision, ==, 0);
+}
+
+/* Crashes seen by one side suspend a request at the other. */
+static void
+test_strikes (void)
+{
+  struct world world;
+  int64_t now = bd_clock_boot_ms ();
+
+  open_world (&world);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      struct bd_strike strike
+          = { .fingerprint = 42, .crash = { i, i }, .alone = i > 1 };
+
+      bd_suspects_strike (world.sides[0].suspects, now, &strike);
+    }
+  meet (&world, now);
+  g_assert_cmpint (bd_suspects_look (world.sides[1].suspects, now, 42), ==,
+                   BD_SUSPICION_QUARANTINE);
+}
+
+/* Datagrams of others, and cut ones, change nothing. */
+static void
+test_hostile (void)
+{
+  static const char *const datagrams[]
+      = { "",
+          "x",
+          "\x98\x02",
+          "\x98\x02\xce\x7f\x00\x00\x01\x01\x00\x00",
+          "\x98\x02\xce\xff\xff\xff\xff\x01\x00\x00\x90\x90\x90",
+          "\x98\xcf\xff\xff\xff\xff\xff\xff\xff\xff" };
+  struct world world;
+  struct sockaddr_in to;
+  uv_udp_t socket;
+
+  open_world (&world);
+  support_free_address ((char[SUPPORT_ADDRESS_BYTES]){ 0 });
+  uv_udp_init (&world.loop, &socket);
+  uv_ip4_addr ("127.0.0.3", 0, &to);
+  uv_udp_bind (&socket, (const struct sockaddr *)&to, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (datagrams); i++)
+    {
+      uv_buf_t buffer = uv_buf_init ((char *)datagrams[i],
+                                     (unsigned)strlen (datagrams[i]) + 1);
+
+      to.sin_addr.s_addr = world.sides[0].ip;
+      uv_udp_try_send (&socket, &buffer, 1, (const struct sockaddr *)&to);
+    }
+  exchange (&world, bd_clock_boot_ms ());
+  g_assert_cmpuint (world.sides[0].members, ==, 1);
+}
+
+/* The fullest datagram still goes out: many runners at work, many strikes. */
+static void
+test_full (void)
+{
+  struct world world;
+  int64_t now = bd_clock_boot_ms ();
+  size_t count;
+  struct bd_target *const *all;
+
+  open_world (&world);
+  support_put_runners (world.sides[0].targets, 300, 3);
+  all = bd_targets_all (world.sides[0].targets, &count);
+  for (size_t i = 0; i < count; i++)
+    {
+      all[i]->in_flight = 4000000000u;
+      all[i]->prefill_tokens = UINT64_C (1) << 39;
+    }
+  for (uint64_t i = 1; i <= 40; i++)
+    {
+      struct bd_strike strike = { .fingerprint = UINT64_MAX - i,
+                                  .crash = { UINT64_MAX, UINT64_MAX - i },
+                                  .age_ms = 50000 };
+
+      bd_suspects_strike (world.sides[0].suspects, now, &strike);
+    }
+  meet (&world, now);
+  g_assert_cmpuint (world.sides[1].members, ==, 2);
+  g_assert_cmpuint (
+      support_target (world.sides[1].targets, "r0")->peers_in_flight, >, 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/mesh/meet-and-part", test_meet_and_part);
+  g_test_add_func ("/mesh/loads", test_loads);
+  g_test_add_func ("/mesh/newer-configuration", test_newer_configuration);
+  g_test_add_func ("/mesh/strikes", test_strikes);
+  g_test_add_func ("/mesh/hostile", test_hostile);
+  g_test_add_func ("/mesh/full", test_full);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_walks.c
@@ -0,0 +1,133 @@
+/* From a failed request's id to its cause, by log lines alone: the three
+   walks of docs/OPERATIONS.md. */
+#include "support_capture.h"
+#include "support_gateway.h"
+
+#include <string.h>
+
+#define HEAD                                                                  \
+  "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: @ID\r\n"                        \
+  "X-Basildock-Response-Signature: sig\r\n"
+
+/* The lines about request a1, in order. */
+static char **
+lines_of (const char *log)
+{
+  char **all = g_strsplit (log, "\n", -1);
+  GPtrArray *own = g_ptr_array_new ();
+
+  for (char **line = all; *line; line++)
+    if (strstr (*line, "request=\"a1\""))
+      g_ptr_array_add (own, g_strdup (*line));
+  g_ptr_array_add (own, NULL);
+  g_strfreev (all);
+  return (char **)g_ptr_array_free (own, FALSE);
+}
+
+static void
+must_say (const char *line, const char *const *wanted)
+{
+  g_assert_nonnull (line);
+  for (; *wanted; wanted++)
+    if (!strstr (line, *wanted))
+      g_error ("no \"%s\" in: %s", *wanted, line);
+}
+
+/* Plays METHOD_PATH against STEP until the caller has ANSWER or, when NULL,
+   its connection ends.  Returns the lines about the request. */
+static char **
+play (const char *method_path, const char *fields,
+      const struct support_step *step, uint64_t queued, const char *answer)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+  struct capture capture;
+  char *text = support_request (method_path, "a1", fields, "");
+  char *log;
+  char **lines;
+  size_t count;
+
+  capture_begin (&capture, 2);
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, step, 1);
+  bd_targets_all (g.targets, &count)[0]->peers_prefill_tokens = queued;
+  caller = support_call (&g, 0, text);
+  if (answer)
+    support_await (caller, answer);
+  else
+    support_await_end (caller);
+  log = capture_end (&capture);
+  lines = lines_of (log);
+  g_free (log);
+  g_free (text);
+  support_gateway_close (&g);
+  return lines;
+}
+
+static void
+test_refused_under_overload (void)
+{
+  static const char *const refusal[] = { "BD2002 REQUEST_REFUSED",
+                                         "code=overloaded",
+                                         "wait_ms=20000",
+                                         "limit_ms=",
+                                         "priority=",
+                                         "retry_ms=",
+                                         NULL };
+  char **lines
+      = play ("POST /stream/x", "X-Basildock-Prefix-Hash: aa:9000,bb:4000\r\n",
+              NULL, 1000000, "HTTP/1.1 503");
+
+  must_say (lines[0], refusal);
+  g_assert_null (lines[1]);
+  g_strfreev (lines);
+}
+
+static void
+test_stream_broken (void)
+{
+  static const struct support_step step
+      = { HEAD "Content-Type: text/event-stream\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n"
+               "f\r\nid: 1\ndata: a\n\n\r\n",
+          SUPPORT_RESET };
+  static const char *const placed[]
+      = { "BD2016 REQUEST_PLACED", "route=stream", "runner=i-0", NULL };
+  static const char *const failed[] = { "BD2015 ATTEMPT_FAILED", "runner=i-0",
+                                        "reason=reset", "events=1", NULL };
+  static const char *const ended[] = { "BD2012 REQUEST_FAILED", "ran=unknown",
+                                       "reached=1", "events=1", NULL };
+  char **lines = play ("POST /stream/x", "", &step, 0, NULL);
+
+  must_say (lines[0], placed);
+  must_say (lines[1], failed);
+  must_say (lines[2], ended);
+  g_strfreev (lines);
+}
+
+static void
+test_answer_lost (void)
+{
+  static const struct support_step step = { "", SUPPORT_RESET };
+  static const char *const failed[] = { "BD2015 ATTEMPT_FAILED", "runner=i-0",
+                                        "reason=reset", "events=0", NULL };
+  static const char *const ended[]
+      = { "BD2012 REQUEST_FAILED", "route=once", "code=outcome_unknown",
+          "ran=unknown",           "reached=1",  NULL };
+  char **lines = play ("POST /once/x", "", &step, 0, "HTTP/1.1 502");
+
+  must_say (lines[1], failed);
+  must_say (lines[2], ended);
+  g_strfreev (lines);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/walks/refused-under-overload",
+                   test_refused_under_overload);
+  g_test_add_func ("/walks/stream-broken", test_stream_broken);
+  g_test_add_func ("/walks/answer-lost", test_answer_lost);
+  return g_test_run ();
+}
