--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -19,7 +19,7 @@
 /* Most peers named in a datagram. */
 #define NAMED_MAX 40
 /* Most runners whose load is told in a datagram. */
-#define LOADS_MAX 70
+#define LOADS_MAX 50
 /* Strikes kept for telling, and how often each is told: datagrams get lost. */
 #define STRIKES_MAX 6
 #define STRIKE_TELLINGS 5
