--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -12,8 +12,14 @@
 #define FORMAT 2
 /* Time between two datagrams to the same peer. */
 #define SEND_EVERY_MS 500
-/* A peer that was not heard for this long counts as gone. */
-#define SILENCE_MS 3000
+/* Peers that are told in one turn; with more, turns take them in order. */
+#define TOLD_MAX 32
+/* A peer that was not heard for this long counts as gone; longer when peers
+   are told in turns. */
+#define SILENCE_LEAST_MS 3000
+#define SILENCE_TURNS 4
+/* Peers that were silent for so many times that are forgotten. */
+#define FORGET_SILENCES 5
 /* How often seeds are tried that are not known as peers. */
 #define SEED_EVERY_MS 1000
 /* Most peers named in a datagram. */
@@ -65,6 +71,7 @@
   struct peer **all;
   size_t count;
   uint32_t members;
+  size_t next_told; /* Where the next turn begins. */
   struct bd_peer_revisions held;
   int64_t sent_ms;
   int64_t seeded_ms;
@@ -73,6 +80,22 @@
   char received[DATAGRAM_MAX_BYTES * 2];
 };
 
+/* How long a live peer may be silent. */
+static int64_t
+silence_ms (const struct bd_mesh *mesh)
+{
+  int64_t turns = (int64_t)(mesh->count / TOLD_MAX) + 1;
+  int64_t ms = turns * SEND_EVERY_MS * SILENCE_TURNS;
+
+  return ms > SILENCE_LEAST_MS ? ms : SILENCE_LEAST_MS;
+}
+
+static bool
+is_live (const struct bd_mesh *mesh, const struct peer *peer, int64_t now_ms)
+{
+  return peer->heard_ms != 0 && now_ms - peer->heard_ms <= silence_ms (mesh);
+}
+
 static struct peer *
 find (struct bd_mesh *mesh, uint32_t ip)
 {
@@ -108,9 +131,7 @@
   uint32_t members = 1;
 
   for (size_t i = 0; i < mesh->count; i++)
-    if (mesh->all[i]->heard_ms != 0
-        && now_ms - mesh->all[i]->heard_ms <= SILENCE_MS)
-      members++;
+    members += is_live (mesh, mesh->all[i], now_ms);
   bd_stats_set (mesh->options.stats, BD_GAUGE_PEERS, members - 1);
   if (members == mesh->members)
     return;
@@ -139,7 +160,7 @@
     {
       const struct peer *peer = mesh->all[p];
 
-      if (peer->heard_ms == 0 || now_ms - peer->heard_ms > SILENCE_MS)
+      if (!is_live (mesh, peer, now_ms))
         continue;
       for (size_t l = 0; l < peer->load_count; l++)
         for (size_t i = 0; i < count; i++)
@@ -279,16 +300,21 @@
 pack_names (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
 {
   uint32_t named = 0;
+  size_t at = mesh->next_told;
 
   for (size_t i = 0; i < mesh->count && named < NAMED_MAX; i++)
-    named += now_ms - mesh->all[i]->heard_ms <= SILENCE_MS;
+    named += is_live (mesh, mesh->all[i], now_ms);
   bd_pack_array (pack, named);
-  for (size_t i = 0; i < mesh->count && named > 0; i++)
-    if (now_ms - mesh->all[i]->heard_ms <= SILENCE_MS)
-      {
-        bd_pack_uint (pack, mesh->all[i]->ip);
-        named--;
-      }
+  /* Others each turn, so that everybody is named in time. */
+  for (; named > 0; at++)
+    {
+      const struct peer *peer = mesh->all[at % mesh->count];
+
+      if (!is_live (mesh, peer, now_ms))
+        continue;
+      bd_pack_uint (pack, peer->ip);
+      named--;
+    }
 }
 
 static void
@@ -349,8 +375,13 @@
     bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self bytes=%zu", out.length);
   else
     {
-      for (size_t i = 0; i < mesh->count; i++)
-        send_to (mesh, mesh->all[i]->ip, &out);
+      size_t told = mesh->count < TOLD_MAX || leaving ? mesh->count : TOLD_MAX;
+
+      for (size_t i = 0; i < told; i++)
+        send_to (mesh, mesh->all[(mesh->next_told + i) % mesh->count]->ip,
+                 &out);
+      mesh->next_told
+          = mesh->count > 0 ? (mesh->next_told + told) % mesh->count : 0;
       for (size_t i = 0; seeds_due && i < mesh->options.seed_count; i++)
         if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
           send_to (mesh, mesh->seeds[i], &out);
@@ -387,7 +418,7 @@
     bd_log (BD_EVENT_MEMBER_LIVE, "ip=%08x incarnation=%llu", ntohl (ip),
             (unsigned long long)incarnation);
   peer->incarnation = incarnation;
-  peer->heard_ms = leaving ? now_ms - SILENCE_MS - 1 : now_ms;
+  peer->heard_ms = leaving ? now_ms - silence_ms (mesh) - 1 : now_ms;
   peer->configuration = bd_unpack_uint (&u);
   read_names (mesh, &u);
   read_loads (peer, &u);
@@ -472,8 +503,8 @@
       struct peer *peer = mesh->all[i];
 
       if (peer->heard_ms == 0)
-        peer->heard_ms = now_ms - SILENCE_MS - 1;
-      if (now_ms - peer->heard_ms > (int64_t)SILENCE_MS * 5)
+        peer->heard_ms = now_ms - silence_ms (mesh) - 1;
+      if (now_ms - peer->heard_ms > silence_ms (mesh) * FORGET_SILENCES)
         {
           bd_log (BD_EVENT_MEMBER_GONE, "ip=%08x silent_ms=%lld",
                   ntohl (peer->ip), (long long)(now_ms - peer->heard_ms));
@@ -483,6 +514,7 @@
         mesh->all[kept++] = peer;
     }
   mesh->count = kept;
+  mesh->next_told = kept > 0 ? mesh->next_told % kept : 0;
 }
 
 void
