--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -28,7 +28,7 @@
 /* Runners at which a shared part is at home; the first is preferred. */
 #define HOMES 2
 /* What the second home costs, in ms of delay. */
-#define SECOND_HOME_MS 1000.0
+#define SECOND_HOME_MS 2000.0
 /* A peer avoids the runner.  That may be the peer's own link, so it is a
    cost and no more, for at most so many peers. */
 #define PEER_AVOIDS_MS 400.0
