How fast a service's engines read is learned

Cause: a fixed 50 tokens a millisecond decides waits and refusals; engines of another make would be refused or flooded. Change: prompts before and of each request against its time to the first event, weighed down with later work; 50 is the start. Test: learns-speed.

--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -4,6 +4,7 @@
 #include "core/random.h"
 
 #include <float.h>
+#include <math.h>
 #include <stdlib.h>
 
 /* Shared parts shorter than this are not worth a detour. */
@@ -13,8 +14,19 @@
 #define WARM_WAYS 4
 /* How long a runner is believed to keep a part that was sent there. */
 #define WARM_KEEP_MS 30000
-/* Prompt tokens that a runner reads in a millisecond. */
-#define PREFILL_TOKENS_PER_MS 50.0
+/* Prompt tokens that an engine reads in a millisecond: what is assumed, its
+   weight in tokens against what is seen, and bounds of what is believed. */
+#define TOKENS_PER_MS_ASSUMED 50.0
+#define TOKENS_PER_MS_WEIGHT 400000.0
+#define TOKENS_PER_MS_LEAST 1.0
+#define TOKENS_PER_MS_MOST 1000.0
+/* Tokens after which what was seen counts half, and the least of a sample. */
+#define LEARN_TOKENS 2000000.0
+#define LEARN_TOKENS_LEAST 2000
+/* Part of the time to a first event that is not reading. */
+#define FIRST_EVENT_MS 40.0
+/* Services whose engines' speed is learned. */
+#define SPEEDS_MAX 32
 /* Cost of a request that already runs, in ms of delay to the next one. */
 #define RUNNING_COST_MS 3.0
 /* Cost of a request in flight at a plain service. */
@@ -50,9 +62,19 @@
   int64_t sent_ms;
 };
 
+/* What was seen of a service's engines, weighed down with later work. */
+struct speed
+{
+  uint64_t service_hash;
+  double tokens;
+  double ms;
+};
+
 struct bd_choice
 {
   uint64_t random;
+  size_t speed_count;
+  struct speed speeds[SPEEDS_MAX];
   struct warm warm[WARM_PLACES];
 };
 
@@ -173,23 +195,67 @@
   return drawn_to_prefix (demand) ? BD_PLACE_COLD : BD_PLACE_ANY;
 }
 
-/* Time until the prompts queued at an engine have been read. */
-static double
-engine_wait (const struct bd_target *target)
+static const struct speed *
+find_speed (const struct bd_choice *choice, struct bd_chunk service)
+{
+  uint64_t hash = bd_chunk_hash (service);
+
+  for (size_t i = 0; i < choice->speed_count; i++)
+    if (choice->speeds[i].service_hash == hash)
+      return &choice->speeds[i];
+  return NULL;
+}
+
+double
+bd_choice_tokens_per_ms (const struct bd_choice *choice,
+                         struct bd_chunk service)
 {
-  uint64_t queued = target->prefill_tokens + target->peers_prefill_tokens;
+  const struct speed *speed = find_speed (choice, service);
+  double tokens = TOKENS_PER_MS_WEIGHT;
+  double ms = TOKENS_PER_MS_WEIGHT / TOKENS_PER_MS_ASSUMED;
+  double rate;
 
-  return (double)queued / PREFILL_TOKENS_PER_MS;
+  if (speed)
+    {
+      tokens += speed->tokens;
+      ms += speed->ms;
+    }
+  rate = tokens / ms;
+  if (rate < TOKENS_PER_MS_LEAST)
+    return TOKENS_PER_MS_LEAST;
+  return rate > TOKENS_PER_MS_MOST ? TOKENS_PER_MS_MOST : rate;
 }
 
-/* What else speaks against an engine. */
+void
+bd_choice_learn (struct bd_choice *choice, struct bd_chunk service,
+                 uint64_t tokens, int64_t ms)
+{
+  struct speed *speed = (struct speed *)find_speed (choice, service);
+  double reading_ms = (double)ms - FIRST_EVENT_MS;
+  double keep = exp2 (-(double)tokens / LEARN_TOKENS);
+
+  if (tokens < LEARN_TOKENS_LEAST)
+    return;
+  if (!speed)
+    {
+      if (choice->speed_count == SPEEDS_MAX)
+        return;
+      speed = &choice->speeds[choice->speed_count++];
+      speed->service_hash = bd_chunk_hash (service);
+    }
+  speed->tokens = speed->tokens * keep + (double)tokens;
+  speed->ms = speed->ms * keep + (reading_ms > 1.0 ? reading_ms : 1.0);
+}
+
+/* What speaks against an engine besides the prompts queued there. */
 static double
-engine_cost (const struct bd_demand *demand, const struct bd_pick *pick)
+engine_cost (const struct bd_demand *demand, const struct bd_pick *pick,
+             double tokens_per_ms)
 {
   const struct bd_target *target = pick->target;
   uint32_t running = target->in_flight + target->peers_in_flight;
-  double ms = (double)demand->own_tokens / PREFILL_TOKENS_PER_MS;
-  double shared_ms = (double)demand->shared_tokens / PREFILL_TOKENS_PER_MS;
+  double ms = (double)demand->own_tokens / tokens_per_ms;
+  double shared_ms = (double)demand->shared_tokens / tokens_per_ms;
 
   ms += running * RUNNING_COST_MS;
   if (pick->place == BD_PLACE_SECOND)
@@ -235,8 +301,12 @@
     pick.prefill_tokens += demand->shared_tokens;
   if (demand->own_tokens > 0)
     {
-      pick.wait_ms = engine_wait (target);
-      pick.cost_ms = pick.wait_ms + engine_cost (demand, &pick);
+      double tokens_per_ms = bd_choice_tokens_per_ms (choice, demand->service);
+
+      pick.ahead_tokens
+          = target->prefill_tokens + target->peers_prefill_tokens;
+      pick.wait_ms = (double)pick.ahead_tokens / tokens_per_ms;
+      pick.cost_ms = pick.wait_ms + engine_cost (demand, &pick, tokens_per_ms);
     }
   else
     {
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -43,6 +43,7 @@
   double wait_ms;          /**< Expected before it begins. */
   double cost_ms;          /**< Expected delay and what else was weighed. */
   uint64_t prefill_tokens; /**< Expected to be read there. */
+  uint64_t ahead_tokens;   /**< Queued there before it. */
 };
 
 struct bd_choice;
@@ -60,6 +61,17 @@
 void bd_choice_sent (struct bd_choice *choice, const struct bd_demand *demand,
                      const struct bd_target *target);
 
+/**
+ * A request of SERVICE began after MS, with TOKENS of prompts to be read
+ * before and for it: how fast its engines read is learned from that.
+ */
+void bd_choice_learn (struct bd_choice *choice, struct bd_chunk service,
+                      uint64_t tokens, int64_t ms);
+
+/** Prompt tokens that an engine of SERVICE reads in a millisecond. */
+double bd_choice_tokens_per_ms (const struct bd_choice *choice,
+                                struct bd_chunk service);
+
 const char *bd_place_name (enum bd_place place);
 
 #endif
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -79,6 +79,7 @@
   uint32_t reached; /* Runners that may have got the request. */
   struct bd_target *target;
   struct bd_call *call;
+  uint64_t begin_tokens;   /* To be read before its first event. */
   uint64_t charged_tokens; /* Added to the target's prefill_tokens. */
   int64_t sent_ms;
   bool may_have_run;
@@ -452,6 +453,8 @@
   if (f->begun)
     return;
   f->begun = true;
+  bd_choice_learn (f->forwarder->parts.choice, f->service, f->begin_tokens,
+                   bd_clock_boot_ms () - f->sent_ms);
   bd_stats_answer_time (f->forwarder->parts.stats, elapsed_ms (f) * 1000);
   bd_exchange_begin (f->exchange, f->status, bd_buffer_chunk (&f->fields));
 }
@@ -785,6 +788,7 @@
     }
   target->in_flight++;
   f->charged_tokens = pick->prefill_tokens;
+  f->begin_tokens = pick->ahead_tokens + pick->prefill_tokens;
   target->prefill_tokens += f->charged_tokens;
   f->sent_ms = bd_clock_boot_ms ();
   bd_choice_sent (parts->choice, &f->demand, target);
--- a/test/test_choice.c
+++ b/test/test_choice.c
@@ -238,6 +238,27 @@
   bd_targets_destroy (targets);
 }
 
+/* Pattern: engines of another make, five times as slow as assumed. */
+static void
+test_learns_speed (void)
+{
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_chunk service = BD_CHUNK ("llm");
+  double assumed = bd_choice_tokens_per_ms (choice, service);
+
+  for (int i = 0; i < 500; i++)
+    bd_choice_learn (choice, service, 10000, 1040);
+  g_assert_cmpfloat (bd_choice_tokens_per_ms (choice, service), <, 14.0);
+  g_assert_cmpfloat (bd_choice_tokens_per_ms (choice, service), >, 10.0);
+  g_assert_cmpfloat (bd_choice_tokens_per_ms (choice, BD_CHUNK ("other")), ==,
+                     assumed);
+  /* Short prompts say little and are passed over. */
+  for (int i = 0; i < 5000; i++)
+    bd_choice_learn (choice, service, 100, 60000);
+  g_assert_cmpfloat (bd_choice_tokens_per_ms (choice, service), >, 10.0);
+  bd_choice_destroy (choice);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -250,5 +271,6 @@
   g_test_add_func ("/choice/last-resort", test_last_resort);
   g_test_add_func ("/choice/plain", test_plain);
   g_test_add_func ("/choice/peers-count", test_peers_count);
+  g_test_add_func ("/choice/learns-speed", test_learns_speed);
   return g_test_run ();
 }
