Runners are kept apart by length of prompts only while both lengths come

Cause: a deployment with prompts of one length only would have left a fifth of its runners idle, or four fifths. Change: short prompts use all runners until a long one came, long ones wait 20 s for the first short one. Test: one-length, which failed first.

--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -25,8 +25,11 @@
 #define LEARN_TOKENS_LEAST 2000
 /* Part of the time to a first event that is not reading. */
 #define FIRST_EVENT_MS 40.0
-/* Services whose engines' speed is learned. */
-#define SPEEDS_MAX 32
+/* Services of which something is learned. */
+#define LESSONS_MAX 32
+/* Runners are kept apart by length of prompts while both lengths came within
+   this time; long ones wait that long for the first short one. */
+#define LENGTHS_KEEP_MS 20000
 /* Cost of a request that already runs, in ms of delay to the next one. */
 #define RUNNING_COST_MS 3.0
 /* Cost of a request in flight at a plain service. */
@@ -62,19 +65,23 @@
   int64_t sent_ms;
 };
 
-/* What was seen of a service's engines, weighed down with later work. */
-struct speed
+/* What was seen of a service: how much its engines read in which time,
+   weighed down with later work, and when which prompts came. */
+struct lesson
 {
   uint64_t service_hash;
   double tokens;
   double ms;
+  int64_t first_ms;
+  int64_t last_short_ms; /* 0: none has come. */
+  int64_t last_long_ms;
 };
 
 struct bd_choice
 {
   uint64_t random;
-  size_t speed_count;
-  struct speed speeds[SPEEDS_MAX];
+  size_t lesson_count;
+  struct lesson lessons[LESSONS_MAX];
   struct warm warm[WARM_PLACES];
 };
 
@@ -146,7 +153,43 @@
   return demand->shared_tokens + demand->own_tokens <= SHORT_PROMPT_TOKENS;
 }
 
-/* Same weight at every entry: the highest is the home of the prefix. */
+static const struct lesson *
+find_lesson (const struct bd_choice *choice, struct bd_chunk service)
+{
+  uint64_t hash = bd_chunk_hash (service);
+
+  for (size_t i = 0; i < choice->lesson_count; i++)
+    if (choice->lessons[i].service_hash == hash)
+      return &choice->lessons[i];
+  return NULL;
+}
+
+/* NULL when there are too many services. */
+static struct lesson *
+need_lesson (struct bd_choice *choice, struct bd_chunk service)
+{
+  struct lesson *lesson = (struct lesson *)find_lesson (choice, service);
+
+  if (lesson || choice->lesson_count == LESSONS_MAX)
+    return lesson;
+  lesson = &choice->lessons[choice->lesson_count++];
+  lesson->service_hash = bd_chunk_hash (service);
+  return lesson;
+}
+
+/* Whether DEMAND keeps off runners that are meant for the other length. */
+static bool
+lengths_apart (const struct bd_choice *choice, const struct bd_demand *demand)
+{
+  const struct lesson *lesson = find_lesson (choice, demand->service);
+  int64_t since = demand->now_ms - LENGTHS_KEEP_MS;
+
+  if (is_short (demand))
+    return lesson && lesson->last_long_ms > since && lesson->last_long_ms != 0;
+  return !lesson || lesson->first_ms > since || lesson->last_short_ms > since;
+}
+
+/* Same weight at every instance: the highest is the home of the prefix. */
 static uint64_t
 rendezvous (const struct bd_demand *demand, const struct bd_target *target)
 {
@@ -155,9 +198,12 @@
 
 /* The runners at which the shared part is at home, in order; NULL: none. */
 static void
-find_homes (const struct bd_demand *demand, struct bd_target *const *targets,
-            size_t count, const struct bd_target *homes[HOMES])
+find_homes (const struct bd_choice *choice, const struct bd_demand *demand,
+            struct bd_target *const *targets, size_t count,
+            const struct bd_target *homes[HOMES])
 {
+  bool apart = lengths_apart (choice, demand);
+
   for (size_t h = 0; h < HOMES; h++)
     homes[h] = NULL;
   if (!drawn_to_prefix (demand))
@@ -167,7 +213,7 @@
       const struct bd_target *target = targets[i];
 
       if (!serves (demand, target)
-          || target->kept_for_short != is_short (demand))
+          || (apart && target->kept_for_short != is_short (demand)))
         continue;
       for (size_t h = 0; h < HOMES && target; h++)
         if (!homes[h]
@@ -195,30 +241,19 @@
   return drawn_to_prefix (demand) ? BD_PLACE_COLD : BD_PLACE_ANY;
 }
 
-static const struct speed *
-find_speed (const struct bd_choice *choice, struct bd_chunk service)
-{
-  uint64_t hash = bd_chunk_hash (service);
-
-  for (size_t i = 0; i < choice->speed_count; i++)
-    if (choice->speeds[i].service_hash == hash)
-      return &choice->speeds[i];
-  return NULL;
-}
-
 double
 bd_choice_tokens_per_ms (const struct bd_choice *choice,
                          struct bd_chunk service)
 {
-  const struct speed *speed = find_speed (choice, service);
+  const struct lesson *lesson = find_lesson (choice, service);
   double tokens = TOKENS_PER_MS_WEIGHT;
   double ms = TOKENS_PER_MS_WEIGHT / TOKENS_PER_MS_ASSUMED;
   double rate;
 
-  if (speed)
+  if (lesson)
     {
-      tokens += speed->tokens;
-      ms += speed->ms;
+      tokens += lesson->tokens;
+      ms += lesson->ms;
     }
   rate = tokens / ms;
   if (rate < TOKENS_PER_MS_LEAST)
@@ -230,27 +265,23 @@
 bd_choice_learn (struct bd_choice *choice, struct bd_chunk service,
                  uint64_t tokens, int64_t ms)
 {
-  struct speed *speed = (struct speed *)find_speed (choice, service);
+  struct lesson *lesson;
   double reading_ms = (double)ms - FIRST_EVENT_MS;
   double keep = exp2 (-(double)tokens / LEARN_TOKENS);
 
   if (tokens < LEARN_TOKENS_LEAST)
     return;
-  if (!speed)
-    {
-      if (choice->speed_count == SPEEDS_MAX)
-        return;
-      speed = &choice->speeds[choice->speed_count++];
-      speed->service_hash = bd_chunk_hash (service);
-    }
-  speed->tokens = speed->tokens * keep + (double)tokens;
-  speed->ms = speed->ms * keep + (reading_ms > 1.0 ? reading_ms : 1.0);
+  lesson = need_lesson (choice, service);
+  if (!lesson)
+    return;
+  lesson->tokens = lesson->tokens * keep + (double)tokens;
+  lesson->ms = lesson->ms * keep + (reading_ms > 1.0 ? reading_ms : 1.0);
 }
 
 /* What speaks against an engine besides the prompts queued there. */
 static double
 engine_cost (const struct bd_demand *demand, const struct bd_pick *pick,
-             double tokens_per_ms)
+             double tokens_per_ms, bool apart)
 {
   const struct bd_target *target = pick->target;
   uint32_t running = target->in_flight + target->peers_in_flight;
@@ -264,7 +295,7 @@
     ms += shared_ms * REREAD_WEIGHT;
   if (pick->place == BD_PLACE_ANY)
     ms += shared_ms;
-  if (target->kept_for_short != is_short (demand))
+  if (apart && target->kept_for_short != is_short (demand))
     ms += target->kept_for_short ? LONG_AMONG_SHORT_MS : SHORT_AMONG_LONG_MS;
   return ms;
 }
@@ -306,7 +337,9 @@
       pick.ahead_tokens
           = target->prefill_tokens + target->peers_prefill_tokens;
       pick.wait_ms = (double)pick.ahead_tokens / tokens_per_ms;
-      pick.cost_ms = pick.wait_ms + engine_cost (demand, &pick, tokens_per_ms);
+      pick.cost_ms = pick.wait_ms
+                     + engine_cost (demand, &pick, tokens_per_ms,
+                                    lengths_apart (choice, demand));
     }
   else
     {
@@ -334,7 +367,7 @@
   struct bd_pick best = { .cost_ms = DBL_MAX };
   uint32_t ties = 0;
 
-  find_homes (demand, targets, count, homes);
+  find_homes (choice, demand, targets, count, homes);
   for (size_t i = 0; i < count; i++)
     {
       struct bd_pick pick;
@@ -372,6 +405,21 @@
   return names[place];
 }
 
+static void
+note_length (struct bd_choice *choice, const struct bd_demand *demand)
+{
+  struct lesson *lesson = need_lesson (choice, demand->service);
+
+  if (!lesson)
+    return;
+  if (lesson->first_ms == 0)
+    lesson->first_ms = demand->now_ms;
+  if (is_short (demand))
+    lesson->last_short_ms = demand->now_ms;
+  else
+    lesson->last_long_ms = demand->now_ms;
+}
+
 void
 bd_choice_sent (struct bd_choice *choice, const struct bd_demand *demand,
                 const struct bd_target *target)
@@ -379,6 +427,8 @@
   struct warm *set;
   struct warm *place;
 
+  if (demand->own_tokens > 0)
+    note_length (choice, demand);
   if (demand->prefix_hash == 0)
     return;
   set = (struct warm *)warm_set (choice, demand->prefix_hash);
