The work of a plain service's requests is learned

Cause: a fixed 60 ms decided their waits and refusals: a service of 1 ms with a short queue would have been refused for a wait it does not have. Change: the mean time of requests that found a free slot. Test: plain-fast, which failed before.

--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -32,8 +32,10 @@
 #define LENGTHS_KEEP_MS 20000
 /* Cost of a request that already runs, in ms of delay to the next one. */
 #define RUNNING_COST_MS 3.0
-/* Cost of a request in flight at a plain service. */
-#define PLAIN_COST_MS 60.0
+/* Work of a request at a plain service: what is assumed, and the weight of
+   each that is seen. */
+#define WORK_MS_ASSUMED 60.0
+#define WORK_WEIGHT 0.05
 /* What another availability zone costs, in ms of delay. */
 #define ZONE_COST_MS 12.0
 /* Weight of failures: the delay that a sure failure is held to cost. */
@@ -72,6 +74,7 @@
   uint64_t service_hash;
   double tokens;
   double ms;
+  double work_ms; /* 0: nothing was seen. */
   int64_t first_ms;
   int64_t last_short_ms; /* 0: none has come. */
   int64_t last_long_ms;
@@ -300,23 +303,42 @@
   return ms;
 }
 
+static double
+work_ms (const struct bd_choice *choice, struct bd_chunk service)
+{
+  const struct lesson *lesson = find_lesson (choice, service);
+
+  return lesson && lesson->work_ms > 0.0 ? lesson->work_ms : WORK_MS_ASSUMED;
+}
+
+void
+bd_choice_learn_work (struct bd_choice *choice, struct bd_chunk service,
+                      int64_t ms)
+{
+  double known = work_ms (choice, service);
+  struct lesson *lesson = need_lesson (choice, service);
+
+  if (lesson)
+    lesson->work_ms = known + WORK_WEIGHT * ((double)ms - known);
+}
+
 /* Time until a slot of a plain service is free. */
 static double
-plain_wait (const struct bd_target *target)
+plain_wait (const struct bd_target *target, double each_ms)
 {
   uint32_t running = target->in_flight + target->peers_in_flight;
   uint32_t slots = target->slots ? target->slots : 1;
 
-  return running < slots ? 0.0 : (running - slots + 1) * PLAIN_COST_MS / slots;
+  return running < slots ? 0.0 : (running - slots + 1) * each_ms / slots;
 }
 
 static double
-plain_cost (const struct bd_target *target)
+plain_cost (const struct bd_target *target, double each_ms)
 {
   uint32_t running = target->in_flight + target->peers_in_flight;
   uint32_t slots = target->slots ? target->slots : 1;
 
-  return running * PLAIN_COST_MS / slots;
+  return running * each_ms / slots;
 }
 
 /* Fills in what placing the request at TARGET would mean. */
@@ -343,8 +365,10 @@
     }
   else
     {
-      pick.wait_ms = plain_wait (target);
-      pick.cost_ms = pick.wait_ms + plain_cost (target);
+      double each_ms = work_ms (choice, demand->service);
+
+      pick.wait_ms = plain_wait (target, each_ms);
+      pick.cost_ms = pick.wait_ms + plain_cost (target, each_ms);
     }
   if (!bd_chunk_equal (target->zone, demand->zone))
     pick.cost_ms += ZONE_COST_MS;
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -68,6 +68,13 @@
 void bd_choice_learn (struct bd_choice *choice, struct bd_chunk service,
                       uint64_t tokens, int64_t ms);
 
+/**
+ * A request of the plain SERVICE, sent to a runner with a free slot, took
+ * MS.
+ */
+void bd_choice_learn_work (struct bd_choice *choice, struct bd_chunk service,
+                           int64_t ms);
+
 /** Prompt tokens that an engine of SERVICE reads in a millisecond. */
 double bd_choice_tokens_per_ms (const struct bd_choice *choice,
                                 struct bd_chunk service);
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -223,6 +223,7 @@
     }
   target->in_flight++;
   f->charged_tokens = pick->prefill_tokens;
+  f->found_free = pick->wait_ms <= 0.0;
   f->begin_tokens = pick->ahead_tokens + pick->prefill_tokens;
   target->prefill_tokens += f->charged_tokens;
   f->sent_ms = bd_clock_boot_ms ();
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -61,6 +61,7 @@
   uint64_t begin_tokens;   /* To be read before its first event. */
   uint64_t charged_tokens; /* Added to the target's prefill_tokens. */
   int64_t sent_ms;
+  bool found_free; /* Nothing was expected to wait at the runner. */
   bool may_have_run;
   /* The response at hand. */
   int status;
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -173,6 +173,9 @@
   bd_forward_note_result (f->forwarder, f->target,
                           f->status >= 500 ? BD_RESULT_FAILURE
                                            : BD_RESULT_SUCCESS);
+  if (f->found_free && f->demand.own_tokens == 0)
+    bd_choice_learn_work (f->forwarder->parts.choice, f->service,
+                          bd_clock_boot_ms () - f->sent_ms);
   bd_stats_answer_time (f->forwarder->parts.stats,
                         bd_forward_elapsed_ms (f) * 1000);
   bd_forward_done (f);
--- a/test/test_choice.c
+++ b/test/test_choice.c
@@ -268,6 +268,27 @@
   bd_targets_destroy (targets);
 }
 
+/* Pattern: a plain service whose requests take a millisecond, with a short
+   queue.  The wait is judged by its own work, not by that of others. */
+static void
+test_plain_fast (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_choice *choice = bd_choice_create (1);
+  struct bd_demand demand = { .service = BD_CHUNK ("llm"),
+                              .zone = BD_CHUNK ("z0"),
+                              .now_ms = NOW };
+
+  support_put_runners (targets, 1, 1);
+  support_target (targets, "r0")->in_flight = 128;
+  g_assert_cmpfloat (pick (choice, targets, &demand).wait_ms, >, 50.0);
+  for (int i = 0; i < 200; i++)
+    bd_choice_learn_work (choice, demand.service, 1);
+  g_assert_cmpfloat (pick (choice, targets, &demand).wait_ms, <, 2.0);
+  bd_choice_destroy (choice);
+  bd_targets_destroy (targets);
+}
+
 /* What peers have in flight counts like one's own. */
 static void
 test_peers_count (void)
@@ -318,6 +339,7 @@
   g_test_add_func ("/choice/home-lost", test_home_lost);
   g_test_add_func ("/choice/last-resort", test_last_resort);
   g_test_add_func ("/choice/plain", test_plain);
+  g_test_add_func ("/choice/plain-fast", test_plain_fast);
   g_test_add_func ("/choice/peers-count", test_peers_count);
   g_test_add_func ("/choice/learns-speed", test_learns_speed);
   return g_test_run ();
