--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -26,7 +26,7 @@
 /* Part of the time to a first event that is not reading. */
 #define FIRST_EVENT_MS 40.0
 /* Services of which something is learned. */
-#define LESSONS_MAX 32
+#define SERVICES_MAX 32
 /* Runners are kept apart by length of prompts while both lengths came within
    this time; long ones wait that long for the first short one. */
 #define LENGTHS_KEEP_MS 20000
@@ -69,7 +69,7 @@
 
 /* What was seen of a service: how much its engines read in which time,
    weighed down with later work, and when which prompts came. */
-struct lesson
+struct service_stats
 {
   uint64_t service_hash;
   double tokens;
@@ -83,8 +83,8 @@
 struct bd_choice
 {
   uint64_t random;
-  size_t lesson_count;
-  struct lesson lessons[LESSONS_MAX];
+  size_t service_count;
+  struct service_stats services[SERVICES_MAX];
   struct warm warm[WARM_PLACES];
 };
 
@@ -156,40 +156,41 @@
   return demand->shared_tokens + demand->own_tokens <= SHORT_PROMPT_TOKENS;
 }
 
-static const struct lesson *
-find_lesson (const struct bd_choice *choice, struct bd_chunk service)
+static const struct service_stats *
+find_stats (const struct bd_choice *choice, struct bd_chunk service)
 {
   uint64_t hash = bd_chunk_hash (service);
 
-  for (size_t i = 0; i < choice->lesson_count; i++)
-    if (choice->lessons[i].service_hash == hash)
-      return &choice->lessons[i];
+  for (size_t i = 0; i < choice->service_count; i++)
+    if (choice->services[i].service_hash == hash)
+      return &choice->services[i];
   return NULL;
 }
 
 /* NULL when there are too many services. */
-static struct lesson *
-need_lesson (struct bd_choice *choice, struct bd_chunk service)
+static struct service_stats *
+need_stats (struct bd_choice *choice, struct bd_chunk service)
 {
-  struct lesson *lesson = (struct lesson *)find_lesson (choice, service);
-
-  if (lesson || choice->lesson_count == LESSONS_MAX)
-    return lesson;
-  lesson = &choice->lessons[choice->lesson_count++];
-  lesson->service_hash = bd_chunk_hash (service);
-  return lesson;
+  struct service_stats *stats
+      = (struct service_stats *)find_stats (choice, service);
+
+  if (stats || choice->service_count == SERVICES_MAX)
+    return stats;
+  stats = &choice->services[choice->service_count++];
+  stats->service_hash = bd_chunk_hash (service);
+  return stats;
 }
 
 /* Whether DEMAND keeps off runners that are meant for the other length. */
 static bool
 lengths_apart (const struct bd_choice *choice, const struct bd_demand *demand)
 {
-  const struct lesson *lesson = find_lesson (choice, demand->service);
+  const struct service_stats *stats = find_stats (choice, demand->service);
   int64_t since = demand->now_ms - LENGTHS_KEEP_MS;
 
   if (is_short (demand))
-    return lesson && lesson->last_long_ms > since && lesson->last_long_ms != 0;
-  return !lesson || lesson->first_ms > since || lesson->last_short_ms > since;
+    return stats && stats->last_long_ms > since && stats->last_long_ms != 0;
+  return !stats || stats->first_ms > since || stats->last_short_ms > since;
 }
 
 /* Same weight at every instance: the highest is the home of the prefix. */
@@ -248,15 +249,15 @@
 bd_choice_tokens_per_ms (const struct bd_choice *choice,
                          struct bd_chunk service)
 {
-  const struct lesson *lesson = find_lesson (choice, service);
+  const struct service_stats *stats = find_stats (choice, service);
   double tokens = TOKENS_PER_MS_WEIGHT;
   double ms = TOKENS_PER_MS_WEIGHT / TOKENS_PER_MS_ASSUMED;
   double rate;
 
-  if (lesson)
+  if (stats)
     {
-      tokens += lesson->tokens;
-      ms += lesson->ms;
+      tokens += stats->tokens;
+      ms += stats->ms;
     }
   rate = tokens / ms;
   if (rate < TOKENS_PER_MS_LEAST)
@@ -268,17 +269,17 @@
 bd_choice_learn (struct bd_choice *choice, struct bd_chunk service,
                  uint64_t tokens, int64_t ms)
 {
-  struct lesson *lesson;
+  struct service_stats *stats;
   double reading_ms = (double)ms - FIRST_EVENT_MS;
   double keep = exp2 (-(double)tokens / LEARN_TOKENS);
 
   if (tokens < LEARN_TOKENS_LEAST)
     return;
-  lesson = need_lesson (choice, service);
-  if (!lesson)
+  stats = need_stats (choice, service);
+  if (!stats)
     return;
-  lesson->tokens = lesson->tokens * keep + (double)tokens;
-  lesson->ms = lesson->ms * keep + (reading_ms > 1.0 ? reading_ms : 1.0);
+  stats->tokens = stats->tokens * keep + (double)tokens;
+  stats->ms = stats->ms * keep + (reading_ms > 1.0 ? reading_ms : 1.0);
 }
 
 /* What speaks against an engine besides the prompts queued there. */
@@ -306,9 +307,9 @@
 static double
 work_ms (const struct bd_choice *choice, struct bd_chunk service)
 {
-  const struct lesson *lesson = find_lesson (choice, service);
+  const struct service_stats *stats = find_stats (choice, service);
 
-  return lesson && lesson->work_ms > 0.0 ? lesson->work_ms : WORK_MS_ASSUMED;
+  return stats && stats->work_ms > 0.0 ? stats->work_ms : WORK_MS_ASSUMED;
 }
 
 void
@@ -316,10 +317,10 @@
                       int64_t ms)
 {
   double known = work_ms (choice, service);
-  struct lesson *lesson = need_lesson (choice, service);
+  struct service_stats *stats = need_stats (choice, service);
 
-  if (lesson)
-    lesson->work_ms = known + WORK_WEIGHT * ((double)ms - known);
+  if (stats)
+    stats->work_ms = known + WORK_WEIGHT * ((double)ms - known);
 }
 
 /* Time until a slot of a plain service is free. */
@@ -432,16 +433,16 @@
 static void
 note_length (struct bd_choice *choice, const struct bd_demand *demand)
 {
-  struct lesson *lesson = need_lesson (choice, demand->service);
+  struct service_stats *stats = need_stats (choice, demand->service);
 
-  if (!lesson)
+  if (!stats)
     return;
-  if (lesson->first_ms == 0)
-    lesson->first_ms = demand->now_ms;
+  if (stats->first_ms == 0)
+    stats->first_ms = demand->now_ms;
   if (is_short (demand))
-    lesson->last_short_ms = demand->now_ms;
+    stats->last_short_ms = demand->now_ms;
   else
-    lesson->last_long_ms = demand->now_ms;
+    stats->last_long_ms = demand->now_ms;
 }
 
 void
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -12,10 +12,11 @@
 #define FORMAT 2
 /* Time between two datagrams to the same peer. */
 #define SEND_EVERY_MS 500
-/* Peers that are told in one turn; with more, turns take them in order. */
-#define TOLD_MAX 32
+/* Peers that get a datagram in one turn; with more, turns take them in order.
+ */
+#define PEERS_PER_TURN 32
 /* A peer that was not heard for this long counts as gone; longer when peers
-   are told in turns. */
+   get their datagrams in turns. */
 #define SILENCE_LEAST_MS 3000
 #define SILENCE_TURNS 4
 /* Peers that were silent for so many times that are forgotten. */
@@ -24,14 +25,14 @@
 #define SEED_EVERY_MS 1000
 /* Most peers named in a datagram. */
 #define NAMED_MAX 40
-/* Most runners whose load is told in a datagram. */
+/* Most runners whose load is in a datagram. */
 #define LOADS_MAX 50
-/* Strikes kept for telling, and how often each is told: datagrams get lost. */
+/* Strikes kept for sending, and how often each is sent: datagrams get lost. */
 #define STRIKES_MAX 6
-#define STRIKE_TELLINGS 5
+#define STRIKE_SENDS 5
 /* The bounds above keep a datagram below this, and so in one packet. */
 #define DATAGRAM_MAX_BYTES 1400
-/* Loads are told in steps of this many tokens. */
+/* Loads are rounded down to this many tokens. */
 #define TOKENS_PER_STEP 256
 
 struct load
@@ -42,12 +43,12 @@
   bool avoided;
 };
 
-/* A strike to be told to peers. */
+/* A strike to be sent to peers. */
 struct news
 {
   struct bd_strike strike;
   int64_t taken_ms; /* Its age was right then. */
-  uint32_t tellings_left;
+  uint32_t sends_left;
 };
 
 struct peer
@@ -71,7 +72,7 @@
   struct peer **all;
   size_t count;
   uint32_t members;
-  size_t next_told; /* Where the next turn begins. */
+  size_t next_peer; /* Where the next turn begins. */
   struct bd_peer_revisions held;
   int64_t sent_ms;
   int64_t seeded_ms;
@@ -84,7 +85,7 @@
 static int64_t
 silence_ms (const struct bd_mesh *mesh)
 {
-  int64_t turns = (int64_t)(mesh->count / TOLD_MAX) + 1;
+  int64_t turns = (int64_t)(mesh->count / PEERS_PER_TURN) + 1;
   int64_t ms = turns * SEND_EVERY_MS * SILENCE_TURNS;
 
   return ms > SILENCE_LEAST_MS ? ms : SILENCE_LEAST_MS;
@@ -242,17 +243,17 @@
            mesh->news_count * sizeof mesh->news[0]);
   for (size_t i = 0; i < count; i++)
     mesh->news[mesh->news_count++]
-        = (struct news){ fresh[i], now_ms, STRIKE_TELLINGS };
+        = (struct news){ fresh[i], now_ms, STRIKE_SENDS };
 }
 
-/* The news were told once, to somebody. */
+/* The news were sent once, to somebody. */
 static void
 age_news (struct bd_mesh *mesh)
 {
   size_t kept = 0;
 
   for (size_t i = 0; i < mesh->news_count; i++)
-    if (--mesh->news[i].tellings_left > 0)
+    if (--mesh->news[i].sends_left > 0)
       mesh->news[kept++] = mesh->news[i];
   mesh->news_count = kept;
 }
@@ -300,7 +301,7 @@
 pack_names (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
 {
   uint32_t named = 0;
-  size_t at = mesh->next_told;
+  size_t at = mesh->next_peer;
 
   for (size_t i = 0; i < mesh->count && named < NAMED_MAX; i++)
     named += is_live (mesh, mesh->all[i], now_ms);
@@ -375,13 +376,14 @@
     bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self bytes=%zu", out.length);
   else
     {
-      size_t told = mesh->count < TOLD_MAX || leaving ? mesh->count : TOLD_MAX;
+      size_t due = mesh->count < PEERS_PER_TURN || leaving ? mesh->count
+                                                           : PEERS_PER_TURN;
 
-      for (size_t i = 0; i < told; i++)
-        send_to (mesh, mesh->all[(mesh->next_told + i) % mesh->count]->ip,
+      for (size_t i = 0; i < due; i++)
+        send_to (mesh, mesh->all[(mesh->next_peer + i) % mesh->count]->ip,
                  &out);
-      mesh->next_told
-          = mesh->count > 0 ? (mesh->next_told + told) % mesh->count : 0;
+      mesh->next_peer
+          = mesh->count > 0 ? (mesh->next_peer + due) % mesh->count : 0;
       for (size_t i = 0; seeds_due && i < mesh->options.seed_count; i++)
         if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
           send_to (mesh, mesh->seeds[i], &out);
@@ -514,7 +516,7 @@
         mesh->all[kept++] = peer;
     }
   mesh->count = kept;
-  mesh->next_told = kept > 0 ? mesh->next_told % kept : 0;
+  mesh->next_peer = kept > 0 ? mesh->next_peer % kept : 0;
 }
 
 void
