--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -107,7 +107,7 @@
 meet (struct world *world, int64_t now_ms)
 {
   for (int i = 0; i < 3; i++)
-    exchange (world, now_ms + i * 1000);
+    exchange (world, now_ms + (int64_t)i * 1000);
 }
 
 static void
