--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -92,6 +92,18 @@
   uv_timer_start (&world->limit, on_limit, LIMIT_MS, 0);
 }
 
+/* The loop's handles end with the process: what they belong to is kept until
+   then, in copies that still point to it. */
+static void
+keep_world (const struct world *world)
+{
+  static GPtrArray *kept;
+
+  if (!kept)
+    kept = g_ptr_array_new ();
+  g_ptr_array_add (kept, g_memdup2 (world, sizeof *world));
+}
+
 /* Sends both sides' news, as of NOW_MS, and takes in what comes. */
 static void
 exchange (struct world *world, int64_t now_ms)
@@ -125,6 +137,7 @@
     uv_run (&world.loop, UV_RUN_NOWAIT);
   bd_mesh_tick (world.sides[0].mesh, now + 10000);
   g_assert_cmpuint (world.sides[0].members, ==, 1);
+  keep_world (&world);
 }
 
 static void
@@ -152,6 +165,7 @@
   mine->prefill_tokens = 0;
   meet (&world, now + 5000);
   g_assert_cmpuint (seen->peers_in_flight, ==, 0);
+  keep_world (&world);
 }
 
 static void
@@ -166,6 +180,7 @@
   g_assert_cmpuint (world.sides[1].newer_revision, ==, 7);
   g_assert_cmpuint (world.sides[1].newer_ip, ==, world.sides[0].ip);
   g_assert_cmpuint (world.sides[0].newer_revision, ==, 0);
+  keep_world (&world);
 }
 
 /* Crashes seen by one side suspend a request at the other. */
@@ -186,6 +201,7 @@
   meet (&world, now);
   g_assert_cmpint (bd_suspects_look (world.sides[1].suspects, now, 42), ==,
                    BD_SUSPICION_QUARANTINE);
+  keep_world (&world);
 }
 
 /* Datagrams of others, and cut ones, change nothing. */
@@ -218,6 +234,7 @@
     }
   exchange (&world, bd_clock_boot_ms ());
   g_assert_cmpuint (world.sides[0].members, ==, 1);
+  keep_world (&world);
 }
 
 /* The fullest datagram still goes out: many runners at work, many strikes. */
@@ -249,6 +266,7 @@
   g_assert_cmpuint (world.sides[1].members, ==, 2);
   g_assert_cmpuint (
       support_target (world.sides[1].targets, "r0")->peers_in_flight, >, 0);
+  keep_world (&world);
 }
 
 int
