A model of engines, gateways and callers in virtual time; choice.c split

bench/model runs the gateway's own decisions against a model of engines (batches, chunks of prompts by urgency, kept parts, memory) and callers that leave and come back; bench_experiment compares policies on scenarios and seeds.

--- /dev/null
+++ b/bench/bench_experiment.c
@@ -0,0 +1,135 @@
+/* Runs policies side by side in the model: scenarios x policies x seeds. */
+#include "model/scenario.h"
+
+#include "common/log.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SCENARIOS_MAX 32
+#define SEEDS_DEFAULT 3
+
+static const char *const policy_names[]
+    = { "random", "least", "local", "coordinated" };
+
+#define POLICY_COUNT (sizeof policy_names / sizeof policy_names[0])
+
+static void
+add_result (struct world_result *sum, const struct world_result *one,
+            size_t class_count)
+{
+  sum->worth += one->worth;
+  sum->unserved += one->unserved;
+  sum->worst_windows += one->worst_windows;
+  sum->busiest += one->busiest;
+  sum->read_tokens += one->read_tokens;
+  sum->passed_over += one->passed_over;
+  for (size_t c = 0; c < class_count; c++)
+    {
+      struct world_class_result *to = &sum->classes[c];
+      const struct world_class_result *from = &one->classes[c];
+
+      to->asked += from->asked;
+      to->on_time += from->on_time;
+      to->late += from->late;
+      to->refused += from->refused;
+      to->failed += from->failed;
+      to->worth += from->worth;
+      to->first_ms_median += from->first_ms_median;
+      to->first_ms_p99 += from->first_ms_p99;
+    }
+}
+
+static void
+print_result (const struct world_scenario *scenario, const char *policy,
+              const struct world_result *sum, int seeds)
+{
+  printf ("%-14s %-12s worth %.3f unserved %.3f windows %.3f busiest %.2f "
+          "read %.1fM passed over %.1f\n",
+          scenario->name, policy, sum->worth / seeds, sum->unserved / seeds,
+          sum->worst_windows / seeds, sum->busiest / seeds,
+          (double)sum->read_tokens / 1e6 / seeds,
+          (double)sum->passed_over / seeds);
+  for (size_t c = 0; c < scenario->class_count; c++)
+    {
+      const struct world_class_result *row = &sum->classes[c];
+      double asked = row->asked > 0 ? row->asked : 1;
+
+      printf ("  %-14s asked %6.0f on time %.3f late %.3f refused %.3f failed "
+              "%.3f worth %.3f first %4.0f/%5.0f ms\n",
+              scenario->classes[c].name, asked / seeds, row->on_time / asked,
+              row->late / asked, row->refused / asked, row->failed / asked,
+              row->worth / seeds, row->first_ms_median / seeds,
+              row->first_ms_p99 / seeds);
+    }
+}
+
+static bool
+wanted (const struct arg_str *policies, const char *name)
+{
+  for (int i = 0; i < policies->count; i++)
+    if (strcmp (policies->sval[i], name) == 0)
+      return true;
+  return policies->count == 0;
+}
+
+static void
+run_scenario (const struct world_scenario *scenario,
+              const struct arg_str *policies, int first, int seeds)
+{
+  for (size_t p = 0; p < POLICY_COUNT; p++)
+    {
+      struct world_result sum;
+
+      if (!wanted (policies, policy_names[p]))
+        continue;
+      memset (&sum, 0, sizeof sum);
+      for (int s = 0; s < seeds; s++)
+        {
+          struct world_result one;
+
+          world_run (scenario, (enum world_policy)p, (uint64_t)(first + s),
+                     &one);
+          add_result (&sum, &one, scenario->class_count);
+        }
+      print_result (scenario, policy_names[p], &sum, seeds);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_str *policies
+      = arg_strn ("p", "policy", "NAME", 0, POLICY_COUNT,
+                  "random, least, local, coordinated (all)");
+  struct arg_int *seeds = arg_int0 ("n", "seeds", "N", "how many (3)");
+  struct arg_int *first = arg_int0 ("s", "seed", "N", "the first (1)");
+  struct arg_file *files
+      = arg_filen (NULL, NULL, "SCENARIO", 1, SCENARIOS_MAX, "JSON files");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { policies, seeds, first, files, end };
+
+  if (arg_nullcheck (table) != 0)
+    return EXIT_FAILURE;
+  seeds->ival[0] = SEEDS_DEFAULT;
+  first->ival[0] = 1;
+  if (arg_parse (argc, argv, table) > 0)
+    {
+      arg_print_errors (stderr, end, "bench_experiment");
+      arg_print_syntax (stderr, table, "\n");
+      arg_print_glossary (stderr, table, "  %-24s %s\n");
+      return EXIT_FAILURE;
+    }
+  bd_log_open ("model", BD_SEVERITY_ERROR);
+  for (int i = 0; i < files->count; i++)
+    {
+      struct world_scenario scenario;
+
+      if (!scenario_read (files->filename[i], &scenario))
+        return EXIT_FAILURE;
+      run_scenario (&scenario, policies, first->ival[0], seeds->ival[0]);
+    }
+  return EXIT_SUCCESS;
+}
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -10,7 +10,8 @@
 #ifndef BD_CHOICE_H
 #define BD_CHOICE_H
 
-#include "balance/target.h"
+#include "balance/parts.h"
+#include "balance/speed.h"
 
 /** What is to be placed. */
 struct bd_demand
@@ -61,23 +62,9 @@
 void bd_choice_sent (struct bd_choice *choice, const struct bd_demand *demand,
                      const struct bd_target *target);
 
-/**
- * A request of SERVICE began after MS, with TOKENS of prompts to be read
- * before and for it: how fast its engines read is learned from that.
- */
-void bd_choice_learn (struct bd_choice *choice, struct bd_chunk service,
-                      uint64_t tokens, int64_t ms);
-
-/**
- * A request of the plain SERVICE, sent to a runner with a free slot, took
- * MS.
- */
-void bd_choice_learn_work (struct bd_choice *choice, struct bd_chunk service,
-                           int64_t ms);
-
-/** Prompt tokens that an engine of SERVICE reads in a millisecond. */
-double bd_choice_tokens_per_ms (const struct bd_choice *choice,
-                                struct bd_chunk service);
+/** What it has learned of services, and where it believes parts to be. */
+struct bd_speeds *bd_choice_speeds (struct bd_choice *choice);
+struct bd_parts *bd_choice_parts (struct bd_choice *choice);
 
 const char *bd_place_name (enum bd_place place);
 
--- /dev/null
+++ b/src/balance/parts.h
@@ -0,0 +1,47 @@
+/**
+ * @file parts.h
+ * Which runner is believed to hold which shared part of prompts, from where
+ * requests with that part were sent.
+ */
+#ifndef BD_PARTS_H
+#define BD_PARTS_H
+
+#include "balance/target.h"
+
+/** A shared part was sent to a runner. */
+struct bd_part
+{
+  uint64_t part;   /**< Identifies the shared part; never 0. */
+  uint64_t target; /**< Hash of the runner's identifier. */
+  int64_t sent_ms;
+};
+
+struct bd_parts;
+
+/** Keeps a fixed number of places; the oldest of a few make room. */
+struct bd_parts *bd_parts_create (void);
+void bd_parts_destroy (struct bd_parts *parts);
+
+/** PART was sent to TARGET.  True when that was not known. */
+bool bd_parts_sent (struct bd_parts *parts, uint64_t part, uint64_t target,
+                    int64_t now_ms);
+
+/** Whether TARGET is believed to hold PART. */
+bool bd_parts_held (const struct bd_parts *parts, uint64_t part,
+                    const struct bd_target *target, int64_t now_ms);
+
+/** Runners believed to hold PART, by their hashes.  Returns how many of
+    these there are, at most BD_PARTS_WAYS. */
+#define BD_PARTS_WAYS 4
+size_t bd_parts_find (const struct bd_parts *parts, uint64_t part,
+                      int64_t now_ms, struct bd_part found[BD_PARTS_WAYS]);
+
+/**
+ * Walks over what is known, from *CURSOR (0 at first) on, and fills in at
+ * most MAX.  Returns how many; 0 when the end was reached, which sets
+ * *CURSOR to 0.
+ */
+size_t bd_parts_walk (const struct bd_parts *parts, size_t *cursor,
+                      int64_t now_ms, struct bd_part *found, size_t max);
+
+#endif
--- /dev/null
+++ b/src/balance/speed.h
@@ -0,0 +1,55 @@
+/**
+ * @file speed.h
+ * What is learned of services from the requests that ran there: how fast
+ * their engines read prompts, how long plain requests take, and which lengths
+ * of prompts come.
+ */
+#ifndef BD_SPEED_H
+#define BD_SPEED_H
+
+#include "common/string.h"
+
+/** Prompts of up to this many tokens are read in one step of an engine and
+    hardly delay the tokens of others. */
+#define BD_SPEED_SHORT_TOKENS 4096
+
+struct bd_speeds;
+
+struct bd_speeds *bd_speeds_create (void);
+void bd_speeds_destroy (struct bd_speeds *speeds);
+
+/**
+ * A request of SERVICE began after MS, with TOKENS of prompts to be read
+ * before and for it.
+ */
+void bd_speeds_read (struct bd_speeds *speeds, struct bd_chunk service,
+                     uint64_t tokens, int64_t ms);
+
+/** Prompt tokens that an engine of SERVICE reads in a millisecond. */
+double bd_speeds_tokens_per_ms (const struct bd_speeds *speeds,
+                                struct bd_chunk service);
+
+/**
+ * A request of the plain SERVICE, sent to a runner with a free slot, took
+ * MS.
+ */
+void bd_speeds_worked (struct bd_speeds *speeds, struct bd_chunk service,
+                       int64_t ms);
+
+/** Milliseconds that a request of the plain SERVICE takes. */
+double bd_speeds_work_ms (const struct bd_speeds *speeds,
+                          struct bd_chunk service);
+
+/** A prompt of TOKENS was sent to SERVICE. */
+void bd_speeds_prompt (struct bd_speeds *speeds, struct bd_chunk service,
+                       uint64_t tokens, int64_t now_ms);
+
+/**
+ * Whether a prompt of TOKENS keeps off runners that are meant for the other
+ * length: both lengths have come lately.
+ */
+bool bd_speeds_lengths_apart (const struct bd_speeds *speeds,
+                              struct bd_chunk service, uint64_t tokens,
+                              int64_t now_ms);
+
+#endif
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -14,6 +14,9 @@
  */
 #define BD_TARGET_LAPSE_MS 2000
 
+/** Priorities of requests, 0 being the most urgent. */
+#define BD_TARGET_PRIORITIES 10
+
 enum bd_target_state
 {
   BD_TARGET_READY = 0,
@@ -47,6 +50,14 @@
   bool trial_in_flight; /**< The one request after it was avoided. */
 };
 
+/** Work at a runner that all instances together have sent there. */
+struct bd_booked_load
+{
+  uint32_t in_flight;
+  /** Prompt tokens not read yet, by priority. */
+  uint64_t prefill_tokens[BD_TARGET_PRIORITIES];
+};
+
 /** A runner.  Kept until it is gone and nothing is in flight. */
 struct bd_target
 {
@@ -68,7 +79,8 @@
   uint64_t prefill_tokens; /**< Sent from here, first event not seen. */
   uint32_t peers_in_flight;
   uint64_t peers_prefill_tokens;
-  uint32_t peers_avoiding; /**< Peers that avoid it at present. */
+  uint32_t peers_avoiding;      /**< Peers that avoid it at present. */
+  struct bd_booked_load booked; /**< Where this instance coordinates. */
   struct bd_target_record record;
 };
 
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -282,13 +282,15 @@
 
   bd_log (BD_EVENT_REQUEST_PLACED,
           "request=%s route=%s runner=%s place=%s prefix=%08x cost_ms=%.0f "
-          "prefill=%llu in_flight=%u+%u queued=%llu+%llu left_ms=%lld",
+          "prefill=%llu in_flight=%u+%u queued=%llu+%llu priority=%d "
+          "left_ms=%lld",
           bd_log_quote (f->facts.attempt_id, id, sizeof id),
           f->route->name.data, target->id.data, bd_place_name (pick->place),
           (unsigned)f->demand.prefix_hash, pick->cost_ms,
           (unsigned long long)pick->prefill_tokens, target->in_flight,
           target->peers_in_flight, (unsigned long long)target->prefill_tokens,
           (unsigned long long)target->peers_prefill_tokens,
+          bd_request_priority (f->workspace, f->route),
           (long long)(f->ends_ms - f->demand.now_ms));
 }
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -71,7 +71,8 @@
   struct bd_buffer body;
   struct bd_sse sse;
   /* The answer. */
-  bool begun; /* The head of a stream is out. */
+  bool begun;       /* The head of a stream is out. */
+  int64_t first_ms; /* From arrival to the first event; 0: none. */
   uint64_t events;
   char last_event_id[BD_FORWARD_ID_BYTES];
   bool paused;
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -92,10 +92,10 @@
   if (f->begun)
     return;
   f->begun = true;
-  bd_choice_learn (f->forwarder->parts.choice, f->service, f->begin_tokens,
-                   bd_clock_boot_ms () - f->sent_ms);
-  bd_stats_answer_time (f->forwarder->parts.stats,
-                        bd_forward_elapsed_ms (f) * 1000);
+  f->first_ms = bd_forward_elapsed_ms (f);
+  bd_speeds_read (bd_choice_speeds (f->forwarder->parts.choice), f->service,
+                  f->begin_tokens, bd_clock_boot_ms () - f->sent_ms);
+  bd_stats_answer_time (f->forwarder->parts.stats, f->first_ms * 1000);
   bd_exchange_begin (f->exchange, f->status, bd_buffer_chunk (&f->fields));
 }
 
@@ -174,8 +174,8 @@
                           f->status >= 500 ? BD_RESULT_FAILURE
                                            : BD_RESULT_SUCCESS);
   if (f->found_free && f->demand.own_tokens == 0)
-    bd_choice_learn_work (f->forwarder->parts.choice, f->service,
-                          bd_clock_boot_ms () - f->sent_ms);
+    bd_speeds_worked (bd_choice_speeds (f->forwarder->parts.choice),
+                      f->service, bd_clock_boot_ms () - f->sent_ms);
   bd_stats_answer_time (f->forwarder->parts.stats,
                         bd_forward_elapsed_ms (f) * 1000);
   bd_forward_done (f);
--- /dev/null
+++ b/test/test_parts.c
@@ -0,0 +1,65 @@
+/* Which runner holds which shared part. */
+#include "balance/parts.h"
+#include "core/random.h"
+#include "support_targets.h"
+
+#include <glib.h>
+
+static void
+test_held (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_parts *parts = bd_parts_create ();
+  struct bd_target *r0;
+  struct bd_target *r1;
+  struct bd_part found[BD_PARTS_WAYS];
+
+  support_put_runners (targets, 2, 1);
+  r0 = support_target (targets, "r0");
+  r1 = support_target (targets, "r1");
+  g_assert_true (bd_parts_sent (parts, 7, r0->hash, 1000));
+  g_assert_false (bd_parts_sent (parts, 7, r0->hash, 1500));
+  g_assert_true (bd_parts_held (parts, 7, r0, 2000));
+  g_assert_false (bd_parts_held (parts, 7, r1, 2000));
+  g_assert_false (bd_parts_held (parts, 8, r0, 2000));
+  g_assert_cmpuint (bd_parts_find (parts, 7, 2000, found), ==, 1);
+  g_assert_cmpuint (found[0].target, ==, r0->hash);
+  /* Forgotten after a while, and by a runner that started anew. */
+  g_assert_false (bd_parts_held (parts, 7, r0, 60000));
+  r0->since_ms = 1600;
+  g_assert_false (bd_parts_held (parts, 7, r0, 2000));
+  bd_parts_destroy (parts);
+  bd_targets_destroy (targets);
+}
+
+/* More parts than there are places: memory is bounded, the latest stay. */
+static void
+test_bounded (void)
+{
+  struct bd_parts *parts = bd_parts_create ();
+  struct bd_part found[64];
+  uint64_t random = 1;
+  size_t cursor = 0;
+  size_t all = 0;
+  size_t n;
+
+  for (int i = 0; i < 100000; i++)
+    bd_parts_sent (parts, bd_random_next (&random) | 1, 5, i / 100);
+  while ((n = bd_parts_walk (parts, &cursor, 1000, found, 64)) > 0)
+    all += n;
+  g_assert_cmpuint (cursor, ==, 0);
+  g_assert_cmpuint (all, >, 3500);
+  g_assert_cmpuint (all, <=, 4096);
+  for (size_t i = 0; i < 64; i++)
+    g_assert_cmpint (found[i].sent_ms, >=, 0);
+  bd_parts_destroy (parts);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/parts/held", test_held);
+  g_test_add_func ("/parts/bounded", test_bounded);
+  return g_test_run ();
+}
