--- a/bench/bench_experiment.c
+++ b/bench/bench_experiment.c
@@ -25,6 +25,7 @@
   sum->worst_windows += one->worst_windows;
   sum->busiest += one->busiest;
   sum->read_tokens += one->read_tokens;
+  sum->fetched_tokens += one->fetched_tokens;
   sum->passed_over += one->passed_over;
   for (size_t c = 0; c < class_count; c++)
     {
@@ -47,10 +48,11 @@
               const struct world_result *sum, int seeds)
 {
   printf ("%-14s %-12s worth %.3f unserved %.3f windows %.3f busiest %.2f "
-          "read %.1fM passed over %.1f\n",
+          "read %.1fM fetched %.1fM passed over %.1f\n",
           scenario->name, policy, sum->worth / seeds, sum->unserved / seeds,
           sum->worst_windows / seeds, sum->busiest / seeds,
           (double)sum->read_tokens / 1e6 / seeds,
+          (double)sum->fetched_tokens / 1e6 / seeds,
           (double)sum->passed_over / seeds);
   for (size_t c = 0; c < scenario->class_count; c++)
     {
--- a/bench/model/engine.c
+++ b/bench/model/engine.c
@@ -206,15 +206,21 @@
   return true;
 }
 
-static void
-keep_part (struct engine *engine, const struct engine_request *request)
+bool
+engine_holds (const struct engine *engine, uint64_t part)
+{
+  return find_part ((struct engine *)engine, part) != NULL;
+}
+
+void
+engine_take (struct engine *engine, uint64_t part, uint32_t tokens)
 {
-  if (find_part (engine, request->part))
+  if (find_part (engine, part) || !make_room (engine, tokens))
     return;
   if (engine->part_count == PARTS_MAX)
     engine->part_count--;
   engine->parts[engine->part_count++]
-      = (struct part){ request->part, request->shared_tokens, engine->steps };
+      = (struct part){ part, tokens, engine->steps };
 }
 
 /* Steps. */
@@ -264,7 +270,7 @@
     {
       r->own_left -= n - r->shared_left;
       if (r->shared_left > 0)
-        keep_part (engine, r);
+        engine_take (engine, r->part, r->shared_tokens);
       r->shared_left = 0;
     }
   return n;
--- a/bench/model/engine.h
+++ b/bench/model/engine.h
@@ -27,6 +27,8 @@
   uint32_t slots;         /**< Requests that run at once. */
   uint32_t queue;         /**< Requests that wait beyond these. */
   uint64_t memory_tokens; /**< For running requests and kept parts. */
+  double fetch_ms;        /**< To fetch a thousand tokens of a part. */
+  double fetch_setup_ms;  /**< Before that begins. */
 };
 
 /** A request; the caller fills in the first block and owns it. */
@@ -66,6 +68,12 @@
 /** Takes REQUEST out, wherever it is. */
 void engine_cancel (struct engine *engine, struct engine_request *request);
 
+/** Whether the engine keeps PART, read whole. */
+bool engine_holds (const struct engine *engine, uint64_t part);
+
+/** PART, of TOKENS, came from another engine. */
+void engine_take (struct engine *engine, uint64_t part, uint32_t tokens);
+
 /** Forgets all parts; requests must have been cancelled. */
 void engine_restart (struct engine *engine);
 
--- a/bench/model/scenario.c
+++ b/bench/model/scenario.c
@@ -39,6 +39,8 @@
   traits->context_ms = number (object, "context_ms", 0.002);
   traits->tokens_per_ms = number (object, "tokens_per_ms", 50.0);
   traits->pair_ms = number (object, "pair_ms", 0.25);
+  traits->fetch_ms = number (object, "fetch_ms", 0.0);
+  traits->fetch_setup_ms = number (object, "fetch_setup_ms", 0.0);
   traits->setup_ms = number (object, "setup_ms", 60.0);
   traits->chunk_tokens = (uint32_t)number (object, "chunk_tokens", 4096);
   traits->slots = (uint32_t)number (object, "slots", 64);
--- a/bench/model/world.c
+++ b/bench/model/world.c
@@ -1,8 +1,7 @@
 #include "world.h"
 
-#include "balance/choice.h"
+#include "balance/decision.h"
 #include "balance/outlier.h"
-#include "balance/overload.h"
 #include "core/heap.h"
 #include "core/random.h"
 
@@ -13,6 +12,7 @@
 
 #define US_PER_MS 1000.0
 #define MS_PER_S 1000.0
+#define TOKENS_PER_K 1000.0
 #define GATEWAYS_MAX 512
 #define RUNNERS_MAX 1024
 #define TRIED_MAX 4
@@ -44,6 +44,7 @@
   EVENT_ARRIVAL = 0,
   EVENT_DECIDE,
   EVENT_SUBMIT,
+  EVENT_FETCHED,
   EVENT_KICK,
   EVENT_STEP,
   EVENT_NEWS,
@@ -76,7 +77,7 @@
   uint16_t port;
   bool dark;
   bool listed;
-  struct engine_request *done[512];
+  double link_free_ms; /* When transfers to and from it are over. */
 };
 
 struct gateway
@@ -117,6 +118,7 @@
   double began_window_ms;
   /* The attempt. */
   struct runner *runner;
+  struct runner *source; /* To fetch the part from; or NULL. */
   uint32_t reached;
   const struct bd_target *tried[TRIED_MAX];
   size_t tried_count;
@@ -125,6 +127,7 @@
   size_t charged_runner;
   bool charged_reading;
   bool charged_running;
+  bool is_short;
 };
 
 struct world
@@ -145,7 +148,7 @@
   uint64_t revision;
   int least_priority;
   double *popularity[WORLD_CLASSES_MAX];
-  uint64_t asked_parts;
+  uint64_t fetched_tokens;
 };
 
 /* Numbers. */
@@ -311,7 +314,8 @@
   target->in_flight++;
   target->prefill_tokens += tokens;
   target->booked.in_flight++;
-  target->booked.prefill_tokens[call->work.priority] += tokens;
+  target->booked.short_in_flight += call->is_short;
+  target->booked.prefill_tokens += tokens;
 }
 
 static void
@@ -324,18 +328,22 @@
   target = call->charged_at->by_runner[call->charged_runner];
   call->charged_reading = false;
   target->prefill_tokens -= call->charged;
-  target->booked.prefill_tokens[call->work.priority] -= call->charged;
+  target->booked.prefill_tokens -= call->charged;
 }
 
 static void
 uncharge (struct call *call)
 {
+  struct bd_target *target;
+
   uncharge_reading (call);
   if (!call->charged_running)
     return;
+  target = call->charged_at->by_runner[call->charged_runner];
   call->charged_running = false;
-  call->charged_at->by_runner[call->charged_runner]->in_flight--;
-  call->charged_at->by_runner[call->charged_runner]->booked.in_flight--;
+  target->in_flight--;
+  target->booked.in_flight--;
+  target->booked.short_in_flight -= call->is_short;
 }
 
 /* A gateway hears what all others had at each runner a moment ago. */
@@ -419,14 +427,17 @@
 static struct bd_demand
 demand_of (const struct world *world, const struct call *call)
 {
-  return (struct bd_demand){ .service = BD_CHUNK ("llm"),
-                             .zone = bd_chunk_of (call->gateway->zone),
-                             .prefix_hash = call->work.part,
-                             .shared_tokens = call->work.shared_tokens,
-                             .own_tokens = call->work.own_tokens,
-                             .now_ms = clock_ms (world),
-                             .tried = call->tried,
-                             .tried_count = call->tried_count };
+  return (struct bd_demand){
+    .service = BD_CHUNK ("llm"),
+    .zone = bd_chunk_of (call->gateway->zone),
+    .prefix_hash = call->work.part,
+    .shared_tokens = call->work.shared_tokens,
+    .own_tokens = call->work.own_tokens,
+    .fetch_us = (uint32_t)(world->scenario->traits.fetch_ms * US_PER_MS),
+    .now_ms = clock_ms (world),
+    .tried = call->tried,
+    .tried_count = call->tried_count
+  };
 }
 
 static size_t
@@ -474,29 +485,26 @@
 {
   struct gateway *at = world->policy == WORLD_COORDINATED ? &world->coordinator
                                                           : call->gateway;
+  struct bd_pick pick;
   struct bd_demand demand = demand_of (world, call);
   struct bd_overload_case overload
       = { .objective_ms = call->class->objective_ms,
           .left_ms = (int64_t)(call->deadline_ms - world->now_ms),
           .priority = call->work.priority,
           .least_priority = world->least_priority };
-  struct bd_pick pick;
-  size_t count;
-  struct bd_target *const *all = bd_targets_all (at->targets, &count);
-  bool simple = world->policy < WORLD_LOCAL;
+  struct bd_decision decision = { 0 };
 
-  pick = simple ? pick_simple (world, at, call)
-                : bd_choice_pick (at->choice, &demand, all, count);
-  if (!pick.target)
-    {
-      come_back (world, call, 250.0, CALL_REFUSED);
-      return;
-    }
-  overload.wait_ms = pick.wait_ms;
-  if (!simple && call->reached == 0 && bd_overload_refuses (&overload))
+  demand.coordinated = world->policy == WORLD_COORDINATED;
+  if (world->policy < WORLD_LOCAL)
+    decision.pick = pick_simple (world, at, call);
+  else
+    decision = bd_decide (at->choice, at->targets, &demand, &overload,
+                          call->reached > 0, &at->random);
+  pick = decision.pick;
+  if (!pick.target || decision.refused)
     {
       come_back (world, call,
-                 (double)bd_overload_retry_after_ms (&overload, &at->random),
+                 decision.refused ? (double)decision.retry_ms : 250.0,
                  CALL_REFUSED);
       return;
     }
@@ -504,8 +512,12 @@
   if (call->tried_count < TRIED_MAX)
     call->tried[call->tried_count++] = pick.target;
   bd_choice_sent (at->choice, &demand, pick.target);
+  call->is_short = bd_demand_is_short (&demand);
   charge (call, at, runner_of (world, at, pick.target), pick.prefill_tokens);
   call->runner = &world->runners[call->charged_runner];
+  call->source = pick.source
+                     ? &world->runners[runner_of (world, at, pick.source)]
+                     : NULL;
   plan (world, world->now_ms + world->scenario->hop_ms, EVENT_SUBMIT, call,
         call->number);
 }
@@ -549,11 +561,50 @@
     come_back (world, call, 100.0, CALL_FAILED);
 }
 
+static void enter (struct world *world, struct call *call);
+
+/* Transfers go one after another over the links of both runners. */
+static void
+fetch (struct world *world, struct call *call)
+{
+  const struct engine_traits *traits = &world->scenario->traits;
+  struct runner *from = call->source;
+  struct runner *to = call->runner;
+  double begins = world->now_ms;
+  double ends;
+
+  if (from->link_free_ms > begins)
+    begins = from->link_free_ms;
+  if (to->link_free_ms > begins)
+    begins = to->link_free_ms;
+  ends = begins + call->work.shared_tokens / TOKENS_PER_K * traits->fetch_ms;
+  from->link_free_ms = ends;
+  to->link_free_ms = ends;
+  world->fetched_tokens += call->work.shared_tokens;
+  plan (world, ends + traits->fetch_setup_ms, EVENT_FETCHED, call,
+        call->number);
+}
+
 static void
 submit (struct world *world, struct call *call)
 {
   struct runner *runner = call->runner;
 
+  if (!runner->dark && call->source && !call->source->dark
+      && engine_holds (call->source->engine, call->work.part)
+      && !engine_holds (runner->engine, call->work.part))
+    {
+      fetch (world, call);
+      return;
+    }
+  enter (world, call);
+}
+
+static void
+enter (struct world *world, struct call *call)
+{
+  struct runner *runner = call->runner;
+
   if (runner->dark)
     {
       broken (world, call, false);
@@ -818,6 +869,14 @@
       if (event->number == call->number)
         submit (world, call);
       break;
+    case EVENT_FETCHED:
+      if (event->number == call->number)
+        {
+          engine_take (call->runner->engine, call->work.part,
+                       call->work.shared_tokens);
+          enter (world, call);
+        }
+      break;
     case EVENT_KICK:
       kick (world, runner);
       break;
@@ -866,6 +925,9 @@
         attempt (world, call);
       break;
     case EVENT_BEGUN:
+      bd_parts_read (bd_choice_parts (world->coordinator.choice),
+                     call->work.part,
+                     world->coordinator.by_runner[call->charged_runner]->hash);
       uncharge_reading (call);
       break;
     case EVENT_ENDED:
@@ -1112,6 +1174,7 @@
   result->unserved
       = world->call_count ? (double)unserved / (double)world->call_count : 0.0;
   result->read_tokens = read;
+  result->fetched_tokens = world->fetched_tokens;
   result->busiest
       = read ? (double)most * (double)world->scenario->runners / (double)read
              : 0.0;
--- a/bench/model/world.h
+++ b/bench/model/world.h
@@ -113,10 +113,11 @@
 struct world_result
 {
   struct world_class_result classes[WORLD_CLASSES_MAX];
-  double worth;         /**< Earned of the worth asked, 0 to 1. */
-  double unserved;      /**< Share that got no answer. */
-  double worst_windows; /**< Worth of the two worst windows of 2 s. */
-  uint64_t read_tokens; /**< Prompt tokens read by all runners. */
+  double worth;            /**< Earned of the worth asked, 0 to 1. */
+  double unserved;         /**< Share that got no answer. */
+  double worst_windows;    /**< Worth of the two worst windows of 2 s. */
+  uint64_t read_tokens;    /**< Prompt tokens read by all runners. */
+  uint64_t fetched_tokens; /**< Of parts, from other runners. */
   double busiest; /**< Tokens read by the busiest runner over the mean. */
   uint32_t passed_over; /**< Requests that got nothing in a window of 5 s in
                              which a twelfth of their class and ten or more
--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -26,9 +26,41 @@
 #define PEERS_HEEDED 3
 /* Runners that still warm up after their start. */
 #define COLD_COST_MS 400.0
-/* What it costs to place a request among those of the other length. */
+/* What it costs to place a request among those of the other length, where
+   runners are set apart beforehand. */
 #define LONG_AMONG_SHORT_MS 1500.0
 #define SHORT_AMONG_LONG_MS 500.0
+/* Where loads are known exactly, short requests gather at few runners: what
+   one more of these costs, and one that is not set apart for them. */
+#define OPEN_SHORT_MS 400.0
+#define OPEN_OTHER_MS 50.0
+/* Unread tokens at a runner above which streams there begin to pause for too
+   long, the range in which that gets worse, and what it costs then. */
+#define PAUSE_TOKENS 6000.0
+#define PAUSE_RANGE_TOKENS 8192.0
+#define PAUSE_MS 1500.0
+/* Requests at a runner, as a share of its slots, above which more cost extra,
+   and how much each. */
+#define CROWDED_SHARE 0.75
+#define CROWDED_MS 30.0
+/* What a long prompt costs for each short request at the runner, for at most
+   so many; and the part of it that counts when little is to be read. */
+#define HARM_MS 250.0
+#define HARM_MOST 8
+#define LIGHT_TOKENS 6000
+#define LIGHT_SHARE 0.2
+/* Most runners of a shard.  One instance decides for a shard, so this bounds
+   its work. */
+#define SHARD_RUNNERS 64
+/* Fetching a part from another runner: what it costs beyond its time, and the
+   weight of that time, as it takes both runners' links. */
+#define FETCH_MS 400.0
+#define FETCH_WEIGHT 3.0
+#define US_PER_MS 1000.0
+#define TOKENS_PER_K 1000.0
+/* Without a place known for a shared part, what it costs not to take the
+   runner that another instance would take. */
+#define FIRST_ELSEWHERE_MS 200.0
 
 struct bd_choice
 {
@@ -75,8 +107,8 @@
   return choice->parts;
 }
 
-static bool
-drawn_to_prefix (const struct bd_demand *demand)
+bool
+bd_demand_has_part (const struct bd_demand *demand)
 {
   return demand->prefix_hash != 0
          && demand->shared_tokens >= SHARED_TOKENS_LEAST;
@@ -91,11 +123,40 @@
   return false;
 }
 
+uint32_t
+bd_choice_shards (struct bd_target *const *targets, size_t count,
+                  struct bd_chunk service)
+{
+  uint32_t runners = 0;
+
+  for (size_t i = 0; i < count; i++)
+    runners += bd_target_usable (targets[i])
+               && bd_chunk_equal (targets[i]->service, service);
+  return runners <= SHARD_RUNNERS
+             ? 1
+             : (runners + SHARD_RUNNERS - 1) / SHARD_RUNNERS;
+}
+
+uint32_t
+bd_choice_shard (uint64_t part, uint32_t shards)
+{
+  uint32_t best = 0;
+
+  /* Rendezvous: with another number of shards, few move. */
+  for (uint32_t s = 1; s < shards; s++)
+    if (bd_random_mix (part + s) > bd_random_mix (part + best))
+      best = s;
+  return best;
+}
+
 static bool
 serves (const struct bd_demand *demand, const struct bd_target *target)
 {
   return bd_target_usable (target)
-         && bd_chunk_equal (target->service, demand->service);
+         && bd_chunk_equal (target->service, demand->service)
+         && (demand->shards <= 1
+             || bd_choice_shard (target->hash, demand->shards)
+                    == demand->shard);
 }
 
 static uint64_t
@@ -104,10 +165,35 @@
   return demand->shared_tokens + demand->own_tokens;
 }
 
-static bool
-is_short (const struct bd_demand *demand)
+bool
+bd_demand_is_short (const struct bd_demand *demand)
+{
+  return demand->own_tokens > 0
+         && prompt_tokens (demand) <= BD_SPEED_SHORT_TOKENS;
+}
+
+/* What is at a runner. */
+struct load
+{
+  uint32_t in_flight;
+  uint64_t prefill_tokens;
+};
+
+static struct load
+load_of (const struct bd_demand *demand, const struct bd_target *target)
 {
-  return prompt_tokens (demand) <= BD_SPEED_SHORT_TOKENS;
+  struct load told = { target->in_flight + target->peers_in_flight,
+                       target->prefill_tokens + target->peers_prefill_tokens };
+  struct load booked
+      = { target->booked.in_flight, target->booked.prefill_tokens };
+
+  if (!demand->coordinated)
+    return told;
+  if (demand->learning && told.in_flight > booked.in_flight)
+    booked.in_flight = told.in_flight;
+  if (demand->learning && told.prefill_tokens > booked.prefill_tokens)
+    booked.prefill_tokens = told.prefill_tokens;
+  return booked;
 }
 
 static bool
@@ -124,134 +210,242 @@
   return bd_random_mix (demand->prefix_hash ^ target->hash);
 }
 
-/* The runners at which the shared part is at home, in order; NULL: none. */
+/* Where a shared part is. */
+struct homes
+{
+  const struct bd_target *by_hash[HOMES]; /* In order; NULL: none. */
+  bool known; /* A runner that may be used is believed to hold it. */
+  const struct bd_target *source; /* That others can fetch it from. */
+};
+
+static const struct bd_part *
+part_at (const struct bd_choice *choice, const struct bd_demand *demand,
+         const struct bd_target *target)
+{
+  if (!bd_demand_has_part (demand))
+    return NULL;
+  return bd_parts_at (choice->parts, demand->prefix_hash, target,
+                      demand->now_ms);
+}
+
+/* Whether others can fetch a part from TARGET, which may be leaving. */
+static bool
+can_give (const struct bd_demand *demand, const struct bd_target *target)
+{
+  return demand->fetch_us > 0 && target->state != BD_TARGET_GONE
+         && bd_chunk_equal (target->service, demand->service)
+         && bd_outlier_allows (target, demand->now_ms);
+}
+
+/* Takes in that TARGET has PART. */
+static void
+note_holder (const struct bd_demand *demand, const struct bd_target *target,
+             const struct bd_part *part, struct homes *homes)
+{
+  bool nearer = homes->source
+                && !bd_chunk_equal (homes->source->zone, demand->zone)
+                && bd_chunk_equal (target->zone, demand->zone);
+
+  if (serves (demand, target))
+    homes->known = true;
+  if (part->read && can_give (demand, target) && (!homes->source || nearer))
+    homes->source = target;
+}
+
 static void
+rank_home (const struct bd_demand *demand, const struct bd_target *target,
+           struct homes *homes)
+{
+  for (size_t h = 0; h < HOMES && target; h++)
+    if (!homes->by_hash[h]
+        || rendezvous (demand, target)
+               > rendezvous (demand, homes->by_hash[h]))
+      {
+        const struct bd_target *next = homes->by_hash[h];
+
+        homes->by_hash[h] = target;
+        target = next;
+      }
+}
+
+static struct homes
 find_homes (const struct bd_choice *choice, const struct bd_demand *demand,
-            struct bd_target *const *targets, size_t count,
-            const struct bd_target *homes[HOMES])
+            struct bd_target *const *targets, size_t count)
 {
+  struct homes homes = { .known = false };
   bool apart = lengths_apart (choice, demand);
 
-  for (size_t h = 0; h < HOMES; h++)
-    homes[h] = NULL;
-  if (!drawn_to_prefix (demand))
-    return;
+  if (!bd_demand_has_part (demand))
+    return homes;
   for (size_t i = 0; i < count; i++)
     {
-      const struct bd_target *target = targets[i];
+      const struct bd_part *part = part_at (choice, demand, targets[i]);
 
-      if (!serves (demand, target)
-          || (apart && target->kept_for_short != is_short (demand)))
+      if (part)
+        note_holder (demand, targets[i], part, &homes);
+      if (!serves (demand, targets[i]))
         continue;
-      for (size_t h = 0; h < HOMES && target; h++)
-        if (!homes[h]
-            || rendezvous (demand, target) > rendezvous (demand, homes[h]))
-          {
-            const struct bd_target *next = homes[h];
-
-            homes[h] = target;
-            target = next;
-          }
+      if (!apart || targets[i]->kept_for_short == bd_demand_is_short (demand))
+        rank_home (demand, targets[i], &homes);
     }
+  return homes;
 }
 
 static enum bd_place
 place_of (const struct bd_choice *choice, const struct bd_demand *demand,
-          const struct bd_target *target,
-          const struct bd_target *const homes[HOMES])
+          const struct bd_target *target, const struct homes *homes)
 {
-  if (target == homes[0])
+  if (!demand->coordinated && target == homes->by_hash[0])
     return BD_PLACE_HOME;
-  if (target == homes[1])
+  if (!demand->coordinated && target == homes->by_hash[1])
     return BD_PLACE_SECOND;
-  if (demand->prefix_hash != 0
-      && bd_parts_held (choice->parts, demand->prefix_hash, target,
-                        demand->now_ms))
+  if (part_at (choice, demand, target))
     return BD_PLACE_WARM;
-  return drawn_to_prefix (demand) ? BD_PLACE_COLD : BD_PLACE_ANY;
+  if (!bd_demand_has_part (demand))
+    return BD_PLACE_ANY;
+  if (demand->coordinated && homes->source)
+    return BD_PLACE_FETCH;
+  return demand->coordinated && !homes->known ? BD_PLACE_FIRST : BD_PLACE_COLD;
 }
 
-/* What speaks against an engine besides the prompts queued there. */
+/* What speaks against a place for the sake of the shared part. */
 static double
-engine_cost (const struct bd_demand *demand, const struct bd_pick *pick,
-             double tokens_per_ms, bool apart)
+part_cost (const struct bd_demand *demand, const struct bd_pick *pick,
+           const struct homes *homes, double shared_ms)
 {
-  const struct bd_target *target = pick->target;
-  uint32_t running = target->in_flight + target->peers_in_flight;
-  double ms = (double)demand->own_tokens / tokens_per_ms;
-  double shared_ms = (double)demand->shared_tokens / tokens_per_ms;
-
-  ms += running * RUNNING_COST_MS;
-  if (pick->place == BD_PLACE_SECOND)
-    ms += SECOND_HOME_MS;
-  if (pick->place == BD_PLACE_COLD)
-    ms += shared_ms * REREAD_WEIGHT;
-  if (pick->place == BD_PLACE_ANY)
-    ms += shared_ms;
-  if (apart && target->kept_for_short != is_short (demand))
-    ms += target->kept_for_short ? LONG_AMONG_SHORT_MS : SHORT_AMONG_LONG_MS;
+  switch (pick->place)
+    {
+    case BD_PLACE_SECOND:
+      return SECOND_HOME_MS;
+    case BD_PLACE_COLD:
+      return shared_ms * REREAD_WEIGHT;
+    case BD_PLACE_ANY:
+      return shared_ms;
+    case BD_PLACE_FETCH:
+      return FETCH_MS
+             + FETCH_WEIGHT * (double)demand->shared_tokens / TOKENS_PER_K
+                   * demand->fetch_us / US_PER_MS;
+    case BD_PLACE_FIRST:
+      return pick->target == homes->by_hash[0] ? 0.0 : FIRST_ELSEWHERE_MS;
+    default:
+      return 0.0;
+    }
+}
+
+/* What it costs a short request to join what is at a runner. */
+static double
+join_cost (const struct bd_target *target)
+{
+  const struct bd_booked *booked = &target->booked;
+  double over
+      = ((double)booked->prefill_tokens - PAUSE_TOKENS) / PAUSE_RANGE_TOKENS;
+  double crowd = (double)booked->in_flight - target->slots * CROWDED_SHARE;
+  double ms = 0.0;
+
+  if (over > 0.0)
+    ms += PAUSE_MS * (over < 1.0 ? over : 1.0);
+  if (crowd > 0.0)
+    ms += crowd * CROWDED_MS;
+  if (booked->short_in_flight == 0)
+    ms += OPEN_SHORT_MS + (target->kept_for_short ? 0.0 : OPEN_OTHER_MS);
   return ms;
 }
 
-/* Time until a slot of a plain service is free. */
+/* What a long prompt costs the short requests at a runner. */
+static double
+harm_cost (const struct bd_pick *pick)
+{
+  uint32_t hurt = pick->target->booked.short_in_flight;
+  bool light = pick->prefill_tokens + pick->ahead_tokens <= LIGHT_TOKENS;
+
+  if (hurt > HARM_MOST)
+    hurt = HARM_MOST;
+  return hurt * HARM_MS * (light ? LIGHT_SHARE : 1.0);
+}
+
+/* What speaks against a runner for the sake of requests of other lengths. */
 static double
-plain_wait (const struct bd_target *target, double each_ms)
+length_cost (const struct bd_choice *choice, const struct bd_demand *demand,
+             const struct bd_pick *pick)
+{
+  const struct bd_target *target = pick->target;
+
+  if (demand->coordinated)
+    return bd_demand_is_short (demand) ? join_cost (target) : harm_cost (pick);
+  if (!lengths_apart (choice, demand)
+      || target->kept_for_short == bd_demand_is_short (demand))
+    return 0.0;
+  return target->kept_for_short ? LONG_AMONG_SHORT_MS : SHORT_AMONG_LONG_MS;
+}
+
+/* Weighs an engine as the place for a prompt. */
+static void
+weigh_engine (const struct bd_choice *choice, const struct bd_demand *demand,
+              const struct homes *homes, struct bd_pick *pick)
+{
+  struct load load = load_of (demand, pick->target);
+  double tokens_per_ms
+      = bd_speeds_tokens_per_ms (choice->speeds, demand->service);
+
+  pick->ahead_tokens = load.prefill_tokens;
+  pick->wait_ms = (double)pick->ahead_tokens / tokens_per_ms;
+  pick->cost_ms = pick->wait_ms + (double)demand->own_tokens / tokens_per_ms
+                  + load.in_flight * RUNNING_COST_MS
+                  + part_cost (demand, pick, homes,
+                               (double)demand->shared_tokens / tokens_per_ms)
+                  + length_cost (choice, demand, pick);
+}
+
+/* Weighs a runner of a plain service: the time until a slot is free, and how
+   much is at work. */
+static void
+weigh_plain (const struct bd_choice *choice, const struct bd_demand *demand,
+             struct bd_pick *pick)
 {
-  uint32_t running = target->in_flight + target->peers_in_flight;
-  uint32_t slots = target->slots ? target->slots : 1;
+  double each_ms = bd_speeds_work_ms (choice->speeds, demand->service);
+  uint32_t running = load_of (demand, pick->target).in_flight;
+  uint32_t slots = pick->target->slots ? pick->target->slots : 1;
 
-  return running < slots ? 0.0 : (running - slots + 1) * each_ms / slots;
+  pick->wait_ms
+      = running < slots ? 0.0 : (running - slots + 1) * each_ms / slots;
+  pick->cost_ms = pick->wait_ms + running * each_ms / slots;
 }
 
+/* What is known of a runner's health, as a cost. */
 static double
-plain_cost (const struct bd_target *target, double each_ms)
+health_cost (const struct bd_demand *demand, const struct bd_target *target)
 {
-  uint32_t running = target->in_flight + target->peers_in_flight;
-  uint32_t slots = target->slots ? target->slots : 1;
+  uint32_t avoiding = target->peers_avoiding < PEERS_HEEDED
+                          ? target->peers_avoiding
+                          : PEERS_HEEDED;
+  double ms = bd_outlier_failing (target, demand->now_ms) * FAILING_COST_MS;
 
-  return running * each_ms / slots;
+  ms += avoiding * PEER_AVOIDS_MS;
+  if (target->cold_until_ms > demand->now_ms)
+    ms += COLD_COST_MS;
+  return ms;
 }
 
 /* Fills in what placing the request at TARGET would mean. */
 static struct bd_pick
 weigh (const struct bd_choice *choice, const struct bd_demand *demand,
-       struct bd_target *target, const struct bd_target *const homes[HOMES])
+       struct bd_target *target, const struct homes *homes)
 {
   struct bd_pick pick = { .target = target };
 
   pick.place = place_of (choice, demand, target, homes);
+  if (pick.place == BD_PLACE_FETCH)
+    pick.source = homes->source;
   pick.prefill_tokens = demand->own_tokens;
-  if (pick.place == BD_PLACE_COLD || pick.place == BD_PLACE_ANY)
+  if (pick.place >= BD_PLACE_FIRST)
     pick.prefill_tokens += demand->shared_tokens;
   if (demand->own_tokens > 0)
-    {
-      double tokens_per_ms
-          = bd_speeds_tokens_per_ms (choice->speeds, demand->service);
-
-      pick.ahead_tokens
-          = target->prefill_tokens + target->peers_prefill_tokens;
-      pick.wait_ms = (double)pick.ahead_tokens / tokens_per_ms;
-      pick.cost_ms = pick.wait_ms
-                     + engine_cost (demand, &pick, tokens_per_ms,
-                                    lengths_apart (choice, demand));
-    }
+    weigh_engine (choice, demand, homes, &pick);
   else
-    {
-      double each_ms = bd_speeds_work_ms (choice->speeds, demand->service);
-
-      pick.wait_ms = plain_wait (target, each_ms);
-      pick.cost_ms = pick.wait_ms + plain_cost (target, each_ms);
-    }
+    weigh_plain (choice, demand, &pick);
   if (!bd_chunk_equal (target->zone, demand->zone))
     pick.cost_ms += ZONE_COST_MS;
-  if (target->cold_until_ms > demand->now_ms)
-    pick.cost_ms += COLD_COST_MS;
-  pick.cost_ms
-      += bd_outlier_failing (target, demand->now_ms) * FAILING_COST_MS;
-  pick.cost_ms
-      += (target->peers_avoiding < PEERS_HEEDED ? target->peers_avoiding
-                                                : PEERS_HEEDED)
-         * PEER_AVOIDS_MS;
+  pick.cost_ms += health_cost (demand, target);
   return pick;
 }
 
@@ -259,11 +453,10 @@
 cheapest (struct bd_choice *choice, const struct bd_demand *demand,
           struct bd_target *const *targets, size_t count, bool heed_health)
 {
-  const struct bd_target *homes[HOMES];
+  struct homes homes = find_homes (choice, demand, targets, count);
   struct bd_pick best = { .cost_ms = DBL_MAX };
   uint32_t ties = 0;
 
-  find_homes (choice, demand, targets, count, homes);
   for (size_t i = 0; i < count; i++)
     {
       struct bd_pick pick;
@@ -272,7 +465,7 @@
         continue;
       if (heed_health && !bd_outlier_allows (targets[i], demand->now_ms))
         continue;
-      pick = weigh (choice, demand, targets[i], homes);
+      pick = weigh (choice, demand, targets[i], &homes);
       if (pick.cost_ms > best.cost_ms)
         continue;
       ties = pick.cost_ms < best.cost_ms ? 1 : ties + 1;
@@ -296,7 +489,7 @@
 bd_place_name (enum bd_place place)
 {
   static const char *const names[]
-      = { "home", "second", "warm", "cold", "any" };
+      = { "home", "second", "warm", "fetch", "first", "cold", "any" };
 
   return names[place];
 }
@@ -308,7 +501,7 @@
   if (demand->own_tokens > 0)
     bd_speeds_prompt (choice->speeds, demand->service, prompt_tokens (demand),
                       demand->now_ms);
-  if (demand->prefix_hash != 0)
+  if (bd_demand_has_part (demand))
     bd_parts_sent (choice->parts, demand->prefix_hash, target->hash,
                    demand->now_ms);
 }
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -2,10 +2,13 @@
  * @file choice.h
  * Where a request goes: the runner on which it is expected to begin first.
  *
- * A prompt's shared part is read once per runner and kept there, so a
- * request is drawn to the runners that every instance picks for that part
- * (rendezvous hashing over the live list), and leaves them only when the work
- * queued there costs more than reading the part again elsewhere.
+ * A prompt's shared part is read once per runner and kept there.  Where one
+ * instance decides for all (coordinated), a part goes first to the runner
+ * with the least work, and then to where it was read.  An instance that
+ * decides for itself sends it to the runners that every instance picks for
+ * that part (rendezvous hashing over the live list).  Either way a request
+ * leaves these only when the work queued there costs more than reading the
+ * part again elsewhere.
  */
 #ifndef BD_CHOICE_H
 #define BD_CHOICE_H
@@ -21,17 +24,33 @@
   uint64_t prefix_hash;   /**< Of the shared part; 0: none. */
   uint64_t shared_tokens; /**< Length of the shared part. */
   uint64_t own_tokens;    /**< The rest of the prompt. */
+  /** How long a runner needs to fetch a thousand tokens of a part from
+      another, in microseconds; 0: it cannot. */
+  uint32_t fetch_us;
   int64_t now_ms;
   const struct bd_target *const *tried; /**< Not to be used again. */
   size_t tried_count;
+  /**
+   * The runners' loads are those of the ledger, and all requests with this
+   * part are placed here: what is booked and known counts, not what this
+   * instance has sent and peers have told.
+   */
+  bool coordinated;
+  /** Coordinated only lately: what peers have told counts as well. */
+  bool learning;
+  /** Coordinated: the part of the runners to choose from, of so many. */
+  uint32_t shard;
+  uint32_t shards;
 };
 
 /** Why a runner was picked. */
 enum bd_place
 {
-  BD_PLACE_HOME = 0, /**< The shared part's first home. */
+  BD_PLACE_HOME = 0, /**< The shared part's first home, held to be warm. */
   BD_PLACE_SECOND,   /**< Its second home. */
   BD_PLACE_WARM,     /**< The part was sent there lately. */
+  BD_PLACE_FETCH,    /**< The runner fetches the part from another. */
+  BD_PLACE_FIRST,    /**< No runner is known to hold the part. */
   BD_PLACE_COLD,     /**< The part has to be read there. */
   BD_PLACE_ANY       /**< There is no shared part that matters. */
 };
@@ -39,7 +58,8 @@
 /** The runner picked, with what decided. */
 struct bd_pick
 {
-  struct bd_target *target; /**< NULL: none may get the request. */
+  struct bd_target *target;       /**< NULL: none may get the request. */
+  const struct bd_target *source; /**< To fetch the part from; or NULL. */
   enum bd_place place;
   double wait_ms;          /**< Expected before it begins. */
   double cost_ms;          /**< Expected delay and what else was weighed. */
@@ -53,6 +73,22 @@
 struct bd_choice *bd_choice_create (uint64_t seed);
 void bd_choice_destroy (struct bd_choice *choice);
 
+/**
+ * The part of the service's runners from which a request with PART is
+ * placed, of SHARDS (at least 1).
+ */
+uint32_t bd_choice_shard (uint64_t part, uint32_t shards);
+
+/** How many shards the runners of SERVICE make. */
+uint32_t bd_choice_shards (struct bd_target *const *targets, size_t count,
+                           struct bd_chunk service);
+
+/** Whether the prompt has a shared part that is worth a detour. */
+bool bd_demand_has_part (const struct bd_demand *demand);
+
+/** Whether the prompt is short: read in one step, it delays nobody. */
+bool bd_demand_is_short (const struct bd_demand *demand);
+
 /** Picks a runner among the COUNT targets. */
 struct bd_pick bd_choice_pick (struct bd_choice *choice,
                                const struct bd_demand *demand,
--- /dev/null
+++ b/src/balance/decision.h
@@ -0,0 +1,30 @@
+/**
+ * @file decision.h
+ * The decision on a request: which runner gets it, or that it is refused.
+ */
+#ifndef BD_DECISION_H
+#define BD_DECISION_H
+
+#include "balance/choice.h"
+#include "balance/overload.h"
+
+/** The decision, with what it rests on. */
+struct bd_decision
+{
+  struct bd_pick pick; /**< Its target is NULL when none may get it. */
+  bool refused;        /**< The wait would be too long. */
+  double limit_ms;     /**< The longest wait that is allowed. */
+  int64_t retry_ms;    /**< When a refused request should come back. */
+};
+
+/**
+ * Decides on a request.  OVERLOAD->wait_ms is filled in.  A request that has
+ * reached a runner before (AGAIN) is not refused for its wait.
+ */
+struct bd_decision bd_decide (struct bd_choice *choice,
+                              struct bd_targets *targets,
+                              const struct bd_demand *demand,
+                              struct bd_overload_case *overload, bool again,
+                              uint64_t *random);
+
+#endif
--- a/src/balance/parts.c
+++ b/src/balance/parts.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 /* Places of the memory: a power of two. */
-#define PLACES 4096
+#define PLACES 16384
 /* How long a runner is believed to keep a part that was sent there. */
 #define KEEP_MS 30000
 
@@ -55,34 +55,40 @@
         place = &set[i];
     }
   known = known && is_fresh (place, now_ms);
-  *place = (struct bd_part){ part, target, now_ms };
+  *place = (struct bd_part){ part, target, now_ms, known && place->read };
   return !known;
 }
 
-bool
-bd_parts_held (const struct bd_parts *parts, uint64_t part,
-               const struct bd_target *target, int64_t now_ms)
+static const struct bd_part *
+find (const struct bd_parts *parts, uint64_t part, uint64_t target)
 {
   const struct bd_part *set = &parts->places[first_place (part)];
 
   for (size_t i = 0; i < BD_PARTS_WAYS; i++)
-    if (set[i].part == part && set[i].target == target->hash
-        && is_fresh (&set[i], now_ms) && set[i].sent_ms >= target->since_ms)
-      return true;
-  return false;
+    if (set[i].part == part && set[i].target == target)
+      return &set[i];
+  return NULL;
 }
 
-size_t
-bd_parts_find (const struct bd_parts *parts, uint64_t part, int64_t now_ms,
-               struct bd_part found[BD_PARTS_WAYS])
+void
+bd_parts_read (struct bd_parts *parts, uint64_t part, uint64_t target)
 {
-  const struct bd_part *set = &parts->places[first_place (part)];
-  size_t count = 0;
+  struct bd_part *place = (struct bd_part *)find (parts, part, target);
 
-  for (size_t i = 0; i < BD_PARTS_WAYS; i++)
-    if (set[i].part == part && is_fresh (&set[i], now_ms))
-      found[count++] = set[i];
-  return count;
+  if (place)
+    place->read = true;
+}
+
+const struct bd_part *
+bd_parts_at (const struct bd_parts *parts, uint64_t part,
+             const struct bd_target *target, int64_t now_ms)
+{
+  const struct bd_part *place = find (parts, part, target->hash);
+
+  return place && is_fresh (place, now_ms)
+                 && place->sent_ms >= target->since_ms
+             ? place
+             : NULL;
 }
 
 size_t
--- a/src/balance/parts.h
+++ b/src/balance/parts.h
@@ -14,10 +14,14 @@
   uint64_t part;   /**< Identifies the shared part; never 0. */
   uint64_t target; /**< Hash of the runner's identifier. */
   int64_t sent_ms;
+  bool read; /**< A request with it began there: others can fetch it. */
 };
 
 struct bd_parts;
 
+/** Runners remembered for one part. */
+#define BD_PARTS_WAYS 4
+
 /** Keeps a fixed number of places; the oldest of a few make room. */
 struct bd_parts *bd_parts_create (void);
 void bd_parts_destroy (struct bd_parts *parts);
@@ -26,15 +30,13 @@
 bool bd_parts_sent (struct bd_parts *parts, uint64_t part, uint64_t target,
                     int64_t now_ms);
 
-/** Whether TARGET is believed to hold PART. */
-bool bd_parts_held (const struct bd_parts *parts, uint64_t part,
-                    const struct bd_target *target, int64_t now_ms);
+/** A request with PART began at TARGET. */
+void bd_parts_read (struct bd_parts *parts, uint64_t part, uint64_t target);
 
-/** Runners believed to hold PART, by their hashes.  Returns how many of
-    these there are, at most BD_PARTS_WAYS. */
-#define BD_PARTS_WAYS 4
-size_t bd_parts_find (const struct bd_parts *parts, uint64_t part,
-                      int64_t now_ms, struct bd_part found[BD_PARTS_WAYS]);
+/** What is known of PART at TARGET; NULL: nothing. */
+const struct bd_part *bd_parts_at (const struct bd_parts *parts, uint64_t part,
+                                   const struct bd_target *target,
+                                   int64_t now_ms);
 
 /**
  * Walks over what is known, from *CURSOR (0 at first) on, and fills in at
--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -54,6 +54,9 @@
   struct bd_chunk name;
   uint32_t connections_max; /**< Of all callers, for each runner. */
   bool engine;              /**< Its runners serve a language model. */
+  /** How long a runner needs to fetch a thousand tokens of a prompt's part
+      from another, in microseconds; 0: it cannot. */
+  uint32_t fetch_us;
 };
 
 struct bd_routing;
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -221,6 +221,12 @@
   targets->store_lost = false;
 }
 
+bool
+bd_targets_store_is_lost (const struct bd_targets *targets)
+{
+  return targets->store_lost;
+}
+
 void
 bd_targets_tick (struct bd_targets *targets, int64_t now_ms)
 {
@@ -233,7 +239,8 @@
       if (target->state == BD_TARGET_LAPSED && !targets->store_lost
           && now_ms >= targets->lapse_until_ms)
         set_state (targets, target, BD_TARGET_GONE, target->revision);
-      if (target->state == BD_TARGET_GONE && target->in_flight == 0)
+      if (target->state == BD_TARGET_GONE && target->in_flight == 0
+          && target->booked.in_flight == 0)
         free_target (target);
       else
         targets->all[kept++] = target;
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -14,9 +14,6 @@
  */
 #define BD_TARGET_LAPSE_MS 2000
 
-/** Priorities of requests, 0 being the most urgent. */
-#define BD_TARGET_PRIORITIES 10
-
 enum bd_target_state
 {
   BD_TARGET_READY = 0,
@@ -50,15 +47,15 @@
   bool trial_in_flight; /**< The one request after it was avoided. */
 };
 
-/** Work at a runner that all instances together have sent there. */
-struct bd_booked_load
+/** What all instances together have sent to a runner (ledger.h). */
+struct bd_booked
 {
   uint32_t in_flight;
-  /** Prompt tokens not read yet, by priority. */
-  uint64_t prefill_tokens[BD_TARGET_PRIORITIES];
+  uint32_t short_in_flight; /**< Of these, with short prompts. */
+  uint64_t prefill_tokens;  /**< Of prompts, first event not seen. */
 };
 
-/** A runner.  Kept until it is gone and nothing is in flight. */
+/** A runner.  Kept until it is gone and nothing is in flight or booked. */
 struct bd_target
 {
   struct bd_chunk id;
@@ -79,8 +76,8 @@
   uint64_t prefill_tokens; /**< Sent from here, first event not seen. */
   uint32_t peers_in_flight;
   uint64_t peers_prefill_tokens;
-  uint32_t peers_avoiding;      /**< Peers that avoid it at present. */
-  struct bd_booked_load booked; /**< Where this instance coordinates. */
+  uint32_t peers_avoiding; /**< Peers that avoid it at present. */
+  struct bd_booked booked; /**< Where this instance coordinates. */
   struct bd_target_record record;
 };
 
@@ -111,6 +108,7 @@
 /** The store stopped answering, or answers again. */
 void bd_targets_store_lost (struct bd_targets *targets);
 void bd_targets_store_back (struct bd_targets *targets, int64_t now_ms);
+bool bd_targets_store_is_lost (const struct bd_targets *targets);
 
 /** Ends lapses that are over and frees runners that are gone. */
 void bd_targets_tick (struct bd_targets *targets, int64_t now_ms);
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -38,6 +38,14 @@
             (long long)(target->record.avoid_until_ms - now));
 }
 
+void
+bd_forward_note (struct bd_forward *f, enum bd_result result)
+{
+  f->counted = true;
+  f->result = result;
+  bd_forward_note_result (f->forwarder, f->target, result);
+}
+
 void
 bd_forward_log_attempt (const struct bd_forward *f, const char *reason)
 {
@@ -72,7 +80,7 @@
 bd_forward_after_refusal (struct bd_forward *f)
 {
   bd_forward_log_attempt (f, "refused");
-  bd_forward_note_result (f->forwarder, f->target, BD_RESULT_REFUSED);
+  bd_forward_note (f, BD_RESULT_REFUSED);
   bd_forward_leave_target (f);
   if (may_repeat (f))
     bd_forward_next_attempt (f);
@@ -85,7 +93,7 @@
 bd_forward_after_failure (struct bd_forward *f, int error, const char *reason)
 {
   bd_forward_log_attempt (f, reason);
-  bd_forward_note_result (f->forwarder, f->target, BD_RESULT_FAILURE);
+  bd_forward_note (f, BD_RESULT_FAILURE);
   bd_forward_leave_target (f);
   f->may_have_run = true;
   if (bd_forward_repeatable (f) && may_repeat (f))
@@ -99,7 +107,7 @@
 bd_forward_after_no_connection (struct bd_forward *f)
 {
   bd_forward_log_attempt (f, "unreachable");
-  bd_forward_note_result (f->forwarder, f->target, BD_RESULT_UNREACHABLE);
+  bd_forward_note (f, BD_RESULT_UNREACHABLE);
   f->reached--;
   bd_forward_leave_target (f);
   if (f->tried_count < BD_FORWARD_TRIED_MAX)
@@ -111,7 +119,8 @@
 /* Attempts. */
 
 static void
-write_request (struct bd_forward *f, struct bd_buffer *out)
+write_request (struct bd_forward *f, const struct bd_target *source,
+               struct bd_buffer *out)
 {
   const struct bd_dialect *dialect = f->forwarder->parts.dialect;
   const struct bd_head *head = bd_exchange_head (f->exchange);
@@ -145,6 +154,8 @@
   orders.priority = service && service->engine
                         ? bd_request_priority (f->workspace, f->route)
                         : -1;
+  if (source)
+    orders.fetch_from = (struct bd_address){ source->ip, source->port };
   dialect->write_orders (out, &orders);
   if (body.length > 0 || head->chunked || head->body_length >= 0)
     bd_buffer_printf (out, "Content-Length: %zu\r\n", body.length);
@@ -167,7 +178,7 @@
   if (f->reached >= f->route->attempts_max || !may_repeat (f))
     return;
   bd_forward_log_attempt (f, "silent");
-  bd_forward_note_result (f->forwarder, f->target, BD_RESULT_FAILURE);
+  bd_forward_note (f, BD_RESULT_FAILURE);
   bd_call_cancel (f->call);
   bd_forward_leave_target (f);
   f->may_have_run = true;
@@ -201,7 +212,7 @@
   memset (&f->response, 0, sizeof f->response);
   bd_buffer_reset (&f->body);
   bd_sse_clear (&f->sse);
-  write_request (f, &out);
+  write_request (f, pick->source, &out);
   request.address.sin_family = AF_INET;
   request.address.sin_addr.s_addr = target->ip;
   request.address.sin_port = target->port;
@@ -250,30 +261,6 @@
          >= service->connections_max;
 }
 
-static struct bd_pick
-pick_target (struct bd_forward *f)
-{
-  struct bd_pick pick = { 0 };
-  struct bd_forward_parts *parts = &f->forwarder->parts;
-  size_t count;
-  struct bd_target *const *all = bd_targets_all (parts->targets, &count);
-
-  f->demand.now_ms = bd_clock_boot_ms ();
-  while (f->tried_count < BD_FORWARD_TRIED_MAX)
-    {
-      f->demand.tried = f->tried;
-      f->demand.tried_count = f->tried_count;
-      pick = bd_choice_pick (parts->choice, &f->demand, all, count);
-      if (!pick.target)
-        return pick;
-      f->tried[f->tried_count++] = pick.target;
-      if (!connections_full (f, pick.target))
-        return pick;
-    }
-  pick.target = NULL;
-  return pick;
-}
-
 static void
 log_placed (const struct bd_forward *f, const struct bd_pick *pick)
 {
@@ -281,16 +268,18 @@
   char id[BD_FORWARD_ID_BYTES];
 
   bd_log (BD_EVENT_REQUEST_PLACED,
-          "request=%s route=%s runner=%s place=%s prefix=%08x cost_ms=%.0f "
-          "prefill=%llu in_flight=%u+%u queued=%llu+%llu priority=%d "
+          "request=%s route=%s runner=%s place=%s prefix=%08x source=%s "
+          "cost_ms=%.0f "
+          "prefill=%llu ahead=%llu in_flight=%u+%u priority=%d by=%08x "
           "left_ms=%lld",
           bd_log_quote (f->facts.attempt_id, id, sizeof id),
           f->route->name.data, target->id.data, bd_place_name (pick->place),
-          (unsigned)f->demand.prefix_hash, pick->cost_ms,
-          (unsigned long long)pick->prefill_tokens, target->in_flight,
-          target->peers_in_flight, (unsigned long long)target->prefill_tokens,
-          (unsigned long long)target->peers_prefill_tokens,
-          bd_request_priority (f->workspace, f->route),
+          (unsigned)f->demand.prefix_hash,
+          pick->source ? pick->source->id.data : "-", pick->cost_ms,
+          (unsigned long long)pick->prefill_tokens,
+          (unsigned long long)pick->ahead_tokens, target->in_flight,
+          target->peers_in_flight,
+          bd_request_priority (f->workspace, f->route), ntohl (f->asked.ip),
           (long long)(f->ends_ms - f->demand.now_ms));
 }
 
@@ -308,37 +297,200 @@
           (long long)bd_forward_elapsed_ms (f));
 }
 
-void
-bd_forward_next_attempt (struct bd_forward *f)
+/* The request goes to the runner of PICK. */
+static void
+place (struct bd_forward *f, const struct bd_pick *pick)
 {
-  struct bd_pick pick = pick_target (f);
-  struct bd_overload_case overload;
+  f->tried[f->tried_count++] = pick->target;
+  if (f->reached > 0)
+    log_repeat (f, pick->target);
+  else
+    bd_retry_share_first (f->forwarder->parts.retries, f->demand.now_ms,
+                          f->service);
+  f->reached++;
+  log_placed (f, pick);
+  if (send_to (f, pick) == BD_OK)
+    return;
+  bd_asker_ended (f->forwarder->parts.asker, &f->asked, false,
+                  BD_RESULT_SUCCESS);
+  bd_forward_give_up (f, BD_ERR_NO_RUNNER);
+}
 
-  if (!pick.target)
-    {
-      bd_forward_give_up (f, f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN
-                                             : BD_ERR_NO_RUNNER);
-      return;
-    }
-  overload = (struct bd_overload_case){
-    .wait_ms = pick.wait_ms,
+static struct bd_overload_case
+overload_of (const struct bd_forward *f)
+{
+  return (struct bd_overload_case){
     .objective_ms = f->route->objective_ms,
     .left_ms = f->ends_ms - f->demand.now_ms,
     .priority = bd_request_priority (f->workspace, f->route),
     .least_priority = f->forwarder->least_priority
   };
-  if (f->reached == 0 && bd_overload_refuses (&overload))
+}
+
+static struct bd_decision
+decide (struct bd_forward *f)
+{
+  struct bd_forward_parts *parts = &f->forwarder->parts;
+  struct bd_overload_case overload = overload_of (f);
+
+  f->demand.tried = f->tried;
+  f->demand.tried_count = f->tried_count;
+  return bd_decide (parts->choice, parts->targets, &f->demand, &overload,
+                    f->reached > 0, &f->forwarder->random);
+}
+
+/* The shared part that matters for the request's place; 0: none. */
+static uint64_t
+part_of (const struct bd_forward *f)
+{
+  return bd_demand_has_part (&f->demand) ? f->demand.prefix_hash : 0;
+}
+
+static void
+report_placed (struct bd_forward *f, const struct bd_pick *pick)
+{
+  struct bd_placing_placed placed
+      = { .target = (uint32_t)pick->target->hash,
+          .part = part_of (f),
+          .prefill_tokens = pick->prefill_tokens,
+          .is_short = bd_demand_is_short (&f->demand),
+          .left_ms = f->ends_ms - f->demand.now_ms };
+
+  bd_asker_placed (f->forwarder->parts.asker, &f->asked, &placed);
+}
+
+/* This instance decides by what it knows. */
+static void
+decide_here (struct bd_forward *f)
+{
+  struct bd_asker *asker = f->forwarder->parts.asker;
+  struct bd_decision decision = decide (f);
+
+  while (decision.pick.target && connections_full (f, decision.pick.target)
+         && f->tried_count < BD_FORWARD_TRIED_MAX)
+    {
+      f->tried[f->tried_count++] = decision.pick.target;
+      decision = decide (f);
+    }
+  if (decision.pick.target && !decision.refused
+      && f->tried_count < BD_FORWARD_TRIED_MAX)
     {
-      bd_forward_refuse_overload (f, &overload);
+      report_placed (f, &decision.pick);
+      place (f, &decision.pick);
       return;
     }
-  if (f->reached > 0)
-    log_repeat (f, pick.target);
+  bd_asker_ended (asker, &f->asked, false, BD_RESULT_SUCCESS);
+  if (decision.refused)
+    bd_forward_refuse_overload (f, (int64_t)decision.pick.wait_ms,
+                                (int64_t)decision.limit_ms, decision.retry_ms);
   else
-    bd_retry_share_first (f->forwarder->parts.retries, f->demand.now_ms,
-                          f->service);
-  f->reached++;
-  log_placed (f, &pick);
-  if (send_to (f, &pick) != BD_OK)
-    bd_forward_give_up (f, BD_ERR_NO_RUNNER);
+    bd_forward_give_up (f, f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN
+                                           : BD_ERR_NO_RUNNER);
+}
+
+static struct bd_target *
+find_target (const struct bd_forward *f, uint32_t hash)
+{
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_all (f->forwarder->parts.targets, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if ((uint32_t)all[i]->hash == hash)
+      return all[i];
+  return NULL;
+}
+
+/* Whether this instance may follow the answer that names TARGET. */
+static bool
+may_follow (const struct bd_forward *f, const struct bd_target *target)
+{
+  return target && bd_target_usable (target)
+         && bd_chunk_equal (target->service, f->service)
+         && !connections_full (f, target);
+}
+
+static void
+on_answer (void *context, const struct bd_placing_answer *answer)
+{
+  struct bd_forward *f = context;
+  struct bd_pick pick = { 0 };
+
+  f->demand.now_ms = bd_clock_boot_ms ();
+  if (answer && answer->verdict == BD_PLACING_REFUSED)
+    {
+      bd_forward_refuse_overload (f, answer->wait_ms, answer->limit_ms,
+                                  answer->retry_ms);
+      return;
+    }
+  if (answer && answer->verdict == BD_PLACING_SENT_TO)
+    pick.target = find_target (f, answer->target);
+  if (!may_follow (f, pick.target))
+    {
+      decide_here (f);
+      return;
+    }
+  if (answer->source != 0)
+    pick.source = find_target (f, answer->source);
+  pick.place = answer->place <= BD_PLACE_ANY ? (enum bd_place)answer->place
+                                             : BD_PLACE_ANY;
+  pick.wait_ms = (double)answer->wait_ms;
+  pick.cost_ms = (double)answer->cost_ms;
+  pick.prefill_tokens = answer->prefill_tokens;
+  pick.ahead_tokens = answer->ahead_tokens;
+  place (f, &pick);
+}
+
+/* The runners that the answer must not name: those tried, and those that
+   this instance avoids. */
+static void
+exclude (const struct bd_forward *f, struct bd_placing_ask *ask)
+{
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_all (f->forwarder->parts.targets, &count);
+
+  for (size_t i = 0; i < f->tried_count; i++)
+    ask->excluded[ask->excluded_count++] = (uint32_t)f->tried[i]->hash;
+  for (size_t i = 0;
+       i < count && ask->excluded_count < BD_PLACING_EXCLUDED_MAX; i++)
+    if (bd_chunk_equal (all[i]->service, f->service)
+        && !bd_outlier_allows (all[i], f->demand.now_ms))
+      ask->excluded[ask->excluded_count++] = (uint32_t)all[i]->hash;
+}
+
+/* Asks where the request is to go, or decides. */
+void
+bd_forward_next_attempt (struct bd_forward *f)
+{
+  struct bd_forward_parts *parts = &f->forwarder->parts;
+  struct bd_placing_ask ask = { 0 };
+  struct bd_placing_answer answer;
+  size_t count;
+  struct bd_target *const *all = bd_targets_all (parts->targets, &count);
+
+  f->demand.now_ms = bd_clock_boot_ms ();
+  ask.service = f->service;
+  ask.zone = parts->zone;
+  ask.shards = bd_choice_shards (all, count, f->service);
+  ask.part = part_of (f);
+  ask.shard = bd_choice_shard (ask.part != 0 ? ask.part : f->fingerprint,
+                               ask.shards);
+  ask.shared_tokens = f->demand.shared_tokens;
+  ask.own_tokens = f->demand.own_tokens;
+  ask.fetch_us = f->demand.fetch_us;
+  ask.overload = overload_of (f);
+  ask.again = f->reached > 0;
+  exclude (f, &ask);
+  switch (bd_asker_ask (parts->asker, &ask, &f->asked, &answer, on_answer, f))
+    {
+    case BD_ASKER_ASKED:
+      break;
+    case BD_ASKER_DECIDED:
+      on_answer (f, &answer);
+      break;
+    case BD_ASKER_NOBODY:
+      decide_here (f);
+      break;
+    }
 }
--- /dev/null
+++ b/src/gateway/coordinator.c
@@ -0,0 +1,508 @@
+#include "gateway/coordinator.h"
+
+#include "balance/ledger.h"
+#include "balance/outlier.h"
+#include "common/log.h"
+#include "core/random.h"
+
+#include <stdlib.h>
+
+/* Shards that this instance coordinates at a time, and how long after the
+   last question it counts as doing so. */
+#define SHARDS_MAX 32
+#define SHARD_KEEP_MS 5000
+/* In the first time of a shard, what peers told of their loads counts too:
+   requests placed before are not in the ledger. */
+#define LEARNING_MS 3000
+/* Instances that are told where parts are: those that come next.  How many
+   parts wait for each, and datagrams in a turn. */
+#define HEIRS_MAX 2
+#define PARTS_WAITING_MAX 512
+#define PARTS_DATAGRAMS_MAX 6
+/* Runners are not asked for their parts when a peer told of some within this
+   time. */
+#define TOLD_KEEP_MS 5000
+/* A request is over this long after its time limit. */
+#define OVERDUE_MS 1000
+
+/* A shard of a service that this instance decides for. */
+struct shard
+{
+  uint64_t key;
+  int64_t since_ms;
+  int64_t asked_ms;
+};
+
+/* An instance that may decide next, and what it is yet to be told. */
+struct heir
+{
+  uint32_t ip;  /* 0: none. */
+  bool copying; /* All that is known, from CURSOR on. */
+  size_t cursor;
+  struct bd_part waiting[PARTS_WAITING_MAX];
+  size_t waiting_count;
+};
+
+struct bd_coordinator
+{
+  struct bd_coordinator_options options;
+  struct bd_mesh *mesh;
+  struct bd_ledger *ledger;
+  uint64_t random;
+  struct shard shards[SHARDS_MAX];
+  size_t shard_count;
+  struct heir heirs[HEIRS_MAX];
+  int64_t told_ms; /* When a peer last told of parts; 0: never. */
+};
+
+struct bd_coordinator *
+bd_coordinator_create (const struct bd_coordinator_options *options)
+{
+  struct bd_coordinator *coordinator = calloc (1, sizeof *coordinator);
+
+  if (!coordinator)
+    return NULL;
+  coordinator->options = *options;
+  coordinator->random = bd_id_random ().low;
+  coordinator->ledger = bd_ledger_create ();
+  if (coordinator->ledger)
+    return coordinator;
+  free (coordinator);
+  return NULL;
+}
+
+void
+bd_coordinator_destroy (struct bd_coordinator *coordinator)
+{
+  if (!coordinator)
+    return;
+  bd_ledger_destroy (coordinator->ledger);
+  free (coordinator);
+}
+
+void
+bd_coordinator_connect (struct bd_coordinator *coordinator,
+                        struct bd_mesh *mesh)
+{
+  coordinator->mesh = mesh;
+}
+
+uint64_t
+bd_coordinator_key (struct bd_chunk service, uint32_t shard)
+{
+  return bd_random_mix (bd_chunk_hash (service) + shard);
+}
+
+/* Shards. */
+
+/* This instance begins to decide on the service of ASK. */
+static void
+begin_duty (struct bd_coordinator *coordinator,
+            const struct bd_placing_ask *ask, int64_t now_ms)
+{
+  bool told = coordinator->told_ms != 0
+              && now_ms - coordinator->told_ms < TOLD_KEEP_MS;
+
+  if (ask->own_tokens > 0 && !told && coordinator->options.inventory)
+    bd_inventory_ask (coordinator->options.inventory, ask->service, now_ms);
+}
+
+static struct shard *
+need_shard (struct bd_coordinator *coordinator,
+            const struct bd_placing_ask *ask, int64_t now_ms)
+{
+  uint64_t key = bd_coordinator_key (ask->service, ask->shard);
+  struct shard *oldest = &coordinator->shards[0];
+
+  for (size_t i = 0; i < coordinator->shard_count; i++)
+    {
+      struct shard *shard = &coordinator->shards[i];
+
+      if (shard->key == key)
+        {
+          if (now_ms - shard->asked_ms > SHARD_KEEP_MS)
+            {
+              shard->since_ms = now_ms;
+              begin_duty (coordinator, ask, now_ms);
+            }
+          shard->asked_ms = now_ms;
+          return shard;
+        }
+      if (shard->asked_ms < oldest->asked_ms)
+        oldest = shard;
+    }
+  if (coordinator->shard_count < SHARDS_MAX)
+    oldest = &coordinator->shards[coordinator->shard_count++];
+  *oldest = (struct shard){ key, now_ms, now_ms };
+  begin_duty (coordinator, ask, now_ms);
+  return oldest;
+}
+
+/* Decisions. */
+
+static struct bd_target *
+find_target (const struct bd_coordinator *coordinator, uint32_t hash)
+{
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_all (coordinator->options.targets, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if ((uint32_t)all[i]->hash == hash)
+      return all[i];
+  return NULL;
+}
+
+static void
+book (struct bd_coordinator *coordinator, const struct bd_booking *booking)
+{
+  int error = bd_ledger_book (coordinator->ledger, booking);
+
+  if (error != BD_OK)
+    bd_log (BD_EVENT_PROTOCOL_ERROR, "source=ledger code=%s",
+            bd_error_answer (error)->code);
+  bd_stats_set (coordinator->options.stats, BD_GAUGE_LEDGER,
+                (int64_t)bd_ledger_count (coordinator->ledger));
+}
+
+/* Those that come next are to know where PART went. */
+static void
+tell_part (struct bd_coordinator *coordinator, const struct bd_part *part)
+{
+  for (size_t i = 0; i < HEIRS_MAX; i++)
+    {
+      struct heir *heir = &coordinator->heirs[i];
+
+      if (heir->ip != 0 && heir->waiting_count < PARTS_WAITING_MAX)
+        heir->waiting[heir->waiting_count++] = *part;
+    }
+}
+
+static void
+note_part (struct bd_coordinator *coordinator, uint64_t part,
+           const struct bd_target *target, int64_t now_ms)
+{
+  struct bd_part entry = { part, target->hash, now_ms, false };
+
+  if (part != 0
+      && bd_parts_sent (bd_choice_parts (coordinator->options.choice), part,
+                        target->hash, now_ms))
+    tell_part (coordinator, &entry);
+}
+
+static size_t
+find_excluded (const struct bd_coordinator *coordinator,
+               const struct bd_placing_ask *ask,
+               const struct bd_target *excluded[BD_PLACING_EXCLUDED_MAX])
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < ask->excluded_count; i++)
+    {
+      const struct bd_target *target
+          = find_target (coordinator, ask->excluded[i]);
+
+      if (target)
+        excluded[count++] = target;
+    }
+  return count;
+}
+
+static struct bd_placing_answer
+answer_of (const struct bd_placing_ask *ask,
+           const struct bd_decision *decision)
+{
+  const struct bd_pick *pick = &decision->pick;
+
+  return (struct bd_placing_answer){
+    .number = ask->number,
+    .verdict = !pick->target       ? BD_PLACING_NO_RUNNER
+               : decision->refused ? BD_PLACING_REFUSED
+                                   : BD_PLACING_SENT_TO,
+    .target = pick->target ? (uint32_t)pick->target->hash : 0,
+    .source = pick->source ? (uint32_t)pick->source->hash : 0,
+    .place = pick->place,
+    .prefill_tokens = pick->prefill_tokens,
+    .ahead_tokens = pick->ahead_tokens,
+    .wait_ms = (int64_t)pick->wait_ms,
+    .cost_ms = pick->target ? (int64_t)pick->cost_ms : 0,
+    .limit_ms = (int64_t)decision->limit_ms,
+    .retry_ms = decision->retry_ms,
+  };
+}
+
+struct bd_placing_answer
+bd_coordinator_decide (struct bd_coordinator *coordinator, uint32_t ip,
+                       const struct bd_placing_ask *ask, int64_t now_ms)
+{
+  const struct bd_target *excluded[BD_PLACING_EXCLUDED_MAX];
+  struct shard *shard = need_shard (coordinator, ask, now_ms);
+  struct bd_overload_case overload = ask->overload;
+  struct bd_demand demand = { .service = ask->service,
+                              .zone = ask->zone,
+                              .prefix_hash = ask->part,
+                              .shared_tokens = ask->shared_tokens,
+                              .own_tokens = ask->own_tokens,
+                              .fetch_us = ask->fetch_us,
+                              .now_ms = now_ms,
+                              .tried = excluded,
+                              .coordinated = true,
+                              .shard = ask->shard,
+                              .shards = ask->shards };
+  struct bd_decision decision;
+  struct bd_booking booking = { .instance = ip, .number = ask->number };
+
+  demand.tried_count = find_excluded (coordinator, ask, excluded);
+  demand.learning = now_ms - shard->since_ms < LEARNING_MS;
+  decision
+      = bd_decide (coordinator->options.choice, coordinator->options.targets,
+                   &demand, &overload, ask->again, &coordinator->random);
+  if (!decision.pick.target || decision.refused)
+    return answer_of (ask, &decision);
+  booking.target = decision.pick.target;
+  booking.prefill_tokens = decision.pick.prefill_tokens;
+  booking.part = ask->part;
+  booking.is_short = bd_demand_is_short (&demand);
+  booking.until_ms = now_ms + overload.left_ms + OVERDUE_MS;
+  book (coordinator, &booking);
+  note_part (coordinator, ask->part, booking.target, now_ms);
+  bd_choice_sent (coordinator->options.choice, &demand, booking.target);
+  if (ip != coordinator->options.ip)
+    bd_outlier_sent (booking.target, now_ms);
+  return answer_of (ask, &decision);
+}
+
+void
+bd_coordinator_placed (struct bd_coordinator *coordinator, uint32_t ip,
+                       const struct bd_placing_placed *placed, int64_t now_ms)
+{
+  struct bd_target *target = find_target (coordinator, placed->target);
+  struct bd_booking booking
+      = { .instance = ip,
+          .number = placed->number,
+          .target = target,
+          .prefill_tokens = placed->prefill_tokens,
+          .part = placed->part,
+          .is_short = placed->is_short,
+          .until_ms = now_ms + placed->left_ms + OVERDUE_MS };
+
+  if (!target)
+    return;
+  book (coordinator, &booking);
+  note_part (coordinator, placed->part, target, now_ms);
+}
+
+static void
+note_result (struct bd_coordinator *coordinator, struct bd_target *target,
+             enum bd_result result, int64_t now_ms)
+{
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_all (coordinator->options.targets, &count);
+  int64_t avoided_before = target->record.avoid_until_ms;
+
+  bd_outlier_add (target, now_ms, result, all, count);
+  if (target->record.avoid_until_ms != avoided_before)
+    bd_log (BD_EVENT_TARGET_AVOIDED, "runner=%s failing=%.2f for_ms=%lld",
+            target->id.data, bd_outlier_failing (target, now_ms),
+            (long long)(target->record.avoid_until_ms - now_ms));
+}
+
+/* The prompt has been read: others can fetch its part now. */
+static void
+note_begun (struct bd_coordinator *coordinator, uint32_t ip, uint32_t number,
+            int64_t now_ms)
+{
+  const struct bd_booking *booking
+      = bd_ledger_begun (coordinator->ledger, ip, number);
+  struct bd_part entry = { .sent_ms = now_ms, .read = true };
+
+  if (!booking || booking->part == 0)
+    return;
+  entry.part = booking->part;
+  entry.target = booking->target->hash;
+  bd_parts_read (bd_choice_parts (coordinator->options.choice), entry.part,
+                 entry.target);
+  tell_part (coordinator, &entry);
+}
+
+void
+bd_coordinator_report (struct bd_coordinator *coordinator, uint32_t ip,
+                       const struct bd_placing_report *report, int64_t now_ms)
+{
+  struct bd_target *target;
+
+  if (!report->ended)
+    {
+      note_begun (coordinator, ip, report->number, now_ms);
+      return;
+    }
+  target = bd_ledger_ended (coordinator->ledger, ip, report->number);
+  /* An instance takes in its own results itself. */
+  if (target && report->counted && ip != coordinator->options.ip)
+    note_result (coordinator, target, report->result, now_ms);
+}
+
+/* Messages. */
+
+static void
+take_parts (struct bd_coordinator *coordinator,
+            const struct bd_placing_message *message, int64_t now_ms)
+{
+  struct bd_parts *parts = bd_choice_parts (coordinator->options.choice);
+
+  coordinator->told_ms = now_ms;
+  for (size_t i = 0; i < message->parts.count; i++)
+    {
+      const struct bd_part *part = &message->parts.items[i];
+
+      bd_parts_sent (parts, part->part, part->target, now_ms - part->sent_ms);
+      if (part->read)
+        bd_parts_read (parts, part->part, part->target);
+    }
+}
+
+void
+bd_coordinator_take (struct bd_coordinator *coordinator, uint32_t ip,
+                     const struct bd_placing_message *message, int64_t now_ms)
+{
+  struct bd_placing_message answer = { .kind = BD_PLACING_ANSWER };
+
+  switch (message->kind)
+    {
+    case BD_PLACING_ASK:
+      answer.answer
+          = bd_coordinator_decide (coordinator, ip, &message->ask, now_ms);
+      bd_stats_count (coordinator->options.stats, BD_STAT_ANSWERS, 1);
+      bd_mesh_send (coordinator->mesh, ip, &answer);
+      break;
+    case BD_PLACING_PLACED:
+      bd_coordinator_placed (coordinator, ip, &message->placed, now_ms);
+      break;
+    case BD_PLACING_REPORTS:
+      for (size_t i = 0; i < message->reports.count; i++)
+        bd_coordinator_report (coordinator, ip, &message->reports.items[i],
+                               now_ms);
+      break;
+    case BD_PLACING_PARTS:
+      take_parts (coordinator, message, now_ms);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+bd_coordinator_forget (struct bd_coordinator *coordinator, uint32_t ip)
+{
+  bd_ledger_forget (coordinator->ledger, ip);
+}
+
+/* Those that come next. */
+
+/* The key of the shard that was asked for last; false: none lately. */
+static bool
+latest_key (const struct bd_coordinator *coordinator, int64_t now_ms,
+            uint64_t *key)
+{
+  const struct shard *latest = NULL;
+
+  for (size_t i = 0; i < coordinator->shard_count; i++)
+    if (!latest || coordinator->shards[i].asked_ms > latest->asked_ms)
+      latest = &coordinator->shards[i];
+  if (!latest || now_ms - latest->asked_ms > SHARD_KEEP_MS)
+    return false;
+  *key = latest->key;
+  return true;
+}
+
+/* The first in rank besides this instance; 0: none. */
+static uint32_t
+next_in_rank (const struct bd_coordinator *coordinator, uint64_t key,
+              bool coming, int64_t now_ms)
+{
+  uint32_t ips[BD_MESH_RANKED_MAX];
+  size_t count = bd_mesh_rank (coordinator->mesh, key, now_ms, coming, ips, 2);
+
+  for (size_t i = 0; i < count; i++)
+    if (ips[i] != coordinator->options.ip)
+      return ips[i];
+  return 0;
+}
+
+static void
+set_heir (struct heir *heir, uint32_t ip)
+{
+  if (heir->ip == ip)
+    return;
+  heir->ip = ip;
+  heir->copying = ip != 0;
+  heir->cursor = 0;
+  heir->waiting_count = 0;
+}
+
+/* The next in rank, and the one that will be first once it has joined. */
+static void
+find_heirs (struct bd_coordinator *coordinator, int64_t now_ms)
+{
+  uint64_t key;
+  uint32_t next = 0;
+  uint32_t coming = 0;
+
+  if (latest_key (coordinator, now_ms, &key))
+    {
+      next = next_in_rank (coordinator, key, false, now_ms);
+      coming = next_in_rank (coordinator, key, true, now_ms);
+    }
+  set_heir (&coordinator->heirs[0], next);
+  set_heir (&coordinator->heirs[1], coming != next ? coming : 0);
+}
+
+/* Fills in the next parts that HEIR is to be told.  Returns how many. */
+static size_t
+collect_parts (struct bd_coordinator *coordinator, struct heir *heir,
+               int64_t now_ms, struct bd_part parts[BD_PLACING_PARTS_MAX])
+{
+  size_t count = 0;
+
+  if (heir->copying)
+    {
+      count
+          = bd_parts_walk (bd_choice_parts (coordinator->options.choice),
+                           &heir->cursor, now_ms, parts, BD_PLACING_PARTS_MAX);
+      heir->copying = count > 0;
+    }
+  if (count == 0)
+    while (count < BD_PLACING_PARTS_MAX && heir->waiting_count > 0)
+      parts[count++] = heir->waiting[--heir->waiting_count];
+  for (size_t i = 0; i < count; i++)
+    parts[i].sent_ms = now_ms - parts[i].sent_ms;
+  return count;
+}
+
+static void
+tell_heir (struct bd_coordinator *coordinator, struct heir *heir,
+           int64_t now_ms)
+{
+  struct bd_placing_message message = { .kind = BD_PLACING_PARTS };
+
+  for (int i = 0; i < PARTS_DATAGRAMS_MAX && heir->ip != 0; i++)
+    {
+      message.parts.count
+          = collect_parts (coordinator, heir, now_ms, message.parts.items);
+      if (message.parts.count == 0)
+        return;
+      bd_mesh_send (coordinator->mesh, heir->ip, &message);
+    }
+}
+
+void
+bd_coordinator_tick (struct bd_coordinator *coordinator, int64_t now_ms)
+{
+  bd_ledger_tick (coordinator->ledger, now_ms);
+  if (!coordinator->mesh)
+    return;
+  find_heirs (coordinator, now_ms);
+  for (size_t i = 0; i < HEIRS_MAX; i++)
+    tell_heir (coordinator, &coordinator->heirs[i], now_ms);
+}
--- a/src/gateway/ending.c
+++ b/src/gateway/ending.c
@@ -39,26 +39,35 @@
 void
 bd_forward_uncharge (struct bd_forward *f)
 {
-  if (f->target && f->charged_tokens > 0)
-    f->target->prefill_tokens -= f->charged_tokens;
+  if (!f->target || f->charged_tokens == 0)
+    return;
+  f->target->prefill_tokens -= f->charged_tokens;
   f->charged_tokens = 0;
+  bd_asker_begun (f->forwarder->parts.asker, &f->asked);
 }
 
 /* The attempt is over. */
 void
 bd_forward_leave_target (struct bd_forward *f)
 {
-  bd_forward_uncharge (f);
   if (f->target)
-    f->target->in_flight--;
+    {
+      f->target->prefill_tokens -= f->charged_tokens;
+      f->charged_tokens = 0;
+      f->target->in_flight--;
+      bd_asker_ended (f->forwarder->parts.asker, &f->asked, f->counted,
+                      f->result);
+    }
   f->target = NULL;
   f->call = NULL;
+  f->counted = false;
   uv_timer_stop (&f->patience);
 }
 
 void
 bd_forward_free (struct bd_forward *f)
 {
+  bd_asker_drop (f->forwarder->parts.asker, &f->asked);
   if (f->call)
     bd_call_cancel (f->call);
   bd_forward_leave_target (f);
@@ -163,21 +172,20 @@
 
 /* Refuses a request whose wait would be too long. */
 void
-bd_forward_refuse_overload (struct bd_forward *f,
-                            const struct bd_overload_case *overload)
+bd_forward_refuse_overload (struct bd_forward *f, int64_t wait_ms,
+                            int64_t limit_ms, int64_t retry_ms)
 {
-  int64_t retry_ms
-      = bd_overload_retry_after_ms (overload, &f->forwarder->random);
   char id[BD_FORWARD_ID_BYTES];
 
   bd_stats_count (f->forwarder->parts.stats, BD_STAT_REFUSED, 1);
   bd_log (BD_EVENT_REQUEST_REFUSED,
-          "request=%s route=%s code=%s wait_ms=%.0f limit_ms=%.0f priority=%d "
-          "retry_ms=%lld",
+          "request=%s route=%s code=%s wait_ms=%lld limit_ms=%lld "
+          "priority=%d by=%08x retry_ms=%lld",
           bd_log_quote (f->facts.attempt_id, id, sizeof id),
           f->route->name.data, bd_error_answer (BD_ERR_OVERLOADED)->code,
-          overload->wait_ms, bd_overload_limit_ms (overload),
-          overload->priority, (long long)retry_ms);
+          (long long)wait_ms, (long long)limit_ms,
+          bd_request_priority (f->workspace, f->route), ntohl (f->asked.ip),
+          (long long)retry_ms);
   answer_error (f->exchange, BD_ERR_OVERLOADED, BD_RAN_NO, retry_ms);
   bd_forward_free (f);
 }
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -19,7 +19,7 @@
       f->may_have_run = true;
       bd_forward_log_attempt (f, "timeout");
       if (!f->begun && f->route->repeat != BD_REPEAT_STREAM)
-        bd_forward_note_result (f->forwarder, f->target, BD_RESULT_FAILURE);
+        bd_forward_note (f, BD_RESULT_FAILURE);
     }
   bd_forward_give_up (f, BD_ERR_TIMEOUT);
 }
@@ -139,6 +139,16 @@
   return f;
 }
 
+/* How long runners of the request's service need to fetch a part. */
+static uint32_t
+fetch_time (const struct bd_forward *f)
+{
+  const struct bd_service *service
+      = bd_routing_service (f->routing, f->service);
+
+  return service ? service->fetch_us : 0;
+}
+
 static void
 on_request (void *context, struct bd_exchange *exchange)
 {
@@ -172,6 +182,7 @@
   f->demand.prefix_hash = facts.prefix_hash;
   f->demand.shared_tokens = facts.shared_tokens;
   f->demand.own_tokens = facts.own_tokens;
+  f->demand.fetch_us = fetch_time (f);
   set_deadline (f);
   bd_forward_next_attempt (f);
 }
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -6,10 +6,10 @@
 #ifndef BD_FORWARD_H
 #define BD_FORWARD_H
 
-#include "balance/choice.h"
 #include "balance/retry_share.h"
 #include "balance/routing.h"
 #include "core/suspect.h"
+#include "gateway/asker.h"
 #include "gateway/client.h"
 #include "gateway/dialect.h"
 #include "gateway/server.h"
@@ -26,6 +26,7 @@
   struct bd_retry_share *retries;
   struct bd_suspects *suspects;
   struct bd_stats *stats;
+  struct bd_asker *asker;
   struct bd_chunk zone; /**< Of this instance. */
 };
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -8,7 +8,6 @@
 #define BD_FORWARDING_H
 
 #include "balance/outlier.h"
-#include "balance/overload.h"
 #include "core/sse.h"
 #include "gateway/forward.h"
 
@@ -55,7 +54,8 @@
   /* Attempts. */
   const struct bd_target *tried[BD_FORWARD_TRIED_MAX];
   size_t tried_count;
-  uint32_t reached; /* Runners that may have got the request. */
+  uint32_t reached;      /* Runners that may have got the request. */
+  struct bd_asked asked; /* Who knows of the attempt, or is asked. */
   struct bd_target *target;
   struct bd_call *call;
   uint64_t begin_tokens;   /* To be read before its first event. */
@@ -63,6 +63,8 @@
   int64_t sent_ms;
   bool found_free; /* Nothing was expected to wait at the runner. */
   bool may_have_run;
+  bool counted; /* The attempt's result says something of the runner. */
+  enum bd_result result;
   /* The response at hand. */
   int status;
   bool streaming;
@@ -91,9 +93,12 @@
                         struct bd_exchange *exchange,
                         const struct bd_request_facts *facts, int error);
 
-/** Refuses a request whose wait would be too long; F ends. */
-void bd_forward_refuse_overload (struct bd_forward *f,
-                                 const struct bd_overload_case *overload);
+/**
+ * Refuses a request whose wait, WAIT_MS, would be over LIMIT_MS, with a time
+ * to come back; F ends.
+ */
+void bd_forward_refuse_overload (struct bd_forward *f, int64_t wait_ms,
+                                 int64_t limit_ms, int64_t retry_ms);
 
 /** Ends the request for good with ERROR; F ends. */
 void bd_forward_give_up (struct bd_forward *f, int error);
@@ -125,6 +130,9 @@
 
 void bd_forward_log_attempt (const struct bd_forward *f, const char *reason);
 
+/** Takes in the result of the attempt, for the runner's record. */
+void bd_forward_note (struct bd_forward *f, enum bd_result result);
+
 /** Takes a result of TARGET into its record. */
 void bd_forward_note_result (struct bd_forwarder *forwarder,
                              struct bd_target *target, enum bd_result result);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -23,6 +23,9 @@
 #define STOP_IDLE_MS 2400
 #define STOP_QUIET_MS 700
 #define STOP_MARGIN_MS 300
+/* How long an instance is ready before peers prefer it to others for
+   decisions: it is told meanwhile what they know. */
+#define JOINING_MS 3000
 #define SUSPECTS_MAX 1024
 #define SUSPECTS_KEEP_MS 60000
 /* How often a peer is asked for the configuration, and for how long a newer
@@ -46,6 +49,9 @@
   struct bd_retry_share *retries;
   struct bd_suspects *suspects;
   struct bd_stats *stats;
+  struct bd_inventory *inventory;
+  struct bd_coordinator *coordinator;
+  struct bd_asker *asker;
   struct bd_forwarder *forwarder;
   struct bd_server *callers;
   struct bd_server *readiness;
@@ -55,7 +61,7 @@
   struct bd_buffer document;
   uint64_t revision;
   bool listed;
-  bool ready_logged;
+  int64_t ready_ms;     /* When it became ready; 0: it has not. */
   int64_t stopping_ms;  /* When stopping began; 0: it has not. */
   int64_t suspended_ms; /* Difference of the clocks at the last tick. */
   /* A configuration on its way from a peer. */
@@ -241,8 +247,52 @@
   bd_forwarder_members (gateway->forwarder, count);
 }
 
+static void
+on_gone (void *context, uint32_t ip)
+{
+  struct bd_gateway *gateway = context;
+
+  bd_coordinator_forget (gateway->coordinator, ip);
+}
+
+static void
+on_message (void *context, uint32_t ip,
+            const struct bd_placing_message *message)
+{
+  struct bd_gateway *gateway = context;
+
+  bd_asker_take (gateway->asker, ip, message);
+}
+
 static const struct bd_mesh_handler peers_handler
-    = { .on_members = on_members, .on_newer = on_newer };
+    = { .on_members = on_members,
+        .on_newer = on_newer,
+        .on_gone = on_gone,
+        .on_message = on_message };
+
+/* What peers may rely on this instance for. */
+static enum bd_peer_state
+peer_state (const struct bd_gateway *gateway, int64_t now_ms)
+{
+  if (!is_ready (gateway))
+    return BD_PEER_UNABLE;
+  if (bd_targets_store_is_lost (gateway->targets))
+    return BD_PEER_STALE;
+  if (gateway->ready_ms == 0 || now_ms - gateway->ready_ms < JOINING_MS)
+    return BD_PEER_JOINING;
+  return BD_PEER_FRESH;
+}
+
+static void
+tell_peers (struct bd_gateway *gateway, int64_t now_ms)
+{
+  struct bd_peer_facts facts = { .configuration = gateway->revision,
+                                 .state = peer_state (gateway, now_ms),
+                                 .power = gateway->options.power };
+
+  bd_mesh_tell (gateway->mesh, &facts);
+  bd_mesh_tick (gateway->mesh, now_ms);
+}
 
 /* Ticks and signals. */
 
@@ -291,11 +341,13 @@
   bd_targets_tick (gateway->targets, now);
   bd_suspects_tick (gateway->suspects, now);
   bd_forwarder_tick (gateway->forwarder, now);
-  bd_mesh_tick (gateway->mesh, now);
+  tell_peers (gateway, now);
+  bd_coordinator_tick (gateway->coordinator, now);
+  bd_inventory_tick (gateway->inventory, now);
   gateway->handler->on_tick (gateway->context, now);
-  if (!gateway->ready_logged && is_ready (gateway))
+  if (gateway->ready_ms == 0 && is_ready (gateway))
     {
-      gateway->ready_logged = true;
+      gateway->ready_ms = now;
       bd_log (BD_EVENT_DAEMON_READY, "version=%" PRIu64,
               bd_routing_version (gateway->routing));
     }
@@ -356,7 +408,37 @@
           .suspects = gateway->suspects,
           .stats = gateway->stats };
 
-  return bd_mesh_create (&options, &peers_handler, gateway, &gateway->mesh);
+  int error
+      = bd_mesh_create (&options, &peers_handler, gateway, &gateway->mesh);
+
+  if (error == BD_OK)
+    bd_asker_connect (gateway->asker, gateway->mesh);
+  return error;
+}
+
+static int
+create_asker (struct bd_gateway *gateway)
+{
+  uint32_t ip = gateway->options.internal.sin_addr.s_addr;
+  struct bd_inventory_options inventory
+      = { .client = gateway->client,
+          .dialect = gateway->options.dialect,
+          .targets = gateway->targets,
+          .parts = bd_choice_parts (gateway->choice) };
+  struct bd_coordinator_options coordinator = { .ip = ip,
+                                                .choice = gateway->choice,
+                                                .targets = gateway->targets,
+                                                .stats = gateway->stats };
+  struct bd_asker_options asker
+      = { .loop = &gateway->loop, .ip = ip, .stats = gateway->stats };
+
+  gateway->inventory = bd_inventory_create (&inventory);
+  coordinator.inventory = gateway->inventory;
+  gateway->coordinator = bd_coordinator_create (&coordinator);
+  asker.coordinator = gateway->coordinator;
+  if (gateway->coordinator)
+    gateway->asker = bd_asker_create (&asker);
+  return gateway->asker ? BD_OK : BD_ERR_NOMEM;
 }
 
 static int
@@ -371,7 +453,8 @@
   gateway->suspects = bd_suspects_create (SUSPECTS_MAX, SUSPECTS_KEEP_MS);
   gateway->stats = bd_stats_create ();
   if (!gateway->client || !gateway->targets || !gateway->choice
-      || !gateway->retries || !gateway->suspects || !gateway->stats)
+      || !gateway->retries || !gateway->suspects || !gateway->stats
+      || create_asker (gateway) != BD_OK)
     return BD_ERR_NOMEM;
   parts = (struct bd_forward_parts){ .loop = &gateway->loop,
                                      .dialect = gateway->options.dialect,
@@ -381,6 +464,7 @@
                                      .retries = gateway->retries,
                                      .suspects = gateway->suspects,
                                      .stats = gateway->stats,
+                                     .asker = gateway->asker,
                                      .zone = gateway->options.zone };
   gateway->forwarder = bd_forwarder_create (&parts);
   return gateway->forwarder ? BD_OK : BD_ERR_NOMEM;
@@ -452,8 +536,6 @@
                      const struct bd_caller_limits *limits,
                      struct bd_chunk document, uint64_t revision)
 {
-  struct bd_peer_revisions held = { .configuration = revision };
-
   if (revision <= gateway->revision)
     return BD_ERR_STALE;
   gateway->revision = revision;
@@ -464,7 +546,6 @@
   bd_buffer_append (&gateway->document, document);
   bd_forwarder_route_by (gateway->forwarder, routing);
   bd_server_limit (gateway->callers, limits);
-  bd_mesh_hold (gateway->mesh, &held);
   bd_stats_set (gateway->stats, BD_GAUGE_ROUTING_VERSION,
                 (int64_t)bd_routing_version (routing));
   bd_log (BD_EVENT_CONFIG_IN_FORCE, "version=%" PRIu64 " revision=%" PRIu64,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,7 +32,8 @@
   uint32_t seeds[BD_GATEWAY_SEEDS_MAX];
   size_t seed_count;
   int64_t
-      grace_ms; /**< From the request to stop until the process is killed. */
+      grace_ms;   /**< From the request to stop until the process is killed. */
+  uint32_t power; /**< Processor time, in thousandths of a core. */
   struct bd_retry_bounds retry;
 };
 
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -8,8 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* First value of each datagram; raised when the layout changes. */
-#define FORMAT 2
+/* First value of each datagram, below those of placing.h; raised when the
+   layout changes. */
+#define FORMAT 3
 /* Time between two datagrams to the same peer. */
 #define SEND_EVERY_MS 500
 /* Peers that get a datagram in one turn; with more, turns take them in order.
@@ -21,8 +22,11 @@
 #define SILENCE_TURNS 4
 /* Peers that were silent for so many times that are forgotten. */
 #define FORGET_SILENCES 5
-/* How often seeds are tried that are not known as peers. */
-#define SEED_EVERY_MS 1000
+/* How often seeds and peers are tried that were not heard: in the first time
+   of a process, and later. */
+#define GREET_FAST_MS 100
+#define GREET_EVERY_MS 1000
+#define MEETING_MS 3000
 /* Most peers named in a datagram. */
 #define NAMED_MAX 40
 /* Most runners whose load is in a datagram. */
@@ -32,6 +36,8 @@
 #define STRIKE_SENDS 5
 /* The bounds above keep a datagram below this, and so in one packet. */
 #define DATAGRAM_MAX_BYTES 1400
+/* An instance is strong with at least this part of the most power. */
+#define STRONG_PART 2
 /* Loads are rounded down to this many tokens. */
 #define TOKENS_PER_STEP 256
 
@@ -55,8 +61,10 @@
 {
   uint32_t ip;
   uint64_t incarnation;
-  int64_t heard_ms; /* 0: only named by others so far. */
-  uint64_t configuration;
+  bool heard;       /* Not only named by others. */
+  int64_t heard_ms; /* 0: never. */
+  bool counted;     /* Among the members. */
+  struct bd_peer_facts facts;
   size_t load_count;
   struct load loads[LOADS_MAX];
 };
@@ -73,9 +81,10 @@
   size_t count;
   uint32_t members;
   size_t next_peer; /* Where the next turn begins. */
-  struct bd_peer_revisions held;
+  struct bd_peer_facts own;
   int64_t sent_ms;
-  int64_t seeded_ms;
+  int64_t greeted_ms;
+  int64_t born_ms; /* Of the first tick; 0: none yet. */
   struct news news[STRIKES_MAX];
   size_t news_count;
   char received[DATAGRAM_MAX_BYTES * 2];
@@ -94,7 +103,7 @@
 static bool
 is_live (const struct bd_mesh *mesh, const struct peer *peer, int64_t now_ms)
 {
-  return peer->heard_ms != 0 && now_ms - peer->heard_ms <= silence_ms (mesh);
+  return peer->heard && now_ms - peer->heard_ms <= silence_ms (mesh);
 }
 
 static struct peer *
@@ -132,7 +141,15 @@
   uint32_t members = 1;
 
   for (size_t i = 0; i < mesh->count; i++)
-    members += is_live (mesh, mesh->all[i], now_ms);
+    {
+      struct peer *peer = mesh->all[i];
+      bool live = is_live (mesh, peer, now_ms);
+
+      members += live;
+      if (peer->counted && !live && mesh->handler->on_gone)
+        mesh->handler->on_gone (mesh->context, peer->ip);
+      peer->counted = live;
+    }
   bd_stats_set (mesh->options.stats, BD_GAUGE_PEERS, members - 1);
   if (members == mesh->members)
     return;
@@ -338,12 +355,14 @@
 {
   struct bd_pack pack = { .buffer = out };
 
-  bd_pack_array (&pack, 8);
+  bd_pack_array (&pack, 10);
   bd_pack_uint (&pack, FORMAT);
   bd_pack_uint (&pack, mesh->options.ip);
   bd_pack_uint (&pack, mesh->incarnation);
   bd_pack_uint (&pack, leaving);
-  bd_pack_uint (&pack, mesh->held.configuration);
+  bd_pack_uint (&pack, mesh->own.configuration);
+  bd_pack_uint (&pack, leaving ? BD_PEER_UNABLE : mesh->own.state);
+  bd_pack_uint (&pack, mesh->own.power);
   pack_names (mesh, &pack, now_ms);
   pack_loads (mesh, &pack, now_ms);
   pack_strikes (mesh, &pack, now_ms);
@@ -351,11 +370,11 @@
 }
 
 static void
-send_to (struct bd_mesh *mesh, uint32_t ip, const struct bd_buffer *out)
+send_to (struct bd_mesh *mesh, uint32_t ip, struct bd_chunk out)
 {
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons (mesh->options.port) };
-  uv_buf_t buffer = uv_buf_init (out->data, (unsigned)out->length);
+  uv_buf_t buffer = uv_buf_init ((char *)out.data, (unsigned)out.length);
 
   address.sin_addr.s_addr = ip;
   /* A datagram may be lost on its way too; the next one says the same. */
@@ -365,34 +384,102 @@
     bd_stats_count (mesh->options.stats, BD_STAT_PEER_SENT, 1);
 }
 
+/* Composes this instance's datagram.  Returns false when it is not fit to be
+   sent; OUT is the caller's to clear. */
+static bool
+compose_news (struct bd_mesh *mesh, struct bd_buffer *out, bool leaving,
+              int64_t now_ms)
+{
+  if (compose (mesh, out, leaving, now_ms) == BD_OK
+      && out->length <= DATAGRAM_MAX_BYTES)
+    return true;
+  bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self bytes=%zu", out->length);
+  return false;
+}
+
 static void
 send_to_all (struct bd_mesh *mesh, bool leaving, int64_t now_ms)
 {
-  bool seeds_due = now_ms - mesh->seeded_ms >= SEED_EVERY_MS;
   struct bd_buffer out = { 0 };
+  size_t due
+      = mesh->count < PEERS_PER_TURN || leaving ? mesh->count : PEERS_PER_TURN;
 
-  if (compose (mesh, &out, leaving, now_ms) != BD_OK
-      || out.length > DATAGRAM_MAX_BYTES)
-    bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self bytes=%zu", out.length);
-  else
+  if (mesh->count > 0 && compose_news (mesh, &out, leaving, now_ms))
     {
-      size_t due = mesh->count < PEERS_PER_TURN || leaving ? mesh->count
-                                                           : PEERS_PER_TURN;
-
       for (size_t i = 0; i < due; i++)
         send_to (mesh, mesh->all[(mesh->next_peer + i) % mesh->count]->ip,
-                 &out);
-      mesh->next_peer
-          = mesh->count > 0 ? (mesh->next_peer + due) % mesh->count : 0;
-      for (size_t i = 0; seeds_due && i < mesh->options.seed_count; i++)
+                 bd_buffer_chunk (&out));
+      mesh->next_peer = (mesh->next_peer + due) % mesh->count;
+    }
+  bd_buffer_clear (&out);
+}
+
+/* Sends to seeds that are not known as peers, and to peers that have only
+   been named by others. */
+static void
+greet (struct bd_mesh *mesh, int64_t now_ms)
+{
+  struct bd_buffer out = { 0 };
+  size_t greeted = 0;
+
+  if (compose_news (mesh, &out, false, now_ms))
+    {
+      for (size_t i = 0; i < mesh->options.seed_count; i++)
         if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
-          send_to (mesh, mesh->seeds[i], &out);
+          send_to (mesh, mesh->seeds[i], bd_buffer_chunk (&out));
+      for (size_t i = 0; i < mesh->count && greeted < PEERS_PER_TURN; i++)
+        if (!mesh->all[i]->heard)
+          {
+            send_to (mesh, mesh->all[i]->ip, bd_buffer_chunk (&out));
+            greeted++;
+          }
     }
-  if (seeds_due)
-    mesh->seeded_ms = now_ms;
+  bd_buffer_clear (&out);
+}
+
+/* Answers a peer that is new here, so that it need not wait for its turn. */
+static void
+greet_back (struct bd_mesh *mesh, uint32_t ip, int64_t now_ms)
+{
+  struct bd_buffer out = { 0 };
+
+  if (compose_news (mesh, &out, false, now_ms))
+    send_to (mesh, ip, bd_buffer_chunk (&out));
   bd_buffer_clear (&out);
 }
 
+static void
+read_facts (struct bd_unpack *u, struct bd_peer_facts *facts)
+{
+  uint64_t state;
+
+  facts->configuration = bd_unpack_uint (u);
+  state = bd_unpack_uint (u);
+  facts->state
+      = state <= BD_PEER_FRESH ? (enum bd_peer_state)state : BD_PEER_UNABLE;
+  facts->power = (uint32_t)bd_unpack_uint (u);
+}
+
+/* A datagram came from PEER, of this life of its process. */
+static void
+note_life (struct bd_mesh *mesh, struct peer *peer, uint64_t incarnation,
+           bool leaving, int64_t now_ms)
+{
+  bool restarted = peer->heard && peer->incarnation != incarnation;
+  bool met = !peer->heard || restarted;
+
+  if (met)
+    bd_log (BD_EVENT_MEMBER_LIVE, "ip=%08x incarnation=%llu", ntohl (peer->ip),
+            (unsigned long long)incarnation);
+  if (restarted && mesh->handler->on_gone)
+    mesh->handler->on_gone (mesh->context, peer->ip);
+  peer->heard = true;
+  peer->incarnation = incarnation;
+  peer->heard_ms = leaving ? now_ms - silence_ms (mesh) - 1 : now_ms;
+  if (met && !leaving)
+    greet_back (mesh, peer->ip, now_ms);
+}
+
 static void
 take_in (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t from)
 {
@@ -403,7 +490,7 @@
   uint64_t incarnation;
   bool leaving;
 
-  if (bd_unpack_array (&u) < 8 || bd_unpack_uint (&u) != FORMAT)
+  if (bd_unpack_array (&u) < 10 || bd_unpack_uint (&u) != FORMAT)
     u.error = BD_ERR_PROTOCOL;
   ip = (uint32_t)bd_unpack_uint (&u);
   incarnation = bd_unpack_uint (&u);
@@ -416,20 +503,38 @@
   peer = need (mesh, ip);
   if (!peer)
     return;
-  if (peer->heard_ms == 0 || peer->incarnation != incarnation)
-    bd_log (BD_EVENT_MEMBER_LIVE, "ip=%08x incarnation=%llu", ntohl (ip),
-            (unsigned long long)incarnation);
-  peer->incarnation = incarnation;
-  peer->heard_ms = leaving ? now_ms - silence_ms (mesh) - 1 : now_ms;
-  peer->configuration = bd_unpack_uint (&u);
+  note_life (mesh, peer, incarnation, leaving, now_ms);
+  read_facts (&u, &peer->facts);
   read_names (mesh, &u);
   read_loads (peer, &u);
   read_strikes (mesh, &u, now_ms);
   bd_stats_count (
       mesh->options.stats,
       u.error == BD_OK ? BD_STAT_PEER_RECEIVED : BD_STAT_PEER_REFUSED, 1);
-  if (peer->configuration > mesh->held.configuration && !leaving)
-    mesh->handler->on_newer (mesh->context, ip, peer->configuration);
+  if (peer->facts.configuration > mesh->own.configuration && !leaving)
+    mesh->handler->on_newer (mesh->context, ip, peer->facts.configuration);
+}
+
+/* Whether the datagram is one of placing.h. */
+static bool
+is_message (struct bd_chunk bytes)
+{
+  struct bd_unpack u = { .rest = bytes };
+
+  bd_unpack_array (&u);
+  return bd_unpack_uint (&u) >= BD_PLACING_FORMAT && u.error == BD_OK;
+}
+
+static void
+take_message (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t ip)
+{
+  struct bd_placing_message message;
+  bool refused = bd_placing_read (bytes, &message) != BD_OK;
+
+  bd_stats_count (mesh->options.stats,
+                  refused ? BD_STAT_PEER_REFUSED : BD_STAT_PEER_RECEIVED, 1);
+  if (!refused && mesh->handler->on_message)
+    mesh->handler->on_message (mesh->context, ip, &message);
 }
 
 static void
@@ -445,10 +550,18 @@
 on_receive (uv_udp_t *socket, ssize_t length, const uv_buf_t *buffer,
             const struct sockaddr *from, unsigned flags)
 {
+  struct bd_mesh *mesh = socket->data;
+  struct bd_chunk bytes = { buffer->base, length > 0 ? (size_t)length : 0 };
+  uint32_t ip;
+
   (void)flags;
-  if (length > 0 && from)
-    take_in (socket->data, (struct bd_chunk){ buffer->base, (size_t)length },
-             ((const struct sockaddr_in *)from)->sin_addr.s_addr);
+  if (length <= 0 || !from)
+    return;
+  ip = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
+  if (is_message (bytes))
+    take_message (mesh, bytes, ip);
+  else
+    take_in (mesh, bytes, ip);
 }
 
 int
@@ -489,9 +602,120 @@
 }
 
 void
-bd_mesh_hold (struct bd_mesh *mesh, const struct bd_peer_revisions *revisions)
+bd_mesh_tell (struct bd_mesh *mesh, const struct bd_peer_facts *facts)
+{
+  /* Peers rely on the state: they are told at the next tick. */
+  if (facts->state != mesh->own.state)
+    mesh->sent_ms = 0;
+  mesh->own = *facts;
+}
+
+void
+bd_mesh_send (struct bd_mesh *mesh, uint32_t ip,
+              const struct bd_placing_message *message)
+{
+  struct bd_buffer out = { 0 };
+
+  if (bd_placing_write (message, &out) == BD_OK)
+    send_to (mesh, ip, bd_buffer_chunk (&out));
+  else
+    bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self kind=%d", message->kind);
+  bd_buffer_clear (&out);
+}
+
+/* Ranking. */
+
+struct candidate
+{
+  uint32_t ip;
+  struct bd_peer_facts facts;
+  uint64_t weight;
+};
+
+/* The better one comes first. */
+static bool
+goes_before (const struct candidate *a, const struct candidate *b,
+             uint32_t strong)
+{
+  bool a_strong = a->facts.power >= strong;
+  bool b_strong = b->facts.power >= strong;
+
+  if (a->facts.state != b->facts.state)
+    return a->facts.state > b->facts.state;
+  if (a_strong != b_strong)
+    return a_strong;
+  return a->weight > b->weight;
+}
+
+/* Puts CANDIDATE in its place among the COUNT of at most MAX best. */
+static size_t
+rank_candidate (struct candidate *best, size_t count, size_t max,
+                const struct candidate *candidate, uint32_t strong)
+{
+  size_t at = count;
+
+  if (candidate->facts.state == BD_PEER_UNABLE)
+    return count;
+  while (at > 0 && goes_before (candidate, &best[at - 1], strong))
+    {
+      if (at < max)
+        best[at] = best[at - 1];
+      at--;
+    }
+  if (at < max)
+    best[at] = *candidate;
+  return count < max ? count + 1 : max;
+}
+
+static uint32_t
+most_power (const struct bd_mesh *mesh, int64_t now_ms)
 {
-  mesh->held = *revisions;
+  uint32_t most = mesh->own.power;
+
+  for (size_t i = 0; i < mesh->count; i++)
+    if (is_live (mesh, mesh->all[i], now_ms)
+        && mesh->all[i]->facts.power > most)
+      most = mesh->all[i]->facts.power;
+  return most;
+}
+
+static struct candidate
+candidate_of (uint32_t ip, const struct bd_peer_facts *facts, uint64_t key,
+              bool coming)
+{
+  struct candidate candidate
+      = { ip, *facts, bd_random_mix (key ^ bd_random_mix (ip)) };
+
+  if (coming && candidate.facts.state == BD_PEER_JOINING)
+    candidate.facts.state = BD_PEER_FRESH;
+  return candidate;
+}
+
+size_t
+bd_mesh_rank (const struct bd_mesh *mesh, uint64_t key, int64_t now_ms,
+              bool coming, uint32_t *ips, size_t max)
+{
+  struct candidate best[BD_MESH_RANKED_MAX];
+  uint32_t strong = most_power (mesh, now_ms) / STRONG_PART;
+  struct candidate candidate
+      = candidate_of (mesh->options.ip, &mesh->own, key, coming);
+  size_t count = 0;
+
+  if (max > BD_MESH_RANKED_MAX)
+    max = BD_MESH_RANKED_MAX;
+  count = rank_candidate (best, count, max, &candidate, strong);
+  for (size_t i = 0; i < mesh->count; i++)
+    {
+      const struct peer *peer = mesh->all[i];
+
+      if (!is_live (mesh, peer, now_ms))
+        continue;
+      candidate = candidate_of (peer->ip, &peer->facts, key, coming);
+      count = rank_candidate (best, count, max, &candidate, strong);
+    }
+  for (size_t i = 0; i < count; i++)
+    ips[i] = best[i].ip;
+  return count;
 }
 
 /* Forgets peers that have been silent for several times the limit. */
@@ -522,6 +746,16 @@
 void
 bd_mesh_tick (struct bd_mesh *mesh, int64_t now_ms)
 {
+  if (mesh->born_ms == 0)
+    mesh->born_ms = now_ms;
+  if (now_ms - mesh->greeted_ms >= (now_ms - mesh->born_ms < MEETING_MS
+                                        ? GREET_FAST_MS
+                                        : GREET_EVERY_MS))
+    {
+      mesh->greeted_ms = now_ms;
+      greet (mesh, now_ms);
+      count_members (mesh, now_ms);
+    }
   if (now_ms - mesh->sent_ms < SEND_EVERY_MS)
     return;
   mesh->sent_ms = now_ms;
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -9,17 +9,31 @@
 
 #include "balance/target.h"
 #include "core/suspect.h"
+#include "gateway/placing.h"
 #include "gateway/stats.h"
 
 #include <uv.h>
 
 /** Most peers known at a time. */
 #define BD_MESH_PEERS_MAX 512
+/** Most instances that are ranked. */
+#define BD_MESH_RANKED_MAX 8
 
-/** What this instance has of the platform's store. */
-struct bd_peer_revisions
+/** How well an instance can decide for others. */
+enum bd_peer_state
 {
-  uint64_t configuration; /**< Revision of the configuration held. */
+  BD_PEER_UNABLE = 0, /**< Not ready, or stopping. */
+  BD_PEER_STALE,      /**< Its list of runners may be old. */
+  BD_PEER_JOINING,    /**< Ready only lately: others know more. */
+  BD_PEER_FRESH
+};
+
+/** What an instance tells of itself. */
+struct bd_peer_facts
+{
+  uint64_t configuration; /**< Store's revision of the configuration held. */
+  enum bd_peer_state state;
+  uint32_t power; /**< Processor time that it has, in thousandths of a core. */
 };
 
 struct bd_mesh_options
@@ -40,6 +54,11 @@
   void (*on_members) (void *context, uint32_t count);
   /** The peer at IP holds a newer configuration than this instance. */
   void (*on_newer) (void *context, uint32_t ip, uint64_t revision);
+  /** What the process at IP had in flight has ended with it. */
+  void (*on_gone) (void *context, uint32_t ip);
+  /** A message about placements came.  May be NULL. */
+  void (*on_message) (void *context, uint32_t ip,
+                      const struct bd_placing_message *message);
 };
 
 struct bd_mesh;
@@ -49,8 +68,21 @@
                     const struct bd_mesh_handler *handler, void *context,
                     struct bd_mesh **out);
 
-void bd_mesh_hold (struct bd_mesh *mesh,
-                   const struct bd_peer_revisions *revisions);
+/** What peers are told of this instance from now on. */
+void bd_mesh_tell (struct bd_mesh *mesh, const struct bd_peer_facts *facts);
+
+/** Sends MESSAGE to the peer at IP; it may get lost. */
+void bd_mesh_send (struct bd_mesh *mesh, uint32_t ip,
+                   const struct bd_placing_message *message);
+
+/**
+ * The instances, this one included, that are best placed to decide on KEY,
+ * in an order that all instances agree on: those able, by their state, of
+ * these the stronger ones.  Returns how many of at most MAX were filled in.
+ * With COMING, those that join rank as if they had.
+ */
+size_t bd_mesh_rank (const struct bd_mesh *mesh, uint64_t key, int64_t now_ms,
+                     bool coming, uint32_t *ips, size_t max);
 
 /** Sends the news that are due; call several times a second. */
 void bd_mesh_tick (struct bd_mesh *mesh, int64_t now_ms);
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -157,7 +157,7 @@
       bd_forward_after_failure (f, BD_ERR_BROKEN, "partial_event");
       return;
     }
-  bd_forward_note_result (f->forwarder, f->target, BD_RESULT_SUCCESS);
+  bd_forward_note (f, BD_RESULT_SUCCESS);
   first_event (f);
   bd_forward_done (f);
   bd_exchange_end (f->exchange);
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -23,6 +23,9 @@
   X (STORE_CALLS, "store_calls", "Calls to the platform's store")             \
   X (STORE_FAILURES, "store_failures", "Calls to the store that failed")      \
   X (ENTRIES_REFUSED, "entries_refused", "Entries of the store left out")     \
+  X (ASKED, "asked", "Placements asked of another instance")                  \
+  X (ASKS_UNANSWERED, "asks_unanswered", "Placements not answered in time")   \
+  X (ANSWERS, "answers", "Placements decided for other instances")            \
   X (PEER_SENT, "peer_sent", "Datagrams sent to peers")                       \
   X (PEER_RECEIVED, "peer_received", "Datagrams received from peers")         \
   X (PEER_REFUSED, "peer_refused", "Datagrams that could not be read")
@@ -34,6 +37,7 @@
   X (PEERS, "peers", "Instances heard from lately")                           \
   X (ACTIVE, "active", "Requests in flight")                                  \
   X (CONNECTIONS, "connections", "Callers' connections")                      \
+  X (LEDGER, "ledger", "Requests of all instances that were placed here")     \
   X (STORE_AGE_MS, "store_age_ms", "Time since the store last answered")
 
 enum bd_stat
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -248,6 +248,8 @@
   struct bd_service service = { .name = BD_CHUNK ("s") };
   struct bd_workspace workspace = { BD_CHUNK ("w"), 0 };
   struct bd_chunk key = BD_CHUNK ("k");
+  struct bd_coordinator_options coordinator;
+  struct bd_asker_options asker;
   struct bd_forward_parts parts;
 
   memset (gateway, 0, sizeof *gateway);
@@ -258,11 +260,19 @@
   gateway->retries = bd_retry_share_create (&bounds);
   gateway->suspects = bd_suspects_create (64, 60000);
   gateway->stats = bd_stats_create ();
+  coordinator = (struct bd_coordinator_options){ .ip = 1,
+                                                 .choice = gateway->choice,
+                                                 .targets = gateway->targets,
+                                                 .stats = gateway->stats };
+  gateway->coordinator = bd_coordinator_create (&coordinator);
+  asker = (struct bd_asker_options){ &gateway->loop, 1, gateway->coordinator,
+                                     gateway->stats };
+  gateway->asker = bd_asker_create (&asker);
   parts = (struct bd_forward_parts){ &gateway->loop,    &bd_cutline_dialect,
                                      gateway->client,   gateway->targets,
                                      gateway->choice,   gateway->retries,
                                      gateway->suspects, gateway->stats,
-                                     BD_CHUNK ("z") };
+                                     gateway->asker,    BD_CHUNK ("z") };
   gateway->forwarder = bd_forwarder_create (&parts);
   free_address (&gateway->address);
   g_assert_cmpint (bd_server_create (&gateway->loop, &gateway->address,
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -66,6 +66,8 @@
   struct bd_retry_share *retries;
   struct bd_suspects *suspects;
   struct bd_stats *stats;
+  struct bd_coordinator *coordinator;
+  struct bd_asker *asker;
   struct bd_forwarder *forwarder;
   struct bd_server *server;
   struct sockaddr_in address;
--- a/test/test_cutline_settings.c
+++ b/test/test_cutline_settings.c
@@ -11,7 +11,8 @@
       "\"callers\":\"10.1.0.40:8227\",\"readiness\":\"10.1.0.40:8220\","
       "\"internal_port\":7340,"
       "\"seeds\":[\"10.1.0.40:8229\",\"10.2.0.29:8229\"],"
-      "\"store\":\"10.200.1.7:8223\",\"grace_s\":8,\"retry_ratio\":0.2,"
+      "\"store\":\"10.200.1.7:8223\",\"cpu_share\":0.19,\"cores\":1,"
+      "\"grace_s\":8,\"retry_ratio\":0.2,"
       "\"retry_slack\":56,\"retry_window_s\":10}";
 
 static int
@@ -49,10 +50,11 @@
 test_refused (void)
 {
   static const char *const names[]
-      = { "\"instance\"",    "\"zone\"",          "\"ip\"",
-          "\"callers\"",     "\"readiness\"",     "\"internal_port\"",
-          "\"store\"",       "\"grace_s\"",       "\"retry_ratio\"",
-          "\"retry_slack\"", "\"retry_window_s\"" };
+      = { "\"instance\"",      "\"zone\"",        "\"ip\"",
+          "\"callers\"",       "\"readiness\"",   "\"internal_port\"",
+          "\"store\"",         "\"cpu_share\"",   "\"cores\"",
+          "\"grace_s\"",       "\"retry_ratio\"", "\"retry_slack\"",
+          "\"retry_window_s\"" };
   struct bd_cutline_settings settings;
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -171,11 +171,11 @@
 static void
 test_newer_configuration (void)
 {
-  struct bd_peer_revisions held = { .configuration = 7 };
+  struct bd_peer_facts held = { .configuration = 7 };
   struct world world;
 
   open_world (&world);
-  bd_mesh_hold (world.sides[0].mesh, &held);
+  bd_mesh_tell (world.sides[0].mesh, &held);
   meet (&world, bd_clock_boot_ms ());
   g_assert_cmpuint (world.sides[1].newer_revision, ==, 7);
   g_assert_cmpuint (world.sides[1].newer_ip, ==, world.sides[0].ip);
--- a/test/test_parts.c
+++ b/test/test_parts.c
@@ -12,22 +12,25 @@
   struct bd_parts *parts = bd_parts_create ();
   struct bd_target *r0;
   struct bd_target *r1;
-  struct bd_part found[BD_PARTS_WAYS];
 
   support_put_runners (targets, 2, 1);
   r0 = support_target (targets, "r0");
   r1 = support_target (targets, "r1");
   g_assert_true (bd_parts_sent (parts, 7, r0->hash, 1000));
   g_assert_false (bd_parts_sent (parts, 7, r0->hash, 1500));
-  g_assert_true (bd_parts_held (parts, 7, r0, 2000));
-  g_assert_false (bd_parts_held (parts, 7, r1, 2000));
-  g_assert_false (bd_parts_held (parts, 8, r0, 2000));
-  g_assert_cmpuint (bd_parts_find (parts, 7, 2000, found), ==, 1);
-  g_assert_cmpuint (found[0].target, ==, r0->hash);
+  g_assert_nonnull (bd_parts_at (parts, 7, r0, 2000));
+  g_assert_null (bd_parts_at (parts, 7, r1, 2000));
+  g_assert_null (bd_parts_at (parts, 8, r0, 2000));
+  /* Sent is not read yet, and sent again is still read. */
+  g_assert_false (bd_parts_at (parts, 7, r0, 2000)->read);
+  bd_parts_read (parts, 7, r0->hash);
+  bd_parts_read (parts, 7, r1->hash);
+  bd_parts_sent (parts, 7, r0->hash, 1600);
+  g_assert_true (bd_parts_at (parts, 7, r0, 2000)->read);
   /* Forgotten after a while, and by a runner that started anew. */
-  g_assert_false (bd_parts_held (parts, 7, r0, 60000));
-  r0->since_ms = 1600;
-  g_assert_false (bd_parts_held (parts, 7, r0, 2000));
+  g_assert_null (bd_parts_at (parts, 7, r0, 60000));
+  r0->since_ms = 1700;
+  g_assert_null (bd_parts_at (parts, 7, r0, 2000));
   bd_parts_destroy (parts);
   bd_targets_destroy (targets);
 }
@@ -48,8 +51,8 @@
   while ((n = bd_parts_walk (parts, &cursor, 1000, found, 64)) > 0)
     all += n;
   g_assert_cmpuint (cursor, ==, 0);
-  g_assert_cmpuint (all, >, 3500);
-  g_assert_cmpuint (all, <=, 4096);
+  g_assert_cmpuint (all, >, 14000);
+  g_assert_cmpuint (all, <=, 16384);
   for (size_t i = 0; i < 64; i++)
     g_assert_cmpint (found[i].sent_ms, >=, 0);
   bd_parts_destroy (parts);
