--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -32,11 +32,11 @@
 #define SHORT_AMONG_LONG_MS 500.0
 /* Where loads are known exactly, short requests gather at few runners: what
    one more of these costs, and one that is not set apart for them. */
-#define OPEN_SHORT_MS 400.0
+#define OPEN_SHORT_MS 150.0
 #define OPEN_OTHER_MS 50.0
 /* Unread tokens at a runner above which streams there begin to pause for too
    long, the range in which that gets worse, and what it costs then. */
-#define PAUSE_TOKENS 6000.0
+#define PAUSE_TOKENS 4096.0
 #define PAUSE_RANGE_TOKENS 8192.0
 #define PAUSE_MS 1500.0
 /* Requests at a runner, as a share of its slots, above which more cost extra,
@@ -45,7 +45,7 @@
 #define CROWDED_MS 30.0
 /* What a long prompt costs for each short request at the runner, for at most
    so many; and the part of it that counts when little is to be read. */
-#define HARM_MS 250.0
+#define HARM_MS 800.0
 #define HARM_MOST 8
 #define LIGHT_TOKENS 6000
 #define LIGHT_SHARE 0.2
@@ -54,13 +54,13 @@
 #define SHARD_RUNNERS 64
 /* Fetching a part from another runner: what it costs beyond its time, and the
    weight of that time, as it takes both runners' links. */
-#define FETCH_MS 400.0
+#define FETCH_MS 600.0
 #define FETCH_WEIGHT 3.0
 #define US_PER_MS 1000.0
 #define TOKENS_PER_K 1000.0
 /* Without a place known for a shared part, what it costs not to take the
    runner that another instance would take. */
-#define FIRST_ELSEWHERE_MS 200.0
+#define FIRST_ELSEWHERE_MS 100.0
 
 struct bd_choice
 {
--- a/src/balance/ledger.c
+++ b/src/balance/ledger.c
@@ -144,6 +144,14 @@
     }
 }
 
+void
+bd_ledger_lose (struct bd_ledger *ledger, uint32_t instance)
+{
+  for (struct entry *entry = ledger->entries; entry; entry = entry->next)
+    if (entry->booking.instance == instance)
+      read_prompt (entry);
+}
+
 void
 bd_ledger_tick (struct bd_ledger *ledger, int64_t now_ms)
 {
--- a/src/balance/ledger.h
+++ b/src/balance/ledger.h
@@ -21,7 +21,10 @@
   uint32_t number;   /**< Of the request there. */
   struct bd_target *target;
   uint64_t prefill_tokens;
-  uint64_t part; /**< The prompt's shared part; 0: none. */
+  uint64_t part;         /**< The prompt's shared part; 0: none. */
+  uint64_t ahead_tokens; /**< Unread at the runner when it was placed. */
+  int64_t placed_ms;
+  bool asked; /**< It was placed here: AHEAD_TOKENS is known. */
   bool is_short;
   int64_t until_ms; /**< It has ended by then, told or not. */
 };
@@ -49,6 +52,9 @@
 /** Requests of INSTANCE, which has died, have ended. */
 void bd_ledger_forget (struct bd_ledger *ledger, uint32_t instance);
 
+/** INSTANCE is silent: its prompts count as read, its requests run on. */
+void bd_ledger_lose (struct bd_ledger *ledger, uint32_t instance);
+
 /** Ends the entries whose time is over. */
 void bd_ledger_tick (struct bd_ledger *ledger, int64_t now_ms);
 
--- a/src/gateway/asker.c
+++ b/src/gateway/asker.c
@@ -71,6 +71,10 @@
   struct outbox outboxes[OUTBOXES_MAX];
   struct silent silent[SILENT_MAX];
   struct ranking rankings[RANKS_MAX];
+  bd_asker_on_move on_move;
+  void *move_context;
+  uint32_t moving_to;
+  struct bd_placing_message moving; /* Requests that MOVING_TO is told of. */
 };
 
 /* Who is asked. */
@@ -111,7 +115,8 @@
   silent->unanswered = 0;
   silent->passes++;
   silent->pass_until_ms = now_ms + pass_ms;
-  memset (asker->rankings, 0, sizeof asker->rankings);
+  for (size_t i = 0; i < RANKS_MAX; i++)
+    asker->rankings[i].made_ms = 0;
   bd_log (BD_EVENT_COORDINATOR, "ip=%08x state=silent for_ms=%lld", ntohl (ip),
           (long long)pass_ms);
 }
@@ -144,14 +149,19 @@
 {
   struct ranking *ranking = &asker->rankings[key % RANKS_MAX];
   uint32_t ip;
+  bool moved;
 
   if (ranking->key == key && now_ms - ranking->made_ms < RANK_KEEP_MS)
     return ranking->ip;
   ip = rank (asker, key, now_ms);
-  if (ranking->key != key || ranking->ip != ip)
-    bd_log (BD_EVENT_COORDINATOR, "ip=%08x state=asked key=%016llx",
-            ntohl (ip), (unsigned long long)key);
+  moved = ranking->key != key || ranking->ip != ip;
   *ranking = (struct ranking){ key, now_ms, ip };
+  if (!moved)
+    return ip;
+  bd_log (BD_EVENT_COORDINATOR, "ip=%08x state=asked key=%016llx", ntohl (ip),
+          (unsigned long long)key);
+  if (ip != 0 && asker->on_move)
+    asker->on_move (asker->move_context, key, ip);
   return ip;
 }
 
@@ -246,6 +256,7 @@
   if (!asker->mesh)
     return BD_ASKER_NOBODY;
   asked->number = ++asker->number;
+  asked->key = key;
   ask->number = asked->number;
   asked->ip = coordinator_of (asker, key, now);
   if (asked->ip == 0)
@@ -382,23 +393,67 @@
   bd_asker_ended (asker, asked, false, BD_RESULT_SUCCESS);
 }
 
+/* Sends what the new coordinator is to know, or takes it in. */
+static void
+send_moving (struct bd_asker *asker)
+{
+  if (asker->moving.placed.count > 0)
+    bd_mesh_send (asker->mesh, asker->moving_to, &asker->moving);
+  asker->moving.placed.count = 0;
+}
+
+static void
+tell_placed (struct bd_asker *asker, uint32_t ip,
+             const struct bd_placing_placed *placed)
+{
+  struct bd_placing_message *message = &asker->moving;
+
+  if (ip == asker->options.ip)
+    {
+      bd_coordinator_placed (asker->options.coordinator, ip, placed,
+                             bd_clock_boot_ms ());
+      return;
+    }
+  if (asker->moving_to != ip || message->placed.count == BD_PLACING_PLACED_MAX)
+    send_moving (asker);
+  asker->moving_to = ip;
+  message->kind = BD_PLACING_PLACED;
+  message->placed.items[message->placed.count++] = *placed;
+}
+
 void
 bd_asker_placed (struct bd_asker *asker, struct bd_asked *asked,
                  struct bd_placing_placed *placed)
 {
-  struct bd_placing_message message = { .kind = BD_PLACING_PLACED };
-
   if (asked->ip == 0)
     return;
   placed->number = asked->number;
-  if (asked->ip == asker->options.ip)
-    {
-      bd_coordinator_placed (asker->options.coordinator, asked->ip, placed,
-                             bd_clock_boot_ms ());
-      return;
-    }
-  message.placed = *placed;
-  bd_mesh_send (asker->mesh, asked->ip, &message);
+  tell_placed (asker, asked->ip, placed);
+  send_moving (asker);
+}
+
+void
+bd_asker_move (struct bd_asker *asker, struct bd_asked *asked, uint32_t ip,
+               struct bd_placing_placed *placed)
+{
+  bd_asker_ended (asker, asked, false, BD_RESULT_SUCCESS);
+  asked->ip = ip;
+  placed->number = asked->number;
+  tell_placed (asker, ip, placed);
+}
+
+void
+bd_asker_moved (struct bd_asker *asker)
+{
+  send_moving (asker);
+}
+
+void
+bd_asker_watch (struct bd_asker *asker, bd_asker_on_move on_move,
+                void *context)
+{
+  asker->on_move = on_move;
+  asker->move_context = context;
 }
 
 static void
--- a/src/gateway/asker.h
+++ b/src/gateway/asker.h
@@ -36,9 +36,13 @@
 {
   uint32_t ip;     /**< Who knows of it; 0: nobody. */
   uint32_t number; /**< 0: none yet. */
+  uint64_t key;    /**< Of its service's shard. */
   bool waiting;    /**< For an answer. */
 };
 
+/** From now on the instance at IP is asked for the shard of KEY. */
+typedef void (*bd_asker_on_move) (void *context, uint64_t key, uint32_t ip);
+
 enum bd_asker_state
 {
   BD_ASKER_ASKED = 0, /**< The answer comes later. */
@@ -51,6 +55,10 @@
 /** The mesh that messages go through; nobody is asked before it is set. */
 void bd_asker_connect (struct bd_asker *asker, struct bd_mesh *mesh);
 
+/** Whom to tell when another instance is asked than before. */
+void bd_asker_watch (struct bd_asker *asker, bd_asker_on_move on_move,
+                     void *context);
+
 /** Asks where a request is to go; sets ASK->number. */
 enum bd_asker_state bd_asker_ask (struct bd_asker *asker,
                                   struct bd_placing_ask *ask,
@@ -65,6 +73,14 @@
 void bd_asker_placed (struct bd_asker *asker, struct bd_asked *asked,
                       struct bd_placing_placed *placed);
 
+/**
+ * The instance at IP is to know of the request, in place of the one that
+ * does: what it is told goes out with bd_asker_moved ().
+ */
+void bd_asker_move (struct bd_asker *asker, struct bd_asked *asked,
+                    uint32_t ip, struct bd_placing_placed *placed);
+void bd_asker_moved (struct bd_asker *asker);
+
 /** The prompt of the request has been read. */
 void bd_asker_begun (struct bd_asker *asker, const struct bd_asked *asked);
 
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -233,6 +233,7 @@
       return BD_ERR_IO;
     }
   target->in_flight++;
+  f->prefill_tokens = pick->prefill_tokens;
   f->charged_tokens = pick->prefill_tokens;
   f->found_free = pick->wait_ms <= 0.0;
   f->begin_tokens = pick->ahead_tokens + pick->prefill_tokens;
@@ -359,6 +360,20 @@
   bd_asker_placed (f->forwarder->parts.asker, &f->asked, &placed);
 }
 
+void
+bd_forward_move (struct bd_forward *f, uint32_t ip, int64_t now_ms)
+{
+  struct bd_placing_placed placed
+      = { .target = (uint32_t)f->target->hash,
+          .part = part_of (f),
+          .prefill_tokens = f->prefill_tokens,
+          .is_short = bd_demand_is_short (&f->demand),
+          .begun = f->charged_tokens == 0,
+          .left_ms = f->ends_ms - now_ms };
+
+  bd_asker_move (f->forwarder->parts.asker, &f->asked, ip, &placed);
+}
+
 /* This instance decides by what it knows. */
 static void
 decide_here (struct bd_forward *f)
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -261,6 +261,9 @@
     return answer_of (ask, &decision);
   booking.target = decision.pick.target;
   booking.prefill_tokens = decision.pick.prefill_tokens;
+  booking.ahead_tokens = decision.pick.ahead_tokens;
+  booking.placed_ms = now_ms;
+  booking.asked = true;
   booking.part = ask->part;
   booking.is_short = bd_demand_is_short (&demand);
   booking.until_ms = now_ms + overload.left_ms + OVERDUE_MS;
@@ -272,6 +275,32 @@
   return answer_of (ask, &decision);
 }
 
+/* The prompt has been read: that shows how fast, and others can fetch its
+   part now. */
+static void
+note_begun (struct bd_coordinator *coordinator, uint32_t ip, uint32_t number,
+            int64_t now_ms)
+{
+  const struct bd_booking *booking
+      = bd_ledger_begun (coordinator->ledger, ip, number);
+  struct bd_part entry = { .sent_ms = now_ms, .read = true };
+
+  if (!booking)
+    return;
+  if (booking->asked)
+    bd_speeds_read (bd_choice_speeds (coordinator->options.choice),
+                    booking->target->service,
+                    booking->ahead_tokens + booking->prefill_tokens,
+                    now_ms - booking->placed_ms);
+  if (booking->part == 0)
+    return;
+  entry.part = booking->part;
+  entry.target = booking->target->hash;
+  bd_parts_read (bd_choice_parts (coordinator->options.choice), entry.part,
+                 entry.target);
+  tell_part (coordinator, &entry);
+}
+
 void
 bd_coordinator_placed (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_placing_placed *placed, int64_t now_ms)
@@ -283,6 +312,7 @@
           .target = target,
           .prefill_tokens = placed->prefill_tokens,
           .part = placed->part,
+          .placed_ms = now_ms,
           .is_short = placed->is_short,
           .until_ms = now_ms + placed->left_ms + OVERDUE_MS };
 
@@ -290,6 +320,8 @@
     return;
   book (coordinator, &booking);
   note_part (coordinator, placed->part, target, now_ms);
+  if (placed->begun)
+    note_begun (coordinator, ip, placed->number, now_ms);
 }
 
 static void
@@ -308,24 +340,6 @@
             (long long)(target->record.avoid_until_ms - now_ms));
 }
 
-/* The prompt has been read: others can fetch its part now. */
-static void
-note_begun (struct bd_coordinator *coordinator, uint32_t ip, uint32_t number,
-            int64_t now_ms)
-{
-  const struct bd_booking *booking
-      = bd_ledger_begun (coordinator->ledger, ip, number);
-  struct bd_part entry = { .sent_ms = now_ms, .read = true };
-
-  if (!booking || booking->part == 0)
-    return;
-  entry.part = booking->part;
-  entry.target = booking->target->hash;
-  bd_parts_read (bd_choice_parts (coordinator->options.choice), entry.part,
-                 entry.target);
-  tell_part (coordinator, &entry);
-}
-
 void
 bd_coordinator_report (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_placing_report *report, int64_t now_ms)
@@ -377,7 +391,9 @@
       bd_mesh_send (coordinator->mesh, ip, &answer);
       break;
     case BD_PLACING_PLACED:
-      bd_coordinator_placed (coordinator, ip, &message->placed, now_ms);
+      for (size_t i = 0; i < message->placed.count; i++)
+        bd_coordinator_placed (coordinator, ip, &message->placed.items[i],
+                               now_ms);
       break;
     case BD_PLACING_REPORTS:
       for (size_t i = 0; i < message->reports.count; i++)
@@ -393,9 +409,13 @@
 }
 
 void
-bd_coordinator_forget (struct bd_coordinator *coordinator, uint32_t ip)
+bd_coordinator_forget (struct bd_coordinator *coordinator, uint32_t ip,
+                       bool silent)
 {
-  bd_ledger_forget (coordinator->ledger, ip);
+  if (silent)
+    bd_ledger_lose (coordinator->ledger, ip);
+  else
+    bd_ledger_forget (coordinator->ledger, ip);
 }
 
 /* Those that come next. */
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -51,8 +51,12 @@
                           const struct bd_placing_message *message,
                           int64_t now_ms);
 
-/** What the instance at IP had in flight has ended with its process. */
-void bd_coordinator_forget (struct bd_coordinator *coordinator, uint32_t ip);
+/**
+ * The instance at IP is gone: what it had in flight has ended with its
+ * process, or, when it is only SILENT, may go on.
+ */
+void bd_coordinator_forget (struct bd_coordinator *coordinator, uint32_t ip,
+                            bool silent);
 
 /** The key by which instances are ranked for a shard of a service. */
 uint64_t bd_coordinator_key (struct bd_chunk service, uint32_t shard);
--- a/src/gateway/ending.c
+++ b/src/gateway/ending.c
@@ -198,10 +198,10 @@
   bd_stats_count (f->forwarder->parts.stats, BD_STAT_ANSWERED, 1);
   bd_log (BD_EVENT_REQUEST_DONE,
           "request=%s route=%s runner=%s status=%d reached=%u events=%llu "
-          "first_ms=%lld ms=%lld version=%llu",
+          "first_ms=%lld gap_ms=%lld ms=%lld version=%llu",
           bd_log_quote (f->facts.attempt_id, id, sizeof id),
           f->route->name.data, f->target ? f->target->id.data : "-", f->status,
           f->reached, (unsigned long long)f->events, (long long)f->first_ms,
-          (long long)bd_forward_elapsed_ms (f),
+          (long long)f->gap_ms, (long long)bd_forward_elapsed_ms (f),
           (unsigned long long)bd_routing_version (f->routing));
 }
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -208,6 +208,19 @@
 const struct bd_server_handler bd_forwarder_handler
     = { .on_request = on_request, .on_abort = on_abort };
 
+/* Another instance decides from now on: it is told of what is in flight. */
+static void
+on_move (void *context, uint64_t key, uint32_t ip)
+{
+  struct bd_forwarder *forwarder = context;
+  int64_t now = bd_clock_boot_ms ();
+
+  for (struct bd_forward *f = forwarder->forwards; f; f = f->next)
+    if (f->target && f->asked.key == key && f->asked.ip != ip)
+      bd_forward_move (f, ip, now);
+  bd_asker_moved (forwarder->parts.asker);
+}
+
 struct bd_forwarder *
 bd_forwarder_create (const struct bd_forward_parts *parts)
 {
@@ -218,6 +231,7 @@
   forwarder->parts = *parts;
   forwarder->members = 1;
   forwarder->random = bd_id_random ().low;
+  bd_asker_watch (parts->asker, on_move, forwarder);
   return forwarder;
 }
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -59,6 +59,7 @@
   struct bd_target *target;
   struct bd_call *call;
   uint64_t begin_tokens;   /* To be read before its first event. */
+  uint64_t prefill_tokens; /* Of its own prompt. */
   uint64_t charged_tokens; /* Added to the target's prefill_tokens. */
   int64_t sent_ms;
   bool found_free; /* Nothing was expected to wait at the runner. */
@@ -75,6 +76,8 @@
   /* The answer. */
   bool begun;       /* The head of a stream is out. */
   int64_t first_ms; /* From arrival to the first event; 0: none. */
+  int64_t event_ms; /* When the last events were passed on. */
+  int64_t gap_ms;   /* Longest pause between events. */
   uint64_t events;
   char last_event_id[BD_FORWARD_ID_BYTES];
   bool paused;
@@ -118,6 +121,9 @@
 /** Sends the request to the next runner, or gives up. */
 void bd_forward_next_attempt (struct bd_forward *f);
 
+/** The instance at IP is to know of the attempt. */
+void bd_forward_move (struct bd_forward *f, uint32_t ip, int64_t now_ms);
+
 /** The runner said that it did not run the request. */
 void bd_forward_after_refusal (struct bd_forward *f);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -248,11 +248,11 @@
 }
 
 static void
-on_gone (void *context, uint32_t ip)
+on_gone (void *context, uint32_t ip, bool silent)
 {
   struct bd_gateway *gateway = context;
 
-  bd_coordinator_forget (gateway->coordinator, ip);
+  bd_coordinator_forget (gateway->coordinator, ip, silent);
 }
 
 static void
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -64,6 +64,7 @@
   bool heard;       /* Not only named by others. */
   int64_t heard_ms; /* 0: never. */
   bool counted;     /* Among the members. */
+  bool left;        /* It said that its process ends. */
   struct bd_peer_facts facts;
   size_t load_count;
   struct load loads[LOADS_MAX];
@@ -147,7 +148,7 @@
 
       members += live;
       if (peer->counted && !live && mesh->handler->on_gone)
-        mesh->handler->on_gone (mesh->context, peer->ip);
+        mesh->handler->on_gone (mesh->context, peer->ip, !peer->left);
       peer->counted = live;
     }
   bd_stats_set (mesh->options.stats, BD_GAUGE_PEERS, members - 1);
@@ -472,8 +473,9 @@
     bd_log (BD_EVENT_MEMBER_LIVE, "ip=%08x incarnation=%llu", ntohl (peer->ip),
             (unsigned long long)incarnation);
   if (restarted && mesh->handler->on_gone)
-    mesh->handler->on_gone (mesh->context, peer->ip);
+    mesh->handler->on_gone (mesh->context, peer->ip, false);
   peer->heard = true;
+  peer->left = leaving;
   peer->incarnation = incarnation;
   peer->heard_ms = leaving ? now_ms - silence_ms (mesh) - 1 : now_ms;
   if (met && !leaving)
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -54,8 +54,9 @@
   void (*on_members) (void *context, uint32_t count);
   /** The peer at IP holds a newer configuration than this instance. */
   void (*on_newer) (void *context, uint32_t ip, uint64_t revision);
-  /** What the process at IP had in flight has ended with it. */
-  void (*on_gone) (void *context, uint32_t ip);
+  /** The process at IP has ended, or has only fallen SILENT.  May be NULL.
+   */
+  void (*on_gone) (void *context, uint32_t ip, bool silent);
   /** A message about placements came.  May be NULL. */
   void (*on_message) (void *context, uint32_t ip,
                       const struct bd_placing_message *message);
--- a/src/gateway/placing.c
+++ b/src/gateway/placing.c
@@ -11,7 +11,7 @@
 /* Values of each kind behind the format and the kind. */
 #define ASK_VALUES 15
 #define ANSWER_VALUES 11
-#define PLACED_VALUES 6
+#define PLACED_VALUES 7
 #define REPORT_VALUES 4
 #define PART_VALUES 4
 
@@ -63,6 +63,7 @@
   bd_pack_uint (pack, placed->part);
   bd_pack_uint (pack, placed->prefill_tokens);
   bd_pack_uint (pack, placed->is_short);
+  bd_pack_uint (pack, placed->begun);
   bd_pack_int (pack, placed->left_ms);
 }
 
@@ -94,7 +95,7 @@
     case BD_PLACING_ANSWER:
       return ANSWER_VALUES;
     case BD_PLACING_PLACED:
-      return PLACED_VALUES;
+      return (uint32_t)message->placed.count * PLACED_VALUES;
     case BD_PLACING_REPORTS:
       return (uint32_t)message->reports.count * REPORT_VALUES;
     case BD_PLACING_PARTS:
@@ -121,7 +122,8 @@
       write_answer (&pack, &message->answer);
       break;
     case BD_PLACING_PLACED:
-      write_placed (&pack, &message->placed);
+      for (size_t i = 0; i < message->placed.count; i++)
+        write_placed (&pack, &message->placed.items[i]);
       break;
     case BD_PLACING_REPORTS:
       for (size_t i = 0; i < message->reports.count; i++)
@@ -240,6 +242,7 @@
   placed->part = bd_unpack_uint (u);
   placed->prefill_tokens = read_small (u);
   placed->is_short = bd_unpack_uint (u) != 0;
+  placed->begun = bd_unpack_uint (u) != 0;
   placed->left_ms = read_ms (u);
 }
 
@@ -290,7 +293,10 @@
       read_answer (&u, &message->answer);
       break;
     case BD_PLACING_PLACED:
-      read_placed (&u, &message->placed);
+      if (count > BD_PLACING_PLACED_MAX * PLACED_VALUES)
+        return BD_ERR_PROTOCOL;
+      for (uint32_t i = 0; i < count / PLACED_VALUES && u.error == BD_OK; i++)
+        read_placed (&u, &message->placed.items[message->placed.count++]);
       break;
     case BD_PLACING_REPORTS:
       if (count > BD_PLACING_REPORTS_MAX * REPORT_VALUES)
--- a/src/gateway/placing.h
+++ b/src/gateway/placing.h
@@ -14,9 +14,10 @@
 #define BD_PLACING_FORMAT 16
 /** Most runners that a question excludes. */
 #define BD_PLACING_EXCLUDED_MAX 12
-/** Most reports, and most parts, in a message. */
+/** Most reports, parts and placed requests in a message. */
 #define BD_PLACING_REPORTS_MAX 100
 #define BD_PLACING_PARTS_MAX 50
+#define BD_PLACING_PLACED_MAX 40
 
 enum bd_placing_kind
 {
@@ -77,7 +78,7 @@
   enum bd_result result;
 };
 
-/** A request that was placed without asking. */
+/** A request that was placed by somebody else. */
 struct bd_placing_placed
 {
   uint32_t number;
@@ -85,6 +86,7 @@
   uint64_t part;
   uint64_t prefill_tokens;
   bool is_short;
+  bool begun; /**< Its prompt has been read. */
   int64_t left_ms;
 };
 
@@ -96,7 +98,11 @@
   {
     struct bd_placing_ask ask;
     struct bd_placing_answer answer;
-    struct bd_placing_placed placed;
+    struct
+    {
+      struct bd_placing_placed items[BD_PLACING_PLACED_MAX];
+      size_t count;
+    } placed;
     struct
     {
       struct bd_placing_report items[BD_PLACING_REPORTS_MAX];
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -115,14 +115,28 @@
 }
 
 /* Passes on whole events, those of one read in one piece. */
+/* Events are about to be passed on. */
+static void
+note_pause (struct bd_forward *f)
+{
+  int64_t now = bd_clock_boot_ms ();
+
+  if (f->event_ms != 0 && now - f->event_ms > f->gap_ms)
+    f->gap_ms = now - f->event_ms;
+  f->event_ms = now;
+}
+
 static void
 pass_events (struct bd_forward *f)
 {
   struct bd_buffer event = { 0 };
+  uint64_t before = f->events;
 
   while (bd_sse_next (&f->sse, &event))
     pass_event (f, bd_buffer_chunk (&event));
   bd_buffer_clear (&event);
+  if (f->events > before)
+    note_pause (f);
   pace (f);
 }
 
