Tests of the coordinator, the asker, the ledger, their messages and the inventory; loads in the model

Copies of what is known of parts say when they are whole, so that an instance that begins to decide asks runners unless it was told all.

--- a/bench/bench_experiment.c
+++ b/bench/bench_experiment.c
@@ -92,8 +92,8 @@
         {
           struct world_result one;
 
-          world_run (scenario, (enum world_policy)p, (uint64_t)(first + s),
-                     &one);
+          world_run (scenario, (enum world_policy)p,
+                     (uint64_t)first + (uint64_t)s, &one);
           add_result (&sum, &one, scenario->class_count);
         }
       print_result (scenario, policy_names[p], &sum, seeds);
--- a/bench/model/world.c
+++ b/bench/model/world.c
@@ -32,6 +32,7 @@
 #define WINDOW_MS 2000.0
 #define WINDOWS_MAX 128
 #define PASSED_WINDOW_MS 5000.0
+#define PASSED_STEP_MS 1000.0
 #define PASSED_LEAST 10
 #define PASSED_SHARE 12
 /* A new or lost runner is known to all after this. */
@@ -1181,11 +1182,11 @@
   for (size_t c = 0; c < world->scenario->class_count; c++)
     {
       uint32_t worst_window = 0;
+      int windows = (int)(world->scenario->length_ms / PASSED_STEP_MS);
 
-      for (double from = 0.0; from < world->scenario->length_ms;
-           from += WINDOW_MS / 2)
+      for (int w = 0; w < windows; w++)
         {
-          uint32_t passed = passed_in_window (world, from, c);
+          uint32_t passed = passed_in_window (world, w * PASSED_STEP_MS, c);
 
           if (passed > worst_window)
             worst_window = passed;
--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -6,8 +6,6 @@
 #include <float.h>
 #include <stdlib.h>
 
-/* Shared parts shorter than this are not worth a detour. */
-#define SHARED_TOKENS_LEAST 1000
 /* Cost of a request that already runs, in ms of delay to the next one. */
 #define RUNNING_COST_MS 3.0
 /* What another availability zone costs, in ms of delay. */
@@ -111,7 +109,7 @@
 bd_demand_has_part (const struct bd_demand *demand)
 {
   return demand->prefix_hash != 0
-         && demand->shared_tokens >= SHARED_TOKENS_LEAST;
+         && demand->shared_tokens >= BD_PARTS_TOKENS_LEAST;
 }
 
 static bool
--- a/src/balance/ledger.c
+++ b/src/balance/ledger.c
@@ -55,10 +55,10 @@
   read_prompt (entry);
   booked->in_flight--;
   booked->short_in_flight -= entry->booking.is_short;
-  if (entry->previous)
-    entry->previous->next = entry->next;
-  else
+  if (ledger->entries == entry)
     ledger->entries = entry->next;
+  else
+    entry->previous->next = entry->next;
   if (entry->next)
     entry->next->previous = entry->previous;
   bd_map_remove (ledger->by_request, key_of (entry->booking.instance),
--- a/src/balance/parts.c
+++ b/src/balance/parts.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 /* Places of the memory: a power of two. */
-#define PLACES 16384
+#define PLACES 65536
 /* How long a runner is believed to keep a part that was sent there. */
 #define KEEP_MS 30000
 
--- a/src/balance/parts.h
+++ b/src/balance/parts.h
@@ -19,6 +19,9 @@
 
 struct bd_parts;
 
+/** Parts shorter than this are not worth a detour, and are not kept. */
+#define BD_PARTS_TOKENS_LEAST 1000
+
 /** Runners remembered for one part. */
 #define BD_PARTS_WAYS 4
 
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -19,9 +19,9 @@
 #define HEIRS_MAX 2
 #define PARTS_WAITING_MAX 512
 #define PARTS_DATAGRAMS_MAX 6
-/* Runners are not asked for their parts when a peer told of some within this
-   time. */
-#define TOLD_KEEP_MS 5000
+/* How long what this instance knows of parts, or was told of all of them, is
+   good enough not to ask runners. */
+#define INFORMED_KEEP_MS 5000
 /* A request is over this long after its time limit. */
 #define OVERDUE_MS 1000
 
@@ -52,7 +52,7 @@
   struct shard shards[SHARDS_MAX];
   size_t shard_count;
   struct heir heirs[HEIRS_MAX];
-  int64_t told_ms; /* When a peer last told of parts; 0: never. */
+  int64_t informed_ms; /* When all parts were known; 0: never. */
 };
 
 struct bd_coordinator *
@@ -95,16 +95,23 @@
 
 /* Shards. */
 
+static bool
+is_informed (const struct bd_coordinator *coordinator, int64_t now_ms)
+{
+  return coordinator->informed_ms != 0
+         && now_ms - coordinator->informed_ms < INFORMED_KEEP_MS;
+}
+
 /* This instance begins to decide on the service of ASK. */
 static void
 begin_duty (struct bd_coordinator *coordinator,
             const struct bd_placing_ask *ask, int64_t now_ms)
 {
-  bool told = coordinator->told_ms != 0
-              && now_ms - coordinator->told_ms < TOLD_KEEP_MS;
-
-  if (ask->own_tokens > 0 && !told && coordinator->options.inventory)
-    bd_inventory_ask (coordinator->options.inventory, ask->service, now_ms);
+  if (ask->own_tokens == 0 || is_informed (coordinator, now_ms)
+      || !coordinator->options.inventory)
+    return;
+  bd_inventory_ask (coordinator->options.inventory, ask->service, now_ms);
+  coordinator->informed_ms = now_ms;
 }
 
 static struct shard *
@@ -125,6 +132,8 @@
               shard->since_ms = now_ms;
               begin_duty (coordinator, ask, now_ms);
             }
+          else if (is_informed (coordinator, now_ms))
+            coordinator->informed_ms = now_ms; /* It takes part since. */
           shard->asked_ms = now_ms;
           return shard;
         }
@@ -365,7 +374,8 @@
 {
   struct bd_parts *parts = bd_choice_parts (coordinator->options.choice);
 
-  coordinator->told_ms = now_ms;
+  if (message->parts.complete)
+    coordinator->informed_ms = now_ms;
   for (size_t i = 0; i < message->parts.count; i++)
     {
       const struct bd_part *part = &message->parts.items[i];
@@ -508,9 +518,14 @@
 
   for (int i = 0; i < PARTS_DATAGRAMS_MAX && heir->ip != 0; i++)
     {
+      bool copying = heir->copying;
+
       message.parts.count
           = collect_parts (coordinator, heir, now_ms, message.parts.items);
-      if (message.parts.count == 0)
+      /* The copy is whole when its last part was sent, and stays so. */
+      message.parts.complete
+          = !heir->copying && is_informed (coordinator, now_ms);
+      if (message.parts.count == 0 && !copying)
         return;
       bd_mesh_send (coordinator->mesh, heir->ip, &message);
     }
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -43,7 +43,8 @@
 };
 
 /** Called for each shared part that a runner holds. */
-typedef void (*bd_dialect_on_part) (void *context, uint64_t part);
+typedef void (*bd_dialect_on_part) (void *context, uint64_t part,
+                                    uint64_t tokens);
 
 struct bd_dialect
 {
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -80,11 +80,13 @@
 }
 
 static void
-on_part (void *context, uint64_t part)
+on_part (void *context, uint64_t part, uint64_t tokens)
 {
   struct inquiry *inquiry = context;
   struct bd_parts *parts = inquiry->inventory->options.parts;
 
+  if (tokens < BD_PARTS_TOKENS_LEAST)
+    return;
   inquiry->parts++;
   bd_parts_sent (parts, part, inquiry->target, bd_clock_boot_ms ());
   bd_parts_read (parts, part, inquiry->target);
--- a/src/gateway/placing.c
+++ b/src/gateway/placing.c
@@ -7,7 +7,7 @@
 /* Longest name of a service or an availability zone. */
 #define NAME_MAX_BYTES 200
 /* Longest time that a message may name. */
-#define MS_MAX (24 * 60 * 60 * 1000)
+#define MS_MAX ((int64_t)24 * 60 * 60 * 1000)
 /* Values of each kind behind the format and the kind. */
 #define ASK_VALUES 15
 #define ANSWER_VALUES 11
@@ -99,7 +99,7 @@
     case BD_PLACING_REPORTS:
       return (uint32_t)message->reports.count * REPORT_VALUES;
     case BD_PLACING_PARTS:
-      return (uint32_t)message->parts.count * PART_VALUES;
+      return 1 + (uint32_t)message->parts.count * PART_VALUES;
     default:
       return 0;
     }
@@ -130,6 +130,7 @@
         write_report (&pack, &message->reports.items[i]);
       break;
     case BD_PLACING_PARTS:
+      bd_pack_uint (&pack, message->parts.complete);
       for (size_t i = 0; i < message->parts.count; i++)
         write_part (&pack, &message->parts.items[i]);
       break;
@@ -305,9 +306,11 @@
         read_report (&u, &message->reports.items[message->reports.count++]);
       break;
     case BD_PLACING_PARTS:
-      if (count > BD_PLACING_PARTS_MAX * PART_VALUES)
+      if (count == 0 || count > 1 + BD_PLACING_PARTS_MAX * PART_VALUES)
         return BD_ERR_PROTOCOL;
-      for (uint32_t i = 0; i < count / PART_VALUES && u.error == BD_OK; i++)
+      message->parts.complete = bd_unpack_uint (&u) != 0;
+      for (uint32_t i = 0; i < (count - 1) / PART_VALUES && u.error == BD_OK;
+           i++)
         read_part (&u, &message->parts.items[message->parts.count++]);
       break;
     default:
--- a/src/gateway/placing.h
+++ b/src/gateway/placing.h
@@ -112,6 +112,7 @@
     {
       struct bd_part items[BD_PLACING_PARTS_MAX]; /**< sent_ms: an age. */
       size_t count;
+      bool complete; /**< With this one, all that runners hold was told. */
     } parts;
   };
 };
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -87,8 +87,8 @@
 fill_in (const char *bytes, const char *request)
 {
   const char *at = strstr (request, ID_FIELD);
-  char *id = g_strndup (at + strlen (ID_FIELD),
-                        strcspn (at + strlen (ID_FIELD), "\r"));
+  const char *from = at ? at + strlen (ID_FIELD) : "";
+  char *id = g_strndup (from, strcspn (from, "\r"));
   char **parts = g_strsplit (bytes, "@ID", -1);
   char *text = g_strjoinv (id, parts);
 
@@ -372,8 +372,8 @@
   uv_close ((uv_handle_t *)&caller->tcp, NULL);
 }
 
-static void
-turn (struct support_gateway *gateway)
+void
+support_turn (struct support_gateway *gateway)
 {
   g_assert_false (gateway->late);
   uv_run (&gateway->loop, UV_RUN_ONCE);
@@ -386,7 +386,7 @@
     {
       if (caller->ended)
         g_error ("ended before \"%s\": %s", text, caller->in->str);
-      turn (caller->gateway);
+      support_turn (caller->gateway);
     }
 }
 
@@ -394,7 +394,7 @@
 support_await_end (struct support_caller *caller)
 {
   while (!caller->ended)
-    turn (caller->gateway);
+    support_turn (caller->gateway);
 }
 
 void
@@ -402,7 +402,7 @@
                      int wanted)
 {
   while (*count < wanted)
-    turn (gateway);
+    support_turn (gateway);
 }
 
 char *
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -101,6 +101,9 @@
 /** Caller I closes its connection. */
 void support_hang_up (struct support_caller *caller);
 
+/** Runs until something happens; fails the test when that takes long. */
+void support_turn (struct support_gateway *gateway);
+
 /** Runs until CALLER has received TEXT, or fails the test. */
 void support_await (struct support_caller *caller, const char *text);
 
--- /dev/null
+++ b/test/test_asker.c
@@ -0,0 +1,401 @@
+/* Asking another instance where requests go, over datagrams on loopback. */
+#include "gateway/asker.h"
+
+#include "common/clock.h"
+#include "gateway/socket.h"
+#include "support_port.h"
+#include "support_targets.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SIDES 2
+#define LIMIT_MS 8000
+
+struct side
+{
+  struct bd_targets *targets;
+  struct bd_choice *choice;
+  struct bd_suspects *suspects;
+  struct bd_stats *stats;
+  struct bd_mesh *mesh;
+  struct bd_coordinator *coordinator;
+  struct bd_asker *asker;
+  uint32_t ip;
+  bool mute; /* Takes no messages. */
+};
+
+struct world
+{
+  uv_loop_t loop;
+  uv_timer_t limit;
+  bool late;
+  int64_t now_ms;
+  struct side sides[SIDES];
+};
+
+/* What came of a question. */
+struct outcome
+{
+  int answers;
+  int timeouts;
+  struct bd_placing_answer answer;
+};
+
+static void
+on_members (void *context, uint32_t count)
+{
+  (void)context;
+  (void)count;
+}
+
+static void
+on_newer (void *context, uint32_t ip, uint64_t revision)
+{
+  (void)context;
+  (void)ip;
+  (void)revision;
+}
+
+static void
+on_message (void *context, uint32_t ip,
+            const struct bd_placing_message *message)
+{
+  struct side *side = context;
+
+  if (!side->mute)
+    bd_asker_take (side->asker, ip, message);
+}
+
+static const struct bd_mesh_handler handler = { .on_members = on_members,
+                                                .on_newer = on_newer,
+                                                .on_message = on_message };
+
+static void
+on_answer (void *context, const struct bd_placing_answer *answer)
+{
+  struct outcome *outcome = context;
+
+  if (!answer)
+    {
+      outcome->timeouts++;
+      return;
+    }
+  outcome->answers++;
+  outcome->answer = *answer;
+}
+
+static void
+on_limit (uv_timer_t *timer)
+{
+  ((struct world *)timer->data)->late = true;
+}
+
+static void
+open_side (struct world *world, uint32_t i, uint16_t port)
+{
+  struct side *side = &world->sides[i];
+  struct bd_mesh_options mesh = { .loop = &world->loop, .port = port };
+  struct bd_coordinator_options coordinator;
+  struct bd_asker_options asker;
+
+  side->ip = htonl (INADDR_LOOPBACK + i);
+  side->targets = bd_targets_create ();
+  side->choice = bd_choice_create (1);
+  side->suspects = bd_suspects_create (16, 60000);
+  side->stats = bd_stats_create ();
+  support_put_runners (side->targets, 6, 1);
+  coordinator = (struct bd_coordinator_options){ .ip = side->ip,
+                                                 .choice = side->choice,
+                                                 .targets = side->targets,
+                                                 .stats = side->stats };
+  side->coordinator = bd_coordinator_create (&coordinator);
+  asker = (struct bd_asker_options){ &world->loop, side->ip, side->coordinator,
+                                     side->stats };
+  side->asker = bd_asker_create (&asker);
+  mesh.ip = side->ip;
+  mesh.seeds = &world->sides[0].ip;
+  mesh.seed_count = 1;
+  mesh.targets = side->targets;
+  mesh.suspects = side->suspects;
+  mesh.stats = side->stats;
+  g_assert_cmpint (bd_mesh_create (&mesh, &handler, side, &side->mesh), ==,
+                   BD_OK);
+  bd_asker_connect (side->asker, side->mesh);
+}
+
+/* Sends both sides' news, and takes in what comes. */
+static void
+exchange (struct world *world)
+{
+  world->now_ms += 1000;
+  for (int i = 0; i < SIDES; i++)
+    bd_mesh_tick (world->sides[i].mesh, world->now_ms);
+  for (int i = 0; i < 50; i++)
+    uv_run (&world->loop, UV_RUN_NOWAIT);
+  g_assert_false (world->late);
+}
+
+static void
+set_state (struct side *side, enum bd_peer_state state)
+{
+  struct bd_peer_facts facts = { .state = state, .power = 100 };
+
+  bd_mesh_tell (side->mesh, &facts);
+}
+
+static void
+open_world (struct world *world)
+{
+  char text[SUPPORT_ADDRESS_BYTES];
+  struct sockaddr_in address;
+
+  memset (world, 0, sizeof *world);
+  uv_loop_init (&world->loop);
+  world->now_ms = bd_clock_boot_ms ();
+  support_free_address (text);
+  bd_address_parse (bd_chunk_of (text), &address);
+  for (uint32_t i = 0; i < SIDES; i++)
+    open_side (world, i, ntohs (address.sin_port));
+  uv_timer_init (&world->loop, &world->limit);
+  world->limit.data = world;
+  uv_timer_start (&world->limit, on_limit, LIMIT_MS, 0);
+  for (int i = 0; i < SIDES; i++)
+    set_state (&world->sides[i], BD_PEER_FRESH);
+  for (int i = 0; i < 3; i++)
+    exchange (world);
+}
+
+/* The loop's handles end with the process: what they belong to is kept until
+   then, in copies that still point to it. */
+static void
+keep_world (const struct world *world)
+{
+  static GPtrArray *kept;
+
+  if (!kept)
+    kept = g_ptr_array_new ();
+  g_ptr_array_add (kept, g_memdup2 (world, sizeof *world));
+}
+
+static struct bd_placing_ask
+question (void)
+{
+  return (struct bd_placing_ask){ .service = BD_CHUNK ("llm"),
+                                  .zone = BD_CHUNK ("z0"),
+                                  .shards = 1,
+                                  .part = 42,
+                                  .shared_tokens = 9000,
+                                  .own_tokens = 1000,
+                                  .overload = { .objective_ms = 1000,
+                                                .left_ms = 10000,
+                                                .priority = 0,
+                                                .least_priority = 5 } };
+}
+
+/* The side that coordinates, and the one that asks. */
+static void
+find_roles (struct world *world, struct side **coordinator,
+            struct side **other)
+{
+  uint32_t ip;
+  uint64_t key = bd_coordinator_key (BD_CHUNK ("llm"), 0);
+
+  g_assert_cmpuint (bd_mesh_rank (world->sides[0].mesh, key,
+                                  bd_clock_boot_ms (), false, &ip, 1),
+                    ==, 1);
+  *coordinator = &world->sides[world->sides[1].ip == ip];
+  *other = &world->sides[world->sides[1].ip != ip];
+}
+
+static void
+await (struct world *world, const int *count, int wanted)
+{
+  while (*count < wanted)
+    {
+      g_assert_false (world->late);
+      uv_run (&world->loop, UV_RUN_ONCE);
+    }
+}
+
+static size_t
+booked (const struct side *side)
+{
+  size_t count;
+  size_t sum = 0;
+  struct bd_target *const *all = bd_targets_all (side->targets, &count);
+
+  for (size_t i = 0; i < count; i++)
+    sum += all[i]->booked.in_flight;
+  return sum;
+}
+
+/* Reports are gathered for a while: runs until they have come. */
+static void
+await_booked (struct world *world, const struct side *side, size_t wanted)
+{
+  while (booked (side) != wanted)
+    {
+      g_assert_false (world->late);
+      uv_run (&world->loop, UV_RUN_ONCE);
+    }
+}
+
+/* Both sides agree on who decides; the other asks and reports. */
+static void
+test_asked (void)
+{
+  struct world world;
+  struct side *coordinator;
+  struct side *other;
+  struct bd_placing_ask ask = question ();
+  struct bd_placing_answer answer;
+  struct bd_asked asked;
+  struct bd_asked own;
+  struct outcome outcome = { 0 };
+
+  open_world (&world);
+  find_roles (&world, &coordinator, &other);
+  g_assert_cmpint (bd_asker_ask (coordinator->asker, &ask, &own, &answer,
+                                 on_answer, &outcome),
+                   ==, BD_ASKER_DECIDED);
+  g_assert_cmpint (
+      bd_asker_ask (other->asker, &ask, &asked, &answer, on_answer, &outcome),
+      ==, BD_ASKER_ASKED);
+  await (&world, &outcome.answers, 1);
+  g_assert_cmpint (outcome.answer.verdict, ==, BD_PLACING_SENT_TO);
+  g_assert_cmpuint (booked (coordinator), ==, 2);
+  g_assert_cmpuint (booked (other), ==, 0);
+  bd_asker_begun (other->asker, &asked);
+  bd_asker_ended (other->asker, &asked, true, BD_RESULT_SUCCESS);
+  bd_asker_ended (coordinator->asker, &own, true, BD_RESULT_SUCCESS);
+  await_booked (&world, coordinator, 0);
+  keep_world (&world);
+}
+
+/* Pattern: the coordinator stops answering under load.  Questions are decided
+   by whoever asked within 40 ms, and after two of them another instance is
+   asked: here the one that asks itself. */
+static void
+test_silent (void)
+{
+  struct world world;
+  struct side *coordinator;
+  struct side *other;
+  struct bd_placing_ask ask = question ();
+  struct bd_placing_answer answer;
+  struct bd_asked asked[3];
+  struct outcome outcome = { 0 };
+
+  open_world (&world);
+  find_roles (&world, &coordinator, &other);
+  coordinator->mute = true;
+  for (int i = 0; i < 2; i++)
+    g_assert_cmpint (bd_asker_ask (other->asker, &ask, &asked[i], &answer,
+                                   on_answer, &outcome),
+                     ==, BD_ASKER_ASKED);
+  await (&world, &outcome.timeouts, 2);
+  g_assert_cmpint (outcome.answers, ==, 0);
+  g_assert_cmpint (bd_asker_ask (other->asker, &ask, &asked[2], &answer,
+                                 on_answer, &outcome),
+                   ==, BD_ASKER_DECIDED);
+  keep_world (&world);
+}
+
+/* A request that ended while its question waits is not answered, and does not
+   stay in the ledger. */
+static void
+test_dropped (void)
+{
+  struct world world;
+  struct side *coordinator;
+  struct side *other;
+  struct bd_placing_ask ask = question ();
+  struct bd_placing_answer answer;
+  struct bd_asked asked;
+  struct bd_asked later;
+  struct outcome outcome = { 0 };
+
+  open_world (&world);
+  find_roles (&world, &coordinator, &other);
+  bd_asker_ask (other->asker, &ask, &asked, &answer, on_answer, &outcome);
+  bd_asker_drop (other->asker, &asked);
+  bd_asker_ask (other->asker, &ask, &later, &answer, on_answer, &outcome);
+  await (&world, &outcome.answers, 1);
+  g_assert_cmpuint (outcome.answer.number, ==, later.number);
+  await_booked (&world, coordinator, 1);
+  g_assert_cmpint (outcome.answers + outcome.timeouts, ==, 1);
+  keep_world (&world);
+}
+
+struct moves
+{
+  struct side *side;
+  struct bd_asked *asked;
+  int count;
+};
+
+static void
+on_move (void *context, uint64_t key, uint32_t ip)
+{
+  struct moves *moves = context;
+  size_t count;
+  struct bd_placing_placed placed = { .left_ms = 5000, .begun = true };
+
+  g_assert_cmpuint (key, ==, bd_coordinator_key (BD_CHUNK ("llm"), 0));
+  moves->count++;
+  if (!moves->asked || moves->asked->ip == ip)
+    return;
+  placed.target
+      = (uint32_t)bd_targets_all (moves->side->targets, &count)[0]->hash;
+  bd_asker_move (moves->side->asker, moves->asked, ip, &placed);
+  bd_asker_moved (moves->side->asker);
+}
+
+/* Pattern: the coordinator is stopped with a hundred requests in flight.  The
+   next one is told of them, so that its first decisions know the load. */
+static void
+test_move (void)
+{
+  struct world world;
+  struct side *coordinator;
+  struct side *other;
+  struct bd_placing_ask ask = question ();
+  struct bd_placing_answer answer;
+  struct bd_asked asked;
+  struct outcome outcome = { 0 };
+  struct moves moves = { 0 };
+
+  open_world (&world);
+  find_roles (&world, &coordinator, &other);
+  moves.side = other;
+  bd_asker_watch (other->asker, on_move, &moves);
+  bd_asker_ask (other->asker, &ask, &asked, &answer, on_answer, &outcome);
+  await (&world, &outcome.answers, 1);
+  g_assert_cmpint (moves.count, ==, 1);
+  moves.asked = &asked;
+  set_state (coordinator, BD_PEER_UNABLE);
+  exchange (&world);
+  while (moves.count < 2)
+    {
+      struct bd_asked next;
+
+      g_assert_false (world.late);
+      bd_asker_ask (other->asker, &ask, &next, &answer, on_answer, &outcome);
+      uv_run (&world.loop, UV_RUN_ONCE);
+    }
+  g_assert_cmpuint (asked.ip, ==, other->ip);
+  g_assert_cmpuint (booked (other), >=, 1);
+  keep_world (&world);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/asker/asked", test_asked);
+  g_test_add_func ("/asker/silent", test_silent);
+  g_test_add_func ("/asker/dropped", test_dropped);
+  g_test_add_func ("/asker/move", test_move);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_inventory.c
@@ -0,0 +1,88 @@
+/* Asking runners which parts they hold. */
+#include "gateway/inventory.h"
+
+#include "common/clock.h"
+#include "headers.h"
+#include "support_gateway.h"
+
+#include <string.h>
+
+#define LIST                                                                  \
+  "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n"                             \
+  "{\"epoch\":1,\"next\":9,\"held\":[[\"\",\"a1\",9000,\"m\"],[\"\",\"b2\","  \
+  "10,\"m\"]]}"
+
+static uint64_t
+part (const char *id)
+{
+  return bd_chunk_hash (bd_chunk_of (id)) ^ bd_chunk_hash (BD_CHUNK ("m"));
+}
+
+static struct bd_inventory *
+ask (struct support_gateway *g)
+{
+  struct bd_inventory_options options
+      = { .client = g->client,
+          .dialect = &bd_cutline_dialect,
+          .targets = g->targets,
+          .parts = bd_choice_parts (g->choice) };
+  struct bd_inventory *inventory = bd_inventory_create (&options);
+
+  bd_inventory_ask (inventory, BD_CHUNK ("s"), bd_clock_boot_ms ());
+  return inventory;
+}
+
+/* Pattern: all instances were killed; what runners hold is learned anew.
+   Short parts are not worth remembering. */
+static void
+test_listed (void)
+{
+  static const struct support_step step = { LIST, SUPPORT_KEEP };
+  struct support_gateway g;
+  struct bd_target *target;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, &step, 1);
+  ask (&g);
+  target = bd_targets_find (g.targets, BD_CHUNK ("i-0"));
+  while (!bd_parts_at (bd_choice_parts (g.choice), part ("a1"), target,
+                       bd_clock_boot_ms ()))
+    support_turn (&g);
+  g_assert_true (bd_parts_at (bd_choice_parts (g.choice), part ("a1"), target,
+                              bd_clock_boot_ms ())
+                     ->read);
+  g_assert_null (bd_parts_at (bd_choice_parts (g.choice), part ("b2"), target,
+                              bd_clock_boot_ms ()));
+  support_gateway_close (&g);
+}
+
+/* Runners that do not answer, answer something else, or are dead. */
+static void
+test_no_answer (void)
+{
+  static const struct support_step spoiled
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]", SUPPORT_KEEP };
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct bd_inventory *inventory;
+
+  support_gateway_open (&g);
+  support_gateway_dead_runner (&g, 1);
+  support_gateway_runner (&g, 2, NULL, 0);
+  runner = support_gateway_runner (&g, 0, &spoiled, 1);
+  inventory = ask (&g);
+  support_await_count (&g, &runner->taken, 1);
+  support_await_count (&g, &g.runners[2].taken, 1);
+  bd_inventory_tick (inventory, bd_clock_boot_ms () + 5000);
+  support_await_count (&g, &g.runners[2].gone, 1);
+  support_gateway_close (&g);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/inventory/listed", test_listed);
+  g_test_add_func ("/inventory/no-answer", test_no_answer);
+  return g_test_run ();
+}
--- /dev/null
+++ b/test/test_model.c
@@ -0,0 +1,175 @@
+/* Loads played against a model of runners, in virtual time. */
+#include "model/scenario.h"
+
+#include "common/log.h"
+
+#include <glib.h>
+#include <string.h>
+
+static const struct engine_traits traits = { .step_ms = 5.0,
+                                             .slot_ms = 0.1,
+                                             .tokens_per_ms = 50.0,
+                                             .setup_ms = 10.0,
+                                             .chunk_tokens = 4000,
+                                             .slots = 8,
+                                             .queue = 2,
+                                             .memory_tokens = 40000 };
+
+struct log
+{
+  char order[64];
+  size_t count;
+};
+
+/* Writes the first letter of each request that begins. */
+static void
+on_token (void *context, struct engine_request *request, uint32_t made,
+          bool done)
+{
+  struct log *log = context;
+
+  (void)done;
+  if (made == 1)
+    log->order[log->count++] = *(const char *)request->owner;
+}
+
+static void
+run_engine (struct engine *engine, double from_ms)
+{
+  double now = from_ms;
+
+  for (int i = 0; i < 2000; i++)
+    {
+      double ends;
+
+      engine_begin (engine, now);
+      if (!engine_busy (engine, &ends))
+        return;
+      now = ends;
+      engine_end (engine, now);
+    }
+  g_error ("the engine never ends");
+}
+
+/* More urgent prompts are read first; a part that was read is kept until its
+   memory is needed. */
+static void
+test_engine (void)
+{
+  struct log log = { .count = 0 };
+  struct engine *engine = engine_create (&traits, 1.0, on_token, &log);
+  struct engine_request a
+      = { "a", 1, 6000, 1000, 3, 5, 0, 0, 0, 0, 0, false, false };
+  struct engine_request b = a;
+  struct engine_request c = a;
+
+  b.owner = "b";
+  b.part = 2;
+  c.owner = "c";
+  c.part = 3;
+  c.priority = 0;
+  g_assert_true (engine_submit (engine, 0.0, &a));
+  g_assert_true (engine_submit (engine, 0.0, &b));
+  g_assert_true (engine_submit (engine, 0.0, &c));
+  run_engine (engine, 100.0);
+  g_assert_cmpstr (log.order, ==, "cab");
+  g_assert_true (engine_holds (engine, 1));
+  g_assert_cmpuint (engine_read_tokens (engine), ==, 21000);
+  g_assert_true (engine_submit (engine, 5000.0, &a));
+  run_engine (engine, 5100.0);
+  g_assert_cmpuint (engine_read_tokens (engine), ==, 22000);
+  /* A prompt that needs nearly all memory: the other parts go. */
+  a.part = 4;
+  a.shared_tokens = 30000;
+  g_assert_true (engine_submit (engine, 9000.0, &a));
+  run_engine (engine, 9100.0);
+  g_assert_false (engine_holds (engine, 2));
+  engine_destroy (engine);
+}
+
+static void
+read_scenario (const char *name, struct world_scenario *scenario)
+{
+  char *file = g_strdup_printf (SOURCE_DIR "/bench/scenarios/%s.json", name);
+
+  g_assert_true (scenario_read (file, scenario));
+  g_free (file);
+}
+
+static struct world_result
+play (const char *name, enum world_policy policy, uint64_t seed)
+{
+  struct world_scenario scenario;
+  struct world_result result;
+
+  read_scenario (name, &scenario);
+  world_run (&scenario, policy, seed, &result);
+  return result;
+}
+
+/* The same seed gives the same result. */
+static void
+test_repeats (void)
+{
+  struct world_result a = play ("few-burst", WORLD_COORDINATED, 3);
+  struct world_result b = play ("few-burst", WORLD_COORDINATED, 3);
+
+  g_assert_cmpmem (&a, sizeof a, &b, sizeof b);
+}
+
+/* Pattern: long prompts at three times their rate on cold runners, then short
+   streams at three times theirs while a quarter of the runners restarts.
+   More is served than by each instance for itself, and by either more than
+   by picking runners by what is in flight. */
+static void
+test_grown_burst (void)
+{
+  struct world_result one = play ("grown-burst", WORLD_COORDINATED, 1);
+  struct world_result local = play ("grown-burst", WORLD_LOCAL, 1);
+  struct world_result least = play ("grown-burst", WORLD_LEAST, 1);
+
+  g_assert_cmpfloat (one.worth, >, local.worth);
+  g_assert_cmpfloat (local.worth, >, least.worth);
+  g_assert_cmpfloat (one.unserved, <, local.unserved);
+  g_assert_cmpuint (one.passed_over, ==, 0);
+}
+
+/* Pattern: every kind of request at more than twice its rate for six seconds
+   on cold runners (hunt of 2026-12-04, seed 528131653755).  No kind gets
+   nothing while a less urgent one of over twice its size begins. */
+static void
+test_everything_at_once (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct world_result one = play ("few-press", WORLD_COORDINATED, seed);
+
+      g_assert_cmpuint (one.passed_over, ==, 0);
+    }
+}
+
+/* Pattern: half of the runners are replaced in turn, without a burst.  Parts
+   move with the requests; next to nothing is refused or late. */
+static void
+test_replaced (void)
+{
+  struct world_result one = play ("grown-replaced", WORLD_COORDINATED, 1);
+  struct world_result local = play ("grown-replaced", WORLD_LOCAL, 1);
+
+  g_assert_cmpfloat (one.unserved, <, local.unserved);
+  g_assert_cmpfloat (one.worth, >, local.worth);
+  g_assert_cmpuint (one.read_tokens, <, local.read_tokens);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  bd_log_open ("model", BD_SEVERITY_ERROR);
+  g_test_add_func ("/model/engine", test_engine);
+  g_test_add_func ("/model/repeats", test_repeats);
+  g_test_add_func ("/model/grown-burst", test_grown_burst);
+  g_test_add_func ("/model/everything-at-once", test_everything_at_once);
+  g_test_add_func ("/model/replaced", test_replaced);
+  return g_test_run ();
+}
--- a/test/test_parts.c
+++ b/test/test_parts.c
@@ -46,13 +46,13 @@
   size_t all = 0;
   size_t n;
 
-  for (int i = 0; i < 100000; i++)
-    bd_parts_sent (parts, bd_random_next (&random) | 1, 5, i / 100);
+  for (int i = 0; i < 400000; i++)
+    bd_parts_sent (parts, bd_random_next (&random) | 1, 5, i / 400);
   while ((n = bd_parts_walk (parts, &cursor, 1000, found, 64)) > 0)
     all += n;
   g_assert_cmpuint (cursor, ==, 0);
-  g_assert_cmpuint (all, >, 14000);
-  g_assert_cmpuint (all, <=, 16384);
+  g_assert_cmpuint (all, >, 56000);
+  g_assert_cmpuint (all, <=, 65536);
   for (size_t i = 0; i < 64; i++)
     g_assert_cmpint (found[i].sent_ms, >=, 0);
   bd_parts_destroy (parts);
--- /dev/null
+++ b/test/test_placing.c
@@ -0,0 +1,164 @@
+/* Messages about placements: what is written is read, and nothing else. */
+#include "core/random.h"
+#include "gateway/placing.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define DATAGRAM_MAX_BYTES 1400
+
+static struct bd_placing_message
+sample (enum bd_placing_kind kind)
+{
+  struct bd_placing_message m = { .kind = kind };
+
+  switch (kind)
+    {
+    case BD_PLACING_ASK:
+      m.ask = (struct bd_placing_ask){ .number = UINT32_MAX,
+                                       .service = BD_CHUNK ("llm"),
+                                       .zone = BD_CHUNK ("z1"),
+                                       .shard = 2,
+                                       .shards = 3,
+                                       .part = UINT64_MAX,
+                                       .shared_tokens = 13000,
+                                       .own_tokens = 3700,
+                                       .fetch_us = 819,
+                                       .overload = { .objective_ms = 2000,
+                                                     .left_ms = 11999,
+                                                     .priority = 5,
+                                                     .least_priority = 5 },
+                                       .again = true,
+                                       .excluded = { 1, 2, UINT32_MAX },
+                                       .excluded_count = 3 };
+      break;
+    case BD_PLACING_ANSWER:
+      m.answer = (struct bd_placing_answer){ .number = 9,
+                                             .verdict = BD_PLACING_REFUSED,
+                                             .target = 77,
+                                             .source = 78,
+                                             .place = 3,
+                                             .prefill_tokens = 4000,
+                                             .ahead_tokens = 1 << 30,
+                                             .wait_ms = 900,
+                                             .cost_ms = -1,
+                                             .limit_ms = 800,
+                                             .retry_ms = 640 };
+      break;
+    case BD_PLACING_REPORTS:
+      for (; m.reports.count < BD_PLACING_REPORTS_MAX; m.reports.count++)
+        m.reports.items[m.reports.count]
+            = (struct bd_placing_report){ UINT32_MAX
+                                              - (uint32_t)m.reports.count,
+                                          true, true, BD_RESULT_UNREACHABLE };
+      break;
+    case BD_PLACING_PLACED:
+      for (; m.placed.count < BD_PLACING_PLACED_MAX; m.placed.count++)
+        m.placed.items[m.placed.count] = (struct bd_placing_placed){
+          UINT32_MAX, UINT32_MAX, UINT64_MAX, 100000, true, true, 12000
+        };
+      break;
+    case BD_PLACING_PARTS:
+      m.parts.complete = true;
+      for (; m.parts.count < BD_PLACING_PARTS_MAX; m.parts.count++)
+        m.parts.items[m.parts.count]
+            = (struct bd_part){ UINT64_MAX, UINT64_MAX, 30000, true };
+      break;
+    default:
+      g_assert_not_reached ();
+    }
+  return m;
+}
+
+/* Every kind, at its fullest, comes back as it was and fits a datagram. */
+static void
+test_round_trip (void)
+{
+  for (int kind = 0; kind < BD_PLACING_KINDS; kind++)
+    {
+      struct bd_placing_message m = sample ((enum bd_placing_kind)kind);
+      struct bd_placing_message back;
+      struct bd_buffer bytes = { 0 };
+      struct bd_buffer again = { 0 };
+
+      g_assert_cmpint (bd_placing_write (&m, &bytes), ==, BD_OK);
+      g_assert_cmpuint (bytes.length, <=, DATAGRAM_MAX_BYTES);
+      g_assert_cmpint (bd_placing_read (bd_buffer_chunk (&bytes), &back), ==,
+                       BD_OK);
+      g_assert_cmpint (back.kind, ==, kind);
+      g_assert_cmpint (bd_placing_write (&back, &again), ==, BD_OK);
+      g_assert_cmpmem (bytes.data, bytes.length, again.data, again.length);
+      bd_buffer_clear (&bytes);
+      bd_buffer_clear (&again);
+    }
+}
+
+static void
+test_fields (void)
+{
+  struct bd_placing_message m = sample (BD_PLACING_ASK);
+  struct bd_placing_message back;
+  struct bd_buffer bytes = { 0 };
+
+  bd_placing_write (&m, &bytes);
+  bd_placing_read (bd_buffer_chunk (&bytes), &back);
+  g_assert_true (bd_chunk_equal (back.ask.service, m.ask.service));
+  g_assert_cmpuint (back.ask.part, ==, m.ask.part);
+  g_assert_cmpint (back.ask.overload.left_ms, ==, 11999);
+  g_assert_cmpuint (back.ask.excluded_count, ==, 3);
+  g_assert_cmpuint (back.ask.excluded[2], ==, UINT32_MAX);
+  bd_buffer_clear (&bytes);
+  m = sample (BD_PLACING_ANSWER);
+  bd_placing_write (&m, &bytes);
+  bd_placing_read (bd_buffer_chunk (&bytes), &back);
+  g_assert_cmpint (back.answer.verdict, ==, BD_PLACING_REFUSED);
+  g_assert_cmpint (back.answer.cost_ms, ==, -1);
+  g_assert_cmpint (back.answer.retry_ms, ==, 640);
+  bd_buffer_clear (&bytes);
+}
+
+/* Cut and changed messages are refused or read within bounds. */
+static void
+test_hostile (void)
+{
+  uint64_t random = 3;
+
+  for (int kind = 0; kind < BD_PLACING_KINDS; kind++)
+    {
+      struct bd_placing_message m = sample ((enum bd_placing_kind)kind);
+      struct bd_placing_message back;
+      struct bd_buffer bytes = { 0 };
+
+      bd_placing_write (&m, &bytes);
+      for (size_t length = 0; length < bytes.length; length++)
+        g_assert_cmpint (
+            bd_placing_read ((struct bd_chunk){ bytes.data, length }, &back),
+            ==, BD_ERR_PROTOCOL);
+      for (int i = 0; i < 20000; i++)
+        {
+          size_t at = bd_random_below (&random, (uint32_t)bytes.length);
+          char before = bytes.data[at];
+
+          bytes.data[at] = (char)bd_random_below (&random, 256);
+          if (bd_placing_read (bd_buffer_chunk (&bytes), &back) == BD_OK)
+            {
+              g_assert_cmpint (back.kind, <, BD_PLACING_KINDS);
+              if (back.kind == BD_PLACING_ASK)
+                g_assert_cmpuint (back.ask.excluded_count, <=,
+                                  BD_PLACING_EXCLUDED_MAX);
+            }
+          bytes.data[at] = before;
+        }
+      bd_buffer_clear (&bytes);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/placing/round-trip", test_round_trip);
+  g_test_add_func ("/placing/fields", test_fields);
+  g_test_add_func ("/placing/hostile", test_hostile);
+  return g_test_run ();
+}
