The least urgent are refused where a runner does nothing but read; long prompts keep off more urgent streams

A limit on the wait keeps a runner's queue short and yet never empty. Changes: bd_booked_rate, the share of its time that prompts took lately; above 0.9 the least urgent are refused when they would wait at all. A long prompt costs 200 ms for each more urgent request at the runner. How fast engines read is learned from readings without a pause, whatever the order of urgency.

--- a/src/balance/choice.c
+++ b/src/balance/choice.c
@@ -1,5 +1,6 @@
 #include "balance/choice.h"
 
+#include "balance/ledger.h"
 #include "balance/outlier.h"
 #include "core/random.h"
 
@@ -45,14 +46,20 @@
    so many; and the part of it that counts when little is to be read. */
 #define HARM_MS 800.0
 #define HARM_MOST 8
+/* The same for each request there that is more urgent. */
+#define HARM_URGENT_MS 200.0
+#define HARM_URGENT_MOST 8
 #define LIGHT_TOKENS 6000
 #define LIGHT_SHARE 0.2
 /* Most runners of a shard.  One instance decides for a shard, so this bounds
    its work. */
 #define SHARD_RUNNERS 64
+/* The part of a prompt that counts towards how busy its reading makes a
+   runner. */
+#define OWN_SHARE 0.5
 /* Fetching a part from another runner: what it costs beyond its time, and the
    weight of that time, as it takes both runners' links. */
-#define FETCH_MS 600.0
+#define FETCH_MS 1000.0
 #define FETCH_WEIGHT 3.0
 #define US_PER_MS 1000.0
 #define TOKENS_PER_K 1000.0
@@ -349,16 +356,33 @@
   return ms;
 }
 
-/* What a long prompt costs the short requests at a runner. */
+/* Requests at TARGET that are not short and more urgent than PRIORITY. */
+static uint32_t
+more_urgent (const struct bd_target *target, int priority)
+{
+  uint32_t count = 0;
+
+  for (int p = 0; p < priority && p < BD_PRIORITIES; p++)
+    count += target->booked.long_in_flight[p];
+  return count;
+}
+
+/* What a long prompt costs the streams at a runner: they pause while it is
+   read. */
 static double
-harm_cost (const struct bd_pick *pick)
+harm_cost (const struct bd_demand *demand, const struct bd_pick *pick)
 {
   uint32_t hurt = pick->target->booked.short_in_flight;
+  uint32_t urgent = more_urgent (pick->target, demand->priority);
   bool light = pick->prefill_tokens + pick->ahead_tokens <= LIGHT_TOKENS;
+  double ms;
 
   if (hurt > HARM_MOST)
     hurt = HARM_MOST;
-  return hurt * HARM_MS * (light ? LIGHT_SHARE : 1.0);
+  if (urgent > HARM_URGENT_MOST)
+    urgent = HARM_URGENT_MOST;
+  ms = hurt * HARM_MS + urgent * HARM_URGENT_MS;
+  return light ? ms * LIGHT_SHARE : ms;
 }
 
 /* What speaks against a runner for the sake of requests of other lengths. */
@@ -369,7 +393,8 @@
   const struct bd_target *target = pick->target;
 
   if (demand->coordinated)
-    return bd_demand_is_short (demand) ? join_cost (target) : harm_cost (pick);
+    return bd_demand_is_short (demand) ? join_cost (target)
+                                       : harm_cost (demand, pick);
   if (!lengths_apart (choice, demand)
       || target->kept_for_short == bd_demand_is_short (demand))
     return 0.0;
@@ -387,6 +412,11 @@
 
   pick->ahead_tokens = load.prefill_tokens;
   pick->wait_ms = (double)pick->ahead_tokens / tokens_per_ms;
+  if (demand->coordinated)
+    pick->busy = bd_booked_rate (&pick->target->booked,
+                                 OWN_SHARE * (double)pick->prefill_tokens,
+                                 demand->now_ms)
+                 / tokens_per_ms;
   pick->cost_ms = pick->wait_ms + (double)demand->own_tokens / tokens_per_ms
                   + load.in_flight * RUNNING_COST_MS
                   + part_cost (demand, pick, homes,
--- a/src/balance/choice.h
+++ b/src/balance/choice.h
@@ -24,6 +24,7 @@
   uint64_t prefix_hash;   /**< Of the shared part; 0: none. */
   uint64_t shared_tokens; /**< Length of the shared part. */
   uint64_t own_tokens;    /**< The rest of the prompt. */
+  int priority;           /**< 0: most urgent. */
   /** How long a runner needs to fetch a thousand tokens of a part from
       another, in microseconds; 0: it cannot. */
   uint32_t fetch_us;
@@ -65,6 +66,8 @@
   double cost_ms;          /**< Expected delay and what else was weighed. */
   uint64_t prefill_tokens; /**< Expected to be read there. */
   uint64_t ahead_tokens;   /**< Queued there before it. */
+  double busy;             /**< Share of its time that prompts took lately;
+                                0 where that is not known. */
 };
 
 struct bd_choice;
--- a/src/balance/decision.c
+++ b/src/balance/decision.c
@@ -11,6 +11,7 @@
 
   decision.pick = bd_choice_pick (choice, demand, all, count);
   overload->wait_ms = decision.pick.wait_ms;
+  overload->busy = decision.pick.busy;
   decision.limit_ms = bd_overload_limit_ms (overload);
   if (!decision.pick.target || again || !bd_overload_refuses (overload))
     return decision;
--- a/src/balance/ledger.c
+++ b/src/balance/ledger.c
@@ -2,8 +2,17 @@
 
 #include "common/map.h"
 
+#include <math.h>
 #include <stdlib.h>
 
+/* Time in which the weight of a prompt in the rate falls to a third: long
+   against a prompt's reading, short against a stream. */
+#define RECENT_MS 2000.0
+
+/* The least and the most that is taken for one reading. */
+#define READING_TOKENS_LEAST 40000
+#define READING_TOKENS_MOST 60000
+
 struct entry
 {
   struct bd_booking booking;
@@ -32,29 +41,83 @@
   return NULL;
 }
 
+static double
+recent_tokens (const struct bd_booked *booked, int64_t now_ms)
+{
+  double age = (double)(now_ms - booked->recent_ms);
+
+  return booked->recent_tokens * exp (-age / RECENT_MS);
+}
+
+double
+bd_booked_rate (const struct bd_booked *booked, double more, int64_t now_ms)
+{
+  return (recent_tokens (booked, now_ms) + more) / RECENT_MS;
+}
+
+void
+bd_booked_add (struct bd_booked *booked, uint64_t tokens, int64_t now_ms)
+{
+  booked->recent_tokens = recent_tokens (booked, now_ms) + (double)tokens;
+  booked->recent_ms = now_ms;
+}
+
 static struct bd_id
 key_of (uint32_t instance)
 {
   return (struct bd_id){ instance, 0 };
 }
 
+/* The prompt no longer counts as unread. */
 static void
-read_prompt (struct entry *entry)
+take_off (struct entry *entry)
 {
+  struct bd_booked *booked = &entry->booking.target->booked;
+
   if (!entry->begun)
-    entry->booking.target->booked.prefill_tokens
-        -= entry->booking.prefill_tokens;
+    booked->prefill_tokens -= entry->booking.prefill_tokens;
   entry->begun = true;
 }
 
+/* The prompt was given up: what was read of it is not known. */
+static void
+give_up (struct entry *entry)
+{
+  if (!entry->begun)
+    entry->booking.target->booked.busy_ms = 0;
+  take_off (entry);
+}
+
+/* Takes in that a prompt was read, and what that shows of the runner. */
+static void
+note_reading (struct bd_booked *booked, uint64_t tokens, int64_t now_ms,
+              struct bd_reading *reading)
+{
+  if (booked->busy_ms != 0)
+    booked->busy_tokens += tokens;
+  if (booked->busy_tokens < READING_TOKENS_MOST && booked->prefill_tokens > 0
+      && booked->busy_ms != 0)
+    return;
+  if (booked->busy_ms != 0 && booked->busy_tokens >= READING_TOKENS_LEAST)
+    {
+      reading->tokens = booked->busy_tokens;
+      reading->ms = now_ms - booked->busy_ms;
+    }
+  booked->busy_ms = booked->prefill_tokens > 0 ? now_ms : 0;
+  booked->busy_tokens = 0;
+}
+
 static void
 end (struct bd_ledger *ledger, struct entry *entry)
 {
   struct bd_booked *booked = &entry->booking.target->booked;
 
-  read_prompt (entry);
+  give_up (entry);
   booked->in_flight--;
-  booked->short_in_flight -= entry->booking.is_short;
+  if (entry->booking.is_short)
+    booked->short_in_flight--;
+  else
+    booked->long_in_flight[entry->booking.priority]--;
   if (ledger->entries == entry)
     ledger->entries = entry->next;
   else
@@ -84,6 +147,8 @@
   struct entry *entry;
 
   bd_ledger_ended (ledger, booking->instance, booking->number);
+  if (booking->priority < 0 || booking->priority >= BD_PRIORITIES)
+    return BD_ERR_INVALID;
   if (bd_map_count (ledger->by_request) >= BD_LEDGER_MAX)
     return BD_ERR_FULL;
   entry = calloc (1, sizeof *entry);
@@ -101,21 +166,37 @@
   if (entry->next)
     entry->next->previous = entry;
   ledger->entries = entry;
+  if (booked->prefill_tokens == 0)
+    {
+      booked->busy_ms = booking->placed_ms;
+      booked->busy_tokens = 0;
+    }
   booked->in_flight++;
-  booked->short_in_flight += booking->is_short;
+  if (booking->is_short)
+    booked->short_in_flight++;
+  else
+    booked->long_in_flight[booking->priority]++;
   booked->prefill_tokens += booking->prefill_tokens;
+  bd_booked_add (booked, booking->prefill_tokens, booking->placed_ms);
   return BD_OK;
 }
 
 const struct bd_booking *
-bd_ledger_begun (struct bd_ledger *ledger, uint32_t instance, uint32_t number)
+bd_ledger_begun (struct bd_ledger *ledger, uint32_t instance, uint32_t number,
+                 int64_t now_ms, struct bd_reading *reading)
 {
   struct entry *entry
       = bd_map_get (ledger->by_request, key_of (instance), number);
 
+  *reading = (struct bd_reading){ 0 };
   if (!entry)
     return NULL;
-  read_prompt (entry);
+  if (!entry->begun)
+    {
+      take_off (entry);
+      note_reading (&entry->booking.target->booked,
+                    entry->booking.prefill_tokens, now_ms, reading);
+    }
   return &entry->booking;
 }
 
@@ -149,7 +230,7 @@
 {
   for (struct entry *entry = ledger->entries; entry; entry = entry->next)
     if (entry->booking.instance == instance)
-      read_prompt (entry);
+      give_up (entry);
 }
 
 void
--- a/src/balance/ledger.h
+++ b/src/balance/ledger.h
@@ -21,29 +21,48 @@
   uint32_t number;   /**< Of the request there. */
   struct bd_target *target;
   uint64_t prefill_tokens;
-  uint64_t part;         /**< The prompt's shared part; 0: none. */
-  uint64_t ahead_tokens; /**< Unread at the runner when it was placed. */
+  uint64_t part; /**< The prompt's shared part; 0: none. */
   int64_t placed_ms;
-  bool asked; /**< It was placed here: AHEAD_TOKENS is known. */
   bool is_short;
+  int priority;     /**< 0 to BD_PRIORITIES - 1. */
   int64_t until_ms; /**< It has ended by then, told or not. */
 };
 
 struct bd_ledger;
 
+/** Prompt tokens a millisecond that were lately sent to a runner, with MORE
+    tokens now. */
+double bd_booked_rate (const struct bd_booked *booked, double more,
+                       int64_t now_ms);
+
+/** TOKENS of a prompt are sent to a runner. */
+void bd_booked_add (struct bd_booked *booked, uint64_t tokens, int64_t now_ms);
+
 struct bd_ledger *bd_ledger_create (void);
 void bd_ledger_destroy (struct bd_ledger *ledger);
 
 /**
  * Enters a request; a former entry of the same one ends.  Returns BD_OK,
- * BD_ERR_FULL or BD_ERR_NOMEM.
+ * BD_ERR_INVALID (priority), BD_ERR_FULL or BD_ERR_NOMEM.
  */
 int bd_ledger_book (struct bd_ledger *ledger,
                     const struct bd_booking *booking);
 
-/** Its prompt has been read.  Returns its entry, or NULL. */
+/** What a runner has read without a pause. */
+struct bd_reading
+{
+  uint64_t tokens; /**< 0: too little to say something. */
+  int64_t ms;
+};
+
+/**
+ * Its prompt has been read.  Returns its entry, or NULL; READING shows how
+ * fast the runner is.
+ */
 const struct bd_booking *bd_ledger_begun (struct bd_ledger *ledger,
-                                          uint32_t instance, uint32_t number);
+                                          uint32_t instance, uint32_t number,
+                                          int64_t now_ms,
+                                          struct bd_reading *reading);
 
 /** It has ended.  Returns where it was, or NULL when it is not known. */
 struct bd_target *bd_ledger_ended (struct bd_ledger *ledger, uint32_t instance,
--- a/src/balance/overload.c
+++ b/src/balance/overload.c
@@ -7,6 +7,10 @@
 #define LIMIT_LEAST 0.4
 #define LIMIT_ABOVE 4.0
 #define LIMIT_RANGE 2.0
+/* Share of a runner's time for prompts above which the least urgent are
+   refused when they would wait at all. */
+#define BUSY_MOST 0.9
+#define BUSY_WAIT_MS 100.0
 /* Bounds of the time after which a refused request comes back, and the share
    of its time left that its caller waits at most. */
 #define RETRY_LEAST_MS 300.0
@@ -28,7 +32,10 @@
 bool
 bd_overload_refuses (const struct bd_overload_case *request)
 {
-  return request->wait_ms > bd_overload_limit_ms (request);
+  if (request->wait_ms > bd_overload_limit_ms (request))
+    return true;
+  return request->priority >= request->least_priority
+         && request->busy > BUSY_MOST && request->wait_ms > BUSY_WAIT_MS;
 }
 
 int64_t
--- a/src/balance/overload.h
+++ b/src/balance/overload.h
@@ -14,6 +14,7 @@
 struct bd_overload_case
 {
   double wait_ms;       /**< Expected before the request begins. */
+  double busy;          /**< Share of the runner's time for prompts lately. */
   int64_t objective_ms; /**< Of its route. */
   int64_t left_ms;      /**< Until its answer is of no use. */
   int priority;         /**< 0: most urgent. */
@@ -23,7 +24,11 @@
 /** Longest expected wait at which the request is taken, in milliseconds. */
 double bd_overload_limit_ms (const struct bd_overload_case *request);
 
-/** Whether it is to be refused. */
+/**
+ * Whether it is to be refused: it would wait too long, or it is the least
+ * urgent and the runner does nothing but read prompts, which keeps the
+ * streams there from ending in time.
+ */
 bool bd_overload_refuses (const struct bd_overload_case *request);
 
 /**
--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -8,11 +8,9 @@
 #ifndef BD_ROUTING_H
 #define BD_ROUTING_H
 
+#include "balance/priority.h"
 #include "common/string.h"
 
-/** Lowest value of a priority; 0 is the most urgent. */
-#define BD_PRIORITY_LEAST 9
-
 enum bd_repeat
 {
   BD_REPEAT_SAFE = 0, /**< Idempotent. */
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -151,9 +151,7 @@
   if (f->workspace)
     orders.workspace = f->workspace->name;
   orders.left_ms = f->ends_ms - bd_clock_boot_ms ();
-  orders.priority = service && service->engine
-                        ? bd_request_priority (f->workspace, f->route)
-                        : -1;
+  orders.priority = service && service->engine ? f->demand.priority : -1;
   if (source)
     orders.fetch_from = (struct bd_address){ source->ip, source->port };
   dialect->write_orders (out, &orders);
@@ -279,8 +277,7 @@
           pick->source ? pick->source->id.data : "-", pick->cost_ms,
           (unsigned long long)pick->prefill_tokens,
           (unsigned long long)pick->ahead_tokens, target->in_flight,
-          target->peers_in_flight,
-          bd_request_priority (f->workspace, f->route), ntohl (f->asked.ip),
+          target->peers_in_flight, f->demand.priority, ntohl (f->asked.ip),
           (long long)(f->ends_ms - f->demand.now_ms));
 }
 
@@ -320,12 +317,11 @@
 static struct bd_overload_case
 overload_of (const struct bd_forward *f)
 {
-  return (struct bd_overload_case){
-    .objective_ms = f->route->objective_ms,
-    .left_ms = f->ends_ms - f->demand.now_ms,
-    .priority = bd_request_priority (f->workspace, f->route),
-    .least_priority = f->forwarder->least_priority
-  };
+  return (struct bd_overload_case){ .objective_ms = f->route->objective_ms,
+                                    .left_ms = f->ends_ms - f->demand.now_ms,
+                                    .priority = f->demand.priority,
+                                    .least_priority
+                                    = f->forwarder->least_priority };
 }
 
 static struct bd_decision
@@ -355,6 +351,7 @@
           .part = part_of (f),
           .prefill_tokens = pick->prefill_tokens,
           .is_short = bd_demand_is_short (&f->demand),
+          .priority = f->demand.priority,
           .left_ms = f->ends_ms - f->demand.now_ms };
 
   bd_asker_placed (f->forwarder->parts.asker, &f->asked, &placed);
@@ -368,6 +365,7 @@
           .part = part_of (f),
           .prefill_tokens = f->prefill_tokens,
           .is_short = bd_demand_is_short (&f->demand),
+          .priority = f->demand.priority,
           .begun = f->charged_tokens == 0,
           .left_ms = f->ends_ms - now_ms };
 
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -253,6 +253,7 @@
                               .shared_tokens = ask->shared_tokens,
                               .own_tokens = ask->own_tokens,
                               .fetch_us = ask->fetch_us,
+                              .priority = ask->overload.priority,
                               .now_ms = now_ms,
                               .tried = excluded,
                               .coordinated = true,
@@ -270,10 +271,9 @@
     return answer_of (ask, &decision);
   booking.target = decision.pick.target;
   booking.prefill_tokens = decision.pick.prefill_tokens;
-  booking.ahead_tokens = decision.pick.ahead_tokens;
   booking.placed_ms = now_ms;
-  booking.asked = true;
   booking.part = ask->part;
+  booking.priority = ask->overload.priority;
   booking.is_short = bd_demand_is_short (&demand);
   booking.until_ms = now_ms + overload.left_ms + OVERDUE_MS;
   book (coordinator, &booking);
@@ -290,17 +290,16 @@
 note_begun (struct bd_coordinator *coordinator, uint32_t ip, uint32_t number,
             int64_t now_ms)
 {
+  struct bd_reading reading;
   const struct bd_booking *booking
-      = bd_ledger_begun (coordinator->ledger, ip, number);
+      = bd_ledger_begun (coordinator->ledger, ip, number, now_ms, &reading);
   struct bd_part entry = { .sent_ms = now_ms, .read = true };
 
   if (!booking)
     return;
-  if (booking->asked)
+  if (reading.tokens > 0)
     bd_speeds_read (bd_choice_speeds (coordinator->options.choice),
-                    booking->target->service,
-                    booking->ahead_tokens + booking->prefill_tokens,
-                    now_ms - booking->placed_ms);
+                    booking->target->service, reading.tokens, reading.ms);
   if (booking->part == 0)
     return;
   entry.part = booking->part;
@@ -322,6 +321,7 @@
           .prefill_tokens = placed->prefill_tokens,
           .part = placed->part,
           .placed_ms = now_ms,
+          .priority = placed->priority,
           .is_short = placed->is_short,
           .until_ms = now_ms + placed->left_ms + OVERDUE_MS };
 
--- a/src/gateway/placing.c
+++ b/src/gateway/placing.c
@@ -11,7 +11,7 @@
 /* Values of each kind behind the format and the kind. */
 #define ASK_VALUES 15
 #define ANSWER_VALUES 11
-#define PLACED_VALUES 7
+#define PLACED_VALUES 8
 #define REPORT_VALUES 4
 #define PART_VALUES 4
 
@@ -64,6 +64,7 @@
   bd_pack_uint (pack, placed->prefill_tokens);
   bd_pack_uint (pack, placed->is_short);
   bd_pack_uint (pack, placed->begun);
+  bd_pack_int (pack, placed->priority);
   bd_pack_int (pack, placed->left_ms);
 }
 
@@ -244,6 +245,7 @@
   placed->prefill_tokens = read_small (u);
   placed->is_short = bd_unpack_uint (u) != 0;
   placed->begun = bd_unpack_uint (u) != 0;
+  placed->priority = read_priority (u);
   placed->left_ms = read_ms (u);
 }
 
--- a/src/gateway/placing.h
+++ b/src/gateway/placing.h
@@ -87,6 +87,7 @@
   uint64_t prefill_tokens;
   bool is_short;
   bool begun; /**< Its prompt has been read. */
+  int priority;
   int64_t left_ms;
 };
 
