--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -85,7 +85,7 @@
   if (may_repeat (f))
     bd_forward_next_attempt (f);
   else
-    bd_forward_give_up (f, f->begun ? BD_ERR_BROKEN : BD_ERR_NO_RUNNER);
+    bd_forward_give_up (f, BD_ERR_NO_RUNNER);
 }
 
 /* The attempt failed after the runner may have begun. */
@@ -397,8 +397,7 @@
     bd_forward_refuse_overload (f, (int64_t)decision.pick.wait_ms,
                                 (int64_t)decision.limit_ms, decision.retry_ms);
   else
-    bd_forward_give_up (f, f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN
-                                           : BD_ERR_NO_RUNNER);
+    bd_forward_give_up (f, BD_ERR_NO_RUNNER);
 }
 
 static struct bd_target *
--- a/src/gateway/ending.c
+++ b/src/gateway/ending.c
@@ -92,7 +92,8 @@
   return RETRY_AFTER_MS + bd_random_below (&forwarder->random, RETRY_AFTER_MS);
 }
 
-/* Answers with the error's row of the table. */
+/* Answers with the error's row of the table; RETRY_MS below 0: the caller is
+   not told when to come back. */
 static void
 answer_error (struct bd_exchange *exchange, int error, enum bd_ran ran,
               int64_t retry_ms)
@@ -102,7 +103,7 @@
   struct bd_buffer body = { 0 };
 
   bd_buffer_append (&fields, BD_CHUNK ("Content-Type: application/json\r\n"));
-  if (answer->status == 503 || answer->status == 429)
+  if (retry_ms >= 0)
     bd_buffer_printf (&fields, "Retry-After: %" PRId64 ".%03" PRId64 "\r\n",
                       retry_ms / MS_PER_S, retry_ms % MS_PER_S);
   bd_buffer_printf (&body,
@@ -122,6 +123,7 @@
                    const struct bd_request_facts *facts, int error)
 {
   const struct bd_answer *answer = bd_error_answer (error);
+  int64_t retry_ms = -1;
   char id[BD_FORWARD_ID_BYTES];
 
   bd_stats_count (forwarder->parts.stats, BD_STAT_REFUSED, 1);
@@ -132,10 +134,11 @@
           forwarder->routing
               ? (unsigned long long)bd_routing_version (forwarder->routing)
               : 0ULL);
-  answer_error (exchange, error, BD_RAN_NO,
-                error == BD_ERR_SUSPENDED
-                    ? (int64_t)answer->retry_after_s * MS_PER_S
-                    : short_retry_ms (forwarder));
+  if (answer->status == 503 || answer->status == 429)
+    retry_ms = error == BD_ERR_SUSPENDED
+                   ? (int64_t)answer->retry_after_s * MS_PER_S
+                   : short_retry_ms (forwarder);
+  answer_error (exchange, error, BD_RAN_NO, retry_ms);
 }
 
 /* Ends the request for good with ERROR. */
@@ -143,11 +146,12 @@
 bd_forward_give_up (struct bd_forward *f, int error)
 {
   enum bd_ran ran = f->may_have_run ? BD_RAN_UNKNOWN : BD_RAN_NO;
+  bool no_room = error == BD_ERR_NO_RUNNER || !f->may_have_run;
   char id[BD_FORWARD_ID_BYTES];
 
-  /* Nothing of it can run any more: a refusal is true, and says more. */
-  if (!f->may_have_run)
-    error = BD_ERR_NO_RUNNER;
+  /* A refusal says more than an error, where it is true. */
+  if (no_room)
+    error = f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER;
   bd_stats_count (f->forwarder->parts.stats,
                   f->may_have_run ? BD_STAT_FAILED : BD_STAT_REFUSED, 1);
   if (f->begun)
@@ -166,7 +170,8 @@
   if (f->begun)
     bd_exchange_break (f->exchange);
   else
-    answer_error (f->exchange, error, ran, short_retry_ms (f->forwarder));
+    answer_error (f->exchange, error, ran,
+                  no_room ? short_retry_ms (f->forwarder) : -1);
   bd_forward_free (f);
 }
 
--- /dev/null
+++ b/test/soak/caller.c
@@ -0,0 +1,342 @@
+/* Callers: they send requests on kept connections, leave some, and check every
+   answer. */
+#include "soak.h"
+
+#include "common/clock.h"
+#include "core/sse.h"
+
+#include <string.h>
+
+#define GIVE_UP_SHARE 0.04
+#define GIVE_UP_MS 600
+#define EVENTS_MOST 40
+#define TICK_MS 10
+
+struct call
+{
+  struct soak *soak;
+  struct soak_attempt *attempt;
+  struct soak_gateway *gateway;
+  struct bd_call *call;
+  uv_timer_t leave;
+  uv_timer_t limit;
+  int status;
+  bool genuine;
+  struct bd_buffer body;
+  struct bd_sse sse;
+  uint32_t events;
+  int open_timers;
+  bool done;
+};
+
+static struct
+{
+  uv_timer_t timer;
+  double due;
+  int per_second;
+  int times;
+  size_t open;
+  uint32_t number;
+} state;
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  struct call *c = handle->data;
+
+  if (--c->open_timers > 0)
+    return;
+  bd_buffer_clear (&c->body);
+  bd_sse_clear (&c->sse);
+  g_free (c);
+}
+
+static void
+end (struct call *c)
+{
+  if (c->done)
+    return;
+  c->done = true;
+  c->call = NULL;
+  state.open--;
+  uv_close ((uv_handle_t *)&c->leave, on_timer_closed);
+  uv_close ((uv_handle_t *)&c->limit, on_timer_closed);
+}
+
+/* Answers. */
+
+static bool
+promises (int status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static void
+on_head (void *context, const struct bd_head *head)
+{
+  struct call *c = context;
+  struct bd_chunk sign
+      = bd_head_value (head, BD_CHUNK ("X-Basildock-Response-Signature"));
+  char *wanted = g_strconcat ("sig-", c->attempt->id, NULL);
+
+  c->status = head->status;
+  c->genuine = sign.data != NULL;
+  if (sign.data && !bd_chunk_equal (sign, bd_chunk_of (wanted)))
+    soak_violation (c->soak, "MIXED", "%s got the answer of another",
+                    c->attempt->id);
+  if (head->status < 300 && !sign.data)
+    soak_violation (c->soak, "MIXED", "%s got a success of no runner",
+                    c->attempt->id);
+  g_free (wanted);
+}
+
+static void
+take_event (struct call *c, struct bd_chunk event)
+{
+  char *wanted
+      = g_strdup_printf ("id: %u\ndata: %s %u/%u\n\n", c->events + 1,
+                         c->attempt->id, c->events + 1, c->attempt->events);
+
+  if (!bd_chunk_equal (event, bd_chunk_of (wanted)))
+    soak_violation (c->soak, "ORDER", "%s after event %u: %.*s",
+                    c->attempt->id, c->events, (int)event.length, event.data);
+  c->events++;
+  g_free (wanted);
+}
+
+static void
+on_body (void *context, struct bd_chunk data)
+{
+  struct call *c = context;
+  struct bd_buffer event = { 0 };
+
+  if (c->status != 200 || c->attempt->kind < SOAK_STREAM)
+    {
+      bd_buffer_append (&c->body, data);
+      return;
+    }
+  bd_sse_feed (&c->sse, data);
+  while (bd_sse_next (&c->sse, &event))
+    take_event (c, bd_buffer_chunk (&event));
+  bd_buffer_clear (&event);
+}
+
+static void
+check_whole (struct call *c)
+{
+  char *wanted = g_strdup_printf ("answer of %s\n", c->attempt->id);
+
+  if (c->attempt->kind < SOAK_STREAM
+      && !bd_chunk_equal (bd_buffer_chunk (&c->body), bd_chunk_of (wanted)))
+    soak_violation (c->soak, "MIXED", "%s got another body", c->attempt->id);
+  if (c->attempt->kind >= SOAK_STREAM
+      && (c->events != c->attempt->events || c->sse.pending.length > 0))
+    soak_violation (c->soak, "ORDER", "%s ended as whole after %u of %u",
+                    c->attempt->id, c->events, c->attempt->events);
+  g_free (wanted);
+}
+
+static void
+on_end (void *context)
+{
+  struct call *c = context;
+  struct soak *soak = c->soak;
+
+  if (c->status == 200)
+    {
+      check_whole (c);
+      c->attempt->answered = true;
+      soak->served++;
+    }
+  else if (promises (c->status))
+    {
+      soak->refused++;
+      c->attempt->promised = true;
+      if (c->attempt->runs > 0)
+        soak_violation (soak, "REFUSED", "%s got %d and ran %u times",
+                        c->attempt->id, c->status, c->attempt->runs);
+      soak_unserved (soak, c->attempt, c->status, "refused");
+    }
+  else
+    {
+      soak->failed++;
+      if (c->status < 500)
+        soak_violation (soak, "DENIED", "%s got %d", c->attempt->id,
+                        c->status);
+      soak_unserved (soak, c->attempt, c->status,
+                     c->genuine ? "by its runner" : "failed");
+    }
+  end (c);
+}
+
+/* A gateway in a calm state answers whatever it has read; a request that
+   crossed its close on a kept connection was not read. */
+static void
+on_fail (void *context, const struct bd_call_failure *failure)
+{
+  struct call *c = context;
+  bool crossed = failure->reused && c->attempt->arrivals == 0;
+
+  c->soak->failed++;
+  if (!failure->answered && !crossed
+      && soak_gateway_calm_ms (c->gateway) > SOAK_CALM_MS)
+    soak_violation (c->soak, "LOST", "%s of calm gateway %d: error %d%s",
+                    c->attempt->id, c->attempt->gateway, failure->error,
+                    failure->sent ? "" : ", not sent");
+  if (!crossed)
+    soak_unserved (c->soak, c->attempt, 0, "no answer");
+  end (c);
+}
+
+static const struct bd_call_handler handler = {
+  .on_head = on_head, .on_body = on_body, .on_end = on_end, .on_fail = on_fail
+};
+
+/* Requests. */
+
+static void
+leave (struct call *c)
+{
+  c->attempt->left_ms = soak_now_ms (c->soak);
+  bd_call_cancel (c->call);
+  end (c);
+}
+
+static void
+on_leave (uv_timer_t *timer)
+{
+  struct call *c = timer->data;
+
+  c->soak->given_up++;
+  leave (c);
+}
+
+static void
+on_limit (uv_timer_t *timer)
+{
+  struct call *c = timer->data;
+
+  c->soak->failed++;
+  soak_unserved (c->soak, c->attempt, 0, "time is over");
+  leave (c);
+}
+
+static struct soak_attempt *
+new_attempt (struct soak *soak)
+{
+  struct soak_attempt *attempt = g_new0 (struct soak_attempt, 1);
+
+  snprintf (attempt->id, sizeof attempt->id, "a%u", ++state.number);
+  attempt->kind = (enum soak_kind)soak_below (&soak->random, SOAK_KINDS);
+  attempt->events = 1 + soak_below (&soak->random, EVENTS_MOST);
+  attempt->sent_ms = soak_now_ms (soak);
+  attempt->service = soak_service_of (soak, attempt->kind);
+  g_hash_table_insert (soak->attempts, attempt->id, attempt);
+  return attempt;
+}
+
+static void
+write_request (const struct soak_attempt *attempt, struct bd_buffer *out)
+{
+  static const char *const paths[] = { "safe", "once", "stream", "resume" };
+  char *body = g_strconcat ("body of ", attempt->id, NULL);
+
+  bd_buffer_printf (out,
+                    "POST /%s/%s HTTP/1.1\r\nHost: " SOAK_HOST "\r\n"
+                    "X-Basildock-Attempt-Id: %s\r\n"
+                    "X-Basildock-Deadline-Ms: %d\r\n"
+                    "X-Basildock-Tenant: forged\r\n"
+                    "Authorization: Token " SOAK_KEY "\r\n",
+                    paths[attempt->kind], attempt->id, attempt->id,
+                    SOAK_DEADLINE_MS);
+  if (attempt->kind >= SOAK_STREAM)
+    bd_buffer_printf (out,
+                      "X-Basildock-Model: m\r\n"
+                      "X-Basildock-Token-Usage: 900,80\r\n"
+                      "X-Basildock-Prefix-Hash: aa%u:1500,bb%s:300\r\n",
+                      state.number % 20, attempt->id);
+  bd_buffer_printf (out, "Content-Length: %zu\r\n\r\n%s", strlen (body), body);
+  g_free (body);
+}
+
+static struct soak_gateway *
+pick_gateway (struct soak *soak)
+{
+  struct soak_gateway *gateway = soak->gateways[soak_below (
+      &soak->random, (uint32_t)soak->gateway_count)];
+
+  return soak_gateway_takes (gateway) ? gateway : NULL;
+}
+
+static void
+send_request (struct soak *soak)
+{
+  struct soak_gateway *gateway = pick_gateway (soak);
+  struct bd_call_request request
+      = { .connect_timeout_ms = 1000, .idle_max_ms = 8000 };
+  struct bd_buffer out = { 0 };
+  struct call *c;
+
+  if (!gateway)
+    return;
+  c = g_new0 (struct call, 1);
+  c->soak = soak;
+  c->gateway = gateway;
+  c->attempt = new_attempt (soak);
+  c->attempt->gateway = soak_gateway_number (gateway);
+  write_request (c->attempt, &out);
+  request.address = soak_gateway_callers (gateway);
+  request.head = bd_buffer_chunk (&out);
+  uv_timer_init (&soak->loop, &c->leave);
+  uv_timer_init (&soak->loop, &c->limit);
+  c->leave.data = c;
+  c->limit.data = c;
+  c->open_timers = 2;
+  state.open++;
+  soak_count_sent (soak, c->attempt);
+  c->call = bd_client_call (soak->client, &request, &handler, c);
+  bd_buffer_clear (&out);
+  if (!c->call)
+    {
+      end (c);
+      return;
+    }
+  uv_timer_start (&c->limit, on_limit, SOAK_DEADLINE_MS + 500, 0);
+  if (soak_chance (&soak->random, GIVE_UP_SHARE))
+    uv_timer_start (&c->leave, on_leave,
+                    soak_below (&soak->random, GIVE_UP_MS), 0);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  if (soak->ending)
+    return;
+  state.due += state.per_second * state.times * TICK_MS / 1000.0;
+  for (; state.due >= 1.0; state.due -= 1.0)
+    send_request (soak);
+}
+
+size_t
+soak_callers_open (void)
+{
+  return state.open;
+}
+
+void
+soak_callers_press (int times)
+{
+  state.times = times;
+}
+
+void
+soak_callers_start (struct soak *soak, int per_second)
+{
+  state.per_second = per_second;
+  state.times = 1;
+  uv_timer_init (&soak->loop, &state.timer);
+  state.timer.data = soak;
+  uv_timer_start (&state.timer, on_tick, TICK_MS, TICK_MS);
+}
--- /dev/null
+++ b/test/soak/plan.c
@@ -0,0 +1,517 @@
+/* Which faults come, when, and how long they last. */
+#include "soak.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EVERY_MS 150
+#define PLANNED_EVERY_MS 700
+#define LASTS_MS 4000
+#define LASTS_LEAST_MS 300
+#define OPEN_MAX 10
+#define SEED_FACTOR UINT64_C (0x9e3779b97f4a7c15)
+#define NO_SLOT UINT32_MAX
+/* A runner that leaves is removed after so long, and back after more. */
+#define LEAVES_MS 3000
+#define AWAY_MS 2000
+/* Callers send so many times as much. */
+#define PRESS_MOST 8
+
+/* What comes to an end by itself. */
+struct fault
+{
+  void (*end) (struct soak *soak, struct fault *fault);
+  int64_t until_ms;
+  size_t index; /* Of a runner or a gateway. */
+  bool planned;
+};
+
+static struct
+{
+  struct soak *soak;
+  uv_timer_t timer;
+  struct fault faults[OPEN_MAX];
+  size_t count;
+  bool storm;
+  bool healing;
+  uint64_t version;
+  uint64_t random; /* Its own, so that a seed gives the same faults. */
+} plan;
+
+/* Desired states. */
+
+static void
+add_route (struct bd_buffer *out, const char *prefix, const char *type,
+           const char *service, const char *more)
+{
+  bd_buffer_printf (out,
+                    "%s{\"name\":\"%s\",\"host\":\"" SOAK_HOST
+                    "\",\"prefix\":\"/%s/\",\"type\":\"%s\","
+                    "\"timeoutMs\":%d,\"sloMs\":1000,\"priority\":1,"
+                    "\"maxAttempts\":%d,\"service\":\"%s\"%s}",
+                    out->data[out->length - 1] == '[' ? "" : ",", prefix,
+                    prefix, type, SOAK_DEADLINE_MS, SOAK_TRIES_MAX, service,
+                    more);
+}
+
+void
+soak_publish (struct soak *soak, bool moved)
+{
+  struct bd_buffer out = { 0 };
+  char *text;
+
+  plan.version += 1 + soak_below (&soak->random, 5);
+  soak->moved = moved;
+  soak->moved_ms = soak_now_ms (soak);
+  bd_buffer_printf (&out, "{\"version\":%llu,\"routes\":[",
+                    (unsigned long long)plan.version);
+  add_route (&out, "safe", "idempotent", moved ? "mail" : "desk", "");
+  add_route (&out, "once", "non_idempotent", "desk", "");
+  add_route (&out, "stream", "streaming", "llm", ",\"sticky\":true");
+  add_route (&out, "resume", "streaming", "llm",
+             ",\"sticky\":true,\"resumable\":true");
+  bd_buffer_printf (&out, "],\"services\":["
+                          "{\"name\":\"desk\",\"maxConns\":64},"
+                          "{\"name\":\"mail\",\"maxConns\":64},"
+                          "{\"name\":\"llm\",\"maxConns\":64,"
+                          "\"engine\":{\"slots\":16}}],"
+                          "\"tenants\":[{\"name\":\"" SOAK_WORKSPACE
+                          "\",\"apiKeys\":[\"" SOAK_KEY "\"]}],"
+                          "\"limits\":{\"maxHeaderBytes\":16384,"
+                          "\"maxBodyBytes\":65536,\"headerTimeoutMs\":3000,"
+                          "\"idleTimeoutMs\":15000}}");
+  text = g_strndup (out.data, out.length);
+  soak_store_write (soak->store, "op/config", text);
+  soak_note (soak, "version %llu, %s", (unsigned long long)plan.version,
+             moved ? "moved" : "not moved");
+  g_free (text);
+  bd_buffer_clear (&out);
+}
+
+/* Faults that end. */
+
+static void
+open_fault (struct soak *soak,
+            void (*end) (struct soak *soak, struct fault *fault), size_t index,
+            int64_t lasts_ms, bool planned)
+{
+  plan.faults[plan.count++]
+      = (struct fault){ .end = end,
+                        .until_ms = soak_now_ms (soak) + lasts_ms,
+                        .index = index,
+                        .planned = planned };
+  soak->faults++;
+  if (!planned)
+    soak->faults_open++;
+}
+
+static void
+close_fault (struct soak *soak, size_t index)
+{
+  struct fault fault = plan.faults[index];
+
+  plan.faults[index] = plan.faults[--plan.count];
+  if (!fault.planned)
+    {
+      soak->faults_open--;
+      soak->fault_ms = soak_now_ms (soak);
+    }
+  fault.end (soak, &fault);
+}
+
+static int64_t
+lasting (void)
+{
+  return LASTS_LEAST_MS + soak_below (&plan.random, LASTS_MS);
+}
+
+static bool
+is_harmed (size_t runner)
+{
+  for (size_t i = 0; i < plan.count; i++)
+    if (plan.faults[i].index == runner)
+      return true;
+  return false;
+}
+
+/* A runner that nothing happens to now; NO_SLOT: enough are harmed. */
+static size_t
+pick_runner (struct soak *soak)
+{
+  size_t index = soak_below (&plan.random, (uint32_t)soak->runner_count);
+  const char *service = soak_runner_service (soak->runners[index]);
+  size_t others = 0;
+
+  if (is_harmed (index) || soak_runner_leaves (soak->runners[index]))
+    return NO_SLOT;
+  for (size_t i = 0; i < soak->runner_count; i++)
+    if (i != index && !is_harmed (i) && !soak_runner_leaves (soak->runners[i])
+        && strcmp (service, soak_runner_service (soak->runners[i])) == 0)
+      others++;
+  return others > 1 ? index : NO_SLOT;
+}
+
+/* Runners. */
+
+static void
+end_proxy_mode (struct soak *soak, struct fault *fault)
+{
+  soak_proxy_set (soak_runner_proxy (soak->runners[fault->index]), SOAK_PASS);
+}
+
+static void
+harm_connections (struct soak *soak)
+{
+  static const enum soak_proxy_mode modes[]
+      = { SOAK_DELAY, SOAK_SILENT, SOAK_ONE_WAY, SOAK_SILENT_OLD };
+  size_t index = pick_runner (soak);
+  enum soak_proxy_mode mode = modes[soak_below (&plan.random, 4)];
+
+  if (index == NO_SLOT)
+    return;
+  soak_note (soak, "runner %zu: connections %d", index, (int)mode);
+  soak_proxy_set (soak_runner_proxy (soak->runners[index]), mode);
+  open_fault (soak, end_proxy_mode, index, lasting (), false);
+}
+
+static void
+reset_connections (struct soak *soak)
+{
+  size_t index = soak_below (&plan.random, (uint32_t)soak->runner_count);
+
+  soak_note (soak, "runner %zu: reset", index);
+  soak_proxy_reset (soak_runner_proxy (soak->runners[index]));
+  soak->faults++;
+  soak->fault_ms = soak_now_ms (soak);
+}
+
+static void
+end_habits (struct soak *soak, struct fault *fault)
+{
+  struct soak_habits none = { 0 };
+
+  soak_runner_habits (soak->runners[fault->index], &none);
+}
+
+static void
+spoil (struct soak *soak)
+{
+  size_t index = pick_runner (soak);
+  struct soak_habits habits = { 0 };
+  double *shares[] = { &habits.errors,    &habits.refusals, &habits.lost,
+                       &habits.truncated, &habits.garbled,  &habits.slow };
+  uint32_t which = soak_below (&plan.random, G_N_ELEMENTS (shares));
+
+  if (index == NO_SLOT)
+    return;
+  *shares[which] = 0.1 + soak_below (&plan.random, 10) / 10.0;
+  soak_note (soak, "runner %zu: habit %u", index, which);
+  soak_runner_habits (soak->runners[index], &habits);
+  open_fault (soak, end_habits, index, lasting (), false);
+}
+
+static void
+end_crash (struct soak *soak, struct fault *fault)
+{
+  struct soak_runner *runner = soak->runners[fault->index];
+
+  /* Some come back under another identifier. */
+  if (soak_chance (&plan.random, 0.5))
+    soak_runner_remove (runner);
+  soak_note (soak, "runner %zu: back", fault->index);
+  soak_runner_start (runner, soak_runner_service (runner));
+}
+
+static void
+crash (struct soak *soak)
+{
+  size_t index = pick_runner (soak);
+
+  if (index == NO_SLOT)
+    return;
+  soak_note (soak, "runner %zu: crash", index);
+  soak_runner_crash (soak->runners[index]);
+  open_fault (soak, end_crash, index, lasting (), false);
+}
+
+static void
+come_back (struct soak *soak, struct fault *fault)
+{
+  struct soak_runner *runner = soak->runners[fault->index];
+
+  soak_note (soak, "runner %zu: starts", fault->index);
+  soak_runner_start (runner, soak_runner_service (runner));
+}
+
+/* A runner goes when it has done its work. */
+static void
+end_draining (struct soak *soak, struct fault *fault)
+{
+  struct soak_runner *runner = soak->runners[fault->index];
+
+  if (soak_runner_busy (runner) && !plan.healing)
+    {
+      open_fault (soak, end_draining, fault->index, LASTS_LEAST_MS, true);
+      return;
+    }
+  soak_note (soak, "runner %zu: gone", fault->index);
+  soak_runner_remove (runner);
+  soak_runner_crash (runner);
+  open_fault (soak, come_back, fault->index, AWAY_MS, true);
+}
+
+static void
+drain (struct soak *soak)
+{
+  size_t index = pick_runner (soak);
+
+  if (index == NO_SLOT)
+    return;
+  soak_note (soak, "runner %zu: leaves", index);
+  soak_runner_drain (soak->runners[index]);
+  open_fault (soak, end_draining, index, LEAVES_MS, true);
+}
+
+/* The store. */
+
+static void
+end_store (struct soak *soak, struct fault *fault)
+{
+  (void)fault;
+  soak_store_set (soak->store, SOAK_STORE_UP);
+  soak_proxy_set (soak_store_proxy (soak->store), SOAK_PASS);
+}
+
+static void
+harm_store (struct soak *soak)
+{
+  uint32_t which = soak_below (&plan.random, 6);
+
+  soak_note (soak, "store: %u", which);
+  if (which < 4)
+    soak_store_set (soak->store,
+                    (enum soak_store_mode) (SOAK_STORE_BUSY + which));
+  else
+    soak_proxy_set (soak_store_proxy (soak->store),
+                    which == 4 ? SOAK_SILENT : SOAK_REFUSE);
+  open_fault (soak, end_store, NO_SLOT, lasting (), false);
+}
+
+static void
+forget (struct soak *soak)
+{
+  soak_note (soak, "store: forgets");
+  soak_store_forget (soak->store);
+}
+
+/* Entries of another writer. */
+static void
+write_nonsense (struct soak *soak)
+{
+  static const char *const values[]
+      = { "{",
+          "[]",
+          "{\"service\":\"desk\"}",
+          "{\"service\":\"desk\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+          "\"slots\":16,\"state\":\"lost\"}",
+          "{\"service\":\"desk\",\"address\":\"x\",\"zone\":\"z\","
+          "\"slots\":16,\"state\":\"ready\"}",
+          "{\"service\":7,\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+          "\"slots\":\"a\",\"state\":\"ready\"}",
+          NULL };
+  char key[32];
+
+  snprintf (key, sizeof key, "servers/x%u", soak_below (&plan.random, 4));
+  soak_note (soak, "store: nonsense");
+  soak_store_write (soak->store, key,
+                    values[soak_below (&plan.random, G_N_ELEMENTS (values))]);
+}
+
+/* Gateways. */
+
+static void
+end_pause (struct soak *soak, struct fault *fault)
+{
+  soak_gateway_signal (soak->gateways[fault->index - SOAK_RUNNERS_MAX],
+                       SIGCONT);
+}
+
+/* A gateway that runs, if most of them do; else NULL. */
+static struct soak_gateway *
+pick_gateway (struct soak *soak, size_t *index)
+{
+  size_t up = 0;
+
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    up += soak_gateway_calm_ms (soak->gateways[i]) > 0;
+  *index = soak_below (&plan.random, (uint32_t)soak->gateway_count);
+  if (up * 2 <= soak->gateway_count
+      || soak_gateway_calm_ms (soak->gateways[*index]) == 0)
+    return NULL;
+  return soak->gateways[*index];
+}
+
+static void
+pause_gateway (struct soak *soak)
+{
+  size_t index;
+  struct soak_gateway *gateway = pick_gateway (soak, &index);
+
+  if (!gateway)
+    return;
+  soak_gateway_signal (gateway, SIGSTOP);
+  open_fault (soak, end_pause, SOAK_RUNNERS_MAX + index, lasting (), false);
+}
+
+static void
+kill_gateway (struct soak *soak)
+{
+  size_t index;
+  struct soak_gateway *gateway = pick_gateway (soak, &index);
+
+  if (!gateway)
+    return;
+  soak_gateway_signal (gateway, SIGKILL);
+  soak->faults++;
+  soak->fault_ms = soak_now_ms (soak);
+}
+
+static void
+stop_gateway (struct soak *soak)
+{
+  size_t index;
+  struct soak_gateway *gateway = pick_gateway (soak, &index);
+
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    if (soak_gateway_stopping (soak->gateways[i]))
+      return;
+  if (gateway)
+    soak_gateway_signal (gateway, SIGTERM);
+}
+
+static void
+renew_settings (struct soak *soak)
+{
+  size_t index;
+  struct soak_gateway *gateway = pick_gateway (soak, &index);
+
+  if (gateway)
+    soak_gateway_signal (gateway, SIGHUP);
+}
+
+static void
+move (struct soak *soak)
+{
+  soak_publish (soak, !soak->moved);
+}
+
+/* Callers. */
+
+static void
+end_press (struct soak *soak, struct fault *fault)
+{
+  (void)fault;
+  soak_callers_press (1);
+  soak_note (soak, "callers: as usual");
+}
+
+static void
+press (struct soak *soak)
+{
+  int times = 2 + (int)soak_below (&plan.random, PRESS_MOST - 1);
+
+  soak_note (soak, "callers: %d times as many", times);
+  soak_callers_press (times);
+  open_fault (soak, end_press, NO_SLOT, lasting (), false);
+}
+
+/* Series. */
+
+static void
+end_due (struct soak *soak)
+{
+  for (size_t i = 0; i < plan.count;)
+    if (plan.faults[i].until_ms <= soak_now_ms (soak))
+      close_fault (soak, i);
+    else
+      i++;
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  static void (*const faults[]) (struct soak * soak) = { harm_connections,
+                                                         harm_connections,
+                                                         reset_connections,
+                                                         spoil,
+                                                         spoil,
+                                                         crash,
+                                                         press,
+                                                         harm_store,
+                                                         write_nonsense,
+                                                         pause_gateway,
+                                                         kill_gateway,
+                                                         drain,
+                                                         forget,
+                                                         stop_gateway,
+                                                         renew_settings,
+                                                         move };
+  enum
+  {
+    PLANNED = 11
+  };
+  struct soak *soak = timer->data;
+  uint32_t first = plan.storm ? 0 : PLANNED;
+
+  end_due (soak);
+  if (plan.count + 1 < OPEN_MAX)
+    faults[first + soak_below (&plan.random, G_N_ELEMENTS (faults) - first)](
+        soak);
+}
+
+static void
+begin (struct soak *soak, bool storm)
+{
+  plan.soak = soak;
+  plan.random = soak->seed * SEED_FACTOR + storm + 1;
+  plan.storm = storm;
+  uv_timer_init (&soak->loop, &plan.timer);
+  plan.timer.data = soak;
+  uv_timer_start (&plan.timer, on_timer, EVERY_MS,
+                  storm ? EVERY_MS : PLANNED_EVERY_MS);
+}
+
+void
+soak_plan_storm (struct soak *soak)
+{
+  begin (soak, true);
+}
+
+void
+soak_plan_calm (struct soak *soak)
+{
+  begin (soak, false);
+}
+
+void
+soak_plan_stop (struct soak *soak)
+{
+  (void)soak;
+  uv_timer_stop (&plan.timer);
+}
+
+void
+soak_plan_heal (struct soak *soak)
+{
+  uv_timer_stop (&plan.timer);
+  plan.healing = true;
+  /* Some open another when they end. */
+  while (plan.count > 0)
+    close_fault (soak, 0);
+  plan.healing = false;
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    if (soak_gateway_paused (soak->gateways[i]))
+      soak_gateway_signal (soak->gateways[i], SIGCONT);
+  soak->fault_ms = soak_now_ms (soak);
+}
--- /dev/null
+++ b/test/soak/process.c
@@ -0,0 +1,313 @@
+/* Gateway processes: started, stopped, paused and killed by their own ids. */
+#include "soak.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CALLERS_PORT 8101
+#define READINESS_PORT 8102
+#define INTERNAL_PORT 8103
+#define GRACE_S 6
+#define GRACE_SLACK_MS 1500
+#define RESTART_MS 300
+/* What the load balancer asks, how often, and how many misses it bears. */
+#define POLL_MS 500
+#define MISSES_MOST 2
+
+struct soak_gateway
+{
+  struct soak *soak;
+  int number;
+  uv_process_t *process; /* NULL: it does not run. */
+  uv_timer_t timer;
+  uv_timer_t poll;
+  struct bd_call *asked; /* NULL: the last question is over. */
+  int misses; /* In a row; MISSES_MOST: it takes no new connections. */
+  char settings[320];
+  int64_t changed_ms;  /* Of the last signal or start. */
+  int64_t stopping_ms; /* SIGTERM was sent; 0: it was not. */
+  bool killed;
+  bool paused;
+  bool ending;
+};
+
+static void start (struct soak_gateway *gateway);
+
+static void
+write_settings (struct soak_gateway *gateway)
+{
+  struct soak *soak = gateway->soak;
+  FILE *file = fopen (gateway->settings, "w");
+  char own[SOAK_ADDRESS_BYTES];
+  char seeds[2][SOAK_ADDRESS_BYTES];
+  char store[SOAK_ADDRESS_BYTES];
+
+  if (!file)
+    g_error ("cannot write %s", gateway->settings);
+  soak_ip (soak, gateway->number, own);
+  soak_ip (soak, 1, seeds[0]);
+  soak_ip (soak, 2, seeds[1]);
+  soak_ip (soak, SOAK_STORE_HOST, store);
+  fprintf (file,
+           "{\"instance\":\"gateway-%d\",\"zone\":\"z%d\",\"ip\":\"%s\","
+           "\"callers\":\"%s:%d\",\"readiness\":\"%s:%d\","
+           "\"internal_port\":%d,\"seeds\":[\"%s:1\",\"%s:1\"],"
+           "\"store\":\"%s:%d\",\"cpu_share\":0.2,\"cores\":1,"
+           "\"grace_s\":%d,\"retry_ratio\":%g,\"retry_slack\":%d,"
+           "\"retry_window_s\":%d}\n",
+           gateway->number, gateway->number % 3, own, own, CALLERS_PORT, own,
+           READINESS_PORT, INTERNAL_PORT, seeds[0], seeds[1], store,
+           SOAK_STORE_PORT, GRACE_S, SOAK_RETRY_RATIO, SOAK_RETRY_SLACK,
+           SOAK_RETRY_WINDOW_S);
+  fclose (file);
+}
+
+static void
+on_process_closed (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+static void
+on_restart (uv_timer_t *timer)
+{
+  struct soak_gateway *gateway = timer->data;
+
+  if (!gateway->process && !gateway->ending)
+    start (gateway);
+}
+
+static void
+on_process_exit (uv_process_t *process, int64_t status, int number)
+{
+  struct soak_gateway *gateway = process->data;
+  int64_t now = soak_now_ms (gateway->soak);
+
+  if (!gateway->killed && gateway->stopping_ms == 0)
+    soak_violation (gateway->soak, "EXIT",
+                    "gateway %d ended by itself: %lld %d", gateway->number,
+                    (long long)status, number);
+  if (!gateway->killed && gateway->stopping_ms != 0
+      && (status != 0 || number != 0))
+    soak_violation (gateway->soak, "EXIT", "gateway %d stopped with %lld %d",
+                    gateway->number, (long long)status, number);
+  soak_note (gateway->soak, "gateway %d ended", gateway->number);
+  gateway->process = NULL;
+  gateway->paused = false;
+  gateway->misses = MISSES_MOST;
+  gateway->changed_ms = now;
+  uv_close ((uv_handle_t *)process, on_process_closed);
+  uv_timer_start (&gateway->timer, on_restart, RESTART_MS, 0);
+}
+
+static void
+start (struct soak_gateway *gateway)
+{
+  char log[320];
+  char *args[]
+      = { gateway->soak->program, "--settings", gateway->settings, NULL };
+  uv_stdio_container_t stdio[3] = { { .flags = UV_IGNORE } };
+  uv_process_options_t options = { .exit_cb = on_process_exit,
+                                   .file = gateway->soak->program,
+                                   .args = args,
+                                   .stdio_count = 3,
+                                   .stdio = stdio };
+  int fd;
+
+  snprintf (log, sizeof log, "%s/gateway-%d.log", gateway->soak->folder,
+            gateway->number);
+  fd = open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  for (int i = 1; i < 3; i++)
+    {
+      stdio[i].flags = UV_INHERIT_FD;
+      stdio[i].data.fd = fd;
+    }
+  gateway->process = g_new0 (uv_process_t, 1);
+  gateway->process->data = gateway;
+  gateway->killed = false;
+  gateway->stopping_ms = 0;
+  gateway->changed_ms = soak_now_ms (gateway->soak);
+  if (uv_spawn (&gateway->soak->loop, gateway->process, &options) != 0)
+    g_error ("cannot start %s", gateway->soak->program);
+  close (fd);
+}
+
+void
+soak_gateway_signal (struct soak_gateway *gateway, int number)
+{
+  if (!gateway->process)
+    return;
+  soak_note (gateway->soak, "signal %d to gateway %d", number,
+             gateway->number);
+  if (number != SIGHUP)
+    gateway->changed_ms = soak_now_ms (gateway->soak);
+  if (number == SIGKILL)
+    gateway->killed = true;
+  if (number == SIGTERM && gateway->stopping_ms == 0)
+    gateway->stopping_ms = gateway->changed_ms;
+  if (number == SIGHUP)
+    write_settings (gateway);
+  gateway->paused
+      = number == SIGSTOP || (gateway->paused && number != SIGCONT);
+  uv_process_kill (gateway->process, number);
+}
+
+int
+soak_gateway_number (const struct soak_gateway *gateway)
+{
+  return gateway->number;
+}
+
+bool
+soak_gateway_paused (const struct soak_gateway *gateway)
+{
+  return gateway->paused;
+}
+
+bool
+soak_gateway_stopping (const struct soak_gateway *gateway)
+{
+  return gateway->stopping_ms != 0;
+}
+
+bool
+soak_gateway_up (const struct soak_gateway *gateway)
+{
+  return gateway->process != NULL;
+}
+
+bool
+soak_gateway_takes (const struct soak_gateway *gateway)
+{
+  return gateway->misses < MISSES_MOST;
+}
+
+int64_t
+soak_gateway_calm_ms (const struct soak_gateway *gateway)
+{
+  if (!gateway->process || gateway->paused || gateway->stopping_ms != 0)
+    return 0;
+  return soak_now_ms (gateway->soak) - gateway->changed_ms;
+}
+
+/* A process that was told to stop is killed after its grace. */
+void
+soak_gateway_check (struct soak_gateway *gateway)
+{
+  int64_t stopping = gateway->stopping_ms;
+
+  if (!gateway->process || stopping == 0 || gateway->paused || gateway->killed)
+    return;
+  if (soak_now_ms (gateway->soak) - gateway->changed_ms
+      < GRACE_S * 1000 + GRACE_SLACK_MS)
+    return;
+  soak_violation (gateway->soak, "EXIT", "gateway %d did not stop in time",
+                  gateway->number);
+  soak_gateway_signal (gateway, SIGKILL);
+}
+
+struct sockaddr_in
+soak_gateway_callers (const struct soak_gateway *gateway)
+{
+  return soak_address (gateway->soak, gateway->number, CALLERS_PORT);
+}
+
+/* Readiness. */
+
+static void
+note_miss (struct soak_gateway *gateway)
+{
+  if (gateway->misses < MISSES_MOST)
+    gateway->misses++;
+}
+
+static void
+on_ready_head (void *context, const struct bd_head *head)
+{
+  struct soak_gateway *gateway = context;
+
+  if (head->status == 200)
+    gateway->misses = 0;
+  else
+    note_miss (gateway);
+}
+
+static void
+on_ready_body (void *context, struct bd_chunk data)
+{
+  (void)context;
+  (void)data;
+}
+
+static void
+on_ready_end (void *context)
+{
+  struct soak_gateway *gateway = context;
+
+  gateway->asked = NULL;
+}
+
+static void
+on_ready_fail (void *context, const struct bd_call_failure *failure)
+{
+  struct soak_gateway *gateway = context;
+
+  (void)failure;
+  gateway->asked = NULL;
+  note_miss (gateway);
+}
+
+static const struct bd_call_handler ready_handler
+    = { .on_head = on_ready_head,
+        .on_body = on_ready_body,
+        .on_end = on_ready_end,
+        .on_fail = on_ready_fail };
+
+static void
+on_poll (uv_timer_t *timer)
+{
+  struct soak_gateway *gateway = timer->data;
+  struct bd_call_request request = {
+    .address = soak_address (gateway->soak, gateway->number, READINESS_PORT),
+    .head = BD_CHUNK ("GET /v1/readyz HTTP/1.1\r\nHost: r\r\n"
+                      "Connection: close\r\n\r\n"),
+    .connect_timeout_ms = POLL_MS,
+  };
+
+  if (gateway->asked)
+    {
+      bd_call_cancel (gateway->asked);
+      note_miss (gateway);
+    }
+  gateway->asked = bd_client_call (gateway->soak->client, &request,
+                                   &ready_handler, gateway);
+}
+
+void
+soak_gateway_end (struct soak_gateway *gateway)
+{
+  gateway->ending = true;
+  soak_gateway_signal (gateway, SIGKILL);
+}
+
+struct soak_gateway *
+soak_gateway_create (struct soak *soak, int number)
+{
+  struct soak_gateway *gateway = g_new0 (struct soak_gateway, 1);
+
+  gateway->soak = soak;
+  gateway->number = number;
+  snprintf (gateway->settings, sizeof gateway->settings, "%s/gateway-%d.json",
+            soak->folder, number);
+  uv_timer_init (&soak->loop, &gateway->timer);
+  uv_timer_init (&soak->loop, &gateway->poll);
+  gateway->timer.data = gateway;
+  gateway->poll.data = gateway;
+  gateway->misses = MISSES_MOST;
+  uv_timer_start (&gateway->poll, on_poll, POLL_MS / 2, POLL_MS);
+  write_settings (gateway);
+  start (gateway);
+  return gateway;
+}
--- /dev/null
+++ b/test/soak/soak.c
@@ -0,0 +1,405 @@
+/* The run: its settings, its clock and chance, what it counts, its end. */
+#include "soak.h"
+
+#include "common/clock.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SLOT_MS 250
+#define SLOTS_MAX 100000
+#define WINDOW_SLOTS (SOAK_RETRY_WINDOW_S * 1000 / SLOT_MS)
+#define SERVICES 3
+#define HOSTS_PER_NET 200
+#define FIRST_NET 16
+#define NETS 200
+/* After the faults are over, all must be well again after so long. */
+#define RECOVER_MS 8000
+#define READY_MS 30000
+#define POLL_MS 100
+#define CHECK_MS 250
+/* For requests that are open when the callers stop. */
+#define LAST_MS 10000
+#define CALLS_PER_GATEWAY 25
+
+static const char *const service_names[SERVICES] = { "desk", "mail", "llm" };
+
+/* Requests and repeats of each service in each slot of time. */
+static uint32_t sent_in[SERVICES][SLOTS_MAX];
+static uint32_t repeats_in[SERVICES][SLOTS_MAX];
+
+/* The run itself, in the order of its phases. */
+static struct
+{
+  struct soak soak;
+  int seconds;
+  int gateways;
+  int runners;
+  uv_timer_t phase;
+  uv_timer_t check;
+  bool over;
+} run;
+
+/* Clock and chance. */
+
+int64_t
+soak_now_ms (const struct soak *soak)
+{
+  return bd_clock_ms () - soak->begun_ms;
+}
+
+uint32_t
+soak_below (uint64_t *random, uint32_t limit)
+{
+  *random ^= *random << 13;
+  *random ^= *random >> 7;
+  *random ^= *random << 17;
+  return limit == 0 ? 0 : (uint32_t)((*random >> 16) % limit);
+}
+
+bool
+soak_chance (uint64_t *random, double share)
+{
+  return soak_below (random, 1000000) < share * 1000000;
+}
+
+int64_t
+soak_calm_ms (const struct soak *soak)
+{
+  return soak->faults_open > 0 ? 0 : soak_now_ms (soak) - soak->fault_ms;
+}
+
+/* The record. */
+
+static void
+put_line (struct soak *soak, FILE *out, const char *rule, const char *format,
+          va_list arguments)
+{
+  fprintf (out, "%8.3f %s ", (double)soak_now_ms (soak) / 1000.0, rule);
+  vfprintf (out, format, arguments);
+  fputc ('\n', out);
+  fflush (out);
+}
+
+void
+soak_violation (struct soak *soak, const char *rule, const char *format, ...)
+{
+  va_list arguments;
+
+  soak->violations++;
+  va_start (arguments, format);
+  put_line (soak, soak->record, rule, format, arguments);
+  va_end (arguments);
+  va_start (arguments, format);
+  put_line (soak, stdout, rule, format, arguments);
+  va_end (arguments);
+}
+
+void
+soak_note (struct soak *soak, const char *format, ...)
+{
+  va_list arguments;
+
+  va_start (arguments, format);
+  put_line (soak, soak->record, "-", format, arguments);
+  va_end (arguments);
+}
+
+/* Addresses and services. */
+
+void
+soak_ip (const struct soak *soak, int host, char text[SOAK_ADDRESS_BYTES])
+{
+  snprintf (text, SOAK_ADDRESS_BYTES, "127.%d.%d.%d", soak->net,
+            host / HOSTS_PER_NET, 1 + host % HOSTS_PER_NET);
+}
+
+struct sockaddr_in
+soak_address (const struct soak *soak, int host, int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  char text[SOAK_ADDRESS_BYTES];
+
+  soak_ip (soak, host, text);
+  inet_pton (AF_INET, text, &address.sin_addr);
+  address.sin_port = htons ((uint16_t)port);
+  return address;
+}
+
+int
+soak_service (const char *name)
+{
+  for (int i = 0; i < SERVICES; i++)
+    if (strcmp (service_names[i], name) == 0)
+      return i;
+  g_error ("no service %s", name);
+}
+
+int
+soak_service_of (const struct soak *soak, enum soak_kind kind)
+{
+  if (kind >= SOAK_STREAM)
+    return 2;
+  return kind == SOAK_SAFE && soak->moved ? 1 : 0;
+}
+
+/* Counts. */
+
+static size_t
+slot_now (const struct soak *soak)
+{
+  return (size_t)(soak_now_ms (soak) / SLOT_MS) % SLOTS_MAX;
+}
+
+void
+soak_count_sent (struct soak *soak, const struct soak_attempt *attempt)
+{
+  soak->sent++;
+  sent_in[attempt->service][slot_now (soak)]++;
+}
+
+void
+soak_count_arrival (struct soak *soak, struct soak_attempt *attempt)
+{
+  if (attempt->arrivals++ == 0)
+    return;
+  repeats_in[attempt->service][slot_now (soak)]++;
+  soak->repeated++;
+}
+
+static uint32_t
+sum_before (const uint32_t *slots, size_t end)
+{
+  size_t from = end < WINDOW_SLOTS ? 0 : end - WINDOW_SLOTS;
+  uint32_t sum = 0;
+
+  for (size_t i = from; i < end; i++)
+    sum += slots[i];
+  return sum;
+}
+
+static void
+check_window (struct soak *soak, int service, size_t end)
+{
+  const uint32_t *sent = sent_in[service];
+  uint32_t repeats = sum_before (repeats_in[service], end);
+  uint32_t most = sum_before (sent, end);
+  size_t back[] = { WINDOW_SLOTS / 2, WINDOW_SLOTS };
+
+  for (int i = 0; i < 2; i++)
+    if (end > back[i])
+      most = MAX (most, sum_before (sent, end - back[i]));
+  if (repeats > most * SOAK_RETRY_RATIO + SOAK_RETRY_SLACK)
+    soak_violation (soak, "BUDGET", "%s: %u repeats, %u requests until %zu s",
+                    service_names[service], repeats, most,
+                    end * SLOT_MS / 1000);
+}
+
+void
+soak_check_repeats (struct soak *soak)
+{
+  size_t last = slot_now (soak);
+
+  for (int service = 0; service < SERVICES; service++)
+    for (size_t end = 1; end <= last; end++)
+      check_window (soak, service, end);
+}
+
+void
+soak_unserved (struct soak *soak, const struct soak_attempt *attempt,
+               int status, const char *how)
+{
+  if (soak->served_from_ms == 0 || attempt->sent_ms < soak->served_from_ms)
+    return;
+  soak_violation (soak, "LOST",
+                  "%s at %d unserved: %d, %s; %u arrivals, %u runs",
+                  attempt->id, attempt->gateway, status, how,
+                  attempt->arrivals, attempt->runs);
+}
+
+/* Phases. */
+
+static void
+on_check (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    soak_gateway_check (soak->gateways[i]);
+}
+
+static void
+finish (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  uv_timer_stop (timer);
+  if (soak_callers_open () > 0)
+    soak_violation (soak, "LOST", "%zu requests never ended",
+                    soak_callers_open ());
+  soak_check_repeats (soak);
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    soak_gateway_end (soak->gateways[i]);
+  run.over = true;
+}
+
+static void
+stop_callers (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  soak_plan_stop (soak);
+  soak->ending = true;
+  uv_timer_start (timer, finish, LAST_MS, 0);
+}
+
+static void
+begin_calm (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  soak_note (soak, "only planned work");
+  soak->served_from_ms = soak_now_ms (soak);
+  soak_plan_calm (soak);
+  uv_timer_start (timer, stop_callers, (uint64_t)run.seconds * 400, 0);
+}
+
+static void
+begin_heal (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  soak_note (soak, "faults end");
+  soak_plan_heal (soak);
+  uv_timer_start (timer, begin_calm, RECOVER_MS, 0);
+}
+
+/* They begin when all gateways say that they are ready. */
+static void
+await_ready (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  if (soak_now_ms (soak) > READY_MS)
+    {
+      soak_violation (soak, "READY", "the gateways do not become ready");
+      finish (timer);
+      return;
+    }
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    if (!soak_gateway_takes (soak->gateways[i]))
+      return;
+  uv_timer_stop (timer);
+  soak_note (soak, "all are ready");
+  soak_callers_start (soak, run.gateways * CALLS_PER_GATEWAY);
+  soak_plan_storm (soak);
+  uv_timer_start (timer, begin_heal, (uint64_t)run.seconds * 600, 0);
+}
+
+/* Beginning and end. */
+
+static void
+create_all (struct soak *soak)
+{
+  static const char *const services[] = { "llm", "desk", "llm", "mail" };
+
+  uv_loop_init (&soak->loop);
+  soak->client = bd_client_create (&soak->loop);
+  soak->attempts = g_hash_table_new (g_str_hash, g_str_equal);
+  soak->store = soak_store_create (soak);
+  soak_publish (soak, false);
+  for (int i = 0; i < run.runners; i++)
+    soak->runners[soak->runner_count++] = soak_runner_create (
+        soak, SOAK_RUNNER_HOST + i, services[i % G_N_ELEMENTS (services)]);
+  for (int i = 1; i <= run.gateways; i++)
+    soak->gateways[soak->gateway_count++] = soak_gateway_create (soak, i);
+  uv_timer_init (&soak->loop, &run.phase);
+  uv_timer_init (&soak->loop, &run.check);
+  run.phase.data = soak;
+  run.check.data = soak;
+  uv_timer_start (&run.phase, await_ready, POLL_MS, POLL_MS);
+  uv_timer_start (&run.check, on_check, CHECK_MS, CHECK_MS);
+}
+
+static bool
+any_up (const struct soak *soak)
+{
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    if (soak_gateway_up (soak->gateways[i]))
+      return true;
+  return false;
+}
+
+static void
+read_options (int argc, char **argv)
+{
+  struct soak *soak = &run.soak;
+  char *program = NULL;
+  char *folder = NULL;
+  gint64 seed = 1;
+  GOptionEntry entries[] = {
+    { "gateway", 0, 0, G_OPTION_ARG_FILENAME, &program,
+      "The gateway's program", "PATH" },
+    { "keep", 0, 0, G_OPTION_ARG_FILENAME, &folder,
+      "Keep settings and logs here", "DIR" },
+    { "seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Of the faults", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &run.seconds,
+      "With callers, besides recovery", "N" },
+    { "gateways", 0, 0, G_OPTION_ARG_INT, &run.gateways, "Processes", "N" },
+    { "runners", 0, 0, G_OPTION_ARG_INT, &run.runners, "Played here", "N" },
+    { 0 }
+  };
+  GOptionContext *context = g_option_context_new ("- soak of the gateway");
+  GError *error = NULL;
+
+  run.seconds = 20;
+  run.gateways = 6;
+  run.runners = 16;
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    g_error ("%s", error->message);
+  g_option_context_free (context);
+  if (!program || !folder || run.gateways < 2
+      || run.gateways > SOAK_GATEWAYS_MAX || run.runners < 8
+      || run.runners > SOAK_RUNNERS_MAX || run.seconds < 1)
+    g_error ("--gateway, --keep and sensible numbers are needed");
+  g_strlcpy (soak->program, program, sizeof soak->program);
+  g_strlcpy (soak->folder, folder, sizeof soak->folder);
+  soak->seed = (uint64_t)seed;
+  soak->random = soak->seed * 0x9e3779b97f4a7c15u + 1;
+  soak->net = FIRST_NET + (int)(getpid () % NETS);
+  g_free (program);
+  g_free (folder);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct soak *soak = &run.soak;
+  char path[320];
+
+  signal (SIGPIPE, SIG_IGN);
+  read_options (argc, argv);
+  g_mkdir_with_parents (soak->folder, 0755);
+  snprintf (path, sizeof path, "%s/record.txt", soak->folder);
+  soak->record = fopen (path, "w");
+  if (!soak->record)
+    g_error ("cannot write %s", path);
+  soak->begun_ms = bd_clock_ms ();
+  create_all (soak);
+  while (!run.over || any_up (soak))
+    uv_run (&soak->loop, UV_RUN_ONCE);
+  printf ("seed %" G_GUINT64_FORMAT ": %" G_GUINT64_FORMAT
+          " sent, %" G_GUINT64_FORMAT " served, %" G_GUINT64_FORMAT
+          " refused, %" G_GUINT64_FORMAT " failed, %" G_GUINT64_FORMAT
+          " given up, %" G_GUINT64_FORMAT " repeats, %" G_GUINT64_FORMAT
+          " faults, %" G_GUINT64_FORMAT " violations\n",
+          soak->seed, soak->sent, soak->served, soak->refused, soak->failed,
+          soak->given_up, soak->repeated, soak->faults, soak->violations);
+  fclose (soak->record);
+  return soak->violations > 0;
+}
--- /dev/null
+++ b/test/soak/store.c
@@ -0,0 +1,294 @@
+/* The platform's store, as far as gateways read it. */
+#include "soak.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <string.h>
+
+#define SLOW_MS 700
+#define VALUE_BYTES 65536
+
+/* A version of an item. */
+struct version
+{
+  char *key;
+  char *value; /* In base64; NULL: deleted. */
+  uint64_t revision;
+};
+
+struct watcher
+{
+  struct bd_exchange *exchange;
+  uint64_t after;
+  int64_t until_ms;
+};
+
+struct soak_store
+{
+  struct soak *soak;
+  struct bd_server *server;
+  struct soak_proxy *proxy;
+  uv_timer_t timer;
+  enum soak_store_mode mode;
+  uint64_t revision;
+  uint64_t forgotten; /* History up to here is gone. */
+  GHashTable *items;  /* Key to struct version. */
+  GPtrArray *history;
+  GPtrArray *watchers;
+  GPtrArray *slow; /* Exchanges that wait, as watchers. */
+};
+
+static json_t *
+item_of (const struct version *version)
+{
+  if (!version->value)
+    return json_pack ("{s:s,s:I,s:b}", "key", version->key, "revision",
+                      (json_int_t)version->revision, "deleted", 1);
+  return json_pack ("{s:s,s:s,s:I,s:I,s:i}", "key", version->key, "value",
+                    version->value, "revision", (json_int_t)version->revision,
+                    "created", (json_int_t)1, "lease", 0);
+}
+
+static void
+reply (struct bd_exchange *exchange, int status, json_t *body)
+{
+  char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
+
+  bd_exchange_reply (exchange, status,
+                     BD_CHUNK ("Content-Type: application/json\r\n"),
+                     bd_chunk_of (text ? text : "{}"));
+  free (text);
+  json_decref (body);
+}
+
+static void
+reply_range (struct soak_store *store, struct bd_exchange *exchange)
+{
+  json_t *items = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, store->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    json_array_append_new (items, item_of (value));
+  reply (exchange, 200,
+         json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore", 0,
+                    "storeRevision", (json_int_t)store->revision));
+}
+
+/* Answers a watch if there is something, or its time is over. */
+static bool
+settle (struct soak_store *store, const struct watcher *watcher)
+{
+  json_t *events;
+
+  if (watcher->after < store->forgotten)
+    {
+      reply (watcher->exchange, 410, NULL);
+      return true;
+    }
+  if (watcher->after >= store->revision
+      && soak_now_ms (store->soak) < watcher->until_ms)
+    return false;
+  events = json_array ();
+  for (guint i = 0; i < store->history->len; i++)
+    {
+      const struct version *version = store->history->pdata[i];
+
+      if (version->revision > watcher->after)
+        json_array_append_new (events, item_of (version));
+    }
+  reply (watcher->exchange, 200,
+         json_pack ("{s:o,s:I}", "events", events, "storeRevision",
+                    (json_int_t)store->revision));
+  return true;
+}
+
+static void
+settle_all (struct soak_store *store)
+{
+  if (store->mode != SOAK_STORE_UP && store->mode != SOAK_STORE_SLOW)
+    return;
+  for (guint i = 0; i < store->watchers->len;)
+    {
+      struct watcher *watcher = store->watchers->pdata[i];
+
+      if (settle (store, watcher))
+        {
+          g_ptr_array_remove_index_fast (store->watchers, i);
+          g_free (watcher);
+        }
+      else
+        i++;
+    }
+}
+
+static uint64_t
+number_in (const char *target, const char *name)
+{
+  const char *at = strstr (target, name);
+
+  return at ? g_ascii_strtoull (at + strlen (name), NULL, 10) : 0;
+}
+
+static void
+serve (struct soak_store *store, struct bd_exchange *exchange)
+{
+  struct bd_chunk chunk = bd_exchange_head (exchange)->target;
+  char *target = g_strndup (chunk.data, chunk.length);
+
+  if (strstr (target, "/v1/kv-range"))
+    reply_range (store, exchange);
+  else
+    {
+      struct watcher *watcher = g_new0 (struct watcher, 1);
+
+      watcher->exchange = exchange;
+      watcher->after = number_in (target, "after=");
+      watcher->until_ms
+          = soak_now_ms (store->soak) + (int64_t)number_in (target, "waitMs=");
+      g_ptr_array_add (store->watchers, watcher);
+      settle_all (store);
+    }
+  g_free (target);
+}
+
+static void
+on_request (void *context, struct bd_exchange *exchange)
+{
+  struct soak_store *store = context;
+  struct watcher *waiting;
+
+  switch (store->mode)
+    {
+    case SOAK_STORE_BUSY:
+      reply (exchange, 503, NULL);
+      break;
+    case SOAK_STORE_RESET:
+      bd_exchange_break (exchange);
+      break;
+    case SOAK_STORE_SILENT:
+    case SOAK_STORE_SLOW:
+      waiting = g_new0 (struct watcher, 1);
+      waiting->exchange = exchange;
+      waiting->until_ms = store->mode == SOAK_STORE_SLOW
+                              ? soak_now_ms (store->soak) + SLOW_MS
+                              : INT64_MAX;
+      g_ptr_array_add (store->slow, waiting);
+      break;
+    case SOAK_STORE_UP:
+      serve (store, exchange);
+      break;
+    }
+}
+
+static void
+forget_exchange (GPtrArray *list, const struct bd_exchange *exchange)
+{
+  for (guint i = 0; i < list->len; i++)
+    if (((struct watcher *)list->pdata[i])->exchange == exchange)
+      {
+        g_free (g_ptr_array_remove_index_fast (list, i));
+        return;
+      }
+}
+
+static void
+on_abort (void *context, struct bd_exchange *exchange)
+{
+  struct soak_store *store = context;
+
+  forget_exchange (store->watchers, exchange);
+  forget_exchange (store->slow, exchange);
+}
+
+static const struct bd_server_handler handler
+    = { .on_request = on_request, .on_abort = on_abort };
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  struct soak_store *store = timer->data;
+
+  for (guint i = 0; i < store->slow->len;)
+    {
+      struct watcher *waiting = store->slow->pdata[i];
+
+      if (soak_now_ms (store->soak) < waiting->until_ms)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (store->slow, i);
+      serve (store, waiting->exchange);
+      g_free (waiting);
+    }
+  settle_all (store);
+}
+
+void
+soak_store_write (struct soak_store *store, const char *key, const char *value)
+{
+  struct version *version = g_new0 (struct version, 1);
+
+  version->key = g_strdup (key);
+  version->revision = ++store->revision;
+  if (value)
+    {
+      version->value = g_malloc (VALUE_BYTES);
+      sodium_bin2base64 (version->value, VALUE_BYTES,
+                         (const unsigned char *)value, strlen (value),
+                         sodium_base64_VARIANT_ORIGINAL);
+      g_hash_table_replace (store->items, version->key, version);
+    }
+  else
+    g_hash_table_remove (store->items, key);
+  g_ptr_array_add (store->history, version);
+  settle_all (store);
+}
+
+void
+soak_store_forget (struct soak_store *store)
+{
+  store->forgotten = store->revision;
+  settle_all (store);
+}
+
+void
+soak_store_set (struct soak_store *store, enum soak_store_mode mode)
+{
+  store->mode = mode;
+  if (mode == SOAK_STORE_RESET)
+    soak_proxy_reset (store->proxy);
+  if (mode == SOAK_STORE_UP)
+    settle_all (store);
+}
+
+struct soak_proxy *
+soak_store_proxy (struct soak_store *store)
+{
+  return store->proxy;
+}
+
+struct soak_store *
+soak_store_create (struct soak *soak)
+{
+  struct soak_store *store = g_new0 (struct soak_store, 1);
+  struct sockaddr_in address
+      = soak_address (soak, SOAK_STORE_HOST, SOAK_STORE_PORT + 1);
+
+  store->soak = soak;
+  store->revision = 1;
+  store->items = g_hash_table_new (g_str_hash, g_str_equal);
+  store->history = g_ptr_array_new ();
+  store->watchers = g_ptr_array_new ();
+  store->slow = g_ptr_array_new ();
+  if (bd_server_create (&soak->loop, &address, &handler, store, &store->server)
+      != BD_OK)
+    g_error ("the store cannot listen");
+  store->proxy = soak_proxy_create (soak, SOAK_STORE_HOST, SOAK_STORE_PORT);
+  uv_timer_init (&soak->loop, &store->timer);
+  store->timer.data = store;
+  uv_timer_start (&store->timer, on_timer, 20, 20);
+  return store;
+}
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -206,11 +206,11 @@
   check_answer (c->method_path, &c->step, c->wanted);
 }
 
-/* Runs GET /safe/x where the first runner that gets it plays STEP and the
-   other answers. */
+/* Runs METHOD_PATH where the first runner that gets it plays FIRST and the
+   other SECOND. */
 static void
-check_second (const struct support_step *step, const char *method_path,
-              const char *wanted, int taken)
+check_two (const struct support_step *first, const struct support_step *second,
+           const char *method_path, const char *wanted, int taken)
 {
   struct support_gateway g;
   struct support_caller *caller;
@@ -220,13 +220,11 @@
   for (int i = 0; i < 2; i++)
     support_gateway_runner (&g, i, steps[i], 2);
   for (int i = 0; i < 2; i++)
-    steps[i][0] = steps[i][1] = *step;
+    steps[i][0] = steps[i][1] = *first;
   caller = call (&g, method_path);
-  /* Whichever was picked, the other one is to answer. */
   while (g.runners[0].taken + g.runners[1].taken == 0)
     uv_run (&g.loop, UV_RUN_ONCE);
-  steps[g.runners[0].taken ? 1 : 0][0]
-      = (struct support_step){ OK_ANSWER, SUPPORT_KEEP };
+  steps[g.runners[0].taken ? 1 : 0][0] = *second;
   support_await (caller, wanted);
   g_assert_cmpint (g.runners[0].taken + g.runners[1].taken, ==, taken);
   support_gateway_close (&g);
@@ -238,11 +236,26 @@
   static const struct support_step refusal = { REFUSAL, SUPPORT_KEEP };
   static const struct support_step reset = { "", SUPPORT_RESET };
   static const struct support_step failure = { FAILURE, SUPPORT_KEEP };
+  static const struct support_step good = { OK_ANSWER, SUPPORT_KEEP };
 
-  check_second (&refusal, "GET /safe/x", "\r\n\r\nok", 2);
-  check_second (&reset, "GET /safe/x", "\r\n\r\nok", 2);
-  check_second (&failure, "GET /safe/x", "\r\n\r\nok", 2);
-  check_second (&reset, "POST /once/x", "HTTP/1.1 502", 1);
+  check_two (&refusal, &good, "GET /safe/x", "\r\n\r\nok", 2);
+  check_two (&reset, &good, "GET /safe/x", "\r\n\r\nok", 2);
+  check_two (&failure, &good, "GET /safe/x", "\r\n\r\nok", 2);
+  check_two (&reset, &good, "POST /once/x", "HTTP/1.1 502", 1);
+}
+
+/* Pattern: a request that may have run is repeated at a runner that is full.
+   Found by the soak, seed 6: the caller was told that it had not run. */
+static void
+test_refused_after_run (void)
+{
+  static const struct support_step refusal = { REFUSAL, SUPPORT_KEEP };
+  static const struct support_step reset = { "", SUPPORT_RESET };
+  static const struct support_step failure = { FAILURE, SUPPORT_KEEP };
+
+  check_two (&failure, &refusal, "GET /safe/x", "HTTP/1.1 502", 2);
+  check_two (&reset, &refusal, "GET /safe/x", "\"ran\":\"unknown\"", 2);
+  check_two (&reset, &refusal, "GET /safe/x", "Retry-After: 0.", 2);
 }
 
 /* A runner that cannot be reached has not got the request. */
@@ -677,6 +690,7 @@
       g_free (path);
     }
   g_test_add_func ("/forward/repeated", test_repeated);
+  g_test_add_func ("/forward/refused-after-run", test_refused_after_run);
   g_test_add_func ("/forward/unreachable", test_unreachable);
   g_test_add_func ("/forward/extra-bytes", test_extra_bytes);
   g_test_add_func ("/forward/crashing-request", test_crashing_request);
