--- a/src/gateway/asker.c
+++ b/src/gateway/asker.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "gateway/rank.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -134,9 +135,9 @@
 static uint32_t
 rank (struct bd_asker *asker, uint64_t key, int64_t now_ms)
 {
-  uint32_t ips[BD_MESH_RANKED_MAX];
-  size_t count = bd_mesh_rank (asker->mesh, key, now_ms, false, ips,
-                               BD_MESH_RANKED_MAX);
+  uint32_t ips[BD_RANK_MAX];
+  size_t count
+      = bd_mesh_rank (asker->mesh, key, now_ms, false, ips, BD_RANK_MAX);
 
   for (size_t i = 0; i < count; i++)
     if (!passed_over (asker, ips[i], now_ms))
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -3,6 +3,7 @@
 #include "balance/ledger.h"
 #include "balance/outlier.h"
 #include "common/log.h"
+#include "gateway/rank.h"
 #include "core/random.h"
 
 #include <stdlib.h>
@@ -451,7 +452,7 @@
 next_in_rank (const struct bd_coordinator *coordinator, uint64_t key,
               bool coming, int64_t now_ms)
 {
-  uint32_t ips[BD_MESH_RANKED_MAX];
+  uint32_t ips[BD_RANK_MAX];
   size_t count = bd_mesh_rank (coordinator->mesh, key, now_ms, coming, ips, 2);
 
   for (size_t i = 0; i < count; i++)
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -2,15 +2,13 @@
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "core/random.h"
+#include "gateway/outgoing.h"
+#include "gateway/rank.h"
 #include "wire/pack.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* First value of each datagram, below those of placing.h; raised when the
-   layout changes. */
-#define FORMAT 3
 /* Time between two datagrams to the same peer. */
 #define SEND_EVERY_MS 500
 /* Peers that get a datagram in one turn; with more, turns take them in order.
@@ -27,36 +25,12 @@
 #define GREET_FAST_MS 100
 #define GREET_EVERY_MS 1000
 #define MEETING_MS 3000
-/* Most peers named in a datagram. */
-#define NAMED_MAX 40
-/* Most runners whose load is in a datagram. */
-#define LOADS_MAX 50
-/* Strikes kept for sending, and how often each is sent: datagrams get lost. */
-#define STRIKES_MAX 6
-#define STRIKE_SENDS 5
-/* The bounds above keep a datagram below this, and so in one packet. */
-#define DATAGRAM_MAX_BYTES 1400
-/* An instance is strong with at least this part of the most power. */
-#define STRONG_PART 2
-/* Loads are rounded down to this many tokens. */
-#define TOKENS_PER_STEP 256
-
-struct load
-{
-  uint32_t target; /* Low half of the runner's hash. */
-  uint32_t in_flight;
-  uint32_t token_steps;
-  bool avoided;
-};
-
-/* A strike to be sent to peers. */
-struct news
-{
-  struct bd_strike strike;
-  int64_t taken_ms; /* Its age was right then. */
-  uint32_t sends_left;
-};
-
+/* Peers named in a datagram to those that know this instance: others each
+   time, so that everybody is named within seconds. */
+#define NAMED_EACH_TURN 4
+/* Loads are told in one of so many turns: they only matter while nobody
+   decides for all. */
+#define LOADS_EACH_TURNS 4
 struct peer
 {
   uint32_t ip;
@@ -67,7 +41,7 @@
   bool left;        /* It said that its process ends. */
   struct bd_peer_facts facts;
   size_t load_count;
-  struct load loads[LOADS_MAX];
+  struct bd_news_load loads[BD_NEWS_LOADS_MAX];
 };
 
 struct bd_mesh
@@ -86,9 +60,9 @@
   int64_t sent_ms;
   int64_t greeted_ms;
   int64_t born_ms; /* Of the first tick; 0: none yet. */
-  struct news news[STRIKES_MAX];
-  size_t news_count;
-  char received[DATAGRAM_MAX_BYTES * 2];
+  uint32_t turn;
+  struct bd_outgoing strikes;
+  char received[BD_NEWS_MAX_BYTES * 2];
 };
 
 /* How long a live peer may be silent. */
@@ -188,7 +162,8 @@
               all[i]->peers_in_flight += peer->loads[l].in_flight;
               all[i]->peers_avoiding += peer->loads[l].avoided;
               all[i]->peers_prefill_tokens
-                  += (uint64_t)peer->loads[l].token_steps * TOKENS_PER_STEP;
+                  += (uint64_t)peer->loads[l].token_steps
+                     * BD_NEWS_TOKENS_PER_STEP;
             }
     }
 }
@@ -200,174 +175,53 @@
 }
 
 static void
-pack_loads (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
+tell_loads (const struct bd_mesh *mesh, struct bd_news *news, int64_t now_ms)
 {
   size_t count;
-  size_t busy = 0;
   struct bd_target *const *all
       = bd_targets_all (mesh->options.targets, &count);
 
-  for (size_t i = 0; i < count && busy < LOADS_MAX; i++)
-    busy += all[i]->in_flight > 0 || is_avoided (all[i], now_ms);
-  bd_pack_array (pack, (uint32_t)busy);
-  for (size_t i = 0; i < count && busy > 0; i++)
-    {
-      if (all[i]->in_flight == 0 && !is_avoided (all[i], now_ms))
-        continue;
-      bd_pack_array (pack, 4);
-      bd_pack_uint (pack, (uint32_t)all[i]->hash);
-      bd_pack_uint (pack, all[i]->in_flight);
-      bd_pack_uint (pack, all[i]->prefill_tokens / TOKENS_PER_STEP);
-      bd_pack_uint (pack, is_avoided (all[i], now_ms));
-      busy--;
-    }
-}
-
-static void
-read_loads (struct peer *peer, struct bd_unpack *u)
-{
-  uint32_t count = bd_unpack_array (u);
-
-  peer->load_count = 0;
-  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
-    {
-      struct load load;
-
-      bd_unpack_array (u);
-      load.target = (uint32_t)bd_unpack_uint (u);
-      load.in_flight = (uint32_t)bd_unpack_uint (u);
-      load.token_steps = (uint32_t)bd_unpack_uint (u);
-      load.avoided = bd_unpack_uint (u) != 0;
-      if (u->error == BD_OK && peer->load_count < LOADS_MAX)
-        peer->loads[peer->load_count++] = load;
-    }
-}
-
-/* Strikes. */
-
-/* Takes in new strikes, in place of the oldest when there is no room. */
-static void
-collect_news (struct bd_mesh *mesh, int64_t now_ms)
-{
-  struct bd_strike fresh[STRIKES_MAX];
-  size_t count
-      = bd_suspects_news (mesh->options.suspects, now_ms, fresh, STRIKES_MAX);
-  size_t over = mesh->news_count + count > STRIKES_MAX
-                    ? mesh->news_count + count - STRIKES_MAX
-                    : 0;
-
-  mesh->news_count -= over;
-  memmove (mesh->news, mesh->news + over,
-           mesh->news_count * sizeof mesh->news[0]);
-  for (size_t i = 0; i < count; i++)
-    mesh->news[mesh->news_count++]
-        = (struct news){ fresh[i], now_ms, STRIKE_SENDS };
-}
-
-/* The news were sent once, to somebody. */
-static void
-age_news (struct bd_mesh *mesh)
-{
-  size_t kept = 0;
-
-  for (size_t i = 0; i < mesh->news_count; i++)
-    if (--mesh->news[i].sends_left > 0)
-      mesh->news[kept++] = mesh->news[i];
-  mesh->news_count = kept;
-}
-
-static void
-pack_strikes (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
-{
-  bd_pack_array (pack, (uint32_t)mesh->news_count);
-  for (size_t i = 0; i < mesh->news_count; i++)
-    {
-      const struct news *news = &mesh->news[i];
-
-      bd_pack_array (pack, 5);
-      bd_pack_uint (pack, news->strike.fingerprint);
-      bd_pack_id (pack, news->strike.crash);
-      bd_pack_uint (pack, news->strike.alone);
-      bd_pack_uint (pack, news->strike.cleared);
-      bd_pack_int (pack, news->strike.age_ms + (now_ms - news->taken_ms));
-    }
-}
-
-static void
-read_strikes (struct bd_mesh *mesh, struct bd_unpack *u, int64_t now_ms)
-{
-  uint32_t count = bd_unpack_array (u);
-
-  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
-    {
-      struct bd_strike strike;
-
-      bd_unpack_array (u);
-      strike.fingerprint = bd_unpack_uint (u);
-      strike.crash = bd_unpack_id (u);
-      strike.alone = bd_unpack_uint (u) != 0;
-      strike.cleared = bd_unpack_uint (u) != 0;
-      strike.age_ms = bd_unpack_int (u);
-      if (u->error == BD_OK)
-        bd_suspects_strike (mesh->options.suspects, now_ms, &strike);
-    }
+  news->loads_told = true;
+  for (size_t i = 0; i < count && news->load_count < BD_NEWS_LOADS_MAX; i++)
+    if (all[i]->in_flight > 0 || is_avoided (all[i], now_ms))
+      news->loads[news->load_count++] = (struct bd_news_load){
+        .target = (uint32_t)all[i]->hash,
+        .in_flight = all[i]->in_flight,
+        .token_steps
+        = (uint32_t)(all[i]->prefill_tokens / BD_NEWS_TOKENS_PER_STEP),
+        .avoided = is_avoided (all[i], now_ms),
+      };
 }
 
 /* Datagrams. */
 
+/* Names at most MOST live peers, others each turn. */
 static void
-pack_names (const struct bd_mesh *mesh, struct bd_pack *pack, int64_t now_ms)
+tell_names (const struct bd_mesh *mesh, struct bd_news *news, size_t most,
+            int64_t now_ms)
 {
-  uint32_t named = 0;
-  size_t at = mesh->next_peer;
-
-  for (size_t i = 0; i < mesh->count && named < NAMED_MAX; i++)
-    named += is_live (mesh, mesh->all[i], now_ms);
-  bd_pack_array (pack, named);
-  /* Others each turn, so that everybody is named in time. */
-  for (; named > 0; at++)
+  for (size_t i = 0; i < mesh->count && news->name_count < most; i++)
     {
-      const struct peer *peer = mesh->all[at % mesh->count];
+      size_t at = (mesh->turn * NAMED_EACH_TURN + i) % mesh->count;
 
-      if (!is_live (mesh, peer, now_ms))
-        continue;
-      bd_pack_uint (pack, peer->ip);
-      named--;
+      if (is_live (mesh, mesh->all[at], now_ms))
+        news->names[news->name_count++] = mesh->all[at]->ip;
     }
 }
 
+/* What this instance tells; FULL: to those that may not know it yet. */
 static void
-read_names (struct bd_mesh *mesh, struct bd_unpack *u)
-{
-  uint32_t count = bd_unpack_array (u);
-
-  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
-    {
-      uint32_t ip = (uint32_t)bd_unpack_uint (u);
-
-      if (u->error == BD_OK)
-        need (mesh, ip);
-    }
-}
-
-static int
-compose (struct bd_mesh *mesh, struct bd_buffer *out, bool leaving,
-         int64_t now_ms)
+gather (const struct bd_mesh *mesh, struct bd_news *news, bool full,
+        int64_t now_ms)
 {
-  struct bd_pack pack = { .buffer = out };
-
-  bd_pack_array (&pack, 10);
-  bd_pack_uint (&pack, FORMAT);
-  bd_pack_uint (&pack, mesh->options.ip);
-  bd_pack_uint (&pack, mesh->incarnation);
-  bd_pack_uint (&pack, leaving);
-  bd_pack_uint (&pack, mesh->own.configuration);
-  bd_pack_uint (&pack, leaving ? BD_PEER_UNABLE : mesh->own.state);
-  bd_pack_uint (&pack, mesh->own.power);
-  pack_names (mesh, &pack, now_ms);
-  pack_loads (mesh, &pack, now_ms);
-  pack_strikes (mesh, &pack, now_ms);
-  return pack.error;
+  memset (news, 0, sizeof *news);
+  news->ip = mesh->options.ip;
+  news->incarnation = mesh->incarnation;
+  news->facts = mesh->own;
+  tell_names (mesh, news, full ? BD_NEWS_NAMES_MAX : NAMED_EACH_TURN, now_ms);
+  if (full || mesh->turn % LOADS_EACH_TURNS == 0)
+    tell_loads (mesh, news, now_ms);
+  bd_outgoing_tell (&mesh->strikes, news, now_ms);
 }
 
 static void
@@ -385,14 +239,12 @@
     bd_stats_count (mesh->options.stats, BD_STAT_PEER_SENT, 1);
 }
 
-/* Composes this instance's datagram.  Returns false when it is not fit to be
-   sent; OUT is the caller's to clear. */
+/* Writes NEWS.  Returns false when they are not fit to be sent; OUT is the
+   caller's to clear. */
 static bool
-compose_news (struct bd_mesh *mesh, struct bd_buffer *out, bool leaving,
-              int64_t now_ms)
+write_news (const struct bd_news *news, struct bd_buffer *out)
 {
-  if (compose (mesh, out, leaving, now_ms) == BD_OK
-      && out->length <= DATAGRAM_MAX_BYTES)
+  if (bd_news_write (news, out) == BD_OK && out->length <= BD_NEWS_MAX_BYTES)
     return true;
   bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self bytes=%zu", out->length);
   return false;
@@ -402,16 +254,22 @@
 send_to_all (struct bd_mesh *mesh, bool leaving, int64_t now_ms)
 {
   struct bd_buffer out = { 0 };
+  struct bd_news news;
   size_t due
       = mesh->count < PEERS_PER_TURN || leaving ? mesh->count : PEERS_PER_TURN;
 
-  if (mesh->count > 0 && compose_news (mesh, &out, leaving, now_ms))
+  gather (mesh, &news, false, now_ms);
+  if (leaving)
+    news.facts.state = BD_PEER_UNABLE;
+  news.leaving = leaving;
+  if (mesh->count > 0 && write_news (&news, &out))
     {
       for (size_t i = 0; i < due; i++)
         send_to (mesh, mesh->all[(mesh->next_peer + i) % mesh->count]->ip,
                  bd_buffer_chunk (&out));
       mesh->next_peer = (mesh->next_peer + due) % mesh->count;
     }
+  mesh->turn++;
   bd_buffer_clear (&out);
 }
 
@@ -421,9 +279,11 @@
 greet (struct bd_mesh *mesh, int64_t now_ms)
 {
   struct bd_buffer out = { 0 };
+  struct bd_news news;
   size_t greeted = 0;
 
-  if (compose_news (mesh, &out, false, now_ms))
+  gather (mesh, &news, true, now_ms);
+  if (write_news (&news, &out))
     {
       for (size_t i = 0; i < mesh->options.seed_count; i++)
         if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
@@ -443,78 +303,69 @@
 greet_back (struct bd_mesh *mesh, uint32_t ip, int64_t now_ms)
 {
   struct bd_buffer out = { 0 };
+  struct bd_news news;
 
-  if (compose_news (mesh, &out, false, now_ms))
+  gather (mesh, &news, true, now_ms);
+  if (write_news (&news, &out))
     send_to (mesh, ip, bd_buffer_chunk (&out));
   bd_buffer_clear (&out);
 }
 
+/* PEER told NEWS, in this life of its process. */
 static void
-read_facts (struct bd_unpack *u, struct bd_peer_facts *facts)
+note_life (struct bd_mesh *mesh, struct peer *peer, const struct bd_news *news,
+           int64_t now_ms)
 {
-  uint64_t state;
-
-  facts->configuration = bd_unpack_uint (u);
-  state = bd_unpack_uint (u);
-  facts->state
-      = state <= BD_PEER_FRESH ? (enum bd_peer_state)state : BD_PEER_UNABLE;
-  facts->power = (uint32_t)bd_unpack_uint (u);
-}
-
-/* A datagram came from PEER, of this life of its process. */
-static void
-note_life (struct bd_mesh *mesh, struct peer *peer, uint64_t incarnation,
-           bool leaving, int64_t now_ms)
-{
-  bool restarted = peer->heard && peer->incarnation != incarnation;
+  bool restarted = peer->heard && peer->incarnation != news->incarnation;
   bool met = !peer->heard || restarted;
 
   if (met)
     bd_log (BD_EVENT_MEMBER_LIVE, "ip=%08x incarnation=%llu", ntohl (peer->ip),
-            (unsigned long long)incarnation);
+            (unsigned long long)news->incarnation);
   if (restarted && mesh->handler->on_gone)
     mesh->handler->on_gone (mesh->context, peer->ip, false);
   peer->heard = true;
-  peer->left = leaving;
-  peer->incarnation = incarnation;
-  peer->heard_ms = leaving ? now_ms - silence_ms (mesh) - 1 : now_ms;
-  if (met && !leaving)
+  peer->left = news->leaving;
+  peer->incarnation = news->incarnation;
+  peer->heard_ms = news->leaving ? now_ms - silence_ms (mesh) - 1 : now_ms;
+  if (met && !news->leaving)
     greet_back (mesh, peer->ip, now_ms);
 }
 
 static void
-take_in (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t from)
-{
-  struct bd_unpack u = { .rest = bytes };
-  int64_t now_ms = bd_clock_boot_ms ();
-  struct peer *peer;
-  uint32_t ip;
-  uint64_t incarnation;
-  bool leaving;
-
-  if (bd_unpack_array (&u) < 10 || bd_unpack_uint (&u) != FORMAT)
-    u.error = BD_ERR_PROTOCOL;
-  ip = (uint32_t)bd_unpack_uint (&u);
-  incarnation = bd_unpack_uint (&u);
-  leaving = bd_unpack_uint (&u) != 0;
-  if (u.error != BD_OK || ip != from || ip == mesh->options.ip)
+take_news (struct bd_mesh *mesh, struct peer *peer, const struct bd_news *news,
+           int64_t now_ms)
+{
+  note_life (mesh, peer, news, now_ms);
+  peer->facts = news->facts;
+  for (size_t i = 0; i < news->name_count; i++)
+    need (mesh, news->names[i]);
+  if (news->loads_told)
     {
-      bd_stats_count (mesh->options.stats, BD_STAT_PEER_REFUSED, 1);
-      return;
+      peer->load_count = news->load_count;
+      memcpy (peer->loads, news->loads, sizeof peer->loads);
     }
-  peer = need (mesh, ip);
-  if (!peer)
-    return;
-  note_life (mesh, peer, incarnation, leaving, now_ms);
-  read_facts (&u, &peer->facts);
-  read_names (mesh, &u);
-  read_loads (peer, &u);
-  read_strikes (mesh, &u, now_ms);
-  bd_stats_count (
-      mesh->options.stats,
-      u.error == BD_OK ? BD_STAT_PEER_RECEIVED : BD_STAT_PEER_REFUSED, 1);
-  if (peer->facts.configuration > mesh->own.configuration && !leaving)
-    mesh->handler->on_newer (mesh->context, ip, peer->facts.configuration);
+  for (size_t i = 0; i < news->strike_count; i++)
+    bd_suspects_strike (mesh->options.suspects, now_ms, &news->strikes[i]);
+  if (news->facts.configuration > mesh->own.configuration && !news->leaving)
+    mesh->handler->on_newer (mesh->context, peer->ip,
+                             news->facts.configuration);
+}
+
+static void
+take_in (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t from)
+{
+  struct bd_news news;
+  struct peer *peer = NULL;
+  bool refused = bd_news_read (bytes, &news) != BD_OK || news.ip != from
+                 || news.ip == mesh->options.ip;
+
+  bd_stats_count (mesh->options.stats,
+                  refused ? BD_STAT_PEER_REFUSED : BD_STAT_PEER_RECEIVED, 1);
+  if (!refused)
+    peer = need (mesh, news.ip);
+  if (peer)
+    take_news (mesh, peer, &news, bd_clock_boot_ms ());
 }
 
 /* Whether the datagram is one of placing.h. */
@@ -625,99 +476,22 @@
   bd_buffer_clear (&out);
 }
 
-/* Ranking. */
-
-struct candidate
-{
-  uint32_t ip;
-  struct bd_peer_facts facts;
-  uint64_t weight;
-};
-
-/* The better one comes first. */
-static bool
-goes_before (const struct candidate *a, const struct candidate *b,
-             uint32_t strong)
-{
-  bool a_strong = a->facts.power >= strong;
-  bool b_strong = b->facts.power >= strong;
-
-  if (a->facts.state != b->facts.state)
-    return a->facts.state > b->facts.state;
-  if (a_strong != b_strong)
-    return a_strong;
-  return a->weight > b->weight;
-}
-
-/* Puts CANDIDATE in its place among the COUNT of at most MAX best. */
-static size_t
-rank_candidate (struct candidate *best, size_t count, size_t max,
-                const struct candidate *candidate, uint32_t strong)
-{
-  size_t at = count;
-
-  if (candidate->facts.state == BD_PEER_UNABLE)
-    return count;
-  while (at > 0 && goes_before (candidate, &best[at - 1], strong))
-    {
-      if (at < max)
-        best[at] = best[at - 1];
-      at--;
-    }
-  if (at < max)
-    best[at] = *candidate;
-  return count < max ? count + 1 : max;
-}
-
-static uint32_t
-most_power (const struct bd_mesh *mesh, int64_t now_ms)
-{
-  uint32_t most = mesh->own.power;
-
-  for (size_t i = 0; i < mesh->count; i++)
-    if (is_live (mesh, mesh->all[i], now_ms)
-        && mesh->all[i]->facts.power > most)
-      most = mesh->all[i]->facts.power;
-  return most;
-}
-
-static struct candidate
-candidate_of (uint32_t ip, const struct bd_peer_facts *facts, uint64_t key,
-              bool coming)
-{
-  struct candidate candidate
-      = { ip, *facts, bd_random_mix (key ^ bd_random_mix (ip)) };
-
-  if (coming && candidate.facts.state == BD_PEER_JOINING)
-    candidate.facts.state = BD_PEER_FRESH;
-  return candidate;
-}
-
 size_t
 bd_mesh_rank (const struct bd_mesh *mesh, uint64_t key, int64_t now_ms,
               bool coming, uint32_t *ips, size_t max)
 {
-  struct candidate best[BD_MESH_RANKED_MAX];
-  uint32_t strong = most_power (mesh, now_ms) / STRONG_PART;
-  struct candidate candidate
-      = candidate_of (mesh->options.ip, &mesh->own, key, coming);
+  struct bd_ranked all[BD_MESH_PEERS_MAX + 1];
   size_t count = 0;
 
-  if (max > BD_MESH_RANKED_MAX)
-    max = BD_MESH_RANKED_MAX;
-  count = rank_candidate (best, count, max, &candidate, strong);
+  all[count++] = (struct bd_ranked){ mesh->options.ip, mesh->own };
   for (size_t i = 0; i < mesh->count; i++)
-    {
-      const struct peer *peer = mesh->all[i];
-
-      if (!is_live (mesh, peer, now_ms))
-        continue;
-      candidate = candidate_of (peer->ip, &peer->facts, key, coming);
-      count = rank_candidate (best, count, max, &candidate, strong);
-    }
-  for (size_t i = 0; i < count; i++)
-    ips[i] = best[i].ip;
-  return count;
+    if (is_live (mesh, mesh->all[i], now_ms))
+      all[count++]
+          = (struct bd_ranked){ mesh->all[i]->ip, mesh->all[i]->facts };
+  for (size_t i = 0; i < count && coming; i++)
+    if (all[i].facts.state == BD_PEER_JOINING)
+      all[i].facts.state = BD_PEER_FRESH;
+  return bd_rank (all, count, key, ips, max);
 }
 
 /* Forgets peers that have been silent for several times the limit. */
@@ -761,10 +535,10 @@
   if (now_ms - mesh->sent_ms < SEND_EVERY_MS)
     return;
   mesh->sent_ms = now_ms;
-  collect_news (mesh, now_ms);
+  bd_outgoing_collect (&mesh->strikes, mesh->options.suspects, now_ms);
   send_to_all (mesh, false, now_ms);
   if (mesh->members > 1)
-    age_news (mesh);
+    bd_outgoing_sent (&mesh->strikes);
   forget_silent (mesh, now_ms);
   count_members (mesh, now_ms);
   sum_loads (mesh, now_ms);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -8,7 +8,7 @@
 #define BD_MESH_H
 
 #include "balance/target.h"
-#include "core/suspect.h"
+#include "gateway/news.h"
 #include "gateway/placing.h"
 #include "gateway/stats.h"
 
@@ -16,25 +16,6 @@
 
 /** Most peers known at a time. */
 #define BD_MESH_PEERS_MAX 512
-/** Most instances that are ranked. */
-#define BD_MESH_RANKED_MAX 8
-
-/** How well an instance can decide for others. */
-enum bd_peer_state
-{
-  BD_PEER_UNABLE = 0, /**< Not ready, or stopping. */
-  BD_PEER_STALE,      /**< Its list of runners may be old. */
-  BD_PEER_JOINING,    /**< Ready only lately: others know more. */
-  BD_PEER_FRESH
-};
-
-/** What an instance tells of itself. */
-struct bd_peer_facts
-{
-  uint64_t configuration; /**< Store's revision of the configuration held. */
-  enum bd_peer_state state;
-  uint32_t power; /**< Processor time that it has, in thousandths of a core. */
-};
 
 struct bd_mesh_options
 {
--- /dev/null
+++ b/src/gateway/news.c
@@ -0,0 +1,153 @@
+#include "gateway/news.h"
+
+#include "wire/pack.h"
+
+#include <string.h>
+
+/* First value of each datagram, below those of placing.h; raised when the
+   layout changes. */
+#define FORMAT 4
+#define FIELDS 11
+
+/* Writing. */
+
+static void
+write_loads (struct bd_pack *pack, const struct bd_news *news)
+{
+  bd_pack_array (pack, (uint32_t)news->load_count);
+  for (size_t i = 0; i < news->load_count; i++)
+    {
+      const struct bd_news_load *load = &news->loads[i];
+
+      bd_pack_array (pack, 4);
+      bd_pack_uint (pack, load->target);
+      bd_pack_uint (pack, load->in_flight);
+      bd_pack_uint (pack, load->token_steps);
+      bd_pack_uint (pack, load->avoided);
+    }
+}
+
+static void
+write_strikes (struct bd_pack *pack, const struct bd_news *news)
+{
+  bd_pack_array (pack, (uint32_t)news->strike_count);
+  for (size_t i = 0; i < news->strike_count; i++)
+    {
+      const struct bd_strike *strike = &news->strikes[i];
+
+      bd_pack_array (pack, 5);
+      bd_pack_uint (pack, strike->fingerprint);
+      bd_pack_id (pack, strike->crash);
+      bd_pack_uint (pack, strike->alone);
+      bd_pack_uint (pack, strike->cleared);
+      bd_pack_int (pack, strike->age_ms);
+    }
+}
+
+int
+bd_news_write (const struct bd_news *news, struct bd_buffer *out)
+{
+  struct bd_pack pack = { .buffer = out };
+
+  bd_pack_array (&pack, FIELDS);
+  bd_pack_uint (&pack, FORMAT);
+  bd_pack_uint (&pack, news->ip);
+  bd_pack_uint (&pack, news->incarnation);
+  bd_pack_uint (&pack, news->leaving);
+  bd_pack_uint (&pack, news->facts.configuration);
+  bd_pack_uint (&pack, news->facts.state);
+  bd_pack_uint (&pack, news->facts.power);
+  bd_pack_array (&pack, (uint32_t)news->name_count);
+  for (size_t i = 0; i < news->name_count; i++)
+    bd_pack_uint (&pack, news->names[i]);
+  bd_pack_uint (&pack, news->loads_told);
+  write_loads (&pack, news);
+  write_strikes (&pack, news);
+  return pack.error;
+}
+
+/* Reading. */
+
+static void
+read_facts (struct bd_unpack *u, struct bd_peer_facts *facts)
+{
+  uint64_t state;
+
+  facts->configuration = bd_unpack_uint (u);
+  state = bd_unpack_uint (u);
+  facts->state
+      = state <= BD_PEER_FRESH ? (enum bd_peer_state)state : BD_PEER_UNABLE;
+  facts->power = (uint32_t)bd_unpack_uint (u);
+}
+
+static void
+read_names (struct bd_unpack *u, struct bd_news *news)
+{
+  uint32_t count = bd_unpack_array (u);
+
+  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
+    {
+      uint32_t ip = (uint32_t)bd_unpack_uint (u);
+
+      if (news->name_count < BD_NEWS_NAMES_MAX)
+        news->names[news->name_count++] = ip;
+    }
+}
+
+static void
+read_loads (struct bd_unpack *u, struct bd_news *news)
+{
+  uint32_t count = bd_unpack_array (u);
+
+  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
+    {
+      struct bd_news_load load;
+
+      bd_unpack_array (u);
+      load.target = (uint32_t)bd_unpack_uint (u);
+      load.in_flight = (uint32_t)bd_unpack_uint (u);
+      load.token_steps = (uint32_t)bd_unpack_uint (u);
+      load.avoided = bd_unpack_uint (u) != 0;
+      if (news->load_count < BD_NEWS_LOADS_MAX)
+        news->loads[news->load_count++] = load;
+    }
+}
+
+static void
+read_strikes (struct bd_unpack *u, struct bd_news *news)
+{
+  uint32_t count = bd_unpack_array (u);
+
+  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
+    {
+      struct bd_strike strike;
+
+      bd_unpack_array (u);
+      strike.fingerprint = bd_unpack_uint (u);
+      strike.crash = bd_unpack_id (u);
+      strike.alone = bd_unpack_uint (u) != 0;
+      strike.cleared = bd_unpack_uint (u) != 0;
+      strike.age_ms = bd_unpack_int (u);
+      if (news->strike_count < BD_NEWS_STRIKES_MAX)
+        news->strikes[news->strike_count++] = strike;
+    }
+}
+
+int
+bd_news_read (struct bd_chunk bytes, struct bd_news *news)
+{
+  struct bd_unpack u = { .rest = bytes };
+
+  memset (news, 0, sizeof *news);
+  if (bd_unpack_array (&u) < FIELDS || bd_unpack_uint (&u) != FORMAT)
+    return BD_ERR_PROTOCOL;
+  news->ip = (uint32_t)bd_unpack_uint (&u);
+  news->incarnation = bd_unpack_uint (&u);
+  news->leaving = bd_unpack_uint (&u) != 0;
+  read_facts (&u, &news->facts);
+  read_names (&u, news);
+  news->loads_told = bd_unpack_uint (&u) != 0;
+  read_loads (&u, news);
+  read_strikes (&u, news);
+  return u.error;
+}
--- /dev/null
+++ b/src/gateway/outgoing.c
@@ -0,0 +1,51 @@
+#include "gateway/outgoing.h"
+
+#include <string.h>
+
+#define SENDS 5
+
+void
+bd_outgoing_collect (struct bd_outgoing *outgoing,
+                     struct bd_suspects *suspects, int64_t now_ms)
+{
+  struct bd_strike fresh[BD_NEWS_STRIKES_MAX];
+  size_t count
+      = bd_suspects_news (suspects, now_ms, fresh, BD_NEWS_STRIKES_MAX);
+  size_t over = outgoing->count + count > BD_NEWS_STRIKES_MAX
+                    ? outgoing->count + count - BD_NEWS_STRIKES_MAX
+                    : 0;
+
+  outgoing->count -= over;
+  memmove (outgoing->items, outgoing->items + over,
+           outgoing->count * sizeof outgoing->items[0]);
+  for (size_t i = 0; i < count; i++)
+    {
+      outgoing->items[outgoing->count].strike = fresh[i];
+      outgoing->items[outgoing->count].taken_ms = now_ms;
+      outgoing->items[outgoing->count++].sends_left = SENDS;
+    }
+}
+
+void
+bd_outgoing_tell (const struct bd_outgoing *outgoing, struct bd_news *news,
+                  int64_t now_ms)
+{
+  for (size_t i = 0; i < outgoing->count; i++)
+    {
+      struct bd_strike *strike = &news->strikes[news->strike_count++];
+
+      *strike = outgoing->items[i].strike;
+      strike->age_ms += now_ms - outgoing->items[i].taken_ms;
+    }
+}
+
+void
+bd_outgoing_sent (struct bd_outgoing *outgoing)
+{
+  size_t kept = 0;
+
+  for (size_t i = 0; i < outgoing->count; i++)
+    if (--outgoing->items[i].sends_left > 0)
+      outgoing->items[kept++] = outgoing->items[i];
+  outgoing->count = kept;
+}
--- /dev/null
+++ b/src/gateway/rank.c
@@ -0,0 +1,72 @@
+#include "gateway/rank.h"
+
+#include "core/random.h"
+
+/* An instance is strong with at least this part of the most power. */
+#define STRONG_PART 2
+
+struct candidate
+{
+  const struct bd_ranked *ranked;
+  uint64_t weight;
+};
+
+/* The better one comes first. */
+static bool
+goes_before (const struct candidate *a, const struct candidate *b,
+             uint32_t strong)
+{
+  const struct bd_peer_facts *mine = &a->ranked->facts;
+  const struct bd_peer_facts *other = &b->ranked->facts;
+  bool is_strong = mine->power >= strong;
+
+  if (mine->state != other->state)
+    return mine->state > other->state;
+  if (is_strong != (other->power >= strong))
+    return is_strong;
+  return a->weight > b->weight;
+}
+
+/* Puts CANDIDATE in its place among the COUNT of at most MAX best. */
+static size_t
+insert (struct candidate *best, size_t count, size_t max,
+        const struct candidate *candidate, uint32_t strong)
+{
+  size_t at = count;
+
+  while (at > 0 && goes_before (candidate, &best[at - 1], strong))
+    {
+      if (at < max)
+        best[at] = best[at - 1];
+      at--;
+    }
+  if (at < max)
+    best[at] = *candidate;
+  return count < max ? count + 1 : max;
+}
+
+size_t
+bd_rank (const struct bd_ranked *all, size_t count, uint64_t key,
+         uint32_t *ips, size_t max)
+{
+  struct candidate best[BD_RANK_MAX];
+  uint32_t most_power = 0;
+  size_t kept = 0;
+
+  if (max > BD_RANK_MAX)
+    max = BD_RANK_MAX;
+  for (size_t i = 0; i < count; i++)
+    if (all[i].facts.power > most_power)
+      most_power = all[i].facts.power;
+  for (size_t i = 0; i < count; i++)
+    {
+      struct candidate candidate
+          = { &all[i], bd_random_mix (key ^ bd_random_mix (all[i].ip)) };
+
+      if (all[i].facts.state != BD_PEER_UNABLE)
+        kept = insert (best, kept, max, &candidate, most_power / STRONG_PART);
+    }
+  for (size_t i = 0; i < kept; i++)
+    ips[i] = best[i].ranked->ip;
+  return kept;
+}
--- /dev/null
+++ b/test/test_news.c
@@ -0,0 +1,158 @@
+/* News of an instance on the wire, and the order of instances. */
+#include "gateway/outgoing.h"
+#include "gateway/rank.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+static void
+fill (struct bd_news *news)
+{
+  memset (news, 0, sizeof *news);
+  news->ip = 0x0100007f;
+  news->incarnation = UINT64_MAX;
+  news->facts = (struct bd_peer_facts){ UINT64_MAX, BD_PEER_FRESH, 90 };
+  news->loads_told = true;
+  for (; news->name_count < BD_NEWS_NAMES_MAX; news->name_count++)
+    news->names[news->name_count] = UINT32_MAX - (uint32_t)news->name_count;
+  for (; news->load_count < BD_NEWS_LOADS_MAX; news->load_count++)
+    news->loads[news->load_count]
+        = (struct bd_news_load){ UINT32_MAX - (uint32_t)news->load_count,
+                                 70000, 70000, true };
+  for (; news->strike_count < BD_NEWS_STRIKES_MAX; news->strike_count++)
+    news->strikes[news->strike_count]
+        = (struct bd_strike){ .fingerprint = UINT64_MAX,
+                              .crash = { UINT64_MAX, UINT64_MAX },
+                              .alone = true,
+                              .age_ms = 3600000 };
+}
+
+/* Pattern: many peers, all runners busy, crashes: it still fits a packet. */
+static void
+test_full (void)
+{
+  struct bd_news news;
+  struct bd_news read;
+  struct bd_buffer out = { 0 };
+
+  fill (&news);
+  g_assert_cmpint (bd_news_write (&news, &out), ==, BD_OK);
+  g_assert_cmpuint (out.length, <=, BD_NEWS_MAX_BYTES);
+  g_assert_cmpint (bd_news_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
+  g_assert_cmpuint (read.ip, ==, news.ip);
+  g_assert_cmpuint (read.facts.configuration, ==, UINT64_MAX);
+  g_assert_cmpint (read.facts.state, ==, BD_PEER_FRESH);
+  g_assert_cmpuint (read.name_count, ==, BD_NEWS_NAMES_MAX);
+  g_assert_cmpuint (read.names[39], ==, news.names[39]);
+  g_assert_cmpuint (read.load_count, ==, BD_NEWS_LOADS_MAX);
+  g_assert_cmpuint (read.loads[49].target, ==, news.loads[49].target);
+  g_assert_cmpuint (read.strike_count, ==, BD_NEWS_STRIKES_MAX);
+  g_assert_cmpint (read.strikes[5].age_ms, ==, 3600000);
+  bd_buffer_clear (&out);
+}
+
+/* Pattern: a calm hour among many instances: what is sent each turn is small
+   whatever the number of peers and runners. */
+static void
+test_small (void)
+{
+  struct bd_news news = { .ip = 1, .name_count = 4 };
+  struct bd_buffer out = { 0 };
+
+  g_assert_cmpint (bd_news_write (&news, &out), ==, BD_OK);
+  g_assert_cmpuint (out.length, <=, 64);
+  bd_buffer_clear (&out);
+}
+
+/* Every prefix of news is refused, and so is another format. */
+static void
+test_cut (void)
+{
+  struct bd_news news;
+  struct bd_news read;
+  struct bd_buffer out = { 0 };
+  struct bd_chunk bytes;
+
+  fill (&news);
+  g_assert_cmpint (bd_news_write (&news, &out), ==, BD_OK);
+  bytes = bd_buffer_chunk (&out);
+  for (size_t i = 0; i < out.length; i++)
+    {
+      bytes.length = i;
+      g_assert_cmpint (bd_news_read (bytes, &read), ==, BD_ERR_PROTOCOL);
+    }
+  out.data[1]++;
+  bytes.length = out.length;
+  g_assert_cmpint (bd_news_read (bytes, &read), ==, BD_ERR_PROTOCOL);
+  bd_buffer_clear (&out);
+}
+
+/* A strike is told some times, with its age, and a newer one takes the place
+   of the oldest. */
+static void
+test_outgoing (void)
+{
+  struct bd_suspects *suspects = bd_suspects_create (100, 60000);
+  struct bd_outgoing outgoing = { 0 };
+  struct bd_news news = { 0 };
+  uint32_t told = 0;
+
+  for (uint64_t i = 1; i <= BD_NEWS_STRIKES_MAX + 2; i++)
+    {
+      struct bd_strike strike = { .fingerprint = i, .crash = { i, i } };
+
+      bd_suspects_strike (suspects, 1000, &strike);
+      bd_outgoing_collect (&outgoing, suspects, 1000);
+    }
+  g_assert_cmpuint (outgoing.count, ==, BD_NEWS_STRIKES_MAX);
+  bd_outgoing_tell (&outgoing, &news, 1500);
+  g_assert_cmpuint (news.strike_count, ==, BD_NEWS_STRIKES_MAX);
+  g_assert_cmpuint (news.strikes[0].fingerprint, ==, 3);
+  g_assert_cmpint (news.strikes[0].age_ms, ==, 500);
+  for (; outgoing.count > 0 && told < 100; told++)
+    bd_outgoing_sent (&outgoing);
+  g_assert_cmpuint (told, >=, 2);
+  g_assert_cmpuint (told, <, 100);
+  bd_suspects_destroy (suspects);
+}
+
+/* Able before strong, strong before weak; all agree whatever their order. */
+static void
+test_rank (void)
+{
+  struct bd_ranked all[] = { { 1, { 0, BD_PEER_UNABLE, 500 } },
+                             { 2, { 0, BD_PEER_FRESH, 100 } },
+                             { 3, { 0, BD_PEER_FRESH, 300 } },
+                             { 4, { 0, BD_PEER_STALE, 500 } },
+                             { 5, { 0, BD_PEER_FRESH, 500 } } };
+  uint32_t ips[BD_RANK_MAX];
+  uint32_t again[BD_RANK_MAX];
+
+  g_assert_cmpuint (bd_rank (all, 5, 7, ips, BD_RANK_MAX), ==, 4);
+  g_assert_true ((ips[0] == 3 && ips[1] == 5) || (ips[0] == 5 && ips[1] == 3));
+  g_assert_cmpuint (ips[2], ==, 2);
+  g_assert_cmpuint (ips[3], ==, 4);
+  for (int i = 0; i < 2; i++)
+    {
+      struct bd_ranked other = all[i];
+
+      all[i] = all[4 - i];
+      all[4 - i] = other;
+    }
+  g_assert_cmpuint (bd_rank (all, 5, 7, again, BD_RANK_MAX), ==, 4);
+  g_assert_cmpmem (ips, 4 * sizeof ips[0], again, 4 * sizeof again[0]);
+  g_assert_cmpuint (bd_rank (all, 5, 7, ips, 1), ==, 1);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/news/full", test_full);
+  g_test_add_func ("/news/small", test_small);
+  g_test_add_func ("/news/cut", test_cut);
+  g_test_add_func ("/news/outgoing", test_outgoing);
+  g_test_add_func ("/news/rank", test_rank);
+  return g_test_run ();
+}
