--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -202,7 +202,7 @@
 {
   for (size_t i = 0; i < mesh->count && news->name_count < most; i++)
     {
-      size_t at = (mesh->turn * NAMED_EACH_TURN + i) % mesh->count;
+      size_t at = ((size_t)mesh->turn * NAMED_EACH_TURN + i) % mesh->count;
 
       if (is_live (mesh, mesh->all[at], now_ms))
         news->names[news->name_count++] = mesh->all[at]->ip;
