--- a/src/common/event.h
+++ b/src/common/event.h
@@ -34,7 +34,7 @@
   X (2006, REQUEST_GRANTED, DEBUG, "request granted")                         \
   X (2007, REQUEST_STARTED, INFO, "request sent to the engine")               \
   X (2008, REQUEST_ENDED, INFO, "engine finished the request")                \
-  X (2009, BILLING_LINE, INFO, "answer billed")                               \
+  X (2009, BILLING_LINE, NOTICE, "answer billed")                             \
   X (2010, REQUEST_EXPIRED, INFO, "queued request expired")                   \
   X (2011, REQUEST_RESUME, INFO, "stream resumed at another runner")          \
   X (2012, REQUEST_FAILED, NOTICE, "request ended without an answer")         \
--- a/src/common/log.c
+++ b/src/common/log.c
@@ -14,6 +14,8 @@
 
 #define REASON_BYTES 300
 #define INSTANCE_MAX_BYTES 64
+/* How long the writing thread waits for a reader, in milliseconds. */
+#define WRITE_WAIT_MS 200
 
 struct event_row
 {
@@ -48,19 +50,35 @@
 static _Atomic int least_severity = BD_SEVERITY_INFO;
 static char instance_name[INSTANCE_MAX_BYTES] = "-";
 
-/* Lines that wait for bd_log_flush (); a ring of bytes. */
+/* How lines leave the process. */
+enum route
+{
+  ROUTE_ERROR,  /* At once, to standard error. */
+  ROUTE_LOOP,   /* Queued for bd_log_flush (). */
+  ROUTE_THREAD, /* At once where nothing waits, else by a thread. */
+};
+
+/* Lines that wait to be written; a ring of bytes. */
 struct queue
 {
-  int fd; /* -1: lines are written at once, to standard error. */
+  pthread_mutex_t lock;
+  pthread_cond_t filled;
+  pthread_t writer;
+  enum route route;
+  int fd;
+  uint32_t lines_per_s; /* Ordinary lines; 0: any number. */
   size_t start;
   size_t length;
   int64_t second; /* In which lines_now were queued. */
   uint32_t lines_now;
   uint64_t dropped; /* Since the last report. */
+  bool stopping;
   char bytes[BD_LOG_QUEUE_BYTES];
 };
 
-static struct queue queue = { .fd = -1 };
+static struct queue queue = { .lock = PTHREAD_MUTEX_INITIALIZER,
+                              .filled = PTHREAD_COND_INITIALIZER,
+                              .fd = -1 };
 
 static void
 init_slots (void)
@@ -161,29 +179,47 @@
   pthread_mutex_unlock (&slot->lock);
 }
 
-static void
-enqueue (enum bd_severity severity, const char *line, size_t length)
+/* True when FD takes PIPE_BUF bytes without blocking. */
+static bool
+is_writable (int wait_ms)
+{
+  struct pollfd poller = { .fd = queue.fd, .events = POLLOUT };
+
+  return poll (&poller, 1, wait_ms) > 0 && (poller.revents & POLLOUT);
+}
+
+/* Whether a line of SEVERITY is over what a second may hold. */
+static bool
+over_budget (enum bd_severity severity)
 {
   int64_t second = bd_clock_ms () / 1000;
-  bool ordinary = severity >= BD_SEVERITY_INFO;
-  size_t room = BD_LOG_QUEUE_BYTES - queue.length;
-  size_t end = (queue.start + queue.length) % BD_LOG_QUEUE_BYTES;
-  size_t first = BD_LOG_QUEUE_BYTES - end;
 
   if (second != queue.second)
     {
       queue.second = second;
       queue.lines_now = 0;
     }
+  if (severity < BD_SEVERITY_INFO)
+    return false;
+  if (queue.lines_per_s > 0 && queue.lines_now >= queue.lines_per_s)
+    return true;
+  queue.lines_now++;
+  return false;
+}
+
+static void
+enqueue (enum bd_severity severity, const char *line, size_t length)
+{
+  size_t room = BD_LOG_QUEUE_BYTES - queue.length;
+  size_t end = (queue.start + queue.length) % BD_LOG_QUEUE_BYTES;
+  size_t first = BD_LOG_QUEUE_BYTES - end;
+
   if (length > room
-      || (ordinary
-          && (room < BD_LOG_QUEUE_BYTES / 4
-              || queue.lines_now >= BD_LOG_LINES_PER_S)))
+      || (severity >= BD_SEVERITY_INFO && room < BD_LOG_QUEUE_BYTES / 4))
     {
       queue.dropped++;
       return;
     }
-  queue.lines_now++;
   if (first > length)
     first = length;
   memcpy (queue.bytes + end, line, first);
@@ -191,6 +227,31 @@
   queue.length += length;
 }
 
+/* Sends LINE, which ends in a newline, on its way. */
+static void
+put_line (enum bd_severity severity, const char *line, size_t length)
+{
+  size_t written = 0;
+
+  pthread_mutex_lock (&queue.lock);
+  if (over_budget (severity))
+    queue.dropped++;
+  else
+    {
+      if (queue.route == ROUTE_THREAD && queue.length == 0 && is_writable (0))
+        {
+          ssize_t n = write (queue.fd, line, length);
+
+          written = n > 0 ? (size_t)n : 0;
+        }
+      if (written < length)
+        enqueue (severity, line + written, length - written);
+      if (queue.route == ROUTE_THREAD && queue.length > 0)
+        pthread_cond_signal (&queue.filled);
+    }
+  pthread_mutex_unlock (&queue.lock);
+}
+
 void
 bd_log (enum bd_event event, const char *format, ...)
 {
@@ -210,60 +271,138 @@
       va_end (args);
     }
   mask_control_bytes (line, length);
-  if (queue.fd < 0)
+  if (queue.route != ROUTE_LOOP)
     keep_line (line, length);
   line[length++] = '\n';
-  if (queue.fd >= 0)
-    enqueue (row->severity, line, length);
+  if (queue.route != ROUTE_ERROR)
+    put_line (row->severity, line, length);
   else if (write (STDERR_FILENO, line, length) < 0)
     return;
 }
 
 void
-bd_log_queue (int fd)
+bd_log_queue (int fd, uint32_t lines_per_s)
 {
   queue.fd = fd;
+  queue.lines_per_s = lines_per_s;
+  queue.route = fd < 0 ? ROUTE_ERROR : ROUTE_LOOP;
 }
 
 /* Writes one piece of the queue.  Returns false when FD takes nothing. */
 static bool
-write_piece (void)
+write_piece (int wait_ms)
 {
-  struct pollfd poller = { .fd = queue.fd, .events = POLLOUT };
-  size_t length = BD_LOG_QUEUE_BYTES - queue.start;
+  char piece[PIPE_BUF];
+  size_t length;
   ssize_t n;
 
-  /* A pipe that polls as writable takes PIPE_BUF bytes without blocking. */
-  if (poll (&poller, 1, 0) <= 0 || !(poller.revents & POLLOUT))
+  if (!is_writable (wait_ms))
     return false;
+  pthread_mutex_lock (&queue.lock);
+  length = BD_LOG_QUEUE_BYTES - queue.start;
   if (length > queue.length)
     length = queue.length;
   if (length > PIPE_BUF)
     length = PIPE_BUF;
-  n = write (queue.fd, queue.bytes + queue.start, length);
+  memcpy (piece, queue.bytes + queue.start, length);
+  pthread_mutex_unlock (&queue.lock);
+  n = write (queue.fd, piece, length);
   if (n <= 0)
     return false;
+  pthread_mutex_lock (&queue.lock);
   queue.start = (queue.start + (size_t)n) % BD_LOG_QUEUE_BYTES;
   queue.length -= (size_t)n;
+  pthread_mutex_unlock (&queue.lock);
   return true;
 }
 
-void
-bd_log_flush (void)
+/* Says, once a second, how many lines were dropped. */
+static void
+report_dropped (void)
 {
   int64_t second = bd_clock_ms () / 1000;
+  uint64_t dropped = 0;
 
-  if (queue.dropped > 0 && second != queue.second)
+  pthread_mutex_lock (&queue.lock);
+  if (second != queue.second)
     {
-      uint64_t dropped = queue.dropped;
-
+      dropped = queue.dropped;
       queue.dropped = 0;
-      bd_log (BD_EVENT_LOG_DROPPED, "lines=%llu", (unsigned long long)dropped);
     }
-  while (queue.length > 0 && write_piece ())
+  pthread_mutex_unlock (&queue.lock);
+  if (dropped > 0)
+    bd_log (BD_EVENT_LOG_DROPPED, "lines=%llu", (unsigned long long)dropped);
+}
+
+static bool
+is_waiting (void)
+{
+  bool waiting;
+
+  pthread_mutex_lock (&queue.lock);
+  waiting = queue.length > 0;
+  pthread_mutex_unlock (&queue.lock);
+  return waiting;
+}
+
+void
+bd_log_flush (void)
+{
+  report_dropped ();
+  while (is_waiting () && write_piece (0))
     ;
 }
 
+static void *
+write_lines (void *unused)
+{
+  struct timespec until;
+  bool stopping = false;
+
+  (void)unused;
+  while (!stopping)
+    {
+      clock_gettime (CLOCK_REALTIME, &until);
+      until.tv_sec++;
+      pthread_mutex_lock (&queue.lock);
+      while (queue.length == 0 && !queue.stopping
+             && pthread_cond_timedwait (&queue.filled, &queue.lock, &until)
+                    == 0)
+        ;
+      stopping = queue.stopping;
+      pthread_mutex_unlock (&queue.lock);
+      while (is_waiting () && write_piece (WRITE_WAIT_MS))
+        ;
+      report_dropped ();
+    }
+  return NULL;
+}
+
+int
+bd_log_start (int fd, uint32_t lines_per_s)
+{
+  queue.fd = fd;
+  queue.lines_per_s = lines_per_s;
+  queue.stopping = false;
+  if (pthread_create (&queue.writer, NULL, write_lines, NULL) != 0)
+    return BD_ERR_NOMEM;
+  queue.route = ROUTE_THREAD;
+  return BD_OK;
+}
+
+void
+bd_log_stop (void)
+{
+  if (queue.route != ROUTE_THREAD)
+    return;
+  pthread_mutex_lock (&queue.lock);
+  queue.stopping = true;
+  pthread_cond_signal (&queue.filled);
+  pthread_mutex_unlock (&queue.lock);
+  pthread_join (queue.writer, NULL);
+  queue.route = ROUTE_ERROR;
+}
+
 const char *
 bd_log_quote (struct bd_chunk value, char *text, size_t size)
 {
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -1,7 +1,8 @@
 /**
  * @file log.h
- * Syslog-style lines on standard error: one event, then key=value pairs.
- * The last lines are also kept in memory, for the admin port.
+ * Syslog-style lines: one event, then key=value pairs.  Before
+ * bd_log_start () or bd_log_queue () they go to standard error.  The last
+ * lines are also kept in memory, for the admin port.
  */
 #ifndef BD_LOG_H
 #define BD_LOG_H
@@ -21,17 +22,17 @@
 /** Sets the name that stands in each line and the least severity shown. */
 void bd_log_open (const char *instance, enum bd_severity least);
 
-/** Bytes of lines that wait to be written, with bd_log_queue (). */
+/** Bytes of lines that wait to be written. */
 #define BD_LOG_QUEUE_BYTES ((size_t)128 * 1024)
-/** Ordinary lines (severity info and below) queued in a second at most. */
-#define BD_LOG_LINES_PER_S 400
 
 /**
  * From now on lines wait in memory for bd_log_flush (), which writes them to
- * FD.  Ordinary lines beyond BD_LOG_LINES_PER_S, and those that find the
- * queue three quarters full, are dropped and counted.  One thread only.
+ * FD; below 0: to standard error again.  Ordinary lines (severity info and
+ * below) beyond LINES_PER_S (0: any number), and those that find the queue
+ * three quarters full, are dropped and counted.  Lines are not kept for the
+ * admin port.
  */
-void bd_log_queue (int fd);
+void bd_log_queue (int fd, uint32_t lines_per_s);
 
 /**
  * Writes what FD takes without blocking.  Reports dropped lines, once a
@@ -39,6 +40,16 @@
  */
 void bd_log_flush (void);
 
+/**
+ * The same bounds, for a program of several threads: a line goes to FD at once
+ * where FD takes it and none waits, else it waits for a thread of the log.
+ * Returns BD_OK or BD_ERR_NOMEM.
+ */
+int bd_log_start (int fd, uint32_t lines_per_s);
+
+/** Ends the thread, after it has written what FD still takes. */
+void bd_log_stop (void);
+
 /**
  * Writes one line: timestamp, host part, program, event number and name,
  * then FORMAT's key=value text.  Values with spaces must be quoted by "%s"
--- a/src/common/setting_table.c
+++ b/src/common/setting_table.c
@@ -320,6 +320,10 @@
   NUMBER ("log-level", "LOG_LEVEL", accept_int32, log_level, 3, 7, "6",
           "least severity logged: 3 error, 4 warning, 5 notice, 6 info, "
           "7 debug"),
+  NUMBER ("log-lines-per-s", "LOG_LINES_PER_S", accept_int32, log_lines_per_s,
+          0, 1000000, "1000",
+          "ordinary log lines (severity info and below) written in a second "
+          "at most; 0: any number"),
   TEXT (NULL, "CURVE_SECRET", accept_z85, curve_secret, BD_SETTING_OPTIONAL,
         "40 Z85 characters", "", "secret key between daemons"),
   TEXT (NULL, "CURVE_PUBLIC", accept_z85, curve_public, BD_SETTING_OPTIONAL,
--- a/src/common/setting_table.h
+++ b/src/common/setting_table.h
@@ -8,7 +8,7 @@
 #include "common/settings.h"
 
 /** Number of rows. */
-#define BD_SETTING_COUNT 28
+#define BD_SETTING_COUNT 29
 
 struct bd_setting;
 
--- a/src/common/settings.h
+++ b/src/common/settings.h
@@ -45,6 +45,7 @@
   /* Both. */
   int32_t drain_timeout_s; /**< --drain-timeout-s; 0: no limit */
   int32_t log_level;       /**< --log-level 3…7 */
+  int32_t log_lines_per_s; /**< --log-lines-per-s; 0: any number */
   /* Secrets: by environment or file only. */
   const char *curve_secret; /**< BASILDOCK_CURVE_SECRET[_FILE], Z85 */
   const char *curve_public; /**< BASILDOCK_CURVE_PUBLIC, Z85 */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <sodium.h>
 #include <string.h>
+#include <unistd.h>
 
 #define EXIT_SETTINGS 2
 #define EXIT_START 3
@@ -76,11 +77,15 @@
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_START;
   catch_signals ();
+  if (bd_log_start (STDOUT_FILENO, (uint32_t)settings.log_lines_per_s)
+      != BD_OK)
+    return EXIT_START;
   bd_log (BD_EVENT_DAEMON_START, "version=%s role=%s zone=%s", BD_VERSION,
           settings.role == BD_ROLE_ENTRY ? "entry" : "sidecar", settings.zone);
   rc = settings.role == BD_ROLE_ENTRY ? run_entry (&settings)
                                       : run_sidecar (&settings);
   bd_log (BD_EVENT_DAEMON_STOP, "result=%s", bd_error_answer (rc)->code);
+  bd_log_stop ();
   curl_global_cleanup ();
   bd_settings_release (&settings);
   return rc == BD_OK ? 0 : EXIT_START;
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -63,14 +63,18 @@
 static bool
 may_repeat (struct bd_forward *f)
 {
+  f->stop = BD_STOP_ATTEMPTS;
   if (f->reached >= f->route->attempts_max
       || f->tried_count == BD_FORWARD_TRIED_MAX)
     return false;
+  f->stop = BD_STOP_TIME;
   if (f->ends_ms <= bd_clock_boot_ms ())
     return false;
+  f->stop = BD_STOP_NO_RUNNER;
   if (bd_retry_share_take (f->forwarder->parts.retries, bd_clock_boot_ms (),
                            f->service))
     return true;
+  f->stop = BD_STOP_BUDGET;
   bd_stats_count (f->forwarder->parts.stats, BD_STAT_RETRIES_DENIED, 1);
   return false;
 }
@@ -96,6 +100,7 @@
   bd_forward_note (f, BD_RESULT_FAILURE);
   bd_forward_leave_target (f);
   f->may_have_run = true;
+  f->stop = BD_STOP_REPEAT;
   if (bd_forward_repeatable (f) && may_repeat (f))
     bd_forward_next_attempt (f);
   else
--- a/src/gateway/ending.c
+++ b/src/gateway/ending.c
@@ -12,6 +12,12 @@
 #define RETRY_AFTER_MS 250
 #define MS_PER_S 1000
 
+static const char *const stop_names[] = { [BD_STOP_NO_RUNNER] = "no_runner",
+                                          [BD_STOP_REPEAT] = "not_repeatable",
+                                          [BD_STOP_ATTEMPTS] = "attempts",
+                                          [BD_STOP_BUDGET] = "retry_budget",
+                                          [BD_STOP_TIME] = "time" };
+
 bool
 bd_forward_repeatable (const struct bd_forward *f)
 {
@@ -156,14 +162,15 @@
                   f->may_have_run ? BD_STAT_FAILED : BD_STAT_REFUSED, 1);
   if (f->begun)
     bd_stats_count (f->forwarder->parts.stats, BD_STAT_BROKEN, 1);
-  bd_log (
-      BD_EVENT_REQUEST_FAILED,
-      "request=%s route=%s code=%s ran=%s reached=%u tried=%zu events=%llu "
-      "ms=%lld",
-      bd_log_quote (f->facts.attempt_id, id, sizeof id), f->route->name.data,
-      bd_error_answer (error)->code, bd_ran_name (ran), f->reached,
-      f->tried_count, (unsigned long long)f->events,
-      (long long)bd_forward_elapsed_ms (f));
+  bd_log (BD_EVENT_REQUEST_FAILED,
+          "request=%s route=%s code=%s ran=%s stopped_by=%s reached=%u of=%u "
+          "tried=%zu events=%llu ms=%lld version=%llu",
+          bd_log_quote (f->facts.attempt_id, id, sizeof id),
+          f->route->name.data, bd_error_answer (error)->code,
+          bd_ran_name (ran), stop_names[f->stop], f->reached,
+          f->route->attempts_max, f->tried_count,
+          (unsigned long long)f->events, (long long)bd_forward_elapsed_ms (f),
+          (unsigned long long)bd_routing_version (f->routing));
   if (f->call)
     bd_call_cancel (f->call);
   bd_forward_leave_target (f);
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -21,6 +21,7 @@
       if (!f->begun && f->route->repeat != BD_REPEAT_STREAM)
         bd_forward_note (f, BD_RESULT_FAILURE);
     }
+  f->stop = BD_STOP_TIME;
   bd_forward_give_up (f, BD_ERR_TIMEOUT);
 }
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -18,6 +18,16 @@
 /** Room for an identifier in a log line, or a stream's last event. */
 #define BD_FORWARD_ID_BYTES 64
 
+/** Why a request goes to no further runner. */
+enum bd_stop
+{
+  BD_STOP_NO_RUNNER, /**< None is left that may take it. */
+  BD_STOP_REPEAT,    /**< It may have run, and may not run twice. */
+  BD_STOP_ATTEMPTS,  /**< Its route allows no more attempts. */
+  BD_STOP_BUDGET,    /**< The service's retry budget is used up. */
+  BD_STOP_TIME       /**< Its time is over. */
+};
+
 struct bd_forwarder
 {
   struct bd_forward_parts parts;
@@ -64,7 +74,8 @@
   int64_t sent_ms;
   bool found_free; /* Nothing was expected to wait at the runner. */
   bool may_have_run;
-  bool counted; /* The attempt's result says something of the runner. */
+  enum bd_stop stop; /* Of the last decision not to send it on. */
+  bool counted;      /* The attempt's result says something of the runner. */
   enum bd_result result;
   /* The response at hand. */
   int status;
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -47,6 +47,20 @@
   return inventory;
 }
 
+void
+bd_inventory_destroy (struct bd_inventory *inventory)
+{
+  if (!inventory)
+    return;
+  for (size_t i = 0; i < CALLS_MAX; i++)
+    {
+      if (inventory->inquiries[i].call)
+        bd_call_cancel (inventory->inquiries[i].call);
+      bd_buffer_clear (&inventory->inquiries[i].answer);
+    }
+  free (inventory);
+}
+
 static const struct bd_target *
 find_target (const struct bd_inventory *inventory, uint64_t hash)
 {
--- a/src/gateway/inventory.h
+++ b/src/gateway/inventory.h
@@ -23,6 +23,9 @@
 struct bd_inventory *
 bd_inventory_create (const struct bd_inventory_options *options);
 
+/** Ends its calls. */
+void bd_inventory_destroy (struct bd_inventory *inventory);
+
 /** All runners of SERVICE are asked, some at a time. */
 void bd_inventory_ask (struct bd_inventory *inventory, struct bd_chunk service,
                        int64_t now_ms);
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -7,7 +7,7 @@
 fleet_run () {
   local name=$1
   shift
-  "$@" >"$fleet_dir/$name.out" 2>"$fleet_dir/$name.log" &
+  "$@" >"$fleet_dir/$name.log" 2>&1 &
   fleet_pids+=($!)
 }
 
--- a/test/process_fleet.sh
+++ b/test/process_fleet.sh
@@ -46,7 +46,7 @@
 pf_start () {
   local name=$1
   shift
-  "$@" >>"$dir/$name.out" 2>>"$dir/$name.log" &
+  "$@" >>"$dir/$name.log" 2>&1 &
   pf_pid[$name]=$!
   pf_pids+=($!)
 }
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -39,11 +39,12 @@
 {
   static const struct support_step step = { LIST, SUPPORT_KEEP };
   struct support_gateway g;
+  struct bd_inventory *inventory;
   struct bd_target *target;
 
   support_gateway_open (&g);
   support_gateway_runner (&g, 0, &step, 1);
-  ask (&g);
+  inventory = ask (&g);
   target = bd_targets_find (g.targets, BD_CHUNK ("i-0"));
   while (!bd_parts_at (bd_choice_parts (g.choice), part ("a1"), target,
                        bd_clock_boot_ms ()))
@@ -53,6 +54,7 @@
                      ->read);
   g_assert_null (bd_parts_at (bd_choice_parts (g.choice), part ("b2"), target,
                               bd_clock_boot_ms ()));
+  bd_inventory_destroy (inventory);
   support_gateway_close (&g);
 }
 
@@ -75,6 +77,7 @@
   support_await_count (&g, &g.runners[2].taken, 1);
   bd_inventory_tick (inventory, bd_clock_boot_ms () + 5000);
   support_await_count (&g, &g.runners[2].gone, 1);
+  bd_inventory_destroy (inventory);
   support_gateway_close (&g);
 }
 
--- a/test/test_log.c
+++ b/test/test_log.c
@@ -196,7 +196,7 @@
 
   g_assert_cmpint (pipe (ends), ==, 0);
   bd_log_open ("i-1", BD_SEVERITY_INFO);
-  bd_log_queue (ends[1]);
+  bd_log_queue (ends[1], 400);
   for (int i = 0; i < 3000; i++)
     {
       bd_log (BD_EVENT_REQUEST_DONE, "n=%d", i);
@@ -213,7 +213,7 @@
       g_assert_cmpint (n, >, 0);
       length += (size_t)n;
     }
-  bd_log_queue (-1);
+  bd_log_queue (-1, 0);
   g_assert_nonnull (strstr (text, "n=0 filler"));
   /* Ordinary lines go first when room is short. */
   g_assert_null (strstr (text, "REQUEST_DONE request answered whole n=2999"));
@@ -222,6 +222,80 @@
   g_free (text);
 }
 
+/* Reads what TEXT has room for until it holds WANTED. */
+static size_t
+read_until (int fd, char *text, size_t room, const char *wanted)
+{
+  size_t length = 0;
+
+  while (!strstr (text, wanted))
+    {
+      ssize_t n = read (fd, text + length, room - length);
+
+      g_assert_cmpint (n, >, 0);
+      length += (size_t)n;
+    }
+  return length;
+}
+
+/* Pattern: a daemon's log is not read while its threads write far more than
+   the pipe and the queue hold.  No writer waits, what matters most stays, and
+   the loss is told once the log is read. */
+static void
+test_thread_unread (void)
+{
+  size_t room = 1 << 20;
+  char *text = g_malloc0 (room);
+  struct kept kept = { 0 };
+  int ends[2];
+
+  g_assert_cmpint (pipe (ends), ==, 0);
+  bd_log_open ("i-1", BD_SEVERITY_INFO);
+  g_assert_cmpint (bd_log_start (ends[1], 0), ==, BD_OK);
+  for (int i = 0; i < 400; i++)
+    bd_log (BD_EVENT_REQUEST_DONE, "n=%d filler=%0700d", i, 0);
+  bd_log (BD_EVENT_BILLING_LINE, "n=400");
+  read_until (ends[0], text, room - 1, "BD1009 LOG_DROPPED");
+  bd_log_stop ();
+  g_assert_nonnull (strstr (text, "n=0 filler"));
+  g_assert_nonnull (strstr (text, "answer billed n=400"));
+  g_assert_null (strstr (text, "n=399 filler"));
+  bd_log_visit (count_line, &kept);
+  g_assert_cmpuint (kept.count, >, 400);
+  close (ends[0]);
+  close (ends[1]);
+  g_free (text);
+}
+
+/* A second holds so many ordinary lines, and any number of others. */
+static void
+test_budget (void)
+{
+  size_t room = 1 << 20;
+  char *text = g_malloc0 (room);
+  size_t count = 0;
+  int ends[2];
+
+  g_assert_cmpint (pipe (ends), ==, 0);
+  bd_log_open ("i-1", BD_SEVERITY_INFO);
+  g_assert_cmpint (bd_log_start (ends[1], 10), ==, BD_OK);
+  for (int i = 0; i < 100; i++)
+    bd_log (BD_EVENT_REQUEST_DONE, "n=%d", i);
+  for (int i = 0; i < 20; i++)
+    bd_log (BD_EVENT_MEMBER_GONE, "n=%d", i);
+  read_until (ends[0], text, room - 1, "BD1009 LOG_DROPPED");
+  bd_log_stop ();
+  for (const char *at = text; (at = strstr (at, "BD2001")); at++)
+    count++;
+  /* The loop may run into a second one. */
+  g_assert_cmpuint (count, >=, 10);
+  g_assert_cmpuint (count, <=, 20);
+  g_assert_nonnull (strstr (text, "peer removed n=19"));
+  close (ends[0]);
+  close (ends[1]);
+  g_free (text);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -234,5 +308,7 @@
   g_test_add_func ("/log/events-ascend", test_events_ascend);
   g_test_add_func ("/log/threads", test_threads);
   g_test_add_func ("/log/queue-unread", test_queue_unread);
+  g_test_add_func ("/log/thread-unread", test_thread_unread);
+  g_test_add_func ("/log/budget", test_budget);
   return g_test_run ();
 }
