basildockctl trace and explain from log files of several daemons

Cause: to go from a request's id to its cause, the lines of all instances had to be searched by hand; basildockctl trace asked daemons, whose memory is gone with them. Change: src/ctl/story.c takes lines apart, keeps those of the request and those that bear on it, in order; explain.c names the end, the deciding input, the steps and what the daemon had learned. Lines name the program that wrote them.

--- a/src/common/log.c
+++ b/src/common/log.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 
+#include <errno.h>
 #include <limits.h>
 #include <poll.h>
 #include <pthread.h>
@@ -141,8 +142,8 @@
   gmtime_r (&now.tv_sec, &utc);
   length = strftime (line, BD_LOG_LINE_MAX_BYTES, "%Y-%m-%dT%H:%M:%S", &utc);
   n = snprintf (line + length, BD_LOG_LINE_MAX_BYTES - length,
-                ".%03ldZ %s basildockd[%ld]: BD%d %s %s",
-                now.tv_nsec / 1000000, instance_name, (long)getpid (),
+                ".%03ldZ %s %s[%ld]: BD%d %s %s", now.tv_nsec / 1000000,
+                instance_name, program_invocation_short_name, (long)getpid (),
                 row->number, row->name, row->text);
   return length + (size_t)n;
 }
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -10,7 +10,8 @@
 #include <jansson.h>
 
 #define BD_CTL_ADDRESSES_MAX 64
-#define BD_CTL_ARGUMENTS_MAX 3
+/** Words of a command, with the names of files. */
+#define BD_CTL_ARGUMENTS_MAX 256
 
 /** Exit codes. */
 enum bd_ctl_exit
@@ -53,9 +54,18 @@
 /** Shows the kept log lines of all daemons, in the order of time. */
 enum bd_ctl_exit bd_ctl_events (const struct bd_ctl_options *options);
 
-/** The same for the request named by argument 1. */
+/**
+ * The same for the request named by argument 1; with further arguments, from
+ * these log files ("-": standard input) in place of daemons.
+ */
 enum bd_ctl_exit bd_ctl_trace (const struct bd_ctl_options *options);
 
+/**
+ * Says from log files, as above, how the request of argument 1 ended and which
+ * input decided it.
+ */
+enum bd_ctl_exit bd_ctl_explain (const struct bd_ctl_options *options);
+
 /**
  * Reads PATH of the daemon at ADDRESS.  On an error, tells it on standard
  * error and returns BD_CTL_UNREACHABLE or BD_CTL_BAD; else *ROOT is to be
--- /dev/null
+++ b/src/ctl/explain.c
@@ -0,0 +1,290 @@
+/* The input that decided how a request ended. */
+#include "ctl/story.h"
+
+#include <string.h>
+
+#define SHOWN_MAX 6
+
+/* What an event means when its field KEY has VALUE (NULL: any), and the fields
+   that show it. */
+struct rule
+{
+  int number;
+  const char *key;
+  const char *value;
+  const char *text;
+  const char *shown[SHOWN_MAX];
+};
+
+/* The first that fits counts. */
+static const struct rule endings[] = {
+  { BD_EVENT_REQUEST_DONE,
+    NULL,
+    NULL,
+    "answered whole",
+    { "runner", "status", "reached", "first_ms", "gap_ms", "ms" } },
+  { BD_EVENT_REQUEST_REFUSED,
+    "code",
+    "overloaded",
+    "refused before it was sent: the wait expected at the best runner "
+    "(wait_ms) is over what its class and urgency allow (limit_ms)",
+    { "wait_ms", "limit_ms", "priority", "by", "retry_ms" } },
+  { BD_EVENT_REQUEST_REFUSED,
+    "code",
+    "not_ready",
+    "refused: the daemon had no configuration in force",
+    { "version" } },
+  { BD_EVENT_REQUEST_REFUSED,
+    "code",
+    "leaving",
+    "refused: the daemon was stopping",
+    { "version" } },
+  { BD_EVENT_REQUEST_REFUSED,
+    "code",
+    "request_suspended",
+    "refused: runners crashed while they ran this request",
+    { "version" } },
+  { BD_EVENT_REQUEST_REFUSED,
+    NULL,
+    NULL,
+    "refused, for the reason that code names (docs/CALLERS.md)",
+    { "code", "status", "attempt", "version" } },
+  { BD_EVENT_REQUEST_FAILED,
+    "stopped_by",
+    "not_repeatable",
+    "failed: it may have run at a runner, and its route does not let it run "
+    "twice",
+    { "code", "ran", "events" } },
+  { BD_EVENT_REQUEST_FAILED,
+    "stopped_by",
+    "attempts",
+    "failed: it reached as many runners as its route allows",
+    { "code", "ran", "reached", "of", "events" } },
+  { BD_EVENT_REQUEST_FAILED,
+    "stopped_by",
+    "retry_budget",
+    "failed: its service's retry budget was used up",
+    { "code", "ran", "reached", "of", "events" } },
+  { BD_EVENT_REQUEST_FAILED,
+    "stopped_by",
+    "time",
+    "failed: its time was over",
+    { "code", "ran", "reached", "events", "ms" } },
+  { BD_EVENT_REQUEST_FAILED,
+    "stopped_by",
+    "no_runner",
+    "failed: no other runner could take it",
+    { "code", "ran", "reached", "tried" } },
+  { BD_EVENT_REQUEST_FAILED,
+    NULL,
+    NULL,
+    "failed",
+    { "code", "ran", "reached", "events", "ms" } },
+  { BD_EVENT_REQUEST_ABORTED,
+    NULL,
+    NULL,
+    "its caller closed the connection",
+    { "runner", "events", "ms" } },
+  { BD_EVENT_REQUEST_SHED,
+    NULL,
+    NULL,
+    "shed from a full queue for a request of a higher tier",
+    { "attempt", "tier", "for_tier" } },
+  { BD_EVENT_REQUEST_EXPIRED,
+    NULL,
+    NULL,
+    "its deadline passed while it was queued",
+    { "attempt" } },
+  { BD_EVENT_QUARANTINE,
+    NULL,
+    NULL,
+    "refused: runners crashed while they ran it",
+    { "attempt" } },
+};
+
+/* What happened on the way, for the lines before the end. */
+static const struct rule steps[] = {
+  { BD_EVENT_ATTEMPT_FAILED,
+    NULL,
+    NULL,
+    "an attempt failed",
+    { "runner", "reason", "status", "events", "ms" } },
+  { BD_EVENT_REQUEST_RETRY,
+    NULL,
+    NULL,
+    "it was sent to another runner",
+    { "runner", "reached", "attempt", "detail", "ms" } },
+  { BD_EVENT_REQUEST_RESUME,
+    NULL,
+    NULL,
+    "its stream went on at another runner",
+    { "runner", "reached", "after", "ms" } },
+  { BD_EVENT_REQUEST_PLACED,
+    NULL,
+    NULL,
+    "a runner was chosen by what it would cost and what was ahead",
+    { "runner", "place", "cost_ms", "ahead", "by", "left_ms" } },
+  { BD_EVENT_REQUEST_QUEUED, NULL, NULL, "it was queued", { "attempt" } },
+  { BD_EVENT_REQUEST_STARTED,
+    NULL,
+    NULL,
+    "it was sent to the engine",
+    { "attempt" } },
+  { BD_EVENT_REQUEST_ENDED, NULL, NULL, "the engine finished", { "attempt" } },
+  { BD_EVENT_BILLING_LINE, NULL, NULL, "it was billed", { "status" } },
+};
+
+static const struct rule *
+find_rule (const struct rule *rules, size_t count,
+           const struct bd_story_line *line)
+{
+  for (size_t i = 0; i < count; i++)
+    if (rules[i].number == line->number
+        && (!rules[i].value
+            || bd_chunk_equal (bd_story_field (line, rules[i].key),
+                               bd_chunk_of (rules[i].value))))
+      return &rules[i];
+  return NULL;
+}
+
+#define FIND(rules, line)                                                     \
+  find_rule (rules, sizeof (rules) / sizeof (rules)[0], line)
+
+/* "TEXT (key=value ...)" and where it was logged. */
+static void
+put_rule (const struct rule *rule, const struct bd_story_line *line,
+          struct bd_buffer *out)
+{
+  const char *gap = "";
+
+  bd_buffer_printf (out, "%s (", rule->text);
+  for (size_t i = 0; i < SHOWN_MAX && rule->shown[i]; i++)
+    {
+      struct bd_chunk value = bd_story_field (line, rule->shown[i]);
+
+      if (value.length == 0)
+        continue;
+      bd_buffer_printf (out, "%s%s=%.*s", gap, rule->shown[i],
+                        (int)value.length, value.data);
+      gap = " ";
+    }
+  bd_buffer_printf (out, ") [BD%d at %.*s, %.*s]\n", line->number,
+                    (int)line->instance.length, line->instance.data,
+                    (int)line->time.length, line->time.data);
+}
+
+/* What the daemon of LAST logged afterwards, when the request has no end. */
+static void
+put_no_end (const struct bd_story *story, const struct bd_story_line *last,
+            struct bd_buffer *out)
+{
+  size_t count;
+  const struct bd_story_line *lines = bd_story_lines (story, &count);
+
+  bd_buffer_printf (out, "end: none is logged after BD%d at %.*s\n",
+                    last->number, (int)last->instance.length,
+                    last->instance.data);
+  for (const struct bd_story_line *line = last + 1; line < lines + count;
+       line++)
+    {
+      if (!bd_chunk_equal (line->instance, last->instance))
+        continue;
+      if (line->number == BD_EVENT_DAEMON_STOP
+          || line->number == BD_EVENT_DAEMON_START)
+        {
+          bd_buffer_printf (
+              out, "because: the daemon %s at %.*s\n",
+              line->number == BD_EVENT_DAEMON_STOP
+                  ? "stopped"
+                  : "began anew, so its process had ended before,",
+              (int)line->time.length, line->time.data);
+          return;
+        }
+      if (line->number == BD_EVENT_LOG_DROPPED)
+        bd_buffer_printf (out, "perhaps: log lines were dropped at %.*s\n",
+                          (int)line->time.length, line->time.data);
+    }
+}
+
+/* The last line that ends the request; *LAST: its last line. */
+static const struct bd_story_line *
+find_end (const struct bd_story *story, const struct bd_story_line **last)
+{
+  size_t count;
+  const struct bd_story_line *lines = bd_story_lines (story, &count);
+  const struct bd_story_line *end = NULL;
+
+  *last = NULL;
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!bd_story_is_own (story, &lines[i]))
+        continue;
+      *last = &lines[i];
+      if (FIND (endings, &lines[i]))
+        end = &lines[i];
+    }
+  return end;
+}
+
+/* The last failed attempt before END, the end of a request that failed. */
+static void
+put_cause (const struct bd_story *story, const struct bd_story_line *end,
+           struct bd_buffer *out)
+{
+  size_t count;
+  const struct bd_story_line *lines = bd_story_lines (story, &count);
+
+  for (const struct bd_story_line *line = end; line-- > lines;)
+    if (line->number == BD_EVENT_ATTEMPT_FAILED
+        && bd_story_is_own (story, line))
+      {
+        bd_buffer_append (out, BD_CHUNK ("because: "));
+        put_rule (FIND (steps, line), line, out);
+        return;
+      }
+}
+
+/* The request's steps up to LAST, and what its daemons had learned. */
+static void
+put_steps (const struct bd_story *story, const struct bd_story_line *last,
+           struct bd_buffer *out)
+{
+  size_t count;
+  const struct bd_story_line *lines = bd_story_lines (story, &count);
+
+  for (size_t i = 0; i < count && &lines[i] <= last; i++)
+    {
+      const struct rule *rule = FIND (steps, &lines[i]);
+
+      if (rule && bd_story_is_own (story, &lines[i]))
+        {
+          bd_buffer_append (out, BD_CHUNK ("step: "));
+          put_rule (rule, &lines[i], out);
+        }
+      else if (!bd_story_is_own (story, &lines[i])
+               && bd_story_is_near (story, &lines[i]))
+        bd_buffer_printf (out, "known: %.*s\n", (int)lines[i].text.length,
+                          lines[i].text.data);
+    }
+}
+
+int
+bd_story_explain (const struct bd_story *story, struct bd_buffer *out)
+{
+  const struct bd_story_line *last;
+  const struct bd_story_line *end = find_end (story, &last);
+
+  if (!last)
+    return BD_ERR_NOT_FOUND;
+  if (end)
+    {
+      bd_buffer_append (out, BD_CHUNK ("end: "));
+      put_rule (FIND (endings, end), end, out);
+      if (end->number == BD_EVENT_REQUEST_FAILED)
+        put_cause (story, end, out);
+    }
+  else
+    put_no_end (story, last, out);
+  put_steps (story, last, out);
+  return bd_buffer_append (out, BD_CHUNK (""));
+}
--- a/src/ctl/lines.c
+++ b/src/ctl/lines.c
@@ -1,12 +1,18 @@
-/* Commands that show log lines of several daemons: events, trace. */
+/* Commands that show log lines of several daemons: events, trace, explain. */
 #include "ctl/ctl.h"
 
+#include "ctl/story.h"
+
+#include <errno.h>
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 /* "2026-12-03T23:00:00.000Z" */
 #define TIME_LENGTH 24
+/* Longest identifier of a request. */
+#define REQUEST_MAX_BYTES 128
 
 struct line
 {
@@ -79,25 +85,41 @@
   return list;
 }
 
+/* Prints {"lines": ARRAY}, unless ARRAY is NULL, and releases it. */
 static void
-print_lines (const struct line_list *list, bool json)
+print_array (json_t *array)
 {
-  json_t *array = json_array ();
-  json_t *root = json_pack ("{s:o}", "lines", array);
+  json_t *root;
 
-  for (size_t i = 0; i < list->count; i++)
+  if (!array)
+    return;
+  root = json_pack ("{s:o}", "lines", array);
+  bd_ctl_print_json (root);
+  json_decref (root);
+}
+
+/* Prints one line, or adds it to ARRAY unless that is NULL. */
+static void
+print_line (struct bd_chunk line, json_t *array)
+{
+  if (array)
+    json_array_append_new (array,
+                           json_stringn_nocheck (line.data, line.length));
+  else
     {
-      if (json)
-        {
-          json_array_append_new (array, json_string (list->lines[i].text));
-          continue;
-        }
-      bd_ctl_print_text (bd_chunk_of (list->lines[i].text));
+      bd_ctl_print_text (line);
       putchar ('\n');
     }
-  if (json)
-    bd_ctl_print_json (root);
-  json_decref (root);
+}
+
+static void
+print_lines (const struct line_list *list, bool json)
+{
+  json_t *array = json ? json_array () : NULL;
+
+  for (size_t i = 0; i < list->count; i++)
+    print_line (bd_chunk_of (list->lines[i].text), array);
+  print_array (array);
 }
 
 /* *COUNT is the number of lines shown. */
@@ -124,8 +146,105 @@
   return show_lines (options, "/events", &count);
 }
 
+/* Log files. */
+
+static enum bd_ctl_exit
+read_file (struct bd_story *story, const char *name)
+{
+  bool is_input = strcmp (name, "-") == 0;
+  FILE *file = is_input ? stdin : fopen (name, "r");
+  int rc = file ? bd_story_read (story, file) : BD_ERR_IO;
+
+  if (rc != BD_OK)
+    fprintf (stderr, "basildockctl: %s: %s\n", name,
+             rc == BD_ERR_IO ? strerror (errno) : bd_error_answer (rc)->text);
+  if (file && !is_input)
+    fclose (file);
+  return rc == BD_OK ? BD_CTL_OK : BD_CTL_BAD;
+}
+
+/* The story of argument 1 by the files that follow it; NULL: it was told on
+   standard error why not. */
+static struct bd_story *
+read_story (const struct bd_ctl_options *options)
+{
+  const char *request = options->arguments[1];
+  struct bd_story *story;
+
+  if (request[0] == '\0' || strlen (request) > REQUEST_MAX_BYTES
+      || strpbrk (request, "\"\\ "))
+    {
+      fputs ("basildockctl: REQUEST-ID has no spaces, quotes or backslashes\n",
+             stderr);
+      return NULL;
+    }
+  story = bd_story_create (bd_chunk_of (request));
+  for (size_t i = 2; story && i < options->argument_count; i++)
+    if (read_file (story, options->arguments[i]) != BD_CTL_OK)
+      {
+        bd_story_destroy (story);
+        return NULL;
+      }
+  if (story && bd_story_finish (story) == 0)
+    {
+      fputs ("basildockctl: no line of this request was read\n", stderr);
+      bd_story_destroy (story);
+      return NULL;
+    }
+  return story;
+}
+
+static enum bd_ctl_exit
+trace_files (const struct bd_ctl_options *options)
+{
+  struct bd_story *story = read_story (options);
+  const struct bd_story_line *lines;
+  json_t *array;
+  size_t count;
+  size_t first = 0;
+
+  if (!story)
+    return BD_CTL_BAD;
+  array = options->json ? json_array () : NULL;
+  lines = bd_story_lines (story, &count);
+  if (options->last > 0 && count > (size_t)options->last)
+    first = count - (size_t)options->last;
+  for (size_t i = first; i < count; i++)
+    print_line (lines[i].text, array);
+  print_array (array);
+  bd_story_destroy (story);
+  return BD_CTL_OK;
+}
+
 enum bd_ctl_exit
-bd_ctl_trace (const struct bd_ctl_options *options)
+bd_ctl_explain (const struct bd_ctl_options *options)
+{
+  struct bd_story *story = read_story (options);
+  struct bd_buffer text = { 0 };
+  json_t *array = options->json ? json_array () : NULL;
+  int rc = story ? bd_story_explain (story, &text) : BD_ERR_NOT_FOUND;
+  char *rest = text.data;
+
+  while (rc == BD_OK && rest && *rest)
+    {
+      size_t length = strcspn (rest, "\n");
+
+      print_line ((struct bd_chunk){ rest, length }, array);
+      rest += length + (rest[length] == '\n');
+    }
+  if (rc == BD_OK)
+    print_array (array);
+  else
+    json_decref (array);
+  bd_buffer_clear (&text);
+  bd_story_destroy (story);
+  return rc == BD_OK ? BD_CTL_OK : BD_CTL_BAD;
+}
+
+/* Daemons. */
+
+static enum bd_ctl_exit
+trace_daemons (const struct bd_ctl_options *options)
 {
   char request[BD_ID_HEX_LENGTH + 1];
   char path[64];
@@ -148,3 +267,10 @@
     }
   return rc;
 }
+
+enum bd_ctl_exit
+bd_ctl_trace (const struct bd_ctl_options *options)
+{
+  return options->argument_count > 2 ? trace_files (options)
+                                     : trace_daemons (options);
+}
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -17,6 +17,7 @@
   const char *words[2];
   const char *usage;
   size_t argument_count; /* With the words. */
+  bool takes_files;      /* Any number more; none of them: it asks daemons. */
   bool needs_address;
   bd_ctl_command run;
   const char *help;
@@ -26,12 +27,14 @@
   { { "status", NULL },
     "status",
     1,
+    false,
     true,
     bd_ctl_status,
     "state of each daemon" },
   { { "runners", NULL },
     "runners",
     1,
+    false,
     true,
     bd_ctl_runners,
     "runners and their load" },
@@ -39,32 +42,45 @@
     "contract check FILE",
     3,
     false,
+    false,
     bd_ctl_contract_check,
     "checks a contract document" },
   { { "contract", "show" },
     "contract show",
     2,
+    false,
     true,
     bd_ctl_contract_show,
     "contracts in force" },
   { { "histogram", NULL },
     "histogram",
     1,
+    false,
     true,
     bd_ctl_histogram,
     "durations per workspace and class, as bars" },
   { { "events", NULL },
     "events",
     1,
+    false,
     true,
     bd_ctl_events,
     "the last log lines" },
   { { "trace", NULL },
-    "trace REQUEST-ID",
+    "trace REQUEST-ID [FILE]...",
     2,
     true,
+    true,
     bd_ctl_trace,
-    "log lines of one request" },
+    "log lines of one request, of daemons or from log files (-: standard "
+    "input)" },
+  { { "explain", NULL },
+    "explain REQUEST-ID FILE...",
+    3,
+    true,
+    false,
+    bd_ctl_explain,
+    "how a request ended and what decided it, from log files" },
 };
 
 #define COMMAND_COUNT (sizeof commands / sizeof commands[0])
@@ -140,7 +156,8 @@
     {
       const struct command *c = &commands[i];
 
-      if ((size_t)words->count != c->argument_count
+      if ((size_t)words->count < c->argument_count
+          || ((size_t)words->count > c->argument_count && !c->takes_files)
           || strcmp (words->sval[0], c->words[0]) != 0)
         continue;
       if (!c->words[1] || strcmp (words->sval[1], c->words[1]) == 0)
@@ -217,7 +234,9 @@
   rc = read_addresses (line, options);
   if (rc != BD_CTL_OK)
     return rc;
-  if (command->needs_address && options->address_count == 0)
+  if (command->needs_address
+      && (size_t)line->words->count == command->argument_count
+      && options->address_count == 0)
     return usage_error ("missing", "--admin IP:PORT or " ADMIN_VARIABLE);
   read_options (line, options);
   return command->run (options);
--- /dev/null
+++ b/test/test_story.c
@@ -0,0 +1,204 @@
+/* What log lines of several daemons say of one request. */
+#include "ctl/story.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* A line of instance "i-A" at second SS and millisecond MMM. */
+#define AT(ss, mmm, instance, rest)                                           \
+  "2026-01-02T03:04:" ss "." mmm "Z " instance " p[1]: " rest "\n"
+#define PLACED(runner)                                                        \
+  "BD2016 REQUEST_PLACED request placed request=\"r\" runner=" runner         \
+  " cost_ms=7 ahead=900 left_ms=800"
+#define DONE "BD2001 REQUEST_DONE request answered whole request=\"r\" ms=9"
+
+static struct bd_story *
+story_of (const char *text)
+{
+  struct bd_story *story = bd_story_create (BD_CHUNK ("r"));
+  FILE *file = fmemopen ((char *)text, strlen (text), "r");
+
+  g_assert_cmpint (bd_story_read (story, file), ==, BD_OK);
+  fclose (file);
+  return story;
+}
+
+static void
+must_explain (const char *text, const char *wanted)
+{
+  struct bd_story *story = story_of (text);
+  struct bd_buffer out = { 0 };
+
+  g_assert_cmpuint (bd_story_finish (story), >, 0);
+  g_assert_cmpint (bd_story_explain (story, &out), ==, BD_OK);
+  if (!g_str_has_prefix (out.data, wanted))
+    g_error ("not \"%s\": %s", wanted, out.data);
+  bd_buffer_clear (&out);
+  bd_story_destroy (story);
+}
+
+static void
+test_parse (void)
+{
+  static const char text[]
+      = "  -9.98 edge " AT ("05", "006", "i-A",
+                            "BD2003 REQUEST_RETRY request placed again a=1 "
+                            "b=\"x \\\" y=3\" c= d=e=f");
+  struct bd_story_line line;
+
+  g_assert_cmpint (
+      bd_story_parse ((struct bd_chunk){ text, strlen (text) - 1 }, &line), ==,
+      BD_OK);
+  g_assert_cmpint (line.number, ==, 2003);
+  g_assert_cmpint (line.at_ms % 60000, ==, 5006);
+  g_assert_true (bd_chunk_equal (line.instance, BD_CHUNK ("i-A")));
+  g_assert_true (bd_chunk_equal (line.name, BD_CHUNK ("REQUEST_RETRY")));
+  g_assert_true (bd_chunk_equal (bd_story_field (&line, "a"), BD_CHUNK ("1")));
+  g_assert_true (
+      bd_chunk_equal (bd_story_field (&line, "b"), BD_CHUNK ("x \\\" y=3")));
+  g_assert_cmpuint (bd_story_field (&line, "c").length, ==, 0);
+  g_assert_true (
+      bd_chunk_equal (bd_story_field (&line, "d"), BD_CHUNK ("e=f")));
+  g_assert_cmpuint (bd_story_field (&line, "y").length, ==, 0);
+}
+
+static void
+test_malformed (void)
+{
+  static const char *const bad[]
+      = { "",
+          "2026-01-02T03:04:05.006",
+          "2026-01-02T03:04:05.006Z",
+          "2026-01-02T03:04:05.006Z i p BD200 X t",
+          "2026-01-02T03:04:05.006Z i p BD20x1 X t",
+          "2026-01-02 03:04:05.006Z i p BD2001 X t" };
+  struct bd_story_line line;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    g_assert_cmpint (bd_story_parse (bd_chunk_of (bad[i]), &line), ==,
+                     BD_ERR_INVALID);
+}
+
+/* Files of several daemons, one after the other: one order of time; lines of
+   one millisecond stay as they came; other requests and runners are left
+   out, and what is long before or after. */
+static void
+test_order (void)
+{
+  static const char text[] = AT ("20", "000", "i-A", PLACED ("x")) AT (
+      "20", "500", "i-A", DONE) AT ("20", "100", "i-A",
+                                    "BD2016 REQUEST_PLACED request placed "
+                                    "request=\"q\" runner=x")
+      AT ("19", "000", "i-B",
+          "BD4006 TARGET_AVOIDED runner is avoided for a while runner=x")
+          AT ("19", "000", "i-B",
+              "BD4006 TARGET_AVOIDED runner is avoided for a while runner=z")
+              AT ("19", "000", "i-B",
+                  "BD3004 PLATFORM_DOWN configuration service unreachable")
+                  AT ("20", "000", "i-A",
+                      "BD3004 PLATFORM_DOWN configuration service "
+                      "unreachable")
+                      AT ("10", "000", "i-A",
+                          "BD3005 PLATFORM_UP configuration service "
+                          "reachable");
+  static const int numbers[] = { 4006, 2016, 3004, 2001 };
+  struct bd_story *story = story_of (text);
+  const struct bd_story_line *lines;
+  size_t count;
+
+  g_assert_cmpuint (bd_story_finish (story), ==, 2);
+  lines = bd_story_lines (story, &count);
+  g_assert_cmpuint (count, ==, G_N_ELEMENTS (numbers));
+  for (size_t i = 0; i < count; i++)
+    g_assert_cmpint (lines[i].number, ==, numbers[i]);
+  g_assert_false (bd_story_is_near (story, &lines[0]));
+  g_assert_true (bd_story_is_near (story, &lines[2]));
+  bd_story_destroy (story);
+}
+
+static void
+test_unknown_request (void)
+{
+  struct bd_story *story = story_of (
+      AT ("20", "000", "i-A", "BD1001 DAEMON_START daemon started"));
+  struct bd_buffer out = { 0 };
+
+  g_assert_cmpuint (bd_story_finish (story), ==, 0);
+  g_assert_cmpint (bd_story_explain (story, &out), ==, BD_ERR_NOT_FOUND);
+  bd_story_destroy (story);
+}
+
+/* Pattern: all processes were killed with requests in flight. */
+static void
+test_no_end (void)
+{
+  must_explain (AT ("20", "000", "i-A", PLACED ("x")) AT (
+                    "21", "000", "i-A", "BD1001 DAEMON_START daemon started"),
+                "end: none is logged after BD2016 at i-A\nbecause: the daemon "
+                "began anew");
+  must_explain (AT ("20", "000", "i-A", PLACED ("x"))
+                    AT ("21", "000", "i-A", "BD1004 DAEMON_STOP stopped"),
+                "end: none is logged after BD2016 at i-A\nbecause: the daemon "
+                "stopped at ");
+  must_explain (AT ("20", "000", "i-A", PLACED ("x"))
+                    AT ("21", "000", "i-A",
+                        "BD1009 LOG_DROPPED log lines dropped lines=4"),
+                "end: none is logged after BD2016 at i-A\nperhaps: log lines "
+                "were dropped at ");
+}
+
+static void
+test_endings (void)
+{
+  must_explain (AT ("20", "000", "i-A", PLACED ("x"))
+                    AT ("20", "500", "i-A", DONE),
+                "end: answered whole (ms=9) [BD2001 at i-A, "
+                "2026-01-02T03:04:20.500Z]\nstep: a runner was chosen by what "
+                "it would cost and what was ahead (runner=x cost_ms=7 "
+                "ahead=900 left_ms=800)");
+  must_explain (AT ("20", "000", "i-A",
+                    "BD2012 REQUEST_FAILED request ended without an answer "
+                    "request=\"r\" code=engine_failed ran=unknown "
+                    "stopped_by=retry_budget reached=1 of=3 events=0"),
+                "end: failed: its service's retry budget was used up "
+                "(code=engine_failed ran=unknown reached=1 of=3 events=0)");
+  must_explain (AT ("20", "000", "i-A",
+                    "BD2010 REQUEST_EXPIRED queued request expired request=r "
+                    "attempt=2"),
+                "end: its deadline passed while it was queued (attempt=2)");
+  must_explain (AT ("20", "000", "i-A",
+                    "BD2002 REQUEST_REFUSED request refused request=r "
+                    "code=rate_limited"),
+                "end: refused, for the reason that code names "
+                "(docs/CALLERS.md) (code=rate_limited)");
+}
+
+/* Bytes without a newline, and a line longer than any of ours, cost no more
+   memory than a line. */
+static void
+test_long_line (void)
+{
+  char *text = g_malloc0 (100001 + sizeof DONE + 64);
+  struct bd_story *story;
+
+  memset (text, 'x', 100000);
+  strcat (text, "\n" AT ("20", "500", "i-A", DONE));
+  story = story_of (text);
+  g_assert_cmpuint (bd_story_finish (story), ==, 1);
+  bd_story_destroy (story);
+  g_free (text);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/story/parse", test_parse);
+  g_test_add_func ("/story/malformed", test_malformed);
+  g_test_add_func ("/story/order", test_order);
+  g_test_add_func ("/story/unknown-request", test_unknown_request);
+  g_test_add_func ("/story/no-end", test_no_end);
+  g_test_add_func ("/story/endings", test_endings);
+  g_test_add_func ("/story/long-line", test_long_line);
+  return g_test_run ();
+}
