Metrics: refusals and failures by code, runners avoided, age of peers' news, bytes to peers

Cause: the gateway's metrics told how many requests were refused, not why, and nothing of its beliefs about runners and peers. One function takes a result into a runner's record, for the forwarder and the coordinator. Shown: test_stats.

--- a/src/balance/outlier.c
+++ b/src/balance/outlier.c
@@ -1,5 +1,7 @@
 #include "balance/outlier.h"
 
+#include "common/log.h"
+
 #include <math.h>
 
 /* Results lose half their weight in this time. */
@@ -130,3 +132,18 @@
   if (record->avoided > 0 && now_ms >= record->avoid_until_ms)
     record->trial_in_flight = true;
 }
+
+void
+bd_outlier_note (struct bd_targets *targets, struct bd_target *target,
+                 int64_t now_ms, enum bd_result result)
+{
+  size_t count;
+  struct bd_target *const *all = bd_targets_all (targets, &count);
+  int64_t avoided_before = target->record.avoid_until_ms;
+
+  bd_outlier_add (target, now_ms, result, all, count);
+  if (target->record.avoid_until_ms != avoided_before)
+    bd_log (BD_EVENT_TARGET_AVOIDED, "runner=%s failing=%.2f for_ms=%lld",
+            target->id.data, bd_outlier_failing (target, now_ms),
+            (long long)(target->record.avoid_until_ms - now_ms));
+}
--- a/src/balance/outlier.h
+++ b/src/balance/outlier.h
@@ -22,6 +22,10 @@
                      enum bd_result result, struct bd_target *const *peers,
                      size_t count);
 
+/** The same with the runners of TARGETS, and logs when TARGET is avoided. */
+void bd_outlier_note (struct bd_targets *targets, struct bd_target *target,
+                      int64_t now_ms, enum bd_result result);
+
 /** Share of TARGET's recent requests that failed, 0 to 1. */
 double bd_outlier_failing (const struct bd_target *target, int64_t now_ms);
 
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -25,17 +25,8 @@
 bd_forward_note_result (struct bd_forwarder *forwarder,
                         struct bd_target *target, enum bd_result result)
 {
-  size_t count;
-  struct bd_target *const *all
-      = bd_targets_all (forwarder->parts.targets, &count);
-  int64_t now = bd_clock_boot_ms ();
-  int64_t avoided_before = target->record.avoid_until_ms;
-
-  bd_outlier_add (target, now, result, all, count);
-  if (target->record.avoid_until_ms != avoided_before)
-    bd_log (BD_EVENT_TARGET_AVOIDED, "runner=%s failing=%.2f for_ms=%lld",
-            target->id.data, bd_outlier_failing (target, now),
-            (long long)(target->record.avoid_until_ms - now));
+  bd_outlier_note (forwarder->parts.targets, target, bd_clock_boot_ms (),
+                   result);
 }
 
 void
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -334,22 +334,6 @@
     note_begun (coordinator, ip, placed->number, now_ms);
 }
 
-static void
-note_result (struct bd_coordinator *coordinator, struct bd_target *target,
-             enum bd_result result, int64_t now_ms)
-{
-  size_t count;
-  struct bd_target *const *all
-      = bd_targets_all (coordinator->options.targets, &count);
-  int64_t avoided_before = target->record.avoid_until_ms;
-
-  bd_outlier_add (target, now_ms, result, all, count);
-  if (target->record.avoid_until_ms != avoided_before)
-    bd_log (BD_EVENT_TARGET_AVOIDED, "runner=%s failing=%.2f for_ms=%lld",
-            target->id.data, bd_outlier_failing (target, now_ms),
-            (long long)(target->record.avoid_until_ms - now_ms));
-}
-
 void
 bd_coordinator_report (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_placing_report *report, int64_t now_ms)
@@ -364,7 +348,8 @@
   target = bd_ledger_ended (coordinator->ledger, ip, report->number);
   /* An instance takes in its own results itself. */
   if (target && report->counted && ip != coordinator->options.ip)
-    note_result (coordinator, target, report->result, now_ms);
+    bd_outlier_note (coordinator->options.targets, target, now_ms,
+                     report->result);
 }
 
 /* Messages. */
--- a/src/gateway/ending.c
+++ b/src/gateway/ending.c
@@ -132,7 +132,7 @@
   int64_t retry_ms = -1;
   char id[BD_FORWARD_ID_BYTES];
 
-  bd_stats_count (forwarder->parts.stats, BD_STAT_REFUSED, 1);
+  bd_stats_refused (forwarder->parts.stats, error);
   bd_log (BD_EVENT_REQUEST_REFUSED,
           "request=%s status=%d code=%s version=%llu",
           bd_log_quote (facts->attempt_id, id, sizeof id), answer->status,
@@ -158,8 +158,10 @@
   /* A refusal says more than an error, where it is true. */
   if (no_room)
     error = f->may_have_run ? BD_ERR_OUTCOME_UNKNOWN : BD_ERR_NO_RUNNER;
-  bd_stats_count (f->forwarder->parts.stats,
-                  f->may_have_run ? BD_STAT_FAILED : BD_STAT_REFUSED, 1);
+  if (f->may_have_run)
+    bd_stats_failed (f->forwarder->parts.stats, error);
+  else
+    bd_stats_refused (f->forwarder->parts.stats, error);
   if (f->begun)
     bd_stats_count (f->forwarder->parts.stats, BD_STAT_BROKEN, 1);
   bd_log (BD_EVENT_REQUEST_FAILED,
@@ -189,7 +191,7 @@
 {
   char id[BD_FORWARD_ID_BYTES];
 
-  bd_stats_count (f->forwarder->parts.stats, BD_STAT_REFUSED, 1);
+  bd_stats_refused (f->forwarder->parts.stats, BD_ERR_OVERLOADED);
   bd_log (BD_EVENT_REQUEST_REFUSED,
           "request=%s route=%s code=%s wait_ms=%lld limit_ms=%lld "
           "priority=%d by=%08x retry_ms=%lld",
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -112,11 +112,18 @@
   struct bd_buffer text = { 0 };
   size_t count;
   size_t usable = 0;
+  size_t avoided = 0;
+  int64_t now_ms = bd_clock_boot_ms ();
   struct bd_target *const *all = bd_targets_all (gateway->targets, &count);
 
   for (size_t i = 0; i < count; i++)
-    usable += bd_target_usable (all[i]);
+    if (bd_target_usable (all[i]))
+      {
+        usable++;
+        avoided += all[i]->record.avoid_until_ms > now_ms;
+      }
   bd_stats_set (gateway->stats, BD_GAUGE_RUNNERS, (int64_t)usable);
+  bd_stats_set (gateway->stats, BD_GAUGE_AVOIDED, (int64_t)avoided);
   bd_stats_set (gateway->stats, BD_GAUGE_ACTIVE,
                 (int64_t)bd_server_active (gateway->callers));
   bd_stats_set (gateway->stats, BD_GAUGE_CONNECTIONS,
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -114,6 +114,7 @@
 count_members (struct bd_mesh *mesh, int64_t now_ms)
 {
   uint32_t members = 1;
+  int64_t oldest_ms = now_ms;
 
   for (size_t i = 0; i < mesh->count; i++)
     {
@@ -121,11 +122,14 @@
       bool live = is_live (mesh, peer, now_ms);
 
       members += live;
+      if (live && peer->heard_ms < oldest_ms)
+        oldest_ms = peer->heard_ms;
       if (peer->counted && !live && mesh->handler->on_gone)
         mesh->handler->on_gone (mesh->context, peer->ip, !peer->left);
       peer->counted = live;
     }
   bd_stats_set (mesh->options.stats, BD_GAUGE_PEERS, members - 1);
+  bd_stats_set (mesh->options.stats, BD_GAUGE_PEER_AGE_MS, now_ms - oldest_ms);
   if (members == mesh->members)
     return;
   mesh->members = members;
@@ -235,8 +239,10 @@
   /* A datagram may be lost on its way too; the next one says the same. */
   if (uv_udp_try_send (&mesh->socket, &buffer, 1,
                        (const struct sockaddr *)&address)
-      >= 0)
-    bd_stats_count (mesh->options.stats, BD_STAT_PEER_SENT, 1);
+      < 0)
+    return;
+  bd_stats_count (mesh->options.stats, BD_STAT_PEER_SENT, 1);
+  bd_stats_count (mesh->options.stats, BD_STAT_PEER_SENT_BYTES, out.length);
 }
 
 /* Writes NEWS.  Returns false when they are not fit to be sent; OUT is the
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -114,7 +114,6 @@
   bd_exchange_send (f->exchange, event);
 }
 
-/* Passes on whole events, those of one read in one piece. */
 /* Events are about to be passed on. */
 static void
 note_pause (struct bd_forward *f)
@@ -126,6 +125,7 @@
   f->event_ms = now;
 }
 
+/* Passes on whole events, those of one read in one piece. */
 static void
 pass_events (struct bd_forward *f)
 {
--- a/src/gateway/stats.c
+++ b/src/gateway/stats.c
@@ -9,6 +9,8 @@
 {
   uint64_t counts[BD_STAT_COUNT];
   int64_t gauges[BD_GAUGE_COUNT];
+  uint64_t refused[-BD_ERR_LIMIT]; /* By kind of error. */
+  uint64_t failed[-BD_ERR_LIMIT];
   struct bd_histogram *answer_time;
 };
 
@@ -64,6 +66,28 @@
   stats->counts[stat] += n;
 }
 
+/* Unknown kinds count as internal errors. */
+static size_t
+kind_of (int error)
+{
+  return (size_t)(error < 0 && error > BD_ERR_LIMIT ? -error
+                                                    : -BD_ERR_INTERNAL);
+}
+
+void
+bd_stats_refused (struct bd_stats *stats, int error)
+{
+  stats->counts[BD_STAT_REFUSED]++;
+  stats->refused[kind_of (error)]++;
+}
+
+void
+bd_stats_failed (struct bd_stats *stats, int error)
+{
+  stats->counts[BD_STAT_FAILED]++;
+  stats->failed[kind_of (error)]++;
+}
+
 void
 bd_stats_set (struct bd_stats *stats, enum bd_gauge gauge, int64_t value)
 {
@@ -76,6 +100,17 @@
   bd_histogram_add (stats->answer_time, time_us);
 }
 
+static void
+write_kinds (const uint64_t *kinds, const char *name, struct bd_buffer *out)
+{
+  bd_buffer_printf (out, "# TYPE basildock_%s_by_code_total counter\n", name);
+  for (int i = 1; i < -BD_ERR_LIMIT; i++)
+    if (kinds[i] > 0)
+      bd_buffer_printf (
+          out, "basildock_%s_by_code_total{code=\"%s\"} %" PRIu64 "\n", name,
+          bd_error_answer (-i)->code, kinds[i]);
+}
+
 int
 bd_stats_write (const struct bd_stats *stats, struct bd_buffer *out)
 {
@@ -96,6 +131,8 @@
                       gauge_rows[i].name, gauge_rows[i].help,
                       gauge_rows[i].name, gauge_rows[i].name,
                       stats->gauges[i]);
+  write_kinds (stats->refused, "refused", out);
+  write_kinds (stats->failed, "failed", out);
   total = bd_histogram_cumulate (stats->answer_time, limits_us, LIMIT_COUNT,
                                  counts);
   bd_buffer_printf (out, "# TYPE basildock_answer_seconds histogram\n");
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -27,6 +27,7 @@
   X (ASKS_UNANSWERED, "asks_unanswered", "Placements not answered in time")   \
   X (ANSWERS, "answers", "Placements decided for other instances")            \
   X (PEER_SENT, "peer_sent", "Datagrams sent to peers")                       \
+  X (PEER_SENT_BYTES, "peer_sent_bytes", "Bytes of datagrams sent to peers")  \
   X (PEER_RECEIVED, "peer_received", "Datagrams received from peers")         \
   X (PEER_REFUSED, "peer_refused", "Datagrams that could not be read")
 
@@ -34,7 +35,9 @@
 #define BD_GAUGE_TABLE(X)                                                     \
   X (ROUTING_VERSION, "routing_version", "Version of the routing in force")   \
   X (RUNNERS, "runners", "Runners that may get requests")                     \
+  X (AVOIDED, "avoided", "Runners that are avoided because they fail")        \
   X (PEERS, "peers", "Instances heard from lately")                           \
+  X (PEER_AGE_MS, "peer_age_ms", "Age of the oldest news of a live peer")     \
   X (ACTIVE, "active", "Requests in flight")                                  \
   X (CONNECTIONS, "connections", "Callers' connections")                      \
   X (LEDGER, "ledger", "Requests of all instances that were placed here")     \
@@ -62,6 +65,13 @@
 void bd_stats_count (struct bd_stats *stats, enum bd_stat stat, uint64_t n);
 void bd_stats_set (struct bd_stats *stats, enum bd_gauge gauge, int64_t value);
 
+/**
+ * Counts a request that ended without a runner's answer, by ERROR, one of enum
+ * bd_error: refused, that is before any run, or failed.
+ */
+void bd_stats_refused (struct bd_stats *stats, int error);
+void bd_stats_failed (struct bd_stats *stats, int error);
+
 /** Adds the time to a whole answer, or to a stream's first event. */
 void bd_stats_answer_time (struct bd_stats *stats, int64_t time_us);
 
--- /dev/null
+++ b/test/test_stats.c
@@ -0,0 +1,69 @@
+/* The gateway's counters as Prometheus text. */
+#include "basildock.h"
+#include "gateway/stats.h"
+
+#include <glib.h>
+#include <string.h>
+
+static void
+must_have (const struct bd_buffer *text, const char *line)
+{
+  if (!strstr (text->data, line))
+    g_error ("no \"%s\" in: %s", line, text->data);
+}
+
+static void
+test_text (void)
+{
+  struct bd_stats *stats = bd_stats_create ();
+  struct bd_buffer text = { 0 };
+
+  bd_stats_count (stats, BD_STAT_RETRIES, 2);
+  bd_stats_set (stats, BD_GAUGE_PEER_AGE_MS, 700);
+  bd_stats_answer_time (stats, 150000);
+  bd_stats_refused (stats, BD_ERR_OVERLOADED);
+  bd_stats_refused (stats, BD_ERR_OVERLOADED);
+  bd_stats_refused (stats, BD_ERR_NOT_READY);
+  bd_stats_failed (stats, BD_ERR_OUTCOME_UNKNOWN);
+  g_assert_cmpint (bd_stats_write (stats, &text), ==, BD_OK);
+  must_have (&text, "\nbasildock_retries_total 2\n");
+  must_have (&text, "\nbasildock_peer_age_ms 700\n");
+  must_have (&text, "\nbasildock_refused_total 3\n");
+  must_have (&text,
+             "\nbasildock_refused_by_code_total{code=\"overloaded\"} 2\n");
+  must_have (&text,
+             "\nbasildock_refused_by_code_total{code=\"not_ready\"} 1\n");
+  must_have (&text, "\nbasildock_failed_total 1\n");
+  must_have (&text,
+             "\nbasildock_failed_by_code_total{code=\"outcome_unknown\"} 1\n");
+  must_have (&text, "\nbasildock_answer_seconds_bucket{le=\"0.1\"} 0\n");
+  must_have (&text, "\nbasildock_answer_seconds_bucket{le=\"0.2\"} 1\n");
+  must_have (&text, "\nbasildock_answer_seconds_count 1\n");
+  bd_buffer_clear (&text);
+  bd_stats_destroy (stats);
+}
+
+/* A kind that is none of the list is counted, not dropped or out of bounds. */
+static void
+test_unknown_kind (void)
+{
+  static const int kinds[] = { 1, 0, BD_ERR_LIMIT, BD_ERR_LIMIT - 9 };
+  struct bd_stats *stats = bd_stats_create ();
+  struct bd_buffer text = { 0 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    bd_stats_failed (stats, kinds[i]);
+  bd_stats_write (stats, &text);
+  must_have (&text, "\nbasildock_failed_by_code_total{code=\"internal\"} 4\n");
+  bd_buffer_clear (&text);
+  bd_stats_destroy (stats);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/stats/text", test_text);
+  g_test_add_func ("/stats/unknown-kind", test_unknown_kind);
+  return g_test_run ();
+}
