--- a/bench/bench_experiment.c
+++ b/bench/bench_experiment.c
@@ -1,4 +1,5 @@
 /* Runs policies side by side in the model: scenarios x policies x seeds. */
+#include "model/plot.h"
 #include "model/scenario.h"
 
 #include "common/log.h"
@@ -77,16 +78,33 @@
   return policies->count == 0;
 }
 
+/* Puts the worth of one run into the picture. */
+static void
+plot_result (struct plot *plot, size_t policy, double worth, int seeds)
+{
+  size_t group = plot->group_count;
+
+  plot->mean[group][policy] += worth / seeds;
+  if (worth < plot->least[group][policy])
+    plot->least[group][policy] = worth;
+  if (worth > plot->most[group][policy])
+    plot->most[group][policy] = worth;
+}
+
 static void
 run_scenario (const struct world_scenario *scenario,
-              const struct arg_str *policies, int first, int seeds)
+              const struct arg_str *policies, int first, int seeds,
+              struct plot *plot)
 {
   for (size_t p = 0; p < POLICY_COUNT; p++)
     {
       struct world_result sum;
 
+      plot->mean[plot->group_count][p] = -1.0;
       if (!wanted (policies, policy_names[p]))
         continue;
+      plot->mean[plot->group_count][p] = 0.0;
+      plot->least[plot->group_count][p] = 1.0;
       memset (&sum, 0, sizeof sum);
       for (int s = 0; s < seeds; s++)
         {
@@ -95,23 +113,44 @@
           world_run (scenario, (enum world_policy)p,
                      (uint64_t)first + (uint64_t)s, &one);
           add_result (&sum, &one, scenario->class_count);
+          plot_result (plot, p, one.worth, seeds);
         }
       print_result (scenario, policy_names[p], &sum, seeds);
     }
+  plot->groups[plot->group_count++] = scenario->name;
+}
+
+static bool
+write_plot (const struct plot *plot, const char *name)
+{
+  FILE *file = fopen (name, "w");
+
+  if (!file)
+    {
+      fprintf (stderr, "bench_experiment: %s cannot be written\n", name);
+      return false;
+    }
+  plot_write (plot, file);
+  return fclose (file) == 0;
 }
 
 int
 main (int argc, char **argv)
 {
+  static struct world_scenario scenarios[SCENARIOS_MAX];
+  static struct plot plot = { .title = "Worth earned of the worth asked",
+                              .series_count = POLICY_COUNT };
   struct arg_str *policies
       = arg_strn ("p", "policy", "NAME", 0, POLICY_COUNT,
                   "random, least, local, coordinated (all)");
   struct arg_int *seeds = arg_int0 ("n", "seeds", "N", "how many (3)");
   struct arg_int *first = arg_int0 ("s", "seed", "N", "the first (1)");
+  struct arg_file *picture = arg_file0 (
+      NULL, "plot", "FILE", "draws the worth of each as bars, in SVG");
   struct arg_file *files
       = arg_filen (NULL, NULL, "SCENARIO", 1, SCENARIOS_MAX, "JSON files");
   struct arg_end *end = arg_end (4);
-  void *table[] = { policies, seeds, first, files, end };
+  void *table[] = { policies, seeds, first, picture, files, end };
 
   if (arg_nullcheck (table) != 0)
     return EXIT_FAILURE;
@@ -125,13 +164,16 @@
       return EXIT_FAILURE;
     }
   bd_log_open ("model", BD_SEVERITY_ERROR);
+  for (size_t p = 0; p < POLICY_COUNT; p++)
+    plot.series[p] = policy_names[p];
   for (int i = 0; i < files->count; i++)
     {
-      struct world_scenario scenario;
-
-      if (!scenario_read (files->filename[i], &scenario))
+      if (!scenario_read (files->filename[i], &scenarios[i]))
         return EXIT_FAILURE;
-      run_scenario (&scenario, policies, first->ival[0], seeds->ival[0]);
+      run_scenario (&scenarios[i], policies, first->ival[0], seeds->ival[0],
+                    &plot);
     }
+  if (picture->count > 0 && !write_plot (&plot, picture->filename[0]))
+    return EXIT_FAILURE;
   return EXIT_SUCCESS;
 }
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -120,6 +120,46 @@
   end_run (run);
 }
 
+/* The signed answer to another request. */
+static void
+reply_to_another (struct run *run)
+{
+  bd_exchange_reply (
+      run->exchange, 200,
+      BD_CHUNK ("X-Basildock-Attempt-Id: another\r\n"
+                "X-Basildock-Response-Signature: sig-another\r\n"
+                "Content-Type: text/plain\r\n"),
+      BD_CHUNK ("answer of another\n"));
+  end_run (run);
+}
+
+/* A stream that ends, as if it were whole, within an event. */
+static void
+end_in_event (struct run *run)
+{
+  struct bd_buffer fields = { 0 };
+
+  write_fields (&fields, run->attempt, true, true);
+  bd_exchange_begin (run->exchange, 200, bd_buffer_chunk (&fields));
+  bd_buffer_clear (&fields);
+  bd_exchange_send (run->exchange, BD_CHUNK ("id: 1\ndata: half"));
+  bd_exchange_end (run->exchange);
+  end_run (run);
+}
+
+static void
+garble (struct run *run)
+{
+  uint32_t which = soak_below (&run->runner->soak->random, 3);
+
+  if (which == 0)
+    reply (run, 200, false);
+  else if (which == 1 || run->attempt->kind < SOAK_STREAM)
+    reply_to_another (run);
+  else
+    end_in_event (run);
+}
+
 static void
 break_off (struct run *run)
 {
@@ -340,7 +380,7 @@
   if (soak_chance (&soak->random, habits->errors))
     reply (bd_exchange_owner (exchange), 500, true);
   else if (soak_chance (&soak->random, habits->garbled))
-    reply (bd_exchange_owner (exchange), 200, false);
+    garble (bd_exchange_owner (exchange));
   else if (soak_chance (&soak->random, habits->lost))
     break_off (bd_exchange_owner (exchange));
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -68,7 +68,7 @@
   double refusals;  /**< Does not run. */
   double lost;      /**< Runs, and resets. */
   double truncated; /**< Breaks off in its answer. */
-  double garbled;   /**< Answers with what is no HTTP, or for another. */
+  double garbled;   /**< Answers unsigned, for another, or ends in an event. */
   double slow;      /**< Takes ten times as long. */
 };
 
