An answer that is passed on tells the deciding instance what it says of its runner

Each instance took the result of an answer that it passed on into its own record, and reported the request's end without it; the instance that decides for all heard of failures only where another runner was tried, and of no plain success. Change: end_answer () notes the result as all other ends do. Test: test_reports (two instances over datagrams on loopback), both cases failed first.

--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -184,9 +184,8 @@
   if (succeeded (f))
     bd_suspects_completed (f->forwarder->parts.suspects, bd_clock_boot_ms (),
                            f->fingerprint);
-  bd_forward_note_result (f->forwarder, f->target,
-                          f->status >= 500 ? BD_RESULT_FAILURE
-                                           : BD_RESULT_SUCCESS);
+  bd_forward_note (f,
+                   f->status >= 500 ? BD_RESULT_FAILURE : BD_RESULT_SUCCESS);
   if (f->found_free && f->demand.own_tokens == 0)
     bd_speeds_worked (bd_choice_speeds (f->forwarder->parts.choice),
                       f->service, bd_clock_boot_ms () - f->sent_ms);
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -136,6 +136,15 @@
   g_free (wanted);
 }
 
+/* Whether the caller is told that its request did not run. */
+static bool
+is_told_not_run (struct call *c)
+{
+  return promises (c->status)
+         || (c->body.length > 0
+             && strstr (c->body.data, "\"ran\":\"no\"") != NULL);
+}
+
 static void
 on_end (void *context)
 {
@@ -148,7 +157,7 @@
       c->attempt->answered = true;
       soak->served++;
     }
-  else if (promises (c->status))
+  else if (is_told_not_run (c))
     {
       soak->refused++;
       c->attempt->promised = true;
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -160,8 +160,8 @@
   g_assert_cmpint (bd_address_parse (bd_chunk_of (text), address), ==, BD_OK);
 }
 
-static void
-list_runner (struct support_gateway *gateway, int i, int port)
+void
+support_gateway_list (struct support_gateway *gateway, int i, int port)
 {
   struct support_runner *runner = &gateway->runners[i];
   struct bd_target_entry entry
@@ -198,7 +198,7 @@
       uv_listen ((uv_stream_t *)&runner->listener, 16, on_runner_connection),
       ==, 0);
   uv_tcp_getsockname (&runner->listener, (struct sockaddr *)&address, &length);
-  list_runner (gateway, i, ntohs (address.sin_port));
+  support_gateway_list (gateway, i, ntohs (address.sin_port));
   return runner;
 }
 
@@ -208,7 +208,7 @@
   struct sockaddr_in address;
 
   free_address (&address);
-  list_runner (gateway, i, ntohs (address.sin_port));
+  support_gateway_list (gateway, i, ntohs (address.sin_port));
 }
 
 /* The gateway. */
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -91,6 +91,9 @@
 support_gateway_runner (struct support_gateway *gateway, int i,
                         const struct support_step *steps, int count);
 
+/** Lists runner I as ready at PORT of loopback. */
+void support_gateway_list (struct support_gateway *gateway, int i, int port);
+
 /** Lists runner I at a port where nothing listens. */
 void support_gateway_dead_runner (struct support_gateway *gateway, int i);
 
--- /dev/null
+++ b/test/test_reports.c
@@ -0,0 +1,161 @@
+/* What a forwarder tells the instance that decides on placements of its
+   runners' answers. */
+#include "gateway/asker.h"
+#include "support_gateway.h"
+#include "support_port.h"
+
+#include "common/clock.h"
+#include "gateway/socket.h"
+
+#include <string.h>
+
+#define HEAD(status)                                                          \
+  "HTTP/1.1 " status "\r\nX-Basildock-Attempt-Id: @ID\r\n"                    \
+  "X-Basildock-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok"
+
+/* The gateway under test, and the instance that it asks. */
+struct world
+{
+  struct support_gateway gateway;
+  struct support_gateway other;
+  struct bd_mesh *meshes[2];
+  struct bd_asker *askers[2];
+  int64_t now_ms;
+};
+
+static void
+on_members (void *context, uint32_t count)
+{
+  (void)context;
+  (void)count;
+}
+
+static void
+on_newer (void *context, uint32_t ip, uint64_t revision)
+{
+  (void)context;
+  (void)ip;
+  (void)revision;
+}
+
+static void
+on_message (void *context, uint32_t ip,
+            const struct bd_placing_message *message)
+{
+  bd_asker_take (*(struct bd_asker **)context, ip, message);
+}
+
+static const struct bd_mesh_handler handler = { .on_members = on_members,
+                                                .on_newer = on_newer,
+                                                .on_message = on_message };
+
+/* Puts side I, with the parts of GATEWAY, on the loop of both. */
+static void
+open_side (struct world *world, int i, struct support_gateway *gateway,
+           uint16_t port, enum bd_peer_state state)
+{
+  static uint32_t seed;
+  struct bd_peer_facts facts = { .state = state, .power = 100 };
+  struct bd_mesh_options mesh = { .loop = &world->gateway.loop,
+                                  .port = port,
+                                  .ip = htonl (INADDR_LOOPBACK + (uint32_t)i),
+                                  .seeds = &seed,
+                                  .seed_count = 1,
+                                  .targets = gateway->targets,
+                                  .suspects = gateway->suspects,
+                                  .stats = gateway->stats };
+
+  seed = htonl (INADDR_LOOPBACK);
+  world->askers[i] = gateway->asker;
+  g_assert_cmpint (
+      bd_mesh_create (&mesh, &handler, &world->askers[i], &world->meshes[i]),
+      ==, BD_OK);
+  bd_asker_connect (gateway->asker, world->meshes[i]);
+  bd_mesh_tell (world->meshes[i], &facts);
+}
+
+static struct bd_target_record
+record_at (struct world *world)
+{
+  return bd_targets_find (world->other.targets, BD_CHUNK ("i-0"))->record;
+}
+
+/* Sends METHOD_PATH, which its runner answers by STEP, until the caller has
+   ANSWER and the other instance has been told of the result. */
+static struct bd_target_record
+play (const char *method_path, const struct support_step *step,
+      const char *answer)
+{
+  static struct world world;
+  char *text = support_request (method_path, "a1", "", "");
+  char address[SUPPORT_ADDRESS_BYTES];
+  struct sockaddr_in bound;
+  struct bd_target_record record;
+  const struct bd_target *listed;
+
+  memset (&world, 0, sizeof world);
+  support_gateway_open (&world.gateway);
+  support_gateway_open (&world.other);
+  support_gateway_runner (&world.gateway, 0, step, 1);
+  listed = bd_targets_find (world.gateway.targets, BD_CHUNK ("i-0"));
+  support_gateway_list (&world.other, 0, ntohs (listed->port));
+  support_free_address (address);
+  bd_address_parse (bd_chunk_of (address), &bound);
+  open_side (&world, 0, &world.gateway, ntohs (bound.sin_port),
+             BD_PEER_UNABLE);
+  open_side (&world, 1, &world.other, ntohs (bound.sin_port), BD_PEER_FRESH);
+  world.now_ms = bd_clock_boot_ms ();
+  for (int i = 0; i < 3; i++)
+    {
+      world.now_ms += 1000;
+      bd_mesh_tick (world.meshes[0], world.now_ms);
+      bd_mesh_tick (world.meshes[1], world.now_ms);
+      for (int n = 0; n < 50; n++)
+        uv_run (&world.gateway.loop, UV_RUN_NOWAIT);
+    }
+  support_await (support_call (&world.gateway, 0, text), answer);
+  do
+    {
+      support_turn (&world.gateway);
+      record = record_at (&world);
+    }
+  while (record.failures + record.successes == 0.0);
+  g_free (text);
+  support_gateway_close (&world.gateway);
+  support_gateway_close (&world.other);
+  return record;
+}
+
+/* Pattern: runners that answer 500, all of a sudden.  The answer goes to the
+   caller, since the request may not run twice, and the instance that decides
+   has to hear of it: else it sends on to them all that comes. */
+static void
+test_error_passed_on (void)
+{
+  static const struct support_step step
+      = { HEAD ("500 Internal Server Error"), SUPPORT_KEEP };
+  struct bd_target_record record = play ("POST /once/x", &step, " 500 ");
+
+  g_assert_cmpfloat (record.failures, >, 0.9);
+  g_assert_cmpfloat (record.successes, ==, 0.0);
+}
+
+/* What a runner does well counts too: failures alone make any look bad. */
+static void
+test_success (void)
+{
+  static const struct support_step step = { HEAD ("200 OK"), SUPPORT_KEEP };
+  struct bd_target_record record = play ("POST /once/x", &step, " 200 ");
+
+  g_assert_cmpfloat (record.failures, ==, 0.0);
+  g_assert_cmpfloat (record.successes, >, 0.9);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/reports/error-passed-on", test_error_passed_on);
+  g_test_add_func ("/reports/success", test_success);
+  return g_test_run ();
+}
