--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -8,6 +8,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #define SLOT_MS 250
@@ -223,11 +224,28 @@
 
 /* Phases. */
 
+/* Where this process runs out of descriptors, its runners and proxies break
+   connections, and what callers see says nothing of the gateways. */
+static void
+check_descriptors (void)
+{
+  struct rlimit limit;
+  int lowest = dup (STDERR_FILENO);
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || lowest < 0
+      || (rlim_t)lowest > limit.rlim_cur - limit.rlim_cur / 8)
+    g_error ("too many connections for %llu descriptors: "
+             "fewer gateways or runners are needed",
+             (unsigned long long)limit.rlim_cur);
+  close (lowest);
+}
+
 static void
 on_check (uv_timer_t *timer)
 {
   struct soak *soak = timer->data;
 
+  check_descriptors ();
   for (size_t i = 0; i < soak->gateway_count; i++)
     soak_gateway_check (soak->gateways[i]);
 }
