--- a/src/configuration/exchange.c
+++ b/src/configuration/exchange.c
@@ -15,9 +15,9 @@
 #define FORK_QUIET_MS 5000
 #define REASON_BYTES 256
 
-struct bd_exchange
+struct bd_document_exchange
 {
-  struct bd_exchange_port *port;
+  struct bd_document_exchange_port *port;
   struct bd_config *config;
   char source[PEER_NAME_BYTES]; /* Who told of the newest revision. */
   uint64_t asked_revision;
@@ -27,10 +27,10 @@
   int64_t retry_ms;
 };
 
-struct bd_exchange *
-bd_exchange_create (struct bd_exchange_port *port)
+struct bd_document_exchange *
+bd_document_exchange_create (struct bd_document_exchange_port *port)
 {
-  struct bd_exchange *x = calloc (1, sizeof *x);
+  struct bd_document_exchange *x = calloc (1, sizeof *x);
 
   if (!x)
     return NULL;
@@ -44,7 +44,7 @@
 }
 
 void
-bd_exchange_destroy (struct bd_exchange *exchange)
+bd_document_exchange_destroy (struct bd_document_exchange *exchange)
 {
   if (!exchange)
     return;
@@ -53,13 +53,13 @@
 }
 
 struct bd_config *
-bd_exchange_config (struct bd_exchange *exchange)
+bd_document_exchange_config (struct bd_document_exchange *exchange)
 {
   return exchange->config;
 }
 
 static void
-set_source (struct bd_exchange *x, struct bd_chunk peer)
+set_source (struct bd_document_exchange *x, struct bd_chunk peer)
 {
   size_t length = peer.length < PEER_NAME_BYTES ? peer.length : 0;
 
@@ -70,7 +70,7 @@
 
 struct fetch_context
 {
-  struct bd_exchange *exchange;
+  struct bd_document_exchange *exchange;
   struct bd_chunk peer;
 };
 
@@ -78,7 +78,7 @@
 fetch_named (void *data, struct bd_chunk name)
 {
   struct fetch_context *context = data;
-  struct bd_exchange_port *port = context->exchange->port;
+  struct bd_document_exchange_port *port = context->exchange->port;
 
   port->fetch (port, context->peer, name);
 }
@@ -93,7 +93,7 @@
 }
 
 static void
-fetch_missing (struct bd_exchange *x, struct bd_chunk peer)
+fetch_missing (struct bd_document_exchange *x, struct bd_chunk peer)
 {
   struct fetch_context context = { x, peer };
 
@@ -103,7 +103,8 @@
 /* The same manifest with other content: two documents were published under
    one revision.  Every document of the peer is looked at. */
 static void
-compare_forks (struct bd_exchange *x, int64_t now_ms, struct bd_chunk peer)
+compare_forks (struct bd_document_exchange *x, int64_t now_ms,
+               struct bd_chunk peer)
 {
   struct fetch_context context = { x, peer };
 
@@ -115,8 +116,9 @@
 }
 
 void
-bd_exchange_heard (struct bd_exchange *exchange, int64_t now_ms,
-                   struct bd_chunk peer, uint64_t revision, uint64_t digest)
+bd_document_exchange_heard (struct bd_document_exchange *exchange,
+                            int64_t now_ms, struct bd_chunk peer,
+                            uint64_t revision, uint64_t digest)
 {
   uint64_t ours = bd_config_revision (exchange->config);
 
@@ -136,11 +138,11 @@
 }
 
 void
-bd_exchange_document (struct bd_exchange *exchange, int64_t now_ms,
-                      struct bd_chunk peer, struct bd_chunk name,
-                      struct bd_chunk json)
+bd_document_exchange_document (struct bd_document_exchange *exchange,
+                               int64_t now_ms, struct bd_chunk peer,
+                               struct bd_chunk name, struct bd_chunk json)
 {
-  struct bd_exchange_port *port = exchange->port;
+  struct bd_document_exchange_port *port = exchange->port;
   char reason[REASON_BYTES] = "";
   int rc
       = bd_config_offer (exchange->config, name, json, reason, sizeof reason);
@@ -159,7 +161,8 @@
 }
 
 void
-bd_exchange_tick (struct bd_exchange *exchange, int64_t now_ms)
+bd_document_exchange_tick (struct bd_document_exchange *exchange,
+                           int64_t now_ms)
 {
   if (now_ms < exchange->retry_ms)
     return;
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -16,13 +16,13 @@
 struct bd_entry
 {
   struct bd_dispatch_port dispatch_port; /* Must stay the first member. */
-  struct bd_exchange_port exchange_port;
+  struct bd_document_exchange_port exchange_port;
   struct bd_watch_sink watch_sink;
   const struct bd_settings *settings;
   uint64_t incarnation;
   struct bd_link *link;
   struct bd_dispatch *dispatch;
-  struct bd_exchange *exchange;
+  struct bd_document_exchange *exchange;
   struct bd_watch *watch;
   struct bd_view *view;
   struct bd_peers *peers;
--- a/src/entry/documents.c
+++ b/src/entry/documents.c
@@ -118,7 +118,7 @@
 static void
 take_confirmation (struct bd_entry *e, int64_t sent_ms)
 {
-  struct bd_config *config = bd_exchange_config (e->exchange);
+  struct bd_config *config = bd_document_exchange_config (e->exchange);
   struct bd_chunk manifest
       = bd_config_document (config, BD_CHUNK ("manifest"));
   size_t missing = 0;
@@ -136,7 +136,7 @@
 
   if (bd_chunk_equal (name, BD_CHUNK ("manifest")))
     e->service_manifest = bd_chunk_hash (json);
-  bd_exchange_document (e->exchange, now_ms, service, name, json);
+  bd_document_exchange_document (e->exchange, now_ms, service, name, json);
 }
 
 void
@@ -179,7 +179,7 @@
     return true;
   if (e->first_change_ms == 0)
     e->first_change_ms = now_ms;
-  bd_config_missing (bd_exchange_config (e->exchange), count_missing,
+  bd_config_missing (bd_document_exchange_config (e->exchange), count_missing,
                      &missing);
   return missing == 0 || now_ms - e->first_change_ms >= FIRST_DOCUMENTS_MS;
 }
@@ -187,7 +187,7 @@
 void
 bd_control_publish (struct bd_entry *e, int64_t now_ms)
 {
-  struct bd_config *config = bd_exchange_config (e->exchange);
+  struct bd_config *config = bd_document_exchange_config (e->exchange);
   struct bd_config_snapshot *snapshot;
 
   if (!is_complete (e, now_ms))
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -74,7 +74,7 @@
   e->documents = bd_mailbox_create ();
   e->calls = bd_map_create ();
   e->view = bd_view_create ();
-  e->exchange = bd_exchange_create (&e->exchange_port);
+  e->exchange = bd_document_exchange_create (&e->exchange_port);
   e->dispatch = make_dispatch (e);
   e->metrics = bd_metrics_create ();
   e->state = bd_state_create ();
@@ -155,7 +155,7 @@
   bd_state_destroy (entry->state);
   bd_metrics_destroy (entry->metrics);
   bd_dispatch_destroy (entry->dispatch);
-  bd_exchange_destroy (entry->exchange);
+  bd_document_exchange_destroy (entry->exchange);
   bd_view_destroy (entry->view);
   bd_link_destroy (entry->link);
   rcu_unregister_thread ();
@@ -188,7 +188,7 @@
   struct bd_status_input input = {
     .settings = e->settings,
     .incarnation = e->incarnation,
-    .config = bd_exchange_config (e->exchange),
+    .config = bd_document_exchange_config (e->exchange),
     .dispatch = e->dispatch,
     .membership = bd_peers_membership (e->peers),
     .counts = bd_link_counts (e->link),
@@ -213,7 +213,7 @@
 tick (struct bd_entry *e, int64_t now_ms)
 {
   bd_dispatch_tick (e->dispatch, now_ms);
-  bd_exchange_tick (e->exchange, now_ms);
+  bd_document_exchange_tick (e->exchange, now_ms);
   bd_peers_tick (e->peers, now_ms);
   bd_state_serve (e->state, write_state, e);
   choose_watcher (e, now_ms);
--- a/src/entry/messages.c
+++ b/src/entry/messages.c
@@ -12,7 +12,7 @@
 static void
 fill_heartbeat (struct bd_entry *e, struct bd_message *m)
 {
-  struct bd_config *config = bd_exchange_config (e->exchange);
+  struct bd_config *config = bd_document_exchange_config (e->exchange);
 
   m->type = BD_MESSAGE_HEARTBEAT;
   m->incarnation = e->incarnation;
@@ -63,7 +63,8 @@
   struct bd_message m = {
     .type = BD_MESSAGE_CONFIG,
     .name = name,
-    .body = bd_config_document (bd_exchange_config (e->exchange), name),
+    .body
+    = bd_config_document (bd_document_exchange_config (e->exchange), name),
   };
 
   if (m.body.length > 0)
@@ -77,7 +78,8 @@
 {
   struct bd_message reply = { .flags = BD_FLAG_REPLY };
 
-  bd_exchange_heard (e->exchange, now_ms, from, m->revision, m->digest);
+  bd_document_exchange_heard (e->exchange, now_ms, from, m->revision,
+                              m->digest);
   if (m->flags & BD_FLAG_REPLY || m->slots > 0)
     return;
   fill_heartbeat (e, &reply);
@@ -94,7 +96,8 @@
       send_document (e, from, m->name);
       return;
     case BD_MESSAGE_CONFIG:
-      bd_exchange_document (e->exchange, now_ms, from, m->name, m->body);
+      bd_document_exchange_document (e->exchange, now_ms, from, m->name,
+                                     m->body);
       return;
     case BD_MESSAGE_GOSSIP:
       bd_peers_message (e->peers, now_ms, from, m);
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -24,7 +24,7 @@
   uint64_t incarnation;
   struct bd_link *link;
   struct bd_dispatch *dispatch;
-  struct bd_exchange *exchange;
+  struct bd_document_exchange *exchange;
   struct bd_membership *membership;
   struct bd_buffer body;
   struct bd_gossip_body told;
@@ -56,7 +56,7 @@
 struct bd_peers *
 bd_peers_create (const struct bd_settings *settings, uint64_t incarnation,
                  struct bd_link *link, struct bd_dispatch *dispatch,
-                 struct bd_exchange *exchange)
+                 struct bd_document_exchange *exchange)
 {
   struct bd_membership_settings m = {
     .instance = bd_chunk_of (settings->instance),
@@ -179,7 +179,7 @@
 static void
 take_confirmation (struct bd_peers *p, const struct bd_message *m)
 {
-  struct bd_config *config = bd_exchange_config (p->exchange);
+  struct bd_config *config = bd_document_exchange_config (p->exchange);
 
   if (m->echo_ms != 0 && m->confirm_age_ms > 0
       && m->revision == bd_config_revision (config)
@@ -216,8 +216,8 @@
   if (bd_membership_heard (peers->membership, now_ms, &sender) != BD_OK)
     return;
   bd_link_connect (peers->link, from, message->address);
-  bd_exchange_heard (peers->exchange, now_ms, from, message->revision,
-                     message->digest);
+  bd_document_exchange_heard (peers->exchange, now_ms, from, message->revision,
+                              message->digest);
   note_clock (peers, from, message->sent_ms);
   take_confirmation (peers, message);
   bd_limiter_peer_demand (bd_dispatch_limiter (peers->dispatch), now_ms,
@@ -249,7 +249,7 @@
 static void
 fill_message (struct bd_peers *p, struct bd_message *m)
 {
-  struct bd_config *config = bd_exchange_config (p->exchange);
+  struct bd_config *config = bd_document_exchange_config (p->exchange);
 
   bd_buffer_reset (&p->body);
   bd_gossip_encode (&p->told, &p->body);
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -18,7 +18,7 @@
 struct bd_peers *bd_peers_create (const struct bd_settings *settings,
                                   uint64_t incarnation, struct bd_link *link,
                                   struct bd_dispatch *dispatch,
-                                  struct bd_exchange *exchange);
+                                  struct bd_document_exchange *exchange);
 void bd_peers_destroy (struct bd_peers *peers);
 
 /** The published entries: whom to talk to, and how many share the limits. */
--- a/src/entry/ports.c
+++ b/src/entry/ports.c
@@ -7,7 +7,7 @@
 #include <stddef.h>
 
 static struct bd_entry *
-of_exchange (struct bd_exchange_port *port)
+of_exchange (struct bd_document_exchange_port *port)
 {
   return (struct bd_entry *)((char *)port
                              - offsetof (struct bd_entry, exchange_port));
@@ -68,7 +68,7 @@
 }
 
 static void
-exchange_fetch (struct bd_exchange_port *port, struct bd_chunk peer,
+exchange_fetch (struct bd_document_exchange_port *port, struct bd_chunk peer,
                 struct bd_chunk name)
 {
   struct bd_entry *e = of_exchange (port);
@@ -81,7 +81,7 @@
 }
 
 static void
-exchange_note (struct bd_exchange_port *port, enum bd_event event,
+exchange_note (struct bd_document_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
   (void)port;
@@ -89,7 +89,7 @@
 }
 
 static void
-exchange_changed (struct bd_exchange_port *port)
+exchange_changed (struct bd_document_exchange_port *port)
 {
   of_exchange (port)->changed = true;
 }
@@ -105,7 +105,7 @@
     .connect = port_connect,
     .disconnect = port_disconnect,
   };
-  e->exchange_port = (struct bd_exchange_port){
+  e->exchange_port = (struct bd_document_exchange_port){
     .fetch = exchange_fetch,
     .note = exchange_note,
     .changed = exchange_changed,
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -5,7 +5,7 @@
 #ifndef BD_DIALECT_H
 #define BD_DIALECT_H
 
-#include "gateway/http.h"
+#include "http/message.h"
 
 /** What the head of a caller's request says. */
 struct bd_request_facts
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -10,9 +10,9 @@
 #include "balance/routing.h"
 #include "retry/suspect.h"
 #include "gateway/asker.h"
-#include "gateway/client.h"
+#include "http/client.h"
 #include "gateway/dialect.h"
-#include "gateway/server.h"
+#include "http/server.h"
 #include "gateway/stats.h"
 
 /** What requests are forwarded with; all outlive the forwarder. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,9 +11,9 @@
 #include "balance/retry_share.h"
 #include "balance/routing.h"
 #include "balance/target.h"
-#include "gateway/client.h"
+#include "http/client.h"
 #include "gateway/dialect.h"
-#include "gateway/server.h"
+#include "http/server.h"
 #include "gateway/stats.h"
 
 #include <uv.h>
--- a/src/gateway/inventory.h
+++ b/src/gateway/inventory.h
@@ -7,7 +7,7 @@
 #define BD_INVENTORY_H
 
 #include "balance/parts.h"
-#include "gateway/client.h"
+#include "http/client.h"
 #include "gateway/dialect.h"
 
 struct bd_inventory;
--- a/src/gateway/client.c
+++ b/src/http/client.c
@@ -1,9 +1,9 @@
-#include "gateway/client.h"
+#include "http/client.h"
 
 #include "common/clock.h"
 #include "common/random.h"
 #include "common/table.h"
-#include "gateway/socket.h"
+#include "http/socket.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/gateway/client.h
+++ b/src/http/client.h
@@ -8,7 +8,7 @@
 #ifndef BD_CLIENT_H
 #define BD_CLIENT_H
 
-#include "gateway/http.h"
+#include "http/message.h"
 
 #include <uv.h>
 
--- a/src/gateway/http.c
+++ b/src/http/message.c
@@ -1,4 +1,4 @@
-#include "gateway/http.h"
+#include "http/message.h"
 
 #include <ctype.h>
 #include <http_parser.h>
--- a/src/gateway/http.h
+++ b/src/http/message.h
@@ -1,13 +1,13 @@
 /**
- * @file http.h
+ * @file message.h
  * An incremental reader of HTTP/1.1 messages over http_parser.
  *
  * A head is taken in whole, checked strictly and shown once; the body is
  * passed on as it arrives.  The reader stops after each message: what follows
  * is kept until bd_http_reader_next ().
  */
-#ifndef BD_HTTP_H
-#define BD_HTTP_H
+#ifndef BD_HTTP_MESSAGE_H
+#define BD_HTTP_MESSAGE_H
 
 #include "common/string.h"
 
--- a/src/gateway/server.c
+++ b/src/http/server.c
@@ -1,8 +1,8 @@
-#include "gateway/server.h"
+#include "http/server.h"
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "gateway/socket.h"
+#include "http/socket.h"
 
 #include <http_parser.h>
 #include <inttypes.h>
--- a/src/gateway/server.h
+++ b/src/http/server.h
@@ -8,7 +8,7 @@
 #ifndef BD_SERVER_H
 #define BD_SERVER_H
 
-#include "gateway/http.h"
+#include "http/message.h"
 
 #include <uv.h>
 
--- a/src/gateway/socket.c
+++ b/src/http/socket.c
@@ -1,4 +1,4 @@
-#include "gateway/socket.h"
+#include "http/socket.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/sidecar/control.h
+++ b/src/sidecar/control.h
@@ -25,12 +25,12 @@
 struct bd_sidecar
 {
   struct bd_runner_port runner_port; /* Must stay the first member. */
-  struct bd_exchange_port exchange_port;
+  struct bd_document_exchange_port exchange_port;
   const struct bd_settings *settings;
   uint64_t incarnation;
   struct bd_link *link;
   struct bd_runner *runner;
-  struct bd_exchange *exchange;
+  struct bd_document_exchange *exchange;
   struct bd_engine *engine;
   struct bd_engine_post engine_post;
   struct bd_mailbox *events;
--- a/src/sidecar/ports.c
+++ b/src/sidecar/ports.c
@@ -8,7 +8,7 @@
 #include <stddef.h>
 
 static struct bd_sidecar *
-of_exchange (struct bd_exchange_port *port)
+of_exchange (struct bd_document_exchange_port *port)
 {
   return (struct bd_sidecar *)((char *)port
                                - offsetof (struct bd_sidecar, exchange_port));
@@ -95,7 +95,7 @@
 }
 
 static void
-exchange_fetch (struct bd_exchange_port *port, struct bd_chunk peer,
+exchange_fetch (struct bd_document_exchange_port *port, struct bd_chunk peer,
                 struct bd_chunk name)
 {
   struct bd_message m = { .type = BD_MESSAGE_CONFIG_GET, .name = name };
@@ -105,7 +105,7 @@
 }
 
 static void
-exchange_note (struct bd_exchange_port *port, enum bd_event event,
+exchange_note (struct bd_document_exchange_port *port, enum bd_event event,
                struct bd_chunk name, const char *detail)
 {
   (void)port;
@@ -115,7 +115,7 @@
 void
 bd_sidecar_heartbeat (struct bd_sidecar *s, struct bd_message *m)
 {
-  struct bd_config *config = bd_exchange_config (s->exchange);
+  struct bd_config *config = bd_document_exchange_config (s->exchange);
 
   m->type = BD_MESSAGE_HEARTBEAT;
   m->revision = bd_config_revision (config);
@@ -152,7 +152,7 @@
 }
 
 static void
-exchange_changed (struct bd_exchange_port *port)
+exchange_changed (struct bd_document_exchange_port *port)
 {
   struct bd_sidecar *s = of_exchange (port);
   const struct bd_pool *pool;
@@ -160,7 +160,7 @@
 
   if (s->snapshot)
     bd_config_snapshot_release (s->snapshot);
-  s->snapshot = bd_config_snapshot (bd_exchange_config (s->exchange));
+  s->snapshot = bd_config_snapshot (bd_document_exchange_config (s->exchange));
   pool = own_pool (s);
   roster = pool ? bd_home_roster (pool) : 0;
   if (roster != s->roster)
@@ -181,7 +181,7 @@
     .is_home = port_is_home,
     .waited = port_waited,
   };
-  s->exchange_port = (struct bd_exchange_port){
+  s->exchange_port = (struct bd_document_exchange_port){
     .fetch = exchange_fetch,
     .note = exchange_note,
     .changed = exchange_changed,
--- a/src/sidecar/sidecar.c
+++ b/src/sidecar/sidecar.c
@@ -92,7 +92,7 @@
       s->events = bd_mailbox_create ();
       s->metrics = bd_metrics_create ();
       s->state = bd_state_create ();
-      s->exchange = bd_exchange_create (&s->exchange_port);
+      s->exchange = bd_document_exchange_create (&s->exchange_port);
       s->runner = make_runner (s);
       if (s->events)
         s->engine = make_engine (s);
@@ -119,7 +119,7 @@
   bd_runner_destroy (sidecar->runner);
   if (sidecar->snapshot)
     bd_config_snapshot_release (sidecar->snapshot);
-  bd_exchange_destroy (sidecar->exchange);
+  bd_document_exchange_destroy (sidecar->exchange);
   bd_state_destroy (sidecar->state);
   bd_metrics_destroy (sidecar->metrics);
   bd_link_destroy (sidecar->link);
@@ -164,7 +164,7 @@
 static void
 take_confirmation (struct bd_sidecar *s, const struct bd_message *m)
 {
-  struct bd_config *config = bd_exchange_config (s->exchange);
+  struct bd_config *config = bd_document_exchange_config (s->exchange);
 
   if (m->echo_ms == 0 || m->confirm_age_ms <= 0
       || m->revision != bd_config_revision (config)
@@ -180,7 +180,8 @@
   struct bd_message reply = { .flags = BD_FLAG_REPLY };
 
   hear_entry (s, now_ms, from);
-  bd_exchange_heard (s->exchange, now_ms, from, m->revision, m->digest);
+  bd_document_exchange_heard (s->exchange, now_ms, from, m->revision,
+                              m->digest);
   take_confirmation (s, m);
   if (m->flags & BD_FLAG_REPLY)
     return;
@@ -194,7 +195,8 @@
   struct bd_message m = {
     .type = BD_MESSAGE_CONFIG,
     .name = name,
-    .body = bd_config_document (bd_exchange_config (s->exchange), name),
+    .body
+    = bd_config_document (bd_document_exchange_config (s->exchange), name),
   };
 
   if (m.body.length > 0)
@@ -214,7 +216,8 @@
       send_document (s, from, m->name);
       break;
     case BD_MESSAGE_CONFIG:
-      bd_exchange_document (s->exchange, now_ms, from, m->name, m->body);
+      bd_document_exchange_document (s->exchange, now_ms, from, m->name,
+                                     m->body);
       break;
     default:
       bd_runner_message (s->runner, now_ms, bd_clock_wall_ms (), from, m);
@@ -330,7 +333,7 @@
 {
   bd_state_serve (s->state, bd_sidecar_state, s);
   bd_runner_tick (s->runner, now_ms, bd_clock_wall_ms ());
-  bd_exchange_tick (s->exchange, now_ms);
+  bd_document_exchange_tick (s->exchange, now_ms);
   probe_engine (s, now_ms);
   report_engine (s);
   forget_entries (s, now_ms);
--- a/src/sidecar/status.c
+++ b/src/sidecar/status.c
@@ -9,7 +9,7 @@
 static int
 write_status (struct bd_sidecar *s, struct bd_buffer *json)
 {
-  struct bd_config *config = bd_exchange_config (s->exchange);
+  struct bd_config *config = bd_document_exchange_config (s->exchange);
   const struct bd_link_counts *c = bd_link_counts (s->link);
   struct bd_load load;
 
@@ -45,7 +45,8 @@
     case BD_STATE_STATUS:
       return write_status (s, json);
     case BD_STATE_CONTRACTS:
-      return bd_describe_contracts (bd_exchange_config (s->exchange), json);
+      return bd_describe_contracts (bd_document_exchange_config (s->exchange),
+                                    json);
     case BD_STATE_RUNNERS:
       break;
     }
--- a/test/fuzz/fuzz_http.c
+++ b/test/fuzz/fuzz_http.c
@@ -1,4 +1,4 @@
-#include "gateway/http.h"
+#include "http/message.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -6,8 +6,8 @@
 #ifndef SOAK_H
 #define SOAK_H
 
-#include "gateway/client.h"
-#include "gateway/server.h"
+#include "http/client.h"
+#include "http/server.h"
 
 #include <glib.h>
 #include <stdio.h>
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -1,6 +1,6 @@
 #include "support_gateway.h"
 
-#include "gateway/socket.h"
+#include "http/socket.h"
 #include "headers.h"
 #include "support_port.h"
 
--- a/test/test_asker.c
+++ b/test/test_asker.c
@@ -2,7 +2,7 @@
 #include "gateway/asker.h"
 
 #include "common/clock.h"
-#include "gateway/socket.h"
+#include "http/socket.h"
 #include "support_port.h"
 #include "support_targets.h"
 
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -1,5 +1,5 @@
 /* The strict reader of HTTP/1.1 messages. */
-#include "gateway/http.h"
+#include "http/message.h"
 
 #include <glib.h>
 #include <string.h>
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -5,7 +5,7 @@
 #include "support_port.h"
 
 #include "common/clock.h"
-#include "gateway/socket.h"
+#include "http/socket.h"
 
 #include <string.h>
 
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -2,7 +2,7 @@
 #include "store.h"
 
 #include "common/clock.h"
-#include "gateway/socket.h"
+#include "http/socket.h"
 #include "headers.h"
 #include "support_port.h"
 
