Callers' connections of an entry are on the event loop, with strict framing

Cause: CivetWeb held a thread for each connection (538 threads, 30 MB for 431 idle ones, a new one timed out) and let through two lengths, a length beside chunks, +3, a space before the colon, a chunk size that is no number and bare line feeds.

--- a/src/common/setting_table.c
+++ b/src/common/setting_table.c
@@ -310,7 +310,7 @@
           "callers' own idempotency keys are accepted by a sidecar for this "
           "long after its configuration was confirmed; 0: not checked"),
   NUMBER ("max-streams", "MAX_STREAMS", accept_int32, max_streams, 1, 16384,
-          "512", "callers' connections served at a time by an entry"),
+          "512", "callers' requests served at a time by an entry"),
   NUMBER ("body-bytes", "BODY_BYTES", accept_int32, body_bytes, 1024, 67108864,
           "1048576", "largest request body, in bytes"),
   NUMBER ("subset-size", "SUBSET_SIZE", accept_int32, subset_size, 1, 4096,
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -117,10 +117,7 @@
     {
       *error = set_token_keys (e);
       if (*error == BD_OK)
-        {
-          *error = BD_ERR_IO;
-          e->http = bd_http_create (&e->shared);
-        }
+        e->http = bd_http_create (&e->shared, error);
       if (e->http && settings->admin_address[0])
         e->admin = bd_admin_create (settings->admin_address, e->metrics,
                                     bd_state_source (e->state), error);
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -2,109 +2,122 @@
 #include "common/log.h"
 #include "entry/reply.h"
 #include "entry/request.h"
+#include "http/socket.h"
 
-#include <civetweb.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <urcu.h>
 
 /* Threads beyond the bound on calls, to refuse what is too many. */
 #define SPARE_THREADS 16
-#define READ_BYTES 16384
 #define HEADER_MAX_BYTES 1024
 #define PATH_MAX_BYTES 2048
-#define REQUEST_TIMEOUT_MS "60000"
-#define KEEP_ALIVE_MS "2000"
+/* Bounds on callers: a head's bytes; the time for it; the pauses between
+   bytes of a body and between requests. */
+#define HEAD_MAX_BYTES ((size_t)16 * 1024)
+#define HEAD_TIMEOUT_MS 10000
+#define IDLE_TIMEOUT_MS 60000
 #define SERVICES "/v1/services/"
 
 struct bd_http
 {
   struct bd_http_shared *shared;
-  struct mg_context *server;
+  struct bd_callers *callers;
 };
 
-static void *
-init_thread (const struct mg_context *context, int type)
+/* True for "." and "..", also where their dots are encoded. */
+static bool
+is_dots (struct bd_chunk segment)
 {
-  (void)context;
-  (void)type;
-  rcu_register_thread ();
-  return NULL;
+  size_t dots = 0;
+  size_t i = 0;
+
+  while (i < segment.length)
+    {
+      const char *at = segment.data + i;
+
+      if (*at == '.')
+        i++;
+      else if (segment.length - i >= 3 && memcmp (at, "%2", 2) == 0
+               && (at[2] == 'e' || at[2] == 'E'))
+        i += 3;
+      else
+        return false;
+      dots++;
+    }
+  return dots == 1 || dots == 2;
 }
 
-static void
-exit_thread (const struct mg_context *context, int type, void *pointer)
+/* An engine must not take a path for another one than was judged here. */
+static bool
+has_dot_segments (struct bd_chunk path)
 {
-  (void)context;
-  (void)type;
-  (void)pointer;
-  rcu_unregister_thread ();
+  size_t start = 0;
+
+  for (size_t i = 0; i <= path.length; i++)
+    if (i == path.length || path.data[i] == '/')
+      {
+        if (is_dots ((struct bd_chunk){ path.data + start, i - start }))
+          return true;
+        start = i + 1;
+      }
+  return false;
 }
 
-static struct bd_chunk
-header (struct mg_connection *conn, const char *name)
+static bool
+begins_with (struct bd_chunk text, struct bd_chunk start)
 {
-  return bd_chunk_of (mg_get_header (conn, name));
+  return text.length >= start.length
+         && memcmp (text.data, start.data, start.length) == 0;
 }
 
-/* Reads the body up to the bound. */
-static int
-read_body (struct mg_connection *conn, struct bd_http_call *call, size_t bound)
+/* The target without its query. */
+static struct bd_chunk
+path_of (struct bd_chunk target)
 {
-  const struct mg_request_info *info = mg_get_request_info (conn);
-  char bytes[READ_BYTES];
-  int got;
+  const char *mark = memchr (target.data, '?', target.length);
 
-  if (info->content_length > (long long)bound)
-    return BD_ERR_TOO_LARGE;
-  while ((got = mg_read (conn, bytes, sizeof bytes)) > 0)
-    {
-      if (call->body.length + (size_t)got > bound)
-        return BD_ERR_TOO_LARGE;
-      if (bd_buffer_append (&call->body,
-                            (struct bd_chunk){ bytes, (size_t)got })
-          != BD_OK)
-        return BD_ERR_NOMEM;
-    }
-  if (info->content_length > 0
-      && call->body.length != (size_t)info->content_length)
-    return BD_ERR_INVALID;
-  return BD_OK;
+  if (mark)
+    target.length = (size_t)(mark - target.data);
+  return target;
 }
 
 static int
-read_input (struct mg_connection *conn, struct bd_http_input *input,
-            char path[PATH_MAX_BYTES])
+read_input (struct bd_caller *caller, struct bd_http_input *input)
 {
-  const struct mg_request_info *info = mg_get_request_info (conn);
-  bool service = strncmp (info->local_uri, SERVICES, sizeof SERVICES - 1) == 0;
-  const char *rest = info->local_uri;
+  struct bd_chunk rest = bd_caller_target (caller);
 
   memset (input, 0, sizeof *input);
-  input->method = bd_chunk_of (info->request_method);
-  input->authorization = header (conn, "Authorization");
-  input->class_name = header (conn, BD_HEADER_CLASS);
-  input->key_text = header (conn, BD_HEADER_KEY);
-  input->content_type = header (conn, "Content-Type");
-  if (service)
+  input->method = bd_caller_method (caller);
+  input->authorization = bd_caller_header (caller, "Authorization");
+  input->class_name = bd_caller_header (caller, BD_HEADER_CLASS);
+  input->key_text = bd_caller_header (caller, BD_HEADER_KEY);
+  input->content_type = bd_caller_header (caller, "Content-Type");
+  if (has_dot_segments (path_of (rest)))
+    return BD_ERR_INVALID;
+  if (begins_with (rest, BD_CHUNK (SERVICES)))
     {
-      const char *name = info->local_uri + sizeof SERVICES - 1;
-
-      rest = strchr (name, '/');
-      input->service.data = name;
-      input->service.length = rest ? (size_t)(rest - name) : strlen (name);
+      size_t skipped = sizeof SERVICES - 1;
+
+      rest.data += skipped;
+      rest.length -= skipped;
+      input->service = rest;
+      input->service.length = 0;
+      while (rest.length > 0 && *rest.data != '/' && *rest.data != '?')
+        {
+          input->service.length++;
+          rest.data++;
+          rest.length--;
+        }
       if (input->service.length == 0)
         return BD_ERR_NOT_FOUND;
-      rest = rest ? rest : "/";
+      if (rest.length == 0)
+        rest = BD_CHUNK ("/");
     }
-  if (snprintf (path, PATH_MAX_BYTES, "%s%s%s", rest,
-                info->query_string ? "?" : "",
-                info->query_string ? info->query_string : "")
-      >= PATH_MAX_BYTES)
+  if (rest.length >= PATH_MAX_BYTES)
     return BD_ERR_TOO_LARGE;
-  input->path = bd_chunk_of (path);
+  input->path = rest;
   if (input->authorization.length > HEADER_MAX_BYTES
       || input->class_name.length > HEADER_MAX_BYTES
       || input->key_text.length > HEADER_MAX_BYTES
@@ -113,6 +126,13 @@
   return BD_OK;
 }
 
+/* Copies the body, which the call owns from here on. */
+static int
+read_body (struct bd_caller *caller, struct bd_http_call *call)
+{
+  return bd_buffer_append (&call->body, bd_caller_body (caller));
+}
+
 /* Has the control thread issue a key.  Returns BD_OK with the key's text in
    the call's body, or an error. */
 static int
@@ -135,12 +155,12 @@
 
 /* A request without a key did not run; it is told a key to come back with. */
 static void
-demand_key (struct bd_http *http, struct mg_connection *conn,
+demand_key (struct bd_http *http, struct bd_caller *caller,
             struct bd_http_call *call)
 {
   int rc = issue_key (http, call);
 
-  bd_reply_error (conn, call->id_text, BD_ERR_KEY_REQUIRED, BD_RAN_NO, 0,
+  bd_reply_error (caller, call->id_text, BD_ERR_KEY_REQUIRED, BD_RAN_NO, 0,
                   rc == BD_OK ? call->body.data : NULL);
   bd_http_call_post (call, http->shared->control, BD_CALL_RELEASED);
 }
@@ -148,43 +168,42 @@
 /* What is said of the run when a request is refused before it was placed.  Of
    a key nothing is known here: another entry may have run it. */
 static enum bd_ran
-ran_of_refused (struct mg_connection *conn, int error)
+ran_of_refused (struct bd_caller *caller, int error)
 {
   enum bd_ran ran = bd_error_answer (error)->ran;
-  bool keyed = header (conn, BD_HEADER_KEY).length > 0;
+  bool keyed = bd_caller_header (caller, BD_HEADER_KEY).length > 0;
 
   return keyed && ran == BD_RAN_NO ? BD_RAN_UNKNOWN : ran;
 }
 
 static void
-refuse (struct bd_http *http, struct mg_connection *conn,
+refuse (struct bd_http *http, struct bd_caller *caller,
         struct bd_http_call *call, int error)
 {
   bd_metrics_refused (http->shared->metrics, error);
   bd_log (BD_EVENT_REQUEST_REFUSED, "request=%s code=%s", call->id_text,
           bd_error_answer (error)->code);
-  bd_reply_error (conn, call->id_text, error, ran_of_refused (conn, error), 0,
-                  NULL);
+  bd_reply_error (caller, call->id_text, error, ran_of_refused (caller, error),
+                  0, NULL);
   bd_http_call_destroy (call);
 }
 
 static void
-serve_request (struct bd_http *http, struct mg_connection *conn,
+serve_request (struct bd_http *http, struct bd_caller *caller,
                struct bd_http_call *call)
 {
   struct bd_http_shared *shared = http->shared;
   struct bd_http_input input;
-  char path[PATH_MAX_BYTES];
-  int rc = read_input (conn, &input, path);
+  int rc = read_input (caller, &input);
 
   if (rc == BD_OK)
-    rc = read_body (conn, call, (size_t)shared->settings->body_bytes);
+    rc = read_body (caller, call);
   if (rc == BD_OK)
     rc = bd_request_fill (call, &input, shared->view, shared->keys);
   if (rc == BD_ERR_KEY_REQUIRED)
-    demand_key (http, conn, call);
+    demand_key (http, caller, call);
   else if (rc != BD_OK)
-    refuse (http, conn, call, rc);
+    refuse (http, caller, call, rc);
   else
     {
       call->metrics = bd_metrics_class (
@@ -192,7 +211,7 @@
       bd_class_metrics_count (call->metrics, BD_CLASS_COUNTER_REQUESTS, 1);
       bd_http_call_post (call, shared->control, BD_CALL_SUBMIT);
       bd_http_call_post (call, shared->control,
-                         bd_reply_serve (conn, call, shared->metrics));
+                         bd_reply_serve (caller, call, shared->metrics));
     }
 }
 
@@ -225,17 +244,16 @@
 
 /* POST /v1/idempotency-keys */
 static void
-serve_key (struct bd_http *http, struct mg_connection *conn,
+serve_key (struct bd_http *http, struct bd_caller *caller,
            struct bd_http_call *call)
 {
   struct bd_http_input input;
   struct bd_buffer json = { 0 };
-  char path[PATH_MAX_BYTES];
   char service[BD_NAME_MAX_BYTES + 1];
-  int rc = read_input (conn, &input, path);
+  int rc = read_input (caller, &input);
 
   if (rc == BD_OK)
-    rc = read_body (conn, call, (size_t)http->shared->settings->body_bytes);
+    rc = read_body (caller, call);
   if (rc == BD_OK)
     rc = read_key_target (call, service);
   if (rc == BD_OK)
@@ -248,7 +266,7 @@
   /* A class whose requests may run again needs no key, but may have one. */
   if (rc != BD_OK && rc != BD_ERR_KEY_REQUIRED)
     {
-      refuse (http, conn, call, rc);
+      refuse (http, caller, call, rc);
       return;
     }
   rc = issue_key (http, call);
@@ -256,23 +274,23 @@
     {
       bd_buffer_printf (&json, "{\"idempotency_key\":\"%s\"}",
                         call->body.data);
-      bd_reply_json (conn, call->id_text, bd_buffer_chunk (&json));
+      bd_reply_json (caller, call->id_text, bd_buffer_chunk (&json));
       bd_buffer_clear (&json);
     }
   else
-    bd_reply_error (conn, call->id_text, rc, BD_RAN_NO, 0, NULL);
+    bd_reply_error (caller, call->id_text, rc, BD_RAN_NO, 0, NULL);
   bd_http_call_post (call, http->shared->control, BD_CALL_RELEASED);
 }
 
 static void
-serve_models (struct bd_http *http, struct mg_connection *conn,
+serve_models (struct bd_http *http, struct bd_caller *caller,
               struct bd_http_call *call)
 {
   const struct bd_config_snapshot *snapshot
       = bd_view_enter (http->shared->view);
-  bool known
-      = snapshot
-        && bd_request_contract (snapshot, header (conn, "Authorization"));
+  bool known = snapshot
+               && bd_request_contract (
+                   snapshot, bd_caller_header (caller, "Authorization"));
   json_t *list = json_array ();
   json_t *root;
   char *text;
@@ -287,136 +305,158 @@
   if (!known)
     {
       json_decref (list);
-      refuse (http, conn, call, BD_ERR_UNAUTHORIZED);
+      refuse (http, caller, call, BD_ERR_UNAUTHORIZED);
       return;
     }
   root = json_pack ("{s:s, s:o}", "object", "list", "data", list);
   text = json_dumps (root, JSON_COMPACT);
-  bd_reply_json (conn, call->id_text, bd_chunk_of (text));
+  bd_reply_json (caller, call->id_text, bd_chunk_of (text));
   free (text);
   json_decref (root);
   bd_http_call_destroy (call);
 }
 
 static void
-route (struct bd_http *http, struct mg_connection *conn,
+route (struct bd_http *http, struct bd_caller *caller,
        struct bd_http_call *call)
 {
-  const struct mg_request_info *info = mg_get_request_info (conn);
-  const char *path = info->local_uri;
-  bool post = strcmp (info->request_method, "POST") == 0;
-  bool get = strcmp (info->request_method, "GET") == 0;
+  struct bd_chunk path = path_of (bd_caller_target (caller));
+  bool post = bd_chunk_equal (bd_caller_method (caller), BD_CHUNK ("POST"));
+  bool get = bd_chunk_equal (bd_caller_method (caller), BD_CHUNK ("GET"));
 
-  if (strncmp (path, SERVICES, sizeof SERVICES - 1) == 0
+  if (begins_with (path, BD_CHUNK (SERVICES))
       || (post
-          && (strcmp (path, "/v1/chat/completions") == 0
-              || strcmp (path, "/v1/completions") == 0)))
-    serve_request (http, conn, call);
-  else if (post && strcmp (path, "/v1/idempotency-keys") == 0)
-    serve_key (http, conn, call);
-  else if (get && strcmp (path, "/v1/models") == 0)
-    serve_models (http, conn, call);
+          && (bd_chunk_equal (path, BD_CHUNK ("/v1/chat/completions"))
+              || bd_chunk_equal (path, BD_CHUNK ("/v1/completions")))))
+    serve_request (http, caller, call);
+  else if (post && bd_chunk_equal (path, BD_CHUNK ("/v1/idempotency-keys")))
+    serve_key (http, caller, call);
+  else if (get && bd_chunk_equal (path, BD_CHUNK ("/v1/models")))
+    serve_models (http, caller, call);
   else
-    refuse (http, conn, call, BD_ERR_NOT_FOUND);
+    refuse (http, caller, call, BD_ERR_NOT_FOUND);
+}
+
+static void
+answer_text (struct bd_exchange *exchange, struct bd_chunk text)
+{
+  bd_exchange_reply (exchange, 200, BD_CHUNK ("Content-Type: text/plain\r\n"),
+                     text);
+}
+
+static void
+answer_not_ready (struct bd_exchange *exchange)
+{
+  struct bd_buffer fields = { 0 };
+  struct bd_buffer body = { 0 };
+
+  bd_reply_write_error ("", BD_ERR_NOT_READY, BD_RAN_NO, 0, NULL, &fields,
+                        &body);
+  bd_exchange_reply (exchange, bd_error_answer (BD_ERR_NOT_READY)->status,
+                     bd_buffer_chunk (&fields), bd_buffer_chunk (&body));
+  bd_buffer_clear (&fields);
+  bd_buffer_clear (&body);
 }
 
 /* Health: the process answers; readiness: it may get new callers. */
 static bool
-serve_health (struct bd_http *http, struct mg_connection *conn)
+answer_health (void *context, struct bd_exchange *exchange)
 {
-  const char *path = mg_get_request_info (conn)->local_uri;
+  struct bd_http *http = context;
+  struct bd_chunk path = path_of (bd_exchange_head (exchange)->target);
   bool ready;
 
-  if (strcmp (path, "/healthz") == 0)
+  if (bd_chunk_equal (path, BD_CHUNK ("/healthz")))
     {
-      mg_send_http_ok (conn, "text/plain", 3);
-      mg_write (conn, "ok\n", 3);
+      answer_text (exchange, BD_CHUNK ("ok\n"));
       return true;
     }
-  if (strcmp (path, "/readyz") != 0)
+  if (!bd_chunk_equal (path, BD_CHUNK ("/readyz")))
     return false;
   ready = bd_view_enter (http->shared->view) != NULL
           && !atomic_load (&http->shared->leaving);
   bd_view_leave ();
   if (ready)
-    {
-      mg_send_http_ok (conn, "text/plain", 6);
-      mg_write (conn, "ready\n", 6);
-    }
+    answer_text (exchange, BD_CHUNK ("ready\n"));
   else
-    bd_reply_error (conn, "", BD_ERR_NOT_READY, BD_RAN_NO, 0, NULL);
+    answer_not_ready (exchange);
   return true;
 }
 
-static int
-handle (struct mg_connection *conn, void *data)
+static void
+serve (void *context, struct bd_caller *caller)
 {
-  struct bd_http *http = data;
+  struct bd_http *http = context;
   struct bd_http_shared *shared = http->shared;
   struct bd_http_call *call;
-  int active;
+  int active = atomic_fetch_add (&shared->active, 1);
 
-  if (serve_health (http, conn))
-    return 200;
-  active = atomic_fetch_add (&shared->active, 1);
   bd_metrics_count (shared->metrics, BD_COUNTER_REQUESTS, 1);
   call = bd_http_call_create ();
   if (!call)
-    bd_reply_error (conn, "", BD_ERR_NOMEM, BD_RAN_NO, 0, NULL);
+    bd_reply_error (caller, "", BD_ERR_NOMEM, BD_RAN_NO, 0, NULL);
   else if (atomic_load (&shared->refusing))
-    refuse (http, conn, call, BD_ERR_LEAVING);
+    refuse (http, caller, call, BD_ERR_LEAVING);
   else if (active >= shared->settings->max_streams)
-    refuse (http, conn, call, BD_ERR_FULL);
+    refuse (http, caller, call, BD_ERR_FULL);
   else
-    route (http, conn, call);
+    route (http, caller, call);
   atomic_fetch_sub (&shared->active, 1);
-  return 200;
+}
+
+/* A request that is refused before it is whole was given to nobody; of its
+   key, if it has one, nothing is known. */
+static void
+write_refusal (void *context, const struct bd_exchange *exchange, int error,
+               struct bd_buffer *fields, struct bd_buffer *body)
+{
+  struct bd_http *http = context;
+  const struct bd_head *head = bd_exchange_head (exchange);
+  enum bd_ran ran = bd_error_answer (error)->ran;
+  char id_text[BD_ID_HEX_LENGTH + 1];
+
+  if (ran == BD_RAN_NO && head
+      && bd_head_count (head, BD_CHUNK (BD_HEADER_KEY)) > 0)
+    ran = BD_RAN_UNKNOWN;
+  bd_metrics_count (http->shared->metrics, BD_COUNTER_REQUESTS, 1);
+  bd_metrics_refused (http->shared->metrics, error);
+  bd_id_format (bd_id_random (), id_text);
+  bd_log (BD_EVENT_REQUEST_REFUSED, "request=%s code=%s", id_text,
+          bd_error_answer (error)->code);
+  bd_reply_write_error (id_text, error, ran, 0, NULL, fields, body);
 }
 
 struct bd_http *
-bd_http_create (struct bd_http_shared *shared)
+bd_http_create (struct bd_http_shared *shared, int *error)
 {
   const struct bd_settings *s = shared->settings;
-  bool tls = s->tls_certificate && s->tls_certificate[0];
   struct bd_http *http = calloc (1, sizeof *http);
-  char threads[16];
-  char address[96];
-  const char *options[] = {
-    "listening_ports",
-    address,
-    "num_threads",
-    threads,
-    "tcp_nodelay",
-    "1",
-    "enable_keep_alive",
-    "yes",
-    "keep_alive_timeout_ms",
-    KEEP_ALIVE_MS,
-    "request_timeout_ms",
-    REQUEST_TIMEOUT_MS,
-    "max_request_size",
-    "16384",
-    tls ? "ssl_certificate" : NULL,
-    s->tls_certificate,
-    NULL,
-  };
-  struct mg_callbacks callbacks
-      = { .init_thread = init_thread, .exit_thread = exit_thread };
-
+  struct bd_callers_options options
+      = { .certificate = s->tls_certificate && s->tls_certificate[0]
+                             ? s->tls_certificate
+                             : NULL,
+          .limits = { .head_max_bytes = HEAD_MAX_BYTES,
+                      .body_max_bytes = (size_t)s->body_bytes,
+                      .head_timeout_ms = HEAD_TIMEOUT_MS,
+                      .idle_timeout_ms = IDLE_TIMEOUT_MS },
+          .threads = (size_t)s->max_streams + SPARE_THREADS,
+          .leaving = &shared->leaving,
+          .context = http,
+          .serve = serve,
+          .answer = answer_health,
+          .refuse = write_refusal };
+
+  *error = BD_ERR_NOMEM;
   if (!http)
     return NULL;
   http->shared = shared;
-  snprintf (threads, sizeof threads, "%d", s->max_streams + SPARE_THREADS);
-  snprintf (address, sizeof address, "%s%s", s->http_address, tls ? "s" : "");
-  mg_init_library (tls ? MG_FEATURES_TLS : 0);
-  http->server = mg_start (&callbacks, http, options);
-  if (!http->server)
-    {
-      free (http);
-      return NULL;
-    }
-  mg_set_request_handler (http->server, "/", handle, http);
-  return http;
+  *error = bd_address_parse (bd_chunk_of (s->http_address), &options.address);
+  if (*error == BD_OK)
+    http->callers = bd_callers_create (&options, error);
+  if (http->callers)
+    return http;
+  free (http);
+  return NULL;
 }
 
 void
@@ -424,7 +464,6 @@
 {
   if (!http)
     return;
-  mg_stop (http->server);
-  mg_exit_library ();
+  bd_callers_destroy (http->callers);
   free (http);
 }
--- a/src/entry/http.h
+++ b/src/entry/http.h
@@ -1,6 +1,6 @@
 /**
  * @file http.h
- * The callers' HTTP side of an entry, on CivetWeb's threads.
+ * The callers' HTTP side of an entry: what its paths do.
  */
 #ifndef BD_HTTP_H
 #define BD_HTTP_H
@@ -26,8 +26,8 @@
   atomic_int active;    /**< Calls in progress. */
 };
 
-/** Starts to listen.  Returns NULL when it cannot. */
-struct bd_http *bd_http_create (struct bd_http_shared *shared);
+/** Starts to listen.  Returns NULL, with *ERROR, when it cannot. */
+struct bd_http *bd_http_create (struct bd_http_shared *shared, int *error);
 
 /** Stops to listen, after the calls in progress have ended. */
 void bd_http_destroy (struct bd_http *http);
--- a/src/entry/reply.c
+++ b/src/entry/reply.c
@@ -1,7 +1,6 @@
 #include "entry/reply.h"
 #include "common/clock.h"
 
-#include <civetweb.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,7 +10,9 @@
    went away. */
 #define KEEPALIVE_MS 5000
 #define WAIT_MS 1000
-#define LINE_BYTES 512
+/* A longer answer goes in pieces, so that it counts as delivered when the
+   system has it. */
+#define WHOLE_MAX_BYTES ((size_t)128 * 1024)
 
 static int
 retry_after_s (int error, int64_t retry_after_ms)
@@ -40,73 +41,110 @@
 }
 
 void
-bd_reply_error (struct mg_connection *conn, const char *request_id, int error,
-                enum bd_ran ran, int64_t retry_after_ms, const char *next_key)
+bd_reply_write_error (const char *request_id, int error, enum bd_ran ran,
+                      int64_t retry_after_ms, const char *next_key,
+                      struct bd_buffer *fields, struct bd_buffer *body)
 {
-  const struct bd_answer *a = bd_error_answer (error);
   char *text = error_json (request_id, error, ran);
   int retry = retry_after_s (error, retry_after_ms);
-  char number[24];
 
-  mg_response_header_start (conn, a->status);
-  mg_response_header_add (conn, "Content-Type", "application/json", -1);
-  mg_response_header_add (conn, "X-Request-Id", request_id, -1);
-  mg_response_header_add (conn, "X-Basildock-Ran", bd_ran_name (ran), -1);
+  bd_buffer_printf (fields,
+                    "Content-Type: application/json\r\nX-Request-Id: %s\r\n"
+                    "X-Basildock-Ran: %s\r\n",
+                    request_id, bd_ran_name (ran));
   if (retry > 0)
-    {
-      snprintf (number, sizeof number, "%d", retry);
-      mg_response_header_add (conn, "Retry-After", number, -1);
-    }
+    bd_buffer_printf (fields, "Retry-After: %d\r\n", retry);
   if (next_key)
-    mg_response_header_add (conn, "X-Basildock-Next-Key", next_key, -1);
-  snprintf (number, sizeof number, "%zu", text ? strlen (text) : 0);
-  mg_response_header_add (conn, "Content-Length", number, -1);
-  mg_response_header_send (conn);
-  if (text)
-    mg_write (conn, text, strlen (text));
+    bd_buffer_printf (fields, "X-Basildock-Next-Key: %s\r\n", next_key);
+  bd_buffer_append (body, bd_chunk_of (text ? text : ""));
   free (text);
 }
 
-static int
-send_head (struct mg_connection *conn, const char *request_id,
-           const struct bd_delivery *head, struct bd_chunk body, bool whole)
+void
+bd_reply_error (struct bd_caller *caller, const char *request_id, int error,
+                enum bd_ran ran, int64_t retry_after_ms, const char *next_key)
 {
-  char type[128];
-  char number[24];
-
-  snprintf (type, sizeof type, "%.*s", (int)head->content_type.length,
-            head->content_type.data);
-  mg_response_header_start (conn, head->status);
-  mg_response_header_add (conn, "Content-Type", type, -1);
-  mg_response_header_add (conn, "X-Request-Id", request_id, -1);
-  mg_response_header_add (conn, "Cache-Control", "no-cache", -1);
-  if (head->replay)
-    mg_response_header_add (conn, "X-Basildock-Replay", "true", -1);
-  if (whole)
+  struct bd_buffer fields = { 0 };
+  struct bd_buffer body = { 0 };
+
+  bd_reply_write_error (request_id, error, ran, retry_after_ms, next_key,
+                        &fields, &body);
+  bd_caller_reply (caller, bd_error_answer (error)->status,
+                   bd_buffer_chunk (&fields), bd_buffer_chunk (&body));
+  bd_buffer_clear (&fields);
+  bd_buffer_clear (&body);
+}
+
+/* A value of an engine may not begin another header line. */
+static void
+write_value (struct bd_buffer *fields, const char *name, struct bd_chunk value)
+{
+  bd_buffer_printf (fields, "%s: ", name);
+  for (size_t i = 0; i < value.length; i++)
     {
-      snprintf (number, sizeof number, "%zu", body.length);
-      mg_response_header_add (conn, "Content-Length", number, -1);
+      unsigned char c = (unsigned char)value.data[i];
+
+      if (c >= 0x20 && c != 0x7f)
+        bd_buffer_append (fields, (struct bd_chunk){ value.data + i, 1 });
     }
-  else
-    mg_response_header_add (conn, "Transfer-Encoding", "chunked", -1);
-  return mg_response_header_send (conn);
+  bd_buffer_append (fields, BD_CHUNK ("\r\n"));
+}
+
+static void
+write_fields (const char *request_id, const struct bd_delivery *head,
+              struct bd_buffer *fields)
+{
+  write_value (fields, "Content-Type", head->content_type);
+  bd_buffer_printf (
+      fields, "X-Request-Id: %s\r\nCache-Control: no-cache\r\n%s", request_id,
+      head->replay ? "X-Basildock-Replay: true\r\n" : "");
+}
+
+static void
+begin (struct bd_caller *caller, const char *request_id,
+       const struct bd_delivery *head)
+{
+  struct bd_buffer fields = { 0 };
+
+  write_fields (request_id, head, &fields);
+  bd_caller_begin (caller, head->status, bd_buffer_chunk (&fields));
+  bd_buffer_clear (&fields);
+}
+
+/* Returns false when the caller has gone away. */
+static bool
+reply_whole (struct bd_caller *caller, const char *request_id,
+             const struct bd_delivery *head, struct bd_chunk body)
+{
+  struct bd_buffer fields = { 0 };
+  bool here;
+
+  if (body.length > WHOLE_MAX_BYTES)
+    {
+      begin (caller, request_id, head);
+      return bd_caller_send (caller, body) && bd_caller_end (caller);
+    }
+  write_fields (request_id, head, &fields);
+  here = bd_caller_reply (caller, head->status, bd_buffer_chunk (&fields),
+                          body);
+  bd_buffer_clear (&fields);
+  return here;
 }
 
 void
-bd_reply_json (struct mg_connection *conn, const char *request_id,
+bd_reply_json (struct bd_caller *caller, const char *request_id,
                struct bd_chunk json)
 {
   struct bd_delivery head
       = { .status = 200, .content_type = BD_CHUNK ("application/json") };
 
-  send_head (conn, request_id, &head, json, true);
-  mg_write (conn, json.data, json.length);
+  reply_whole (caller, request_id, &head, json);
 }
 
 /* What a reply has come to. */
 struct progress
 {
-  struct mg_connection *conn;
+  struct bd_caller *caller;
   struct bd_http_call *call;
   struct bd_delivery head;
   char type[128];
@@ -181,10 +219,9 @@
   if (!p->head_sent)
     {
       p->head_sent = true;
-      send_head (p->conn, p->call->id_text, &p->head, data, false);
+      begin (p->caller, p->call->id_text, &p->head);
     }
-  if (data.length > 0
-      && mg_send_chunk (p->conn, data.data, (unsigned int)data.length) <= 0)
+  if (!bd_caller_send (p->caller, data))
     p->broken = true;
   p->quiet_ms = 0;
 }
@@ -207,16 +244,11 @@
   if (is_stream (p))
     {
       write_chunk (p, (struct bd_chunk){ NULL, 0 });
-      if (mg_send_chunk (p->conn, "", 0) <= 0)
-        p->broken = true;
+      p->broken = p->broken || !bd_caller_end (p->caller);
     }
   else
-    {
-      send_head (p->conn, p->call->id_text, &p->head, body, true);
-      if (body.length > 0
-          && mg_write (p->conn, body.data, body.length) != (int)body.length)
-        p->broken = true;
-    }
+    p->broken = p->broken
+                || !reply_whole (p->caller, p->call->id_text, &p->head, body);
   if (!p->broken)
     measure_end (p, end);
   return p->broken ? BD_CALL_CANCELLED : BD_CALL_DELIVERED;
@@ -230,8 +262,8 @@
   struct bd_buffer event = { 0 };
 
   bd_buffer_printf (&event, "event: error\ndata: %s\n\n", text ? text : "{}");
-  mg_send_chunk (p->conn, event.data, (unsigned int)event.length);
-  mg_send_chunk (p->conn, "", 0);
+  bd_caller_send (p->caller, bd_buffer_chunk (&event));
+  bd_caller_end (p->caller);
   bd_buffer_clear (&event);
   free (text);
 }
@@ -244,7 +276,7 @@
   if (p->head_sent)
     break_stream (p, d);
   else
-    bd_reply_error (p->conn, p->call->id_text, d->error, d->ran,
+    bd_reply_error (p->caller, p->call->id_text, d->error, d->ran,
                     d->retry_after_ms, NULL);
   return BD_CALL_RELEASED;
 }
@@ -252,21 +284,21 @@
 static void
 keep_alive (struct progress *p)
 {
-  static const char comment[] = ": keep-alive\n\n";
-
   p->quiet_ms += WAIT_MS;
+  if (bd_caller_gone (p->caller))
+    p->broken = true;
   if (!p->head_sent || !is_stream (p) || p->quiet_ms < KEEPALIVE_MS)
     return;
   p->quiet_ms = 0;
-  if (mg_send_chunk (p->conn, comment, sizeof comment - 1) <= 0)
+  if (!bd_caller_send (p->caller, BD_CHUNK (": keep-alive\n\n")))
     p->broken = true;
 }
 
 enum bd_http_call_step
-bd_reply_serve (struct mg_connection *conn, struct bd_http_call *call,
+bd_reply_serve (struct bd_caller *caller, struct bd_http_call *call,
                 struct bd_metrics *metrics)
 {
-  struct progress p = { .conn = conn, .call = call, .metrics = metrics };
+  struct progress p = { .caller = caller, .call = call, .metrics = metrics };
   enum bd_http_call_step last = BD_CALL_SUBMIT;
 
   while (last == BD_CALL_SUBMIT && !p.broken)
--- a/src/http/message.c
+++ b/src/http/message.c
@@ -343,11 +343,11 @@
 }
 
 /* Lines end in CR LF and nothing else; NUL and a space before the colon are
-   refused by the parser. */
+   refused by the parser.  Looks at TEXT from FROM on. */
 static bool
-has_bare_line_feed (struct bd_chunk text)
+has_bare_line_feed (struct bd_chunk text, size_t from)
 {
-  for (size_t i = 0; i < text.length; i++)
+  for (size_t i = from; i < text.length; i++)
     if (text.data[i] == '\n' && (i == 0 || text.data[i - 1] != '\r'))
       return true;
   return false;
@@ -391,7 +391,7 @@
   size_t used;
   int error;
 
-  if (has_bare_line_feed (head))
+  if (has_bare_line_feed (head, 0))
     return BD_ERR_INVALID;
   error = execute (reader, head, &used);
   if (error != BD_OK)
@@ -426,15 +426,20 @@
   size_t before = reader->head_bytes.length;
   int error = bd_buffer_append (&reader->head_bytes, data);
   size_t skipped;
+  size_t scanned;
   size_t length;
 
   if (error != BD_OK)
     return error;
   skipped = skip_empty_lines (reader);
+  scanned = reader->scanned;
   length = head_length (reader);
   if (length == 0)
     {
       *used = data.length;
+      /* Such a head would never be whole. */
+      if (has_bare_line_feed (bd_buffer_chunk (&reader->head_bytes), scanned))
+        return BD_ERR_INVALID;
       return reader->head_bytes.length > reader->head_max ? BD_ERR_TOO_LARGE
                                                           : BD_OK;
     }
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -48,10 +48,12 @@
   const struct bd_server_handler *handler;
   void *context;
   struct bd_caller_limits limits;
+  struct bd_tls *tls; /* NULL: without TLS. */
   struct bd_exchange *exchanges;
   size_t connections;
   size_t active;
   bool draining;
+  int open_handles;
 };
 
 static const struct bd_caller_limits default_limits
@@ -108,21 +110,29 @@
 refuse (struct bd_exchange *exchange, int error)
 {
   const struct bd_answer *answer = bd_error_answer (error);
-  char text[256];
-  int n;
+  const struct bd_server *server = exchange->server;
+  struct bd_buffer fields = { 0 };
+  struct bd_buffer body = { 0 };
+  struct bd_buffer out = { 0 };
+  int rc;
 
   bd_log (BD_EVENT_CALLER_REFUSED, "status=%d code=%s bytes=%zu",
           answer->status, answer->code, exchange->body.length);
-  n = snprintf (text, sizeof text,
-                "HTTP/1.1 %d %s\r\nConnection: close\r\n"
-                "Content-Length: 0\r\n\r\n",
-                answer->status,
-                http_status_str ((enum http_status)answer->status));
-  if (bd_socket_write (exchange->socket, (struct bd_chunk){ text, (size_t)n })
-      == BD_OK)
-    drop (exchange, true);
-  else
-    drop (exchange, false);
+  if (server->handler->on_refuse)
+    server->handler->on_refuse (server->context, exchange, error, &fields,
+                                &body);
+  bd_buffer_printf (
+      &out,
+      "HTTP/1.1 %d %s\r\nConnection: close\r\n"
+      "Content-Length: %zu\r\n%.*s\r\n",
+      answer->status, http_status_str ((enum http_status)answer->status),
+      body.length, (int)fields.length, fields.data ? fields.data : "");
+  bd_buffer_append (&out, bd_buffer_chunk (&body));
+  rc = bd_socket_write (exchange->socket, bd_buffer_chunk (&out));
+  bd_buffer_clear (&fields);
+  bd_buffer_clear (&body);
+  bd_buffer_clear (&out);
+  drop (exchange, rc == BD_OK);
 }
 
 static int
@@ -217,8 +227,18 @@
   abort_exchange (context);
 }
 
+static void
+on_drain (void *context)
+{
+  struct bd_exchange *exchange = context;
+  const struct bd_server_handler *handler = exchange->server->handler;
+
+  if (exchange->phase != PHASE_READING && handler->on_drain)
+    handler->on_drain (exchange->server->context, exchange);
+}
+
 static const struct bd_socket_handler socket_handler
-    = { .on_data = on_data, .on_end = on_end };
+    = { .on_data = on_data, .on_end = on_end, .on_drain = on_drain };
 
 static void
 on_connection (uv_stream_t *listener, int status)
@@ -247,7 +267,7 @@
     exchange->next->previous = exchange;
   server->exchanges = exchange;
   if (!exchange->reader || !exchange->socket
-      || bd_socket_accept (exchange->socket, listener) != BD_OK)
+      || bd_socket_accept (exchange->socket, listener, server->tls) != BD_OK)
     {
       if (exchange->socket)
         bd_socket_close (exchange->socket);
@@ -318,6 +338,33 @@
   return BD_OK;
 }
 
+static void
+on_handle_closed (uv_handle_t *handle)
+{
+  struct bd_server *server = handle->data;
+
+  if (--server->open_handles == 0)
+    free (server);
+}
+
+void
+bd_server_destroy (struct bd_server *server)
+{
+  struct bd_exchange *next;
+
+  if (!server)
+    return;
+  for (struct bd_exchange *exchange = server->exchanges; exchange;
+       exchange = next)
+    {
+      next = exchange->next;
+      drop (exchange, false);
+    }
+  server->open_handles = 2;
+  uv_close ((uv_handle_t *)&server->listener, on_handle_closed);
+  uv_close ((uv_handle_t *)&server->sweep, on_handle_closed);
+}
+
 void
 bd_server_limit (struct bd_server *server,
                  const struct bd_caller_limits *limits)
@@ -325,6 +372,12 @@
   server->limits = *limits;
 }
 
+void
+bd_server_secure (struct bd_server *server, struct bd_tls *tls)
+{
+  server->tls = tls;
+}
+
 void
 bd_server_drain (struct bd_server *server)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -9,6 +9,7 @@
 #define BD_SERVER_H
 
 #include "http/message.h"
+#include "http/tls.h"
 
 #include <uv.h>
 
@@ -32,6 +33,15 @@
   void (*on_request) (void *context, struct bd_exchange *exchange);
   /** The caller went away before the answer's end; EXCHANGE ends here. */
   void (*on_abort) (void *context, struct bd_exchange *exchange);
+  /** All that was sent so far has been handed to the system.  May be NULL. */
+  void (*on_drain) (void *context, struct bd_exchange *exchange);
+  /**
+   * The request of EXCHANGE is refused with ERROR before it is whole: appends
+   * header lines and the body of the answer.  May be NULL.
+   */
+  void (*on_refuse) (void *context, const struct bd_exchange *exchange,
+                     int error, struct bd_buffer *fields,
+                     struct bd_buffer *body);
 };
 
 /** Listens at ADDRESS.  Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
@@ -39,9 +49,15 @@
                       const struct bd_server_handler *handler, void *context,
                       struct bd_server **out);
 
+/** Ends all connections; the server is the loop's from here on. */
+void bd_server_destroy (struct bd_server *server);
+
 void bd_server_limit (struct bd_server *server,
                       const struct bd_caller_limits *limits);
 
+/** Connections that are accepted from now on use TLS. */
+void bd_server_secure (struct bd_server *server, struct bd_tls *tls);
+
 /** From now on each answer closes its connection. */
 void bd_server_drain (struct bd_server *server);
 
@@ -54,6 +70,7 @@
 /** Open connections. */
 size_t bd_server_connections (const struct bd_server *server);
 
+/** NULL before the head is whole, when a request is refused. */
 const struct bd_head *bd_exchange_head (const struct bd_exchange *exchange);
 struct bd_chunk bd_exchange_body (const struct bd_exchange *exchange);
 
--- a/src/http/socket.c
+++ b/src/http/socket.c
@@ -19,6 +19,7 @@
   uv_timer_t linger;
   const struct bd_socket_handler *handler; /* NULL once closed. */
   void *context;
+  struct bd_tls_session *session; /* NULL: without TLS. */
   size_t pending;
   int open_handles;
 };
@@ -32,14 +33,17 @@
 };
 
 static char read_bytes[READ_BYTES];
+static char plain_bytes[READ_BYTES];
 
 static void
 on_handle_closed (uv_handle_t *handle)
 {
   struct bd_socket *socket = handle->data;
 
-  if (--socket->open_handles == 0)
-    free (socket);
+  if (--socket->open_handles > 0)
+    return;
+  bd_tls_session_destroy (socket->session);
+  free (socket);
 }
 
 static void
@@ -106,16 +110,55 @@
          || error != 0;
 }
 
+static int write_bytes (struct bd_socket *socket, struct bd_chunk data);
+
+/* Sends what the session has for the other side. */
+static int
+flush_session (struct bd_socket *socket)
+{
+  struct bd_chunk out = bd_tls_pending (socket->session);
+  int error = out.length > 0 ? write_bytes (socket, out) : BD_OK;
+
+  bd_tls_sent (socket->session);
+  return error;
+}
+
+/* Takes in bytes of a connection with TLS.  The owner may close the socket
+   while it is shown what they held. */
+static void
+read_session (struct bd_socket *socket, struct bd_chunk data)
+{
+  size_t length;
+  int error = bd_tls_feed (socket->session, data);
+
+  while (error == BD_OK && socket->handler)
+    {
+      error = bd_tls_read (socket->session, plain_bytes, READ_BYTES, &length);
+      if (error == BD_OK)
+        socket->handler->on_data (socket->context,
+                                  (struct bd_chunk){ plain_bytes, length });
+    }
+  if (!socket->handler)
+    return;
+  if (flush_session (socket) != BD_OK || error == BD_ERR_IO
+      || error == BD_ERR_NOMEM)
+    end (socket, BD_ERR_IO);
+  else if (error == BD_ERR_CANCELLED)
+    end (socket, BD_OK);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
   struct bd_socket *socket = stream->data;
+  struct bd_chunk data = { buffer->base, length > 0 ? (size_t)length : 0 };
 
   if (length < 0)
     end (socket, length == UV_EOF && !was_reset (socket) ? BD_OK : BD_ERR_IO);
+  else if (length > 0 && socket->handler && socket->session)
+    read_session (socket, data);
   else if (length > 0 && socket->handler)
-    socket->handler->on_data (
-        socket->context, (struct bd_chunk){ buffer->base, (size_t)length });
+    socket->handler->on_data (socket->context, data);
 }
 
 /* Failures here leave the system's defaults, which are only slower to find a
@@ -138,8 +181,15 @@
 }
 
 int
-bd_socket_accept (struct bd_socket *socket, uv_stream_t *listener)
+bd_socket_accept (struct bd_socket *socket, uv_stream_t *listener,
+                  struct bd_tls *tls)
 {
+  if (tls)
+    {
+      socket->session = bd_tls_accept (tls);
+      if (!socket->session)
+        return BD_ERR_NOMEM;
+    }
   if (uv_accept (listener, (uv_stream_t *)&socket->tcp) != 0)
     return BD_ERR_IO;
   set_options (socket);
@@ -190,8 +240,8 @@
     socket->handler->on_drain (socket->context);
 }
 
-int
-bd_socket_write (struct bd_socket *socket, struct bd_chunk data)
+static int
+write_bytes (struct bd_socket *socket, struct bd_chunk data)
 {
   uv_stream_t *stream = (uv_stream_t *)&socket->tcp;
   struct write *write;
@@ -229,6 +279,17 @@
   return BD_OK;
 }
 
+int
+bd_socket_write (struct bd_socket *socket, struct bd_chunk data)
+{
+  int error;
+
+  if (!socket->session)
+    return write_bytes (socket, data);
+  error = bd_tls_write (socket->session, data);
+  return error == BD_OK ? flush_session (socket) : error;
+}
+
 size_t
 bd_socket_pending (const struct bd_socket *socket)
 {
@@ -270,6 +331,11 @@
 bd_socket_finish (struct bd_socket *socket)
 {
   socket->handler = NULL;
+  if (socket->session)
+    {
+      bd_tls_finish (socket->session);
+      flush_session (socket);
+    }
   uv_timer_start (&socket->linger, on_linger, LINGER_MS, 0);
   if (uv_shutdown (&socket->shutdown, (uv_stream_t *)&socket->tcp, on_shutdown)
       != 0)
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -6,6 +6,7 @@
 #define BD_SOCKET_H
 
 #include "common/string.h"
+#include "http/tls.h"
 
 #include <uv.h>
 
@@ -38,8 +39,12 @@
                                     const struct bd_socket_handler *handler,
                                     void *context);
 
-/** Takes a connection from LISTENER.  Returns BD_OK or BD_ERR_IO. */
-int bd_socket_accept (struct bd_socket *socket, uv_stream_t *listener);
+/**
+ * Takes a connection from LISTENER, with TLS unless that is NULL.  Returns
+ * BD_OK, BD_ERR_NOMEM or BD_ERR_IO.
+ */
+int bd_socket_accept (struct bd_socket *socket, uv_stream_t *listener,
+                      struct bd_tls *tls);
 
 /** Begins to connect.  Returns BD_OK or BD_ERR_IO. */
 int bd_socket_connect (struct bd_socket *socket,
