--- a/src/entry/callers.c
+++ b/src/entry/callers.c
@@ -5,12 +5,16 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <urcu.h>
 
 /* Bytes of an answer that may wait for its caller before its thread does. */
 #define PENDING_MAX_BYTES ((size_t)256 * 1024)
 /* Stack of a serving thread; parsing JSON is what goes deepest. */
 #define STACK_BYTES ((size_t)1024 * 1024)
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+#define NS_PER_S 1000000000
 
 enum order_kind
 {
@@ -131,13 +135,17 @@
 create_caller (struct bd_callers *callers, struct bd_exchange *exchange)
 {
   struct bd_caller *caller = calloc (1, sizeof *caller);
+  pthread_condattr_t attributes;
 
   if (!caller)
     return NULL;
   caller->callers = callers;
   caller->exchange = exchange;
   pthread_mutex_init (&caller->lock, NULL);
-  pthread_cond_init (&caller->changed, NULL);
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&caller->changed, &attributes);
+  pthread_condattr_destroy (&attributes);
   if (copy_request (caller, exchange) == BD_OK)
     return caller;
   destroy_caller (caller);
@@ -343,8 +351,7 @@
   return caller;
 }
 
-/* Posts an order.  Without memory for it the last one is tried for ever: the
-   answer must not stay open. */
+/* Posts an order.  Returns false without memory for it. */
 static bool
 give_order (struct bd_caller *caller, enum order_kind kind, int status,
             struct bd_chunk fields, struct bd_chunk data)
@@ -445,16 +452,47 @@
   return gone;
 }
 
-/* Waits until at most PENDING bytes have not been handed to the system. */
+static struct timespec
+after_ms (int64_t ms)
+{
+  struct timespec at;
+
+  clock_gettime (CLOCK_MONOTONIC, &at);
+  at.tv_sec += ms / MS_PER_S;
+  at.tv_nsec += ms % MS_PER_S * NS_PER_MS;
+  if (at.tv_nsec >= NS_PER_S)
+    {
+      at.tv_sec++;
+      at.tv_nsec -= NS_PER_S;
+    }
+  return at;
+}
+
+/* Waits until at most PENDING bytes have not been handed to the system.
+   Returns false when the caller has gone, or has taken nothing for as long as
+   it may be silent. */
 static bool
 wait_drained (struct bd_caller *caller, size_t pending)
 {
+  int64_t silent_ms = caller->callers->options.limits.idle_timeout_ms;
+  struct timespec until = after_ms (silent_ms);
+  size_t seen;
   bool here;
+  int rc = 0;
 
   pthread_mutex_lock (&caller->lock);
-  while (!caller->gone && caller->posted - caller->drained > pending)
-    pthread_cond_wait (&caller->changed, &caller->lock);
-  here = !caller->gone;
+  seen = caller->drained;
+  while (!caller->gone && rc == 0
+         && caller->posted - caller->drained > pending)
+    {
+      rc = pthread_cond_timedwait (&caller->changed, &caller->lock, &until);
+      if (caller->drained == seen)
+        continue;
+      seen = caller->drained;
+      until = after_ms (silent_ms);
+      rc = 0;
+    }
+  here = !caller->gone && caller->posted - caller->drained <= pending;
   pthread_mutex_unlock (&caller->lock);
   return here;
 }
@@ -497,8 +535,10 @@
 
   if (caller->finished)
     return false;
-  wait_drained (caller, 0);
-  return give_last_order (caller, ORDER_END, 0, none, none);
+  return give_last_order (caller,
+                          wait_drained (caller, 0) ? ORDER_END : ORDER_BREAK,
+                          0, none, none)
+         && caller->posted == caller->drained;
 }
 
 /* Beginning and end. */
--- a/test/test_callers.c
+++ b/test/test_callers.c
@@ -1,6 +1,7 @@
 /* Callers' connections of an entry, a process of its own: what is let in, and
    what thousands of idle ones cost the others.  DAEMON in the environment
    names another program to try. */
+#include "entry/callers.h"
 #include "http/socket.h"
 #include "support_port.h"
 
@@ -314,13 +315,156 @@
   g_free (answer);
 }
 
+/* A server in this process, whose requests are answered by a test. */
+struct server
+{
+  struct bd_callers *callers;
+  struct daemon daemon; /* Its address only. */
+  atomic_bool leaving;
+  GAsyncQueue *results; /* 1: the caller went away; 2: it did not. */
+};
+
+static bool
+answer_none (void *context, struct bd_exchange *exchange)
+{
+  (void)context;
+  (void)exchange;
+  return false;
+}
+
+static void
+refuse_plainly (void *context, const struct bd_exchange *exchange, int error,
+                struct bd_buffer *fields, struct bd_buffer *body)
+{
+  (void)context;
+  (void)exchange;
+  (void)error;
+  (void)fields;
+  (void)body;
+}
+
+static void
+start_server (struct server *server,
+              void (*serve) (void *context, struct bd_caller *caller),
+              int64_t idle_ms)
+{
+  struct bd_callers_options options
+      = { .limits = { .head_max_bytes = 4096,
+                      .body_max_bytes = 4096,
+                      .head_timeout_ms = 5000,
+                      .idle_timeout_ms = idle_ms },
+          .threads = 1,
+          .leaving = &server->leaving,
+          .context = server,
+          .serve = serve,
+          .answer = answer_none,
+          .refuse = refuse_plainly };
+  char address[SUPPORT_ADDRESS_BYTES];
+  int error;
+
+  memset (server, 0, sizeof *server);
+  support_free_address (address);
+  bd_address_parse (bd_chunk_of (address), &options.address);
+  server->daemon.address = options.address;
+  server->results = g_async_queue_new ();
+  server->callers = bd_callers_create (&options, &error);
+  g_assert_nonnull (server->callers);
+}
+
+static void
+stop_server (struct server *server)
+{
+  bd_callers_destroy (server->callers);
+  g_async_queue_unref (server->results);
+}
+
+/* Sends without an end, until the caller is said to be gone. */
+static void
+serve_endlessly (void *context, struct bd_caller *caller)
+{
+  static char piece[65536];
+  struct server *server = context;
+  struct bd_chunk data = { piece, sizeof piece };
+
+  bd_caller_begin (caller, 200, BD_CHUNK (""));
+  while (bd_caller_send (caller, data))
+    ;
+  g_async_queue_push (server->results,
+                      GINT_TO_POINTER (bd_caller_gone (caller) ? 1 : 2));
+}
+
+/* Pattern: callers that do not read their answer and stay.  They hold a
+   thread for as long as they may be silent, not for ever. */
+static void
+test_not_reading (void)
+{
+  struct server server;
+  int fd;
+
+  start_server (&server, serve_endlessly, 200);
+  fd = connect_to (&server.daemon);
+  g_assert_cmpint (write (fd, ASK, strlen (ASK)), ==, strlen (ASK));
+  g_async_queue_pop (server.results);
+  stop_server (&server);
+  close (fd);
+}
+
+/* A caller that goes away ends its answer, though it would take more. */
+static void
+test_going_away (void)
+{
+  struct server server;
+  char byte;
+  int fd;
+
+  start_server (&server, serve_endlessly, 60000);
+  fd = connect_to (&server.daemon);
+  g_assert_cmpint (write (fd, ASK, strlen (ASK)), ==, strlen (ASK));
+  g_assert_cmpint (read (fd, &byte, 1), ==, 1);
+  close (fd);
+  g_assert_cmpint (GPOINTER_TO_INT (g_async_queue_pop (server.results)), ==,
+                   1);
+  stop_server (&server);
+}
+
+/* An answer that is not completed looks incomplete. */
+static void
+serve_half (void *context, struct bd_caller *caller)
+{
+  (void)context;
+  bd_caller_begin (caller, 200, BD_CHUNK (""));
+  bd_caller_send (caller, BD_CHUNK ("half"));
+}
+
+static void
+test_half (void)
+{
+  struct server server;
+  char *answer = g_malloc (ANSWER_BYTES);
+  int fd;
+
+  start_server (&server, serve_half, 60000);
+  fd = connect_to (&server.daemon);
+  g_assert_cmpint (write (fd, ASK, strlen (ASK)), ==, strlen (ASK));
+  read_answer (fd, answer, NULL, 0);
+  g_assert_nonnull (strstr (answer, "4\r\nhalf\r\n"));
+  g_assert_null (strstr (answer, "0\r\n\r\n"));
+  close (fd);
+  stop_server (&server);
+  g_free (answer);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  signal (SIGPIPE, SIG_IGN);
   g_test_add_func ("/callers/hostile", test_hostile);
   g_test_add_func ("/callers/long-head", test_long_head);
   g_test_add_func ("/callers/proper", test_proper);
   g_test_add_func ("/callers/idle-connections", test_idle_connections);
+  g_test_add_func ("/callers/not-reading", test_not_reading);
+  g_test_add_func ("/callers/going-away", test_going_away);
+  g_test_add_func ("/callers/half", test_half);
   return g_test_run ();
 }
