--- a/src/runner/task.c
+++ b/src/runner/task.c
@@ -2,7 +2,7 @@
 
 #include <stdlib.h>
 
-/* Time per token before it was measured. */
+/* Time per token at the start. */
 #define TOKEN_TIME_START_US 10000
 
 struct task *
--- a/test/test_asker.c
+++ b/test/test_asker.c
@@ -3,6 +3,7 @@
 
 #include "common/clock.h"
 #include "http/socket.h"
+#include "support_mesh.h"
 #include "support_port.h"
 #include "support_targets.h"
 
@@ -42,21 +43,6 @@
   struct bd_placing_answer answer;
 };
 
-static void
-on_members (void *context, uint32_t count)
-{
-  (void)context;
-  (void)count;
-}
-
-static void
-on_newer (void *context, uint32_t ip, uint64_t revision)
-{
-  (void)context;
-  (void)ip;
-  (void)revision;
-}
-
 static void
 on_message (void *context, uint32_t ip,
             const struct bd_placing_message *message)
@@ -67,9 +53,7 @@
     bd_asker_take (side->asker, ip, message);
 }
 
-static const struct bd_mesh_handler handler = { .on_members = on_members,
-                                                .on_newer = on_newer,
-                                                .on_message = on_message };
+static struct bd_mesh_handler handler;
 
 static void
 on_answer (void *context, const struct bd_placing_answer *answer)
@@ -393,6 +377,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  handler = support_mesh_handler (on_message);
   g_test_add_func ("/asker/asked", test_asked);
   g_test_add_func ("/asker/silent", test_silent);
   g_test_add_func ("/asker/dropped", test_dropped);
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -2,6 +2,7 @@
    runners' answers. */
 #include "gateway/asker.h"
 #include "support_gateway.h"
+#include "support_mesh.h"
 #include "support_port.h"
 
 #include "common/clock.h"
@@ -23,21 +24,6 @@
   int64_t now_ms;
 };
 
-static void
-on_members (void *context, uint32_t count)
-{
-  (void)context;
-  (void)count;
-}
-
-static void
-on_newer (void *context, uint32_t ip, uint64_t revision)
-{
-  (void)context;
-  (void)ip;
-  (void)revision;
-}
-
 static void
 on_message (void *context, uint32_t ip,
             const struct bd_placing_message *message)
@@ -45,9 +31,7 @@
   bd_asker_take (*(struct bd_asker **)context, ip, message);
 }
 
-static const struct bd_mesh_handler handler = { .on_members = on_members,
-                                                .on_newer = on_newer,
-                                                .on_message = on_message };
+static struct bd_mesh_handler handler;
 
 /* Puts side I, with the parts of GATEWAY, on the loop of both. */
 static void
@@ -155,6 +139,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  handler = support_mesh_handler (on_message);
   g_test_add_func ("/reports/error-passed-on", test_error_passed_on);
   g_test_add_func ("/reports/success", test_success);
   return g_test_run ();
