--- a/src/entry/callers.c
+++ b/src/entry/callers.c
@@ -1,5 +1,7 @@
 #include "entry/caller.h"
 
+#include "common/log.h"
+
 #include <stdlib.h>
 #include <urcu.h>
 
@@ -22,6 +24,9 @@
   caller = bd_caller_create (callers, exchange);
   if (!caller)
     {
+      bd_log (BD_EVENT_CALLER_REFUSED, "status=0 code=%s bytes=%zu",
+              bd_error_answer (BD_ERR_NOMEM)->code,
+              bd_exchange_body (exchange).length);
       bd_exchange_break (exchange);
       return;
     }
