A withdrawn reservation whose body is out may have run

Cause: a request's body goes with its first reservation; when another runner granted first, the entry withdrew that reservation and forgot that its body was out. The second runner's refusal of the run (its lease had lapsed) then ended the request with «did not run», though the first had run it. Change: decline_asks () notes it.

--- a/src/dispatch/job.c
+++ b/src/dispatch/job.c
@@ -90,7 +90,10 @@
         continue;
       /* It may run there already, and is stopped. */
       if (job->asks[i].direct)
-        m.type = BD_MESSAGE_CANCEL;
+        {
+          job->may_have_run = true;
+          m.type = BD_MESSAGE_CANCEL;
+        }
       bd_job_send (dispatch, job, job->asks[i].runner, &m);
       dispatch->port->count (dispatch->port, BD_DISPATCH_DECLINE);
     }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -224,6 +224,45 @@
     }
 }
 
+/* Pattern: a network, or processes, so slow that a grant comes after its lease
+   has lapsed.  The body goes with the first reservation, a second runner
+   grants first and then refuses the run: what the first one ran must not be
+   said not to have run. */
+static void
+test_slow_grants_do_not_deny (void)
+{
+  guint refused = 0;
+
+  for (guint32 seed = 1; seed <= 200; seed++)
+    {
+      struct fleet_settings settings = { .seed = seed,
+                                         .entries = 1,
+                                         .runners = 3,
+                                         .slots = 2,
+                                         .delay_max_ms = 1500,
+                                         .token_ms = 10 };
+      struct fleet *f = fleet_new (&settings);
+
+      fleet_run (f, 4000);
+      for (guint64 i = 0; i < 8; i++)
+        {
+          fleet_ask (f, 0, 1000 + i, 0);
+          fleet_run (f, 300);
+        }
+      fleet_run (f, 40000);
+      for (guint i = 0; i < fleet_calls (f)->len; i++)
+        {
+          const struct fleet_call *call = fleet_calls (f)->pdata[i];
+
+          refused += call->failed;
+        }
+      fleet_check (f, "slow grants");
+      fleet_free (f);
+    }
+  /* The load is one under which requests are refused. */
+  g_assert_cmpuint (refused, >, 100);
+}
+
 /* A stream that an engine's crash cuts goes on elsewhere, in one text. */
 static void
 test_stream_resumes (void)
@@ -321,6 +360,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/fleet/calm-answers-all", test_calm_answers_all);
   g_test_add_func ("/fleet/reorder-runs-once", test_reorder_runs_once);
+  g_test_add_func ("/fleet/slow-grants-do-not-deny",
+                   test_slow_grants_do_not_deny);
   g_test_add_func ("/fleet/stream-resumes", test_stream_resumes);
   g_test_add_func ("/fleet/limited-order-does-not-deny",
                    test_limited_order_does_not_deny);
