A rate limit that a runner names is read, logged and counted

Now BD4013 says when an instance learns of a limit, BD2016 which limit was known as a request was sent, and two counters and a gauge count them. The choice of a runner is as before. Retry-After and the limit share one parser of decimals.

--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -72,6 +72,14 @@
   int64_t peers_until_ms; /**< End of the pause for other instances. */
 };
 
+/** Rate limit that a runner asked for (runner_limit.h). */
+struct bd_target_limit
+{
+  uint32_t rate;    /**< Requests in 1000 s; 0: no limit. */
+  int64_t heard_ms; /**< Time of the response that named or ended it last. */
+  bool heard_here;  /**< That response came to this instance. */
+};
+
 /** Load of a runner by the assignments of all instances (ledger.h). */
 struct bd_assigned_load
 {
@@ -125,6 +133,7 @@
   struct bd_assigned_load assigned;
   struct bd_target_health health;
   struct bd_target_pause pause;
+  struct bd_target_limit limit;
 };
 
 struct bd_targets;
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -235,6 +235,8 @@
       f->target = NULL;
       return BD_ERR_IO;
     }
+  if (target->limit.rate != 0)
+    bd_stats_count (options->stats, BD_STAT_LIMITED_SENT, 1);
   target->in_flight++;
   f->prefill_tokens = selection->prefill_tokens;
   f->queued_tokens = selection->prefill_tokens;
@@ -276,7 +278,7 @@
           "request=%s route=%s runner=%s place=%s prefix=%08x source=%s "
           "cost_ms=%.0f "
           "prefill=%llu ahead=%llu in_flight=%u+%u priority=%d by=%08x "
-          "left_ms=%lld",
+          "left_ms=%lld limit_per_1000_s=%u",
           bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
           f->route->name.data, target->id.data,
           bd_selection_reason_name (selection->reason),
@@ -286,7 +288,8 @@
           (unsigned long long)selection->ahead_tokens, target->in_flight,
           target->peers_in_flight, f->selection_request.priority,
           ntohl (f->registration.coordinator_ip),
-          (long long)(f->deadline_ms - f->selection_request.now_ms));
+          (long long)(f->deadline_ms - f->selection_request.now_ms),
+          target->limit.rate);
 }
 
 static void
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -48,6 +48,10 @@
   bool leaving;      /**< The runner shuts down and takes no new requests. */
   bool misdirected;  /**< The response is from another runner than the one
                         addressed. */
+  /** Whether the runner names a rate limit: BD_OK, BD_ERR_NOT_FOUND or
+      BD_ERR_INVALID. */
+  int rate_limit_error;
+  int64_t rate_limit; /**< That limit, in requests in 1000 s. */
 };
 
 /** Called for each shared prefix that a runner holds; PREFIX is its hash. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -112,6 +112,7 @@
   size_t count;
   size_t usable = 0;
   size_t ejected = 0;
+  size_t limited = 0;
   int64_t now_ms = bd_clock_boot_ms ();
   struct bd_target *const *all = bd_targets_all (gateway->targets, &count);
 
@@ -120,9 +121,11 @@
       {
         usable++;
         ejected += all[i]->health.ejected_until_ms > now_ms;
+        limited += all[i]->limit.rate != 0;
       }
   bd_stats_set (gateway->stats, BD_GAUGE_RUNNERS, (int64_t)usable);
   bd_stats_set (gateway->stats, BD_GAUGE_AVOIDED, (int64_t)ejected);
+  bd_stats_set (gateway->stats, BD_GAUGE_LIMITED, (int64_t)limited);
   bd_stats_set (gateway->stats, BD_GAUGE_ACTIVE,
                 (int64_t)bd_server_active (gateway->caller_server));
   bd_stats_set (gateway->stats, BD_GAUGE_CONNECTIONS,
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -1,6 +1,7 @@
 #include "gateway/forward_internal.h"
 
 #include "balance/pause.h"
+#include "balance/runner_limit.h"
 #include "common/clock.h"
 #include "common/log.h"
 
@@ -70,6 +71,27 @@
     f->outcome.pause_ms = BD_PAUSE_MAX_MS;
 }
 
+/* Handles the rate limit that a response names.  Only a response with proof of
+   origin shows that there is none. */
+static void
+record_limit (struct bd_forward *f, int64_t now_ms)
+{
+  const struct bd_response_fields *fields = &f->response_fields;
+
+  if (fields->rate_limit_error == BD_OK)
+    {
+      bd_stats_count (f->forwarder->options.stats, BD_STAT_LIMITS, 1);
+      bd_runner_limit_named (f->target, f->target_started_ms, now_ms,
+                             fields->rate_limit);
+    }
+  else if (fields->rate_limit_error != BD_ERR_NOT_FOUND)
+    bd_log (BD_EVENT_PROTOCOL_ERROR,
+            "source=runner runner=%s field=rate_limit", f->target->id.data);
+  else if (fields->authentic)
+    bd_runner_limit_absent (f->target, f->target_started_ms, now_ms,
+                            f->sent_ms);
+}
+
 /* Records that bytes came from the runner, unless another runner at its
    address sent them. */
 static void
@@ -92,6 +114,7 @@
       && bd_targets_set_leaving (f->forwarder->options.targets, f->target,
                                  f->target_started_ms, now, true))
     bd_stats_count (f->forwarder->options.stats, BD_STAT_LEAVING, 1);
+  record_limit (f, now);
   if (f->status == STATUS_UNAVAILABLE)
     record_pause_request (f, head);
 }
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -23,6 +23,8 @@
   X (CONNECTS, "connects", "Connections made to runners")                     \
   X (LEAVING, "leaving", "Runners whose answers told that they leave")        \
   X (PAUSES, "pauses", "Answers in which a runner asked for a pause")         \
+  X (LIMITS, "limits", "Answers in which a runner named a limit")             \
+  X (LIMITED_SENT, "limited_sent", "Requests sent to runners with a limit")   \
   X (STORE_CALLS, "store_calls", "Calls to the platform's store")             \
   X (STORE_FAILURES, "store_failures", "Calls to the store that failed")      \
   X (ENTRIES_REFUSED, "entries_refused", "Entries of the store left out")     \
@@ -39,6 +41,7 @@
   X (ROUTING_VERSION, "routing_version", "Version of the routing in force")   \
   X (RUNNERS, "runners", "Runners that may get requests")                     \
   X (AVOIDED, "avoided", "Runners that are avoided because they fail")        \
+  X (LIMITED, "limited", "Runners that limit their requests")                 \
   X (PEERS, "peers", "Instances heard from lately")                           \
   X (PEER_AGE_MS, "peer_age_ms", "Age of the oldest news of a live peer")     \
   X (ACTIVE, "active", "Requests in flight")                                  \
--- a/src/http/message.c
+++ b/src/http/message.c
@@ -8,9 +8,11 @@
 
 /* Digits that always fit in an int64_t. */
 #define NUMBER_DIGITS_MAX 18
-/* Largest Retry-After, a year; longer ones are reduced to it. */
-#define RETRY_AFTER_MAX_S ((int64_t)366 * 24 * 60 * 60)
-#define MS_PER_S 1000
+/* Largest decimal number; larger ones are reduced to it. */
+#define DECIMAL_MAX ((int64_t)1000 * 1000 * 1000)
+#define THOUSANDTHS 1000
+/* Longest Retry-After, a year; longer ones are reduced to it. */
+#define RETRY_AFTER_MAX_MS ((int64_t)366 * 24 * 60 * 60 * 1000)
 
 enum stage
 {
@@ -132,34 +134,45 @@
 }
 
 int
-bd_head_retry_after_ms (const struct bd_head *head, int64_t *ms)
+bd_head_decimal (const struct bd_head *head, struct bd_chunk name,
+                 int64_t *thousandths)
 {
-  struct bd_chunk text = bd_head_value (head, BD_CHUNK ("Retry-After"));
+  struct bd_chunk text = bd_head_value (head, name);
   const char *dot;
   struct bd_chunk whole = text;
-  int64_t seconds;
-  int64_t unit = MS_PER_S;
+  int64_t units;
+  int64_t digit_value = THOUSANDTHS;
 
   if (!text.data)
     return BD_ERR_NOT_FOUND;
   dot = memchr (text.data, '.', text.length);
   if (dot)
     whole.length = (size_t)(dot - text.data);
-  if (bd_number_parse (whole, &seconds) != BD_OK)
+  if (bd_number_parse (whole, &units) != BD_OK)
     return BD_ERR_INVALID;
-  if (seconds > RETRY_AFTER_MAX_S)
-    seconds = RETRY_AFTER_MAX_S;
-  *ms = seconds * MS_PER_S;
+  if (units > DECIMAL_MAX)
+    units = DECIMAL_MAX;
+  *thousandths = units * THOUSANDTHS;
   for (size_t i = whole.length + 1; i < text.length; i++)
     {
       if (text.data[i] < '0' || text.data[i] > '9')
         return BD_ERR_INVALID;
-      unit /= 10;
-      *ms += (text.data[i] - '0') * unit;
+      digit_value /= 10;
+      *thousandths += (text.data[i] - '0') * digit_value;
     }
   return BD_OK;
 }
 
+int
+bd_head_retry_after_ms (const struct bd_head *head, int64_t *ms)
+{
+  int error = bd_head_decimal (head, BD_CHUNK ("Retry-After"), ms);
+
+  if (error == BD_OK && *ms > RETRY_AFTER_MAX_MS)
+    *ms = RETRY_AFTER_MAX_MS;
+  return error;
+}
+
 /* Callbacks of http_parser.  A head is parsed in one call, so each name and
    value is passed in one piece. */
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -55,6 +55,14 @@
 /** Parses a decimal number without sign.  Returns BD_OK or BD_ERR_INVALID. */
 int bd_number_parse (struct bd_chunk text, int64_t *number);
 
+/**
+ * Parses the field NAME as a decimal number without sign, with an optional
+ * fraction.  Returns BD_OK and the number in thousandths, at most 1e12,
+ * BD_ERR_NOT_FOUND without the field, or BD_ERR_INVALID.
+ */
+int bd_head_decimal (const struct bd_head *head, struct bd_chunk name,
+                     int64_t *thousandths);
+
 /**
  * Parses the Retry-After field of a response as a number of seconds, with an
  * optional fraction.  Returns BD_OK and the time in milliseconds,
--- a/test/test_headers.c
+++ b/test/test_headers.c
@@ -172,6 +172,43 @@
     }
 }
 
+/* A rate limit is a decimal number of requests a second; anything else is
+   neither a limit nor the end of one. */
+static void
+test_rate_limit (void)
+{
+  static const struct
+  {
+    const char *value;
+    int error;
+    int64_t rate;
+  } cases[] = { { "4.1", BD_OK, 4100 },
+                { "1", BD_OK, 1000 },
+                { "0", BD_OK, 0 },
+                { "0.0625", BD_OK, 62 },
+                { "99999999999", BD_OK, INT64_C (1000000000000) },
+                { "", BD_ERR_INVALID, 0 },
+                { "-1", BD_ERR_INVALID, 0 },
+                { "1e3", BD_ERR_INVALID, 0 },
+                { "4,1", BD_ERR_INVALID, 0 },
+                { "inf", BD_ERR_INVALID, 0 } };
+  struct bd_response_fields fields;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      head.field_count = 0;
+      head.status = 200;
+      add_field ("Server-Limit", cases[i].value);
+      bd_cutline_dialect.read_response (&head, &fields);
+      g_assert_cmpint (fields.rate_limit_error, ==, cases[i].error);
+      if (cases[i].error == BD_OK)
+        g_assert_cmpint (fields.rate_limit, ==, cases[i].rate);
+    }
+  head.field_count = 0;
+  bd_cutline_dialect.read_response (&head, &fields);
+  g_assert_cmpint (fields.rate_limit_error, ==, BD_ERR_NOT_FOUND);
+}
+
 static void
 test_directives (void)
 {
@@ -208,6 +245,7 @@
   g_test_add_func ("/headers/reserved", test_reserved);
   g_test_add_func ("/headers/responses", test_responses);
   g_test_add_func ("/headers/leaving", test_leaving);
+  g_test_add_func ("/headers/rate-limit", test_rate_limit);
   g_test_add_func ("/headers/directives", test_directives);
   return g_test_run ();
 }
