Test: a runner that limits its rate gets more requests than that (red)

A runner names 1 request a second; the next three of one gateway all reach it (test_forward rate-limit).

--- a/test/soak/fault_schedule.c
+++ b/test/soak/fault_schedule.c
@@ -527,6 +527,7 @@
 soak_plan_start_faults (struct soak *soak)
 {
   start_phase (soak, true);
+  soak_limits_start (soak);
 }
 
 void
@@ -546,6 +547,7 @@
 soak_plan_end_faults (struct soak *soak)
 {
   uv_timer_stop (&plan.timer);
+  soak_limits_end (soak);
   plan.ending_all = true;
   /* The end of a fault can start another one. */
   while (plan.count > 0)
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -49,6 +49,7 @@
   int64_t draining_since_ms; /* Start of the shutdown; 0: none. */
   bool drain_unpublished;    /* Announced in responses only. */
   struct soak_announcement announcements[SOAK_GATEWAYS_MAX];
+  struct soak_limit limit;
   struct run *runs;
   uint32_t active;
 };
@@ -113,6 +114,8 @@
                       attempt->id);
   bd_buffer_printf (out, "Content-Type: %s\r\n",
                     stream ? "text/event-stream" : "text/plain");
+  soak_limit_write (run->runner->soak, &run->runner->limit, attempt->gateway,
+                    out);
   if (run->runner->draining_since_ms == 0)
     return;
   bd_buffer_printf (out, "Server-Leaving: 1\r\n");
@@ -416,6 +419,7 @@
   check_limits (runner, exchange, attempt);
   soak_announcement_check (soak, runner->announcements, runner->proxy,
                            attempt);
+  soak_limit_check (soak, &runner->limit, runner->proxy, runner->id, attempt);
   if (runner->active >= SLOTS
       || soak_random_chance (&soak->random, rates->rejections))
     {
@@ -504,6 +508,7 @@
   runner->start_count++;
   runner->draining_since_ms = 0;
   memset (runner->announcements, 0, sizeof runner->announcements);
+  memset (&runner->limit, 0, sizeof runner->limit);
   if (strcmp (service, runner->service) != 0 || !runner->published)
     {
       if (runner->published)
@@ -554,6 +559,12 @@
   return runner->runs != NULL;
 }
 
+struct soak_limit *
+soak_runner_limit (struct soak_runner *runner)
+{
+  return &runner->limit;
+}
+
 struct soak_proxy *
 soak_runner_proxy (struct soak_runner *runner)
 {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -143,6 +143,7 @@
  * ROUTE    a request reaches a runner of its route's service
  * DRAIN    a runner that leaves gets no new requests
  * BUDGET   limits on retries, sends, pauses and deadlines hold
+ * LIMIT    a runner gets no more requests than the rate it names allows
  * GONE     a run ends soon after its caller has aborted
  */
 void soak_violation (struct soak *soak, const char *rule, const char *format,
@@ -229,6 +230,37 @@
                               const struct soak_proxy *proxy,
                               const struct soak_attempt *attempt);
 
+/* Rate limits of runners. */
+
+/** Most requests that a window can hold before the check fails. */
+#define SOAK_LIMIT_ARRIVALS 64
+
+/** A rate limit that a runner names; initialized with zeros. */
+struct soak_limit
+{
+  uint32_t per_s;   /**< Requests per second from all gateways. */
+  int64_t until_ms; /**< End of the limit. */
+  int64_t named_ms; /**< First response that named it; 0: none yet. */
+  /** First response to each gateway; 0: none yet. */
+  int64_t told_ms[SOAK_GATEWAYS_MAX];
+  /** Times of the last requests from gateways that were told. */
+  int64_t arrivals_ms[SOAK_LIMIT_ARRIVALS];
+  size_t arrival_count;
+};
+
+/** Start and end the limits of all runners. */
+void soak_limits_start (struct soak *soak);
+void soak_limits_end (struct soak *soak);
+
+/** Appends the field that names the limit in a response to GATEWAY. */
+void soak_limit_write (struct soak *soak, struct soak_limit *limit,
+                       int gateway, struct bd_buffer *out);
+
+/** Checks ATTEMPT, which RUNNER received through PROXY. */
+void soak_limit_check (struct soak *soak, struct soak_limit *limit,
+                       const struct soak_proxy *proxy, const char *runner,
+                       const struct soak_attempt *attempt);
+
 /* The store. */
 
 enum soak_store_mode
@@ -270,6 +302,7 @@
 const char *soak_runner_service (const struct soak_runner *runner);
 bool soak_runner_leaving (const struct soak_runner *runner);
 bool soak_runner_busy (const struct soak_runner *runner);
+struct soak_limit *soak_runner_limit (struct soak_runner *runner);
 
 /* Gateways. */
 
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -658,6 +658,9 @@
   "X-Basildock-Not-Executed: 1\r\nRetry-After: " after "\r\n"                 \
   "Content-Length: 0\r\n\r\n"
 
+#define LIMITED_ANSWER(rate)                                                  \
+  HEAD "Server-Limit: " rate "\r\nContent-Length: 2\r\n\r\nok"
+
 /* Sends METHOD_PATH on the first caller's connection and waits for WANTED. */
 static void
 call_again (struct support_gateway *g, const char *method_path,
@@ -795,6 +798,40 @@
   support_gateway_close (&g);
 }
 
+/* A runner asks for at most one request a second, which many requests in a
+   row exceed: they went on to it at the rate of before. */
+static void
+test_rate_limit (void)
+{
+  static const struct support_step limited_steps[]
+      = { { LIMITED_ANSWER ("1"), SUPPORT_KEEP },
+          { LIMITED_ANSWER ("1"), SUPPORT_KEEP },
+          { LIMITED_ANSWER ("1"), SUPPORT_KEEP },
+          { LIMITED_ANSWER ("1"), SUPPORT_KEEP } };
+  static const struct support_step other_steps[]
+      = { { OK_ANSWER, SUPPORT_KEEP },
+          { OK_ANSWER, SUPPORT_KEEP },
+          { OK_ANSWER, SUPPORT_KEEP },
+          { OK_ANSWER, SUPPORT_KEEP } };
+  int64_t begin_ms = bd_clock_boot_ms ();
+  struct support_gateway g;
+  struct support_runner *limited;
+  int64_t allowed;
+
+  support_gateway_open (&g);
+  limited = support_gateway_runner (&g, 0, limited_steps, 4);
+  call_again (&g, "GET /safe/x", "\r\n\r\nok");
+  support_gateway_runner (&g, 1, other_steps, 4);
+  make_busy (&g, 1);
+  for (int i = 0; i < 3; i++)
+    call_again (&g, "GET /safe/y", "\r\n\r\nok");
+  allowed = 1 + (bd_clock_boot_ms () - begin_ms) / 1000;
+  if (limited->request_count > allowed)
+    g_test_fail_printf ("%d requests, %d allowed", limited->request_count,
+                        (int)allowed);
+  support_gateway_close (&g);
+}
+
 /* The queue of every runner is longer than the request may wait. */
 static void
 test_overload (void)
@@ -971,6 +1008,7 @@
   g_test_add_func ("/forward/pause", test_pause);
   g_test_add_func ("/forward/pause-all", test_pause_all);
   g_test_add_func ("/forward/pause-unreadable", test_pause_unreadable);
+  g_test_add_func ("/forward/rate-limit", test_rate_limit);
   g_test_add_func ("/forward/overload", test_overload);
   g_test_add_func ("/forward/stopping", test_stopping);
   g_test_add_func ("/forward/close-idle", test_close_idle);
