Rate limits that runners name are kept over all instances

Cause: no line of the code read the field, and there was no place that could have kept it: what a runner asks of all instances together needs one count, and a pause (503 with Retry-After) is kept by each instance for itself.

The mend: the coordinator of a runner has a token bucket for it, whichever instance asks; an instance that places without the coordinator has an equal share of the rate, which does not add up while the coordinator answers, and tells the coordinator of what it sent. A reply names the limit under which it was placed; an instance that knows of a lower one does not follow it and tells the coordinator, so a limit is kept from the first answer that named it, whoever heard it. A new coordinator begins with an empty bucket. A limit ends with an answer, proven to be the runner's, to a request sent since it was named last; with a restart; or 120 s after the runner has gone. When no runner may get a request its caller is told its turn.

--- a/src/balance/decision.c
+++ b/src/balance/decision.c
@@ -75,5 +75,8 @@
   decision.max_wait_ms = bd_overload_max_wait_ms (overload);
   if (decision.rejected)
     decision.retry_after_ms = bd_overload_retry_after_ms (overload, random);
+  else
+    bd_runner_limit_take (decision.selection.target, request->now_ms,
+                          request->coordinated ? NULL : &request->share);
   return decision;
 }
--- a/src/balance/decision.h
+++ b/src/balance/decision.h
@@ -24,8 +24,9 @@
 
 /**
  * Decides on a request and fills in wait_ms, service_ms, utilization and
- * pressure of OVERLOAD.  A request that has reached a runner before (IS_RETRY)
- * is not rejected for its wait.
+ * pressure of OVERLOAD.  Counts a request that is not rejected against the
+ * rate limit of its runner.  A request that has reached a runner before
+ * (IS_RETRY) is not rejected for its wait.
  */
 struct bd_decision bd_decide (struct bd_selector *selector,
                               struct bd_targets *targets,
--- a/src/balance/runner_limit.c
+++ b/src/balance/runner_limit.c
@@ -2,6 +2,15 @@
 
 #include "common/log.h"
 
+#include <math.h>
+
+#define RATE_UNIT_MS (1000 * 1000)
+/* Smallest capacity of a bucket: one request. */
+#define CAPACITY_MIN 1.0
+#define WHOLE 1.0
+
+/* Knowledge of limits. */
+
 static uint32_t
 clamp_rate (int64_t rate)
 {
@@ -12,15 +21,42 @@
   return (uint32_t)rate;
 }
 
+/* Returns the bucket as of NOW_MS. */
+static struct bd_token_bucket
+bucket_at (const struct bd_target_limit *limit, int64_t now_ms)
+{
+  struct bd_token_bucket bucket = limit->bucket;
+
+  if (now_ms > limit->bucket_ms)
+    bd_token_bucket_refill (&bucket, WHOLE,
+                            (double)(now_ms - limit->bucket_ms));
+  return bucket;
+}
+
 static void
-set_rate (struct bd_target *target, uint32_t rate)
+set_rate (struct bd_target *target, int64_t now_ms, uint32_t rate)
 {
-  if (rate == target->limit.rate)
+  struct bd_target_limit *limit = &target->limit;
+
+  if (rate == limit->rate)
     return;
   bd_log (BD_EVENT_TARGET_LIMIT,
           "runner=%s service=%s from_per_1000_s=%u to_per_1000_s=%u",
-          target->id.data, target->service.data, target->limit.rate, rate);
-  target->limit.rate = rate;
+          target->id.data, target->service.data, limit->rate, rate);
+  if (limit->rate == 0)
+    {
+      limit->bucket.level = 0.0;
+      limit->share_ms = now_ms;
+      limit->next_turn_ms = 0;
+    }
+  else
+    limit->bucket = bucket_at (limit, now_ms);
+  limit->bucket.limit_per_s = rate / 1000.0;
+  limit->bucket.min_capacity = CAPACITY_MIN;
+  limit->bucket.level = fmin (
+      limit->bucket.level, bd_token_bucket_capacity (&limit->bucket, WHOLE));
+  limit->bucket_ms = now_ms;
+  limit->rate = rate;
 }
 
 void
@@ -29,9 +65,8 @@
 {
   if (started_ms != target->started_ms)
     return;
-  set_rate (target, clamp_rate (rate));
+  set_rate (target, now_ms, clamp_rate (rate));
   target->limit.heard_ms = now_ms;
-  target->limit.heard_here = true;
 }
 
 void
@@ -41,7 +76,114 @@
   if (started_ms != target->started_ms || target->limit.rate == 0
       || sent_ms <= target->limit.heard_ms)
     return;
-  set_rate (target, 0);
+  set_rate (target, now_ms, 0);
   target->limit.heard_ms = now_ms;
-  target->limit.heard_here = true;
+}
+
+void
+bd_runner_limit_heard (struct bd_target *target, int64_t started_ms,
+                       int64_t now_ms, int64_t heard_ms, int64_t rate)
+{
+  if (started_ms != target->started_ms || heard_ms <= target->limit.heard_ms)
+    return;
+  set_rate (target, now_ms, rate == 0 ? 0 : clamp_rate (rate));
+  target->limit.heard_ms = heard_ms;
+}
+
+/* Keeping limits. */
+
+void
+bd_runner_limit_begin (struct bd_target *target, int64_t now_ms)
+{
+  target->limit.bucket.level = 0.0;
+  target->limit.bucket_ms = now_ms;
+}
+
+/* Returns the time between two requests at a 1/PARTS of the limit. */
+static int64_t
+interval_ms (const struct bd_target_limit *limit, uint32_t parts)
+{
+  return (int64_t)(parts > 0 ? parts : 1) * RATE_UNIT_MS / limit->rate;
+}
+
+bool
+bd_runner_limit_allows (const struct bd_target *target, int64_t now_ms,
+                        const struct bd_runner_limit_share *share)
+{
+  const struct bd_target_limit *limit = &target->limit;
+  struct bd_token_bucket bucket;
+  int64_t since_ms;
+
+  if (limit->rate == 0)
+    return true;
+  if (!share)
+    {
+      bucket = bucket_at (limit, now_ms);
+      return bd_token_bucket_wait_ms (&bucket, WHOLE, 1.0) == 0.0;
+    }
+  since_ms
+      = share->since_ms > limit->share_ms ? share->since_ms : limit->share_ms;
+  return now_ms - since_ms >= interval_ms (limit, share->instances);
+}
+
+static void
+take_token (struct bd_target_limit *limit, int64_t now_ms)
+{
+  limit->bucket = bucket_at (limit, now_ms);
+  limit->bucket.level
+      = fmax (limit->bucket.level - 1.0,
+              -bd_token_bucket_capacity (&limit->bucket, WHOLE));
+  limit->bucket_ms = now_ms;
+}
+
+void
+bd_runner_limit_take (struct bd_target *target, int64_t now_ms,
+                      const struct bd_runner_limit_share *share)
+{
+  if (target->limit.rate == 0)
+    return;
+  if (share)
+    target->limit.share_ms = now_ms;
+  else
+    take_token (&target->limit, now_ms);
+}
+
+void
+bd_runner_limit_debit (struct bd_target *target, int64_t now_ms)
+{
+  if (target->limit.rate != 0)
+    take_token (&target->limit, now_ms);
+}
+
+/* Returns when the next caller may be told to return to TARGET. */
+static int64_t
+next_turn (const struct bd_target *target, int64_t now_ms)
+{
+  struct bd_token_bucket bucket = bucket_at (&target->limit, now_ms);
+  int64_t free_ms
+      = now_ms + (int64_t)bd_token_bucket_wait_ms (&bucket, WHOLE, 1.0);
+
+  return free_ms > target->limit.next_turn_ms ? free_ms
+                                              : target->limit.next_turn_ms;
+}
+
+int64_t
+bd_runner_limit_next_turn_ms (struct bd_target *const *targets, size_t count,
+                              int64_t now_ms)
+{
+  struct bd_target *first = NULL;
+  int64_t turn_ms;
+
+  for (size_t i = 0; i < count; i++)
+    if (targets[i]->limit.rate != 0 && bd_target_usable (targets[i])
+        && (!first
+            || next_turn (targets[i], now_ms) < next_turn (first, now_ms)))
+      first = targets[i];
+  if (!first)
+    return 0;
+  turn_ms = next_turn (first, now_ms);
+  if (turn_ms - now_ms >= BD_RUNNER_LIMIT_TURN_MAX_MS)
+    return BD_RUNNER_LIMIT_TURN_MAX_MS;
+  first->limit.next_turn_ms = turn_ms + interval_ms (&first->limit, 1);
+  return turn_ms > now_ms ? turn_ms - now_ms : 1;
 }
--- a/src/balance/runner_limit.h
+++ b/src/balance/runner_limit.h
@@ -3,6 +3,11 @@
  * Rate limits that runners ask for: a runner in need names in its responses
  * how many requests it takes in a second from all instances together.  The
  * limit holds until a response does not name it any more.
+ *
+ * The coordinator of a runner keeps the limit for all instances, with a token
+ * bucket.  An instance that has to place a request without the coordinator
+ * sends at most an equal share of the rate, and saves none of it up while the
+ * coordinator answers: all shares may be spent at the same time.
  */
 #ifndef BD_RUNNER_LIMIT_H
 #define BD_RUNNER_LIMIT_H
@@ -16,6 +21,16 @@
 #define BD_RUNNER_LIMIT_RATE_MIN 100
 #define BD_RUNNER_LIMIT_RATE_MAX (1000 * 1000 * 1000)
 
+/** Longest time after which a caller is told to retry at limited runners. */
+#define BD_RUNNER_LIMIT_TURN_MAX_MS 10000
+
+/** What this instance may send to limited runners without a coordinator. */
+struct bd_runner_limit_share
+{
+  uint32_t instances; /**< Live instances, this one included; 0 counts as 1. */
+  int64_t since_ms;   /**< When a coordinator answered last. */
+};
+
 /**
  * Records that the process of TARGET that started at STARTED_MS named RATE, in
  * requests in 1000 s, in a response to this instance.
@@ -30,4 +45,37 @@
 void bd_runner_limit_absent (struct bd_target *target, int64_t started_ms,
                              int64_t now_ms, int64_t sent_ms);
 
+/**
+ * Records what a peer knows: the limit as of HEARD_MS, RATE 0 for its end.
+ * Ignored unless it is newer than what is known here.
+ */
+void bd_runner_limit_heard (struct bd_target *target, int64_t started_ms,
+                            int64_t now_ms, int64_t heard_ms, int64_t rate);
+
+/** This instance begins to coordinate TARGET, and has saved up nothing. */
+void bd_runner_limit_begin (struct bd_target *target, int64_t now_ms);
+
+/**
+ * Whether TARGET may get a request now: from any instance as far as its
+ * coordinator, which SHARE is NULL for, knows, or from this instance alone.
+ */
+bool bd_runner_limit_allows (const struct bd_target *target, int64_t now_ms,
+                             const struct bd_runner_limit_share *share);
+
+/** A request goes to TARGET, as allowed before. */
+void bd_runner_limit_take (struct bd_target *target, int64_t now_ms,
+                           const struct bd_runner_limit_share *share);
+
+/** Another instance has placed a request at TARGET by itself. */
+void bd_runner_limit_debit (struct bd_target *target, int64_t now_ms);
+
+/**
+ * Returns the time in milliseconds after which a caller should retry whose
+ * request no runner of TARGETS may get; 0: no usable runner is limited.  Each
+ * call reserves the time of one request, so that callers do not return all at
+ * once.
+ */
+int64_t bd_runner_limit_next_turn_ms (struct bd_target *const *targets,
+                                      size_t count, int64_t now_ms);
+
 #endif
--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -531,6 +531,9 @@
     return false;
   if (request->sent_here && !bd_pause_allows (target, request->now_ms))
     return false;
+  if (!bd_runner_limit_allows (target, request->now_ms,
+                               request->coordinated ? NULL : &request->share))
+    return false;
   return !check_health
          || (bd_outlier_allows (target, request->now_ms)
              && !bd_pause_requested (target, request->now_ms));
--- a/src/balance/selection.h
+++ b/src/balance/selection.h
@@ -15,6 +15,7 @@
 
 #include "balance/admission.h"
 #include "balance/prefix_map.h"
+#include "balance/runner_limit.h"
 #include "balance/service_stats.h"
 
 /** Request to be placed. */
@@ -49,6 +50,8 @@
    * are binding.
    */
   bool sent_here;
+  /** Not coordinated: what limits of runners leave to this instance. */
+  struct bd_runner_limit_share share;
   /** Coordinated only recently: loads reported by peers count as well. */
   bool learning;
   /**
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -205,6 +205,8 @@
   memset (&target->health, 0, sizeof target->health);
   if (now_ms - target->pause.requested_ms >= BD_TARGET_LIST_DELAY_MAX_MS)
     memset (&target->pause, 0, sizeof target->pause);
+  if (now_ms - target->limit.heard_ms >= BD_TARGET_LIST_DELAY_MAX_MS)
+    memset (&target->limit, 0, sizeof target->limit);
   target->first_seen_ms = now_ms;
   target->leaving_ms = 0;
   targets->short_only_stale = true;
@@ -257,6 +259,7 @@
       target->id.length = 0;
       target->leaving_ms = 0;
       target->pause.until_ms = 0;
+      target->limit.rate = 0;
       target = NULL;
     }
   if (!target)
@@ -345,13 +348,15 @@
   return targets->store_lost;
 }
 
-/* Whether an announced leave or a pause still has to be kept for a runner that
-   is gone: its entry may come back while the process lives. */
+/* Whether an announced leave, a pause or a rate limit still has to be kept for
+   a runner that is gone: its entry may come back while the process lives. */
 static bool
 is_still_needed (const struct bd_target *target, int64_t now_ms)
 {
   return (target->leaving_ms != 0
           && now_ms - target->leaving_ms < BD_TARGET_LEAVING_MAX_MS)
+         || (target->limit.rate != 0
+             && now_ms - target->limit.heard_ms < BD_TARGET_LEAVING_MAX_MS)
          || now_ms < target->pause.until_ms;
 }
 
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -8,6 +8,7 @@
 
 #include "balance/priority.h"
 #include "common/string.h"
+#include "common/token_bucket.h"
 
 /**
  * Time for which a runner whose entry disappeared around a store outage may
@@ -23,8 +24,9 @@
 #define BD_TARGET_LEAVING_MAX_MS 120000
 
 /**
- * Longest delay until the list of runners shows a restart.  A pause asked for
- * within this time before the list shows a restart is the new process's.
+ * Longest delay until the list of runners shows a restart.  A pause or a rate
+ * limit asked for within this time before the list shows a restart is the new
+ * process's.
  */
 #define BD_TARGET_LIST_DELAY_MAX_MS 5000
 
@@ -76,8 +78,12 @@
 struct bd_target_limit
 {
   uint32_t rate;    /**< Requests in 1000 s; 0: no limit. */
-  int64_t heard_ms; /**< Time of the response that named or ended it last. */
-  bool heard_here;  /**< That response came to this instance. */
+  int64_t heard_ms; /**< When a response named or ended it last; 0: never. */
+  /** Requests that the coordinator may send now, as of bucket_ms. */
+  struct bd_token_bucket bucket;
+  int64_t bucket_ms;
+  int64_t share_ms; /**< Since when this instance has not used its share. */
+  int64_t next_turn_ms; /**< When the next refused caller may return. */
 };
 
 /** Load of a runner by the assignments of all instances (ledger.h). */
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -372,6 +372,9 @@
 
   f->selection_request.tried = f->tried;
   f->selection_request.tried_count = f->tried_count;
+  f->selection_request.share
+      = (struct bd_runner_limit_share){ f->forwarder->instance_count,
+                                        f->forwarder->coordinated_ms };
   return bd_decide (options->selector, options->targets, &f->selection_request,
                     &overload, f->attempts > 0, &f->forwarder->random_state);
 }
@@ -416,6 +419,23 @@
                                     &f->registration, ip, &notice);
 }
 
+/* Ends a request that no runner may get now.  The coordinator's answer or else
+   the limits known here tell when its caller should retry, and PAUSE_LEFT_MS
+   does for runners that asked for a pause. */
+static void
+fail_without_runner (struct bd_forward *f, int64_t pause_left_ms)
+{
+  size_t count;
+  struct bd_target *const *all = bd_targets_of_service (
+      f->forwarder->options.targets, f->service, &count);
+
+  f->pause_left_ms = pause_left_ms;
+  if (f->limit_left_ms == 0)
+    f->limit_left_ms = bd_runner_limit_next_turn_ms (
+        all, count, f->selection_request.now_ms);
+  bd_forward_fail (f, BD_ERR_NO_RUNNER);
+}
+
 /* Places the request with the knowledge of this instance alone. */
 static void
 decide_locally (struct bd_forward *f)
@@ -439,13 +459,12 @@
       return;
     }
   bd_coordinator_client_attempt_ended (client, &f->registration, NULL);
-  f->pause_left_ms = decision.pause_left_ms;
   if (decision.rejected)
     bd_forward_refuse_overload (f, (int64_t)decision.selection.wait_ms,
                                 (int64_t)decision.max_wait_ms,
                                 decision.retry_after_ms);
   else
-    bd_forward_fail (f, BD_ERR_NO_RUNNER);
+    fail_without_runner (f, decision.pause_left_ms);
 }
 
 /* Returns whether the coordinator's choice TARGET is usable from here. */
@@ -458,6 +477,20 @@
          && !connections_full (f, target);
 }
 
+/* Returns whether the coordinator kept the rate limit of TARGET that is known
+   here.  Tells it when it knows of another one. */
+static bool
+is_limit_kept (const struct bd_forward *f, const struct bd_target *target,
+               const struct bd_coordination_reply *reply)
+{
+  uint32_t rate = target->limit.rate;
+
+  if (reply->limit_rate != rate && target->limit.heard_ms != 0)
+    bd_coordinator_client_tell_limit (f->forwarder->options.coordinator_client,
+                                      f->registration.coordinator_ip, target);
+  return rate == 0 || (reply->limit_rate != 0 && reply->limit_rate <= rate);
+}
+
 static void
 on_reply (void *context, const struct bd_coordination_reply *reply)
 {
@@ -465,6 +498,11 @@
   struct bd_selection selection = { 0 };
 
   f->selection_request.now_ms = bd_clock_boot_ms ();
+  f->limit_left_ms = 0;
+  if (reply)
+    f->forwarder->coordinated_ms = f->selection_request.now_ms;
+  if (reply && reply->verdict == BD_COORDINATION_NO_RUNNER)
+    f->limit_left_ms = reply->retry_after_ms;
   if (reply && reply->verdict == BD_COORDINATION_REFUSED)
     {
       bd_forward_refuse_overload (f, reply->wait_ms, reply->max_wait_ms,
@@ -474,7 +512,8 @@
   if (reply && reply->verdict == BD_COORDINATION_PLACED)
     selection.target
         = bd_targets_by_hash (f->forwarder->options.targets, reply->target);
-  if (!is_usable_here (f, selection.target))
+  if (!is_usable_here (f, selection.target)
+      || !is_limit_kept (f, selection.target, reply))
     {
       decide_locally (f);
       return;
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -114,12 +114,16 @@
 }
 
 /* Returns the Retry-After time of a request that found no runner: when the
-   first paused runner takes requests again, plus a random part so that callers
+   first paused or limited runner takes it, plus a random part so that callers
    do not all return at once. */
 static int64_t
 no_runner_retry_ms (struct bd_forward *f)
 {
-  return f->pause_left_ms + short_retry_ms (f->forwarder);
+  int64_t left_ms = f->pause_left_ms;
+
+  if (left_ms == 0 || (f->limit_left_ms > 0 && f->limit_left_ms < left_ms))
+    left_ms = f->limit_left_ms;
+  return left_ms + short_retry_ms (f->forwarder);
 }
 
 /* Sends the response for ERROR.  Without Retry-After if
--- a/src/gateway/coordination.c
+++ b/src/gateway/coordination.c
@@ -10,7 +10,9 @@
 #define DURATION_MAX_MS ((int64_t)24 * 60 * 60 * 1000)
 /* Number of values after the format, in a message or in each of its items. */
 #define QUERY_VALUES 15
-#define REPLY_VALUES 11
+#define REPLY_VALUES 12
+/* Instances of older versions send no limit_rate. */
+#define REPLY_VALUES_MIN 11
 #define NOTICE_VALUES 8
 #define REPORT_VALUES 5
 #define PREFIX_VALUES 4
@@ -53,6 +55,7 @@
   bd_pack_int (pack, reply->cost_ms);
   bd_pack_int (pack, reply->max_wait_ms);
   bd_pack_int (pack, reply->retry_after_ms);
+  bd_pack_uint (pack, reply->limit_rate);
 }
 
 static void
@@ -104,6 +107,8 @@
       return (uint32_t)message->reports.count * REPORT_VALUES;
     case BD_COORDINATION_PREFIXES:
       return 1 + (uint32_t)message->prefixes.count * PREFIX_VALUES;
+    case BD_COORDINATION_LIMIT:
+      return 1;
     default:
       return 0;
     }
@@ -138,6 +143,9 @@
       for (size_t i = 0; i < message->prefixes.count; i++)
         write_prefix (&pack, &message->prefixes.items[i]);
       break;
+    case BD_COORDINATION_LIMIT:
+      bd_limit_notice_write (&pack, &message->limit);
+      break;
     default:
       break;
     }
@@ -219,7 +227,8 @@
 }
 
 static void
-read_reply (struct bd_unpack *u, struct bd_coordination_reply *reply)
+read_reply (struct bd_unpack *u, uint32_t count,
+            struct bd_coordination_reply *reply)
 {
   uint64_t verdict;
 
@@ -237,6 +246,8 @@
   reply->cost_ms = read_ms (u);
   reply->max_wait_ms = read_ms (u);
   reply->retry_after_ms = read_ms (u);
+  if (count > REPLY_VALUES_MIN)
+    reply->limit_rate = read_uint32 (u);
 }
 
 static void
@@ -298,7 +309,7 @@
       read_query (&u, &message->query);
       break;
     case BD_COORDINATION_REPLY:
-      read_reply (&u, &message->reply);
+      read_reply (&u, count, &message->reply);
       break;
     case BD_COORDINATION_NOTICES:
       if (count > BD_COORDINATION_NOTICES_MAX * NOTICE_VALUES)
@@ -321,6 +332,9 @@
            i++)
         read_prefix (&u, &message->prefixes.items[message->prefixes.count++]);
       break;
+    case BD_COORDINATION_LIMIT:
+      bd_limit_notice_read (&u, &message->limit);
+      break;
     default:
       return BD_ERR_PROTOCOL;
     }
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -10,6 +10,7 @@
 #include "balance/outlier.h"
 #include "balance/overload.h"
 #include "balance/prefix_map.h"
+#include "gateway/limit_notice.h"
 
 /**
  * First value of the datagrams of this module; gossip datagrams have lower
@@ -30,6 +31,7 @@
   BD_COORDINATION_REPORTS,
   BD_COORDINATION_NOTICES,
   BD_COORDINATION_PREFIXES,
+  BD_COORDINATION_LIMIT,
   BD_COORDINATION_KIND_COUNT
 };
 
@@ -75,7 +77,11 @@
   int64_t wait_ms;
   int64_t cost_ms;
   int64_t max_wait_ms;
+  /** Time until the caller should retry; 0 when unknown. */
   int64_t retry_after_ms;
+  /** Rate limit of the target under which the request was placed, in requests
+      in 1000 s; 0: the coordinator knows of none. */
+  uint32_t limit_rate;
 };
 
 /** What an attempt showed about its runner. */
@@ -139,6 +145,7 @@
        */
       bool complete;
     } prefixes;
+    struct bd_limit_notice limit;
   };
 };
 
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -109,11 +109,18 @@
 }
 
 /* Called when this instance becomes the coordinator of the shard of QUERY.
-   Asks the runners which prefixes they hold, unless this is known. */
+   The coordinator before may just have used up the limits of the runners. Asks
+   the runners which prefixes they hold, unless this is known. */
 static void
 start_shard (struct bd_coordinator *coordinator,
              const struct bd_coordination_query *query, int64_t now_ms)
 {
+  size_t count;
+  struct bd_target *const *all = bd_targets_of_service (
+      coordinator->options.targets, query->service, &count);
+
+  for (size_t i = 0; i < count; i++)
+    bd_runner_limit_begin (all[i], now_ms);
   if (query->unshared_tokens == 0 || prefixes_are_known (coordinator, now_ms)
       || !coordinator->options.inventory)
     return;
@@ -217,9 +224,23 @@
     .cost_ms = selection->target ? (int64_t)selection->cost_ms : 0,
     .max_wait_ms = (int64_t)decision->max_wait_ms,
     .retry_after_ms = decision->retry_after_ms,
+    .limit_rate = selection->target ? selection->target->limit.rate : 0,
   };
 }
 
+/* Returns when the caller of QUERY should retry because runners limit their
+   requests; 0: none does. */
+static int64_t
+next_turn_ms (struct bd_coordinator *coordinator,
+              const struct bd_coordination_query *query, int64_t now_ms)
+{
+  size_t count;
+  struct bd_target *const *all = bd_targets_of_service (
+      coordinator->options.targets, query->service, &count);
+
+  return bd_runner_limit_next_turn_ms (all, count, now_ms);
+}
+
 struct bd_coordination_reply
 bd_coordinator_decide (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_coordination_query *query,
@@ -251,6 +272,8 @@
   decision = bd_decide (coordinator->options.selector,
                         coordinator->options.targets, &request, &overload,
                         query->is_retry, &coordinator->random_state);
+  if (!decision.selection.target)
+    decision.retry_after_ms = next_turn_ms (coordinator, query, now_ms);
   if (!decision.selection.target || decision.rejected)
     return reply_from_decision (query, &decision);
   assignment.target = decision.selection.target;
@@ -317,6 +340,7 @@
   if (!target)
     return;
   add_assignment (coordinator, &assignment);
+  bd_runner_limit_debit (target, now_ms);
   record_prefix (coordinator, notice->prefix_hash, target, now_ms);
   if (notice->prefill_done)
     record_prefill_done (coordinator, ip, notice->request_number, now_ms);
@@ -396,6 +420,10 @@
     case BD_COORDINATION_PREFIXES:
       handle_prefixes (coordinator, message, now_ms);
       break;
+    case BD_COORDINATION_LIMIT:
+      bd_limit_notice_apply (coordinator->options.targets, &message->limit,
+                             now_ms);
+      break;
     default:
       break;
     }
--- a/src/gateway/coordinator_client.c
+++ b/src/gateway/coordinator_client.c
@@ -494,6 +494,18 @@
   register_placed (client, ip, notice);
 }
 
+void
+bd_coordinator_client_tell_limit (struct bd_coordinator_client *client,
+                                  uint32_t ip, const struct bd_target *target)
+{
+  struct bd_coordination_message message
+      = { .kind = BD_COORDINATION_LIMIT,
+          .limit = bd_limit_notice_of (target, bd_clock_boot_ms ()) };
+
+  if (client->mesh && ip != 0 && ip != client->options.ip)
+    bd_mesh_send (client->mesh, ip, &message);
+}
+
 void
 bd_coordinator_client_flush (struct bd_coordinator_client *client)
 {
--- a/src/gateway/coordinator_client.h
+++ b/src/gateway/coordinator_client.h
@@ -131,6 +131,14 @@
     struct bd_coordinator_registration *registration,
     const struct bd_attempt_outcome *outcome);
 
+/**
+ * Tells the coordinator at IP what this instance knows of the rate limit of
+ * TARGET.
+ */
+void bd_coordinator_client_tell_limit (struct bd_coordinator_client *client,
+                                       uint32_t ip,
+                                       const struct bd_target *target);
+
 /** Handles a message from the instance at IP. */
 void
 bd_coordinator_client_handle (struct bd_coordinator_client *client,
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -52,6 +52,7 @@
   size_t probes_in_progress; /* Number of connection probes in progress. */
   size_t buffered_bytes;     /* Bytes of all incomplete responses. */
   int64_t last_request_ms;
+  int64_t coordinated_ms;  /* When a coordinator answered last. */
   int lowest_priority;     /* Least urgent priority that the routing uses. */
   int64_t accept_until_ms; /* Requests that come later may be refused; 0: the
                               instance is not stopping. */
@@ -111,6 +112,8 @@
   struct bd_attempt_outcome outcome;
   int64_t pause_left_ms; /* Time until the first runner that asked for a pause
                             takes requests; 0: none did. */
+  int64_t limit_left_ms; /* Time until the caller's turn at runners that limit
+                            their requests; 0: none does, or not known. */
   bool runner_was_idle;  /* No wait was expected at the runner. */
   bool may_have_run;
   /* Why the request was not sent to another runner. */
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -172,7 +172,7 @@
   if (inventory->options.dialect->prefixes_request.length == 0)
     return;
   for (size_t i = 0; i < count && inventory->queue_count < QUEUE_MAX; i++)
-    if (bd_target_usable (all[i]))
+    if (bd_target_usable (all[i]) && all[i]->limit.rate == 0)
       inventory->queue[inventory->queue_count++] = all[i]->hash;
   bd_inventory_tick (inventory, now_ms);
 }
--- a/test/test_coordination.c
+++ b/test/test_coordination.c
@@ -47,7 +47,8 @@
                                             .wait_ms = 900,
                                             .cost_ms = -1,
                                             .max_wait_ms = 800,
-                                            .retry_after_ms = 640 };
+                                            .retry_after_ms = 640,
+                                            .limit_rate = 4100 };
       break;
     case BD_COORDINATION_REPORTS:
       for (; m.reports.count < BD_COORDINATION_REPORTS_MAX; m.reports.count++)
@@ -70,6 +71,10 @@
         m.prefixes.items[m.prefixes.count]
             = (struct bd_prefix_entry){ UINT64_MAX, UINT64_MAX, 30000, true };
       break;
+    case BD_COORDINATION_LIMIT:
+      m.limit = (struct bd_limit_notice){ UINT32_MAX, INT64_MAX, UINT32_MAX,
+                                          120000 };
+      break;
     default:
       g_assert_not_reached ();
     }
@@ -122,6 +127,26 @@
   g_assert_cmpint (back.reply.verdict, ==, BD_COORDINATION_REFUSED);
   g_assert_cmpint (back.reply.cost_ms, ==, -1);
   g_assert_cmpint (back.reply.retry_after_ms, ==, 640);
+  g_assert_cmpuint (back.reply.limit_rate, ==, 4100);
+  bd_buffer_clear (&bytes);
+}
+
+/* A reply of an older version has no rate limit at its end. */
+static void
+test_older_reply (void)
+{
+  struct bd_coordination_message m = sample (BD_COORDINATION_REPLY);
+  struct bd_coordination_message back;
+  struct bd_buffer bytes = { 0 };
+
+  m.reply.limit_rate = 0;
+  bd_coordination_write (&m, &bytes);
+  bytes.data[0]--; /* An array of one value less. */
+  bytes.length--;
+  g_assert_cmpint (bd_coordination_read (bd_buffer_chunk (&bytes), &back), ==,
+                   BD_OK);
+  g_assert_cmpint (back.reply.retry_after_ms, ==, 640);
+  g_assert_cmpuint (back.reply.limit_rate, ==, 0);
   bd_buffer_clear (&bytes);
 }
 
@@ -169,6 +194,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/coordination/round-trip", test_round_trip);
   g_test_add_func ("/coordination/fields", test_fields);
+  g_test_add_func ("/coordination/older-reply", test_older_reply);
   g_test_add_func ("/coordination/hostile", test_hostile);
   return g_test_run ();
 }
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -333,6 +333,66 @@
   close_fixture (&fixture);
 }
 
+/* One of two runners limits its requests.  It gets no more from five instances
+   together than it asks for, and each reply tells under which limit it was
+   placed, so that an instance that knows of another one can tell. */
+static void
+test_rate_limit (void)
+{
+  struct fixture fixture;
+  struct bd_target *limited;
+  uint32_t placed = 0;
+
+  open_fixture (&fixture, 2);
+  limited = support_target (fixture.targets, "r0");
+  bd_runner_limit_named (limited, 0, NOW, 4100);
+  for (int64_t ms = 0; ms < 4000; ms += 5)
+    {
+      struct bd_coordination_query query = short_query (&fixture);
+      uint32_t ip = 2 + (uint32_t)ms / 5 % 5;
+      struct bd_coordination_reply reply;
+
+      query.overload.objective_ms = 60000; /* No request is refused. */
+      query.overload.priority = 0;
+      support_target (fixture.targets, "r1")->assigned.in_flight = 50;
+      reply
+          = bd_coordinator_decide (fixture.coordinator, ip, &query, NOW + ms);
+      g_assert_cmpint (reply.verdict, ==, BD_COORDINATION_PLACED);
+      if (reply.target != (uint32_t)limited->hash)
+        continue;
+      g_assert_cmpuint (reply.limit_rate, ==, 4100);
+      placed++;
+    }
+  g_assert_cmpuint (placed, <=, 17);
+  g_assert_cmpuint (placed, >=, 15);
+  close_fixture (&fixture);
+}
+
+/* All runners limit their requests.  The reply tells when the caller should
+   come back. */
+static void
+test_all_limited (void)
+{
+  struct fixture fixture;
+  struct bd_coordination_query query;
+  struct bd_coordination_message message = { .kind = BD_COORDINATION_LIMIT };
+  struct bd_coordination_reply reply;
+
+  open_fixture (&fixture, 1);
+  message.limit = (struct bd_limit_notice){
+    .target = (uint32_t)support_target (fixture.targets, "r0")->hash,
+    .rate = 1000,
+    .age_ms = 20
+  };
+  bd_coordinator_handle (fixture.coordinator, 2, &message, NOW);
+  query = short_query (&fixture);
+  reply = bd_coordinator_decide (fixture.coordinator, 2, &query, NOW + 400);
+  g_assert_cmpint (reply.verdict, ==, BD_COORDINATION_NO_RUNNER);
+  g_assert_cmpint (reply.retry_after_ms, ==, 1000);
+  g_assert_nonnull (place (&fixture, 2, &query, NOW + 1400));
+  close_fixture (&fixture);
+}
+
 /* A request that another instance placed is entered in the ledger. */
 static void
 test_placed_elsewhere (void)
@@ -406,6 +466,8 @@
   g_test_add_func ("/coordinator/instance-gone", test_instance_gone);
   g_test_add_func ("/coordinator/failure-reports", test_failure_reports);
   g_test_add_func ("/coordinator/pause-elsewhere", test_pause_elsewhere);
+  g_test_add_func ("/coordinator/rate-limit", test_rate_limit);
+  g_test_add_func ("/coordinator/all-limited", test_all_limited);
   g_test_add_func ("/coordinator/placed-elsewhere", test_placed_elsewhere);
   g_test_add_func ("/coordinator/shards", test_shards);
   return g_test_run ();
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -835,6 +835,39 @@
   support_gateway_close (&g);
 }
 
+/* All runners limit their requests.  A caller is told at once that its request
+   did not run, and when to return.  A response without the limit, to a request
+   sent since, ends it. */
+static void
+test_rate_limit_all (void)
+{
+  static const struct support_step steps[]
+      = { { LIMITED_ANSWER ("0.2"), SUPPORT_KEEP },
+          { OK_ANSWER, SUPPORT_KEEP },
+          { OK_ANSWER, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct support_caller *caller;
+  struct bd_target *target;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, steps, 3);
+  call_again (&g, "GET /safe/x", "\r\n\r\nok");
+  caller = call (&g, "POST /once/y");
+  support_await (caller, "\"ran\":\"no\"");
+  assert_contains (caller->in, "HTTP/1.1 503");
+  assert_contains (caller->in, "Retry-After: 5.");
+  g_string_truncate (caller->in, 0);
+  g_assert_cmpint (runner->request_count, ==, 1);
+  target = bd_targets_find (g.targets, bd_chunk_of (g.runners[0].id));
+  target->limit.share_ms -= 5000;
+  target->limit.heard_ms -= 5000;
+  call_again (&g, "GET /safe/z", "\r\n\r\nok");
+  call_again (&g, "GET /safe/z", "\r\n\r\nok");
+  g_assert_cmpint (runner->request_count, ==, 3);
+  support_gateway_close (&g);
+}
+
 /* The queue of every runner is longer than the request may wait. */
 static void
 test_overload (void)
@@ -1017,5 +1050,6 @@
   g_test_add_func ("/forward/hostile", test_hostile);
   g_test_add_func ("/forward/limits", test_limits);
   g_test_add_func ("/forward/rate-limit", test_rate_limit);
+  g_test_add_func ("/forward/rate-limit-all", test_rate_limit_all);
   return g_test_run ();
 }
