Peers tell one another of the rate limits of runners

An instance that becomes the coordinator, or that places by itself, heard of a limit only by answers of its own. Limits, and for 5 s their ends, go out with each beacon that has room; the latest news of a runner's process holds. Beacons and replies of older versions are read as before. test_mesh limits fails when the beacon's limits are not applied (seen on this code without that line).

--- a/src/gateway/beacon.c
+++ b/src/gateway/beacon.c
@@ -7,7 +7,9 @@
 /* First value of each datagram, below those of coordination.h.  To be
    incremented when the layout changes. */
 #define FORMAT 5
-#define FIELDS 12
+#define FIELDS 13
+/* Instances of older versions send no rate limits. */
+#define FIELDS_MIN 12
 
 /* Serialization. */
 
@@ -56,6 +58,14 @@
     }
 }
 
+static void
+write_limits (struct bd_pack *pack, const struct bd_beacon *beacon)
+{
+  bd_pack_array (pack, (uint32_t)beacon->limit_count);
+  for (size_t i = 0; i < beacon->limit_count; i++)
+    bd_limit_notice_write (pack, &beacon->limits[i]);
+}
+
 void
 bd_beacon_strip (struct bd_beacon *beacon)
 {
@@ -64,6 +74,7 @@
   beacon->load_count = 0;
   beacon->leaving_count = 0;
   beacon->strike_count = 0;
+  beacon->limit_count = 0;
 }
 
 int
@@ -86,6 +97,7 @@
   write_loads (&pack, beacon);
   write_strikes (&pack, beacon);
   write_leaving (&pack, beacon);
+  write_limits (&pack, beacon);
   return pack.error;
 }
 
@@ -173,13 +185,29 @@
     }
 }
 
+static void
+read_limits (struct bd_unpack *u, struct bd_beacon *beacon)
+{
+  uint32_t count = bd_unpack_array (u);
+
+  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
+    {
+      struct bd_limit_notice notice;
+
+      bd_limit_notice_read (u, &notice);
+      if (beacon->limit_count < BD_BEACON_LIMITS_MAX)
+        beacon->limits[beacon->limit_count++] = notice;
+    }
+}
+
 int
 bd_beacon_read (struct bd_chunk bytes, struct bd_beacon *beacon)
 {
   struct bd_unpack u = { .rest = bytes };
+  uint32_t fields = bd_unpack_array (&u);
 
   memset (beacon, 0, sizeof *beacon);
-  if (bd_unpack_array (&u) < FIELDS || bd_unpack_uint (&u) != FORMAT)
+  if (fields < FIELDS_MIN || bd_unpack_uint (&u) != FORMAT)
     return BD_ERR_PROTOCOL;
   beacon->ip = (uint32_t)bd_unpack_uint (&u);
   beacon->incarnation = bd_unpack_uint (&u);
@@ -190,5 +218,7 @@
   read_loads (&u, beacon);
   read_strikes (&u, beacon);
   read_leaving (&u, beacon);
+  if (fields > FIELDS_MIN)
+    read_limits (&u, beacon);
   return u.error;
 }
--- a/src/gateway/beacon.h
+++ b/src/gateway/beacon.h
@@ -1,13 +1,14 @@
 /**
  * @file beacon.h
  * Gossip datagram of an instance: its state, addresses of other instances, its
- * load at each runner, requests that crashed runners, and runners that
- * announced their shutdown.
+ * load at each runner, requests that crashed runners, runners that announced
+ * their shutdown, and rate limits of runners.
  */
 #ifndef BD_BEACON_H
 #define BD_BEACON_H
 
 #include "common/string.h"
+#include "gateway/limit_notice.h"
 #include "retry/suspect.h"
 
 /** Most peer addresses in a datagram. */
@@ -19,10 +20,15 @@
 #define BD_BEACON_STRIKES_WITH_LOADS 6
 /** Most leaving runners in a datagram. */
 #define BD_BEACON_LEAVING_MAX 6
+/** Most rate limits of runners in a datagram, and most addresses beside them.
+ */
+#define BD_BEACON_LIMITS_MAX 6
+#define BD_BEACON_ADDRESSES_WITH_LIMITS 4
 /**
  * With the limits above a datagram stays below this size and so fits into one
  * packet.  One with more than BD_BEACON_STRIKES_WITH_LOADS strikes must not
- * contain loads.
+ * contain loads, one with more than BD_BEACON_ADDRESSES_WITH_LIMITS addresses
+ * no rate limits.
  */
 #define BD_BEACON_MAX_BYTES 1400
 /** Unit of loads, in tokens; loads are rounded down. */
@@ -81,6 +87,8 @@
   struct bd_strike strikes[BD_BEACON_STRIKES_MAX];
   size_t leaving_count;
   struct bd_beacon_leaving_runner leaving_runners[BD_BEACON_LEAVING_MAX];
+  size_t limit_count;
+  struct bd_limit_notice limits[BD_BEACON_LIMITS_MAX];
 };
 
 /** Removes all but the sender and its state. */
--- a/src/gateway/beacon_contents.c
+++ b/src/gateway/beacon_contents.c
@@ -8,6 +8,8 @@
 /* How long the shutdown of a runner is gossiped: repeated because datagrams
    get lost, and not for long because the store shows it as well. */
 #define LEAVING_GOSSIP_MS 5000
+/* How long the end of a rate limit is gossiped. */
+#define LIMIT_END_GOSSIP_MS 5000
 
 static bool
 is_ejected (const struct bd_target *target, int64_t now_ms)
@@ -98,6 +100,48 @@
     }
 }
 
+/* The end of a limit is gossiped for a while only: an instance that never
+   hears of it finds out by the runner's next response. */
+static bool
+is_limit_gossiped (const struct bd_target *target, int64_t now_ms)
+{
+  return target->limit.rate != 0
+         || (target->limit.heard_ms != 0
+             && now_ms - target->limit.heard_ms < LIMIT_END_GOSSIP_MS);
+}
+
+void
+bd_beacon_add_limits (struct bd_targets *targets, struct bd_beacon *beacon,
+                      uint32_t round, int64_t now_ms)
+{
+  size_t count;
+  struct bd_target *const *all = bd_targets_all (targets, &count);
+  size_t gossiped = 0;
+  size_t skipped = 0;
+
+  for (size_t i = 0; i < count; i++)
+    gossiped += is_limit_gossiped (all[i], now_ms);
+  if (gossiped > BD_BEACON_LIMITS_MAX)
+    skipped = (size_t)round * BD_BEACON_LIMITS_MAX % gossiped;
+  for (size_t i = 0; i < count && beacon->limit_count < BD_BEACON_LIMITS_MAX;
+       i++)
+    if (!is_limit_gossiped (all[i], now_ms))
+      continue;
+    else if (skipped > 0)
+      skipped--;
+    else
+      beacon->limits[beacon->limit_count++]
+          = bd_limit_notice_of (all[i], now_ms);
+}
+
+void
+bd_beacon_apply_limits (const struct bd_targets *targets,
+                        const struct bd_beacon *beacon, int64_t now_ms)
+{
+  for (size_t i = 0; i < beacon->limit_count; i++)
+    bd_limit_notice_apply (targets, &beacon->limits[i], now_ms);
+}
+
 void
 bd_beacon_apply_strikes (struct bd_suspects *suspects,
                          const struct bd_beacon *beacon, int64_t now_ms)
--- a/src/gateway/beacon_contents.h
+++ b/src/gateway/beacon_contents.h
@@ -30,6 +30,18 @@
 void bd_beacon_apply_leaving (struct bd_targets *targets,
                               const struct bd_beacon *beacon, int64_t now_ms);
 
+/**
+ * Adds the rate limits of TARGETS and those that ended lately; others each
+ * ROUND if there are too many.
+ */
+void bd_beacon_add_limits (struct bd_targets *targets,
+                           struct bd_beacon *beacon, uint32_t round,
+                           int64_t now_ms);
+
+/** Applies the rate limits that a peer knows of. */
+void bd_beacon_apply_limits (const struct bd_targets *targets,
+                             const struct bd_beacon *beacon, int64_t now_ms);
+
 /** Records the strikes in BEACON, and logs the new ones. */
 void bd_beacon_apply_strikes (struct bd_suspects *suspects,
                               const struct bd_beacon *beacon, int64_t now_ms);
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -28,7 +28,7 @@
 #define INTRO_INTERVAL_MS 1000
 #define STARTUP_MS 3000
 /* Peer addresses per datagram; they rotate, so all are known in seconds. */
-#define ADDRESSES_PER_ROUND 4
+#define ADDRESSES_PER_ROUND BD_BEACON_ADDRESSES_WITH_LIMITS
 /* Loads are sent in one of this many rounds: they only matter while there is
    no common coordinator. */
 #define ROUNDS_PER_LOADS 4
@@ -208,6 +208,8 @@
   if (full || mesh->round % ROUNDS_PER_LOADS == 0)
     bd_beacon_add_loads (mesh->options.targets, beacon, now_ms);
   bd_beacon_add_leaving (mesh->options.targets, beacon, now_ms);
+  if (!full)
+    bd_beacon_add_limits (mesh->options.targets, beacon, mesh->round, now_ms);
   return add_strikes (mesh, beacon, now_ms);
 }
 
@@ -387,6 +389,7 @@
     }
   bd_beacon_apply_strikes (mesh->options.suspects, beacon, now_ms);
   bd_beacon_apply_leaving (mesh->options.targets, beacon, now_ms);
+  bd_beacon_apply_limits (mesh->options.targets, beacon, now_ms);
   if (beacon->status.revision > mesh->status.revision && !beacon->leaving)
     mesh->handler->on_newer_configuration (mesh->context, peer->ip,
                                            beacon->status.revision);
--- a/test/test_beacon.c
+++ b/test/test_beacon.c
@@ -87,6 +87,37 @@
   bd_buffer_clear (&out);
 }
 
+/* Beside all loads and few addresses, rate limits of runners fit as well.  A
+   peer of an older version sends none. */
+static void
+test_limits (void)
+{
+  struct bd_beacon beacon;
+  struct bd_beacon read;
+  struct bd_buffer out = { 0 };
+
+  fill (&beacon, true);
+  beacon.address_count = BD_BEACON_ADDRESSES_WITH_LIMITS;
+  for (; beacon.limit_count < BD_BEACON_LIMITS_MAX; beacon.limit_count++)
+    beacon.limits[beacon.limit_count]
+        = (struct bd_limit_notice){ UINT32_MAX, INT64_MAX, UINT32_MAX,
+                                    120000 };
+  g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
+  g_assert_cmpuint (out.length, <=, BD_BEACON_MAX_BYTES);
+  g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
+  g_assert_cmpuint (read.limit_count, ==, BD_BEACON_LIMITS_MAX);
+  g_assert_cmpint (read.limits[5].age_ms, ==, 120000);
+  g_assert_cmpint (read.limits[5].started_ms, ==, INT64_MAX);
+  bd_buffer_reset (&out);
+  beacon.limit_count = 0;
+  g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
+  out.data[0]--; /* An array of one field less. */
+  out.length--;
+  g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
+  g_assert_cmpuint (read.limit_count, ==, 0);
+  bd_buffer_clear (&out);
+}
+
 /* Without crashes the datagrams of a round are small, no matter how many peers
    and runners there are. */
 static void
@@ -218,6 +249,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/beacon/full", test_full);
   g_test_add_func ("/beacon/full-of-strikes", test_full_of_strikes);
+  g_test_add_func ("/beacon/limits", test_limits);
   g_test_add_func ("/beacon/small", test_small);
   g_test_add_func ("/beacon/truncated", test_cut);
   g_test_add_func ("/beacon/strike-queue", test_strike_queue);
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -304,6 +304,37 @@
   keep_fixture (&fixture);
 }
 
+/* A runner named a rate limit to one instance, and later its end.  The other
+   one learns of both within a round, but does not apply them to a process that
+   has started since. */
+static void
+test_limits (void)
+{
+  struct fixture fixture;
+  int64_t now = bd_clock_boot_ms ();
+  struct bd_target_entry entry = support_entry ("r1", "z0");
+  struct bd_targets *one;
+  struct bd_targets *two;
+
+  open_fixture (&fixture);
+  introduce_sides (&fixture, now);
+  one = fixture.sides[0].targets;
+  two = fixture.sides[1].targets;
+  bd_runner_limit_named (support_target (one, "r0"), 0, now, 4100);
+  bd_runner_limit_named (support_target (one, "r1"), 0, now, 4100);
+  entry.started_ms = 9;
+  bd_targets_put (two, now, &entry, 99);
+  exchange (&fixture, now + 3500);
+  g_assert_cmpuint (support_target (two, "r0")->limit.rate, ==, 4100);
+  g_assert_cmpuint (support_target (two, "r1")->limit.rate, ==, 0);
+  g_assert_cmpuint (support_target (two, "r2")->limit.rate, ==, 0);
+  bd_runner_limit_absent (support_target (one, "r0"), 0, now + 3600,
+                          now + 3550);
+  exchange (&fixture, now + 4500);
+  g_assert_cmpuint (support_target (two, "r0")->limit.rate, ==, 0);
+  keep_fixture (&fixture);
+}
+
 /* An instance that starts after the strikes of a crash were sent, or restarts
    since, gets them all the same (docs/incidents/BUDGET.md). */
 static void
@@ -356,6 +387,7 @@
   g_test_add_func ("/mesh/strikes", test_strikes);
   g_test_add_func ("/mesh/hostile", test_hostile);
   g_test_add_func ("/mesh/leaving", test_leaving);
+  g_test_add_func ("/mesh/limits", test_limits);
   g_test_add_func ("/mesh/full", test_full);
   g_test_add_func ("/mesh/new-peer-gets-strikes", test_new_peer_gets_strikes);
   g_test_add_func ("/mesh/strikes-sent-at-once", test_strikes_sent_at_once);
