A runner's silent connection outlives one keep-alive probe that gets no answer

What callers saw: a request at a runner that answers nothing for two seconds (a queue, a long prompt) fails when a single keep-alive probe or its answer is lost; one that may run once only is lost with it.

Cause: as for accepted connections: the kernel ends an idle connection at the second probe when TCP_USER_TIMEOUT, 1.5 s, has passed since the peer was last heard, whatever the number of probes. Now 2.5 s for both kinds of connection, so that both probes count.

What waited for the 1.5 s: a runner that goes dark is found by silence (1 s) for streams and by time for the rest; a silent store by its own time limits.

Test /forward/runner-outlives-lost-probe: red before (1500 > 2000).

--- a/src/http/socket.c
+++ b/src/http/socket.c
@@ -168,8 +168,9 @@
 /* Sets the socket options.  A failure leaves the system's default, with which
    a dead connection is only detected later. */
 static void
-set_options (struct bd_socket *socket, int user_timeout_ms)
+set_options (struct bd_socket *socket)
 {
+  int user_timeout_ms = BD_SOCKET_USER_TIMEOUT_MS;
   int interval = BD_SOCKET_PROBE_INTERVAL_S;
   int probes = BD_SOCKET_PROBES;
   uv_os_fd_t fd;
@@ -196,7 +197,7 @@
     }
   if (uv_accept (listener, (uv_stream_t *)&socket->tcp) != 0)
     return BD_ERR_IO;
-  set_options (socket, BD_SOCKET_ACCEPTED_USER_TIMEOUT_MS);
+  set_options (socket);
   bd_socket_resume (socket);
   return BD_OK;
 }
@@ -213,7 +214,7 @@
       end_connection (socket, BD_ERR_IO);
       return;
     }
-  set_options (socket, BD_SOCKET_USER_TIMEOUT_MS);
+  set_options (socket);
   bd_socket_resume (socket);
   socket->handler->on_connect (socket->context);
 }
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -10,13 +10,10 @@
 
 #include <uv.h>
 
-/** How long data may stay unacknowledged before an outgoing connection counts
-    as dead; an idle one counts as dead when one probe isn't answered. */
-#define BD_SOCKET_USER_TIMEOUT_MS 1500
-/** How long data or probes may stay unacknowledged before an accepted
-    connection counts as dead: long enough for all probes, so that an idle
-    caller's connection survives the loss of one of them. */
-#define BD_SOCKET_ACCEPTED_USER_TIMEOUT_MS 2500
+/** How long data or probes may stay unacknowledged before a connection counts
+    as dead: long enough for all probes, so that the connection of a silent
+    caller or runner survives the loss of one of them. */
+#define BD_SOCKET_USER_TIMEOUT_MS 2500
 /** Idle time before a keep-alive probe, and between probes. */
 #define BD_SOCKET_PROBE_INTERVAL_S 1
 /** Number of unanswered probes after which a connection counts as dead. */
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -337,12 +337,14 @@
   support_gateway_close (&g);
 }
 
-/* Returns the gateway's end of the caller's connection. */
+/* Returns the end of an established connection in this process whose own
+   address has port OWN_PORT and whose peer's has PEER_PORT, in network byte
+   order; 0: any port. */
 static int
-accepted_end (const struct support_gateway *g)
+connection_end (in_port_t own_port, in_port_t peer_port)
 {
   struct sockaddr_in own = { 0 };
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
 
   for (int fd = 3; fd < 1024; fd++)
     {
@@ -350,11 +352,13 @@
       socklen_t peer_length = sizeof peer;
 
       if (getsockname (fd, (struct sockaddr *)&own, &length) == 0
-          && length == sizeof own && own.sin_port == g->address.sin_port
-          && getpeername (fd, (struct sockaddr *)&peer, &peer_length) == 0)
+          && length == sizeof own
+          && getpeername (fd, (struct sockaddr *)&peer, &peer_length) == 0
+          && (own_port == 0 || own.sin_port == own_port)
+          && (peer_port == 0 || peer.sin_port == peer_port))
         return fd;
     }
-  g_error ("no connection was accepted");
+  g_error ("no such connection");
 }
 
 static int
@@ -368,25 +372,46 @@
   return value;
 }
 
+/* Asserts that the connection of FD outlives one keep-alive probe without an
+   answer: the last one is sent before the connection counts as dead. */
+static void
+assert_outlives_lost_probe (int fd)
+{
+  gint64 last_probe_s = tcp_option (fd, TCP_KEEPIDLE)
+                        + (tcp_option (fd, TCP_KEEPCNT) - INT64_C (1))
+                              * tcp_option (fd, TCP_KEEPINTVL);
+
+  g_assert_cmpint (tcp_option (fd, TCP_KEEPCNT), >=, 2);
+  g_assert_cmpint (tcp_option (fd, TCP_USER_TIMEOUT), >, last_probe_s * 1000);
+}
+
 /* A caller that waits silently must not lose its connection because one
-   keep-alive probe is lost: the last probe is sent before the connection
-   counts as dead. */
+   keep-alive probe is lost. */
 static void
 test_caller_outlives_lost_probe (void)
 {
   struct support_gateway g;
-  int fd;
-  gint64 last_probe_s;
 
   support_gateway_open (&g);
   support_gateway_runner (&g, 0, answers, 2);
   support_await (call (&g, "GET /safe/x"), "\r\n\r\nok");
-  fd = accepted_end (&g);
-  g_assert_cmpint (tcp_option (fd, TCP_KEEPCNT), >=, 2);
-  last_probe_s = tcp_option (fd, TCP_KEEPIDLE)
-                 + (tcp_option (fd, TCP_KEEPCNT) - INT64_C (1))
-                       * tcp_option (fd, TCP_KEEPINTVL);
-  g_assert_cmpint (tcp_option (fd, TCP_USER_TIMEOUT), >, last_probe_s * 1000);
+  assert_outlives_lost_probe (connection_end (g.address.sin_port, 0));
+  support_gateway_close (&g);
+}
+
+/* A runner that works on a request silently must not lose it because one
+   keep-alive probe is lost: the request may run once only. */
+static void
+test_runner_outlives_lost_probe (void)
+{
+  struct support_gateway g;
+  struct support_runner *runner;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, answers, 2);
+  support_await (call (&g, "POST /once/x"), "\r\n\r\nok");
+  assert_outlives_lost_probe (
+      connection_end (0, htons ((uint16_t)runner->port)));
   support_gateway_close (&g);
 }
 
@@ -1027,6 +1052,8 @@
                    test_unreachable_not_counted);
   g_test_add_func ("/forward/caller-outlives-lost-probe",
                    test_caller_outlives_lost_probe);
+  g_test_add_func ("/forward/runner-outlives-lost-probe",
+                   test_runner_outlives_lost_probe);
   g_test_add_func ("/forward/extra-bytes", test_extra_bytes);
   g_test_add_func ("/forward/crashing-request", test_crashing_request);
   g_test_add_func ("/forward/reset-responses", test_reset_responses);
