--- a/src/common/string.c
+++ b/src/common/string.c
@@ -164,6 +164,25 @@
   return BD_OK;
 }
 
+int
+bd_buffer_append_base64 (struct bd_buffer *buffer, struct bd_chunk text)
+{
+  size_t length = 0;
+  int rc = buffer_reserve (buffer, text.length);
+
+  if (rc != BD_OK)
+    return rc;
+  if (sodium_base642bin ((unsigned char *)buffer->data + buffer->length,
+                         text.length, text.data, text.length, NULL, &length,
+                         NULL, sodium_base64_VARIANT_ORIGINAL)
+      == 0)
+    buffer->length += length;
+  else
+    rc = BD_ERR_INVALID;
+  buffer->data[buffer->length] = '\0';
+  return rc;
+}
+
 int
 bd_buffer_printf (struct bd_buffer *buffer, const char *format, ...)
 {
--- a/src/common/string.h
+++ b/src/common/string.h
@@ -68,6 +68,12 @@
 /** Appends the bytes of CHUNK.  Returns BD_OK or BD_ERR_NOMEM. */
 int bd_buffer_append (struct bd_buffer *buffer, struct bd_chunk chunk);
 
+/**
+ * Appends the bytes that TEXT encodes in base64 with padding.  Returns BD_OK,
+ * BD_ERR_INVALID, which leaves the content as it was, or BD_ERR_NOMEM.
+ */
+int bd_buffer_append_base64 (struct bd_buffer *buffer, struct bd_chunk text);
+
 /** Appends formatted text.  Returns BD_OK, BD_ERR_NOMEM or BD_ERR_INVALID. */
 int bd_buffer_printf (struct bd_buffer *buffer, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
--- a/test/test_string.c
+++ b/test/test_string.c
@@ -112,6 +112,30 @@
   bd_mailbox_destroy (box);
 }
 
+/* Text that is not base64 with padding changes nothing. */
+static void
+test_base64 (void)
+{
+  static const char *const malformed[]
+      = { "***", "YWI", "YWI=x", "YW I=", "=" };
+  struct bd_buffer buffer = { 0 };
+
+  g_assert_cmpint (bd_buffer_append_base64 (&buffer, BD_CHUNK ("")), ==,
+                   BD_OK);
+  g_assert_cmpuint (buffer.length, ==, 0);
+  g_assert_cmpint (bd_buffer_append_base64 (&buffer, BD_CHUNK ("YWI=")), ==,
+                   BD_OK);
+  g_assert_cmpint (bd_buffer_append_base64 (&buffer, BD_CHUNK ("AGNk")), ==,
+                   BD_OK);
+  g_assert_cmpmem (buffer.data, buffer.length, "ab\0cd", 5);
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    g_assert_cmpint (
+        bd_buffer_append_base64 (&buffer, bd_chunk_of (malformed[i])), ==,
+        BD_ERR_INVALID);
+  g_assert_cmpmem (buffer.data, buffer.length, "ab\0cd", 5);
+  bd_buffer_clear (&buffer);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -121,5 +145,6 @@
   g_test_add_func ("/string/buffer", test_buffer);
   g_test_add_func ("/error/table", test_error_table);
   g_test_add_func ("/mailbox/loses-nothing", test_mailbox_loses_nothing);
+  g_test_add_func ("/string/base64", test_base64);
   return g_test_run ();
 }
