Configurations are ordered by the operator's version, not by store revision

What callers would see: the store comes back from a copy some seconds old and gives revisions out again; a new configuration, with a key withdrawn or a route moved, has a lower revision than the one in force and is turned away as stale, on every instance and without end, until the counter has passed its former height. A peer with the higher revision passed on the older text.

Cause: the order was the store's counter, which is only good for one life of the store. The operator's version rises over all of them. Now it decides at the gateway, in beacons (a field more; older peers' beacons are read, their configuration is not asked for) and in what peers pass on. A copy's older configuration is not taken, as a process never goes back; the next one is.

Tests: /store/older-copy-configuration was red before (9 in force, 12 written); /mesh/newer-configuration, /peer-configuration/rejected have the case.

--- a/src/gateway/beacon.c
+++ b/src/gateway/beacon.c
@@ -7,8 +7,9 @@
 /* First value of each datagram, below those of coordination.h.  To be
    incremented when the layout changes. */
 #define FORMAT 5
-#define FIELDS 13
-/* Instances of older versions send no rate limits. */
+#define FIELDS 14
+/* Instances of older versions send neither rate limits nor the version of
+   their configuration. */
 #define FIELDS_MIN 12
 
 /* Serialization. */
@@ -98,6 +99,7 @@
   write_strikes (&pack, beacon);
   write_leaving (&pack, beacon);
   write_limits (&pack, beacon);
+  bd_pack_uint (&pack, beacon->status.version);
   return pack.error;
 }
 
@@ -220,5 +222,7 @@
   read_leaving (&u, beacon);
   if (fields > FIELDS_MIN)
     read_limits (&u, beacon);
+  if (fields > FIELDS_MIN + 1)
+    beacon->status.version = bd_unpack_uint (&u);
   return u.error;
 }
--- a/src/gateway/beacon.h
+++ b/src/gateway/beacon.h
@@ -47,7 +47,10 @@
 /** State of an instance. */
 struct bd_peer_status
 {
-  /** Store revision of the instance's configuration. */
+  /** Version of the instance's configuration, which the operator gave it. */
+  uint64_t version;
+  /** Store revision of that configuration; peers of older versions of this
+      program compare it. */
   uint64_t revision;
   enum bd_peer_state state;
   uint32_t cpu_millicores; /**< Processor share in thousandths of a core. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -142,8 +142,10 @@
 {
   struct bd_buffer fields = { 0 };
 
-  bd_buffer_printf (&fields, "Basildock-Revision: %" PRIu64 "\r\n",
-                    gateway->configuration_revision);
+  bd_buffer_printf (
+      &fields,
+      "Basildock-Version: %" PRIu64 "\r\nBasildock-Revision: %" PRIu64 "\r\n",
+      bd_routing_version (gateway->routing), gateway->configuration_revision);
   bd_exchange_reply (exchange, 200, bd_buffer_chunk (&fields),
                      bd_buffer_chunk (&gateway->configuration));
   bd_buffer_clear (&fields);
@@ -237,6 +239,8 @@
 {
   struct bd_peer_status status
       = { .revision = gateway->configuration_revision,
+          .version
+          = gateway->routing ? bd_routing_version (gateway->routing) : 0,
           .state = peer_state (gateway, now_ms),
           .cpu_millicores = gateway->options.cpu_millicores };
 
@@ -519,20 +523,21 @@
                         const struct bd_caller_limits *limits,
                         struct bd_chunk document, uint64_t revision)
 {
-  if (revision <= gateway->configuration_revision)
+  uint64_t version = bd_routing_version (routing);
+
+  if (gateway->routing && version <= bd_routing_version (gateway->routing))
     return BD_ERR_STALE;
   gateway->configuration_revision = revision;
-  bd_peer_configuration_set_active (gateway->peer_configuration, revision);
+  bd_peer_configuration_set_active (gateway->peer_configuration, version);
   bd_routing_unref (gateway->routing);
   gateway->routing = bd_routing_ref (routing);
   bd_buffer_reset (&gateway->configuration);
   bd_buffer_append (&gateway->configuration, document);
   bd_forwarder_set_routing (gateway->forwarder, routing);
   bd_server_set_limits (gateway->caller_server, limits);
-  bd_stats_set (gateway->stats, BD_GAUGE_ROUTING_VERSION,
-                (int64_t)bd_routing_version (routing));
+  bd_stats_set (gateway->stats, BD_GAUGE_ROUTING_VERSION, (int64_t)version);
   bd_log (BD_EVENT_CONFIG_IN_FORCE, "version=%" PRIu64 " revision=%" PRIu64,
-          bd_routing_version (routing), revision);
+          version, revision);
   return BD_OK;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -75,9 +75,10 @@
 struct bd_stats *bd_gateway_stats (struct bd_gateway *gateway);
 
 /**
- * Makes ROUTING active unless a newer one is.  DOCUMENT, the text that it was
- * read from, is passed on to peers with the store's REVISION.  Returns BD_OK
- * or BD_ERR_STALE.
+ * Makes ROUTING active unless one of the same or a higher version is.  The
+ * operator's version decides and not the store's REVISION, which starts lower
+ * again when the store loses writes.  DOCUMENT, the text that it was read
+ * from, is passed on to peers.  Returns BD_OK or BD_ERR_STALE.
  */
 int bd_gateway_set_routing (struct bd_gateway *gateway,
                             struct bd_routing *routing,
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -390,9 +390,9 @@
   bd_beacon_apply_strikes (mesh->options.suspects, beacon, now_ms);
   bd_beacon_apply_leaving (mesh->options.targets, beacon, now_ms);
   bd_beacon_apply_limits (mesh->options.targets, beacon, now_ms);
-  if (beacon->status.revision > mesh->status.revision && !beacon->leaving)
+  if (beacon->status.version > mesh->status.version && !beacon->leaving)
     mesh->handler->on_newer_configuration (mesh->context, peer->ip,
-                                           beacon->status.revision);
+                                           beacon->status.version);
 }
 
 static void
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -40,7 +40,7 @@
    * Called when the peer at IP has a newer configuration than this instance.
    */
   void (*on_newer_configuration) (void *context, uint32_t ip,
-                                  uint64_t revision);
+                                  uint64_t version);
   /**
    * Called when the peer at IP is lost: its process has ended, or it is only
    * SILENT.  May be NULL.
--- a/src/gateway/peer_configuration.c
+++ b/src/gateway/peer_configuration.c
@@ -18,12 +18,13 @@
   struct sockaddr_in address;
   bd_peer_configuration_on_received on_received;
   void *context;
-  uint64_t revision;      /* Revision of the active configuration. */
+  uint64_t version;       /* Version of the active configuration. */
   int64_t newer_since_ms; /* When a peer was first known to have a newer one;
                              0: none has. */
   struct bd_call *call;   /* Fetch in progress, or NULL. */
   int64_t fetch_started_ms;
   int status;
+  uint64_t fetched_version;
   uint64_t fetched_revision;
   struct bd_buffer body;
 };
@@ -55,18 +56,28 @@
   free (configuration);
 }
 
+/* Returns the number in the field NAME; 0: none. */
+static uint64_t
+field_number (const struct bd_head *head, struct bd_chunk name)
+{
+  struct bd_chunk value = bd_head_value (head, name);
+  int64_t number;
+
+  return value.data && bd_number_parse (value, &number) == BD_OK
+             ? (uint64_t)number
+             : 0;
+}
+
 static void
 on_head (void *context, const struct bd_head *head)
 {
   struct bd_peer_configuration *configuration = context;
-  struct bd_chunk value
-      = bd_head_value (head, BD_CHUNK ("Basildock-Revision"));
-  int64_t revision;
 
   configuration->status = head->status;
-  configuration->fetched_revision = 0;
-  if (value.data && bd_number_parse (value, &revision) == BD_OK)
-    configuration->fetched_revision = (uint64_t)revision;
+  configuration->fetched_version
+      = field_number (head, BD_CHUNK ("Basildock-Version"));
+  configuration->fetched_revision
+      = field_number (head, BD_CHUNK ("Basildock-Revision"));
 }
 
 static void
@@ -99,7 +110,7 @@
 
   configuration->call = NULL;
   if (configuration->status == STATUS_OK
-      && configuration->fetched_revision > configuration->revision)
+      && configuration->fetched_version > configuration->version)
     configuration->on_received (configuration->context,
                                 bd_buffer_chunk (&configuration->body),
                                 configuration->fetched_revision);
@@ -118,9 +129,9 @@
 
 void
 bd_peer_configuration_set_active (struct bd_peer_configuration *configuration,
-                                  uint64_t revision)
+                                  uint64_t version)
 {
-  configuration->revision = revision;
+  configuration->version = version;
   configuration->newer_since_ms = 0;
 }
 
--- a/src/gateway/peer_configuration.h
+++ b/src/gateway/peer_configuration.h
@@ -9,8 +9,8 @@
 #include "http/client.h"
 
 /**
- * Called when a configuration of REVISION was received.  DATA is valid until
- * the function returns.
+ * Called when a newer configuration was received, which the store had at
+ * REVISION.  DATA is valid until the function returns.
  */
 typedef void (*bd_peer_configuration_on_received) (void *context,
                                                    struct bd_chunk data,
@@ -30,10 +30,10 @@
 void
 bd_peer_configuration_destroy (struct bd_peer_configuration *configuration);
 
-/** Tells that the configuration of REVISION is active here. */
+/** Tells that the configuration of VERSION is active here. */
 void
 bd_peer_configuration_set_active (struct bd_peer_configuration *configuration,
-                                  uint64_t revision);
+                                  uint64_t version);
 
 /**
  * Tells that the peer at IP has a newer configuration.  Fetches it, unless it
--- a/test/test_beacon.c
+++ b/test/test_beacon.c
@@ -19,7 +19,8 @@
   memset (beacon, 0, sizeof *beacon);
   beacon->ip = 0x0100007f;
   beacon->incarnation = UINT64_MAX;
-  beacon->status = (struct bd_peer_status){ UINT64_MAX, BD_PEER_FRESH, 90 };
+  beacon->status = (struct bd_peer_status){ UINT64_MAX - 1, UINT64_MAX,
+                                            BD_PEER_FRESH, 90 };
   beacon->has_loads = loads;
   for (; beacon->address_count < BD_BEACON_ADDRESSES_MAX;
        beacon->address_count++)
@@ -57,6 +58,7 @@
   g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
   g_assert_cmpuint (read.ip, ==, beacon.ip);
   g_assert_cmpuint (read.status.revision, ==, UINT64_MAX);
+  g_assert_cmpuint (read.status.version, ==, UINT64_MAX - 1);
   g_assert_cmpint (read.status.state, ==, BD_PEER_FRESH);
   g_assert_cmpuint (read.address_count, ==, BD_BEACON_ADDRESSES_MAX);
   g_assert_cmpuint (read.addresses[39], ==, beacon.addresses[39]);
@@ -110,11 +112,13 @@
   g_assert_cmpint (read.limits[5].started_ms, ==, INT64_MAX);
   bd_buffer_reset (&out);
   beacon.limit_count = 0;
+  beacon.status.version = 0;
   g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
-  out.data[0]--; /* An array of one field less. */
-  out.length--;
+  out.data[0] = (char)(out.data[0] - 2); /* An array of two fields less. */
+  out.length -= 2;
   g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
   g_assert_cmpuint (read.limit_count, ==, 0);
+  g_assert_cmpuint (read.status.version, ==, 0);
   bd_buffer_clear (&out);
 }
 
@@ -218,11 +222,11 @@
 static void
 test_rank (void)
 {
-  struct bd_rank_entry all[] = { { 1, { 0, BD_PEER_UNABLE, 500 } },
-                                 { 2, { 0, BD_PEER_FRESH, 100 } },
-                                 { 3, { 0, BD_PEER_FRESH, 300 } },
-                                 { 4, { 0, BD_PEER_STALE, 500 } },
-                                 { 5, { 0, BD_PEER_FRESH, 500 } } };
+  struct bd_rank_entry all[] = { { 1, { 0, 0, BD_PEER_UNABLE, 500 } },
+                                 { 2, { 0, 0, BD_PEER_FRESH, 100 } },
+                                 { 3, { 0, 0, BD_PEER_FRESH, 300 } },
+                                 { 4, { 0, 0, BD_PEER_STALE, 500 } },
+                                 { 5, { 0, 0, BD_PEER_FRESH, 500 } } };
   uint32_t ips[BD_RANK_MAX];
   uint32_t reordered_ips[BD_RANK_MAX];
 
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -21,7 +21,7 @@
   uint32_t ip;
   uint32_t instance_count;
   uint32_t newer_ip;
-  uint64_t newer_revision;
+  uint64_t newer_version;
 };
 
 struct fixture
@@ -39,12 +39,12 @@
 }
 
 static void
-on_newer_configuration (void *context, uint32_t ip, uint64_t revision)
+on_newer_configuration (void *context, uint32_t ip, uint64_t version)
 {
   struct side *side = context;
 
   side->newer_ip = ip;
-  side->newer_revision = revision;
+  side->newer_version = version;
 }
 
 static const struct bd_mesh_handler handler
@@ -170,18 +170,22 @@
   keep_fixture (&fixture);
 }
 
+/* The operator's version decides, not the revision at which a store had it:
+   one that has lost writes gives lower revisions out again. */
 static void
 test_newer_configuration (void)
 {
-  struct bd_peer_status status = { .revision = 7 };
+  struct bd_peer_status status = { .version = 7 };
+  struct bd_peer_status later = { .version = 6, .revision = 900 };
   struct fixture fixture;
 
   open_fixture (&fixture);
   bd_mesh_set_status (fixture.sides[0].mesh, &status);
+  bd_mesh_set_status (fixture.sides[1].mesh, &later);
   introduce_sides (&fixture, bd_clock_boot_ms ());
-  g_assert_cmpuint (fixture.sides[1].newer_revision, ==, 7);
+  g_assert_cmpuint (fixture.sides[1].newer_version, ==, 7);
   g_assert_cmpuint (fixture.sides[1].newer_ip, ==, fixture.sides[0].ip);
-  g_assert_cmpuint (fixture.sides[0].newer_revision, ==, 0);
+  g_assert_cmpuint (fixture.sides[0].newer_version, ==, 0);
   keep_fixture (&fixture);
 }
 
--- a/test/test_peer_configuration.c
+++ b/test/test_peer_configuration.c
@@ -75,7 +75,7 @@
 
   memset (f, 0, sizeof *f);
   f->status = 200;
-  f->fields = "Basildock-Revision: 7\r\n";
+  f->fields = "Basildock-Version: 7\r\nBasildock-Revision: 70\r\n";
   f->body = BD_CHUNK ("text");
   f->data = g_string_new (NULL);
   uv_loop_init (&f->loop);
@@ -137,7 +137,7 @@
   g_assert_cmpint (f.request_count, ==, 0);
   announce_newer (&f, 1000 + STORE_MS);
   g_assert_cmpint (f.received_count, ==, 1);
-  g_assert_cmpuint (f.revision, ==, 7);
+  g_assert_cmpuint (f.revision, ==, 70);
   g_assert_cmpstr (f.data->str, ==, "text");
   close_fixture (&f);
 }
@@ -150,10 +150,12 @@
   {
     int status;
     const char *fields;
-  } cases[] = { { 200, "Basildock-Revision: 5\r\n" },
-                { 200, "Basildock-Revision: x\r\n" },
+  } cases[] = { { 200, "Basildock-Version: 5\r\n" },
+                { 200, "Basildock-Version: x\r\n" },
+                { 200, "Basildock-Version: 4\r\nBasildock-Revision: 9\r\n" },
+                { 200, "Basildock-Revision: 9\r\n" },
                 { 200, "A: b\r\n" },
-                { 404, "Basildock-Revision: 9\r\n" } };
+                { 404, "Basildock-Version: 9\r\n" } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -297,6 +297,35 @@
   g_assert_cmpint (routing_version (&fixture), ==, 9);
 }
 
+/* The store comes back from an older copy: its revisions start lower again,
+   and the configuration in force is missing.  That one stays in force; the one
+   that the operator writes next is taken, though its revision is lower. */
+static void
+test_older_copy_configuration (void)
+{
+  struct fixture fixture;
+
+  start_watch (&fixture);
+  add_item_response (&fixture, "events", "", 31, configuration_item (9, 31),
+                     NULL);
+  await_calls (&fixture, 4);
+  g_assert_cmpint (routing_version (&fixture), ==, 9);
+  add_response (&fixture, "410 {}");
+  add_item_response (&fixture, "items", "\"hasMore\":false,", 22,
+                     configuration_item (3, 11),
+                     runner_item ("a", 12, "ready"));
+  await_calls (&fixture, 6);
+  g_assert_cmpint (routing_version (&fixture), ==, 9);
+  add_item_response (&fixture, "events", "", 23, configuration_item (7, 23),
+                     NULL);
+  await_calls (&fixture, 7);
+  g_assert_cmpint (routing_version (&fixture), ==, 9);
+  add_item_response (&fixture, "events", "", 24, configuration_item (12, 24),
+                     NULL);
+  await_calls (&fixture, 8);
+  g_assert_cmpint (routing_version (&fixture), ==, 12);
+}
+
 /* A malformed entry makes its own runner unusable; the other runners stay. */
 static void
 test_malformed_entries (void)
@@ -368,5 +397,7 @@
   g_test_add_func ("/store/malformed-entries", test_malformed_entries);
   g_test_add_func ("/store/history-gone", test_history_gone);
   g_test_add_func ("/store/outage", test_outage);
+  g_test_add_func ("/store/older-copy-configuration",
+                   test_older_copy_configuration);
   return g_test_run ();
 }
