Soak: a service's retries are those that its runners get

The check counted both by the route that it had published, though the rule is of what a service gets. Now a retry counts at the service of the runner that gets it, and a request for the service that it first reached, so what is counted stays complete and only its place changes. The bound and the windows are as before.

--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -454,7 +454,7 @@
       = id ? g_hash_table_lookup (soak->attempts, id) : NULL;
 
   if (attempt)
-    soak_count_arrival (soak, attempt);
+    soak_count_arrival (soak, attempt, soak_service_index (runner->service));
   if (attempt && attempt->fatal)
     soak_fatal_arrived (soak, attempt);
   if (!id)
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -152,25 +152,46 @@
 
 /* Counts. */
 
+static size_t
+slot_at (int64_t ms)
+{
+  return (size_t)(ms / SLOT_MS) % SLOTS_MAX;
+}
+
 static size_t
 current_slot (const struct soak *soak)
 {
-  return (size_t)(soak_now_ms (soak) / SLOT_MS) % SLOTS_MAX;
+  return slot_at (soak_now_ms (soak));
 }
 
 void
 soak_count_sent (struct soak *soak, const struct soak_attempt *attempt)
 {
   soak->sent++;
-  sent_in_slot[attempt->service][current_slot (soak)]++;
+  sent_in_slot[attempt->service][slot_at (attempt->sent_ms)]++;
+}
+
+/* A gateway that does not know of a moved route yet sends a request to the
+   former service, which is the one that the request is for, then. */
+static void
+move_sent (const struct soak_attempt *attempt, int service)
+{
+  size_t slot = slot_at (attempt->sent_ms);
+
+  sent_in_slot[attempt->service][slot]--;
+  sent_in_slot[service][slot]++;
 }
 
 void
-soak_count_arrival (struct soak *soak, struct soak_attempt *attempt)
+soak_count_arrival (struct soak *soak, struct soak_attempt *attempt,
+                    int service)
 {
   if (attempt->arrivals++ == 0)
-    return;
-  retries_in_slot[attempt->service][current_slot (soak)]++;
+    {
+      move_sent (attempt, service);
+      return;
+    }
+  retries_in_slot[service][current_slot (soak)]++;
   soak->retried++;
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -166,9 +166,13 @@
 /** Index of the service that requests of KIND are routed to now. */
 int soak_route_service (const struct soak *soak, enum soak_kind kind);
 
-/** Count a request sent by a caller, and a request that reached a runner. */
+/**
+ * Count a request sent by a caller, and a request that reached a runner of
+ * SERVICE.
+ */
 void soak_count_sent (struct soak *soak, const struct soak_attempt *attempt);
-void soak_count_arrival (struct soak *soak, struct soak_attempt *attempt);
+void soak_count_arrival (struct soak *soak, struct soak_attempt *attempt,
+                         int service);
 
 /** Checks the retry budget in every window up to now. */
 void soak_check_retries (struct soak *soak);
