The store's era is followed: what a copy brings back is not believed

What callers would see: the store comes back from a copy some seconds old. Its revisions start lower, so every entry that a runner wrote from then on was ignored as old, or the watch went on past a gap without a sign; a runner that drained or had left was in use again.

Cause: entries were ordered by a counter that is good for one life of the store. Entries of the copy do not make a process usable that is known to drain or to have left, for 5 s or until it is written again; runners that the copy lacks have 2 s to come back, as after an outage; of two processes of one runner the later one counts. Eras that fall, are missing or are no number are failed calls.

Tests: /store/older-copy-runners, faulty-era and era-between-pages were red before (no list was read); /target/copy-lacks-leaving, copy-lacks-start need the new function; return-search (400 random histories) fails on this code with any of four parts taken back: nothing distrusted, revisions kept, departures forgotten, a former process taken.

--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -12,6 +12,17 @@
   bool listed; /* Present in the list that is being read. */
 };
 
+/* A process of a runner that has left. */
+struct departed
+{
+  uint64_t hash; /* Of the runner's identifier. */
+  int64_t started_ms;
+  int64_t departed_ms;
+};
+
+/* Most departures that are remembered; later ones replace the oldest. */
+#define DEPARTED_MAX 256
+
 struct bd_targets
 {
   /* Elements are the first member of a struct listed_target.  Ordered by
@@ -24,6 +35,12 @@
   int64_t lapse_until_ms; /* An entry deleted before this time lapses instead
                              of being removed. */
   bool short_only_stale;  /* A state has changed since short_only was set. */
+  /* The store's older copy: its last revision, and until when its entries are
+     distrusted. */
+  uint64_t copy_revision;
+  int64_t distrust_until_ms;
+  struct departed departed[DEPARTED_MAX];
+  size_t departed_count; /* All departures ever; the last ones are kept. */
 };
 
 struct bd_targets *
@@ -196,6 +213,63 @@
   return target;
 }
 
+static void
+remember_departed (struct bd_targets *targets, const struct bd_target *target,
+                   int64_t now_ms)
+{
+  targets->departed[targets->departed_count++ % DEPARTED_MAX]
+      = (struct departed){ target->hash, target->started_ms, now_ms };
+}
+
+/* Whether the process of ENTRY, or a later one of the same runner, has left.
+ */
+static bool
+has_departed (const struct bd_targets *targets, int64_t now_ms,
+              const struct bd_target_entry *entry)
+{
+  uint64_t hash = bd_chunk_hash (entry->id);
+
+  for (size_t i = 0; i < DEPARTED_MAX && i < targets->departed_count; i++)
+    {
+      const struct departed *departed = &targets->departed[i];
+
+      if (departed->hash == hash && entry->started_ms <= departed->started_ms
+          && now_ms - departed->departed_ms < BD_TARGET_DEPARTED_MS)
+        return true;
+    }
+  return false;
+}
+
+/* Whether an entry of REVISION may be from the store's older copy. */
+static bool
+is_from_copy (const struct bd_targets *targets, int64_t now_ms,
+              uint64_t revision)
+{
+  return now_ms < targets->distrust_until_ms
+         && revision <= targets->copy_revision;
+}
+
+void
+bd_targets_begin_era (struct bd_targets *targets, int64_t now_ms,
+                      uint64_t revision)
+{
+  targets->copy_revision = revision;
+  targets->distrust_until_ms = now_ms + BD_TARGET_DISTRUST_MS;
+  targets->lapse_until_ms = now_ms + BD_TARGET_LAPSE_MS;
+  for (size_t i = 0; i < targets->count; i++)
+    targets->all[i]->revision = 0;
+}
+
+size_t
+bd_targets_distrusted_count (const struct bd_targets *targets)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < targets->count; i++)
+    count += targets->all[i]->distrusted;
+  return count;
+}
+
 /* Drops what was learned of the process that ran before under the same
    identifier. */
 static void
@@ -245,11 +319,24 @@
   targets->short_only_stale = true;
 }
 
+/* Whether TARGET is known to leave or to have left, and ENTRY tells of no
+   later process. */
+static bool
+is_leaving_process (const struct bd_target *target,
+                    const struct bd_target_entry *entry)
+{
+  return (target->state == BD_TARGET_DRAINING
+          || target->state == BD_TARGET_GONE)
+         && entry->started_ms <= target->started_ms;
+}
+
 int
 bd_targets_put (struct bd_targets *targets, int64_t now_ms,
                 const struct bd_target_entry *entry, uint64_t revision)
 {
   struct bd_target *target = bd_targets_find (targets, entry->id);
+  bool from_copy = is_from_copy (targets, now_ms, revision);
+  bool has_left;
 
   if (target && !bd_chunk_equal (target->service, entry->service))
     {
@@ -262,6 +349,8 @@
       target->limit.rate = 0;
       target = NULL;
     }
+  has_left = target ? is_leaving_process (target, entry)
+                    : has_departed (targets, now_ms, entry);
   if (!target)
     target = add (targets, now_ms, entry);
   if (!target)
@@ -269,6 +358,10 @@
   ((struct listed_target *)target)->listed = true;
   if (revision < target->revision)
     return BD_OK;
+  /* The copy shows a process that has been replaced since. */
+  if (from_copy && entry->started_ms != 0
+      && entry->started_ms < target->started_ms)
+    return BD_OK;
   if (target->started_ms != 0 && entry->started_ms != target->started_ms)
     handle_restart (targets, target, now_ms);
   if (!entry->draining && revision > target->revision)
@@ -279,11 +372,22 @@
   target->slots = entry->slots;
   target->started_ms = entry->started_ms;
   target->warmup_until_ms = now_ms + entry->warmup_left_ms;
-  set_state (targets, target,
-             entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY, revision);
+  target->distrusted = from_copy && has_left && !entry->draining;
+  if (!target->distrusted)
+    set_state (targets, target,
+               entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY,
+               revision);
   return BD_OK;
 }
 
+static void
+set_gone (struct bd_targets *targets, struct bd_target *target, int64_t now_ms)
+{
+  if (target->state != BD_TARGET_GONE)
+    remember_departed (targets, target, now_ms);
+  set_state (targets, target, BD_TARGET_GONE, target->revision);
+}
+
 static void
 handle_entry_removed (struct bd_targets *targets, int64_t now_ms,
                       struct bd_target *target, uint64_t revision)
@@ -291,10 +395,11 @@
   bool may_lapse = targets->store_lost || now_ms < targets->lapse_until_ms;
 
   target->revision = revision;
+  target->distrusted = false;
   if (target->state == BD_TARGET_READY && may_lapse)
     set_state (targets, target, BD_TARGET_LAPSED, revision);
   else if (target->state != BD_TARGET_LAPSED || !may_lapse)
-    set_state (targets, target, BD_TARGET_GONE, revision);
+    set_gone (targets, target, now_ms);
 }
 
 void
@@ -353,8 +458,9 @@
 static bool
 is_still_needed (const struct bd_target *target, int64_t now_ms)
 {
-  return (target->leaving_ms != 0
-          && now_ms - target->leaving_ms < BD_TARGET_LEAVING_MAX_MS)
+  return target->distrusted
+         || (target->leaving_ms != 0
+             && now_ms - target->leaving_ms < BD_TARGET_LEAVING_MAX_MS)
          || (target->limit.rate != 0
              && now_ms - target->limit.heard_ms < BD_TARGET_LEAVING_MAX_MS)
          || now_ms < target->pause.until_ms;
@@ -381,7 +487,12 @@
 
       if (target->state == BD_TARGET_LAPSED && !targets->store_lost
           && now_ms >= targets->lapse_until_ms)
-        set_state (targets, target, BD_TARGET_GONE, target->revision);
+        set_gone (targets, target, now_ms);
+      if (target->distrusted && now_ms >= targets->distrust_until_ms)
+        {
+          target->distrusted = false;
+          set_state (targets, target, BD_TARGET_READY, target->revision);
+        }
       if (target->state == BD_TARGET_GONE && target->in_flight == 0
           && target->assigned.in_flight == 0
           && !is_still_needed (target, now_ms))
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -30,6 +30,16 @@
  */
 #define BD_TARGET_LIST_DELAY_MAX_MS 5000
 
+/**
+ * Time after the store's return from an older copy in which an entry of that
+ * copy does not make a runner usable that is known to have left since. Runners
+ * that live have written their entries again by then.
+ */
+#define BD_TARGET_DISTRUST_MS 5000
+
+/** How long it is remembered that a runner has left. */
+#define BD_TARGET_DEPARTED_MS 60000
+
 enum bd_target_state
 {
   BD_TARGET_READY = 0,
@@ -122,7 +132,10 @@
   bool leaving_received_here; /**< The announcement came to this instance, not
                                  from a peer. */
   uint64_t revision;          /**< Store revision of the entry. */
-  uint64_t hash;              /**< Hash of the identifier. */
+  /** The entry says that the runner is ready, but is from an older copy of the
+      store; the runner is known to have left since. */
+  bool distrusted;
+  uint64_t hash; /**< Hash of the identifier. */
   /** When this process of the runner was first seen. */
   int64_t first_seen_ms;
   bool short_only; /**< Reserved for requests with short prompts. */
@@ -173,6 +186,19 @@
                                      int64_t now_ms);
 bool bd_targets_store_is_lost (const struct bd_targets *targets);
 
+/**
+ * The store has come back from an older copy, whose last change was REVISION:
+ * it has lost what it had acknowledged since, and its revisions start there
+ * again.  All entries are read anew after this.  What the copy lacks holds for
+ * a while: runners that are not in it may write their entries again, and those
+ * that have left since stay unused.
+ */
+void bd_targets_begin_era (struct bd_targets *targets, int64_t now_ms,
+                           uint64_t revision);
+
+/** Returns the number of runners whose entries are distrusted. */
+size_t bd_targets_distrusted_count (const struct bd_targets *targets);
+
 /**
  * Records that TARGET announced in a response that it leaves, received here or
  * by a peer.  STARTED_MS is the start of the announcing process; a process
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -48,6 +48,7 @@
   X (3003, CONFIG_STALE, NOTICE, "older revision ignored")                    \
   X (3004, PLATFORM_DOWN, WARNING, "configuration service unreachable")       \
   X (3005, PLATFORM_UP, NOTICE, "configuration service reachable")            \
+  X (3006, PLATFORM_ERA, WARNING, "configuration service lost writes")        \
   X (4001, MEMBER_LIVE, NOTICE, "peer is live")                               \
   X (4002, MEMBER_SUSPECT, NOTICE, "peer is silent")                          \
   X (4003, MEMBER_GONE, NOTICE, "peer removed")                               \
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -22,6 +22,7 @@
   struct bd_exchange *pending;
   GPtrArray *calls;  /* Request targets, in order of arrival. */
   GQueue *responses; /* "STATUS BODY" */
+  char *fields;      /* Header fields of the responses. */
   uv_timer_t timeout;
   bool timed_out;
 };
@@ -38,7 +39,8 @@
     struct bd_exchange *exchange = fixture->pending;
 
     fixture->pending = NULL;
-    bd_exchange_reply (exchange, (int)strtol (next, NULL, 10), BD_CHUNK (""),
+    bd_exchange_reply (exchange, (int)strtol (next, NULL, 10),
+                       bd_chunk_of (fixture->fields ? fixture->fields : ""),
                        bd_chunk_of (next + 4));
   }
   g_free (next);
@@ -151,6 +153,15 @@
   send_response (fixture);
 }
 
+/* Sets the value of Store-Era in the next responses; NULL: no such field. */
+static void
+set_era (struct fixture *fixture, const char *value)
+{
+  g_free (fixture->fields);
+  fixture->fields
+      = value ? g_strdup_printf ("Store-Era: %s\r\n", value) : NULL;
+}
+
 /* Runs the event loop until the store has received CALLS calls. */
 static void
 await_calls (struct fixture *fixture, guint calls)
@@ -326,6 +337,110 @@
   g_assert_cmpint (routing_version (&fixture), ==, 12);
 }
 
+/* Opens the fixture with a store of era 1 that has runners a to d, of which a
+   then drains and b leaves, and which then comes back in era 2 from an older
+   copy, with all four ready.  The watch from before shows the new era. */
+static void
+return_from_copy (struct fixture *fixture)
+{
+  open_fixture (fixture);
+  set_era (fixture, "1");
+  add_item_response (fixture, "items", "\"hasMore\":true,", 20,
+                     runner_item ("a", 12, "ready"),
+                     runner_item ("b", 13, "ready"));
+  add_item_response (fixture, "items", "\"hasMore\":false,", 20,
+                     runner_item ("c", 14, "ready"),
+                     runner_item ("d", 15, "ready"));
+  await_calls (fixture, 3);
+  add_item_response (fixture, "events", "", 40,
+                     runner_item ("a", 38, "draining"),
+                     g_strdup ("{\"key\":\"servers/b\",\"revision\":39,"
+                               "\"deleted\":true}"));
+  await_calls (fixture, 4);
+  set_era (fixture, "2");
+  add_item_response (fixture, "events", "", 41, NULL, NULL);
+  await_calls (fixture, 5);
+  g_assert_nonnull (strstr (fixture->calls->pdata[4], "range"));
+  add_item_response (fixture, "items", "\"hasMore\":true,", 22,
+                     runner_item ("a", 12, "ready"),
+                     runner_item ("b", 13, "ready"));
+  add_item_response (fixture, "items", "\"hasMore\":false,", 22,
+                     runner_item ("c", 14, "ready"),
+                     runner_item ("d", 15, "ready"));
+  await_calls (fixture, 7);
+}
+
+/* Runners that left in the former era stay unused, and what is written in the
+   new era counts, though its revisions are lower. */
+static void
+test_older_copy_runners (void)
+{
+  struct fixture fixture;
+
+  return_from_copy (&fixture);
+  g_assert_nonnull (strstr (fixture.calls->pdata[6], "after=22"));
+  g_assert_false (is_usable (&fixture, "a"));
+  g_assert_false (is_usable (&fixture, "b"));
+  g_assert_true (is_usable (&fixture, "c"));
+  g_assert_true (is_usable (&fixture, "d"));
+  add_item_response (&fixture, "events", "", 24,
+                     runner_item ("c", 23, "draining"),
+                     runner_item ("b", 24, "ready"));
+  await_calls (&fixture, 8);
+  g_assert_false (is_usable (&fixture, "a"));
+  g_assert_true (is_usable (&fixture, "b"));
+  g_assert_false (is_usable (&fixture, "c"));
+}
+
+/* A response whose era is missing, falls or is no number changes nothing, and
+   the same call is made again. */
+static void
+test_faulty_era (void)
+{
+  static const char *const eras[]
+      = { NULL, "1", "-3", "x", "", "2.5", "99999999999999999999" };
+  struct fixture fixture;
+
+  return_from_copy (&fixture);
+  for (guint i = 0; i < G_N_ELEMENTS (eras); i++)
+    {
+      set_era (&fixture, eras[i]);
+      add_item_response (&fixture, "events", "", 30 + (int)i,
+                         runner_item ("c", 30, "draining"),
+                         runner_item ("a", 30, "ready"));
+      await_calls (&fixture, 8 + i);
+      g_assert_true (is_usable (&fixture, "c"));
+      g_assert_false (is_usable (&fixture, "a"));
+      g_assert_nonnull (strstr (fixture.calls->pdata[7 + i], "after=22"));
+    }
+}
+
+/* The era rises again between two pages of the list: it is read from the
+   start, and what is known stays in use. */
+static void
+test_era_between_pages (void)
+{
+  struct fixture fixture;
+
+  return_from_copy (&fixture);
+  add_response (&fixture, "410 {}");
+  await_calls (&fixture, 8);
+  add_item_response (&fixture, "items", "\"hasMore\":true,", 23,
+                     runner_item ("c", 14, "ready"), NULL);
+  await_calls (&fixture, 9);
+  set_era (&fixture, "3");
+  add_item_response (&fixture, "items", "\"hasMore\":false,", 18, NULL, NULL);
+  await_calls (&fixture, 10);
+  g_assert_null (strstr (fixture.calls->pdata[9], "after="));
+  g_assert_true (is_usable (&fixture, "d"));
+  add_item_response (&fixture, "items", "\"hasMore\":false,", 18,
+                     runner_item ("c", 14, "ready"), NULL);
+  await_calls (&fixture, 11);
+  g_assert_true (is_usable (&fixture, "c"));
+  g_assert_true (is_usable (&fixture, "d")); /* It may write again. */
+  g_assert_false (is_usable (&fixture, "a"));
+}
+
 /* A malformed entry makes its own runner unusable; the other runners stay. */
 static void
 test_malformed_entries (void)
@@ -399,5 +514,8 @@
   g_test_add_func ("/store/outage", test_outage);
   g_test_add_func ("/store/older-copy-configuration",
                    test_older_copy_configuration);
+  g_test_add_func ("/store/older-copy-runners", test_older_copy_runners);
+  g_test_add_func ("/store/faulty-era", test_faulty_era);
+  g_test_add_func ("/store/era-between-pages", test_era_between_pages);
   return g_test_run ();
 }
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -1,5 +1,6 @@
 /* Tests of the list of runners: draining, store outages, restarts. */
 #include "balance/target.h"
+#include "common/random.h"
 #include "support_targets.h"
 
 #include <glib.h>
@@ -390,6 +391,328 @@
   bd_targets_destroy (targets);
 }
 
+/* The store comes back from an older copy. */
+
+static void
+put_ready (struct bd_targets *targets, int64_t now_ms, const char *id,
+           int64_t started_ms, uint64_t revision, bool draining)
+{
+  struct bd_target_entry entry = support_entry (id, "z0");
+
+  entry.started_ms = started_ms;
+  entry.draining = draining;
+  bd_targets_put (targets, now_ms, &entry, revision);
+}
+
+/* The copy has runners as ready that drain, have left or have been replaced
+   since.  The first two stay unused until they are known to be wrongly taken
+   for leaving: by a later entry, or when the copy's stays. */
+static void
+test_copy_lacks_leaving (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+
+  put_ready (targets, NOW, "drains", 5, 10, false);
+  put_ready (targets, NOW, "left", 5, 11, false);
+  put_ready (targets, NOW, "replaced", 5, 12, false);
+  put_ready (targets, NOW, "drains", 5, 30, true);
+  bd_targets_remove (targets, NOW, BD_CHUNK ("left"), 31);
+  put_ready (targets, NOW, "replaced", 6, 32, true);
+  bd_targets_tick (targets, NOW);
+  bd_targets_begin_era (targets, NOW + 1000, 20);
+  bd_targets_list_begin (targets);
+  put_ready (targets, NOW + 1000, "drains", 5, 10, false);
+  put_ready (targets, NOW + 1000, "left", 5, 11, false);
+  put_ready (targets, NOW + 1000, "replaced", 5, 12, false);
+  bd_targets_list_end (targets, NOW + 1000, 20);
+  bd_targets_tick (targets, NOW + 1000);
+  g_assert_false (usable (targets, "drains"));
+  g_assert_false (usable (targets, "left"));
+  g_assert_false (usable (targets, "replaced"));
+  g_assert_cmpuint (bd_targets_distrusted_count (targets), ==, 2);
+  /* Written in the new era, although at a revision of the former one. */
+  put_ready (targets, NOW + 1100, "drains", 5, 21, true);
+  put_ready (targets, NOW + 1100, "replaced", 6, 22, false);
+  bd_targets_tick (targets, NOW + 1000 + BD_TARGET_DISTRUST_MS);
+  g_assert_false (usable (targets, "drains"));
+  g_assert_true (usable (targets, "replaced"));
+  g_assert_true (usable (targets, "left")); /* The store still has it. */
+  bd_targets_destroy (targets);
+}
+
+/* The copy lacks a runner that has started since, and shows the process before
+   of another one.  Both stay in use until they write their entries again. */
+static void
+test_copy_lacks_start (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+
+  put_ready (targets, NOW, "new", 7, 30, false);
+  put_ready (targets, NOW, "restarted", 8, 31, false);
+  put_ready (targets, NOW, "lost", 9, 32, false);
+  bd_targets_begin_era (targets, NOW, 20);
+  bd_targets_list_begin (targets);
+  put_ready (targets, NOW, "restarted", 5, 12, false);
+  bd_targets_list_end (targets, NOW, 20);
+  bd_targets_tick (targets, NOW + BD_TARGET_LAPSE_MS - 1);
+  g_assert_true (usable (targets, "new"));
+  g_assert_true (usable (targets, "restarted"));
+  g_assert_cmpint (support_target (targets, "restarted")->started_ms, ==, 8);
+  put_ready (targets, NOW + 1500, "new", 7, 21, false);
+  bd_targets_tick (targets, NOW + BD_TARGET_LAPSE_MS);
+  g_assert_true (usable (targets, "new"));
+  g_assert_false (usable (targets, "lost"));
+  bd_targets_destroy (targets);
+}
+
+/* A small world: runners that start, drain, leave and restart, a store that
+   keeps their entries and comes back from copies, and an instance that reads
+   it.  Times in milliseconds. */
+#define WORLD_RUNNERS 5
+#define WORLD_STEP_MS 100
+#define WORLD_STEPS 400
+/* A living runner writes its entry again within this time; the store drops the
+   entry of a dead one after the next. */
+#define WORLD_HEARTBEAT_MS 800
+#define WORLD_EXPIRY_MS 2400
+
+struct world_entry
+{
+  bool present;
+  bool draining;
+  int64_t started_ms;
+  uint64_t revision;
+  int64_t written_ms;
+};
+
+struct world_store
+{
+  struct world_entry entries[WORLD_RUNNERS];
+  uint64_t revision;
+};
+
+struct world
+{
+  struct bd_targets *targets;
+  struct world_store store;
+  struct world_store copy;
+  bool alive[WORLD_RUNNERS];
+  bool draining[WORLD_RUNNERS];
+  int64_t started_ms[WORLD_RUNNERS];
+  int64_t next_write_ms[WORLD_RUNNERS];
+  /* The latest process that the instance knows to leave; 0: none. */
+  int64_t known_leaving[WORLD_RUNNERS];
+  uint64_t watched_revision;
+  bool returned; /* From a copy, which the instance has not read yet. */
+  int64_t now_ms;
+  uint64_t random;
+};
+
+static const char *const world_ids[WORLD_RUNNERS]
+    = { "w0", "w1", "w2", "w3", "w4" };
+
+static void
+world_write (struct world *world, int i)
+{
+  world->store.entries[i]
+      = (struct world_entry){ true, world->draining[i], world->started_ms[i],
+                              ++world->store.revision, world->now_ms };
+}
+
+static void
+world_delete (struct world *world, int i)
+{
+  world->store.entries[i].present = false;
+  world->store.entries[i].revision = ++world->store.revision;
+}
+
+/* One of the runners does something. */
+static void
+world_act (struct world *world)
+{
+  int i = (int)bd_random_below (&world->random, WORLD_RUNNERS);
+
+  switch (bd_random_below (&world->random, 6))
+    {
+    case 0:
+      world->draining[i] = true;
+      if (world->alive[i])
+        world_write (world, i);
+      break;
+    case 1:
+      if (world->alive[i] && world->draining[i])
+        world_delete (world, i);
+      world->alive[i] = world->alive[i] && !world->draining[i];
+      break;
+    case 2:
+      world->alive[i] = false; /* Crashes, and is silent. */
+      break;
+    default:
+      if (world->alive[i])
+        break;
+      world->alive[i] = true;
+      world->draining[i] = false;
+      world->started_ms[i] = world->now_ms;
+      world_write (world, i);
+      break;
+    }
+}
+
+static void
+world_heartbeats (struct world *world)
+{
+  for (int i = 0; i < WORLD_RUNNERS; i++)
+    {
+      struct world_entry *entry = &world->store.entries[i];
+      bool same = entry->present && entry->draining == world->draining[i]
+                  && entry->started_ms == world->started_ms[i];
+
+      if (world->alive[i] && world->now_ms >= world->next_write_ms[i])
+        {
+          world->next_write_ms[i]
+              = world->now_ms
+                + bd_random_below (&world->random, WORLD_HEARTBEAT_MS);
+          entry->written_ms = world->now_ms;
+          if (!same)
+            world_write (world, i);
+        }
+      if (!world->alive[i] && entry->present
+          && world->now_ms - entry->written_ms > WORLD_EXPIRY_MS)
+        world_delete (world, i);
+    }
+}
+
+/* The store keeps a copy, or comes back from the last one. */
+static void
+world_copies (struct world *world)
+{
+  uint32_t which = bd_random_below (&world->random, 40);
+
+  if (which < 3)
+    world->copy = world->store;
+  if (which != 39)
+    return;
+  world->store = world->copy;
+  for (int i = 0; i < WORLD_RUNNERS; i++)
+    world->store.entries[i].written_ms = world->now_ms;
+  world->returned = true;
+}
+
+static void
+world_apply (struct world *world, int i)
+{
+  const struct world_entry *entry = &world->store.entries[i];
+
+  if (entry->present)
+    put_ready (world->targets, world->now_ms, world_ids[i], entry->started_ms,
+               entry->revision, entry->draining);
+  else if (entry->revision > 0)
+    bd_targets_remove (world->targets, world->now_ms,
+                       bd_chunk_of (world_ids[i]), entry->revision);
+}
+
+/* Notes the processes that the instance takes for leaving or gone now; one
+   whose entry lapses may still come back. */
+static void
+world_note_leaving (struct world *world)
+{
+  for (int i = 0; i < WORLD_RUNNERS; i++)
+    {
+      const struct world_entry *entry = &world->store.entries[i];
+
+      if (entry->revision > 0 && (!entry->present || entry->draining)
+          && !usable (world->targets, world_ids[i]))
+        world->known_leaving[i]
+            = MAX (world->known_leaving[i], entry->started_ms);
+    }
+}
+
+/* The instance reads the store: by its watch, or whole after a return. */
+static void
+world_read (struct world *world)
+{
+  if (world->returned)
+    {
+      bd_targets_begin_era (world->targets, world->now_ms,
+                            world->store.revision);
+      bd_targets_list_begin (world->targets);
+      for (int i = 0; i < WORLD_RUNNERS; i++)
+        if (world->store.entries[i].present)
+          world_apply (world, i);
+      bd_targets_list_end (world->targets, world->now_ms,
+                           world->store.revision);
+    }
+  else
+    for (uint64_t r = world->watched_revision + 1; r <= world->store.revision;
+         r++)
+      for (int i = 0; i < WORLD_RUNNERS; i++)
+        if (world->store.entries[i].revision == r)
+          world_apply (world, i);
+  world->returned = false;
+  world->watched_revision = world->store.revision;
+  bd_targets_tick (world->targets, world->now_ms);
+  world_note_leaving (world);
+}
+
+/* No process is used that was known to leave, whatever a copy says. */
+static void
+world_check (const struct world *world, uint64_t seed)
+{
+  for (int i = 0; i < WORLD_RUNNERS; i++)
+    {
+      const struct bd_target *target
+          = bd_targets_find (world->targets, bd_chunk_of (world_ids[i]));
+
+      if (target && bd_target_usable (target)
+          && target->started_ms <= world->known_leaving[i])
+        g_error ("seed %" G_GUINT64_FORMAT ": %s is used at %" G_GINT64_FORMAT
+                 ", its process has left",
+                 seed, world_ids[i], world->now_ms);
+    }
+}
+
+/* When nothing happens any more, exactly the living runners are used. */
+static void
+world_settle (struct world *world, uint64_t seed)
+{
+  for (int step = 0; step < 200; step++)
+    {
+      world->now_ms += WORLD_STEP_MS;
+      world_heartbeats (world);
+      world_read (world);
+    }
+  for (int i = 0; i < WORLD_RUNNERS; i++)
+    if (usable (world->targets, world_ids[i])
+        != (world->alive[i] && !world->draining[i]))
+      g_error ("seed %" G_GUINT64_FORMAT ": %s is%s used in the end", seed,
+               world_ids[i],
+               usable (world->targets, world_ids[i]) ? "" : " not");
+}
+
+static void
+test_return_search (void)
+{
+  for (uint64_t seed = 1; seed <= 400; seed++)
+    {
+      struct world world = { .now_ms = NOW, .random = seed };
+
+      world.targets = bd_targets_create ();
+      for (int step = 0; step < WORLD_STEPS; step++)
+        {
+          world.now_ms += WORLD_STEP_MS;
+          if (bd_random_below (&world.random, 4) == 0)
+            world_act (&world);
+          world_heartbeats (&world);
+          world_copies (&world);
+          if (bd_random_below (&world.random, 3) > 0)
+            world_read (&world);
+          world_check (&world, seed);
+        }
+      world_settle (&world, seed);
+      bd_targets_destroy (world.targets);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -410,5 +733,8 @@
   g_test_add_func ("/target/short-only-few-runners",
                    test_short_only_few_runners);
   g_test_add_func ("/target/by-hash", test_by_hash);
+  g_test_add_func ("/target/copy-lacks-leaving", test_copy_lacks_leaving);
+  g_test_add_func ("/target/copy-lacks-start", test_copy_lacks_start);
+  g_test_add_func ("/target/return-search", test_return_search);
   return g_test_run ();
 }
