Soak: the store comes back from an older copy

Every 8 s a copy is made and 3 s later the store returns from it, cuts its connections and counts an era; a second after that the operator and the runners write again, and entries of runners that have left expire. The schedule is apart from the other faults, whose order stays.

--- a/test/soak/fault_schedule.c
+++ b/test/soak/fault_schedule.c
@@ -376,6 +376,91 @@
       values[soak_random_below (&plan.random, G_N_ELEMENTS (values))]);
 }
 
+/* Returns of the store from an older copy.  They have a schedule of their own,
+   so that a seed's other faults stay the same. */
+
+#define RETURN_STEP_MS 500
+#define RETURN_CYCLE_STEPS 16
+/* Steps of a cycle: the copy is made, the store returns from it, and what was
+   lost is written again. */
+#define RETURN_COPY_STEP 2
+#define RETURN_STEP 8
+#define RETURN_WRITE_STEP 10
+
+static struct
+{
+  uv_timer_t timer;
+  uint32_t step;
+} returns;
+
+static bool
+is_written_by_runner (const struct soak *soak, const char *key)
+{
+  for (size_t i = 0; i < soak->runner_count; i++)
+    if (soak_runner_has_key (soak->runners[i], key))
+      return true;
+  return false;
+}
+
+/* The operator and the runners write again what the copy lacks, and entries of
+   runners that have left expire. */
+static void
+write_again (struct soak *soak)
+{
+  GPtrArray *keys = soak_store_keys (soak->store);
+
+  for (guint i = 0; i < keys->len; i++)
+    if (g_str_has_prefix (keys->pdata[i], "servers/")
+        && !is_written_by_runner (soak, keys->pdata[i]))
+      soak_store_write (soak->store, keys->pdata[i], NULL);
+  g_ptr_array_free (keys, TRUE);
+  for (size_t i = 0; i < soak->runner_count; i++)
+    soak_runner_write_again (soak->runners[i]);
+  soak_publish (soak, soak->route_moved);
+}
+
+static void
+on_return_step (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  switch (returns.step++ % RETURN_CYCLE_STEPS)
+    {
+    case RETURN_COPY_STEP:
+      soak_store_copy (soak->store);
+      return;
+    case RETURN_STEP:
+      soak_log (soak, "store: returns from an older copy");
+      soak_store_return (soak->store);
+      soak->faults++;
+      break;
+    case RETURN_WRITE_STEP:
+      write_again (soak);
+      break;
+    default:
+      return;
+    }
+  soak->last_fault_ms = soak_now_ms (soak);
+}
+
+static void
+start_returns (struct soak *soak)
+{
+  returns.step = (uint32_t)(soak->seed % RETURN_CYCLE_STEPS);
+  uv_timer_init (&soak->loop, &returns.timer);
+  returns.timer.data = soak;
+  uv_timer_start (&returns.timer, on_return_step, RETURN_STEP_MS,
+                  RETURN_STEP_MS);
+}
+
+/* Ends the returns; a store that has just returned is completed. */
+static void
+end_returns (struct soak *soak)
+{
+  uv_timer_stop (&returns.timer);
+  write_again (soak);
+}
+
 /* Gateways. */
 
 static void
@@ -528,6 +613,7 @@
 {
   start_phase (soak, true);
   soak_limits_start (soak);
+  start_returns (soak);
 }
 
 void
@@ -548,6 +634,9 @@
 {
   uv_timer_stop (&plan.timer);
   soak_limits_end (soak);
+  if (returns.timer.data)
+    end_returns (soak);
+  returns.timer.data = NULL;
   plan.ending_all = true;
   /* The end of a fault can start another one. */
   while (plan.count > 0)
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -559,6 +559,20 @@
   return runner->runs != NULL;
 }
 
+bool
+soak_runner_has_key (const struct soak_runner *runner, const char *key)
+{
+  return runner->published && g_str_has_prefix (key, "servers/")
+         && strcmp (key + strlen ("servers/"), runner->id) == 0;
+}
+
+void
+soak_runner_write_again (struct soak_runner *runner)
+{
+  if (runner->published)
+    write_entry (runner);
+}
+
 struct soak_limit *
 soak_runner_limit (struct soak_runner *runner)
 {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -287,6 +287,15 @@
 /** Compacts the history: watches of older revisions get 410. */
 void soak_store_compact (struct soak_store *store);
 
+/** Keeps a copy of all items. */
+void soak_store_copy (struct soak_store *store);
+
+/** Comes back from the last copy, which begins a new era. */
+void soak_store_return (struct soak_store *store);
+
+/** Returns the keys of all items; the caller frees the array. */
+GPtrArray *soak_store_keys (const struct soak_store *store);
+
 /* Runners. */
 
 struct soak_runner *soak_runner_create (struct soak *soak, int host,
@@ -308,6 +317,12 @@
 bool soak_runner_busy (const struct soak_runner *runner);
 struct soak_limit *soak_runner_limit (struct soak_runner *runner);
 
+/** Whether KEY is the store's key of RUNNER, which is published. */
+bool soak_runner_has_key (const struct soak_runner *runner, const char *key);
+
+/** Writes the runner's entry again if it is published. */
+void soak_runner_write_again (struct soak_runner *runner);
+
 /* Gateways. */
 
 struct soak_gateway *soak_gateway_create (struct soak *soak, int number);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -33,7 +33,11 @@
   enum soak_store_mode mode;
   uint64_t revision;
   uint64_t compacted_revision; /* Older watches get 410. */
-  GHashTable *items;           /* Key to struct version. */
+  uint32_t era;                /* Number of returns from an older copy. */
+  GHashTable *copy_items; /* The copy, as the members above; NULL: none. */
+  uint64_t copy_revision;
+  guint copy_history;
+  GHashTable *items; /* Key to struct version. */
   GPtrArray *history;
   GPtrArray *watchers;
   GPtrArray *delayed; /* Requests held back by the SLOW and SILENT modes. */
@@ -51,14 +55,17 @@
 }
 
 static void
-reply (struct bd_exchange *exchange, int status, json_t *body)
+reply (const struct soak_store *store, struct bd_exchange *exchange,
+       int status, json_t *body)
 {
   char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
+  char *fields = g_strdup_printf (
+      "Content-Type: application/json\r\nStore-Era: %u\r\n", store->era);
 
-  bd_exchange_reply (exchange, status,
-                     BD_CHUNK ("Content-Type: application/json\r\n"),
+  bd_exchange_reply (exchange, status, bd_chunk_of (fields),
                      bd_chunk_of (text ? text : "{}"));
   free (text);
+  g_free (fields);
   json_decref (body);
 }
 
@@ -72,7 +79,7 @@
   g_hash_table_iter_init (&iter, store->items);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     json_array_append_new (items, version_to_json (value));
-  reply (exchange, 200,
+  reply (store, exchange, 200,
          json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore", 0,
                     "storeRevision", (json_int_t)store->revision));
 }
@@ -84,9 +91,10 @@
 {
   json_t *events;
 
-  if (watcher->after < store->compacted_revision)
+  if (watcher->after < store->compacted_revision
+      || watcher->after > store->revision)
     {
-      reply (watcher->exchange, 410, NULL);
+      reply (store, watcher->exchange, 410, NULL);
       return true;
     }
   if (watcher->after >= store->revision
@@ -100,7 +108,7 @@
       if (version->revision > watcher->after)
         json_array_append_new (events, version_to_json (version));
     }
-  reply (watcher->exchange, 200,
+  reply (store, watcher->exchange, 200,
          json_pack ("{s:o,s:I}", "events", events, "storeRevision",
                     (json_int_t)store->revision));
   return true;
@@ -164,7 +172,7 @@
   switch (store->mode)
     {
     case SOAK_STORE_BUSY:
-      reply (exchange, 503, NULL);
+      reply (store, exchange, 503, NULL);
       break;
     case SOAK_STORE_RESET:
       bd_exchange_abort (exchange);
@@ -256,6 +264,59 @@
   answer_due_watches (store);
 }
 
+/* Returns a table of the same items. */
+static GHashTable *
+share_items (GHashTable *items)
+{
+  GHashTable *shared = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, items);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_hash_table_insert (shared, key, value);
+  return shared;
+}
+
+void
+soak_store_copy (struct soak_store *store)
+{
+  if (store->copy_items)
+    g_hash_table_destroy (store->copy_items);
+  store->copy_items = share_items (store->items);
+  store->copy_revision = store->revision;
+  store->copy_history = store->history->len;
+}
+
+void
+soak_store_return (struct soak_store *store)
+{
+  if (!store->copy_items)
+    return;
+  g_hash_table_destroy (store->items);
+  store->items = share_items (store->copy_items);
+  store->revision = store->copy_revision;
+  if (store->compacted_revision > store->revision)
+    store->compacted_revision = store->revision;
+  g_ptr_array_set_size (store->history, (gint)store->copy_history);
+  store->era++;
+  soak_proxy_reset (store->proxy);
+}
+
+GPtrArray *
+soak_store_keys (const struct soak_store *store)
+{
+  GPtrArray *keys = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, store->items);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_ptr_array_add (keys, key);
+  return keys;
+}
+
 void
 soak_store_set (struct soak_store *store, enum soak_store_mode mode)
 {
