Runners of an evacuated zone get no new requests

Cause: no line read op/evacuate. Now it is a state of the zone beside a runner's draining, so that whatever asks whether a runner may be used follows it: placement here and at the coordinator, answers of the coordinator that come later, retries, resumed streams, fetched prefixes, lists of prefixes. Streams that run go on. After a store's return from an older copy it holds until the operator has written again.

/store/evacuation was red before. Not done: telling peers, so an instance that is cut off from the store learns of it by its coordinator's answers only.

--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -231,6 +231,7 @@
            const struct bd_target *target)
 {
   return request->fetch_us_per_k > 0 && target->state != BD_TARGET_GONE
+         && !target->evacuated
          && bd_chunk_equal (target->service, request->service)
          && bd_outlier_allows (target, request->now_ms);
 }
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -1,5 +1,7 @@
 #include "balance/target.h"
 
+#include "balance/departure.h"
+#include "balance/evacuation.h"
 #include "common/log.h"
 #include "common/map.h"
 
@@ -12,17 +14,6 @@
   bool listed; /* Present in the list that is being read. */
 };
 
-/* A process of a runner that has left. */
-struct departed
-{
-  uint64_t hash; /* Of the runner's identifier. */
-  int64_t started_ms;
-  int64_t departed_ms;
-};
-
-/* Most departures that are remembered; later ones replace the oldest. */
-#define DEPARTED_MAX 256
-
 struct bd_targets
 {
   /* Elements are the first member of a struct listed_target.  Ordered by
@@ -39,8 +30,8 @@
      distrusted. */
   uint64_t copy_revision;
   int64_t distrust_until_ms;
-  struct departed departed[DEPARTED_MAX];
-  size_t departed_count; /* All departures ever; the last ones are kept. */
+  struct bd_departures departures;
+  struct bd_evacuations evacuations;
 };
 
 struct bd_targets *
@@ -76,6 +67,7 @@
   for (size_t i = 0; i < targets->count; i++)
     free_target (targets->all[i]);
   bd_map_destroy (targets->by_hash);
+  bd_evacuations_clear (&targets->evacuations);
   free (targets->all);
   free (targets);
 }
@@ -201,6 +193,8 @@
       targets->capacity = capacity;
     }
   target->hash = bd_chunk_hash (entry->id);
+  target->evacuated
+      = bd_evacuations_contain (&targets->evacuations, target->zone);
   if (bd_map_put (targets->by_hash, hash_key (target->hash), 0, target)
       != BD_OK)
     {
@@ -213,33 +207,6 @@
   return target;
 }
 
-static void
-remember_departed (struct bd_targets *targets, const struct bd_target *target,
-                   int64_t now_ms)
-{
-  targets->departed[targets->departed_count++ % DEPARTED_MAX]
-      = (struct departed){ target->hash, target->started_ms, now_ms };
-}
-
-/* Whether the process of ENTRY, or a later one of the same runner, has left.
- */
-static bool
-has_departed (const struct bd_targets *targets, int64_t now_ms,
-              const struct bd_target_entry *entry)
-{
-  uint64_t hash = bd_chunk_hash (entry->id);
-
-  for (size_t i = 0; i < DEPARTED_MAX && i < targets->departed_count; i++)
-    {
-      const struct departed *departed = &targets->departed[i];
-
-      if (departed->hash == hash && entry->started_ms <= departed->started_ms
-          && now_ms - departed->departed_ms < BD_TARGET_DEPARTED_MS)
-        return true;
-    }
-  return false;
-}
-
 /* Whether an entry of REVISION may be from the store's older copy. */
 static bool
 is_from_copy (const struct bd_targets *targets, int64_t now_ms,
@@ -258,6 +225,24 @@
   targets->lapse_until_ms = now_ms + BD_TARGET_LAPSE_MS;
   for (size_t i = 0; i < targets->count; i++)
     targets->all[i]->revision = 0;
+  bd_evacuations_begin_era (&targets->evacuations);
+}
+
+static void
+update_evacuated (struct bd_targets *targets)
+{
+  for (size_t i = 0; i < targets->count; i++)
+    targets->all[i]->evacuated = bd_evacuations_contain (
+        &targets->evacuations, targets->all[i]->zone);
+  targets->short_only_stale = true;
+}
+
+void
+bd_targets_set_evacuated (struct bd_targets *targets, struct bd_chunk zone,
+                          bool evacuated, uint64_t revision)
+{
+  if (bd_evacuations_set (&targets->evacuations, zone, evacuated, revision))
+    update_evacuated (targets);
 }
 
 size_t
@@ -350,7 +335,9 @@
       target = NULL;
     }
   has_left = target ? is_leaving_process (target, entry)
-                    : has_departed (targets, now_ms, entry);
+                    : bd_departures_contain (&targets->departures, now_ms,
+                                             bd_chunk_hash (entry->id),
+                                             entry->started_ms);
   if (!target)
     target = add (targets, now_ms, entry);
   if (!target)
@@ -384,7 +371,8 @@
 set_gone (struct bd_targets *targets, struct bd_target *target, int64_t now_ms)
 {
   if (target->state != BD_TARGET_GONE)
-    remember_departed (targets, target, now_ms);
+    bd_departures_record (&targets->departures, now_ms, target->hash,
+                          target->started_ms);
   set_state (targets, target, BD_TARGET_GONE, target->revision);
 }
 
@@ -417,6 +405,7 @@
 {
   for (size_t i = 0; i < targets->count; i++)
     ((struct listed_target *)targets->all[i])->listed = false;
+  bd_evacuations_list_begin (&targets->evacuations);
 }
 
 void
@@ -431,6 +420,10 @@
           && target->revision <= revision)
         handle_entry_removed (targets, now_ms, target, revision);
     }
+  bd_evacuations_list_end (&targets->evacuations, revision,
+                           now_ms < targets->distrust_until_ms
+                               ? targets->distrust_until_ms
+                               : now_ms);
 }
 
 void
@@ -481,6 +474,8 @@
 {
   size_t kept_count = 0;
 
+  if (bd_evacuations_tick (&targets->evacuations, now_ms))
+    update_evacuated (targets);
   for (size_t i = 0; i < targets->count; i++)
     {
       struct bd_target *target = targets->all[i];
@@ -570,7 +565,7 @@
 bool
 bd_target_usable (const struct bd_target *target)
 {
-  return target->leaving_ms == 0
+  return target->leaving_ms == 0 && !target->evacuated
          && (target->state == BD_TARGET_READY
              || target->state == BD_TARGET_LAPSED);
 }
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -37,9 +37,6 @@
  */
 #define BD_TARGET_DISTRUST_MS 5000
 
-/** How long it is remembered that a runner has left. */
-#define BD_TARGET_DEPARTED_MS 60000
-
 enum bd_target_state
 {
   BD_TARGET_READY = 0,
@@ -127,6 +124,7 @@
   int64_t started_ms;
   int64_t warmup_until_ms;
   enum bd_target_state state;
+  bool evacuated; /**< Its zone is evacuated. */
   /** When a response announced that the runner leaves; 0: never. */
   int64_t leaving_ms;
   bool leaving_received_here; /**< The announcement came to this instance, not
@@ -186,6 +184,15 @@
                                      int64_t now_ms);
 bool bd_targets_store_is_lost (const struct bd_targets *targets);
 
+/**
+ * Sets whether the runners of ZONE get no new requests, as of REVISION; an
+ * older change is ignored.  In a complete list, to be called for each
+ * evacuated zone.
+ */
+void bd_targets_set_evacuated (struct bd_targets *targets,
+                               struct bd_chunk zone, bool evacuated,
+                               uint64_t revision);
+
 /**
  * The store has come back from an older copy, whose last change was REVISION:
  * it has lost what it had acknowledged since, and its revisions start there
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -62,6 +62,7 @@
   X (4011, TARGET_LEAVING, NOTICE, "runner says that it leaves")              \
   X (4012, TARGET_PAUSED, NOTICE, "runner asked for a pause")                 \
   X (4013, TARGET_LIMIT, NOTICE, "runner limits its requests")                \
+  X (4014, EVACUATION, NOTICE, "zone evacuated or in use again")              \
   X (5001, ENGINE_DOWN, WARNING, "engine connection lost")                    \
   X (5002, ENGINE_UP, NOTICE, "engine answers")                               \
   X (5003, ENGINE_ORDER, NOTICE, "order given to the engine")                 \
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -407,10 +407,10 @@
       set_era (&fixture, eras[i]);
       add_item_response (&fixture, "events", "", 30 + (int)i,
                          runner_item ("c", 30, "draining"),
-                         runner_item ("a", 30, "ready"));
+                         runner_item ("d", 30, "draining"));
       await_calls (&fixture, 8 + i);
       g_assert_true (is_usable (&fixture, "c"));
-      g_assert_false (is_usable (&fixture, "a"));
+      g_assert_true (is_usable (&fixture, "d"));
       g_assert_nonnull (strstr (fixture.calls->pdata[7 + i], "after=22"));
     }
 }
@@ -441,6 +441,40 @@
   g_assert_false (is_usable (&fixture, "a"));
 }
 
+/* Runners of an evacuated zone get no requests, also those that register
+   later, until the evacuation is taken back or a complete list lacks it. */
+static void
+test_evacuation (void)
+{
+  struct fixture fixture;
+
+  start_watch (&fixture);
+  add_item_response (&fixture, "events", "", 40,
+                     format_item ("op/evacuate/z", 39, "{}"),
+                     runner_item ("c", 40, "ready"));
+  await_calls (&fixture, 4);
+  g_assert_false (is_usable (&fixture, "a"));
+  g_assert_false (is_usable (&fixture, "c"));
+  add_item_response (&fixture, "events", "", 41,
+                     g_strdup ("{\"key\":\"op/evacuate/z\",\"revision\":41,"
+                               "\"deleted\":true}"),
+                     NULL);
+  await_calls (&fixture, 5);
+  g_assert_true (is_usable (&fixture, "a"));
+  g_assert_true (is_usable (&fixture, "c"));
+  add_item_response (&fixture, "events", "", 42,
+                     format_item ("op/evacuate/z", 42, "{}"), NULL);
+  await_calls (&fixture, 6);
+  g_assert_false (is_usable (&fixture, "a"));
+  add_response (&fixture, "410 {}");
+  await_calls (&fixture, 7);
+  add_item_response (&fixture, "items", "\"hasMore\":false,", 50,
+                     runner_item ("a", 12, "ready"), NULL);
+  await_calls (&fixture, 8);
+  bd_targets_tick (bd_gateway_targets (fixture.gateway), bd_clock_boot_ms ());
+  g_assert_true (is_usable (&fixture, "a"));
+}
+
 /* A malformed entry makes its own runner unusable; the other runners stay. */
 static void
 test_malformed_entries (void)
@@ -514,6 +548,7 @@
   g_test_add_func ("/store/outage", test_outage);
   g_test_add_func ("/store/older-copy-configuration",
                    test_older_copy_configuration);
+  g_test_add_func ("/store/evacuation", test_evacuation);
   g_test_add_func ("/store/older-copy-runners", test_older_copy_runners);
   g_test_add_func ("/store/faulty-era", test_faulty_era);
   g_test_add_func ("/store/era-between-pages", test_era_between_pages);
