A new entry's first callers find the bucket that the bound gives them

Cause: contracts come before the number of entries. Until that is known 16 are assumed, and the bucket was filled for a sixteenth of the floor: one request of 100 a second. It was never filled up when the number came.

--- a/src/limits/limiter.c
+++ b/src/limits/limiter.c
@@ -350,12 +350,43 @@
     }
 }
 
+/* Fills up a bucket that was filled when its share was OLD_SHARE. */
+static void
+raise_level (struct bd_token_bucket *bucket, double old_share, double share)
+{
+  double change = bd_token_bucket_capacity (bucket, share)
+                  - bd_token_bucket_capacity (bucket, old_share);
+
+  bucket->level += fmax (0.0, change);
+}
+
+/* The buckets were filled when the number of entries was not known yet. */
+static void
+raise_levels (struct bd_limiter *l, int64_t now_ms, uint32_t entries)
+{
+  double old_floor = bd_share_floor (&l->group);
+  double floor;
+
+  for (size_t i = 0; i < l->workspace_count; i++)
+    refill (l, l->workspaces[i], now_ms);
+  l->group.entry_count = entries;
+  floor = bd_share_floor (&l->group);
+  for (size_t i = 0; i < l->workspace_count; i++)
+    {
+      raise_level (&l->workspaces[i]->requests, old_floor, floor);
+      raise_level (&l->workspaces[i]->tokens, old_floor, floor);
+    }
+}
+
 void
 bd_limiter_set_entry_count (struct bd_limiter *l, int64_t now_ms,
                             uint32_t entries)
 {
+  entries = entries > 0 ? entries : 1;
   bd_share_group_start (&l->group, now_ms);
-  l->group.entry_count = entries > 0 ? entries : 1;
+  if (l->group.entry_count == 0)
+    raise_levels (l, now_ms, entries);
+  l->group.entry_count = entries;
 }
 
 static void
--- a/test/test_limiter.c
+++ b/test/test_limiter.c
@@ -478,6 +478,30 @@
   bd_limiter_destroy (l);
 }
 
+/* An entry learns its limits before the number of entries.  Its first callers
+   get the bucket of the floor's rate, as if it had known both at once; the
+   second one was refused. */
+static void
+test_number_known_late (void)
+{
+  struct bd_limits limits = { 100, 100000, 100 };
+  struct bd_limiter *l = bd_limiter_create (1);
+  int32_t retry_after_ms;
+
+  bd_limiter_set (l, 0, 7, &limits);
+  g_assert_cmpint (bd_limiter_admit (l, 0, 7, 8, &retry_after_ms), ==, BD_OK);
+  bd_limiter_set_entry_count (l, 0, 2);
+  for (int i = 1; i < 5; i++)
+    g_assert_cmpint (bd_limiter_admit (l, 0, 7, 8, &retry_after_ms), ==,
+                     BD_OK);
+  g_assert_cmpint (bd_limiter_admit (l, 0, 7, 8, &retry_after_ms), ==,
+                   BD_ERR_RATE_LIMITED);
+  bd_limiter_set_entry_count (l, 0, 1); /* Fills the bucket once only. */
+  g_assert_cmpint (bd_limiter_admit (l, 0, 7, 8, &retry_after_ms), ==,
+                   BD_ERR_RATE_LIMITED);
+  bd_limiter_destroy (l);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -491,6 +515,7 @@
   g_test_add_func ("/limiter/restarts", test_restarts);
   g_test_add_func ("/limiter/refusals", test_refusals);
   g_test_add_func ("/limiter/unknown-number", test_unknown_number);
+  g_test_add_func ("/limiter/number-known-late", test_number_known_late);
   g_test_add_func ("/limiter/claim-needs-answer", test_claim_needs_answer);
   g_test_add_func ("/limiter/return-after-silence", test_return_after_silence);
   g_test_add_func ("/limiter/claim-is-always-sent", test_claim_is_always_sent);
