--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -4,6 +4,7 @@
 #include "balance/target_load.h"
 #include "balance/outlier.h"
 #include "balance/pause.h"
+#include "balance/shard.h"
 #include "common/random.h"
 
 #include <float.h>
@@ -52,8 +53,6 @@
 #define STALL_URGENT_MAX 8
 #define SMALL_TOKENS 6000
 #define SMALL_RATIO 0.2
-/* Most runners of a shard, which bounds the work of its coordinator. */
-#define SHARD_RUNNERS_MAX 64
 /* Ratio of a request's prefill tokens that counts towards utilization. */
 #define OWN_PREFILL_RATIO 0.5
 /* Fixed cost of fetching a prefix from another runner, and the weight of the
@@ -140,32 +139,6 @@
   return false;
 }
 
-uint32_t
-bd_selection_shard_count (struct bd_target *const *targets, size_t count,
-                          struct bd_chunk service)
-{
-  uint32_t runners = 0;
-
-  for (size_t i = 0; i < count; i++)
-    runners += bd_target_usable (targets[i])
-               && bd_chunk_equal (targets[i]->service, service);
-  return runners <= SHARD_RUNNERS_MAX
-             ? 1
-             : (runners + SHARD_RUNNERS_MAX - 1) / SHARD_RUNNERS_MAX;
-}
-
-uint32_t
-bd_selection_shard (uint64_t prefix_hash, uint32_t shards)
-{
-  uint32_t best = 0;
-
-  /* Rendezvous hashing: a new number of shards moves few prefixes. */
-  for (uint32_t s = 1; s < shards; s++)
-    if (bd_random_mix (prefix_hash + s) > bd_random_mix (prefix_hash + best))
-      best = s;
-  return best;
-}
-
 static bool
 serves (const struct bd_selection_request *request,
         const struct bd_target *target)
@@ -173,8 +146,7 @@
   return bd_target_usable (target)
          && bd_chunk_equal (target->service, request->service)
          && (request->shards <= 1
-             || bd_selection_shard (target->hash, request->shards)
-                    == request->shard);
+             || bd_shard_of (target->hash, request->shards) == request->shard);
 }
 
 static uint64_t
--- a/src/balance/selection.h
+++ b/src/balance/selection.h
@@ -103,16 +103,6 @@
 struct bd_selector *bd_selector_create (uint64_t seed);
 void bd_selector_destroy (struct bd_selector *selector);
 
-/**
- * Returns the shard, of SHARDS (at least 1), to which the prefix or the runner
- * with this hash belongs.
- */
-uint32_t bd_selection_shard (uint64_t prefix_hash, uint32_t shards);
-
-/** Returns into how many shards the runners of SERVICE are divided. */
-uint32_t bd_selection_shard_count (struct bd_target *const *targets,
-                                   size_t count, struct bd_chunk service);
-
 /**
  * Whether the prompt has a shared prefix that is long enough to be sent where
  * it is cached.
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -2,6 +2,7 @@
 
 #include "balance/departure.h"
 #include "balance/evacuation.h"
+#include "balance/short_only.h"
 #include "common/log.h"
 #include "common/map.h"
 
@@ -498,50 +499,18 @@
   targets->count = kept_count;
 }
 
-/*
- * A long prompt delays every token of the requests beside it, so some runners
- * of a service are reserved for short prompts: the first ones in the order of
- * their hashes, which is the same at every instance.
- */
-static void
-set_short_only (struct bd_target *const *runners, size_t count)
-{
-  size_t remaining = 0;
-
-  for (size_t i = 0; i < count; i++)
-    remaining += bd_target_usable (runners[i]);
-  remaining = remaining < BD_TARGET_SHORT_RUNNERS_MIN
-                  ? 0
-                  : (remaining + BD_TARGET_SHORT_ONE_IN - 1)
-                        / BD_TARGET_SHORT_ONE_IN;
-  for (size_t i = 0; i < count; i++)
-    {
-      runners[i]->short_only = remaining > 0 && bd_target_usable (runners[i]);
-      remaining -= runners[i]->short_only;
-    }
-}
-
 static void
 update_short_only (struct bd_targets *targets)
 {
-  size_t first = 0;
-
+  if (targets->short_only_stale)
+    bd_short_only_update (targets->all, targets->count);
   targets->short_only_stale = false;
-  for (size_t i = 1; i <= targets->count; i++)
-    if (i == targets->count
-        || !bd_chunk_equal (targets->all[i]->service,
-                            targets->all[first]->service))
-      {
-        set_short_only (&targets->all[first], i - first);
-        first = i;
-      }
 }
 
 struct bd_target *const *
 bd_targets_all (struct bd_targets *targets, size_t *count)
 {
-  if (targets->short_only_stale)
-    update_short_only (targets);
+  update_short_only (targets);
   *count = targets->count;
   return targets->all;
 }
@@ -553,8 +522,7 @@
   size_t first = position_of (targets, service, 0);
   size_t last = first;
 
-  if (targets->short_only_stale)
-    update_short_only (targets);
+  update_short_only (targets);
   while (last < targets->count
          && bd_chunk_equal (targets->all[last]->service, service))
     last++;
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -220,13 +220,6 @@
 /** Removes targets whose lapse has ended, and frees those that are gone. */
 void bd_targets_tick (struct bd_targets *targets, int64_t now_ms);
 
-/**
- * One in so many runners of a service (rounded up) is reserved for short
- * prompts, if the service has at least BD_TARGET_SHORT_RUNNERS_MIN.
- */
-#define BD_TARGET_SHORT_ONE_IN 5
-#define BD_TARGET_SHORT_RUNNERS_MIN 3
-
 /**
  * Returns all runners, ordered by service and by the hash of the identifier.
  * The array is valid until the next put or tick.
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -1,6 +1,7 @@
 #include "gateway/forward_internal.h"
 
 #include "balance/pause.h"
+#include "balance/shard.h"
 #include "common/clock.h"
 #include "common/log.h"
 
@@ -564,11 +565,11 @@
   f->selection_request.now_ms = bd_clock_boot_ms ();
   query.service = f->service;
   query.zone = options->zone;
-  query.shard_count = bd_selection_shard_count (all, count, f->service);
+  query.shard_count = bd_shard_count (all, count, f->service);
   query.prefix_hash = relevant_prefix (f);
-  query.shard = bd_selection_shard (
-      query.prefix_hash != 0 ? query.prefix_hash : f->fingerprint.exact,
-      query.shard_count);
+  query.shard = bd_shard_of (query.prefix_hash != 0 ? query.prefix_hash
+                                                    : f->fingerprint.exact,
+                             query.shard_count);
   query.prefix_tokens = f->selection_request.prefix_tokens;
   query.unshared_tokens = f->selection_request.unshared_tokens;
   query.fetch_us_per_k = f->selection_request.fetch_us_per_k;
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -1,5 +1,6 @@
 /* Decisions of a coordinator: placement, refusal under overload, ledger. */
 #include "balance/pause.h"
+#include "balance/shard.h"
 #include "common/random.h"
 #include "gateway/coordinator.h"
 #include "support_targets.h"
@@ -436,10 +437,10 @@
 
   open_fixture (&fixture, 640);
   all = bd_targets_all (fixture.targets, &count);
-  shards = bd_selection_shard_count (all, count, BD_CHUNK ("llm"));
+  shards = bd_shard_count (all, count, BD_CHUNK ("llm"));
   g_assert_cmpuint (shards, ==, 10);
   for (size_t i = 0; i < count; i++)
-    in_first += bd_selection_shard (all[i]->hash, shards) == 0;
+    in_first += bd_shard_of (all[i]->hash, shards) == 0;
   g_assert_cmpuint (in_first, >, 30);
   g_assert_cmpuint (in_first, <, 100);
   for (uint64_t prefix = 0; prefix < 100; prefix++)
@@ -447,10 +448,10 @@
       struct bd_coordination_query query = long_query (&fixture, prefix);
 
       query.shard_count = shards;
-      query.shard = bd_selection_shard (query.prefix_hash, shards);
+      query.shard = bd_shard_of (query.prefix_hash, shards);
       g_assert_cmpuint (
-          bd_selection_shard (place (&fixture, 2, &query, NOW)->hash, shards),
-          ==, query.shard);
+          bd_shard_of (place (&fixture, 2, &query, NOW)->hash, shards), ==,
+          query.shard);
     }
   close_fixture (&fixture);
 }
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -1,4 +1,5 @@
 /* Tests of the list of runners: draining, store outages, restarts. */
+#include "balance/short_only.h"
 #include "balance/target.h"
 #include "common/random.h"
 #include "support_targets.h"
