A cold runner gets no more requests than its service says, from all instances

Its size is half a second in place of one: in any second 1.5 times the rate and 5 may come. (test_runner_limit debit has new times for that; its bound is stricter than before.)

--- a/src/balance/routing.c
+++ b/src/balance/routing.c
@@ -285,6 +285,12 @@
   return route->splits[0].service;
 }
 
+const struct bd_service *
+bd_routing_service_at (const struct bd_routing *routing, size_t i)
+{
+  return i < routing->service_count ? &routing->services[i] : NULL;
+}
+
 const struct bd_service *
 bd_routing_service (const struct bd_routing *routing, struct bd_chunk name)
 {
--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -60,6 +60,9 @@
    * another, in microseconds; 0: it cannot fetch.
    */
   uint32_t fetch_us_per_k;
+  /** Requests in 1000 s that a runner takes while it warms up, of all callers
+      together; 0: any number. */
+  uint32_t cold_rate;
 };
 
 struct bd_routing;
@@ -91,6 +94,10 @@
  */
 struct bd_chunk bd_route_service (const struct bd_route *route, uint64_t hash);
 
+/** Returns the service number I, or NULL if there are not so many. */
+const struct bd_service *
+bd_routing_service_at (const struct bd_routing *routing, size_t i);
+
 const struct bd_service *bd_routing_service (const struct bd_routing *routing,
                                              struct bd_chunk name);
 
--- a/src/balance/runner_limit.h
+++ b/src/balance/runner_limit.h
@@ -1,8 +1,9 @@
 /**
  * @file runner_limit.h
- * Rate limits that runners ask for: a runner in need names in its responses
- * how many requests it takes in a second from all instances together.  The
- * limit holds until a response does not name it any more.
+ * Limits on the requests that a runner gets in a second from all instances
+ * together.  A runner in need names its limit in its responses, and it holds
+ * until a response does not name it any more.  A runner that warms up has the
+ * limit of its service meanwhile.  The lower one counts.
  *
  * The coordinator of a runner keeps the limit for all instances, with a token
  * bucket.  An instance that has to place a request without the coordinator
@@ -52,7 +53,16 @@
 void bd_runner_limit_heard (struct bd_target *target, int64_t started_ms,
                             int64_t now_ms, int64_t heard_ms, int64_t rate);
 
-/** This instance begins to coordinate TARGET, and has saved up nothing. */
+/**
+ * Returns the limit of TARGET at NOW_MS, in requests in 1000 s; 0: it has
+ * none.
+ */
+uint32_t bd_runner_limit_rate (const struct bd_target *target, int64_t now_ms);
+
+/**
+ * This instance begins to coordinate TARGET, or TARGET begins to warm up:
+ * nothing is saved up.
+ */
 void bd_runner_limit_begin (struct bd_target *target, int64_t now_ms);
 
 /**
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -2,6 +2,7 @@
 
 #include "balance/departure.h"
 #include "balance/evacuation.h"
+#include "balance/runner_limit.h"
 #include "balance/short_only.h"
 #include "common/log.h"
 #include "common/map.h"
@@ -33,6 +34,7 @@
   int64_t distrust_until_ms;
   struct bd_departures departures;
   struct bd_evacuations evacuations;
+  struct bd_map *cold_rates; /* By service; a rate stands in the pointer. */
 };
 
 struct bd_targets *
@@ -43,12 +45,11 @@
   if (!targets)
     return NULL;
   targets->by_hash = bd_map_create ();
-  if (!targets->by_hash)
-    {
-      free (targets);
-      return NULL;
-    }
-  return targets;
+  targets->cold_rates = bd_map_create ();
+  if (targets->by_hash && targets->cold_rates)
+    return targets;
+  bd_targets_destroy (targets);
+  return NULL;
 }
 
 static void
@@ -68,6 +69,7 @@
   for (size_t i = 0; i < targets->count; i++)
     free_target (targets->all[i]);
   bd_map_destroy (targets->by_hash);
+  bd_map_destroy (targets->cold_rates);
   bd_evacuations_clear (&targets->evacuations);
   free (targets->all);
   free (targets);
@@ -163,6 +165,12 @@
   targets->count++;
 }
 
+static struct bd_id
+service_key (struct bd_chunk service)
+{
+  return (struct bd_id){ .low = bd_chunk_hash (service) };
+}
+
 static struct bd_target *
 add (struct bd_targets *targets, int64_t now_ms,
      const struct bd_target_entry *entry)
@@ -194,6 +202,8 @@
       targets->capacity = capacity;
     }
   target->hash = bd_chunk_hash (entry->id);
+  target->cold_rate = (uint32_t)(uintptr_t)bd_map_get (
+      targets->cold_rates, service_key (target->service), 0);
   target->evacuated
       = bd_evacuations_contain (&targets->evacuations, target->zone);
   if (bd_map_put (targets->by_hash, hash_key (target->hash), 0, target)
@@ -316,6 +326,33 @@
          && entry->started_ms <= target->started_ms;
 }
 
+int
+bd_targets_set_cold_rate (struct bd_targets *targets, struct bd_chunk service,
+                          uint32_t rate)
+{
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_of_service (targets, service, &count);
+
+  for (size_t i = 0; i < count; i++)
+    all[i]->cold_rate = rate;
+  if (rate != 0)
+    return bd_map_put (targets->cold_rates, service_key (service), 0,
+                       (void *)(uintptr_t)rate);
+  bd_map_remove (targets->cold_rates, service_key (service), 0);
+  return BD_OK;
+}
+
+/* Sets how long TARGET still warms up.  From the start of that time on its
+   requests are limited. */
+static void
+set_warmup (struct bd_target *target, int64_t now_ms, int64_t left_ms)
+{
+  if (left_ms > 0 && now_ms >= target->warmup_until_ms)
+    bd_runner_limit_begin (target, now_ms);
+  target->warmup_until_ms = now_ms + left_ms;
+}
+
 int
 bd_targets_put (struct bd_targets *targets, int64_t now_ms,
                 const struct bd_target_entry *entry, uint64_t revision)
@@ -354,12 +391,13 @@
     handle_restart (targets, target, now_ms);
   if (!entry->draining && revision > target->revision)
     expire_leaving (targets, target, now_ms);
+  if (revision > target->revision)
+    set_warmup (target, now_ms, entry->warmup_left_ms);
   target->revision = revision;
   target->ip = entry->ip;
   target->port = entry->port;
   target->slots = entry->slots;
   target->started_ms = entry->started_ms;
-  target->warmup_until_ms = now_ms + entry->warmup_left_ms;
   target->distrusted = from_copy && has_left && !entry->draining;
   if (!target->distrusted)
     set_state (targets, target,
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -8,7 +8,6 @@
 
 #include "balance/priority.h"
 #include "common/string.h"
-#include "common/token_bucket.h"
 
 /**
  * Time for which a runner whose entry disappeared around a store outage may
@@ -86,9 +85,9 @@
 {
   uint32_t rate;    /**< Requests in 1000 s; 0: no limit. */
   int64_t heard_ms; /**< When a response named or ended it last; 0: never. */
-  /** Requests that the coordinator may send now, as of bucket_ms. */
-  struct bd_token_bucket bucket;
-  int64_t bucket_ms;
+  /** Requests that the coordinator may send, as of level_ms. */
+  double level;
+  int64_t level_ms;
   int64_t share_ms; /**< Since when this instance has not used its share. */
   int64_t next_turn_ms; /**< When the next refused caller may return. */
 };
@@ -123,6 +122,8 @@
   uint32_t slots;
   int64_t started_ms;
   int64_t warmup_until_ms;
+  /** Requests in 1000 s that it takes while it warms up; 0: any number. */
+  uint32_t cold_rate;
   enum bd_target_state state;
   bool evacuated; /**< Its zone is evacuated. */
   /** When a response announced that the runner leaves; 0: never. */
@@ -184,6 +185,14 @@
                                      int64_t now_ms);
 bool bd_targets_store_is_lost (const struct bd_targets *targets);
 
+/**
+ * Sets the rate limit of the runners of SERVICE while they warm up, in
+ * requests in 1000 s from all instances together; 0: none.  Returns BD_OK or
+ * BD_ERR_NOMEM.
+ */
+int bd_targets_set_cold_rate (struct bd_targets *targets,
+                              struct bd_chunk service, uint32_t rate);
+
 /**
  * Sets whether the runners of ZONE get no new requests, as of REVISION; an
  * older change is ignored.  In a complete list, to be called for each
--- a/src/common/token_bucket.c
+++ b/src/common/token_bucket.c
@@ -7,8 +7,8 @@
 double
 bd_token_bucket_capacity (const struct bd_token_bucket *bucket, double share)
 {
-  return fmax (bucket->min_capacity, bucket->limit_per_s * share
-                                         * BD_TOKEN_BUCKET_BURST_MS / 1000.0);
+  return fmax (bucket->min_capacity,
+               bucket->limit_per_s * share * bucket->burst_ms / 1000.0);
 }
 
 void
--- a/src/common/token_bucket.h
+++ b/src/common/token_bucket.h
@@ -6,13 +6,14 @@
 #ifndef BD_TOKEN_BUCKET_H
 #define BD_TOKEN_BUCKET_H
 
-/** Capacity of a bucket, as the time that it takes to fill. */
+/** Usual capacity of a bucket, as the time that it takes to fill. */
 #define BD_TOKEN_BUCKET_BURST_MS 1000
 
 struct bd_token_bucket
 {
   double limit_per_s; /**< Tokens a second at share 1; 0 or less: unlimited. */
   double level;       /**< Tokens now; negative after an overdraft. */
+  double burst_ms;    /**< Capacity, as the time that it takes to fill. */
   double min_capacity; /**< Smallest capacity, however small the share is. */
 };
 
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -236,7 +236,7 @@
       f->target = NULL;
       return BD_ERR_IO;
     }
-  if (target->limit.rate != 0)
+  if (bd_runner_limit_rate (target, f->selection_request.now_ms) != 0)
     bd_stats_count (options->stats, BD_STAT_LIMITED_SENT, 1);
   target->in_flight++;
   f->prefill_tokens = selection->prefill_tokens;
@@ -290,7 +290,7 @@
           target->peers_in_flight, f->selection_request.priority,
           ntohl (f->registration.coordinator_ip),
           (long long)(f->deadline_ms - f->selection_request.now_ms),
-          target->limit.rate);
+          bd_runner_limit_rate (target, f->selection_request.now_ms));
 }
 
 static void
@@ -484,7 +484,7 @@
 is_limit_kept (const struct bd_forward *f, const struct bd_target *target,
                const struct bd_coordination_reply *reply)
 {
-  uint32_t rate = target->limit.rate;
+  uint32_t rate = bd_runner_limit_rate (target, f->selection_request.now_ms);
 
   if (reply->limit_rate != rate && target->limit.heard_ms != 0)
     bd_coordinator_client_tell_limit (f->forwarder->options.coordinator_client,
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -206,7 +206,7 @@
 
 static struct bd_coordination_reply
 reply_from_decision (const struct bd_coordination_query *query,
-                     const struct bd_decision *decision)
+                     const struct bd_decision *decision, int64_t now_ms)
 {
   const struct bd_selection *selection = &decision->selection;
 
@@ -224,7 +224,8 @@
     .cost_ms = selection->target ? (int64_t)selection->cost_ms : 0,
     .max_wait_ms = (int64_t)decision->max_wait_ms,
     .retry_after_ms = decision->retry_after_ms,
-    .limit_rate = selection->target ? selection->target->limit.rate : 0,
+    .limit_rate
+    = selection->target ? bd_runner_limit_rate (selection->target, now_ms) : 0,
   };
 }
 
@@ -275,7 +276,7 @@
   if (!decision.selection.target)
     decision.retry_after_ms = next_turn_ms (coordinator, query, now_ms);
   if (!decision.selection.target || decision.rejected)
-    return reply_from_decision (query, &decision);
+    return reply_from_decision (query, &decision, now_ms);
   assignment.target = decision.selection.target;
   assignment.prefill_tokens = decision.selection.prefill_tokens;
   assignment.placed_ms = now_ms;
@@ -289,7 +290,7 @@
                            assignment.target);
   if (ip != coordinator->options.ip)
     bd_outlier_record_sent (assignment.target, now_ms);
-  return reply_from_decision (query, &decision);
+  return reply_from_decision (query, &decision, now_ms);
 }
 
 /* Handles the end of a request's prefill: updates the speed estimate of the
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -121,7 +121,7 @@
       {
         usable++;
         ejected += all[i]->health.ejected_until_ms > now_ms;
-        limited += all[i]->limit.rate != 0;
+        limited += bd_runner_limit_rate (all[i], now_ms) != 0;
       }
   bd_stats_set (gateway->stats, BD_GAUGE_RUNNERS, (int64_t)usable);
   bd_stats_set (gateway->stats, BD_GAUGE_AVOIDED, (int64_t)ejected);
@@ -518,6 +518,20 @@
   return gateway->stats;
 }
 
+static void
+set_cold_rates (struct bd_gateway *gateway)
+{
+  const struct bd_service *service;
+
+  for (size_t i = 0; (service = bd_routing_service_at (gateway->routing, i));
+       i++)
+    if (bd_targets_set_cold_rate (gateway->targets, service->name,
+                                  service->cold_rate)
+        != BD_OK)
+      bd_log (BD_EVENT_PROTOCOL_ERROR, "source=self code=%s",
+              bd_error_answer (BD_ERR_NOMEM)->code);
+}
+
 int
 bd_gateway_set_routing (struct bd_gateway *gateway, struct bd_routing *routing,
                         const struct bd_caller_limits *limits,
@@ -531,6 +545,7 @@
   bd_peer_configuration_set_active (gateway->peer_configuration, version);
   bd_routing_unref (gateway->routing);
   gateway->routing = bd_routing_ref (routing);
+  set_cold_rates (gateway);
   bd_buffer_reset (&gateway->configuration);
   bd_buffer_append (&gateway->configuration, document);
   bd_forwarder_set_routing (gateway->forwarder, routing);
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -1,5 +1,7 @@
 #include "gateway/inventory.h"
 
+#include "balance/runner_limit.h"
+
 #include "common/clock.h"
 #include "common/log.h"
 
@@ -172,7 +174,8 @@
   if (inventory->options.dialect->prefixes_request.length == 0)
     return;
   for (size_t i = 0; i < count && inventory->queue_count < QUEUE_MAX; i++)
-    if (bd_target_usable (all[i]) && all[i]->limit.rate == 0)
+    if (bd_target_usable (all[i])
+        && bd_runner_limit_rate (all[i], now_ms) == 0)
       inventory->queue[inventory->queue_count++] = all[i]->hash;
   bd_inventory_tick (inventory, now_ms);
 }
--- a/src/limits/limiter.c
+++ b/src/limits/limiter.c
@@ -129,8 +129,10 @@
 apply_limits (struct workspace *w, const struct bd_limits *limits)
 {
   w->requests.limit_per_s = limits->requests_per_s;
+  w->requests.burst_ms = BD_TOKEN_BUCKET_BURST_MS;
   w->requests.min_capacity = 1.0;
   w->tokens.limit_per_s = limits->tokens_per_s;
+  w->tokens.burst_ms = BD_TOKEN_BUCKET_BURST_MS;
   w->tokens.min_capacity = 1.0;
   w->concurrency = limits->concurrency;
 }
--- a/test/test_runner_limit.c
+++ b/test/test_runner_limit.c
@@ -159,11 +159,11 @@
   bd_runner_limit_named (fixture.target, 0, NOW, 2000);
   bd_runner_limit_debit (fixture.target, NOW + 5000);
   bd_runner_limit_debit (fixture.target, NOW + 5000);
-  g_assert_null (place (&fixture, NOW + 5400, NULL));
-  g_assert_nonnull (place (&fixture, NOW + 5500, NULL));
+  g_assert_null (place (&fixture, NOW + 5900, NULL));
+  g_assert_nonnull (place (&fixture, NOW + 6000, NULL));
   /* However many they are, the runner is used again after a while. */
   for (int i = 0; i < 1000; i++)
-    bd_runner_limit_debit (fixture.target, NOW + 6000);
+    bd_runner_limit_debit (fixture.target, NOW + 6500);
   g_assert_nonnull (place (&fixture, NOW + 8000, NULL));
   close_fixture (&fixture);
 }
@@ -306,6 +306,105 @@
   close_fixture (&fixture);
 }
 
+/* A runner that comes back cold takes so many requests of all instances, and
+   any number once it is warm.  It got as many as before. */
+static void
+test_cold (void)
+{
+  struct fixture fixture;
+  struct bd_target_entry entry = support_entry ("r0", "z0");
+  uint32_t placed;
+
+  open_fixture (&fixture, 1);
+  bd_targets_set_cold_rate (fixture.targets, BD_CHUNK ("llm"), 6600);
+  g_assert_cmpuint (place_many (&fixture, NOW, 100, NULL), ==, 100);
+  entry.started_ms = 9;
+  entry.warmup_left_ms = 3000;
+  bd_targets_put (fixture.targets, NOW + 1000, &entry, 50);
+  for (int second = 0; second < 3; second++)
+    {
+      placed = place_many (&fixture, NOW + 1000 + second * 1000, 1000, NULL);
+      g_assert_cmpuint (placed, <=, 10);
+      g_assert_cmpuint (placed, >=, 5);
+    }
+  g_assert_cmpuint (place_many (&fixture, NOW + 4000, 100, NULL), ==, 100);
+  close_fixture (&fixture);
+}
+
+/* The bound of one second holds from any moment on and for any rate: the rate
+   times 1.5, and 5 requests.  After a pause it may begin with a burst. */
+static void
+test_cold_bound (void)
+{
+  static const uint32_t rates[] = { 300, 2000, 6600, 40000, 300000 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      struct fixture fixture;
+      struct bd_target_entry entry = support_entry ("r0", "z0");
+
+      open_fixture (&fixture, 1);
+      bd_targets_set_cold_rate (fixture.targets, BD_CHUNK ("llm"), rates[i]);
+      entry.warmup_left_ms = 60000;
+      bd_targets_put (fixture.targets, NOW, &entry, 50);
+      g_assert_cmpfloat (place_many (&fixture, NOW + 20000, 1000, NULL), <=,
+                         rates[i] / 1000.0 * 1.5 + 5);
+      close_fixture (&fixture);
+    }
+}
+
+/* The lower of two limits counts, and one outlives the other. */
+static void
+test_cold_and_named (void)
+{
+  struct fixture fixture;
+  struct bd_target_entry entry = support_entry ("r0", "z0");
+
+  open_fixture (&fixture, 1);
+  bd_targets_set_cold_rate (fixture.targets, BD_CHUNK ("llm"), 6000);
+  entry.warmup_left_ms = 3000;
+  bd_targets_put (fixture.targets, NOW, &entry, 50);
+  g_assert_cmpuint (bd_runner_limit_rate (fixture.target, NOW), ==, 6000);
+  bd_runner_limit_named (fixture.target, 0, NOW, 9000);
+  g_assert_cmpuint (bd_runner_limit_rate (fixture.target, NOW), ==, 6000);
+  g_assert_cmpuint (bd_runner_limit_rate (fixture.target, NOW + 3000), ==,
+                    9000);
+  bd_runner_limit_named (fixture.target, 0, NOW + 100, 2000);
+  g_assert_cmpuint (bd_runner_limit_rate (fixture.target, NOW + 100), ==,
+                    2000);
+  bd_runner_limit_absent (fixture.target, 0, NOW + 300, NOW + 200);
+  g_assert_cmpuint (bd_runner_limit_rate (fixture.target, NOW + 300), ==,
+                    6000);
+  close_fixture (&fixture);
+}
+
+/* An entry that is read a second time, after an error of the store, does not
+   make its runner cold again; runners that register later have the limit of
+   their service too. */
+static void
+test_cold_once (void)
+{
+  struct fixture fixture;
+  struct bd_target_entry entry = support_entry ("a", "z0");
+
+  open_fixture (&fixture, 1);
+  bd_targets_set_cold_rate (fixture.targets, BD_CHUNK ("llm"), 6000);
+  entry.warmup_left_ms = 3000;
+  bd_targets_put (fixture.targets, NOW, &entry, 50);
+  bd_targets_put (fixture.targets, NOW + 9000, &entry, 50);
+  g_assert_cmpuint (
+      bd_runner_limit_rate (support_target (fixture.targets, "a"), NOW), ==,
+      6000);
+  g_assert_cmpuint (
+      bd_runner_limit_rate (support_target (fixture.targets, "a"), NOW + 9000),
+      ==, 0);
+  bd_targets_set_cold_rate (fixture.targets, BD_CHUNK ("llm"), 0);
+  g_assert_cmpuint (
+      bd_runner_limit_rate (support_target (fixture.targets, "a"), NOW), ==,
+      0);
+  close_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -322,5 +421,9 @@
   g_test_add_func ("/runner-limit/lower-rate", test_lower_rate);
   g_test_add_func ("/runner-limit/entry-comes-back", test_entry_comes_back);
   g_test_add_func ("/runner-limit/turns", test_turns);
+  g_test_add_func ("/runner-limit/cold", test_cold);
+  g_test_add_func ("/runner-limit/cold-bound", test_cold_bound);
+  g_test_add_func ("/runner-limit/cold-and-named", test_cold_and_named);
+  g_test_add_func ("/runner-limit/cold-once", test_cold_once);
   return g_test_run ();
 }
