An instance that starts is told the worst suspects first

Cause: every peer answers a newcomer with the same first 24 strikes that it has, in the order of its table; a crash under load leaves many more, nearly all of innocent requests. Now the strikes of requests with the most crashes come first, in up to four datagrams.

Test /mesh/new-peer-gets-worst-strikes: red before (the request was not suspected at all).

--- a/src/gateway/coordination.c
+++ b/src/gateway/coordination.c
@@ -289,6 +289,15 @@
     refuse (u);
 }
 
+bool
+bd_coordination_is_message (struct bd_chunk bytes)
+{
+  struct bd_unpack u = { .rest = bytes };
+
+  bd_unpack_array (&u);
+  return bd_unpack_uint (&u) >= BD_COORDINATION_FORMAT && u.error == BD_OK;
+}
+
 int
 bd_coordination_read (struct bd_chunk bytes,
                       struct bd_coordination_message *message)
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -153,6 +153,10 @@
 int bd_coordination_write (const struct bd_coordination_message *message,
                            struct bd_buffer *out);
 
+/** Whether a datagram is a message of this module, as far as its start tells.
+ */
+bool bd_coordination_is_message (struct bd_chunk bytes);
+
 /**
  * Parses a message, whose chunks point into BYTES.  Returns BD_OK or
  * BD_ERR_PROTOCOL.
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -32,7 +32,7 @@
 /* Loads are sent in one of this many rounds: they only matter while there is
    no common coordinator. */
 #define ROUNDS_PER_LOADS 4
-/* Most further datagrams in a round, with strikes alone; needed because all
+/* Most further datagrams in a round or to a new peer, with strikes alone: all
    requests that were waiting at a crashed runner are suspected. */
 #define EXTRA_DATAGRAMS_MAX 4
 
@@ -182,7 +182,7 @@
 
   if (beacon->strike_count < max)
     beacon->strike_count += bd_suspects_list (
-        mesh->options.suspects, now_ms, true, &mesh->strike_cursor,
+        mesh->options.suspects, now_ms, &mesh->strike_cursor,
         &beacon->strikes[beacon->strike_count], max - beacon->strike_count);
   return new_end;
 }
@@ -342,11 +342,14 @@
   build_beacon (mesh, &beacon, true, now_ms);
   send_beacon (mesh, ip, &beacon);
   bd_beacon_strip (&beacon);
-  beacon.strike_count
-      = bd_suspects_list (mesh->options.suspects, now_ms, false, &from,
-                          beacon.strikes, BD_BEACON_STRIKES_MAX);
-  if (beacon.strike_count > 0)
-    send_beacon (mesh, ip, &beacon);
+  for (int i = 0; i < EXTRA_DATAGRAMS_MAX; i++)
+    {
+      beacon.strike_count
+          = bd_suspects_list_all (mesh->options.suspects, now_ms, &from,
+                                  beacon.strikes, BD_BEACON_STRIKES_MAX);
+      if (beacon.strike_count > 0)
+        send_beacon (mesh, ip, &beacon);
+    }
 }
 
 /* Updates PEER, which sent BEACON; a new incarnation shows a restart. */
@@ -411,16 +414,6 @@
     apply_beacon (mesh, peer, &beacon, bd_clock_boot_ms ());
 }
 
-/* Returns whether the datagram is a message about placements. */
-static bool
-is_message (struct bd_chunk bytes)
-{
-  struct bd_unpack u = { .rest = bytes };
-
-  bd_unpack_array (&u);
-  return bd_unpack_uint (&u) >= BD_COORDINATION_FORMAT && u.error == BD_OK;
-}
-
 static void
 handle_message (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t ip)
 {
@@ -454,7 +447,7 @@
   if (length <= 0 || !from)
     return;
   ip = ((const struct sockaddr_in *)from)->sin_addr.s_addr;
-  if (is_message (bytes))
+  if (bd_coordination_is_message (bytes))
     handle_message (mesh, bytes, ip);
   else
     handle_beacon (mesh, bytes, ip);
--- a/src/retry/suspect.c
+++ b/src/retry/suspect.c
@@ -8,6 +8,9 @@
 
 /* Crashes stored for one fingerprint. */
 #define MAX_CRASHES 4
+/* Fingerprints are listed by their number of crashes; so many and more count
+   alike. */
+#define RANKS 3
 
 /* Limit on the gossip of refused attempts, in rounds per keep time. */
 #define GOSSIPS_PER_KEEP_TIME 4
@@ -462,38 +465,57 @@
   return true;
 }
 
-/* Appends the uncleared strikes of fingerprints with SUSPICION, from CURSOR
-   on.  Returns the index at which there was no room, or CURSOR. */
-static size_t
-append_uncleared (const struct bd_suspects *suspects, int64_t now_ms,
-                  enum bd_suspicion suspicion, size_t cursor,
-                  struct bd_strike *strikes, size_t *count, size_t max)
+size_t
+bd_suspects_list (const struct bd_suspects *suspects, int64_t now_ms,
+                  size_t *cursor, struct bd_strike *strikes, size_t max)
 {
+  size_t count = 0;
+
   for (size_t k = 0; k < suspects->used; k++)
     {
-      size_t index = (cursor + k) % suspects->used;
+      size_t index = (*cursor + k) % suspects->used;
       const struct suspect *suspect = &suspects->suspects[index];
 
-      if (suspect->crash_count > 0 && suspicion_of (suspect) == suspicion
-          && !append_uncleared_of (suspect, now_ms, strikes, count, max))
-        return index;
+      if (suspect->crash_count == 0
+          || suspicion_of (suspect) != BD_SUSPICION_QUARANTINE)
+        continue;
+      if (!append_uncleared_of (suspect, now_ms, strikes, &count, max))
+        {
+          *cursor = index;
+          break;
+        }
     }
-  return cursor;
+  return count;
+}
+
+/* Returns the place in which SUSPECT is listed, less than RANKS. */
+static size_t
+rank_of (const struct suspect *suspect)
+{
+  uint32_t crashes = count_uncleared (suspect);
+
+  if (crashes >= RANKS || suspicion_of (suspect) == BD_SUSPICION_QUARANTINE)
+    return 0;
+  return RANKS - crashes;
 }
 
 size_t
-bd_suspects_list (const struct bd_suspects *suspects, int64_t now_ms,
-                  bool quarantined, size_t *cursor, struct bd_strike *strikes,
-                  size_t max)
+bd_suspects_list_all (const struct bd_suspects *suspects, int64_t now_ms,
+                      size_t *cursor, struct bd_strike *strikes, size_t max)
 {
   size_t count = 0;
-  size_t from = *cursor;
 
-  *cursor = append_uncleared (suspects, now_ms, BD_SUSPICION_QUARANTINE, from,
-                              strikes, &count, max);
-  if (!quarantined)
-    append_uncleared (suspects, now_ms, BD_SUSPICION_ISOLATE, from, strikes,
-                      &count, max);
+  for (; *cursor < RANKS * suspects->used; ++*cursor)
+    {
+      const struct suspect *suspect
+          = &suspects->suspects[*cursor % suspects->used];
+
+      if (suspect->crash_count == 0 || count_uncleared (suspect) == 0
+          || rank_of (suspect) != *cursor / suspects->used)
+        continue;
+      if (!append_uncleared_of (suspect, now_ms, strikes, &count, max))
+        break;
+    }
   return count;
 }
 
--- a/src/retry/suspect.h
+++ b/src/retry/suspect.h
@@ -112,13 +112,21 @@
                                 struct bd_strike *strikes, size_t max);
 
 /**
- * Returns up to MAX uncleared strikes, gossiped or not, for peers that may
- * lack them.  Starts at *CURSOR and advances it.  With QUARANTINED, returns
- * only strikes of quarantined fingerprints, otherwise these first.
+ * Returns up to MAX uncleared strikes of quarantined fingerprints, gossiped or
+ * not, for peers that may lack them.  Starts at *CURSOR and advances it.
  */
 size_t bd_suspects_list (const struct bd_suspects *suspects, int64_t now_ms,
-                         bool quarantined, size_t *cursor,
-                         struct bd_strike *strikes, size_t max);
+                         size_t *cursor, struct bd_strike *strikes,
+                         size_t max);
+
+/**
+ * Returns the next up to MAX uncleared strikes, gossiped or not, for a peer
+ * that knows none; 0 after the last one.  Those of fingerprints with the most
+ * crashes come first.  *CURSOR is 0 at the first call.
+ */
+size_t bd_suspects_list_all (const struct bd_suspects *suspects,
+                             int64_t now_ms, size_t *cursor,
+                             struct bd_strike *strikes, size_t max);
 
 /** Removes expired fingerprints. */
 void bd_suspects_tick (struct bd_suspects *suspects, int64_t now_ms);
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -11,6 +11,7 @@
 
 #define PEERS 2
 #define LIMIT_MS 8000
+#define SUSPECTS_MAX 256
 
 struct side
 {
@@ -78,7 +79,7 @@
       side->ip = htonl (INADDR_LOOPBACK + i);
       side->targets = bd_targets_create ();
       support_put_runners (side->targets, 3, 1);
-      side->suspects = bd_suspects_create (16, 60000);
+      side->suspects = bd_suspects_create (SUSPECTS_MAX, 60000);
       side->stats = bd_stats_create ();
       options.ip = side->ip;
       options.seeds = &fixture->sides[0].ip;
@@ -308,6 +309,31 @@
   keep_fixture (&fixture);
 }
 
+/* A crash under load makes many requests suspect, more than fit into a
+   datagram; among them is one under which three runners have crashed.  An
+   instance that starts later hears of that one all the same. */
+static void
+test_new_peer_gets_worst_strikes (void)
+{
+  struct fixture fixture;
+  struct bd_strike strike = { .crash = { 1, 1 } };
+  int64_t now = bd_clock_boot_ms ();
+
+  open_fixture (&fixture);
+  for (strike.fingerprint = 1; strike.fingerprint <= 200; strike.fingerprint++)
+    bd_suspects_record (fixture.sides[0].suspects, now, &strike);
+  strike.fingerprint = 150;
+  for (strike.crash.low = 2; strike.crash.low <= 3; strike.crash.low++)
+    bd_suspects_record (fixture.sides[0].suspects, now, &strike);
+  while (bd_suspects_next_gossip (fixture.sides[0].suspects, now, &strike, 1)
+         > 0)
+    ;
+  introduce_sides (&fixture, now);
+  g_assert_cmpint (bd_suspects_check (fixture.sides[1].suspects, now, 150), ==,
+                   BD_SUSPICION_ISOLATE);
+  keep_fixture (&fixture);
+}
+
 /* A runner named a rate limit to one instance, and later its end.  The other
    one learns of both within a round, but does not apply them to a process that
    has started since. */
@@ -392,6 +418,8 @@
   g_test_add_func ("/mesh/hostile", test_hostile);
   g_test_add_func ("/mesh/leaving", test_leaving);
   g_test_add_func ("/mesh/limits", test_limits);
+  g_test_add_func ("/mesh/new-peer-gets-worst-strikes",
+                   test_new_peer_gets_worst_strikes);
   g_test_add_func ("/mesh/full", test_full);
   g_test_add_func ("/mesh/new-peer-gets-strikes", test_new_peer_gets_strikes);
   g_test_add_func ("/mesh/strikes-sent-at-once", test_strikes_sent_at_once);
