--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -5,7 +5,6 @@
 #include "gateway/strike_queue.h"
 #include "gateway/rank.h"
 #include "gateway/beacon_contents.h"
-#include "wire/pack.h"
 
 #include <stdlib.h>
 #include <string.h>
