--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -60,8 +60,8 @@
    * another, in microseconds; 0: it cannot fetch.
    */
   uint32_t fetch_us_per_k;
-  /** Requests in 1000 s that a runner takes while it warms up, of all callers
-      together; 0: any number. */
+  /** Thousandths of a request per second that a runner takes while it warms
+     up, of all callers together; 0: any number. */
   uint32_t cold_rate;
 };
 
--- a/src/balance/runner_limit.c
+++ b/src/balance/runner_limit.c
@@ -5,7 +5,7 @@
 
 #include <math.h>
 
-#define RATE_UNIT_MS (1000 * 1000)
+#define RATE_UNIT_MS INT64_C (1000000)
 /* Capacity of a bucket, as the time that it takes to fill, and the smallest:
    one request. */
 #define BURST_MS 500
@@ -67,8 +67,7 @@
 
   if (rate == limit->rate)
     return;
-  bd_log (BD_EVENT_TARGET_LIMIT,
-          "runner=%s service=%s from_per_1000_s=%u to_per_1000_s=%u",
+  bd_log (BD_EVENT_TARGET_LIMIT, "runner=%s service=%s from=%u to=%u",
           target->id.data, target->service.data, limit->rate, rate);
   if (bd_runner_limit_rate (target, now_ms) == 0)
     {
--- a/src/balance/runner_limit.h
+++ b/src/balance/runner_limit.h
@@ -16,11 +16,12 @@
 #include "balance/target.h"
 
 /**
- * Lowest rate that is kept, in requests in 1000 s.  A runner that named less
- * would hardly ever be asked again, and so could not end its limit.
+ * Lowest rate that is kept, in thousandths of a request per second.  A runner
+ * that named less would hardly ever be asked again, and so could not end its
+ * limit.
  */
 #define BD_RUNNER_LIMIT_RATE_MIN 100
-#define BD_RUNNER_LIMIT_RATE_MAX (1000 * 1000 * 1000)
+#define BD_RUNNER_LIMIT_RATE_MAX 1000000000
 
 /** Longest time after which a caller is told to retry at limited runners. */
 #define BD_RUNNER_LIMIT_TURN_MAX_MS 10000
@@ -34,7 +35,7 @@
 
 /**
  * Records that the process of TARGET that started at STARTED_MS named RATE, in
- * requests in 1000 s, in a response to this instance.
+ * thousandths of a request per second, in a response to this instance.
  */
 void bd_runner_limit_named (struct bd_target *target, int64_t started_ms,
                             int64_t now_ms, int64_t rate);
@@ -54,8 +55,8 @@
                             int64_t now_ms, int64_t heard_ms, int64_t rate);
 
 /**
- * Returns the limit of TARGET at NOW_MS, in requests in 1000 s; 0: it has
- * none.
+ * Returns the limit of TARGET at NOW_MS, in thousandths of a request per
+ * second; 0: it has none.
  */
 uint32_t bd_runner_limit_rate (const struct bd_target *target, int64_t now_ms);
 
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -83,7 +83,8 @@
 /** Rate limit that a runner asked for (runner_limit.h). */
 struct bd_target_limit
 {
-  uint32_t rate;    /**< Requests in 1000 s; 0: no limit. */
+  uint32_t rate;    /**< Thousandths of a request per second; 0: no
+                       limit. */
   int64_t heard_ms; /**< When a response named or ended it last; 0: never. */
   /** Requests that the coordinator may send, as of level_ms. */
   double level;
@@ -117,34 +118,35 @@
   struct bd_chunk id;
   struct bd_chunk service;
   struct bd_chunk zone;
+  uint64_t hash; /**< Hash of the identifier. */
   uint32_t ip;
   uint16_t port;
+  bool evacuated;  /**< Its zone is evacuated. */
+  bool short_only; /**< Reserved for requests with short prompts. */
   uint32_t slots;
+  enum bd_target_state state;
   int64_t started_ms;
   int64_t warmup_until_ms;
-  /** Requests in 1000 s that it takes while it warms up; 0: any number. */
-  uint32_t cold_rate;
-  enum bd_target_state state;
-  bool evacuated; /**< Its zone is evacuated. */
+  uint64_t revision; /**< Store revision of the entry. */
   /** When a response announced that the runner leaves; 0: never. */
   int64_t leaving_ms;
   bool leaving_received_here; /**< The announcement came to this instance, not
                                  from a peer. */
-  uint64_t revision;          /**< Store revision of the entry. */
   /** The entry says that the runner is ready, but is from an older copy of the
       store; the runner is known to have left since. */
   bool distrusted;
-  uint64_t hash; /**< Hash of the identifier. */
+  /** Thousandths of a request per second that it takes while it warms up; 0:
+      any number. */
+  uint32_t cold_rate;
   /** When this process of the runner was first seen. */
   int64_t first_seen_ms;
-  bool short_only; /**< Reserved for requests with short prompts. */
-  uint32_t in_flight;
   int64_t last_byte_ms; /**< Time of the last byte of any of the runner's
                            responses. */
   /** Prompt tokens sent by this instance that wait for prefill. */
   uint64_t prefill_tokens;
-  uint32_t peers_in_flight;
   uint64_t peers_prefill_tokens;
+  uint32_t in_flight;
+  uint32_t peers_in_flight;
   /** Number of peers that have ejected the runner at present. */
   uint32_t peers_ejecting;
   /** Set only if this instance is the coordinator. */
@@ -187,8 +189,8 @@
 
 /**
  * Sets the rate limit of the runners of SERVICE while they warm up, in
- * requests in 1000 s from all instances together; 0: none.  Returns BD_OK or
- * BD_ERR_NOMEM.
+ * thousandths of a request per second, from all instances together; 0: none.
+ * Returns BD_OK or BD_ERR_NOMEM.
  */
 int bd_targets_set_cold_rate (struct bd_targets *targets,
                               struct bd_chunk service, uint32_t rate);
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -279,7 +279,7 @@
           "request=%s route=%s runner=%s place=%s prefix=%08x source=%s "
           "cost_ms=%.0f "
           "prefill=%llu ahead=%llu in_flight=%u+%u priority=%d by=%08x "
-          "left_ms=%lld limit_per_1000_s=%u",
+          "left_ms=%lld limit_rate=%u",
           bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
           f->route->name.data, target->id.data,
           bd_selection_reason_name (selection->reason),
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -79,8 +79,8 @@
   int64_t max_wait_ms;
   /** Time until the caller should retry; 0 when unknown. */
   int64_t retry_after_ms;
-  /** Rate limit of the target under which the request was placed, in requests
-      in 1000 s; 0: the coordinator knows of none. */
+  /** Rate limit of the target under which the request was placed, in
+      thousandths of a request per second; 0: the coordinator knows of none. */
   uint32_t limit_rate;
 };
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -51,7 +51,8 @@
   /** Whether the runner names a rate limit: BD_OK, BD_ERR_NOT_FOUND or
       BD_ERR_INVALID. */
   int rate_limit_error;
-  int64_t rate_limit; /**< That limit, in requests in 1000 s. */
+  int64_t
+      rate_limit; /**< That limit, in thousandths of a request per second. */
 };
 
 /** Called for each shared prefix that a runner holds; PREFIX is its hash. */
--- a/src/gateway/limit_notice.h
+++ b/src/gateway/limit_notice.h
@@ -13,7 +13,8 @@
 {
   uint32_t target;    /**< Low 32 bits of the runner's hash. */
   int64_t started_ms; /**< Start time of the runner's process. */
-  uint32_t rate;      /**< Requests in 1000 s; 0: the limit has ended. */
+  uint32_t rate;      /**< Thousandths of a request per second; 0: the
+                         limit has ended. */
   int64_t age_ms;     /**< Time since the runner said so. */
 };
 
--- a/src/retry/suspect.c
+++ b/src/retry/suspect.c
@@ -10,7 +10,7 @@
 #define MAX_CRASHES 4
 /* Fingerprints are listed by their number of crashes; so many and more count
    alike. */
-#define RANKS 3
+#define RANKS ((size_t)3)
 
 /* Limit on the gossip of refused attempts, in rounds per keep time. */
 #define GOSSIPS_PER_KEEP_TIME 4
