--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -289,6 +289,21 @@
   store->copy_history = store->history->len;
 }
 
+/* Frees what was written since the copy, which nothing refers to any more. */
+static void
+drop_lost_history (struct soak_store *store)
+{
+  for (guint i = store->copy_history; i < store->history->len; i++)
+    {
+      struct version *version = store->history->pdata[i];
+
+      g_free (version->key);
+      g_free (version->value);
+      g_free (version);
+    }
+  g_ptr_array_set_size (store->history, (gint)store->copy_history);
+}
+
 void
 soak_store_return (struct soak_store *store)
 {
@@ -299,7 +314,7 @@
   store->revision = store->copy_revision;
   if (store->compacted_revision > store->revision)
     store->compacted_revision = store->revision;
-  g_ptr_array_set_size (store->history, (gint)store->copy_history);
+  drop_lost_history (store);
   store->era++;
   soak_proxy_reset (store->proxy);
 }
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -22,7 +22,7 @@
   struct bd_exchange *pending;
   GPtrArray *calls;  /* Request targets, in order of arrival. */
   GQueue *responses; /* "STATUS BODY" */
-  char *fields;      /* Header fields of the responses. */
+  char fields[64];   /* Header fields of the responses. */
   uv_timer_t timeout;
   bool timed_out;
 };
@@ -40,8 +40,7 @@
 
     fixture->pending = NULL;
     bd_exchange_reply (exchange, (int)strtol (next, NULL, 10),
-                       bd_chunk_of (fixture->fields ? fixture->fields : ""),
-                       bd_chunk_of (next + 4));
+                       bd_chunk_of (fixture->fields), bd_chunk_of (next + 4));
   }
   g_free (next);
 }
@@ -157,9 +156,10 @@
 static void
 set_era (struct fixture *fixture, const char *value)
 {
-  g_free (fixture->fields);
-  fixture->fields
-      = value ? g_strdup_printf ("Store-Era: %s\r\n", value) : NULL;
+  fixture->fields[0] = '\0';
+  if (value)
+    g_snprintf (fixture->fields, sizeof fixture->fields, "Store-Era: %s\r\n",
+                value);
 }
 
 /* Runs the event loop until the store has received CALLS calls. */
