Leaving: an announcement counts for the process that may have sent it

Cause: an announcement in a response was kept for the process that the list showed when the request was sent. The list may be late: a runner that had restarted and now announced that it leaves was used again as soon as the list showed the restart, and an announcement that came right after that was dropped.

Change: a process that answers has started before it was asked, so the announcement counts for every process that started by then; only a later one is used again. Peers are told that time.

Before: test_target leaving-list-is-late and leaving-after-restart-is-listed failed. After: they pass. The soak's runners now have the wall clock as their born, as the platform's have.

--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -267,10 +267,10 @@
 }
 
 /* Drops what was learned of the process that ran before under the same
-   identifier. */
+   identifier as the one that started at STARTED_MS. */
 static void
 handle_restart (struct bd_targets *targets, struct bd_target *target,
-                int64_t now_ms)
+                int64_t now_ms, int64_t started_ms)
 {
   memset (&target->health, 0, sizeof target->health);
   if (now_ms - target->pause.requested_ms >= BD_TARGET_LIST_DELAY_MAX_MS)
@@ -278,16 +278,21 @@
   if (now_ms - target->limit.heard_ms >= BD_TARGET_LIST_DELAY_MAX_MS)
     memset (&target->limit, 0, sizeof target->limit);
   target->first_seen_ms = now_ms;
-  target->leaving_ms = 0;
+  if (started_ms > target->leaving_started_max_ms)
+    target->leaving_ms = 0;
   targets->short_only_stale = true;
 }
 
 bool
 bd_targets_set_leaving (struct bd_targets *targets, struct bd_target *target,
-                        int64_t started_ms, int64_t now_ms, bool received_here)
+                        int64_t started_max_ms, int64_t now_ms,
+                        bool received_here)
 {
-  if (started_ms != target->started_ms)
+  if (started_max_ms < target->started_ms)
     return false;
+  if (target->leaving_ms == 0
+      || started_max_ms > target->leaving_started_max_ms)
+    target->leaving_started_max_ms = started_max_ms;
   target->leaving_received_here |= received_here;
   if (target->leaving_ms != 0)
     return false;
@@ -388,7 +393,7 @@
       && entry->started_ms < target->started_ms)
     return BD_OK;
   if (target->started_ms != 0 && entry->started_ms != target->started_ms)
-    handle_restart (targets, target, now_ms);
+    handle_restart (targets, target, now_ms, entry->started_ms);
   if (!entry->draining && revision > target->revision)
     expire_leaving (targets, target, now_ms);
   if (revision > target->revision)
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -130,6 +130,9 @@
   uint64_t revision; /**< Store revision of the entry. */
   /** When a response announced that the runner leaves; 0: never. */
   int64_t leaving_ms;
+  /** Latest start of a process that the announcement may come from; a process
+      that started later is not concerned. */
+  int64_t leaving_started_max_ms;
   bool leaving_received_here; /**< The announcement came to this instance, not
                                  from a peer. */
   /** The entry says that the runner is ready, but is from an older copy of the
@@ -219,13 +222,14 @@
 
 /**
  * Records that TARGET announced in a response that it leaves, received here or
- * by a peer.  STARTED_MS is the start of the announcing process; a process
- * started later is not concerned.  TARGET gets no new requests until it
- * restarts, whatever the store lists meanwhile, except as for
- * BD_TARGET_LEAVING_MAX_MS.  Returns whether this was not known yet.
+ * by a peer.  STARTED_MAX_MS is the latest start of a process that the
+ * announcement may come from; the list may show that process only later.  A
+ * process started after that is not concerned.  TARGET gets no new requests
+ * until such a one is listed, whatever the store lists meanwhile, except as
+ * for BD_TARGET_LEAVING_MAX_MS.  Returns whether this was not known yet.
  */
 bool bd_targets_set_leaving (struct bd_targets *targets,
-                             struct bd_target *target, int64_t started_ms,
+                             struct bd_target *target, int64_t started_max_ms,
                              int64_t now_ms, bool received_here);
 
 /** Removes targets whose lapse has ended, and frees those that are gone. */
--- a/src/gateway/beacon.c
+++ b/src/gateway/beacon.c
@@ -55,7 +55,7 @@
     {
       bd_pack_array (pack, 2);
       bd_pack_uint (pack, beacon->leaving_runners[i].target);
-      bd_pack_int (pack, beacon->leaving_runners[i].started_ms);
+      bd_pack_int (pack, beacon->leaving_runners[i].started_max_ms);
     }
 }
 
@@ -181,7 +181,7 @@
 
       bd_unpack_array (u);
       leaving.target = (uint32_t)bd_unpack_uint (u);
-      leaving.started_ms = bd_unpack_int (u);
+      leaving.started_max_ms = bd_unpack_int (u);
       if (beacon->leaving_count < BD_BEACON_LEAVING_MAX)
         beacon->leaving_runners[beacon->leaving_count++] = leaving;
     }
--- a/src/gateway/beacon.h
+++ b/src/gateway/beacon.h
@@ -69,8 +69,9 @@
 /** A runner that announced its shutdown in a response. */
 struct bd_beacon_leaving_runner
 {
-  uint32_t target;    /**< Low 32 bits of the runner's hash. */
-  int64_t started_ms; /**< Start time of the runner's process. */
+  uint32_t target; /**< Low 32 bits of the runner's hash. */
+  /** Latest start of a process that the announcement may come from. */
+  int64_t started_max_ms;
 };
 
 struct bd_beacon
--- a/src/gateway/beacon_contents.c
+++ b/src/gateway/beacon_contents.c
@@ -80,8 +80,9 @@
     if (all[i]->leaving_received_here && all[i]->leaving_ms != 0
         && now_ms - all[i]->leaving_ms < LEAVING_GOSSIP_MS)
       beacon->leaving_runners[beacon->leaving_count++]
-          = (struct bd_beacon_leaving_runner){ (uint32_t)all[i]->hash,
-                                               all[i]->started_ms };
+          = (struct bd_beacon_leaving_runner){
+              (uint32_t)all[i]->hash, all[i]->leaving_started_max_ms
+            };
 }
 
 void
@@ -95,8 +96,8 @@
       struct bd_target *target = bd_targets_by_hash (targets, leaving->target);
 
       if (target)
-        bd_targets_set_leaving (targets, target, leaving->started_ms, now_ms,
-                                false);
+        bd_targets_set_leaving (targets, target, leaving->started_max_ms,
+                                now_ms, false);
     }
 }
 
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -101,6 +101,17 @@
     f->target->last_byte_ms = bd_clock_boot_ms ();
 }
 
+/* Returns the latest start of a process that may have answered.  The list may
+   be late, but a process that answers has started before it was asked. */
+static int64_t
+answering_started_max_ms (const struct bd_forward *f, int64_t now_ms)
+{
+  int64_t sent_wall_ms = bd_clock_wall_ms () - (now_ms - f->sent_ms);
+
+  return sent_wall_ms > f->target_started_ms ? sent_wall_ms
+                                             : f->target_started_ms;
+}
+
 /* Records what the head of the response tells about the runner itself. */
 static void
 record_runner_state (struct bd_forward *f, const struct bd_head *head)
@@ -112,7 +123,7 @@
     return;
   if (f->response_fields.leaving
       && bd_targets_set_leaving (f->forwarder->options.targets, f->target,
-                                 f->target_started_ms, now, true))
+                                 answering_started_max_ms (f, now), now, true))
     bd_stats_count (f->forwarder->options.stats, BD_STAT_LEAVING, 1);
   record_limit (f, now);
   if (f->status == STATUS_UNAVAILABLE)
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -43,6 +43,7 @@
   struct soak_fault_rates fault_rates;
   int host;
   uint32_t start_count;
+  int64_t born_ms; /* Start of its process by the wall clock. */
   char id[SOAK_ID_BYTES];
   char service[SOAK_ID_BYTES];
   bool published;
@@ -67,10 +68,10 @@
   snprintf (value, sizeof value,
             "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z%d\","
             "\"version\":1,\"slots\":%d,\"state\":\"%s\","
-            "\"coldRemainingMs\":0,\"sequence\":%u,\"born\":%u}",
+            "\"coldRemainingMs\":0,\"sequence\":%u,\"born\":%lld}",
             runner->service, ip, RUNNER_PORT, runner->host % 3, SLOTS,
             runner->draining_since_ms != 0 ? "draining" : "ready",
-            runner->start_count, runner->start_count);
+            runner->start_count, (long long)runner->born_ms);
   soak_store_write (runner->soak->store, key, value);
   runner->published = true;
 }
@@ -506,6 +507,7 @@
 soak_runner_start (struct soak_runner *runner, const char *service)
 {
   runner->start_count++;
+  runner->born_ms = MAX (runner->born_ms + 1, g_get_real_time () / 1000);
   runner->draining_since_ms = 0;
   memset (runner->announcements, 0, sizeof runner->announcements);
   memset (&runner->limit, 0, sizeof runner->limit);
--- a/test/test_beacon.c
+++ b/test/test_beacon.c
@@ -67,7 +67,7 @@
   g_assert_cmpuint (read.strike_count, ==, BD_BEACON_STRIKES_WITH_LOADS);
   g_assert_cmpint (read.strikes[5].age_ms, ==, 3600000);
   g_assert_cmpuint (read.leaving_count, ==, BD_BEACON_LEAVING_MAX);
-  g_assert_cmpint (read.leaving_runners[5].started_ms, ==, INT64_MAX);
+  g_assert_cmpint (read.leaving_runners[5].started_max_ms, ==, INT64_MAX);
   bd_buffer_clear (&out);
 }
 
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -313,6 +313,47 @@
   bd_targets_destroy (targets);
 }
 
+/* The list shows a restart only after the new process has announced that it
+   leaves: the request that the announcement answered was sent at 100, so any
+   process that had started by then may be the announcing one. */
+static void
+test_leaving_list_is_late (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("a", "z0");
+
+  entry.started_ms = 7;
+  bd_targets_put (targets, NOW, &entry, 1);
+  bd_targets_set_leaving (targets, support_target (targets, "a"), 100, NOW,
+                          true);
+  g_assert_false (usable (targets, "a"));
+  entry.started_ms = 50;
+  bd_targets_put (targets, NOW + 1000, &entry, 2);
+  g_assert_false (usable (targets, "a"));
+  entry.started_ms = 101;
+  bd_targets_put (targets, NOW + 2000, &entry, 3);
+  g_assert_true (usable (targets, "a"));
+  bd_targets_destroy (targets);
+}
+
+/* The list shows a restart between the request and its response, which
+   announces that the runner leaves. */
+static void
+test_leaving_after_restart_is_listed (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("a", "z0");
+
+  entry.started_ms = 50;
+  bd_targets_put (targets, NOW, &entry, 1);
+  g_assert_false (bd_targets_set_leaving (
+      targets, support_target (targets, "a"), 49, NOW, true));
+  g_assert_true (bd_targets_set_leaving (
+      targets, support_target (targets, "a"), 100, NOW, true));
+  g_assert_false (usable (targets, "a"));
+  bd_targets_destroy (targets);
+}
+
 /* A runner that is still published as ready long after it announced a leave
    announced it by mistake.  Without this rule a whole pool could stay unusable
    for ever. */
@@ -727,6 +768,9 @@
   g_test_add_func ("/target/leaving-by-response", test_leaving_by_response);
   g_test_add_func ("/target/leaving-of-old-process",
                    test_leaving_of_old_process);
+  g_test_add_func ("/target/leaving-list-is-late", test_leaving_list_is_late);
+  g_test_add_func ("/target/leaving-after-restart-is-listed",
+                   test_leaving_after_restart_is_listed);
   g_test_add_func ("/target/leaving-by-mistake", test_leaving_by_mistake);
   g_test_add_func ("/target/leaving-forgotten", test_leaving_forgotten);
   g_test_add_func ("/target/short-only", test_short_only);
