--- /dev/null
+++ b/src/gateway/attempt_result.c
@@ -0,0 +1,95 @@
+#include "gateway/forward_internal.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+
+#include <inttypes.h>
+
+void
+bd_forward_record_target_result (struct bd_forwarder *forwarder,
+                                 struct bd_target *target,
+                                 enum bd_outlier_result result)
+{
+  bd_outlier_record (forwarder->options.targets, target, bd_clock_boot_ms (),
+                     result);
+}
+
+void
+bd_forward_record_result (struct bd_forward *f, enum bd_outlier_result result)
+{
+  f->outcome.has_result = true;
+  f->outcome.result = result;
+  bd_forward_record_target_result (f->forwarder, f->target, result);
+}
+
+void
+bd_forward_log_failed_attempt (const struct bd_forward *f, const char *reason)
+{
+  char id[BD_FORWARD_ID_BYTES];
+
+  bd_log (BD_EVENT_ATTEMPT_FAILED,
+          "request=%s runner=%s reason=%s status=%d reached=%u events=%llu "
+          "ms=%lld fingerprint=%016" PRIx64,
+          bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
+          f->target->id.data, reason, f->status, f->attempts,
+          (unsigned long long)f->event_count,
+          (long long)bd_forward_elapsed_ms (f), f->fingerprint.exact);
+}
+
+bool
+bd_forward_may_retry (struct bd_forward *f)
+{
+  f->stop_reason = BD_STOP_ATTEMPTS;
+  if (f->attempts >= f->route->attempts_max
+      || f->tried_count == BD_FORWARD_TRIED_MAX)
+    return false;
+  f->stop_reason = BD_STOP_TIME;
+  if (f->deadline_ms <= bd_clock_boot_ms ())
+    return false;
+  f->stop_reason = BD_STOP_NO_RUNNER;
+  if (bd_retry_quota_take (f->forwarder->options.retries, bd_clock_boot_ms (),
+                           f->service))
+    return true;
+  f->stop_reason = BD_STOP_BUDGET;
+  bd_stats_count (f->forwarder->options.stats, BD_STAT_RETRIES_DENIED, 1);
+  return false;
+}
+
+void
+bd_forward_after_refusal (struct bd_forward *f)
+{
+  bd_forward_log_failed_attempt (f, "refused");
+  bd_forward_record_result (f, BD_OUTLIER_REJECTED);
+  bd_forward_end_attempt (f);
+  if (bd_forward_may_retry (f))
+    bd_forward_next_attempt (f);
+  else
+    bd_forward_fail (f, BD_ERR_NO_RUNNER);
+}
+
+void
+bd_forward_after_failure (struct bd_forward *f, int error, const char *reason)
+{
+  bd_forward_log_failed_attempt (f, reason);
+  bd_forward_record_result (f, BD_OUTLIER_FAILURE);
+  bd_forward_end_attempt (f);
+  f->may_have_run = true;
+  f->stop_reason = BD_STOP_NOT_REPEATABLE;
+  if (bd_forward_repeatable (f) && bd_forward_may_retry (f))
+    bd_forward_next_attempt (f);
+  else
+    bd_forward_fail (f, error);
+}
+
+void
+bd_forward_after_no_connection (struct bd_forward *f)
+{
+  bd_forward_log_failed_attempt (f, "unreachable");
+  bd_forward_record_result (f, BD_OUTLIER_UNREACHABLE);
+  f->attempts--;
+  bd_forward_end_attempt (f);
+  if (f->tried_count < BD_FORWARD_TRIED_MAX)
+    bd_forward_next_attempt (f);
+  else
+    bd_forward_fail (f, BD_ERR_NO_RUNNER);
+}
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -2,8 +2,9 @@
  * @file forward_internal.h
  * Internals of the forwarder: the state of a request that is being forwarded.
  * Private to forward.c (routing of requests), attempt.c (attempts at runners),
- * response.c (runners' responses), crash_probe.c (connection probes of runners
- * that may have crashed) and completion.c (final responses to the caller).
+ * attempt_result.c (what follows a failed attempt), response.c (runners'
+ * responses), crash_probe.c (connection probes of runners that may have
+ * crashed) and completion.c (final responses to the caller).
  */
 #ifndef BD_FORWARD_INTERNAL_H
 #define BD_FORWARD_INTERNAL_H
@@ -188,6 +189,12 @@
 /** Registers the attempt with the instance at IP, the new coordinator. */
 void bd_forward_reregister (struct bd_forward *f, uint32_t ip, int64_t now_ms);
 
+/**
+ * Returns whether the request may be sent to another runner after one received
+ * it; takes one retry from the budget.  Otherwise sets F->stop_reason.
+ */
+bool bd_forward_may_retry (struct bd_forward *f);
+
 /** Handles a response that says that the runner did not run the request. */
 void bd_forward_after_refusal (struct bd_forward *f);
 
