Forwarding: a request waits for the retry budget before it is given up

Cause: a runner's refusal while the retry budget is used up ended the request, though other runners were idle and time was left.

Change: it waits until the budget has grown, up to its latency objective, at most 64 requests an instance. The budget itself is kept as before.

Before: test_forward waits-for-budget failed (503, stopped_by=retry_budget). After: it passes; leaves-while-budget-is-used-up guards the new state.

--- a/src/gateway/attempt_result.c
+++ b/src/gateway/attempt_result.c
@@ -5,6 +5,11 @@
 
 #include <inttypes.h>
 
+/* Interval at which a request that waits for the retry budget asks again, and
+   most requests of an instance that wait. */
+#define BUDGET_CHECK_MS 50
+#define BUDGET_WAITERS_MAX 64
+
 void
 bd_forward_record_target_result (struct bd_forwarder *forwarder,
                                  struct bd_target *target,
@@ -51,20 +56,73 @@
                            f->service))
     return true;
   f->stop_reason = BD_STOP_BUDGET;
-  bd_stats_count (f->forwarder->options.stats, BD_STAT_RETRIES_DENIED, 1);
+  if (f->budget_wait_until_ms == 0)
+    bd_stats_count (f->forwarder->options.stats, BD_STAT_RETRIES_DENIED, 1);
   return false;
 }
 
+static void on_budget_check (uv_timer_t *timer);
+
+/* Lets the request wait until the retry budget has grown, but not for longer
+   than its latency objective.  Returns whether it waits. */
+static bool
+wait_for_budget (struct bd_forward *f)
+{
+  int64_t now = bd_clock_boot_ms ();
+
+  if (f->stop_reason != BD_STOP_BUDGET
+      || f->forwarder->budget_waiters >= BUDGET_WAITERS_MAX)
+    return false;
+  if (f->budget_wait_until_ms == 0)
+    f->budget_wait_until_ms = now + f->route->objective_ms;
+  if (now >= f->budget_wait_until_ms)
+    return false;
+  f->waits_for_budget = true;
+  f->forwarder->budget_waiters++;
+  uv_timer_start (&f->attempt_timer, on_budget_check, BUDGET_CHECK_MS, 0);
+  return true;
+}
+
+void
+bd_forward_end_budget_wait (struct bd_forward *f)
+{
+  if (f->waits_for_budget)
+    f->forwarder->budget_waiters--;
+  f->waits_for_budget = false;
+}
+
+/* Sends the request to another runner, now or when the retry budget has grown,
+   or else fails it with ERROR. */
+static void
+retry_or_fail (struct bd_forward *f, int error)
+{
+  if (bd_forward_may_retry (f))
+    {
+      f->budget_wait_until_ms = 0;
+      bd_forward_next_attempt (f);
+      return;
+    }
+  f->failed_with = error;
+  if (!wait_for_budget (f))
+    bd_forward_fail (f, error);
+}
+
+static void
+on_budget_check (uv_timer_t *timer)
+{
+  struct bd_forward *f = timer->data;
+
+  bd_forward_end_budget_wait (f);
+  retry_or_fail (f, f->failed_with);
+}
+
 void
 bd_forward_after_refusal (struct bd_forward *f)
 {
   bd_forward_log_failed_attempt (f, "refused");
   bd_forward_record_result (f, BD_OUTLIER_REJECTED);
   bd_forward_end_attempt (f);
-  if (bd_forward_may_retry (f))
-    bd_forward_next_attempt (f);
-  else
-    bd_forward_fail (f, BD_ERR_NO_RUNNER);
+  retry_or_fail (f, BD_ERR_NO_RUNNER);
 }
 
 void
@@ -75,8 +133,8 @@
   bd_forward_end_attempt (f);
   f->may_have_run = true;
   f->stop_reason = BD_STOP_NOT_REPEATABLE;
-  if (bd_forward_repeatable (f) && bd_forward_may_retry (f))
-    bd_forward_next_attempt (f);
+  if (bd_forward_repeatable (f))
+    retry_or_fail (f, error);
   else
     bd_forward_fail (f, error);
 }
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -90,6 +90,7 @@
   if (f->call)
     bd_call_cancel (f->call);
   bd_forward_end_attempt (f);
+  bd_forward_end_budget_wait (f);
   f->closing = true;
   if (f->previous)
     f->previous->next = f->next;
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -52,6 +52,8 @@
   struct bd_crashes *crashes;
   size_t probes_in_progress; /* Number of connection probes in progress. */
   size_t buffered_bytes;     /* Bytes of all incomplete responses. */
+  size_t budget_waiters;     /* Number of requests that wait for the retry
+                                budget. */
   int64_t last_request_ms;
   int64_t coordinated_ms;  /* When a coordinator answered last. */
   int lowest_priority;     /* Least urgent priority that the routing uses. */
@@ -78,7 +80,8 @@
   int64_t deadline_ms;
   uv_timer_t deadline_timer; /* Expires at deadline_ms. */
   /* Expires when the attempt has been silent for too long; polls the caller's
-     unread bytes while reading is paused. */
+     unread bytes while reading is paused, and the retry budget between
+     attempts. */
   uv_timer_t attempt_timer;
   /* Attempts.  Runners tried are kept as the low 32 bits of their hashes, not
      as pointers, because a runner's entry may be removed while the request
@@ -119,6 +122,11 @@
   bool may_have_run;
   /* Why the request was not sent to another runner. */
   enum bd_stop_reason stop_reason;
+  /* No retry was allowed by the budget: the request waits until there is one,
+     or fails with this error at this time; 0: it has not been refused. */
+  bool waits_for_budget;
+  int failed_with;
+  int64_t budget_wait_until_ms;
   /* Response of the current attempt. */
   int status;
   bool streaming;
@@ -195,6 +203,9 @@
  */
 bool bd_forward_may_retry (struct bd_forward *f);
 
+/** Ends a wait for the retry budget, if there is one. */
+void bd_forward_end_budget_wait (struct bd_forward *f);
+
 /** Handles a response that says that the runner did not run the request. */
 void bd_forward_after_refusal (struct bd_forward *f);
 
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -337,6 +337,69 @@
   support_gateway_close (&g);
 }
 
+/* Starts runner 0, which refuses its first request, and an idle runner 1, and
+   lets no retry happen before a second request has been sent.  Returns the
+   caller whose request was refused and waits. */
+static struct support_caller *
+refused_without_budget (struct support_gateway *g,
+                        const struct support_step steps[2])
+{
+  static const struct bd_retry_limits limits
+      = { .ratio = 1.0, .slack = 0, .window_ms = 10000 };
+  struct support_caller *caller;
+  struct bd_target *target;
+
+  support_gateway_open (g);
+  bd_retry_quota_set_limits (g->retries, &limits);
+  support_gateway_runner (g, 0, steps, 2);
+  support_gateway_runner (g, 1, answers, 2);
+  target = bd_targets_find (g->targets, bd_chunk_of (g->runners[1].id));
+  target->in_flight = 40;
+  caller = call (g, "GET /safe/x");
+  support_await_count (g, &g->runners[0].request_count, 1);
+  target = bd_targets_find (g->targets, bd_chunk_of (g->runners[0].id));
+  while (target->in_flight > 0)
+    support_run_once (g);
+  return caller;
+}
+
+/* A runner refuses a request while the retry budget is used up, as it is in
+   the first seconds of a process.  The request is sent to the idle runner when
+   further requests have raised the budget. */
+static void
+test_waits_for_budget (void)
+{
+  static const struct support_step steps[2]
+      = { { REFUSAL, SUPPORT_KEEP }, { OK_ANSWER, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_caller *caller = refused_without_budget (&g, steps);
+  char *text = support_request ("GET /safe/y", "a2", "", "");
+
+  support_caller_send (&g, 1, text);
+  g_free (text);
+  support_await (caller, "\r\n\r\nok");
+  g_assert_cmpint (g.runners[1].request_count, ==, 1);
+  support_gateway_close (&g);
+}
+
+/* The caller of a request that waits for the retry budget leaves. */
+static void
+test_leaves_while_budget_is_used_up (void)
+{
+  static const struct support_step steps[2]
+      = { { REFUSAL, SUPPORT_KEEP }, { OK_ANSWER, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_caller *caller = refused_without_budget (&g, steps);
+  char *text = support_request ("GET /safe/y", "a2", "", "");
+
+  support_disconnect (caller);
+  support_await (support_caller_send (&g, 1, text), "\r\n\r\nok");
+  g_free (text);
+  g_assert_cmpint (g.runners[0].request_count + g.runners[1].request_count, ==,
+                   2);
+  support_gateway_close (&g);
+}
+
 /* Returns the end of an established connection in this process whose own
    address has port OWN_PORT and whose peer's has PEER_PORT, in network byte
    order; 0: any port. */
@@ -1048,6 +1111,9 @@
   g_test_add_func ("/forward/unreachable", test_unreachable);
   g_test_add_func ("/forward/tried-runner-forgotten",
                    test_tried_runner_forgotten);
+  g_test_add_func ("/forward/waits-for-budget", test_waits_for_budget);
+  g_test_add_func ("/forward/leaves-while-budget-is-used-up",
+                   test_leaves_while_budget_is_used_up);
   g_test_add_func ("/forward/unreachable-not-counted",
                    test_unreachable_not_counted);
   g_test_add_func ("/forward/caller-outlives-lost-probe",
