--- a/test/test_store.c
+++ b/test/test_store.c
@@ -239,20 +239,28 @@
   g_free (second_item);
 }
 
+/* Returns the value of the metric basildock_NAME. */
 static int64_t
-routing_version (struct fixture *fixture)
+metric (struct fixture *fixture, const char *name)
 {
+  char *line = g_strdup_printf ("\nbasildock_%s ", name);
   struct bd_buffer text = { 0 };
   const char *at;
-  int64_t version;
+  int64_t value;
 
   bd_stats_write (bd_gateway_stats (fixture->gateway), &text);
-  at = strstr (text.data, "\nbasildock_routing_version ");
+  at = strstr (text.data, line);
   g_assert_nonnull (at);
-  version = g_ascii_strtoll (at + strlen ("\nbasildock_routing_version "),
-                             NULL, 10);
+  value = g_ascii_strtoll (at + strlen (line), NULL, 10);
   bd_buffer_clear (&text);
-  return version;
+  g_free (line);
+  return value;
+}
+
+static int64_t
+routing_version (struct fixture *fixture)
+{
+  return metric (fixture, "routing_version");
 }
 
 /* Opens the fixture and lists two pages; the watch then starts at the first
@@ -494,6 +502,7 @@
                      NULL);
   await_calls (&fixture, 5);
   g_assert_false (is_usable (&fixture, "c"));
+  g_assert_cmpint (metric (&fixture, "entries_refused_total"), ==, 2);
 }
 
 /* Status 410: the store has discarded the events since the last watch.  All
@@ -514,6 +523,78 @@
   g_assert_true (is_usable (&fixture, "b"));
 }
 
+/* Lists again, up to a first page in RESPONSE, which must not be taken for the
+   end of the list: all runners stay, and the call NEXT_CALL follows. */
+static void
+check_incomplete_list (const char *response, const char *next_call)
+{
+  struct fixture fixture;
+
+  start_watch (&fixture);
+  add_response (&fixture, "410 {}");
+  await_calls (&fixture, 4);
+  add_response (&fixture, response);
+  await_calls (&fixture, 5);
+  g_assert_true (is_usable (&fixture, "a"));
+  g_assert_true (is_usable (&fixture, "b"));
+  g_assert_cmpstr (fixture.calls->pdata[4], ==, next_call);
+}
+
+/* A page without items is not an empty list. */
+static void
+test_list_without_items (void)
+{
+  check_incomplete_list ("200 {\"hasMore\":false,\"storeRevision\":60}",
+                         "/v1/kv-range?prefix=");
+}
+
+/* A page that says that more follow, but has no last key to go on from. */
+static void
+test_list_without_last_key (void)
+{
+  check_incomplete_list (
+      "200 {\"items\":[],\"hasMore\":true,\"storeRevision\":60}",
+      "/v1/kv-range?prefix=");
+}
+
+/* Any key of other writers may be the last one of a page. */
+static void
+test_last_key_is_escaped (void)
+{
+  check_incomplete_list (
+      "200 {\"items\":[{\"key\":\"notes/a b&prefix=\\u00e9?%1\",\"value\":"
+      "\"\",\"revision\":5}],\"hasMore\":true,\"storeRevision\":60}",
+      "/v1/kv-range?prefix=&after=notes/a%20b%26prefix%3D%C3%A9%3F%251");
+}
+
+/* A watch without events tells nothing: the same one follows. */
+static void
+test_watch_without_events (void)
+{
+  struct fixture fixture;
+
+  start_watch (&fixture);
+  add_response (&fixture, "200 {\"storeRevision\":60}");
+  await_calls (&fixture, 4);
+  g_assert_nonnull (strstr (fixture.calls->pdata[3], "after=20"));
+}
+
+/* More has changed than a response may hold: everything is listed again. */
+static void
+test_watch_too_large (void)
+{
+  struct fixture fixture;
+  char *text = g_strnfill ((gsize)9 * 1024 * 1024, ' ');
+
+  start_watch (&fixture);
+  memcpy (text, "200 ", 4);
+  add_response (&fixture, text);
+  g_free (text);
+  await_calls (&fixture, 4);
+  g_assert_cmpstr (fixture.calls->pdata[3], ==, "/v1/kv-range?prefix=");
+  g_assert_true (is_usable (&fixture, "a"));
+}
+
 /* Runners and configuration stay during a store outage.  A runner whose entry
    expired in the outage stays usable, since it may register again. */
 static void
@@ -546,6 +627,11 @@
   g_test_add_func ("/store/malformed-entries", test_malformed_entries);
   g_test_add_func ("/store/history-gone", test_history_gone);
   g_test_add_func ("/store/outage", test_outage);
+  g_test_add_func ("/store/list-without-items", test_list_without_items);
+  g_test_add_func ("/store/list-without-last-key", test_list_without_last_key);
+  g_test_add_func ("/store/last-key-is-escaped", test_last_key_is_escaped);
+  g_test_add_func ("/store/watch-without-events", test_watch_without_events);
+  g_test_add_func ("/store/watch-too-large", test_watch_too_large);
   g_test_add_func ("/store/older-copy-configuration",
                    test_older_copy_configuration);
   g_test_add_func ("/store/evacuation", test_evacuation);
