--- a/src/common/string.c
+++ b/src/common/string.c
@@ -183,6 +183,27 @@
   return rc;
 }
 
+static bool
+is_plain_in_query (char c)
+{
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+         || (c >= '0' && c <= '9') || (c && strchr ("-._~/", c));
+}
+
+int
+bd_buffer_append_query (struct bd_buffer *buffer, struct bd_chunk text)
+{
+  int error = BD_OK;
+
+  for (size_t i = 0; i < text.length && error == BD_OK; i++)
+    if (is_plain_in_query (text.data[i]))
+      error = bd_buffer_append (buffer, (struct bd_chunk){ &text.data[i], 1 });
+    else
+      error = bd_buffer_printf (buffer, "%%%02X",
+                                (unsigned)(unsigned char)text.data[i]);
+  return error;
+}
+
 int
 bd_buffer_printf (struct bd_buffer *buffer, const char *format, ...)
 {
--- a/src/common/string.h
+++ b/src/common/string.h
@@ -74,6 +74,12 @@
  */
 int bd_buffer_append_base64 (struct bd_buffer *buffer, struct bd_chunk text);
 
+/**
+ * Appends TEXT as a value in the query of an address: all but letters, digits
+ * and -._~/ is percent-encoded.  Returns BD_OK or BD_ERR_NOMEM.
+ */
+int bd_buffer_append_query (struct bd_buffer *buffer, struct bd_chunk text);
+
 /** Appends formatted text.  Returns BD_OK, BD_ERR_NOMEM or BD_ERR_INVALID. */
 int bd_buffer_printf (struct bd_buffer *buffer, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
