--- a/src/common/string.c
+++ b/src/common/string.c
@@ -42,6 +42,20 @@
   return a.length == 0 || sodium_memcmp (a.data, b.data, a.length) == 0;
 }
 
+struct bd_chunk
+bd_chunk_split_off (struct bd_chunk *rest, char separator)
+{
+  struct bd_chunk first = *rest;
+  const char *at
+      = rest->length > 0 ? memchr (rest->data, separator, rest->length) : NULL;
+
+  if (at)
+    first.length = (size_t)(at - rest->data);
+  rest->data += first.length + (at ? 1 : 0);
+  rest->length -= first.length + (at ? 1 : 0);
+  return first;
+}
+
 char *
 bd_chunk_copy (struct bd_chunk chunk)
 {
--- a/src/common/string.h
+++ b/src/common/string.h
@@ -30,6 +30,12 @@
 /** Compares in a time that depends on the lengths only. */
 bool bd_chunk_equal_constant_time (struct bd_chunk a, struct bd_chunk b);
 
+/**
+ * Splits the text up to the next SEPARATOR, or all of it, off REST, and
+ * returns it.  The separator is in neither.
+ */
+struct bd_chunk bd_chunk_split_off (struct bd_chunk *rest, char separator);
+
 /** Returns a new NUL-terminated copy that the caller frees, or NULL. */
 char *bd_chunk_copy (struct bd_chunk chunk);
 
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -76,11 +76,7 @@
 static struct bd_chunk
 path_without_query (struct bd_chunk target)
 {
-  const char *mark = memchr (target.data, '?', target.length);
-
-  if (mark)
-    target.length = (size_t)(mark - target.data);
-  return target;
+  return bd_chunk_split_off (&target, '?');
 }
 
 static int
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -33,12 +33,9 @@
 static struct bd_chunk
 path_of (const struct bd_head *head)
 {
-  struct bd_chunk path = head->target;
-  const char *query = memchr (path.data, '?', path.length);
+  struct bd_chunk target = head->target;
 
-  if (query)
-    path.length = (size_t)(query - path.data);
-  return path;
+  return bd_chunk_split_off (&target, '?');
 }
 
 static struct bd_fingerprint
--- a/src/http/message.c
+++ b/src/http/message.c
@@ -67,26 +67,21 @@
 static bool
 list_contains (struct bd_chunk list, struct bd_chunk name)
 {
-  const char *at = list.data;
-  const char *end = list.data + list.length;
-
-  while (at < end)
+  while (list.length > 0)
     {
-      const char *comma = memchr (at, ',', (size_t)(end - at));
-      const char *stop = comma ? comma : end;
-      struct bd_chunk token;
-
-      while (at < stop && (*at == ' ' || *at == '\t'))
-        at++;
-      token.data = at;
-      token.length = (size_t)(stop - at);
+      struct bd_chunk token = bd_chunk_split_off (&list, ',');
+
+      while (token.length > 0 && (*token.data == ' ' || *token.data == '\t'))
+        {
+          token.data++;
+          token.length--;
+        }
       while (token.length > 0
              && (token.data[token.length - 1] == ' '
                  || token.data[token.length - 1] == '\t'))
         token.length--;
       if (bd_field_named (token, name))
         return true;
-      at = stop + 1;
     }
   return false;
 }
--- a/test/test_string.c
+++ b/test/test_string.c
@@ -136,6 +136,29 @@
   bd_buffer_clear (&buffer);
 }
 
+static void
+test_split_off (void)
+{
+  struct bd_chunk rest = BD_CHUNK ("a,,b");
+  static const char *const parts[] = { "a", "", "b", "" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    g_assert_true (bd_chunk_equal (bd_chunk_split_off (&rest, ','),
+                                   bd_chunk_of (parts[i])));
+  g_assert_cmpuint (rest.length, ==, 0);
+}
+
+static void
+test_query (void)
+{
+  struct bd_buffer buffer = { 0 };
+
+  g_assert_cmpint (bd_buffer_append_query (&buffer, BD_CHUNK ("a/-._~9 \0%&")),
+                   ==, BD_OK);
+  g_assert_cmpstr (buffer.data, ==, "a/-._~9%20%00%25%26");
+  bd_buffer_clear (&buffer);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -146,5 +169,7 @@
   g_test_add_func ("/error/table", test_error_table);
   g_test_add_func ("/mailbox/loses-nothing", test_mailbox_loses_nothing);
   g_test_add_func ("/string/base64", test_base64);
+  g_test_add_func ("/string/split-off", test_split_off);
+  g_test_add_func ("/string/query", test_query);
   return g_test_run ();
 }
