Inventory: a list over the bound is not read as a whole one

Cause: bytes beyond the bound were dropped, later ones that still fitted were appended. After: the call is ended and its connection closed.

--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -82,15 +82,6 @@
   call->status = head->status;
 }
 
-static void
-on_body (void *context, struct bd_chunk data)
-{
-  struct runner_call *call = context;
-
-  if (call->body.length + data.length <= RESPONSE_MAX_BYTES)
-    bd_buffer_append (&call->body, data);
-}
-
 static void
 on_prefix (void *context, uint64_t prefix, uint64_t tokens)
 {
@@ -117,6 +108,20 @@
   bd_buffer_clear (&call->body);
 }
 
+static void
+on_body (void *context, struct bd_chunk data)
+{
+  struct runner_call *call = context;
+  int error = BD_ERR_TOO_LARGE;
+
+  if (call->body.length + data.length <= RESPONSE_MAX_BYTES)
+    error = bd_buffer_append (&call->body, data);
+  if (error == BD_OK)
+    return;
+  bd_call_cancel (call->http_call);
+  end_call (call, bd_error_answer (error)->code);
+}
+
 static void
 on_end (void *context)
 {
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -84,11 +84,49 @@
   support_gateway_close (&g);
 }
 
+/* A list that is larger than may be read, of which the part that was kept
+   would still be a list.  A list that comes later, whole, is read. */
+static void
+test_too_large (void)
+{
+  char *padding = g_strnfill ((gsize)3 * 1024 * 1024, ' ');
+  char *large = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nX-Note: %.*s\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "b\r\n{\"epoch\":1,\r\n300000\r\n%s\r\n"
+      "1c\r\n\"held\":[[\"\",\"a1\",9000,\"m\"]]}\r\n0\r\n\r\n",
+      2000, padding, padding);
+  struct support_step steps[]
+      = { { large, SUPPORT_KEEP }, { LIST, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_runner *runner;
+  struct bd_inventory *inventory;
+  struct bd_target *target;
+
+  support_gateway_open (&g);
+  runner = support_gateway_runner (&g, 0, steps, 2);
+  inventory = query_runners (&g);
+  support_await_count (&g, &runner->closed_count, 1);
+  g_assert_cmpint (runner->request_count, ==, 1);
+  target = bd_targets_find (g.targets, BD_CHUNK ("i-0"));
+  g_assert_null (bd_prefix_map_find (bd_selector_prefixes (g.selector),
+                                     prefix_hash ("a1"), target,
+                                     bd_clock_boot_ms ()));
+  bd_inventory_query (inventory, BD_CHUNK ("s"), bd_clock_boot_ms ());
+  while (!bd_prefix_map_find (bd_selector_prefixes (g.selector),
+                              prefix_hash ("a1"), target, bd_clock_boot_ms ()))
+    support_run_once (&g);
+  bd_inventory_destroy (inventory);
+  support_gateway_close (&g);
+  g_free (large);
+  g_free (padding);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/inventory/listed", test_listed);
   g_test_add_func ("/inventory/no-answer", test_no_answer);
+  g_test_add_func ("/inventory/too-large", test_too_large);
   return g_test_run ();
 }
