--- a/src/idempotency/idempotency.h
+++ b/src/idempotency/idempotency.h
@@ -143,8 +143,10 @@
  * BD_ERR_FULL when there is no room for a new record, BD_ERR_INVALID for a
  * retry window outside 1 ms to BD_IDEMPOTENCY_MAX_KEEP_MS.  With a record:
  * BD_ERR_KEY_MISMATCH, BD_ERR_KEY_ENDED, BD_ERR_ALREADY_RAN,
- * BD_ERR_OUTCOME_UNKNOWN or BD_ERR_STALE.  The answer's ran is BD_RAN_NO only
- * when the key has not run and never will.  A duplicate of the claim that got
+ * BD_ERR_OUTCOME_UNKNOWN or BD_ERR_STALE.  The answer's ran tells of the
+ * request of this claim: BD_RAN_NO only when it has not run with the key and
+ * never will.  With BD_ERR_KEY_MISMATCH the key may have run, with the request
+ * that it was first used for.  A duplicate of the claim that got
  * RUN gets JOIN with its own identifier.
  */
 void bd_idempotency_claim (struct bd_idempotency *idempotency, int64_t now_ms,
