Forwarding: a silent attempt is given up as soon as the retry budget allows it

Cause: when the budget was used up at the moment at which a silent runner would have been left, nothing asked again, and the request waited there until its deadline. After: it asks again each 100 ms. retries_denied counts requests now, not each question; budget_waiters shows how many wait.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -18,7 +18,7 @@
 #define TIMEOUT_RATIO_PLAIN 0.6
 #define TIMEOUT_RATIO_STREAM 1.5
 /* Interval at which an attempt past its timeout checks whether its runner has
-   become silent. */
+   become silent, or the retry budget has grown. */
 #define SILENCE_CHECK_MS 100
 
 /* Attempts. */
@@ -80,8 +80,12 @@
       uv_timer_start (timer, on_attempt_timeout, SILENCE_CHECK_MS, 0);
       return;
     }
-  if (f->attempts >= f->route->attempts_max || !bd_forward_may_retry (f))
-    return;
+  if (!bd_forward_may_retry (f))
+    {
+      if (f->stop_reason == BD_STOP_BUDGET)
+        uv_timer_start (timer, on_attempt_timeout, SILENCE_CHECK_MS, 0);
+      return;
+    }
   bd_forward_log_failed_attempt (f, "silent");
   if (bd_call_sent (f->call))
     bd_forward_open_crash_case (f, BD_CRASH_TIMED_OUT);
--- a/src/gateway/attempt_result.c
+++ b/src/gateway/attempt_result.c
@@ -56,11 +56,20 @@
                            f->service))
     return true;
   f->stop_reason = BD_STOP_BUDGET;
-  if (f->budget_wait_until_ms == 0)
+  if (!f->retry_denied)
     bd_stats_count (f->forwarder->options.stats, BD_STAT_RETRIES_DENIED, 1);
+  f->retry_denied = true;
   return false;
 }
 
+static void
+count_waiter (struct bd_forwarder *forwarder, int change)
+{
+  forwarder->budget_waiters += change;
+  bd_stats_set (forwarder->options.stats, BD_GAUGE_BUDGET_WAITERS,
+                forwarder->budget_waiters);
+}
+
 static void on_budget_check (uv_timer_t *timer);
 
 /* Lets the request wait until the retry budget has grown, but not for longer
@@ -78,7 +87,7 @@
   if (now >= f->budget_wait_until_ms)
     return false;
   f->waits_for_budget = true;
-  f->forwarder->budget_waiters++;
+  count_waiter (f->forwarder, 1);
   uv_timer_start (&f->attempt_timer, on_budget_check, BUDGET_CHECK_MS, 0);
   return true;
 }
@@ -87,7 +96,7 @@
 bd_forward_end_budget_wait (struct bd_forward *f)
 {
   if (f->waits_for_budget)
-    f->forwarder->budget_waiters--;
+    count_waiter (f->forwarder, -1);
   f->waits_for_budget = false;
 }
 
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -122,11 +122,11 @@
   bool may_have_run;
   /* Why the request was not sent to another runner. */
   enum bd_stop_reason stop_reason;
-  /* No retry was allowed by the budget: the request waits until there is one,
-     or fails with this error at this time; 0: it has not been refused. */
-  bool waits_for_budget;
-  int failed_with;
-  int64_t budget_wait_until_ms;
+  bool retry_denied;     /* The retry budget was used up at least once. */
+  bool waits_for_budget; /* Between attempts, until the budget has grown. */
+  int64_t budget_wait_until_ms; /* End of the wait; 0: there was none since the
+                                   last attempt. */
+  int failed_with; /* The error with which the request fails then. */
   /* Response of the current attempt. */
   int status;
   bool streaming;
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -16,7 +16,8 @@
   X (REFUSED, "refused", "Requests refused before any run")                   \
   X (ABORTED, "aborted", "Requests whose caller went away")                   \
   X (RETRIES, "retries", "Requests sent to another runner")                   \
-  X (RETRIES_DENIED, "retries_denied", "Retries that the budget refused")     \
+  X (RETRIES_DENIED, "retries_denied",                                        \
+     "Requests to which the retry budget refused a retry")                    \
   X (RESUMES, "resumes", "Streams resumed at another runner")                 \
   X (BROKEN, "broken", "Streams that ended incomplete")                       \
   X (EVENTS, "events", "Stream events passed on")                             \
@@ -46,6 +47,7 @@
   X (PEER_AGE_MS, "peer_age_ms", "Age of the oldest news of a live peer")     \
   X (ACTIVE, "active", "Requests in flight")                                  \
   X (CONNECTIONS, "connections", "Callers' connections")                      \
+  X (BUDGET_WAITERS, "budget_waiters", "Requests that wait for retry budget") \
   X (LEDGER, "ledger", "Requests of all instances that were placed here")     \
   X (STORE_AGE_MS, "store_age_ms", "Time since the store last answered")
 
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -337,27 +337,36 @@
   support_gateway_close (&g);
 }
 
-/* Starts runner 0, which refuses its first request, and an idle runner 1, and
-   lets no retry happen before a second request has been sent.  Returns the
-   caller whose request was refused and waits. */
+/* Starts runner 0 with STEPS and an idle runner 1, lets no retry happen before
+   a second request has been sent, and sends a first one to runner 0. */
 static struct support_caller *
-refused_without_budget (struct support_gateway *g,
-                        const struct support_step steps[2])
+ask_without_budget (struct support_gateway *g,
+                    const struct support_step steps[2])
 {
   static const struct bd_retry_limits limits
       = { .ratio = 1.0, .slack = 0, .window_ms = 10000 };
   struct support_caller *caller;
-  struct bd_target *target;
 
   support_gateway_open (g);
   bd_retry_quota_set_limits (g->retries, &limits);
   support_gateway_runner (g, 0, steps, 2);
   support_gateway_runner (g, 1, answers, 2);
-  target = bd_targets_find (g->targets, bd_chunk_of (g->runners[1].id));
-  target->in_flight = 40;
+  bd_targets_find (g->targets, bd_chunk_of (g->runners[1].id))->in_flight = 40;
   caller = call (g, "GET /safe/x");
   support_await_count (g, &g->runners[0].request_count, 1);
-  target = bd_targets_find (g->targets, bd_chunk_of (g->runners[0].id));
+  return caller;
+}
+
+/* The same, where runner 0 refuses the first request.  Returns when that is
+   known. */
+static struct support_caller *
+refused_without_budget (struct support_gateway *g,
+                        const struct support_step steps[2])
+{
+  struct support_caller *caller = ask_without_budget (g, steps);
+  const struct bd_target *target
+      = bd_targets_find (g->targets, bd_chunk_of (g->runners[0].id));
+
   while (target->in_flight > 0)
     support_run_once (g);
   return caller;
@@ -382,6 +391,39 @@
   support_gateway_close (&g);
 }
 
+static bool
+retry_was_denied (const struct support_gateway *g)
+{
+  struct bd_buffer text = { 0 };
+  bool denied;
+
+  bd_stats_write (g->stats, &text);
+  denied = strstr (text.data, "retries_denied_total 0\n") == NULL;
+  bd_buffer_clear (&text);
+  return denied;
+}
+
+/* A runner stays silent, and the retry budget is used up when the attempt
+   would be given up.  The request goes to the other runner when the budget has
+   grown. */
+static void
+test_silent_without_budget (void)
+{
+  static const struct support_step steps[2]
+      = { { "", SUPPORT_KEEP }, { OK_ANSWER, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_caller *caller = ask_without_budget (&g, steps);
+  char *text = support_request ("GET /safe/y", "a2", "", "");
+
+  while (!retry_was_denied (&g))
+    support_run_once (&g);
+  support_caller_send (&g, 1, text);
+  g_free (text);
+  support_await (caller, "\r\n\r\nok");
+  g_assert_cmpint (g.runners[1].request_count, ==, 1);
+  support_gateway_close (&g);
+}
+
 /* The caller of a request that waits for the retry budget leaves. */
 static void
 test_leaves_while_budget_is_used_up (void)
@@ -1112,6 +1154,8 @@
   g_test_add_func ("/forward/tried-runner-forgotten",
                    test_tried_runner_forgotten);
   g_test_add_func ("/forward/waits-for-budget", test_waits_for_budget);
+  g_test_add_func ("/forward/silent-without-budget",
+                   test_silent_without_budget);
   g_test_add_func ("/forward/leaves-while-budget-is-used-up",
                    test_leaves_while_budget_is_used_up);
   g_test_add_func ("/forward/unreachable-not-counted",
