--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -126,6 +126,8 @@
   bd_stats_set (gateway->stats, BD_GAUGE_RUNNERS, (int64_t)usable);
   bd_stats_set (gateway->stats, BD_GAUGE_AVOIDED, (int64_t)ejected);
   bd_stats_set (gateway->stats, BD_GAUGE_LIMITED, (int64_t)limited);
+  bd_stats_set (gateway->stats, BD_GAUGE_DISTRUSTED,
+                (int64_t)bd_targets_distrusted_count (gateway->targets));
   bd_stats_set (gateway->stats, BD_GAUGE_ACTIVE,
                 (int64_t)bd_server_active (gateway->caller_server));
   bd_stats_set (gateway->stats, BD_GAUGE_CONNECTIONS,
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -49,7 +49,9 @@
   X (CONNECTIONS, "connections", "Callers' connections")                      \
   X (BUDGET_WAITERS, "budget_waiters", "Requests that wait for retry budget") \
   X (LEDGER, "ledger", "Requests of all instances that were placed here")     \
-  X (STORE_AGE_MS, "store_age_ms", "Time since the store last answered")
+  X (STORE_AGE_MS, "store_age_ms", "Time since the store last answered")      \
+  X (STORE_ERA, "store_era", "Times that the store came from an older copy")  \
+  X (DISTRUSTED, "distrusted", "Runners whose entries may be outdated")
 
 enum bd_stat
 {
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -386,6 +386,7 @@
   struct fixture fixture;
 
   return_from_copy (&fixture);
+  g_assert_cmpint (metric (&fixture, "store_era"), ==, 2);
   g_assert_nonnull (strstr (fixture.calls->pdata[6], "after=22"));
   g_assert_false (is_usable (&fixture, "a"));
   g_assert_false (is_usable (&fixture, "b"));
