Server: a connection for which there is no memory is accepted later

Cause: the event loop reports no connection before the one that is ready has been accepted; on_connection returned without doing so when an allocation or the start of TLS failed, so the listener was dead until the process ended. Before: test_memory timed out at the first allocation.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -54,6 +54,8 @@
   size_t connections;
   size_t active;
   bool draining;
+  bool accept_waits; /* A connection is ready that could not be accepted, since
+                        there was no memory. */
   int open_handles;
 };
 
@@ -241,20 +243,16 @@
 static const struct bd_socket_handler socket_handler
     = { .on_data = on_data, .on_end = on_end, .on_drain = on_drain };
 
-static void
-on_connection (uv_stream_t *listener, int status)
+/* Accepts the connection that LISTENER has ready.  Returns BD_OK, BD_ERR_IO or
+   BD_ERR_NOMEM; the connection then stays ready. */
+static int
+accept_connection (struct bd_server *server, uv_stream_t *listener)
 {
-  struct bd_server *server = listener->data;
-  struct bd_exchange *exchange;
+  struct bd_exchange *exchange = calloc (1, sizeof *exchange);
+  int error = BD_ERR_NOMEM;
 
-  if (status != 0)
-    {
-      bd_log (BD_EVENT_ACCEPT_FAILED, "reason=%s", uv_err_name (status));
-      return;
-    }
-  exchange = calloc (1, sizeof *exchange);
   if (!exchange)
-    return;
+    return BD_ERR_NOMEM;
   exchange->server = server;
   exchange->last_activity_ms = bd_clock_boot_ms ();
   exchange->reader
@@ -267,13 +265,34 @@
   if (exchange->next)
     exchange->next->previous = exchange;
   server->exchanges = exchange;
-  if (!exchange->reader || !exchange->socket
-      || bd_socket_accept (exchange->socket, listener, server->tls) != BD_OK)
+  if (exchange->reader && exchange->socket)
+    error = bd_socket_accept (exchange->socket, listener, server->tls);
+  if (error == BD_OK)
+    return BD_OK;
+  if (exchange->socket)
+    bd_socket_close (exchange->socket);
+  free_exchange (exchange);
+  return error;
+}
+
+static void
+on_connection (uv_stream_t *listener, int status)
+{
+  struct bd_server *server = listener->data;
+  int error;
+
+  if (status != 0)
     {
-      if (exchange->socket)
-        bd_socket_close (exchange->socket);
-      free_exchange (exchange);
+      bd_log (BD_EVENT_ACCEPT_FAILED, "reason=%s", uv_err_name (status));
+      return;
     }
+  error = accept_connection (server, listener);
+  /* The event loop reports no further connection before this one is
+     accepted. */
+  server->accept_waits = error == BD_ERR_NOMEM;
+  if (server->accept_waits)
+    bd_log (BD_EVENT_ACCEPT_FAILED, "reason=%s",
+            bd_error_answer (error)->code);
 }
 
 /* Returns true when the time limit for a head, body or idle connection has
@@ -297,6 +316,8 @@
   int64_t now = bd_clock_boot_ms ();
   struct bd_exchange *next;
 
+  if (server->accept_waits)
+    on_connection ((uv_stream_t *)&server->listener, 0);
   for (struct bd_exchange *exchange = server->exchanges; exchange;
        exchange = next)
     {
