Client: a request that could not be copied whole is not sent

Cause: appends without memory were ignored, so a request could go out without its first line, a field or its body, and an answer was not compared with the attempt that it names. A buffer now stays incomplete after a failed append, and whoever uses it checks once. Before: test_memory failed at allocation 8 (a request without its first line). After: it comes to allocation 21, where an answer loses its header fields.

--- a/src/common/string.c
+++ b/src/common/string.c
@@ -140,6 +140,7 @@
 bd_buffer_reset (struct bd_buffer *buffer)
 {
   buffer->length = 0;
+  buffer->incomplete = false;
   if (buffer->data)
     buffer->data[0] = '\0';
 }
@@ -152,13 +153,18 @@
       = buffer->capacity > 0 ? buffer->capacity : BUFFER_INITIAL_BYTES;
   char *data;
 
+  if (buffer->incomplete)
+    return BD_ERR_NOMEM;
   if (need <= buffer->capacity)
     return BD_OK;
   while (capacity < need)
     capacity *= 2;
   data = realloc (buffer->data, capacity);
   if (!data)
-    return BD_ERR_NOMEM;
+    {
+      buffer->incomplete = true;
+      return BD_ERR_NOMEM;
+    }
   buffer->data = data;
   buffer->capacity = capacity;
   return BD_OK;
--- a/src/common/string.h
+++ b/src/common/string.h
@@ -56,13 +56,16 @@
 
 /**
  * A growing byte buffer.  A zero-initialized one is empty and valid; once
- * something was appended, its data is NUL-terminated.
+ * something was appended, its data is NUL-terminated.  After an append for
+ * which there was no memory, further ones fail too until the buffer is cleared
+ * or reset, so that whoever uses the content can check once.
  */
 struct bd_buffer
 {
   char *data;
   size_t length;
   size_t capacity;
+  bool incomplete; /**< Something could not be appended. */
 };
 
 /** Frees the bytes; the buffer is empty and usable afterwards. */
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -139,8 +139,9 @@
   request.idle_max_ms
       = bd_forward_repeatable (f) ? IDLE_MAX_MS : IDLE_MAX_UNREPEATABLE_MS;
   request.no_body = bd_field_named (head->method, BD_CHUNK ("HEAD"));
-  f->call = bd_client_call (options->client, &request,
-                            &bd_forward_call_handler, f);
+  if (!out.incomplete)
+    f->call = bd_client_call (options->client, &request,
+                              &bd_forward_call_handler, f);
   bd_buffer_clear (&out);
   if (!f->call)
     {
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -454,6 +454,20 @@
   return conn;
 }
 
+static int
+copy_request (struct bd_call *call, const struct bd_call_request *request)
+{
+  if (request->echo.name.length > 0)
+    {
+      call->echo_name = bd_chunk_copy (request->echo.name);
+      call->echo_value = bd_chunk_copy (request->echo.value);
+      if (!call->echo_name || !call->echo_value)
+        return BD_ERR_NOMEM;
+    }
+  bd_buffer_append (&call->request_bytes, request->head);
+  return bd_buffer_append (&call->request_bytes, request->body);
+}
+
 struct bd_call *
 bd_client_call (struct bd_client *client,
                 const struct bd_call_request *request,
@@ -484,13 +498,11 @@
   conn->call = call;
   if (request->no_body)
     bd_http_reader_no_body (conn->reader);
-  if (request->echo.name.length > 0)
+  if (copy_request (call, request) != BD_OK)
     {
-      call->echo_name = bd_chunk_copy (request->echo.name);
-      call->echo_value = bd_chunk_copy (request->echo.value);
+      bd_call_cancel (call);
+      return NULL;
     }
-  bd_buffer_append (&call->request_bytes, request->head);
-  bd_buffer_append (&call->request_bytes, request->body);
   if (conn->connected)
     send_request (call);
   else
