Server: an answer of which a part could not be written is not ended as whole

Cause: appends and writes that failed were ignored. A stream lost an event in its middle and ended as complete; a whole answer, 200 with its length, lost its header fields; error answers and metrics lost theirs. Before: test_memory failed at allocation 21 of the plain request. After: the attempt fails, or the connection is closed; all cases pass (30 allocations).

--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -145,10 +145,7 @@
                     "{\"error\":{\"code\":\"%s\",\"message\":\"%s\","
                     "\"ran\":\"%s\"}}",
                     answer->code, answer->text, bd_ran_name (ran));
-  bd_exchange_reply (exchange, answer->status, bd_buffer_chunk (&fields),
-                     bd_buffer_chunk (&body));
-  bd_buffer_clear (&fields);
-  bd_buffer_clear (&body);
+  bd_exchange_reply_buffers (exchange, answer->status, &fields, &body);
 }
 
 void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -108,6 +108,7 @@
 static void
 send_metrics (struct bd_gateway *gateway, struct bd_exchange *exchange)
 {
+  struct bd_buffer fields = { 0 };
   struct bd_buffer text = { 0 };
   size_t count;
   size_t usable = 0;
@@ -133,10 +134,8 @@
   bd_stats_set (gateway->stats, BD_GAUGE_CONNECTIONS,
                 (int64_t)bd_server_connections (gateway->caller_server));
   bd_stats_write (gateway->stats, &text);
-  bd_exchange_reply (exchange, 200,
-                     BD_CHUNK ("Content-Type: text/plain; version=0.0.4\r\n"),
-                     bd_buffer_chunk (&text));
-  bd_buffer_clear (&text);
+  bd_buffer_printf (&fields, "Content-Type: text/plain; version=0.0.4\r\n");
+  bd_exchange_reply_buffers (exchange, 200, &fields, &text);
 }
 
 static void
@@ -549,7 +548,8 @@
   gateway->routing = bd_routing_ref (routing);
   set_cold_rates (gateway);
   bd_buffer_reset (&gateway->configuration);
-  bd_buffer_append (&gateway->configuration, document);
+  if (bd_buffer_append (&gateway->configuration, document) != BD_OK)
+    bd_buffer_clear (&gateway->configuration);
   bd_forwarder_set_routing (gateway->forwarder, routing);
   bd_server_set_limits (gateway->caller_server, limits);
   bd_stats_set (gateway->stats, BD_GAUGE_ROUTING_VERSION, (int64_t)version);
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -140,9 +140,8 @@
   record_runner_state (f, head);
   f->streaming = f->route->retry_class == BD_RETRY_STREAM && succeeded (f)
                  && f->response_fields.authentic && is_event_stream (head);
-  if (f->head_sent)
-    return; /* The head of the first runner's response has been sent. */
-  store_fields (f, head);
+  if (!f->head_sent) /* Otherwise the first runner's head has been sent. */
+    store_fields (f, head);
 }
 
 static void
@@ -282,7 +281,7 @@
   struct bd_forward *f = context;
 
   record_data_received (f);
-  if (buffer_data (f, data) != BD_OK)
+  if (f->fields.incomplete || buffer_data (f, data) != BD_OK)
     {
       reject_response (f);
       return;
@@ -342,6 +341,8 @@
   f->call = NULL;
   if (f->response_fields.not_executed)
     bd_forward_after_refusal (f);
+  else if (f->fields.incomplete)
+    bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "no_memory");
   else if (f->streaming)
     end_stream (f);
   else if (f->head_sent || (succeeded (f) && !f->response_fields.authentic))
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -40,6 +40,7 @@
   bool parsing;        /* Set while the reader runs; defers the free. */
   bool next_requested; /* The reader must go on to the next request. */
   bool closed;         /* Is freed once the reader returns. */
+  bool broken;         /* A part of the answer could not be written. */
 };
 
 struct bd_server
@@ -108,6 +109,21 @@
   close_exchange (exchange, false);
 }
 
+/* Writes and clears OUT.  When that fails, or did before, the caller of this
+   function closes the connection without on_abort, since it is the handler
+   that writes. */
+static int
+write_buffer (struct bd_exchange *exchange, struct bd_buffer *out)
+{
+  int error = BD_ERR_NOMEM;
+
+  if (!out->incomplete && !exchange->broken)
+    error = bd_socket_write (exchange->socket, bd_buffer_chunk (out));
+  exchange->broken = error != BD_OK;
+  bd_buffer_clear (out);
+  return error;
+}
+
 /* Answers an incomplete request with ERROR and closes the connection. */
 static void
 reject (struct bd_exchange *exchange, int error)
@@ -117,7 +133,6 @@
   struct bd_buffer fields = { 0 };
   struct bd_buffer body = { 0 };
   struct bd_buffer out = { 0 };
-  int rc;
 
   bd_log (BD_EVENT_CALLER_REFUSED, "status=%d code=%s bytes=%zu",
           answer->status, answer->code, exchange->body.length);
@@ -131,11 +146,10 @@
       answer->status, http_status_str ((enum http_status)answer->status),
       body.length, (int)fields.length, fields.data ? fields.data : "");
   bd_buffer_append (&out, bd_buffer_chunk (&body));
-  rc = bd_socket_write (exchange->socket, bd_buffer_chunk (&out));
+  exchange->broken |= fields.incomplete || body.incomplete;
   bd_buffer_clear (&fields);
   bd_buffer_clear (&body);
-  bd_buffer_clear (&out);
-  close_exchange (exchange, rc == BD_OK);
+  close_exchange (exchange, write_buffer (exchange, &out) == BD_OK);
 }
 
 static int
@@ -507,17 +521,6 @@
                            connection_field (exchange));
 }
 
-/* Writes and clears OUT.  When that fails, the caller of this function closes
-   the connection without on_abort, since it is the handler that writes. */
-static int
-write_buffer (struct bd_exchange *exchange, struct bd_buffer *out)
-{
-  int error = bd_socket_write (exchange->socket, bd_buffer_chunk (out));
-
-  bd_buffer_clear (out);
-  return error;
-}
-
 void
 bd_exchange_reply (struct bd_exchange *exchange, int status,
                    struct bd_chunk fields, struct bd_chunk body)
@@ -538,6 +541,17 @@
     complete_exchange (exchange);
 }
 
+void
+bd_exchange_reply_buffers (struct bd_exchange *exchange, int status,
+                           struct bd_buffer *fields, struct bd_buffer *body)
+{
+  exchange->broken |= fields->incomplete || body->incomplete;
+  bd_exchange_reply (exchange, status, bd_buffer_chunk (fields),
+                     bd_buffer_chunk (body));
+  bd_buffer_clear (fields);
+  bd_buffer_clear (body);
+}
+
 void
 bd_exchange_begin (struct bd_exchange *exchange, int status,
                    struct bd_chunk fields)
@@ -547,7 +561,6 @@
   exchange->phase = PHASE_STREAMING;
   write_head (exchange, &out, status, fields);
   bd_buffer_append (&out, BD_CHUNK ("Transfer-Encoding: chunked\r\n\r\n"));
-  /* A failed write is noticed by the next read. */
   write_buffer (exchange, &out);
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -93,6 +93,14 @@
 void bd_exchange_reply (struct bd_exchange *exchange, int status,
                         struct bd_chunk fields, struct bd_chunk body);
 
+/**
+ * Sends the same from buffers, and clears them; closes the connection instead
+ * if one of them is incomplete.
+ */
+void bd_exchange_reply_buffers (struct bd_exchange *exchange, int status,
+                                struct bd_buffer *fields,
+                                struct bd_buffer *body);
+
 /** Starts an answer that is sent with the chunked transfer coding. */
 void bd_exchange_begin (struct bd_exchange *exchange, int status,
                         struct bd_chunk fields);
@@ -102,7 +110,10 @@
     yet. */
 size_t bd_exchange_pending (const struct bd_exchange *exchange);
 
-/** Sends the last chunk and ends the exchange. */
+/**
+ * Sends the last chunk and ends the exchange; closes the connection instead if
+ * a part of the answer could not be written.
+ */
 void bd_exchange_end (struct bd_exchange *exchange);
 
 /** Closes the connection, so that the caller sees an incomplete answer. */
