Server: what an address in use leaves behind is closed

Cause: bd_server_create freed the server with two handles of it in the event loop. Before: test_server address-in-use failed (the loop could not be closed, and would have read freed memory). After: passes.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -368,7 +368,7 @@
                     on_connection)
              != 0)
     {
-      free (server);
+      bd_server_destroy (server);
       return BD_ERR_IO;
     }
   uv_timer_start (&server->sweep_timer, on_sweep, SWEEP_INTERVAL_MS,
