--- a/src/http/message.c
+++ b/src/http/message.c
@@ -579,9 +579,3 @@
 {
   return reader->stage == STAGE_HEAD && reader->head_bytes.length == 0;
 }
-
-bool
-bd_http_reader_in_head (const struct bd_http_reader *reader)
-{
-  return reader->stage == STAGE_HEAD && reader->head_bytes.length > 0;
-}
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -127,7 +127,4 @@
 /** Returns true between messages, before the first byte of the next one. */
 bool bd_http_reader_idle (const struct bd_http_reader *reader);
 
-/** Returns true while a head is partly received. */
-bool bd_http_reader_in_head (const struct bd_http_reader *reader);
-
 #endif
