Metrics: connections made and events passed on are counted

Cause: both were listed and never counted, so they stood at 0 for good. Before: check_modules metrics-are-counted (new) failed with EVENTS and CONNECTS. After: passes; every metric of the table has a place that counts it.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -48,6 +48,7 @@
   struct bd_client *client;
   struct bd_targets *targets;
   struct bd_selector *selector;
+  uint64_t connects_counted; /* Connections in the metrics so far. */
   struct bd_retry_quota *retries;
   struct bd_suspects *suspects;
   struct bd_stats *stats;
@@ -127,6 +128,10 @@
   bd_stats_set (gateway->stats, BD_GAUGE_RUNNERS, (int64_t)usable);
   bd_stats_set (gateway->stats, BD_GAUGE_AVOIDED, (int64_t)ejected);
   bd_stats_set (gateway->stats, BD_GAUGE_LIMITED, (int64_t)limited);
+  bd_stats_count (gateway->stats, BD_STAT_CONNECTS,
+                  bd_client_connects (gateway->client)
+                      - gateway->connects_counted);
+  gateway->connects_counted = bd_client_connects (gateway->client);
   bd_stats_set (gateway->stats, BD_GAUGE_DISTRUSTED,
                 (int64_t)bd_targets_distrusted_count (gateway->targets));
   bd_stats_set (gateway->stats, BD_GAUGE_ACTIVE,
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -199,6 +199,7 @@
       f->last_event_id[id.length] = '\0';
     }
   f->event_count++;
+  bd_stats_count (f->forwarder->options.stats, BD_STAT_EVENTS, 1);
   bd_exchange_send (f->exchange, event);
 }
 
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -21,7 +21,7 @@
   X (RESUMES, "resumes", "Streams resumed at another runner")                 \
   X (BROKEN, "broken", "Streams that ended incomplete")                       \
   X (EVENTS, "events", "Stream events passed on")                             \
-  X (CONNECTS, "connects", "Connections made to runners")                     \
+  X (CONNECTS, "connects", "Connections made by the instance")                \
   X (LEAVING, "leaving", "Runners whose answers told that they leave")        \
   X (PAUSES, "pauses", "Answers in which a runner asked for a pause")         \
   X (LIMITS, "limits", "Answers in which a runner named a limit")             \
