Sidecar: a call that lost an event does not end as complete, and each call ends

Cause: an engine event for which there was no memory was dropped. A call that lost a part of its answer ended as whole; one that lost its end never ended for the runner. Before: test_engine refused-events failed (the request was sent though its start was not told, END after a lost event). After: the call fails, and its last event is offered until it is taken.

--- a/src/sidecar/engine.c
+++ b/src/sidecar/engine.c
@@ -9,6 +9,8 @@
 #include <strings.h>
 
 #define POLL_TIMEOUT_MAX_MS 1000
+/* Interval between attempts to emit a last event. */
+#define EMIT_INTERVAL_MS 10
 #define RESPONSE_HEADERS_MAX_BYTES 65536
 
 enum command_kind
@@ -35,6 +37,8 @@
   struct bd_mailbox *command_mailbox;
   CURLM *multi_handle;
   struct cds_list_head transfers;
+  /* Their last events could not be emitted yet. */
+  struct cds_list_head ended_transfers;
   int64_t next_expiry_ms; /* Lower bound of all timeouts and deadlines. */
   bool stopping;
   struct command stop;
@@ -49,15 +53,35 @@
   curl_global_init (CURL_GLOBAL_ALL);
 }
 
-static void
+/* Returns BD_OK or BD_ERR_NOMEM, which also fails the transfer. */
+static int
 emit_event (struct bd_engine_transfer *transfer, struct bd_engine_event *event)
 {
   struct bd_engine_sink *sink = transfer->engine->sink;
+  int error;
 
   event->request = transfer->request;
   event->attempt = transfer->attempt;
   event->sent = transfer->sent;
-  sink->event (sink, event);
+  error = sink->event (sink, event);
+  if (error != BD_OK && transfer->error == BD_OK)
+    transfer->error = error;
+  return error;
+}
+
+/* Emits the last event of TRANSFER, which is off its list, and frees it.  If
+   there is no memory, the transfer is kept for another attempt. */
+static void
+emit_last_event (struct bd_engine_transfer *transfer)
+{
+  struct bd_engine_event event
+      = { .kind = transfer->result == BD_OK ? BD_ENGINE_END : BD_ENGINE_FAILED,
+          .error = transfer->result };
+
+  if (emit_event (transfer, &event) == BD_OK)
+    bd_engine_transfer_destroy (transfer);
+  else
+    cds_list_add_tail (&transfer->node, &transfer->engine->ended_transfers);
 }
 
 /* Emits the last event of TRANSFER, END for BD_OK and else FAILED, and
@@ -65,17 +89,30 @@
 static void
 finish_transfer (struct bd_engine_transfer *transfer, int error)
 {
-  struct bd_engine *engine = transfer->engine;
-  struct bd_engine_event event = {
-    .kind = error == BD_OK ? BD_ENGINE_END : BD_ENGINE_FAILED,
-    .error = error,
-  };
-
   if (transfer->easy_handle)
-    curl_multi_remove_handle (engine->multi_handle, transfer->easy_handle);
+    curl_multi_remove_handle (transfer->engine->multi_handle,
+                              transfer->easy_handle);
   cds_list_del (&transfer->node);
-  emit_event (transfer, &event);
-  bd_engine_transfer_destroy (transfer);
+  transfer->result = error;
+  emit_last_event (transfer);
+}
+
+/* Tries again to emit last events for which there was no memory. */
+static void
+emit_last_events (struct bd_engine *engine)
+{
+  struct bd_engine_transfer *transfer;
+  struct bd_engine_transfer *next;
+  struct cds_list_head ended;
+
+  CDS_INIT_LIST_HEAD (&ended);
+  cds_list_splice (&engine->ended_transfers, &ended);
+  CDS_INIT_LIST_HEAD (&engine->ended_transfers);
+  cds_list_for_each_entry_safe (transfer, next, &ended, node)
+  {
+    cds_list_del (&transfer->node);
+    emit_last_event (transfer);
+  }
 }
 
 static void
@@ -113,8 +150,10 @@
     }
   transfer->sent = true;
   set_timeout (transfer, transfer->engine->settings.first_byte_timeout_ms);
-  emit_event (transfer, &event);
-  return CURL_PREREQFUNC_OK;
+  if (emit_event (transfer, &event) == BD_OK)
+    return CURL_PREREQFUNC_OK;
+  transfer->sent = false;
+  return CURL_PREREQFUNC_ABORT;
 }
 
 static bool
@@ -125,7 +164,7 @@
   return line.length >= n && strncasecmp (line.data, name, n) == 0;
 }
 
-static void
+static int
 emit_head (struct bd_engine_transfer *transfer, long status)
 {
   struct bd_engine_event event = { .kind = BD_ENGINE_HEAD };
@@ -135,7 +174,7 @@
   event.status = (int)status;
   event.content_type = bd_chunk_of (type);
   transfer->head_emitted = true;
-  emit_event (transfer, &event);
+  return emit_event (transfer, &event);
 }
 
 static size_t
@@ -158,8 +197,9 @@
       || has_prefix_nocase (line, "Transfer-Encoding:"))
     transfer->has_framing = true;
   curl_easy_getinfo (transfer->easy_handle, CURLINFO_RESPONSE_CODE, &status);
-  if (line.length <= 2 && status >= 200)
-    emit_head (transfer, status);
+  if (line.length <= 2 && status >= 200
+      && emit_head (transfer, status) != BD_OK)
+    return 0;
   return line.length;
 }
 
@@ -180,8 +220,7 @@
     }
   event.data.data = data;
   event.data.length = length;
-  emit_event (transfer, &event);
-  return length;
+  return emit_event (transfer, &event) == BD_OK ? length : 0;
 }
 
 static int
@@ -367,10 +406,13 @@
 }
 
 static int
-poll_timeout_ms (const struct bd_engine *engine)
+poll_timeout_ms (struct bd_engine *engine)
 {
   int64_t remaining = engine->next_expiry_ms - bd_clock_ms ();
 
+  if (!cds_list_empty (&engine->ended_transfers)
+      && remaining > EMIT_INTERVAL_MS)
+    return EMIT_INTERVAL_MS;
   if (remaining < 0)
     return 0;
   return remaining < POLL_TIMEOUT_MAX_MS ? (int)remaining
@@ -395,11 +437,17 @@
       curl_multi_perform (engine->multi_handle, &running);
       read_completions (engine);
       check_time_limits (engine);
+      emit_last_events (engine);
       curl_multi_poll (engine->multi_handle, &command_wait, 1,
                        poll_timeout_ms (engine), NULL);
     }
   cds_list_for_each_entry_safe (transfer, next, &engine->transfers, node)
       finish_transfer (transfer, BD_ERR_CANCELLED);
+  while (!cds_list_empty (&engine->ended_transfers))
+    {
+      curl_multi_poll (engine->multi_handle, NULL, 0, EMIT_INTERVAL_MS, NULL);
+      emit_last_events (engine);
+    }
   return NULL;
 }
 
@@ -426,6 +474,7 @@
   engine->sink = sink;
   engine->next_expiry_ms = INT64_MAX;
   CDS_INIT_LIST_HEAD (&engine->transfers);
+  CDS_INIT_LIST_HEAD (&engine->ended_transfers);
   engine->url = strdup (settings->url);
   engine->settings.url = engine->url;
   engine->command_mailbox = bd_mailbox_create ();
--- a/src/sidecar/engine.h
+++ b/src/sidecar/engine.h
@@ -64,8 +64,10 @@
 /** Receiver of events; embed as the first member. */
 struct bd_engine_sink
 {
-  void (*event) (struct bd_engine_sink *sink,
-                 const struct bd_engine_event *event);
+  /** Returns BD_OK or BD_ERR_NOMEM.  The call then fails, and its last event
+      is offered again until it is taken. */
+  int (*event) (struct bd_engine_sink *sink,
+                const struct bd_engine_event *event);
 };
 
 struct bd_engine;
--- a/src/sidecar/engine_event_mail.c
+++ b/src/sidecar/engine_event_mail.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void
+static int
 post_event (struct bd_engine_sink *base, const struct bd_engine_event *event)
 {
   struct bd_engine_mailbox_sink *sink = (struct bd_engine_mailbox_sink *)base;
@@ -13,7 +13,7 @@
   char *bytes;
 
   if (!mail)
-    return;
+    return BD_ERR_NOMEM;
   mail->event = *event;
   bytes = (char *)(mail + 1);
   if (type > 0)
@@ -23,6 +23,7 @@
   mail->event.content_type.data = bytes;
   mail->event.data.data = bytes + type;
   bd_mailbox_post (sink->mailbox, &mail->mail);
+  return BD_OK;
 }
 
 void
--- a/src/sidecar/engine_transfer.h
+++ b/src/sidecar/engine_transfer.h
@@ -34,6 +34,7 @@
   uint64_t response_header_bytes;
   uint64_t response_body_bytes;
   int error;         /**< Set when a callback aborts the transfer. */
+  int result;        /**< What its last event tells; BD_OK: complete. */
   bool sent;         /**< A byte of the request may have been sent. */
   bool head_emitted; /**< The sink has had the HEAD event. */
   bool has_framing;  /**< The answer has a length or is chunked. */
--- a/test/support_engine.c
+++ b/test/support_engine.c
@@ -38,17 +38,24 @@
     }
 }
 
-static void
+static int
 record_event (struct bd_engine_sink *sink, const struct bd_engine_event *event)
 {
   struct recorder *recorder = (struct recorder *)sink;
 
   pthread_mutex_lock (&recorder->lock);
+  if (recorder->events_until_refusal > 0
+      && --recorder->events_until_refusal == 0)
+    {
+      pthread_mutex_unlock (&recorder->lock);
+      return BD_ERR_NOMEM;
+    }
   check_event (&recorder->records[event->attempt], event);
   if (event->kind == BD_ENGINE_END || event->kind == BD_ENGINE_FAILED)
     recorder->final_events++;
   pthread_cond_broadcast (&recorder->changed);
   pthread_mutex_unlock (&recorder->lock);
+  return BD_OK;
 }
 
 struct recorder *
--- a/test/support_engine.h
+++ b/test/support_engine.h
@@ -34,6 +34,7 @@
   pthread_cond_t changed;
   struct record records[RECORDS_MAX];
   int final_events;
+  int events_until_refusal; /* That one is refused, once; 0: none is. */
 };
 
 struct standin
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -125,6 +125,43 @@
   recorder_finish (recorder, 1);
 }
 
+/* The sink has no memory for one event, each in turn.  A call that lost an
+   event must not end as complete, and each call ends. */
+static void
+test_refused_events (void)
+{
+  enum
+  {
+    STARTED = 1,
+    HEAD,
+    DATA,
+    END
+  };
+
+  for (int refused = STARTED; refused <= END; refused++)
+    {
+      struct server server
+          = { .response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+              .keep_open = true,
+              .max_answers = 1 };
+      struct recorder *recorder = recorder_create ();
+      struct bd_engine *engine;
+
+      recorder->events_until_refusal = refused;
+      server_start (&server);
+      engine = open_engine (server.port, recorder, LONG_TIMEOUT_MS);
+      start_call (engine, 0, "/v1/completions", BD_CHUNK (""));
+      wait_final_events (recorder, 1);
+      g_assert_cmpint (recorder->records[0].error, ==,
+                       refused == END ? BD_OK : BD_ERR_NOMEM);
+      g_assert_cmpint (recorder->records[0].sent, ==, refused != STARTED);
+      bd_engine_destroy (engine);
+      server_stop (&server);
+      g_assert_cmpint (server.requests, ==, refused != STARTED);
+      recorder_finish (recorder, 1);
+    }
+}
+
 static void
 test_refused_is_not_sent (void)
 {
@@ -528,6 +565,7 @@
       g_test_add_data_func (name, &response_cases[i], test_response);
       g_free (name);
     }
+  g_test_add_func ("/engine/refused-events", test_refused_events);
   g_test_add_func ("/engine/refused-is-not-sent", test_refused_is_not_sent);
   g_test_add_func ("/engine/passed-deadline-is-not-sent",
                    test_passed_deadline_is_not_sent);
