--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -52,7 +52,7 @@
   struct bd_crashes *crashes;
   size_t probes_in_progress; /* Number of connection probes in progress. */
   size_t buffered_bytes;     /* Bytes of all incomplete responses. */
-  size_t budget_waiters;     /* Number of requests that wait for the retry
+  int64_t budget_waiters;    /* Number of requests that wait for the retry
                                 budget. */
   int64_t last_request_ms;
   int64_t coordinated_ms;  /* When a coordinator answered last. */
@@ -122,11 +122,11 @@
   bool may_have_run;
   /* Why the request was not sent to another runner. */
   enum bd_stop_reason stop_reason;
-  bool retry_denied;     /* The retry budget was used up at least once. */
-  bool waits_for_budget; /* Between attempts, until the budget has grown. */
-  int64_t budget_wait_until_ms; /* End of the wait; 0: there was none since the
-                                   last attempt. */
-  int failed_with; /* The error with which the request fails then. */
+  bool waits_for_budget; /* Between attempts, until the retry budget has
+                            grown. */
+  bool retry_denied;     /* The budget was used up at least once. */
+  int failed_with; /* Error with which the request fails after the wait. */
+  int64_t budget_wait_until_ms; /* 0: no wait since the last attempt. */
   /* Response of the current attempt. */
   int status;
   bool streaming;
