--- a/test/test_store.c
+++ b/test/test_store.c
@@ -585,10 +585,9 @@
 test_watch_too_large (void)
 {
   struct fixture fixture;
-  char *text = g_strnfill ((gsize)9 * 1024 * 1024, ' ');
+  char *text = g_strdup_printf ("200 %*s", 9 * 1024 * 1024, "");
 
   start_watch (&fixture);
-  memcpy (text, "200 ", 4);
   add_response (&fixture, text);
   g_free (text);
   await_calls (&fixture, 4);
