--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -206,6 +206,8 @@
   return sum;
 }
 
+/* The rule counts the requests in the window, in the one before it or in the
+   one half a window before it, whichever has most. */
 static void
 check_window (struct soak *soak, int service, size_t end)
 {
