Entry: when it cannot start it says why, and leaves nothing behind

Cause: an allocation that failed after the peer link was made gave no entry and no error, so basildockd ended with status 0; the callers' threads and event loop stayed, and could not be ended without memory for the command.

--- a/src/entry/caller_request.h
+++ b/src/entry/caller_request.h
@@ -65,6 +65,7 @@
   struct bd_server *server;
   struct bd_tls *tls;
   struct bd_mailbox *commands;
+  struct loop_command *stop; /* Ends the event loop; NULL once posted. */
   pthread_t *threads;
   size_t thread_count;
   pthread_mutex_t lock; /* Protects the members below. */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -114,6 +114,8 @@
   bd_control_set_callbacks (e);
   bd_control_set_watch_sink (e);
   e->link = bd_link_create (&link, error);
+  if (e->link)
+    *error = BD_ERR_NOMEM;
   if (e->link && create_components (e))
     {
       *error = set_token_keys (e);
--- a/src/entry/worker_pool.c
+++ b/src/entry/worker_pool.c
@@ -272,6 +272,20 @@
   return BD_OK;
 }
 
+/* Frees WORKERS, whose threads and event loop have ended. */
+static void
+free_workers (struct bd_worker_pool *workers)
+{
+  uv_loop_close (&workers->loop);
+  bd_mailbox_destroy (workers->commands);
+  bd_tls_destroy (workers->tls);
+  pthread_mutex_destroy (&workers->lock);
+  pthread_cond_destroy (&workers->queue_filled);
+  free (workers->threads);
+  free (workers->stop);
+  free (workers);
+}
+
 struct bd_worker_pool *
 bd_worker_pool_create (const struct bd_worker_pool_options *options,
                        int *error)
@@ -286,11 +300,13 @@
   pthread_cond_init (&workers->queue_filled, NULL);
   uv_loop_init (&workers->loop);
   workers->commands = bd_mailbox_create ();
-  if (!workers->commands)
+  workers->stop = calloc (1, sizeof *workers->stop);
+  if (!workers->commands || !workers->stop)
     {
-      free (workers);
+      free_workers (workers);
       return NULL;
     }
+  workers->stop->kind = COMMAND_STOP;
   uv_poll_init (&workers->loop, &workers->poll,
                 bd_mailbox_fd (workers->commands));
   workers->poll.data = workers;
@@ -301,8 +317,10 @@
     *error = BD_ERR_NOMEM;
   if (*error != BD_OK)
     {
-      /* Nothing is freed: nothing was accepted yet, and the process exits
-         on this error. */
+      bd_server_destroy (workers->server);
+      uv_close ((uv_handle_t *)&workers->poll, NULL);
+      uv_run (&workers->loop, UV_RUN_DEFAULT);
+      free_workers (workers);
       return NULL;
     }
   if (start_threads (workers))
@@ -315,8 +333,6 @@
 void
 bd_worker_pool_destroy (struct bd_worker_pool *workers)
 {
-  struct loop_command *stop;
-
   if (!workers)
     return;
   pthread_mutex_lock (&workers->lock);
@@ -325,17 +341,8 @@
   pthread_mutex_unlock (&workers->lock);
   for (size_t i = 0; i < workers->thread_count; i++)
     pthread_join (workers->threads[i], NULL);
-  stop = calloc (1, sizeof *stop);
-  if (!stop)
-    return;
-  stop->kind = COMMAND_STOP;
-  bd_mailbox_post (workers->commands, &stop->mail);
+  bd_mailbox_post (workers->commands, &workers->stop->mail);
+  workers->stop = NULL;
   pthread_join (workers->loop_thread, NULL);
-  uv_loop_close (&workers->loop);
-  bd_mailbox_destroy (workers->commands);
-  bd_tls_destroy (workers->tls);
-  pthread_mutex_destroy (&workers->lock);
-  pthread_cond_destroy (&workers->queue_filled);
-  free (workers->threads);
-  free (workers);
+  free_workers (workers);
 }
--- a/test/test_memory.c
+++ b/test/test_memory.c
@@ -1,6 +1,6 @@
-/* Requests are forwarded while one allocation fails, each in turn.  The linker
-   leads the program's calls of malloc () and the like to this file. */
+/* Requests are forwarded while one allocation fails, each in turn. */
 #include "support_gateway.h"
+#include "support_memory.h"
 
 #include <string.h>
 
@@ -17,40 +17,6 @@
 #define EVENT(n) "f\r\nid: " n "\ndata: a\n\n\r\n"
 #define END "0\r\n\r\n"
 
-void *__real_malloc (size_t size);
-void *__real_calloc (size_t count, size_t size);
-void *__real_realloc (void *data, size_t size);
-void *__wrap_malloc (size_t size);
-void *__wrap_calloc (size_t count, size_t size);
-void *__wrap_realloc (void *data, size_t size);
-
-/* Allocations until one fails; 0: none does. */
-static int allocations_left;
-
-static bool
-allocation_fails (void)
-{
-  return allocations_left > 0 && --allocations_left == 0;
-}
-
-void *
-__wrap_malloc (size_t size)
-{
-  return allocation_fails () ? NULL : __real_malloc (size);
-}
-
-void *
-__wrap_calloc (size_t count, size_t size)
-{
-  return allocation_fails () ? NULL : __real_calloc (count, size);
-}
-
-void *
-__wrap_realloc (void *data, size_t size)
-{
-  return allocation_fails () ? NULL : __real_realloc (data, size);
-}
-
 /* Whether CALLER has got a response that ends, or its connection has ended. */
 static bool
 has_ended (const struct support_caller *caller)
@@ -120,12 +86,11 @@
   for (int i = 0; i < 2; i++)
     support_gateway_runner (&g, i, &steps[i], 1);
   bd_targets_find (g.targets, bd_chunk_of (g.runners[1].id))->in_flight = 9;
-  allocations_left = number;
+  support_fail_allocation (number);
   caller = support_caller_send (&g, 0, text);
   while (!has_ended (caller))
     support_run_once (&g);
-  failed = allocations_left == 0;
-  allocations_left = 0;
+  failed = support_allocation_failed ();
   g_test_message ("allocation %d: %s", number, caller->in->str);
   for (int i = 0; i < 2; i++)
     if (!received_whole (&g.runners[i], path))
