Dispatch: a configuration that was applied in part is said to be so

Cause: results were ignored on the way: a pool's, overwritten by that of a pool that had gone; a runner's; those of the limits of workspaces. Without memory a workspace could stay without its limits, a withdrawn one keep them, a pool lose its runners, a runner be connected to at an empty address, until the next change of the configuration. After: NOMEM is returned for each failed allocation, and the same configuration can be applied again.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -61,8 +61,9 @@
   free (dispatch);
 }
 
-/* Removes the limits of workspaces that have no contract any more. */
-static void
+/* Removes the limits of workspaces that have no contract any more.  Returns
+   BD_OK or BD_ERR_NOMEM. */
+static int
 remove_limits (struct bd_dispatch *dispatch,
                const struct bd_config_snapshot *snapshot)
 {
@@ -70,7 +71,7 @@
   uint64_t *now = calloc (count + 1, sizeof *now);
 
   if (!now)
-    return;
+    return BD_ERR_NOMEM;
   for (size_t i = 0; i < count; i++)
     now[i] = bd_chunk_hash (snapshot->contracts[i]->workspace);
   for (size_t i = 0; i < dispatch->limited_workspace_count; i++)
@@ -85,18 +86,22 @@
   free (dispatch->limited_workspaces);
   dispatch->limited_workspaces = now;
   dispatch->limited_workspace_count = count;
+  return BD_OK;
 }
 
-void
+int
 bd_dispatch_configure (struct bd_dispatch *dispatch, int64_t now_ms,
                        const struct bd_config_snapshot *snapshot)
 {
-  bd_fleet_configure (dispatch->fleet, snapshot);
-  remove_limits (dispatch, snapshot);
-  for (size_t i = 0; i < snapshot->contract_count; i++)
-    bd_limiter_set (dispatch->limiter, now_ms,
-                    bd_chunk_hash (snapshot->contracts[i]->workspace),
-                    &snapshot->contracts[i]->limits);
+  int error = bd_fleet_configure (dispatch->fleet, snapshot);
+
+  if (error == BD_OK)
+    error = remove_limits (dispatch, snapshot);
+  for (size_t i = 0; i < snapshot->contract_count && error == BD_OK; i++)
+    error = bd_limiter_set (dispatch->limiter, now_ms,
+                            bd_chunk_hash (snapshot->contracts[i]->workspace),
+                            &snapshot->contracts[i]->limits);
+  return error;
 }
 
 /* Copies all texts of the request into one block, which is returned. */
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -116,9 +116,12 @@
                     struct bd_dispatch_callbacks *callbacks);
 void bd_dispatch_destroy (struct bd_dispatch *dispatch);
 
-/** Applies a configuration: pools, runners and rate limits. */
-void bd_dispatch_configure (struct bd_dispatch *dispatch, int64_t now_ms,
-                            const struct bd_config_snapshot *snapshot);
+/**
+ * Applies a configuration: pools, runners and rate limits.  Returns BD_OK, or
+ * BD_ERR_NOMEM when only a part could be applied.
+ */
+int bd_dispatch_configure (struct bd_dispatch *dispatch, int64_t now_ms,
+                           const struct bd_config_snapshot *snapshot);
 
 /**
  * Accepts a request.  The deliver callback gets its deliveries up to END or
--- a/src/dispatch/fleet.c
+++ b/src/dispatch/fleet.c
@@ -133,14 +133,18 @@
   last->connected_index = runner->connected_index;
 }
 
-static void
+/* Returns false without memory. */
+static bool
 connect_runner (struct bd_fleet *fleet, struct bd_fleet_runner *runner)
 {
-  if (runner->connected || !add_connected (fleet, runner))
-    return;
+  if (runner->connected)
+    return true;
+  if (!add_connected (fleet, runner))
+    return false;
   runner->connected = true;
   fleet->callbacks->connect (fleet->callbacks, bd_chunk_of (runner->instance),
                              bd_chunk_of (runner->address));
+  return true;
 }
 
 static void
@@ -162,8 +166,28 @@
   connect_runner (fleet, runner);
 }
 
-/* Returns the runner of a published entry, and adds it if it is new.  A known
-   runner keeps its state unless its address has changed. */
+/* Sets the address of a known RUNNER, which keeps its state unless it has
+   changed.  Returns false without memory. */
+static bool
+update_address (struct bd_fleet *fleet, struct bd_fleet_runner *runner,
+                struct bd_chunk address)
+{
+  char *copy;
+
+  if (bd_chunk_equal (bd_chunk_of (runner->address), address))
+    return true;
+  copy = bd_chunk_copy (address);
+  if (!copy)
+    return false;
+  disconnect_runner (fleet, runner);
+  free (runner->address);
+  runner->address = copy;
+  runner->state = BD_RUNNER_UNKNOWN;
+  return true;
+}
+
+/* Returns the runner of a published entry, and adds it if it is new; NULL
+   without memory. */
 static struct bd_fleet_runner *
 find_or_add_runner (struct bd_fleet *fleet,
                     const struct bd_instance_record *entry)
@@ -172,16 +196,7 @@
   struct bd_fleet_runner **grown;
 
   if (runner)
-    {
-      if (!bd_chunk_equal (bd_chunk_of (runner->address), entry->address))
-        {
-          disconnect_runner (fleet, runner);
-          free (runner->address);
-          runner->address = bd_chunk_copy (entry->address);
-          runner->state = BD_RUNNER_UNKNOWN;
-        }
-      return runner;
-    }
+    return update_address (fleet, runner, entry->address) ? runner : NULL;
   runner = calloc (1, sizeof *runner);
   grown = realloc (fleet->runners, (fleet->runner_count + 1)
                                        * sizeof (struct bd_fleet_runner *));
@@ -249,6 +264,7 @@
   size_t count = bd_placement_count (pool->placement);
   struct bd_fleet_runner **subset
       = calloc (count > 0 ? count : 1, sizeof (struct bd_fleet_runner *));
+  int error = BD_OK;
 
   if (!subset)
     return BD_ERR_NOMEM;
@@ -260,12 +276,13 @@
                                    bd_placement_instance (pool->placement, i));
       subset[i]->in_subset = true;
       bd_placement_set_state (pool->placement, i, subset[i]->state);
-      connect_runner (fleet, subset[i]);
+      if (!connect_runner (fleet, subset[i]))
+        error = BD_ERR_NOMEM;
     }
   free (pool->subset);
   pool->subset = subset;
   pool->subset_count = count;
-  return BD_OK;
+  return error;
 }
 
 static int
@@ -279,6 +296,7 @@
       = calloc (count > 0 ? count : 1, sizeof (struct bd_fleet_runner *));
   int rc = BD_ERR_NOMEM;
   size_t taken = 0;
+  bool incomplete = false;
 
   if (pool && candidates && runners)
     {
@@ -290,7 +308,10 @@
               = find_or_add_runner (fleet, &published->runners[i]);
 
           if (!runner)
-            continue;
+            {
+              incomplete = true;
+              continue;
+            }
           runner->published = true;
           runner->pool = pool;
           candidates[taken].instance = bd_chunk_of (runner->instance);
@@ -305,6 +326,8 @@
     }
   if (rc == BD_OK)
     rc = update_subset (fleet, pool);
+  if (incomplete)
+    rc = BD_ERR_NOMEM;
   free (runners);
   free (candidates);
   return rc;
@@ -339,6 +362,7 @@
                     const struct bd_config_snapshot *snapshot)
 {
   int rc = BD_OK;
+  int error;
 
   for (size_t i = 0; i < fleet->runner_count; i++)
     fleet->runners[i]->published = false;
@@ -350,7 +374,9 @@
     if (!fleet->pools[i]->published)
       {
         fleet->pools[i]->runner_count = 0;
-        rc = bd_placement_set_runners (fleet->pools[i]->placement, NULL, 0);
+        error = bd_placement_set_runners (fleet->pools[i]->placement, NULL, 0);
+        if (rc == BD_OK)
+          rc = error;
         fleet->pools[i]->subset_count = 0;
       }
   if (rc == BD_OK)
--- a/test/support_fleet.c
+++ b/test/support_fleet.c
@@ -480,7 +480,8 @@
   g_snprintf (e->name, sizeof e->name, "entry-%d", index);
   s.instance = bd_chunk_of (e->name);
   e->dispatch = bd_dispatch_create (&s, &e->callbacks);
-  bd_dispatch_configure (e->dispatch, f->now_ms, snapshot);
+  g_assert_cmpint (bd_dispatch_configure (e->dispatch, f->now_ms, snapshot),
+                   ==, BD_OK);
   bd_limiter_set_entry_count (bd_dispatch_limiter (e->dispatch), f->now_ms, 1);
 }
 
