--- a/src/entry/documents.c
+++ b/src/entry/documents.c
@@ -197,12 +197,12 @@
 
   if (!may_publish (e, now_ms))
     return;
-  e->config_published = true;
-  e->config_changed = false;
   snapshot = bd_config_snapshot (config);
   if (!snapshot)
-    return;
-  bd_dispatch_configure (e->dispatch, now_ms, snapshot);
+    return; /* The next turn tries again. */
+  e->config_changed
+      = bd_dispatch_configure (e->dispatch, now_ms, snapshot) != BD_OK;
+  e->config_published = true;
   bd_peers_configure (e->peers, now_ms, snapshot);
   bd_config_view_publish (e->view, snapshot);
   bd_admin_state_set_ready (e->state, true);
