Admission: long prompts of an urgency are refused in a bounded share too

Cause: few of an urgent kind are refused beside less urgent, larger ones, but larger was asked of each request's own prompt, so the long prompts of that kind were refused without bound.

Change: beside those that are larger than the mean of its urgency, one in 10.

--- a/src/balance/admission.c
+++ b/src/balance/admission.c
@@ -24,9 +24,11 @@
 /* Ratio of prompt lengths above which a lower-priority request counts as
    larger.  While such requests were admitted lately, at most one in
    REJECTED_ONE_IN requests of a higher priority is rejected, or REJECTED_MIN
-   in all. */
+   in all; one in LONG_REJECTED_ONE_IN where they are larger than the mean
+   prompt of that priority, but not than the one at hand. */
 #define LARGER_RATIO 1.5
 #define REJECTED_ONE_IN 16
+#define LONG_REJECTED_ONE_IN 10
 #define REJECTED_MIN 4
 
 /* Decayed sums over the recent requests of one priority. */
@@ -44,6 +46,7 @@
 {
   int64_t number; /* Time in units of INTERVAL_MS. */
   uint32_t arrived;
+  uint64_t arrived_tokens; /* Prompt tokens of all that arrived. */
   uint32_t rejected;
   uint32_t admitted;
   uint64_t admitted_tokens; /* Prompt tokens of all admitted requests. */
@@ -206,11 +209,33 @@
   return now_ms / INTERVAL_MS - interval->number < INTERVAL_COUNT;
 }
 
-/* Whether requests of a lower priority whose prompts are larger than that of
-   REQUEST were admitted within the window. */
+/* Returns the prompt tokens of REQUEST, or of the mean request of its priority
+   in the window if that is less. */
+static double
+typical_tokens (const struct pool *pool,
+                const struct bd_admission_request *request)
+{
+  double count = 1.0;
+  double tokens = (double)request->prompt_tokens;
+
+  for (int i = 0; i < INTERVAL_COUNT; i++)
+    {
+      const struct interval *interval = &pool->intervals[request->priority][i];
+
+      if (!is_in_window (interval, request->now_ms))
+        continue;
+      count += interval->arrived;
+      tokens += (double)interval->arrived_tokens;
+    }
+  return fmin (tokens / count, (double)request->prompt_tokens);
+}
+
+/* Whether requests of a lower priority whose prompts are much larger than
+   TOKENS were admitted within the window. */
 static bool
 larger_were_admitted (const struct pool *pool,
-                      const struct bd_admission_request *request)
+                      const struct bd_admission_request *request,
+                      double tokens)
 {
   for (int p = request->priority + 1; p < BD_PRIORITIES; p++)
     for (int i = 0; i < INTERVAL_COUNT; i++)
@@ -219,8 +244,7 @@
 
         if (is_in_window (interval, request->now_ms)
             && (double)interval->admitted_tokens
-                   > (double)interval->admitted
-                         * (double)request->prompt_tokens * LARGER_RATIO)
+                   > (double)interval->admitted * tokens * LARGER_RATIO)
           return true;
       }
   return false;
@@ -233,9 +257,13 @@
   const struct pool *pool = find_pool (admission, request->service);
   uint32_t arrived = 0;
   uint32_t rejected = 0;
+  uint32_t one_in = REJECTED_ONE_IN;
 
-  if (!pool || request->priority < 0 || request->priority >= BD_PRIORITIES
-      || !larger_were_admitted (pool, request))
+  if (!pool || request->priority < 0 || request->priority >= BD_PRIORITIES)
+    return true;
+  if (!larger_were_admitted (pool, request, (double)request->prompt_tokens))
+    one_in = LONG_REJECTED_ONE_IN;
+  if (!larger_were_admitted (pool, request, typical_tokens (pool, request)))
     return true;
   for (int i = 0; i < INTERVAL_COUNT; i++)
     if (is_in_window (&pool->intervals[request->priority][i], request->now_ms))
@@ -243,7 +271,7 @@
         arrived += pool->intervals[request->priority][i].arrived;
         rejected += pool->intervals[request->priority][i].rejected;
       }
-  return rejected < REJECTED_MIN || rejected < arrived / REJECTED_ONE_IN;
+  return rejected < REJECTED_MIN || rejected < arrived / one_in;
 }
 
 void
@@ -258,6 +286,7 @@
     return;
   interval = interval_at (pool, request->priority, request->now_ms);
   interval->arrived++;
+  interval->arrived_tokens += request->prompt_tokens;
   if (rejected)
     interval->rejected++;
   else
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -158,6 +158,27 @@
   bd_admission_destroy (admission);
 }
 
+/* Requests of one priority have prompts of different lengths.  Also of the
+   long ones only few are rejected beside less urgent ones that are larger than
+   those of their priority in the mean; beside others, any number. */
+static void
+test_some_rejected_of_mixed_sizes (void)
+{
+  struct bd_admission *admission = bd_admission_create ();
+
+  record_decisions (admission, 40, 5, 17000, false, NOW);
+  record_decisions (admission, 80, 4, 2000, false, NOW);
+  record_decisions (admission, 10, 4, 16000, false, NOW);
+  record_decisions (admission, 8, 4, 16000, true, NOW);
+  g_assert_false (may_reject (admission, 4, 2000, NOW + 100));
+  g_assert_true (may_reject (admission, 4, 16000, NOW + 100));
+  record_decisions (admission, 3, 4, 16000, true, NOW);
+  g_assert_false (may_reject (admission, 4, 16000, NOW + 100));
+  record_decisions (admission, 400, 4, 16000, false, NOW);
+  g_assert_true (may_reject (admission, 4, 16000, NOW + 100));
+  bd_admission_destroy (admission);
+}
+
 static void
 test_smaller_do_not_count (void)
 {
@@ -209,6 +230,8 @@
                    test_services_independent);
   g_test_add_func ("/admission/few-rejected-beside-larger",
                    test_few_rejected_beside_larger);
+  g_test_add_func ("/admission/some-rejected-of-mixed-sizes",
+                   test_some_rejected_of_mixed_sizes);
   g_test_add_func ("/admission/smaller-do-not-count",
                    test_smaller_do_not_count);
   g_test_add_func ("/admission/invalid-input", test_invalid_input);
