Test: a store that falls silent under a call (red)

Each must be replaced within 3 s, the shortest time after which the platform counts an instance as undisturbed.

--- a/test/test_store.c
+++ b/test/test_store.c
@@ -7,10 +7,13 @@
 #include "support_port.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 
 #define TEST_TIMEOUT_MS 15000
 #define CALLS_MAX 32
+/* A call without an answer is replaced within this time. */
+#define SILENCE_MAX_MS 3000
 
 /* A store that answers each call with its next scripted response.  A call
    without one stays pending until a response is added. */
@@ -618,6 +621,34 @@
   g_assert_cmpint (routing_version (&fixture), ==, 3);
 }
 
+/* Waits for the next call, which must come within SILENCE_MAX_MS. */
+static void
+check_call_in_time (struct fixture *fixture, guint calls)
+{
+  int64_t started_ms = bd_clock_boot_ms ();
+  int64_t elapsed_ms;
+
+  await_calls (fixture, calls);
+  elapsed_ms = bd_clock_boot_ms () - started_ms;
+  if (elapsed_ms <= SILENCE_MAX_MS)
+    return;
+  g_test_message ("call %u came after %" PRId64 " ms", calls, elapsed_ms);
+  g_test_fail ();
+}
+
+/* Guards against changes that are read too late because a call that the store
+   will never answer is waited for: a watch under which the store falls silent,
+   then a call that is sent while it is silent. */
+static void
+test_silent_store (void)
+{
+  struct fixture fixture;
+
+  start_watch (&fixture);
+  check_call_in_time (&fixture, 4);
+  check_call_in_time (&fixture, 5);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -638,5 +669,6 @@
   g_test_add_func ("/store/older-copy-runners", test_older_copy_runners);
   g_test_add_func ("/store/faulty-era", test_faulty_era);
   g_test_add_func ("/store/era-between-pages", test_era_between_pages);
+  g_test_add_func ("/store/silent-store", test_silent_store);
   return g_test_run ();
 }
