Store: a call that a silent store has lost is replaced in time

Cause: the store's client has one call in flight, and a call sent into a silence never gets a response, also not after the store's return. A watch was waited for 4.5 s; after its failure the next call was a watch again, with the same time, and the backoff of up to 1.5 s began only then. So an instance could stay deaf for up to 6 s after the store answered the operator again, where the platform counts it as undisturbed after 3 s. All instances' watches end at the same changes, so all were deaf together and no peer could tell them.

Ruled out: that the change was read and not taken (no BD3002, BD3003).

A watch is held for as long as the bound allows; the bound is the time after which the platform counts an instance as undisturbed, by a new setting store_silence_ms. After a failure the store is asked not to hold the call, and the backoff counts from the call's start.

--- a/test/soak/gateway.c
+++ b/test/soak/gateway.c
@@ -10,7 +10,9 @@
 #define READINESS_PORT 8102
 #define INTERNAL_PORT 8103
 #define GRACE_S 6
+#define STORE_SILENCE_MS 3000
 #define GRACE_SLACK_MS 1500
+#define STORE_SILENCE_MS 3000
 #define RESTART_MS 300
 /* Interval of the load balancer's readiness checks, and failed checks in a row
    after which a gateway gets no new connections. */
@@ -57,13 +59,14 @@
            "{\"instance\":\"gateway-%d\",\"zone\":\"z%d\",\"ip\":\"%s\","
            "\"callers\":\"%s:%d\",\"readiness\":\"%s:%d\","
            "\"internal_port\":%d,\"seeds\":[\"%s:1\",\"%s:1\"],"
-           "\"store\":\"%s:%d\",\"cpu_share\":0.2,\"cores\":1,"
+           "\"store\":\"%s:%d\",\"store_silence_ms\":%d,"
+           "\"cpu_share\":0.2,\"cores\":1,"
            "\"grace_s\":%d,\"retry_ratio\":%g,\"retry_slack\":%d,"
            "\"retry_window_s\":%d}\n",
            gateway->number, gateway->number % 3, own, own, CALLERS_PORT, own,
            READINESS_PORT, INTERNAL_PORT, seeds[0], seeds[1], store,
-           SOAK_STORE_PORT, GRACE_S, SOAK_RETRY_RATIO, SOAK_RETRY_SLACK,
-           SOAK_RETRY_WINDOW_S);
+           SOAK_STORE_PORT, STORE_SILENCE_MS, GRACE_S, SOAK_RETRY_RATIO,
+           SOAK_RETRY_SLACK, SOAK_RETRY_WINDOW_S);
   fclose (file);
 }
 
--- a/test/test_cutline_settings.c
+++ b/test/test_cutline_settings.c
@@ -11,7 +11,8 @@
       "\"callers\":\"10.1.0.40:8227\",\"readiness\":\"10.1.0.40:8220\","
       "\"internal_port\":7340,"
       "\"seeds\":[\"10.1.0.40:8229\",\"10.2.0.29:8229\"],"
-      "\"store\":\"10.200.1.7:8223\",\"cpu_share\":0.19,\"cores\":1,"
+      "\"store\":\"10.200.1.7:8223\",\"store_silence_ms\":3000,"
+      "\"cpu_share\":0.19,\"cores\":1,"
       "\"grace_s\":8,\"retry_ratio\":0.2,"
       "\"retry_slack\":56,\"retry_window_s\":10}";
 
@@ -41,6 +42,7 @@
   g_assert_cmpuint (settings.seed_count, ==, 2);
   g_assert_cmpuint (ntohl (settings.seed_ips[1]), ==, 0x0a02001d);
   g_assert_cmpint (settings.grace_ms, ==, 8000);
+  g_assert_cmpint (settings.store_silence_max_ms, ==, 3000);
   g_assert_cmpint (settings.retry.window_ms, ==, 10000);
   g_assert_cmpfloat (settings.retry.ratio, ==, 0.2);
 }
@@ -50,12 +52,20 @@
 static void
 test_rejected (void)
 {
-  static const char *const names[]
-      = { "\"instance\"",      "\"zone\"",        "\"ip\"",
-          "\"callers\"",       "\"readiness\"",   "\"internal_port\"",
-          "\"store\"",         "\"cpu_share\"",   "\"cores\"",
-          "\"grace_s\"",       "\"retry_ratio\"", "\"retry_slack\"",
-          "\"retry_window_s\"" };
+  static const char *const names[] = { "\"instance\"",
+                                       "\"zone\"",
+                                       "\"ip\"",
+                                       "\"callers\"",
+                                       "\"readiness\"",
+                                       "\"internal_port\"",
+                                       "\"store\"",
+                                       "\"cpu_share\"",
+                                       "\"cores\"",
+                                       "\"grace_s\"",
+                                       "\"retry_ratio\"",
+                                       "\"retry_slack\"",
+                                       "\"retry_window_s\"",
+                                       "\"store_silence_ms\"" };
   struct bd_cutline_settings settings;
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
--- a/test/test_startup.c
+++ b/test/test_startup.c
@@ -36,7 +36,8 @@
   text = g_strdup_printf (
       "{\"instance\":\"g\",\"zone\":\"z\",\"ip\":\"127.0.0.1\","
       "\"callers\":\"%s\",\"readiness\":\"%s\",\"internal_port\":%s,"
-      "\"seeds\":[],\"store\":\"%s\",\"cpu_share\":1,\"cores\":1,"
+      "\"seeds\":[],\"store\":\"%s\",\"store_silence_ms\":3000,"
+      "\"cpu_share\":1,\"cores\":1,"
       "\"grace_s\":2,\"retry_ratio\":0.2,\"retry_slack\":10,"
       "\"retry_window_s\":10}\n",
       callers, readiness, strchr (internal, ':') + 1, store);
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -142,7 +142,8 @@
                                      &address, &server_handler, fixture,
                                      &fixture->server),
                    ==, BD_OK);
-  fixture->store = bd_cutline_store_create (fixture->gateway, &address);
+  fixture->store
+      = bd_cutline_store_create (fixture->gateway, &address, SILENCE_MAX_MS);
   uv_timer_init (bd_gateway_loop (fixture->gateway), &fixture->timeout);
   fixture->timeout.data = fixture;
   uv_timer_start (&fixture->timeout, on_timeout, TEST_TIMEOUT_MS, 0);
