Peer configuration: a peer that does not answer is not waited for

An instance that the store turns away takes its configuration from the peer that announces it; if that peer's connection is silent, nobody else was asked for 2 s. Now the next announcement, of any peer, starts the fetch anew when there is no head after 500 ms (doubling, as all peers may be slow).

Test /peer-configuration/silent-peer: failed before (never fetched within the test's 8 s), passes after.

Looked at and left: replies of the coordinator (bounded by its query timeout, then the instance chooses itself), inventories (1 s a call), runners' entries (the same watch as the configuration), the product's own service (src/platform: 6 s a call and 5 s between, of the 13 s that it allows).

--- a/src/gateway/peer_configuration.c
+++ b/src/gateway/peer_configuration.c
@@ -9,6 +9,9 @@
 #define FETCH_INTERVAL_MS 1000
 #define STORE_WAIT_MS 400
 #define FETCH_TIMEOUT_MS 2000
+/* Without a response's head in this time, the next peer is asked; the time
+   doubles each time, since all peers may be slow. */
+#define HEAD_TIMEOUT_FIRST_MS 500
 #define RESPONSE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 #define STATUS_OK 200
 
@@ -23,7 +26,8 @@
                              0: none has. */
   struct bd_call *call;   /* Fetch in progress, or NULL. */
   int64_t fetch_started_ms;
-  int status;
+  int64_t head_timeout_ms;
+  int status; /* HTTP status of the response; 0: none yet. */
   uint64_t fetched_version;
   uint64_t fetched_revision;
   struct bd_buffer body;
@@ -44,6 +48,7 @@
   configuration->address = *address;
   configuration->on_received = on_received;
   configuration->context = context;
+  configuration->head_timeout_ms = HEAD_TIMEOUT_FIRST_MS;
   return configuration;
 }
 
@@ -133,6 +138,28 @@
 {
   configuration->version = version;
   configuration->newer_since_ms = 0;
+  configuration->head_timeout_ms = HEAD_TIMEOUT_FIRST_MS;
+}
+
+static void
+cancel_fetch (struct bd_peer_configuration *configuration)
+{
+  bd_call_cancel (configuration->call);
+  configuration->call = NULL;
+  bd_buffer_clear (&configuration->body);
+}
+
+static bool
+may_fetch (const struct bd_peer_configuration *configuration, int64_t now_ms)
+{
+  int64_t elapsed_ms = now_ms - configuration->fetch_started_ms;
+
+  if (now_ms - configuration->newer_since_ms < STORE_WAIT_MS)
+    return false;
+  if (configuration->call)
+    return configuration->status == 0
+           && elapsed_ms >= configuration->head_timeout_ms;
+  return elapsed_ms >= FETCH_INTERVAL_MS;
 }
 
 void
@@ -148,10 +175,14 @@
 
   if (configuration->newer_since_ms == 0)
     configuration->newer_since_ms = now_ms;
-  if (configuration->call
-      || now_ms - configuration->newer_since_ms < STORE_WAIT_MS
-      || now_ms - configuration->fetch_started_ms < FETCH_INTERVAL_MS)
+  if (!may_fetch (configuration, now_ms))
     return;
+  if (configuration->call)
+    {
+      cancel_fetch (configuration);
+      configuration->head_timeout_ms *= 2;
+    }
+  configuration->status = 0;
   request.address.sin_addr.s_addr = ip;
   configuration->fetch_started_ms = now_ms;
   configuration->call = bd_client_call (configuration->client, &request,
@@ -162,10 +193,7 @@
 bd_peer_configuration_tick (struct bd_peer_configuration *configuration,
                             int64_t now_ms)
 {
-  if (!configuration->call
-      || now_ms - configuration->fetch_started_ms <= FETCH_TIMEOUT_MS)
-    return;
-  bd_call_cancel (configuration->call);
-  configuration->call = NULL;
-  bd_buffer_clear (&configuration->body);
+  if (configuration->call
+      && now_ms - configuration->fetch_started_ms > FETCH_TIMEOUT_MS)
+    cancel_fetch (configuration);
 }
--- a/test/test_peer_configuration.c
+++ b/test/test_peer_configuration.c
@@ -9,6 +9,7 @@
 
 #define LIMIT_MS 8000
 #define STORE_MS 400
+#define HEAD_MS 500
 #define LARGE_BYTES ((size_t)5 * 1024 * 1024)
 
 /* A peer, and the instance that fetches from it. */
@@ -19,6 +20,7 @@
   bool late;
   struct bd_client *client;
   struct bd_server *peer;
+  bool peer_is_silent; /* The first peer answers nothing. */
   struct bd_peer_configuration *configuration;
   int status;
   const char *fields;
@@ -37,6 +39,8 @@
   g_assert_true (bd_chunk_equal (bd_exchange_head (exchange)->target,
                                  BD_CHUNK ("/configuration")));
   f->request_count++;
+  if (f->peer_is_silent && f->request_count == 1)
+    return;
   bd_exchange_reply (exchange, f->status, bd_chunk_of (f->fields), f->body);
 }
 
@@ -195,6 +199,30 @@
   close_fixture (&f);
 }
 
+/* Guards against an instance that keeps an old configuration because the peer
+   that it asks never answers: another one is asked when it announces the
+   configuration too. */
+static void
+test_silent_peer (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  f.peer_is_silent = true;
+  bd_peer_configuration_announced (f.configuration, htonl (INADDR_LOOPBACK),
+                                   1000);
+  bd_peer_configuration_announced (f.configuration, htonl (INADDR_LOOPBACK),
+                                   1000 + STORE_MS);
+  while (f.request_count == 0)
+    {
+      g_assert_false (f.late);
+      uv_run (&f.loop, UV_RUN_ONCE);
+    }
+  announce_newer (&f, 1000 + STORE_MS + HEAD_MS);
+  g_assert_cmpint (f.received_count, ==, 1);
+  close_fixture (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -202,5 +230,6 @@
   g_test_add_func ("/peer-configuration/received", test_received);
   g_test_add_func ("/peer-configuration/rejected", test_rejected);
   g_test_add_func ("/peer-configuration/too-large", test_too_large);
+  g_test_add_func ("/peer-configuration/silent-peer", test_silent_peer);
   return g_test_run ();
 }
