--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -1133,6 +1133,53 @@
   support_gateway_close (&g);
 }
 
+/* Sends request I of those that share the part that crashes runners, and are
+   alike in nothing else. */
+static struct support_caller *
+call_with_part (struct support_gateway *g, int i)
+{
+  char *path = g_strdup_printf ("POST /stream/%d", i);
+  char *parts = g_strdup_printf (
+      "X-Basildock-Prefix-Hash: aa:100,%s:200,c%d:30,d%d:10\r\n", "bad", i, i);
+  char *body = g_strdup_printf ("body %d", i);
+  char *text = support_request (path, "a1", parts, body);
+  struct support_caller *caller = support_caller_send (g, 0, text);
+
+  g_free (text);
+  g_free (body);
+  g_free (parts);
+  g_free (path);
+  return caller;
+}
+
+/* Guards against a part of a prompt that crashes each runner that begins to
+   answer it, in requests that are otherwise different: after five crashes no
+   runner gets one. */
+static void
+test_crashing_part (void)
+{
+  static const struct support_step crash = { STREAM_HEAD, SUPPORT_CRASH };
+  struct support_gateway g;
+  struct support_caller *caller;
+  struct support_runner *runner;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 5; i++)
+    {
+      runner = support_gateway_runner (&g, i % 2, &crash, 1);
+      caller = call_with_part (&g, i);
+      support_await (caller, "\r\n\r\n");
+      g_string_truncate (caller->in, 0);
+      support_gateway_unlist (&g, i % 2);
+    }
+  runner = support_gateway_runner (&g, 2, &crash, 1);
+  caller = call_with_part (&g, 5);
+  support_await (caller, "\r\n\r\n");
+  if (runner->request_count > 0)
+    g_test_fail ();
+  support_gateway_close (&g);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1188,5 +1235,6 @@
   g_test_add_func ("/forward/limits", test_limits);
   g_test_add_func ("/forward/rate-limit", test_rate_limit);
   g_test_add_func ("/forward/rate-limit-all", test_rate_limit_all);
+  g_test_add_func ("/forward/crashing-part", test_crashing_part);
   return g_test_run ();
 }
