--- a/src/common/event.h
+++ b/src/common/event.h
@@ -71,6 +71,8 @@
   X (5006, STRIKE_HEARD, INFO, "peer told of a crash")                        \
   X (5007, CHECK_SKIPPED, WARNING, "runner not checked after a failure")      \
   X (5008, NO_STRIKE, INFO, "runner lives that a request was suspected of")   \
+  X (5009, PART_OPEN, WARNING, "part of prompts crashes runners")             \
+  X (5010, PART_HEARD, INFO, "peer told of a part of prompts")                \
   X (6001, PROTOCOL_ERROR, WARNING, "message refused")
 
 enum bd_event
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -122,7 +122,7 @@
   f->target_started_ms = target->started_ms;
   f->status = 0;
   f->streaming = false;
-  f->event_received = false;
+  f->answer_began_ms = 0;
   memset (&f->response_fields, 0, sizeof f->response_fields);
   bd_buffer_reset (&f->body);
   bd_sse_clear (&f->sse);
@@ -250,6 +250,8 @@
       return;
     }
   f->suspected = suspicion != BD_SUSPICION_NONE;
+  bd_crashes_sent (f->forwarder->crashes, f->selection_request.now_ms,
+                   &f->fingerprint);
   f->tried[f->tried_count++] = (uint32_t)selection->target->hash;
   if (f->attempts > 0)
     log_retry (f, selection->target);
--- a/src/gateway/beacon.c
+++ b/src/gateway/beacon.c
@@ -7,9 +7,9 @@
 /* First value of each datagram, below those of coordination.h.  To be
    incremented when the layout changes. */
 #define FORMAT 5
-#define FIELDS 14
+#define FIELDS 15
 /* Instances of older versions send neither rate limits nor the version of
-   their configuration. */
+   their configuration nor notices about parts of prompts. */
 #define FIELDS_MIN 12
 
 /* Serialization. */
@@ -67,6 +67,23 @@
     bd_limit_notice_write (pack, &beacon->limits[i]);
 }
 
+static void
+write_parts (struct bd_pack *pack, const struct bd_beacon *beacon)
+{
+  bd_pack_array (pack, (uint32_t)beacon->part_count);
+  for (size_t i = 0; i < beacon->part_count; i++)
+    {
+      const struct bd_part_notice *notice = &beacon->parts[i];
+
+      bd_pack_array (pack, 5);
+      bd_pack_uint (pack, notice->part);
+      bd_pack_uint (pack, notice->harmless);
+      bd_pack_id (pack, notice->crash);
+      bd_pack_int (pack, notice->sent_age_ms);
+      bd_pack_int (pack, notice->age_ms);
+    }
+}
+
 void
 bd_beacon_strip (struct bd_beacon *beacon)
 {
@@ -76,6 +93,7 @@
   beacon->leaving_count = 0;
   beacon->strike_count = 0;
   beacon->limit_count = 0;
+  beacon->part_count = 0;
 }
 
 int
@@ -100,6 +118,7 @@
   write_leaving (&pack, beacon);
   write_limits (&pack, beacon);
   bd_pack_uint (&pack, beacon->status.version);
+  write_parts (&pack, beacon);
   return pack.error;
 }
 
@@ -202,6 +221,26 @@
     }
 }
 
+static void
+read_parts (struct bd_unpack *u, struct bd_beacon *beacon)
+{
+  uint32_t count = bd_unpack_array (u);
+
+  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
+    {
+      struct bd_part_notice notice = { 0 };
+
+      bd_unpack_array (u);
+      notice.part = bd_unpack_uint (u);
+      notice.harmless = bd_unpack_uint (u) != 0;
+      notice.crash = bd_unpack_id (u);
+      notice.sent_age_ms = bd_unpack_int (u);
+      notice.age_ms = bd_unpack_int (u);
+      if (beacon->part_count < BD_BEACON_PARTS_MAX)
+        beacon->parts[beacon->part_count++] = notice;
+    }
+}
+
 int
 bd_beacon_read (struct bd_chunk bytes, struct bd_beacon *beacon)
 {
@@ -224,5 +263,7 @@
     read_limits (&u, beacon);
   if (fields > FIELDS_MIN + 1)
     beacon->status.version = bd_unpack_uint (&u);
+  if (fields > FIELDS_MIN + 2)
+    read_parts (&u, beacon);
   return u.error;
 }
--- a/src/gateway/beacon.h
+++ b/src/gateway/beacon.h
@@ -1,14 +1,15 @@
 /**
  * @file beacon.h
  * Gossip datagram of an instance: its state, addresses of other instances, its
- * load at each runner, requests that crashed runners, runners that announced
- * their shutdown, and rate limits of runners.
+ * load at each runner, requests and parts of prompts that crashed runners,
+ * runners that announced their shutdown, and rate limits of runners.
  */
 #ifndef BD_BEACON_H
 #define BD_BEACON_H
 
 #include "common/string.h"
 #include "gateway/limit_notice.h"
+#include "retry/part_breaker.h"
 #include "retry/suspect.h"
 
 /** Most peer addresses in a datagram. */
@@ -18,6 +19,9 @@
 /** Most strikes in a datagram, and in one that contains loads. */
 #define BD_BEACON_STRIKES_MAX 24
 #define BD_BEACON_STRIKES_WITH_LOADS 6
+/** Most notices about parts of prompts; they are sent in datagrams of their
+    own. */
+#define BD_BEACON_PARTS_MAX 24
 /** Most leaving runners in a datagram. */
 #define BD_BEACON_LEAVING_MAX 6
 /** Most rate limits of runners in a datagram, and most addresses beside them.
@@ -93,6 +97,8 @@
   struct bd_beacon_leaving_runner leaving_runners[BD_BEACON_LEAVING_MAX];
   size_t limit_count;
   struct bd_limit_notice limits[BD_BEACON_LIMITS_MAX];
+  size_t part_count;
+  struct bd_part_notice parts[BD_BEACON_PARTS_MAX];
 };
 
 /** Removes all but the sender and its state. */
--- a/src/gateway/beacon_contents.c
+++ b/src/gateway/beacon_contents.c
@@ -159,3 +159,21 @@
                 (int)strike->cleared, strike->age_ms, ntohl (beacon->ip));
     }
 }
+
+void
+bd_beacon_apply_parts (struct bd_part_breakers *breakers,
+                       const struct bd_beacon *beacon, int64_t now_ms)
+{
+  for (size_t i = 0; i < beacon->part_count; i++)
+    {
+      const struct bd_part_notice *notice = &beacon->parts[i];
+
+      if (bd_part_breakers_apply (breakers, now_ms, notice))
+        bd_log (BD_EVENT_PART_HEARD,
+                "part=%016" PRIx64 " harmless=%d crash=%016" PRIx64
+                " crashes=%u age_ms=%" PRId64 " from=%08x",
+                notice->part, (int)notice->harmless, notice->crash.low,
+                bd_part_breakers_crashes (breakers, notice->part),
+                notice->age_ms, ntohl (beacon->ip));
+    }
+}
--- a/src/gateway/beacon_contents.h
+++ b/src/gateway/beacon_contents.h
@@ -46,4 +46,8 @@
 void bd_beacon_apply_strikes (struct bd_suspects *suspects,
                               const struct bd_beacon *beacon, int64_t now_ms);
 
+/** Applies the notices about parts of prompts in BEACON. */
+void bd_beacon_apply_parts (struct bd_part_breakers *breakers,
+                            const struct bd_beacon *beacon, int64_t now_ms);
+
 #endif
--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -27,11 +27,13 @@
   struct bd_id crash; /* Identifies the crash; the same at all instances. */
   char *runner;
   int64_t started_ms; /* Start of the runner's process; 0: unknown. */
+  int64_t sent_ms;    /* When the attempt was sent. */
   int64_t opened_ms;
   enum bd_crash_evidence evidence;
   enum probe_state probe;
   bool suspected;   /* The request was suspected when the attempt was sent. */
   bool provisional; /* Counts as a provisional strike. */
+  bool answering;   /* The runner had begun to answer: no strike. */
 };
 
 enum verdict
@@ -45,6 +47,7 @@
 {
   struct bd_targets *targets;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   size_t count;
   struct crash_case cases[BD_CRASH_CASES_MAX]; /* In the order of opening. */
   struct bd_id known_crashes[KNOWN_CRASHES_MAX];
@@ -53,7 +56,8 @@
 };
 
 struct bd_crashes *
-bd_crashes_create (struct bd_targets *targets, struct bd_suspects *suspects)
+bd_crashes_create (struct bd_targets *targets, struct bd_suspects *suspects,
+                   struct bd_part_breakers *breakers)
 {
   struct bd_crashes *crashes = calloc (1, sizeof *crashes);
 
@@ -61,6 +65,7 @@
     return NULL;
   crashes->targets = targets;
   crashes->suspects = suspects;
+  crashes->breakers = breakers;
   return crashes;
 }
 
@@ -105,15 +110,33 @@
       = bd_suspects_check (suspects, now_ms, fingerprint->broad);
 
   if (bd_suspects_must_wait (suspects, now_ms, fingerprint->exact)
-      || bd_suspects_must_wait (suspects, now_ms, fingerprint->broad))
+      || bd_suspects_must_wait (suspects, now_ms, fingerprint->broad)
+      || bd_part_breakers_check (crashes->breakers, now_ms,
+                                 &fingerprint->parts)
+             == BD_BREAKER_OPEN)
     return BD_SUSPICION_QUARANTINE;
   return exact > broad ? exact : broad;
 }
 
+void
+bd_crashes_sent (struct bd_crashes *crashes, int64_t now_ms,
+                 const struct bd_fingerprint *fingerprint)
+{
+  bd_part_breakers_sent (crashes->breakers, now_ms, &fingerprint->parts);
+}
+
+void
+bd_crashes_survived (struct bd_crashes *crashes, int64_t now_ms,
+                     const struct bd_fingerprint *fingerprint)
+{
+  bd_part_breakers_survived (crashes->breakers, now_ms, &fingerprint->parts);
+}
+
 void
 bd_crashes_completed (struct bd_crashes *crashes, int64_t now_ms,
                       const struct bd_fingerprint *fingerprint)
 {
+  bd_crashes_survived (crashes, now_ms, fingerprint);
   bd_suspects_completed (crashes->suspects, now_ms, fingerprint->exact);
   bd_suspects_completed (crashes->suspects, now_ms, fingerprint->broad);
 }
@@ -135,11 +158,33 @@
   return bd_suspects_record (crashes->suspects, now_ms, &strike) || fresh;
 }
 
+/* Blames the parts of the prompt for the crash. */
+static void
+blame_parts (struct bd_crashes *crashes, const struct crash_case *c)
+{
+  const struct bd_part_list *parts = &c->fingerprint.parts;
+
+  bd_part_breakers_crashed (crashes->breakers, parts, c->crash, c->sent_ms,
+                            c->opened_ms);
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      uint32_t count
+          = bd_part_breakers_crashes (crashes->breakers, parts->parts[i]);
+
+      if (count >= BD_PART_CRASHES_MAX)
+        bd_log (BD_EVENT_PART_OPEN,
+                "part=%016" PRIx64 " crashes=%u crash=%016" PRIx64
+                " runner=%s",
+                parts->parts[i], count, c->crash.low, c->runner);
+    }
+}
+
 static void
 confirm_case (struct bd_crashes *crashes, int64_t now_ms,
               const struct crash_case *c, const char *by)
 {
-  if (record_strike (crashes, now_ms, c, false))
+  blame_parts (crashes, c);
+  if (!c->answering && record_strike (crashes, now_ms, c, false))
     bd_log (BD_EVENT_STRIKE,
             "fingerprint=%016" PRIx64 " crash=%016" PRIx64
             " runner=%s alone=%d by=%s after_ms=%" PRId64,
@@ -220,19 +265,23 @@
 
 void
 bd_crashes_open (struct bd_crashes *crashes, int64_t now_ms,
-                 const struct bd_fingerprint *fingerprint,
-                 const struct bd_target *target, int64_t started_ms,
-                 enum bd_crash_evidence evidence, bool suspected)
+                 const struct bd_crash_attempt *attempt)
 {
+  const struct bd_target *target = attempt->target;
+  enum bd_crash_evidence evidence = attempt->evidence;
   struct crash_case fresh
-      = { .fingerprint = *fingerprint,
-          .crash = crash_id (target, started_ms),
-          .started_ms = started_ms,
+      = { .fingerprint = *attempt->fingerprint,
+          .crash = crash_id (target, attempt->runner_started_ms),
+          .started_ms = attempt->runner_started_ms,
+          .sent_ms = attempt->sent_ms,
           .opened_ms = now_ms,
           .evidence = evidence,
-          .suspected = suspected,
-          .provisional = evidence != BD_CRASH_NO_RESPONSE };
-  struct crash_case *c = find_case (crashes, fresh.crash, fingerprint->exact);
+          .suspected = attempt->suspected,
+          .answering = attempt->answering,
+          .provisional
+          = evidence != BD_CRASH_NO_RESPONSE && !attempt->answering };
+  struct crash_case *c
+      = find_case (crashes, fresh.crash, fresh.fingerprint.exact);
 
   if (is_leaving (target) || (c && c->evidence <= evidence))
     return;
@@ -245,7 +294,11 @@
       c = &crashes->cases[crashes->count++];
     }
   else
-    fresh.runner = c->runner;
+    {
+      fresh.runner = c->runner;
+      fresh.answering = fresh.answering && c->answering;
+      fresh.provisional = fresh.provisional || c->provisional;
+    }
   *c = fresh;
   if (c->provisional)
     record_strike (crashes, now_ms, c, true);
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -17,6 +17,7 @@
 #define BD_CRASH_H
 
 #include "balance/target.h"
+#include "retry/part_breaker.h"
 #include "retry/suspect.h"
 
 /** Longest time that a case stays open undecided, in milliseconds. */
@@ -55,44 +56,62 @@
 /**
  * Identifies a request when it is repeated.  Both hashes cover the body and
  * the workspace; EXACT covers the whole request target, BROAD only its path.
+ * Requests that are different may share parts of their prompts.
  */
 struct bd_fingerprint
 {
   uint64_t exact;
   uint64_t broad;
+  struct bd_part_list parts;
+};
+
+/** An attempt that may have crashed its runner. */
+struct bd_crash_attempt
+{
+  const struct bd_fingerprint *fingerprint;
+  const struct bd_target *target;
+  int64_t runner_started_ms; /**< Start of the runner's process. */
+  int64_t sent_ms;
+  enum bd_crash_evidence evidence;
+  /** The request was suspected when the attempt was sent. */
+  bool suspected;
+  /** The runner had begun to answer, so only the parts of the prompt can be
+      blamed. */
+  bool answering;
 };
 
 struct bd_crashes;
 
-/**
- * TARGETS and SUSPECTS must outlive the result.  Returns NULL when out of
- * memory.
- */
+/** All must outlive the result.  Returns NULL when out of memory. */
 struct bd_crashes *bd_crashes_create (struct bd_targets *targets,
-                                      struct bd_suspects *suspects);
+                                      struct bd_suspects *suspects,
+                                      struct bd_part_breakers *breakers);
 void bd_crashes_destroy (struct bd_crashes *crashes);
 
 /**
  * Returns the suspicion against a request.  BD_SUSPICION_QUARANTINE is
- * returned for held requests too.
+ * returned for held requests too, and for those with a part that crashes
+ * runners.
  */
 enum bd_suspicion
 bd_crashes_suspicion (struct bd_crashes *crashes, int64_t now_ms,
                       const struct bd_fingerprint *fingerprint);
 
+/** Records that a request with FINGERPRINT is sent. */
+void bd_crashes_sent (struct bd_crashes *crashes, int64_t now_ms,
+                      const struct bd_fingerprint *fingerprint);
+
+/** Records that a runner goes on answering a request with FINGERPRINT. */
+void bd_crashes_survived (struct bd_crashes *crashes, int64_t now_ms,
+                          const struct bd_fingerprint *fingerprint);
+
 /** Records that a request with FINGERPRINT got a complete response. */
 void bd_crashes_completed (struct bd_crashes *crashes, int64_t now_ms,
                            const struct bd_fingerprint *fingerprint);
 
-/**
- * Opens a case, or strengthens the open one, for an attempt at TARGET, whose
- * process started at STARTED_MS.  SUSPECTED is whether the request was
- * suspected when the attempt was sent.
- */
+/** Opens a case, or strengthens the open one. */
 void bd_crashes_open (struct bd_crashes *crashes, int64_t now_ms,
-                      const struct bd_fingerprint *fingerprint,
-                      const struct bd_target *target, int64_t started_ms,
-                      enum bd_crash_evidence evidence, bool suspected);
+                      const struct bd_crash_attempt *attempt);
 
 /**
  * Returns a runner that is to be probed now, or NULL.  One probe serves all
--- a/src/gateway/crash_probe.c
+++ b/src/gateway/crash_probe.c
@@ -103,11 +103,21 @@
                             enum bd_crash_evidence evidence)
 {
   struct bd_forwarder *forwarder = f->forwarder;
-
-  if (f->event_received)
+  int64_t now = bd_clock_boot_ms ();
+  struct bd_crash_attempt attempt
+      = { .fingerprint = &f->fingerprint,
+          .target = f->target,
+          .runner_started_ms = f->target_started_ms,
+          .sent_ms = f->sent_ms,
+          .evidence = evidence,
+          .suspected = f->suspected,
+          .answering = f->answer_began_ms != 0 };
+
+  if (attempt.answering
+      && (f->request_fields.parts.count == 0
+          || now - f->answer_began_ms >= BD_PART_SURVIVED_MS))
     return;
-  bd_crashes_open (forwarder->crashes, bd_clock_boot_ms (), &f->fingerprint,
-                   f->target, f->target_started_ms, evidence, f->suspected);
+  bd_crashes_open (forwarder->crashes, now, &attempt);
   if (evidence == BD_CRASH_CONNECTION_LOST)
     bd_forward_probe_runners (forwarder);
 }
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -7,6 +7,7 @@
 #define BD_DIALECT_H
 
 #include "http/message.h"
+#include "retry/part_breaker.h"
 
 /** Content of the header of a caller's request. */
 struct bd_request_fields
@@ -18,6 +19,8 @@
   /** Hash of the prompt's last shared prefix; 0: none. */
   uint64_t prefix_hash;
   uint64_t shared_tokens; /**< Length of the shared prefix. */
+  /** Parts of the shared prefix, whatever model reads them. */
+  struct bd_part_list parts;
   /** Rest of the prompt; 0: the request has no prompt. */
   uint64_t own_tokens;
 };
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -40,7 +40,8 @@
 
 static struct bd_fingerprint
 fingerprint_of (const struct bd_exchange *exchange,
-                const struct bd_workspace *workspace)
+                const struct bd_workspace *workspace,
+                const struct bd_request_fields *fields)
 {
   const struct bd_head *head = bd_exchange_head (exchange);
   uint64_t rest = bd_chunk_hash (bd_exchange_body (exchange));
@@ -50,6 +51,7 @@
   return (struct bd_fingerprint){
     .exact = bd_random_mix (rest ^ bd_chunk_hash (head->target)),
     .broad = bd_random_mix (rest ^ bd_chunk_hash (path_of (head))),
+    .parts = fields->parts,
   };
 }
 
@@ -106,7 +108,7 @@
     return BD_ERR_UNAUTHORIZED;
   if (is_too_late (forwarder, *route, fields))
     return BD_ERR_LEAVING;
-  fingerprint = fingerprint_of (exchange, *workspace);
+  fingerprint = fingerprint_of (exchange, *workspace, fields);
   if (bd_crashes_suspicion (forwarder->crashes, bd_clock_boot_ms (),
                             &fingerprint)
       == BD_SUSPICION_QUARANTINE)
@@ -185,7 +187,7 @@
   f->route = route;
   f->workspace = workspace;
   f->service = bd_route_service (route, bd_chunk_hash (fields.attempt_id));
-  f->fingerprint = fingerprint_of (exchange, workspace);
+  f->fingerprint = fingerprint_of (exchange, workspace, &f->request_fields);
   f->selection_request.service = f->service;
   f->selection_request.zone = forwarder->options.zone;
   f->selection_request.prefix_hash = fields.prefix_hash;
@@ -248,7 +250,8 @@
   forwarder->options = *options;
   forwarder->instance_count = 1;
   forwarder->random_state = bd_id_random ().low;
-  forwarder->crashes = bd_crashes_create (options->targets, options->suspects);
+  forwarder->crashes = bd_crashes_create (options->targets, options->suspects,
+                                          options->breakers);
   if (!forwarder->crashes)
     {
       free (forwarder);
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -25,6 +25,7 @@
   struct bd_selector *selector;
   struct bd_retry_quota *retries;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_coordinator_client *coordinator_client;
   struct bd_chunk zone;      /**< Availability zone of this instance. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -51,6 +51,7 @@
   uint64_t connects_counted; /* Connections in the metrics so far. */
   struct bd_retry_quota *retries;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_inventory *inventory;
   struct bd_coordinator *coordinator;
@@ -295,6 +296,7 @@
   bd_peer_configuration_tick (gateway->peer_configuration, now);
   bd_targets_tick (gateway->targets, now);
   bd_suspects_tick (gateway->suspects, now);
+  bd_part_breakers_tick (gateway->breakers, now);
   bd_forwarder_tick (gateway->forwarder, now);
   update_peers (gateway, now);
   bd_coordinator_tick (gateway->coordinator, now);
@@ -362,6 +364,7 @@
           .seed_count = gateway->options.seed_count,
           .targets = gateway->targets,
           .suspects = gateway->suspects,
+          .breakers = gateway->breakers,
           .stats = gateway->stats };
 
   int error
@@ -410,13 +413,15 @@
   gateway->retries
       = bd_retry_quota_create (&gateway->options.retry, bd_clock_boot_ms ());
   gateway->suspects = bd_suspects_create (SUSPECTS_MAX, SUSPECTS_KEEP_MS);
+  gateway->breakers = bd_part_breakers_create (bd_id_random ().low);
   gateway->stats = bd_stats_create ();
   gateway->peer_configuration = bd_peer_configuration_create (
       gateway->client, &gateway->options.internal_address,
       on_peer_configuration, gateway);
   if (!gateway->client || !gateway->targets || !gateway->selector
-      || !gateway->retries || !gateway->suspects || !gateway->stats
-      || !gateway->peer_configuration || create_coordinator (gateway) != BD_OK)
+      || !gateway->retries || !gateway->suspects || !gateway->breakers
+      || !gateway->stats || !gateway->peer_configuration
+      || create_coordinator (gateway) != BD_OK)
     return BD_ERR_NOMEM;
   options = (struct bd_forwarder_options){ .loop = &gateway->loop,
                                            .dialect = gateway->options.dialect,
@@ -425,6 +430,7 @@
                                            .selector = gateway->selector,
                                            .retries = gateway->retries,
                                            .suspects = gateway->suspects,
+                                           .breakers = gateway->breakers,
                                            .stats = gateway->stats,
                                            .coordinator_client
                                            = gateway->coordinator_client,
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -66,7 +66,10 @@
   int64_t started_ms; /* Time of the first tick; 0: none yet. */
   uint32_t round;
   struct bd_strike_queue strikes;
-  size_t strike_cursor; /* Next known strike to send again. */
+  size_t strike_cursor;
+  size_t part_cursor;
+  /* Where the next list of parts starts. */ /* Next known strike to send
+                                                again. */
   char receive_buffer[BD_BEACON_MAX_BYTES * 2];
 };
 
@@ -270,6 +273,28 @@
                mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT);
 }
 
+/* Sends what is new about parts of prompts and, once a round, some of what is
+   known, because a peer may have been unreachable when it was new. */
+static void
+send_parts (struct bd_mesh *mesh, bool round, int64_t now_ms)
+{
+  struct bd_part_breakers *breakers = mesh->options.breakers;
+  struct bd_beacon beacon;
+
+  if (mesh->peer_count == 0)
+    return;
+  init_beacon (mesh, &beacon);
+  beacon.part_count = bd_part_breakers_next_notices (
+      breakers, now_ms, beacon.parts, BD_BEACON_PARTS_MAX);
+  if (round)
+    beacon.part_count += bd_part_breakers_list (
+        breakers, now_ms, &mesh->part_cursor, beacon.parts + beacon.part_count,
+        BD_BEACON_PARTS_MAX - beacon.part_count);
+  if (beacon.part_count > 0)
+    send_to_due (mesh, &beacon,
+                 mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT);
+}
+
 /* Sends a round of gossip, to all peers if LEAVING.  Returns the number of new
    strikes that were sent. */
 static size_t
@@ -349,6 +374,16 @@
       if (beacon.strike_count > 0)
         send_beacon (mesh, ip, &beacon);
     }
+  from = 0;
+  bd_beacon_strip (&beacon);
+  for (int i = 0; i < EXTRA_DATAGRAMS_MAX && (i == 0 || from != 0); i++)
+    {
+      beacon.part_count
+          = bd_part_breakers_list (mesh->options.breakers, now_ms, &from,
+                                   beacon.parts, BD_BEACON_PARTS_MAX);
+      if (beacon.part_count > 0)
+        send_beacon (mesh, ip, &beacon);
+    }
 }
 
 /* Updates PEER, which sent BEACON; a new incarnation shows a restart. */
@@ -390,6 +425,7 @@
       memcpy (peer->loads, beacon->loads, sizeof peer->loads);
     }
   bd_beacon_apply_strikes (mesh->options.suspects, beacon, now_ms);
+  bd_beacon_apply_parts (mesh->options.breakers, beacon, now_ms);
   bd_beacon_apply_leaving (mesh->options.targets, beacon, now_ms);
   bd_beacon_apply_limits (mesh->options.targets, beacon, now_ms);
   if (beacon->status.version > mesh->status.version && !beacon->leaving)
@@ -571,6 +607,7 @@
     }
   sent = mesh->strikes.count;
   bd_strike_queue_collect (&mesh->strikes, mesh->options.suspects, now_ms);
+  send_parts (mesh, now_ms - mesh->last_round_ms >= ROUND_INTERVAL_MS, now_ms);
   if (now_ms - mesh->last_round_ms < ROUND_INTERVAL_MS)
     {
       send_new_strikes (mesh, sent, now_ms);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -27,6 +27,7 @@
   size_t seed_count;
   struct bd_targets *targets;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_stats *stats;
 };
 
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -13,6 +13,7 @@
    and checked at this interval. */
 #define UNREAD_MAX_BYTES ((size_t)64 * 1024)
 #define UNREAD_CHECK_MS 20
+#define SURVIVAL_INTERVAL_MS 100
 #define STATUS_UNAVAILABLE 503
 
 /* Responses. */
@@ -191,7 +192,8 @@
 {
   struct bd_chunk id = bd_sse_id (event);
 
-  f->event_received = true;
+  if (f->answer_began_ms == 0)
+    f->answer_began_ms = bd_clock_boot_ms ();
   handle_first_event (f);
   if (id.length > 0 && id.length < sizeof f->last_event_id)
     {
@@ -214,6 +216,19 @@
   f->last_event_ms = now;
 }
 
+/* Tells from time to time that the runner goes on answering. */
+static void
+record_survival (struct bd_forward *f)
+{
+  int64_t now = f->last_event_ms;
+
+  if (now - f->answer_began_ms < BD_PART_SURVIVED_MS
+      || now - f->survival_recorded_ms < SURVIVAL_INTERVAL_MS)
+    return;
+  f->survival_recorded_ms = now;
+  bd_crashes_survived (f->forwarder->crashes, now, &f->fingerprint);
+}
+
 /* Forwards the complete events; those of one read are forwarded together. */
 static void
 forward_events (struct bd_forward *f)
@@ -225,7 +240,10 @@
     forward_event (f, bd_buffer_chunk (&event));
   bd_buffer_clear (&event);
   if (f->event_count > count_before)
-    record_event_gap (f);
+    {
+      record_event_gap (f);
+      record_survival (f);
+    }
   limit_unread (f);
 }
 
--- /dev/null
+++ b/src/retry/part_breaker.c
@@ -0,0 +1,462 @@
+#include "retry/part_breaker.h"
+
+#include "common/map.h"
+#include "common/random.h"
+#include "common/string.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BREAKERS_MAX 512
+/* Crashes that are kept for a part. */
+#define CRASHES_KEPT 8
+/* Longer than any hold time. */
+#define KEEP_MS 3600000
+/* Time in which the result of a request that a half-open breaker let pass is
+   waited for. */
+#define TRIAL_MS 5000
+#define SENDS_PER_NOTICE 3
+#define NEVER_MS (INT64_MIN / 2)
+
+struct crash
+{
+  struct bd_id id;
+  int64_t sent_ms; /* When the request was sent. */
+  int64_t at_ms;
+  uint32_t sends_left; /* As a notice to the peers. */
+};
+
+struct breaker
+{
+  uint64_t part;
+  int64_t harmless_ms; /* When a runner last survived the part. */
+  int64_t trial_ms;    /* When a half-open breaker last let a request pass. */
+  uint32_t harmless_sends_left;
+  uint32_t crash_count;
+  struct crash crashes[CRASHES_KEPT]; /* By at_ms; all after harmless_ms. */
+};
+
+struct bd_part_breakers
+{
+  uint64_t seed;
+  size_t count;
+  struct breaker *breakers;
+  struct bd_map *by_part;
+};
+
+void
+bd_part_list_add (struct bd_part_list *list, uint64_t part)
+{
+  if (list->count < BD_PARTS_MAX)
+    list->parts[list->count++] = part;
+}
+
+struct bd_part_breakers *
+bd_part_breakers_create (uint64_t seed)
+{
+  struct bd_part_breakers *b = calloc (1, sizeof *b);
+
+  if (!b)
+    return NULL;
+  b->seed = seed;
+  b->breakers = calloc (BREAKERS_MAX, sizeof *b->breakers);
+  b->by_part = bd_map_create ();
+  if (!b->breakers || !b->by_part)
+    {
+      bd_part_breakers_destroy (b);
+      return NULL;
+    }
+  return b;
+}
+
+void
+bd_part_breakers_destroy (struct bd_part_breakers *breakers)
+{
+  if (!breakers)
+    return;
+  bd_map_destroy (breakers->by_part);
+  free (breakers->breakers);
+  free (breakers);
+}
+
+/* The table. */
+
+static struct bd_id
+map_id (uint64_t part)
+{
+  return (struct bd_id){ 0, part };
+}
+
+static struct breaker *
+find_breaker (const struct bd_part_breakers *b, uint64_t part)
+{
+  return b->count > 0 ? bd_map_get (b->by_part, map_id (part), 0) : NULL;
+}
+
+/* Time of the last crash or harmless answer. */
+static int64_t
+last_ms (const struct breaker *breaker)
+{
+  return breaker->crash_count > 0
+             ? breaker->crashes[breaker->crash_count - 1].at_ms
+             : breaker->harmless_ms;
+}
+
+/* Removes a breaker; the last one takes its place. */
+static void
+remove_breaker (struct bd_part_breakers *b, struct breaker *breaker)
+{
+  struct breaker *last = &b->breakers[--b->count];
+
+  bd_map_remove (b->by_part, map_id (breaker->part), 0);
+  if (last == breaker)
+    return;
+  bd_map_remove (b->by_part, map_id (last->part), 0);
+  *breaker = *last;
+  if (bd_map_put (b->by_part, map_id (breaker->part), 0, breaker) != BD_OK)
+    /* Not found any more, it ages out. */
+    breaker->crash_count = 0;
+}
+
+/* Removes the breaker whose last event is the oldest, one without crashes if
+   there is any. */
+static void
+evict_breaker (struct bd_part_breakers *b)
+{
+  struct breaker *oldest = &b->breakers[0];
+
+  for (size_t i = 1; i < b->count; i++)
+    {
+      struct breaker *breaker = &b->breakers[i];
+      bool idle = breaker->crash_count == 0;
+      bool oldest_idle = oldest->crash_count == 0;
+
+      if (idle > oldest_idle
+          || (idle == oldest_idle && last_ms (breaker) < last_ms (oldest)))
+        oldest = breaker;
+    }
+  remove_breaker (b, oldest);
+}
+
+static struct breaker *
+get_breaker (struct bd_part_breakers *b, uint64_t part)
+{
+  struct breaker *breaker = find_breaker (b, part);
+
+  if (breaker)
+    return breaker;
+  if (b->count == BREAKERS_MAX)
+    evict_breaker (b);
+  breaker = &b->breakers[b->count];
+  if (bd_map_put (b->by_part, map_id (part), 0, breaker) != BD_OK)
+    return NULL;
+  *breaker = (struct breaker){ .part = part,
+                               .harmless_ms = NEVER_MS,
+                               .trial_ms = NEVER_MS };
+  b->count++;
+  return breaker;
+}
+
+/* Crashes. */
+
+/* Returns the largest number of crashes of which each is under a request that
+   was sent after the crash before. */
+static uint32_t
+crashes_in_succession (const struct breaker *breaker)
+{
+  uint32_t count = 0;
+  int64_t before_ms = NEVER_MS;
+
+  for (uint32_t i = 0; breaker && i < breaker->crash_count; i++)
+    if (breaker->crashes[i].sent_ms >= before_ms)
+      {
+        before_ms = breaker->crashes[i].at_ms;
+        count++;
+      }
+  return count;
+}
+
+static bool
+has_crash (const struct breaker *breaker, struct bd_id id)
+{
+  for (uint32_t i = 0; i < breaker->crash_count; i++)
+    if (bd_id_equal (breaker->crashes[i].id, id))
+      return true;
+  return false;
+}
+
+static void
+remove_crash (struct breaker *breaker, uint32_t index)
+{
+  breaker->crash_count--;
+  memmove (&breaker->crashes[index], &breaker->crashes[index + 1],
+           (breaker->crash_count - index) * sizeof breaker->crashes[0]);
+}
+
+/* Removes the first crash that is not in succession, or the first one. */
+static void
+make_room (struct breaker *breaker)
+{
+  uint32_t index = 0;
+
+  for (uint32_t i = 1; i < breaker->crash_count && index == 0; i++)
+    if (breaker->crashes[i].sent_ms < breaker->crashes[i - 1].at_ms)
+      index = i;
+  remove_crash (breaker, index);
+}
+
+/* Adds CRASH.  Returns false if it is known, or the part has been harmless
+   since. */
+static bool
+add_crash (struct breaker *breaker, const struct crash *crash)
+{
+  uint32_t i;
+
+  if (crash->at_ms <= breaker->harmless_ms || has_crash (breaker, crash->id))
+    return false;
+  if (breaker->crash_count == CRASHES_KEPT)
+    make_room (breaker);
+  for (i = breaker->crash_count;
+       i > 0 && breaker->crashes[i - 1].at_ms > crash->at_ms; i--)
+    breaker->crashes[i] = breaker->crashes[i - 1];
+  breaker->crashes[i] = *crash;
+  breaker->crash_count++;
+  return true;
+}
+
+/* Returns whether that changed what is known. */
+static bool
+set_harmless (struct breaker *breaker, int64_t at_ms)
+{
+  uint32_t before = breaker->crash_count;
+
+  if (at_ms <= breaker->harmless_ms)
+    return false;
+  breaker->harmless_ms = at_ms;
+  while (breaker->crash_count > 0 && breaker->crashes[0].at_ms <= at_ms)
+    remove_crash (breaker, 0);
+  return breaker->crash_count < before;
+}
+
+void
+bd_part_breakers_crashed (struct bd_part_breakers *breakers,
+                          const struct bd_part_list *parts, struct bd_id crash,
+                          int64_t sent_ms, int64_t at_ms)
+{
+  struct crash fresh = { crash, sent_ms, at_ms, SENDS_PER_NOTICE };
+  uint32_t counts[BD_PARTS_MAX];
+  uint32_t most = 0;
+
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      counts[i] = bd_part_breakers_crashes (breakers, parts->parts[i]);
+      if (counts[i] > most)
+        most = counts[i];
+    }
+  for (size_t i = 0; i < parts->count; i++)
+    if (counts[i] == most)
+      {
+        struct breaker *breaker = get_breaker (breakers, parts->parts[i]);
+
+        if (breaker)
+          add_crash (breaker, &fresh);
+      }
+}
+
+void
+bd_part_breakers_survived (struct bd_part_breakers *breakers, int64_t now_ms,
+                           const struct bd_part_list *parts)
+{
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
+
+      if (breaker && set_harmless (breaker, now_ms))
+        breaker->harmless_sends_left = SENDS_PER_NOTICE;
+    }
+}
+
+uint32_t
+bd_part_breakers_crashes (const struct bd_part_breakers *breakers,
+                          uint64_t part)
+{
+  return crashes_in_succession (find_breaker (breakers, part));
+}
+
+/* States. */
+
+/* Returns the hold time after CRASHES in succession. */
+static int64_t
+base_hold_ms (const struct breaker *breaker, uint32_t crashes)
+{
+  if (crashes > BD_PART_CRASHES_MAX)
+    return (int64_t)BD_PART_LONG_HOLD_MS
+           << (crashes - BD_PART_CRASHES_MAX - 1);
+  return breaker->crash_count >= BD_PART_RUNNERS_MAX ? BD_PART_LONG_HOLD_MS
+                                                     : BD_PART_HOLD_MS;
+}
+
+/* Returns how long an open breaker with CRASHES in succession stays open after
+   the last one, for a request with OPEN_COUNT open parts. */
+static int64_t
+hold_ms (const struct bd_part_breakers *b, const struct breaker *breaker,
+         uint32_t crashes, uint32_t open_count)
+{
+  int64_t base_ms = base_hold_ms (breaker, crashes);
+  uint64_t random
+      = bd_random_mix (b->seed ^ breaker->part ^ (uint64_t)last_ms (breaker));
+
+  return base_ms * open_count
+         + bd_random_below (&random, (uint32_t)base_ms / 2);
+}
+
+enum bd_breaker_state
+bd_part_breakers_check (const struct bd_part_breakers *breakers,
+                        int64_t now_ms, const struct bd_part_list *parts)
+{
+  const struct breaker *open[BD_PARTS_MAX];
+  uint32_t crashes[BD_PARTS_MAX];
+  uint32_t count = 0;
+
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      open[count] = find_breaker (breakers, parts->parts[i]);
+      crashes[count] = crashes_in_succession (open[count]);
+      count += crashes[count] >= BD_PART_CRASHES_MAX;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    if (now_ms - open[i]->trial_ms < TRIAL_MS
+        || now_ms - last_ms (open[i])
+               < hold_ms (breakers, open[i], crashes[i], count))
+      return BD_BREAKER_OPEN;
+  return count > 0 ? BD_BREAKER_HALF_OPEN : BD_BREAKER_CLOSED;
+}
+
+void
+bd_part_breakers_sent (struct bd_part_breakers *breakers, int64_t now_ms,
+                       const struct bd_part_list *parts)
+{
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
+
+      if (crashes_in_succession (breaker) >= BD_PART_CRASHES_MAX)
+        breaker->trial_ms = now_ms;
+    }
+}
+
+/* Notices. */
+
+/* A peer that tells of a crash before a harmless answer has missed that
+   answer, and is told. */
+static bool
+apply_crash (struct breaker *breaker, int64_t now_ms,
+             const struct bd_part_notice *notice)
+{
+  struct crash crash = { notice->crash, now_ms - notice->sent_age_ms,
+                         now_ms - notice->age_ms, 0 };
+
+  if (crash.at_ms <= breaker->harmless_ms && breaker->harmless_sends_left == 0)
+    breaker->harmless_sends_left = 1;
+  return add_crash (breaker, &crash);
+}
+
+bool
+bd_part_breakers_apply (struct bd_part_breakers *breakers, int64_t now_ms,
+                        const struct bd_part_notice *notice)
+{
+  struct breaker *breaker;
+
+  if (notice->age_ms < 0 || notice->age_ms >= KEEP_MS
+      || notice->sent_age_ms < 0 || notice->sent_age_ms >= 2 * KEEP_MS)
+    return false;
+  breaker = get_breaker (breakers, notice->part);
+  if (!breaker)
+    return false;
+  return notice->harmless ? set_harmless (breaker, now_ms - notice->age_ms)
+                          : apply_crash (breaker, now_ms, notice);
+}
+
+static struct bd_part_notice
+crash_notice (const struct breaker *breaker, const struct crash *crash,
+              int64_t now_ms)
+{
+  return (struct bd_part_notice){ .part = breaker->part,
+                                  .crash = crash->id,
+                                  .sent_age_ms = now_ms - crash->sent_ms,
+                                  .age_ms = now_ms - crash->at_ms };
+}
+
+static size_t
+append_notices_of (struct breaker *breaker, int64_t now_ms,
+                   struct bd_part_notice *notices, size_t max)
+{
+  size_t count = 0;
+
+  if (breaker->harmless_sends_left > 0 && max > 0)
+    {
+      breaker->harmless_sends_left--;
+      notices[count++]
+          = (struct bd_part_notice){ .part = breaker->part,
+                                     .harmless = true,
+                                     .age_ms = now_ms - breaker->harmless_ms };
+    }
+  for (uint32_t i = 0; i < breaker->crash_count && count < max; i++)
+    if (breaker->crashes[i].sends_left > 0)
+      {
+        breaker->crashes[i].sends_left--;
+        notices[count++]
+            = crash_notice (breaker, &breaker->crashes[i], now_ms);
+      }
+  return count;
+}
+
+size_t
+bd_part_breakers_next_notices (struct bd_part_breakers *breakers,
+                               int64_t now_ms, struct bd_part_notice *notices,
+                               size_t max)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < breakers->count && count < max; i++)
+    count += append_notices_of (&breakers->breakers[i], now_ms,
+                                notices + count, max - count);
+  return count;
+}
+
+size_t
+bd_part_breakers_list (const struct bd_part_breakers *breakers, int64_t now_ms,
+                       size_t *cursor, struct bd_part_notice *notices,
+                       size_t max)
+{
+  size_t count = 0;
+
+  for (; *cursor < breakers->count; ++*cursor)
+    {
+      const struct breaker *breaker = &breakers->breakers[*cursor];
+
+      if (breaker->crash_count > max - count)
+        return count;
+      for (uint32_t i = 0; i < breaker->crash_count; i++)
+        notices[count++]
+            = crash_notice (breaker, &breaker->crashes[i], now_ms);
+    }
+  *cursor = 0;
+  return count;
+}
+
+void
+bd_part_breakers_tick (struct bd_part_breakers *breakers, int64_t now_ms)
+{
+  for (size_t i = breakers->count; i > 0; i--)
+    {
+      struct breaker *breaker = &breakers->breakers[i - 1];
+
+      while (breaker->crash_count > 0
+             && now_ms - breaker->crashes[0].at_ms >= KEEP_MS)
+        remove_crash (breaker, 0);
+      if (breaker->crash_count == 0
+          && now_ms - breaker->harmless_ms >= KEEP_MS)
+        remove_breaker (breakers, breaker);
+    }
+}
--- /dev/null
+++ b/src/retry/part_breaker.h
@@ -0,0 +1,121 @@
+/**
+ * @file part_breaker.h
+ * Circuit breakers for parts of prompts that crash runners.
+ *
+ * A part may crash each runner that begins to answer a request with it,
+ * whatever else the request holds, so the requests have no fingerprint in
+ * common (suspect.h).  A part's breaker counts crashes in succession: crashes
+ * under requests with the part, each sent after the crash before.  Crashes at
+ * the same moment, as when a rack fails, therefore count as one.  An answer
+ * that its runner survives shows that the part is harmless and clears them.
+ *
+ * A breaker opens after BD_PART_CRASHES_MAX crashes in succession: requests
+ * with the part are refused.  After a hold time it is half-open and lets one
+ * request pass, whose result closes it, or opens it for longer.  Up to half of
+ * the hold time is added at random, so that not all instances try at once.
+ *
+ * Requests share parts.  Only those parts of a request that have the most
+ * crashes in succession are blamed for a crash, and a request with several
+ * open parts waits longer than one with a single open part, which shows
+ * whether that one is harmless.
+ */
+#ifndef BD_PART_BREAKER_H
+#define BD_PART_BREAKER_H
+
+#include "basildock.h"
+
+/** Crashes in succession that open a breaker. */
+#define BD_PART_CRASHES_MAX 3
+/** Hold time after that many crashes, in milliseconds. */
+#define BD_PART_HOLD_MS 3000
+/** Hold time after one crash in succession more, or after
+    BD_PART_RUNNERS_MAX crashes in all; it doubles with each further crash. */
+#define BD_PART_LONG_HOLD_MS 120000
+#define BD_PART_RUNNERS_MAX 5
+/** A runner that still answers this long after the first event has survived,
+    in milliseconds. */
+#define BD_PART_SURVIVED_MS 500
+/** Most parts of a request that are looked at. */
+#define BD_PARTS_MAX 16
+
+/** Hashes of the parts that a prompt shares with others. */
+struct bd_part_list
+{
+  size_t count;
+  uint64_t parts[BD_PARTS_MAX];
+};
+
+/** Adds PART, unless the list is full. */
+void bd_part_list_add (struct bd_part_list *list, uint64_t part);
+
+/** State of the breakers of a request's parts, the strictest one. */
+enum bd_breaker_state
+{
+  BD_BREAKER_CLOSED = 0,
+  BD_BREAKER_HALF_OPEN, /**< One request may be sent. */
+  BD_BREAKER_OPEN
+};
+
+/** A crash under a request with a part, or that a part is harmless; sent to
+    peers. */
+struct bd_part_notice
+{
+  uint64_t part;
+  bool harmless;       /**< CRASH and SENT_AGE_MS have no meaning. */
+  struct bd_id crash;  /**< The same at all instances. */
+  int64_t sent_age_ms; /**< Time since the request was sent. */
+  int64_t age_ms;      /**< Time since the crash or the harmless answer. */
+};
+
+struct bd_part_breakers;
+
+/** SEED is the seed of the hold times.  Returns NULL when out of memory. */
+struct bd_part_breakers *bd_part_breakers_create (uint64_t seed);
+void bd_part_breakers_destroy (struct bd_part_breakers *breakers);
+
+enum bd_breaker_state
+bd_part_breakers_check (const struct bd_part_breakers *breakers,
+                        int64_t now_ms, const struct bd_part_list *parts);
+
+/** Records that a request is sent; in state half-open no other may follow
+    until its result is known. */
+void bd_part_breakers_sent (struct bd_part_breakers *breakers, int64_t now_ms,
+                            const struct bd_part_list *parts);
+
+/** Records that a runner crashed at AT_MS under a request with PARTS that was
+    sent at SENT_MS. */
+void bd_part_breakers_crashed (struct bd_part_breakers *breakers,
+                               const struct bd_part_list *parts,
+                               struct bd_id crash, int64_t sent_ms,
+                               int64_t at_ms);
+
+/** Records that a runner survived a request with PARTS. */
+void bd_part_breakers_survived (struct bd_part_breakers *breakers,
+                                int64_t now_ms,
+                                const struct bd_part_list *parts);
+
+/** Returns the crashes in succession under requests with PART. */
+uint32_t bd_part_breakers_crashes (const struct bd_part_breakers *breakers,
+                                   uint64_t part);
+
+/** Records a notice from a peer.  Returns true if it was new. */
+bool bd_part_breakers_apply (struct bd_part_breakers *breakers, int64_t now_ms,
+                             const struct bd_part_notice *notice);
+
+/** Returns up to MAX notices of what was seen here; each is returned by
+    several calls, because datagrams get lost. */
+size_t bd_part_breakers_next_notices (struct bd_part_breakers *breakers,
+                                      int64_t now_ms,
+                                      struct bd_part_notice *notices,
+                                      size_t max);
+
+/** Returns up to MAX notices of known crashes, for peers that may lack them.
+    Starts at *CURSOR and advances it; all are listed when it is 0 again. */
+size_t bd_part_breakers_list (const struct bd_part_breakers *breakers,
+                              int64_t now_ms, size_t *cursor,
+                              struct bd_part_notice *notices, size_t max);
+
+/** Forgets what is old. */
+void bd_part_breakers_tick (struct bd_part_breakers *breakers, int64_t now_ms);
+
+#endif
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -253,8 +253,9 @@
     {
       attempt->fatal = soak_fatal_next (soak);
       attempt->kind = soak_fatal_kind (attempt->fatal);
-      g_strlcpy (attempt->name, soak_fatal_name (attempt->fatal),
-                 sizeof attempt->name);
+      if (!soak_fatal_part (attempt->fatal))
+        g_strlcpy (attempt->name, soak_fatal_name (attempt->fatal),
+                   sizeof attempt->name);
     }
   attempt->events = 1 + soak_random_below (&soak->random, EVENTS_MAX);
   attempt->sent_ms = soak_now_ms (soak);
@@ -267,6 +268,7 @@
 write_request (const struct soak_attempt *attempt, struct bd_buffer *out)
 {
   static const char *const paths[] = { "safe", "once", "stream", "resume" };
+  const char *part = attempt->fatal ? soak_fatal_part (attempt->fatal) : NULL;
   char *body = g_strconcat ("body of ", attempt->name, NULL);
 
   bd_buffer_printf (out,
@@ -281,8 +283,9 @@
     bd_buffer_printf (out,
                       "X-Basildock-Model: m\r\n"
                       "X-Basildock-Token-Usage: 900,80\r\n"
-                      "X-Basildock-Prefix-Hash: aa%u:1500,bb%s:300\r\n",
-                      state.number % 20, attempt->id);
+                      "X-Basildock-Prefix-Hash: aa%u:1500,%s%sbb%s:300\r\n",
+                      state.number % 20, part ? part : "", part ? ":200," : "",
+                      attempt->id);
   bd_buffer_printf (out, "Content-Length: %zu\r\n\r\n%s", strlen (body), body);
   g_free (body);
 }
--- a/test/soak/fatal_request.c
+++ b/test/soak/fatal_request.c
@@ -1,12 +1,15 @@
 /* Fatal requests crash each runner that starts them.  Callers send them again
    and again to all gateways; the gateways must soon keep them off the
-   runners. */
+   runners.  Some are alike only in a part of their prompts, which is what
+   crashes the runner. */
 #include "soak.h"
 
 #include <string.h>
 
-/* Known crashes under one request after which it should not be sent. */
+/* Known crashes under one request after which it should not be sent, and those
+   under one part of prompts. */
 #define CRASHES_ALLOWED 3
+#define PART_CRASHES_ALLOWED 5
 /* Time for a known crash to reach all gateways by gossip, and sends that are
    tolerated after it. */
 #define GOSSIP_MS 3000
@@ -27,12 +30,13 @@
 struct soak_fatal
 {
   const char *name;
-  int64_t third_crash_ms; /* Time of the third known crash. */
+  const char *part;      /* Part of the prompt that is fatal, or NULL. */
+  int64_t last_crash_ms; /* Time of the last known crash that is allowed. */
   enum soak_kind kind;
   uint32_t crash_count;
   uint32_t known_crashes;
   struct crash crashes[CRASHES_MAX];
-  uint32_t late_sends; /* Sends after the gossip time of the third crash. */
+  uint32_t late_sends; /* Sends after the gossip time of that crash. */
   bool host_down;
 };
 
@@ -41,7 +45,12 @@
   { .name = "fatal-once", .kind = SOAK_NON_IDEMPOTENT },
   { .name = "fatal-resume", .kind = SOAK_RESUMABLE },
   { .name = "fatal-safe-dark", .kind = SOAK_IDEMPOTENT, .host_down = true },
-  { .name = "fatal-stream-dark", .kind = SOAK_STREAM, .host_down = true }
+  { .name = "fatal-stream-dark", .kind = SOAK_STREAM, .host_down = true },
+  { .name = "fatal-part", .kind = SOAK_STREAM, .part = "fa1" },
+  { .name = "fatal-part-dark",
+    .kind = SOAK_RESUMABLE,
+    .part = "fa2",
+    .host_down = true }
 };
 
 struct soak_fatal *
@@ -62,6 +71,18 @@
   return fatal->name;
 }
 
+const char *
+soak_fatal_part (const struct soak_fatal *fatal)
+{
+  return fatal->part;
+}
+
+static uint32_t
+crashes_allowed (const struct soak_fatal *fatal)
+{
+  return fatal->part ? PART_CRASHES_ALLOWED : CRASHES_ALLOWED;
+}
+
 /* Time in ms for which gateway NUMBER has run undisturbed. */
 static int64_t
 gateway_stable_ms (const struct soak *soak, int number)
@@ -85,8 +106,8 @@
   else if (since >= OBSERVE_MS)
     {
       crash->open = false;
-      if (++fatal->known_crashes == CRASHES_ALLOWED)
-        fatal->third_crash_ms = crash->at_ms;
+      if (++fatal->known_crashes == crashes_allowed (fatal))
+        fatal->last_crash_ms = crash->at_ms;
     }
 }
 
@@ -102,13 +123,14 @@
 soak_fatal_arrived (struct soak *soak, const struct soak_attempt *attempt)
 {
   struct soak_fatal *fatal = attempt->fatal;
-  int64_t since = soak_now_ms (soak) - fatal->third_crash_ms;
+  int64_t since = soak_now_ms (soak) - fatal->last_crash_ms;
 
-  if (fatal->known_crashes < CRASHES_ALLOWED || since <= GOSSIP_MS
+  if (fatal->known_crashes < crashes_allowed (fatal) || since <= GOSSIP_MS
       || gateway_stable_ms (soak, attempt->gateway) <= GOSSIP_MS)
     return;
-  soak_log (soak, "%s (%s) sent by gateway %d, %lld ms after the third crash",
-            fatal->name, attempt->id, attempt->gateway, (long long)since);
+  soak_log (soak, "%s (%s) sent by gateway %d, %lld ms after crash %u",
+            fatal->name, attempt->id, attempt->gateway, (long long)since,
+            crashes_allowed (fatal));
   if (++fatal->late_sends > LATE_SENDS_ALLOWED)
     soak_violation (soak, "BUDGET",
                     "%s was sent %u times after %u runner crashes",
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -364,6 +364,9 @@
 enum soak_kind soak_fatal_kind (const struct soak_fatal *fatal);
 const char *soak_fatal_name (const struct soak_fatal *fatal);
 
+/** Part of the prompt that crashes runners, or NULL: the request does. */
+const char *soak_fatal_part (const struct soak_fatal *fatal);
+
 /**
  * Finds out which crashes the gateways can know of; to be called several
  * times a second.
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -309,6 +309,7 @@
   gateway->retries = bd_retry_quota_create (&limits, bd_clock_boot_ms ()
                                                          - limits.window_ms);
   gateway->suspects = bd_suspects_create (64, 60000);
+  gateway->breakers = bd_part_breakers_create (1);
   gateway->stats = bd_stats_create ();
   coordinator = (struct bd_coordinator_options){ .ip = 1,
                                                  .selector = gateway->selector,
@@ -320,9 +321,11 @@
   };
   gateway->coordinator_client = bd_coordinator_client_create (&client_options);
   options = (struct bd_forwarder_options){
-    &gateway->loop,    &bd_cutline_dialect, gateway->client,
-    gateway->targets,  gateway->selector,   gateway->retries,
-    gateway->suspects, gateway->stats,      gateway->coordinator_client,
+    &gateway->loop,    &bd_cutline_dialect,
+    gateway->client,   gateway->targets,
+    gateway->selector, gateway->retries,
+    gateway->suspects, gateway->breakers,
+    gateway->stats,    gateway->coordinator_client,
     BD_CHUNK ("z"),    HELD_MAX_BYTES
   };
   gateway->forwarder = bd_forwarder_create (&options);
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -10,7 +10,7 @@
 
 #include <glib.h>
 
-#define SUPPORT_RUNNERS_MAX 4
+#define SUPPORT_RUNNERS_MAX 6
 #define SUPPORT_CALLERS_MAX 4
 
 /** What a runner does after sending its bytes. */
@@ -69,6 +69,7 @@
   struct bd_selector *selector;
   struct bd_retry_quota *retries;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_coordinator *coordinator;
   struct bd_coordinator_client *coordinator_client;
--- a/test/test_beacon.c
+++ b/test/test_beacon.c
@@ -114,14 +114,49 @@
   beacon.limit_count = 0;
   beacon.status.version = 0;
   g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
-  out.data[0] = (char)(out.data[0] - 2); /* An array of two fields less. */
-  out.length -= 2;
+  out.data[0] = (char)(out.data[0] - 3); /* An array of three fields less. */
+  out.length -= 3;
   g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
   g_assert_cmpuint (read.limit_count, ==, 0);
   g_assert_cmpuint (read.status.version, ==, 0);
   bd_buffer_clear (&out);
 }
 
+/* Notices about parts of prompts fit into a datagram of their own.  A peer of
+   an older version sends none. */
+static void
+test_parts (void)
+{
+  struct bd_beacon beacon;
+  struct bd_beacon read;
+  struct bd_buffer out = { 0 };
+
+  fill (&beacon, false);
+  bd_beacon_strip (&beacon);
+  for (; beacon.part_count < BD_BEACON_PARTS_MAX; beacon.part_count++)
+    beacon.parts[beacon.part_count]
+        = (struct bd_part_notice){ UINT64_MAX,
+                                   beacon.part_count % 2 != 0,
+                                   { UINT64_MAX, UINT64_MAX },
+                                   3600000,
+                                   3500000 };
+  g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
+  g_assert_cmpuint (out.length, <=, BD_BEACON_MAX_BYTES);
+  g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
+  g_assert_cmpuint (read.part_count, ==, BD_BEACON_PARTS_MAX);
+  g_assert_cmpmem (read.parts, sizeof read.parts, beacon.parts,
+                   sizeof beacon.parts);
+  bd_buffer_reset (&out);
+  beacon.part_count = 0;
+  g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
+  out.data[0] = (char)(out.data[0] - 1); /* An array of one field less. */
+  out.length--;
+  g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
+  g_assert_cmpuint (read.part_count, ==, 0);
+  g_assert_cmpuint (read.status.version, ==, UINT64_MAX - 1);
+  bd_buffer_clear (&out);
+}
+
 /* Without crashes the datagrams of a round are small, no matter how many peers
    and runners there are. */
 static void
@@ -254,6 +289,7 @@
   g_test_add_func ("/beacon/full", test_full);
   g_test_add_func ("/beacon/full-of-strikes", test_full_of_strikes);
   g_test_add_func ("/beacon/limits", test_limits);
+  g_test_add_func ("/beacon/parts", test_parts);
   g_test_add_func ("/beacon/small", test_small);
   g_test_add_func ("/beacon/truncated", test_cut);
   g_test_add_func ("/beacon/strike-queue", test_strike_queue);
--- a/test/test_coordinator_client.c
+++ b/test/test_coordinator_client.c
@@ -18,6 +18,7 @@
   struct bd_targets *targets;
   struct bd_selector *selector;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_mesh *mesh;
   struct bd_coordinator *coordinator;
@@ -87,6 +88,7 @@
   side->targets = bd_targets_create ();
   side->selector = bd_selector_create (1);
   side->suspects = bd_suspects_create (16, 60000);
+  side->breakers = bd_part_breakers_create (i);
   side->stats = bd_stats_create ();
   support_put_runners (side->targets, 6, 1);
   coordinator = (struct bd_coordinator_options){ .ip = side->ip,
@@ -103,6 +105,7 @@
   mesh.seed_count = 1;
   mesh.targets = side->targets;
   mesh.suspects = side->suspects;
+  mesh.breakers = side->breakers;
   mesh.stats = side->stats;
   g_assert_cmpint (bd_mesh_create (&mesh, &handler, side, &side->mesh), ==,
                    BD_OK);
--- a/test/test_coordinator_reports.c
+++ b/test/test_coordinator_reports.c
@@ -47,6 +47,7 @@
                                   .seed_count = 1,
                                   .targets = gateway->targets,
                                   .suspects = gateway->suspects,
+                                  .breakers = gateway->breakers,
                                   .stats = gateway->stats };
 
   seed = htonl (INADDR_LOOPBACK);
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -12,14 +12,18 @@
 {
   struct bd_targets *targets;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_crashes *crashes;
   struct bd_target *runners[2];
   uint64_t revision;
   int64_t now_ms;
 };
 
-static const struct bd_fingerprint request = { 11, 12 };
-static const struct bd_fingerprint same_path = { 21, 12 };
+static const struct bd_fingerprint request = { .exact = 11, .broad = 12 };
+static const struct bd_fingerprint same_path = { .exact = 21, .broad = 12 };
+/* Requests that have a part of their prompts in common. */
+static const struct bd_fingerprint with_part
+    = { .exact = 41, .broad = 41, .parts = { 1, { 51 } } };
 
 static void
 list (struct fixture *f, const char *id, int64_t started_ms, bool draining)
@@ -43,7 +47,8 @@
   *f = (struct fixture){ .now_ms = 1000 };
   f->targets = bd_targets_create ();
   f->suspects = bd_suspects_create (64, KEEP_MS);
-  f->crashes = bd_crashes_create (f->targets, f->suspects);
+  f->breakers = bd_part_breakers_create (1);
+  f->crashes = bd_crashes_create (f->targets, f->suspects, f->breakers);
   list (f, "r0", BORN_MS, false);
   list (f, "r1", BORN_MS, false);
   f->runners[0] = support_target (f->targets, "r0");
@@ -54,6 +59,7 @@
 close_fixture (struct fixture *f)
 {
   bd_crashes_destroy (f->crashes);
+  bd_part_breakers_destroy (f->breakers);
   bd_suspects_destroy (f->suspects);
   bd_targets_destroy (f->targets);
 }
@@ -68,11 +74,25 @@
     }
 }
 
+static void
+open_case_of (struct fixture *f, const struct bd_fingerprint *fingerprint,
+              const struct bd_target *target, enum bd_crash_evidence evidence,
+              bool suspected)
+{
+  struct bd_crash_attempt attempt = { .fingerprint = fingerprint,
+                                      .target = target,
+                                      .runner_started_ms = BORN_MS,
+                                      .sent_ms = f->now_ms,
+                                      .evidence = evidence,
+                                      .suspected = suspected };
+
+  bd_crashes_open (f->crashes, f->now_ms, &attempt);
+}
+
 static void
 open_case (struct fixture *f, int runner, enum bd_crash_evidence evidence)
 {
-  bd_crashes_open (f->crashes, f->now_ms, &request, f->runners[runner],
-                   BORN_MS, evidence, false);
+  open_case_of (f, &request, f->runners[runner], evidence, false);
 }
 
 static enum bd_suspicion
@@ -252,9 +272,8 @@
   open_fixture (&f);
   list (&f, "r2", BORN_MS, false);
   for (int i = 0; i < 2; i++)
-    bd_crashes_open (f.crashes, f.now_ms, &request,
-                     support_target (f.targets, names[i]), BORN_MS,
-                     BD_CRASH_CONNECTION_LOST, false);
+    open_case_of (&f, &request, support_target (f.targets, names[i]),
+                  BD_CRASH_CONNECTION_LOST, false);
   while (bd_crashes_next_probe (f.crashes, f.now_ms))
     ;
   for (int i = 0; i < 2; i++)
@@ -262,9 +281,8 @@
   g_assert_cmpint (suspicion (&f), ==, BD_SUSPICION_QUARANTINE);
   advance (&f, BD_SUSPECT_HOLD_MS);
   g_assert_cmpint (suspicion (&f), ==, BD_SUSPICION_ISOLATE);
-  bd_crashes_open (f.crashes, f.now_ms, &request,
-                   support_target (f.targets, "r2"), BORN_MS,
-                   BD_CRASH_CONNECTION_LOST, true);
+  open_case_of (&f, &request, support_target (f.targets, "r2"),
+                BD_CRASH_CONNECTION_LOST, true);
   bd_crashes_next_probe (f.crashes, f.now_ms);
   probe (&f, "r2", BD_CRASH_PROBE_REFUSED);
   advance (&f, (int64_t)2 * BD_SUSPECT_HOLD_MS);
@@ -320,8 +338,8 @@
   struct fixture f;
 
   open_fixture (&f);
-  bd_crashes_open (f.crashes, f.now_ms, &(struct bd_fingerprint){ 31, 31 },
-                   f.runners[0], BORN_MS, BD_CRASH_CONNECTION_LOST, false);
+  open_case_of (&f, &(struct bd_fingerprint){ .exact = 31, .broad = 31 },
+                f.runners[0], BD_CRASH_CONNECTION_LOST, false);
   bd_crashes_next_probe (f.crashes, f.now_ms);
   probe (&f, "r0", BD_CRASH_PROBE_REFUSED);
   open_case (&f, 0, BD_CRASH_NO_RESPONSE);
@@ -357,8 +375,7 @@
   for (other.exact = 100; other.exact < 150; other.exact++)
     {
       other.broad = other.exact;
-      bd_crashes_open (f.crashes, f.now_ms, &other, f.runners[0], BORN_MS,
-                       BD_CRASH_CONNECTION_LOST, false);
+      open_case_of (&f, &other, f.runners[0], BD_CRASH_CONNECTION_LOST, false);
     }
   g_assert_nonnull (bd_crashes_next_probe (f.crashes, f.now_ms));
   g_assert_null (bd_crashes_next_probe (f.crashes, f.now_ms));
@@ -401,8 +418,7 @@
        other.exact++)
     {
       other.broad = other.exact;
-      bd_crashes_open (f.crashes, f.now_ms, &other, f.runners[0], BORN_MS,
-                       BD_CRASH_TIMED_OUT, false);
+      open_case_of (&f, &other, f.runners[0], BD_CRASH_TIMED_OUT, false);
     }
   g_assert_cmpuint (bd_crashes_count (f.crashes), ==, BD_CRASH_CASES_MAX);
   advance (&f, BD_CRASH_OPEN_MAX_MS + 200);
@@ -410,6 +426,76 @@
   close_fixture (&f);
 }
 
+/* Opens a case for a request with the part, whose answer had begun if
+   ANSWERING; then runner r0 turns out to have crashed, and starts again. */
+static void
+crash_under_part (struct fixture *f, uint64_t exact, bool answering)
+{
+  struct bd_fingerprint fingerprint = with_part;
+  struct bd_crash_attempt attempt
+      = { .fingerprint = &fingerprint,
+          .target = f->runners[0],
+          .runner_started_ms = f->runners[0]->started_ms,
+          .sent_ms = f->now_ms - 50,
+          .evidence = BD_CRASH_CONNECTION_LOST,
+          .answering = answering };
+
+  fingerprint.exact = fingerprint.broad = exact;
+  bd_crashes_open (f->crashes, f->now_ms, &attempt);
+  bd_crashes_next_probe (f->crashes, f->now_ms);
+  probe (f, "r0", BD_CRASH_PROBE_REFUSED);
+  advance (f, 1000);
+  list (f, "r0", f->now_ms, false);
+}
+
+/* Guards against runners that crash one after the other under requests that
+   have only a part of their prompts in common, whether the answer had begun or
+   not.  A request whose answer had begun gets no strike itself. */
+static void
+test_part (void)
+{
+  struct fixture f;
+
+  for (int answering = 0; answering < 2; answering++)
+    {
+      open_fixture (&f);
+      for (uint64_t i = 0; i < BD_PART_CRASHES_MAX; i++)
+        {
+          g_assert_cmpint (
+              bd_crashes_suspicion (f.crashes, f.now_ms, &with_part), ==,
+              BD_SUSPICION_NONE);
+          crash_under_part (&f, 100 + i, answering);
+        }
+      g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &with_part),
+                       ==, BD_SUSPICION_QUARANTINE);
+      g_assert_cmpint (bd_suspects_check (f.suspects, f.now_ms, 100), ==,
+                       answering ? BD_SUSPICION_NONE : BD_SUSPICION_ISOLATE);
+      bd_crashes_survived (f.crashes, f.now_ms, &with_part);
+      g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &with_part),
+                       ==, BD_SUSPICION_NONE);
+      close_fixture (&f);
+    }
+}
+
+/* Lost connections to runners that live on say nothing about a part. */
+static void
+test_part_of_resets (void)
+{
+  struct fixture f;
+  struct bd_fingerprint other = with_part;
+
+  open_fixture (&f);
+  for (other.exact = 100; other.exact < 110; other.exact++)
+    {
+      open_case_of (&f, &other, f.runners[0], BD_CRASH_CONNECTION_LOST, false);
+      bd_crashes_next_probe (f.crashes, f.now_ms);
+      probe (&f, "r0", BD_CRASH_PROBE_ACCEPTED);
+      advance (&f, 500);
+    }
+  g_assert_cmpuint (bd_part_breakers_crashes (f.breakers, 51), ==, 0);
+  close_fixture (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -429,5 +515,7 @@
   g_test_add_func ("/crash/one-probe", test_one_probe);
   g_test_add_func ("/crash/path", test_path);
   g_test_add_func ("/crash/bounded", test_bounded);
+  g_test_add_func ("/crash/part", test_part);
+  g_test_add_func ("/crash/part-of-resets", test_part_of_resets);
   return g_test_run ();
 }
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -1166,13 +1166,13 @@
   support_gateway_open (&g);
   for (int i = 0; i < 5; i++)
     {
-      runner = support_gateway_runner (&g, i % 2, &crash, 1);
+      runner = support_gateway_runner (&g, i, &crash, 1);
       caller = call_with_part (&g, i);
       support_await (caller, "\r\n\r\n");
       g_string_truncate (caller->in, 0);
-      support_gateway_unlist (&g, i % 2);
+      support_gateway_unlist (&g, i);
     }
-  runner = support_gateway_runner (&g, 2, &crash, 1);
+  runner = support_gateway_runner (&g, 5, &crash, 1);
   caller = call_with_part (&g, 5);
   support_await (caller, "\r\n\r\n");
   if (runner->request_count > 0)
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -17,6 +17,7 @@
 {
   struct bd_targets *targets;
   struct bd_suspects *suspects;
+  struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_mesh *mesh;
   uint32_t ip;
@@ -80,12 +81,14 @@
       side->targets = bd_targets_create ();
       support_put_runners (side->targets, 3, 1);
       side->suspects = bd_suspects_create (SUSPECTS_MAX, 60000);
+      side->breakers = bd_part_breakers_create (i);
       side->stats = bd_stats_create ();
       options.ip = side->ip;
       options.seeds = &fixture->sides[0].ip;
       options.seed_count = 1;
       options.targets = side->targets;
       options.suspects = side->suspects;
+      options.breakers = side->breakers;
       options.stats = side->stats;
       g_assert_cmpint (bd_mesh_create (&options, &handler, side, &side->mesh),
                        ==, BD_OK);
@@ -388,6 +391,64 @@
   keep_fixture (&fixture);
 }
 
+/* Records crashes under requests with the part at side 0. */
+static void
+crash_under_part (struct fixture *fixture, const struct bd_part_list *parts,
+                  int64_t now)
+{
+  for (uint64_t i = 1; i <= BD_PART_CRASHES_MAX; i++)
+    bd_part_breakers_crashed (fixture->sides[0].breakers, parts,
+                              (struct bd_id){ i, i }, now + (int64_t)i,
+                              now + (int64_t)i);
+}
+
+/* What crashes under a part of prompts is known to peers at once, before the
+   next round, and so is that the part is harmless. */
+static void
+test_parts_sent_at_once (void)
+{
+  static const struct bd_part_list parts = { 1, { 9 } };
+  struct fixture fixture;
+  int64_t now = bd_clock_boot_ms ();
+
+  open_fixture (&fixture);
+  introduce_sides (&fixture, now);
+  crash_under_part (&fixture, &parts, now + 2000);
+  exchange (&fixture, now + 2100);
+  g_assert_cmpint (
+      bd_part_breakers_check (fixture.sides[1].breakers, now + 2100, &parts),
+      ==, BD_BREAKER_OPEN);
+  bd_part_breakers_survived (fixture.sides[0].breakers, now + 2200, &parts);
+  exchange (&fixture, now + 2200);
+  g_assert_cmpint (
+      bd_part_breakers_check (fixture.sides[1].breakers, now + 2200, &parts),
+      ==, BD_BREAKER_CLOSED);
+  keep_fixture (&fixture);
+}
+
+/* An instance that starts later, or was out of reach, hears of crashes under
+   parts that were sent before. */
+static void
+test_new_peer_gets_parts (void)
+{
+  static const struct bd_part_list parts = { 1, { 9 } };
+  struct fixture fixture;
+  struct bd_part_notice notice;
+  int64_t now = bd_clock_boot_ms ();
+
+  open_fixture (&fixture);
+  crash_under_part (&fixture, &parts, now - 100);
+  while (bd_part_breakers_next_notices (fixture.sides[0].breakers, now,
+                                        &notice, 1)
+         > 0)
+    ;
+  introduce_sides (&fixture, now);
+  g_assert_cmpint (
+      bd_part_breakers_check (fixture.sides[1].breakers, now, &parts), ==,
+      BD_BREAKER_OPEN);
+  keep_fixture (&fixture);
+}
+
 /* The instance that saw a runner crash is killed before the next round; its
    peers have the strike already (docs/incidents/BUDGET.md). */
 static void
@@ -423,5 +484,7 @@
   g_test_add_func ("/mesh/full", test_full);
   g_test_add_func ("/mesh/new-peer-gets-strikes", test_new_peer_gets_strikes);
   g_test_add_func ("/mesh/strikes-sent-at-once", test_strikes_sent_at_once);
+  g_test_add_func ("/mesh/parts-sent-at-once", test_parts_sent_at_once);
+  g_test_add_func ("/mesh/new-peer-gets-parts", test_new_peer_gets_parts);
   return g_test_run ();
 }
