Soak: a moved route is judged for each gateway by itself

Now a request at the service before is a violation if the gateway has run undisturbed and the store has answered for 4 s, and the change is 3 s old.

--- a/test/soak/fatal_request.c
+++ b/test/soak/fatal_request.c
@@ -83,16 +83,6 @@
   return fatal->part ? PART_CRASHES_ALLOWED : CRASHES_ALLOWED;
 }
 
-/* Time in ms for which gateway NUMBER has run undisturbed. */
-static int64_t
-gateway_stable_ms (const struct soak *soak, int number)
-{
-  for (size_t i = 0; i < soak->gateway_count; i++)
-    if (soak_gateway_number (soak->gateways[i]) == number)
-      return soak_gateway_stable_ms (soak->gateways[i]);
-  return 0;
-}
-
 static void
 update_crash (const struct soak *soak, struct soak_fatal *fatal,
               struct crash *crash)
@@ -101,7 +91,7 @@
 
   if (!crash->open)
     return;
-  if (gateway_stable_ms (soak, crash->gateway) < since)
+  if (soak_stable_gateway_ms (soak, crash->gateway) < since)
     crash->open = false;
   else if (since >= OBSERVE_MS)
     {
@@ -126,7 +116,7 @@
   int64_t since = soak_now_ms (soak) - fatal->last_crash_ms;
 
   if (fatal->known_crashes < crashes_allowed (fatal) || since <= GOSSIP_MS
-      || gateway_stable_ms (soak, attempt->gateway) <= GOSSIP_MS)
+      || soak_stable_gateway_ms (soak, attempt->gateway) <= GOSSIP_MS)
     return;
   soak_log (soak, "%s (%s) sent by gateway %d, %lld ms after crash %u",
             fatal->name, attempt->id, attempt->gateway, (long long)since,
--- a/test/soak/gateway.c
+++ b/test/soak/gateway.c
@@ -209,6 +209,15 @@
   return soak_now_ms (gateway->soak) - gateway->last_change_ms;
 }
 
+int64_t
+soak_stable_gateway_ms (const struct soak *soak, int number)
+{
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    if (soak_gateway_number (soak->gateways[i]) == number)
+      return soak_gateway_stable_ms (soak->gateways[i]);
+  return 0;
+}
+
 void
 soak_gateway_check (struct soak_gateway *gateway)
 {
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -290,7 +290,8 @@
 }
 
 /* Requests under /safe/ may reach either service for a while after a new
-   configuration. */
+   configuration, and from a gateway that was disturbed or could not read it
+   from the store. */
 static bool
 service_fits (const struct soak_runner *runner,
               const struct soak_attempt *attempt)
@@ -303,7 +304,9 @@
   return attempt->kind == SOAK_IDEMPOTENT
          && service != soak_service_index ("llm")
          && (attempt->sent_ms - soak->published_ms < PUBLISH_GRACE_MS
-             || soak_stable_ms (soak) < SOAK_STABLE_MS + PUBLISH_GRACE_MS);
+             || soak_stable_gateway_ms (soak, attempt->gateway)
+                    < SOAK_STABLE_MS
+             || soak_store_stable_ms (soak->store) < SOAK_STABLE_MS);
 }
 
 static void
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -140,7 +140,8 @@
  * MIXED    an answer belongs to its request
  * ORDER    a stream has all its events, in order
  * UNASKED  runners get only requests of callers, unchanged
- * ROUTE    a request reaches a runner of its route's service
+ * ROUTE    a request reaches a runner of its route's service; a gateway that
+ *          was undisturbed, as was the store, knows a new route in time
  * DRAIN    a runner that leaves gets no new requests
  * BUDGET   limits on retries, sends, pauses and deadlines hold
  * LIMIT    a runner gets no more requests than the rate it names allows
@@ -280,6 +281,9 @@
 void soak_store_set (struct soak_store *store, enum soak_store_mode mode);
 struct soak_proxy *soak_store_proxy (struct soak_store *store);
 
+/** Time in ms for which it has answered without fault; 0 during a fault. */
+int64_t soak_store_stable_ms (const struct soak_store *store);
+
 /** Sets KEY to VALUE, or deletes KEY when VALUE is NULL. */
 void soak_store_write (struct soak_store *store, const char *key,
                        const char *value);
@@ -341,6 +345,9 @@
  */
 int64_t soak_gateway_stable_ms (const struct soak_gateway *gateway);
 
+/** The same of the gateway NUMBER. */
+int64_t soak_stable_gateway_ms (const struct soak *soak, int number);
+
 /** Reports and kills a gateway that did not stop within its grace period. */
 void soak_gateway_check (struct soak_gateway *gateway);
 struct sockaddr_in soak_gateway_callers (const struct soak_gateway *gateway);
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -31,6 +31,7 @@
   struct soak_proxy *proxy;
   uv_timer_t timer;
   enum soak_store_mode mode;
+  int64_t last_change_ms; /* Time of the last change of the mode. */
   uint64_t revision;
   uint64_t compacted_revision; /* Older watches get 410. */
   uint32_t era;                /* Number of returns from an older copy. */
@@ -336,12 +337,24 @@
 soak_store_set (struct soak_store *store, enum soak_store_mode mode)
 {
   store->mode = mode;
+  store->last_change_ms = soak_now_ms (store->soak);
   if (mode == SOAK_STORE_RESET)
     soak_proxy_reset (store->proxy);
   if (mode == SOAK_STORE_UP)
     answer_due_watches (store);
 }
 
+int64_t
+soak_store_stable_ms (const struct soak_store *store)
+{
+  int64_t proxy_ms = soak_proxy_stable_ms (store->proxy);
+  int64_t mode_ms = soak_now_ms (store->soak) - store->last_change_ms;
+
+  if (store->mode != SOAK_STORE_UP)
+    return 0;
+  return mode_ms < proxy_ms ? mode_ms : proxy_ms;
+}
+
 struct soak_proxy *
 soak_store_proxy (struct soak_store *store)
 {
