Crashes: a part is blamed only if the answer to its request had begun

Cause: a case was blamed on the parts of each request without an answer, also at hosts that had gone dark before the request was sent. Sound requests that met several of these, one after the other, looked like crashes in succession, and the breaker of a part that few requests share opened for 120 s.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -122,7 +122,7 @@
   f->target_started_ms = target->started_ms;
   f->status = 0;
   f->streaming = false;
-  f->answer_began_ms = 0;
+  f->first_event_at_ms = 0;
   memset (&f->response_fields, 0, sizeof f->response_fields);
   bd_buffer_reset (&f->body);
   bd_sse_clear (&f->sse);
--- a/src/gateway/beacon.c
+++ b/src/gateway/beacon.c
@@ -75,10 +75,11 @@
     {
       const struct bd_part_notice *notice = &beacon->parts[i];
 
-      bd_pack_array (pack, 5);
+      bd_pack_array (pack, 6);
       bd_pack_uint (pack, notice->part);
       bd_pack_uint (pack, notice->harmless);
       bd_pack_id (pack, notice->crash);
+      bd_pack_uint (pack, notice->other);
       bd_pack_int (pack, notice->sent_age_ms);
       bd_pack_int (pack, notice->age_ms);
     }
@@ -234,6 +235,7 @@
       notice.part = bd_unpack_uint (u);
       notice.harmless = bd_unpack_uint (u) != 0;
       notice.crash = bd_unpack_id (u);
+      notice.other = bd_unpack_uint (u);
       notice.sent_age_ms = bd_unpack_int (u);
       notice.age_ms = bd_unpack_int (u);
       if (beacon->part_count < BD_BEACON_PARTS_MAX)
--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -33,7 +33,7 @@
   enum probe_state probe;
   bool suspected;   /* The request was suspected when the attempt was sent. */
   bool provisional; /* Counts as a provisional strike. */
-  bool answering;   /* The runner had begun to answer: no strike. */
+  bool answering;   /* The runner had begun to answer. */
 };
 
 enum verdict
@@ -158,12 +158,15 @@
   return bd_suspects_record (crashes->suspects, now_ms, &strike) || fresh;
 }
 
-/* Blames the parts of the prompt for the crash. */
+/* Blames the parts of the prompt for the crash.  A request without a head of
+   its response may have met a runner that had crashed before. */
 static void
 blame_parts (struct bd_crashes *crashes, const struct crash_case *c)
 {
   const struct bd_part_list *parts = &c->fingerprint.parts;
 
+  if (!c->answering)
+    return;
   bd_part_breakers_crashed (crashes->breakers, parts, c->crash, c->sent_ms,
                             c->opened_ms);
   for (size_t i = 0; i < parts->count; i++)
@@ -184,7 +187,7 @@
               const struct crash_case *c, const char *by)
 {
   blame_parts (crashes, c);
-  if (!c->answering && record_strike (crashes, now_ms, c, false))
+  if (record_strike (crashes, now_ms, c, false))
     bd_log (BD_EVENT_STRIKE,
             "fingerprint=%016" PRIx64 " crash=%016" PRIx64
             " runner=%s alone=%d by=%s after_ms=%" PRId64,
@@ -278,8 +281,7 @@
           .evidence = evidence,
           .suspected = attempt->suspected,
           .answering = attempt->answering,
-          .provisional
-          = evidence != BD_CRASH_NO_RESPONSE && !attempt->answering };
+          .provisional = evidence != BD_CRASH_NO_RESPONSE };
   struct crash_case *c
       = find_case (crashes, fresh.crash, fresh.fingerprint.exact);
 
@@ -296,8 +298,7 @@
   else
     {
       fresh.runner = c->runner;
-      fresh.answering = fresh.answering && c->answering;
-      fresh.provisional = fresh.provisional || c->provisional;
+      fresh.answering = fresh.answering || c->answering;
     }
   *c = fresh;
   if (c->provisional)
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -75,8 +75,8 @@
   enum bd_crash_evidence evidence;
   /** The request was suspected when the attempt was sent. */
   bool suspected;
-  /** The runner had begun to answer, so only the parts of the prompt can be
-      blamed. */
+  /** The runner had begun to answer, so a part of the prompt may have crashed
+      it. */
   bool answering;
 };
 
--- a/src/gateway/crash_probe.c
+++ b/src/gateway/crash_probe.c
@@ -111,11 +111,9 @@
           .sent_ms = f->sent_ms,
           .evidence = evidence,
           .suspected = f->suspected,
-          .answering = f->answer_began_ms != 0 };
+          .answering = f->status != 0 };
 
-  if (attempt.answering
-      && (f->request_fields.parts.count == 0
-          || now - f->answer_began_ms >= BD_PART_SURVIVED_MS))
+  if (f->first_event_at_ms != 0)
     return;
   bd_crashes_open (forwarder->crashes, now, &attempt);
   if (evidence == BD_CRASH_CONNECTION_LOST)
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -108,9 +108,9 @@
   bool suspected; /* The request was suspected when the attempt was sent, so a
                      crash counts as one in which it ran alone. */
   /* When the first event of the attempt was received; 0: none yet.  The runner
-     survived the start of the request; only a part of the prompt may crash it
-     soon after. */
-  int64_t answer_began_ms;
+     survived the start of the request, so a later failure opens no crash
+     case. */
+  int64_t first_event_at_ms;
   int64_t survival_recorded_ms;
   int64_t target_started_ms; /* Start time of the runner's process, as listed
                                 when the attempt was sent. */
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -192,8 +192,8 @@
 {
   struct bd_chunk id = bd_sse_id (event);
 
-  if (f->answer_began_ms == 0)
-    f->answer_began_ms = bd_clock_boot_ms ();
+  if (f->first_event_at_ms == 0)
+    f->first_event_at_ms = bd_clock_boot_ms ();
   handle_first_event (f);
   if (id.length > 0 && id.length < sizeof f->last_event_id)
     {
@@ -222,7 +222,7 @@
 {
   int64_t now = f->last_event_ms;
 
-  if (now - f->answer_began_ms < BD_PART_SURVIVED_MS
+  if (now - f->first_event_at_ms < BD_PART_SURVIVED_MS
       || now - f->survival_recorded_ms < SURVIVAL_INTERVAL_MS)
     return;
   f->survival_recorded_ms = now;
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -21,6 +21,7 @@
 struct crash
 {
   struct bd_id id;
+  uint64_t other;  /* Another part that is blamed; 0: none. */
   int64_t sent_ms; /* When the request was sent. */
   int64_t at_ms;
   uint32_t sends_left; /* As a notice to the peers. */
@@ -243,24 +244,28 @@
                           const struct bd_part_list *parts, struct bd_id crash,
                           int64_t sent_ms, int64_t at_ms)
 {
-  struct crash fresh = { crash, sent_ms, at_ms, SENDS_PER_NOTICE };
-  uint32_t counts[BD_PARTS_MAX];
+  struct crash fresh = { crash, 0, sent_ms, at_ms, SENDS_PER_NOTICE };
+  struct bd_part_list blamed = { 0 };
   uint32_t most = 0;
 
   for (size_t i = 0; i < parts->count; i++)
     {
-      counts[i] = bd_part_breakers_crashes (breakers, parts->parts[i]);
-      if (counts[i] > most)
-        most = counts[i];
+      uint32_t count = bd_part_breakers_crashes (breakers, parts->parts[i]);
+
+      if (count > most)
+        blamed.count = 0;
+      if (count >= most)
+        bd_part_list_add (&blamed, parts->parts[i]);
+      most = count > most ? count : most;
     }
-  for (size_t i = 0; i < parts->count; i++)
-    if (counts[i] == most)
-      {
-        struct breaker *breaker = get_breaker (breakers, parts->parts[i]);
+  for (size_t i = 0; i < blamed.count; i++)
+    {
+      struct breaker *breaker = get_breaker (breakers, blamed.parts[i]);
 
-        if (breaker)
-          add_crash (breaker, &fresh);
-      }
+      fresh.other = blamed.count > 1 ? blamed.parts[i == 0] : 0;
+      if (breaker)
+        add_crash (breaker, &fresh);
+    }
 }
 
 void
@@ -285,6 +290,21 @@
 
 /* States. */
 
+static bool
+is_open (const struct breaker *breaker)
+{
+  return crashes_in_succession (breaker) >= BD_PART_CRASHES_MAX;
+}
+
+/* Returns whether the last crash may be due to another part as well. */
+static bool
+is_ambiguous (const struct bd_part_breakers *b, const struct breaker *breaker)
+{
+  uint64_t other = breaker->crashes[breaker->crash_count - 1].other;
+
+  return other != 0 && is_open (find_breaker (b, other));
+}
+
 /* Returns the hold time after CRASHES in succession. */
 static int64_t
 base_hold_ms (const struct breaker *breaker, uint32_t crashes)
@@ -302,7 +322,9 @@
 hold_ms (const struct bd_part_breakers *b, const struct breaker *breaker,
          uint32_t crashes, uint32_t open_count)
 {
-  int64_t base_ms = base_hold_ms (breaker, crashes);
+  int64_t base_ms = open_count == 1 && is_ambiguous (b, breaker)
+                        ? BD_PART_HOLD_MS
+                        : base_hold_ms (breaker, crashes);
   uint64_t random
       = bd_random_mix (b->seed ^ breaker->part ^ (uint64_t)last_ms (breaker));
 
@@ -340,7 +362,7 @@
     {
       struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
 
-      if (crashes_in_succession (breaker) >= BD_PART_CRASHES_MAX)
+      if (is_open (breaker))
         breaker->trial_ms = now_ms;
     }
 }
@@ -353,8 +375,9 @@
 apply_crash (struct breaker *breaker, int64_t now_ms,
              const struct bd_part_notice *notice)
 {
-  struct crash crash = { notice->crash, now_ms - notice->sent_age_ms,
-                         now_ms - notice->age_ms, 0 };
+  struct crash crash
+      = { notice->crash, notice->other, now_ms - notice->sent_age_ms,
+          now_ms - notice->age_ms, 0 };
 
   if (crash.at_ms <= breaker->harmless_ms && breaker->harmless_sends_left == 0)
     breaker->harmless_sends_left = 1;
@@ -383,6 +406,7 @@
 {
   return (struct bd_part_notice){ .part = breaker->part,
                                   .crash = crash->id,
+                                  .other = crash->other,
                                   .sent_age_ms = now_ms - crash->sent_ms,
                                   .age_ms = now_ms - crash->at_ms };
 }
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -15,9 +15,9 @@
  * the hold time is added at random, so that not all instances try at once.
  *
  * Requests share parts.  Only those parts of a request that have the most
- * crashes in succession are blamed for a crash, and a request with several
- * open parts waits longer than one with a single open part, which shows
- * whether that one is harmless.
+ * crashes in succession are blamed for a crash.  While two parts are open for
+ * the same crashes, requests with both wait, and one with a single one of them
+ * is let through soon, since it shows whether that one is harmless.
  */
 #ifndef BD_PART_BREAKER_H
 #define BD_PART_BREAKER_H
@@ -32,8 +32,8 @@
     BD_PART_RUNNERS_MAX crashes in all; it doubles with each further crash. */
 #define BD_PART_LONG_HOLD_MS 120000
 #define BD_PART_RUNNERS_MAX 5
-/** A runner that still answers this long after the first event has survived,
-    in milliseconds. */
+/** A runner that goes on answering for this long after the first event has
+    survived, in milliseconds. */
 #define BD_PART_SURVIVED_MS 500
 /** Most parts of a request that are looked at. */
 #define BD_PARTS_MAX 16
@@ -63,6 +63,7 @@
   uint64_t part;
   bool harmless;       /**< CRASH and SENT_AGE_MS have no meaning. */
   struct bd_id crash;  /**< The same at all instances. */
+  uint64_t other;      /**< Another part that is blamed for it; 0: none. */
   int64_t sent_age_ms; /**< Time since the request was sent. */
   int64_t age_ms;      /**< Time since the crash or the harmless answer. */
 };
--- a/test/test_beacon.c
+++ b/test/test_beacon.c
@@ -138,6 +138,7 @@
         = (struct bd_part_notice){ UINT64_MAX,
                                    beacon.part_count % 2 != 0,
                                    { UINT64_MAX, UINT64_MAX },
+                                   UINT64_MAX,
                                    3600000,
                                    3500000 };
   g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
