--- a/src/gateway/beacon_contents.c
+++ b/src/gateway/beacon_contents.c
@@ -160,6 +160,37 @@
     }
 }
 
+size_t
+bd_beacon_add_strikes (struct bd_beacon *beacon,
+                       const struct bd_strike_queue *queue,
+                       const struct bd_suspects *suspects, size_t *cursor,
+                       int64_t now_ms)
+{
+  size_t max = BD_BEACON_STRIKES_WITH_LOADS;
+  size_t new_end = bd_strike_queue_add_to (
+      queue, 0, beacon, now_ms,
+      beacon->has_loads ? max : BD_BEACON_STRIKES_MAX);
+
+  if (beacon->strike_count < max)
+    beacon->strike_count += bd_suspects_list (
+        suspects, now_ms, cursor, &beacon->strikes[beacon->strike_count],
+        max - beacon->strike_count);
+  return new_end;
+}
+
+void
+bd_beacon_add_parts (struct bd_beacon *beacon,
+                     struct bd_part_breakers *breakers, size_t *cursor,
+                     int64_t now_ms)
+{
+  beacon->part_count = bd_part_breakers_next_notices (
+      breakers, now_ms, beacon->parts, BD_BEACON_PARTS_MAX);
+  if (cursor)
+    beacon->part_count += bd_part_breakers_list (
+        breakers, now_ms, cursor, beacon->parts + beacon->part_count,
+        BD_BEACON_PARTS_MAX - beacon->part_count);
+}
+
 void
 bd_beacon_apply_parts (struct bd_part_breakers *breakers,
                        const struct bd_beacon *beacon, int64_t now_ms)
--- a/src/gateway/beacon_contents.h
+++ b/src/gateway/beacon_contents.h
@@ -8,6 +8,7 @@
 
 #include "balance/target.h"
 #include "gateway/beacon.h"
+#include "gateway/strike_queue.h"
 
 /**
  * Adds the load of this instance at each of TARGETS, and which it has ejected.
@@ -46,6 +47,22 @@
 void bd_beacon_apply_strikes (struct bd_suspects *suspects,
                               const struct bd_beacon *beacon, int64_t now_ms);
 
+/**
+ * Adds new strikes of QUEUE, and in turn, from *CURSOR on, those of requests
+ * that are refused, because a peer may have been unreachable when they were
+ * new.  Returns the number of new strikes.
+ */
+size_t bd_beacon_add_strikes (struct bd_beacon *beacon,
+                              const struct bd_strike_queue *queue,
+                              const struct bd_suspects *suspects,
+                              size_t *cursor, int64_t now_ms);
+
+/** Adds new notices about parts of prompts and, unless CURSOR is NULL, known
+    crashes from *CURSOR on. */
+void bd_beacon_add_parts (struct bd_beacon *beacon,
+                          struct bd_part_breakers *breakers, size_t *cursor,
+                          int64_t now_ms);
+
 /** Applies the notices about parts of prompts in BEACON. */
 void bd_beacon_apply_parts (struct bd_part_breakers *breakers,
                             const struct bd_beacon *beacon, int64_t now_ms);
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -66,10 +66,8 @@
   int64_t started_ms; /* Time of the first tick; 0: none yet. */
   uint32_t round;
   struct bd_strike_queue strikes;
-  size_t strike_cursor;
-  size_t part_cursor;
-  /* Where the next list of parts starts. */ /* Next known strike to send
-                                                again. */
+  size_t strike_cursor; /* Next known strike to send again. */
+  size_t part_cursor;   /* Next part whose crashes are sent again. */
   char receive_buffer[BD_BEACON_MAX_BYTES * 2];
 };
 
@@ -171,24 +169,6 @@
     }
 }
 
-/* Adds new strikes, and in turn those of requests that are refused, because a
-   peer may have been unreachable when they were new.  Returns the number of
-   new strikes. */
-static size_t
-add_strikes (struct bd_mesh *mesh, struct bd_beacon *beacon, int64_t now_ms)
-{
-  size_t max = BD_BEACON_STRIKES_WITH_LOADS;
-  size_t new_end = bd_strike_queue_add_to (
-      &mesh->strikes, 0, beacon, now_ms,
-      beacon->has_loads ? max : BD_BEACON_STRIKES_MAX);
-
-  if (beacon->strike_count < max)
-    beacon->strike_count += bd_suspects_list (
-        mesh->options.suspects, now_ms, &mesh->strike_cursor,
-        &beacon->strikes[beacon->strike_count], max - beacon->strike_count);
-  return new_end;
-}
-
 static void
 init_beacon (const struct bd_mesh *mesh, struct bd_beacon *beacon)
 {
@@ -212,7 +192,8 @@
   bd_beacon_add_leaving (mesh->options.targets, beacon, now_ms);
   if (!full)
     bd_beacon_add_limits (mesh->options.targets, beacon, mesh->round, now_ms);
-  return add_strikes (mesh, beacon, now_ms);
+  return bd_beacon_add_strikes (beacon, &mesh->strikes, mesh->options.suspects,
+                                &mesh->strike_cursor, now_ms);
 }
 
 static void
@@ -278,18 +259,13 @@
 static void
 send_parts (struct bd_mesh *mesh, bool round, int64_t now_ms)
 {
-  struct bd_part_breakers *breakers = mesh->options.breakers;
   struct bd_beacon beacon;
 
   if (mesh->peer_count == 0)
     return;
   init_beacon (mesh, &beacon);
-  beacon.part_count = bd_part_breakers_next_notices (
-      breakers, now_ms, beacon.parts, BD_BEACON_PARTS_MAX);
-  if (round)
-    beacon.part_count += bd_part_breakers_list (
-        breakers, now_ms, &mesh->part_cursor, beacon.parts + beacon.part_count,
-        BD_BEACON_PARTS_MAX - beacon.part_count);
+  bd_beacon_add_parts (&beacon, mesh->options.breakers,
+                       round ? &mesh->part_cursor : NULL, now_ms);
   if (beacon.part_count > 0)
     send_to_due (mesh, &beacon,
                  mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT);
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -391,7 +391,7 @@
   struct breaker *breaker;
 
   if (notice->age_ms < 0 || notice->age_ms >= KEEP_MS
-      || notice->sent_age_ms < 0 || notice->sent_age_ms >= 2 * KEEP_MS)
+      || notice->sent_age_ms < 0 || notice->sent_age_ms >= KEEP_MS)
     return false;
   breaker = get_breaker (breakers, notice->part);
   if (!breaker)
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -1166,7 +1166,7 @@
   support_gateway_open (&g);
   for (int i = 0; i < 5; i++)
     {
-      runner = support_gateway_runner (&g, i, &crash, 1);
+      support_gateway_runner (&g, i, &crash, 1);
       caller = call_with_part (&g, i);
       support_await (caller, "\r\n\r\n");
       g_string_truncate (caller->in, 0);
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -43,11 +43,13 @@
 {
   struct bd_part_breakers *b = bd_part_breakers_create (7);
 
-  for (int i = 1; i <= 3; i++)
+  for (uint64_t i = 1; i <= 3; i++)
     {
-      g_assert_cmpint (state (b, &bad, 1000 * i), ==, BD_BREAKER_CLOSED);
-      bd_part_breakers_survived (b, 1000 * i - 50, &sound);
-      crash (b, &bad, (uint64_t)i, 1000 * i);
+      int64_t now_ms = (int64_t)i * 1000;
+
+      g_assert_cmpint (state (b, &bad, now_ms), ==, BD_BREAKER_CLOSED);
+      bd_part_breakers_survived (b, now_ms - 50, &sound);
+      crash (b, &bad, i, now_ms);
     }
   bd_part_breakers_survived (b, 3050, &sound);
   return b;
@@ -89,7 +91,7 @@
 {
   struct bd_part_breakers *b = bd_part_breakers_create (7);
 
-  for (int i = 0; i < 5; i++)
+  for (int64_t i = 0; i < 5; i++)
     crash (b, &bad, 1, 1000 + 500 * i);
   g_assert_cmpuint (bd_part_breakers_crashes (b, BAD), ==, 1);
   bd_part_breakers_destroy (b);
@@ -143,8 +145,8 @@
   struct bd_part_breakers *b = bd_part_breakers_create (7);
   int64_t now_ms = 3000 + BD_PART_HOLD_MS + BD_PART_HOLD_MS / 2;
 
-  for (int i = 1; i <= 3; i++)
-    crash (b, &bad, (uint64_t)i, 1000 * i);
+  for (uint64_t i = 1; i <= 3; i++)
+    crash (b, &bad, i, (int64_t)i * 1000);
   g_assert_cmpint (state (b, &sound, 3100), ==, BD_BREAKER_OPEN);
   g_assert_cmpint (state (b, &bad, now_ms), ==, BD_BREAKER_OPEN);
   g_assert_cmpint (state (b, &sound, now_ms), ==, BD_BREAKER_HALF_OPEN);
@@ -165,8 +167,8 @@
   struct bd_part_breakers *b = bd_part_breakers_create (7);
   int64_t now_ms = 8000 + BD_PART_HOLD_MS + BD_PART_HOLD_MS / 2;
 
-  for (int i = 1; i <= 8; i++)
-    crash (b, &bad, (uint64_t)i, 1000 * i);
+  for (uint64_t i = 1; i <= 8; i++)
+    crash (b, &bad, i, (int64_t)i * 1000);
   g_assert_cmpint (state (b, &sound, 8100), ==, BD_BREAKER_OPEN);
   g_assert_cmpint (state (b, &sound, now_ms), ==, BD_BREAKER_HALF_OPEN);
   g_assert_cmpint (state (b, &bad, now_ms), ==, BD_BREAKER_OPEN);
