Crashes: a part that was seen to be harmless is not blamed beside another

Cause: blamed were the parts of a request with the most crashes. With two bad parts beside the same shared one, the shared one soon had the most, so that it was blamed alone, and its breaker opened for 120 s.

Change: an instance remembers which parts runners survived (a fixed table by the part's lowest bits). Of a request that crashed its runner those that were not seen to be harmless are blamed, all of them if there is none such and no survival since; those must be seen to be harmless again. Tests /part-breaker/known-part (fails without) and part-turns-bad. BD5009 is logged once a crash and part; a silent attempt at a dark runner had repeated it ten times a second.

--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -165,10 +165,10 @@
 {
   const struct bd_part_list *parts = &c->fingerprint.parts;
 
-  if (!c->answering)
+  if (!c->answering
+      || !bd_part_breakers_crashed (crashes->breakers, parts, c->crash,
+                                    c->sent_ms, c->opened_ms))
     return;
-  bd_part_breakers_crashed (crashes->breakers, parts, c->crash, c->sent_ms,
-                            c->opened_ms);
   for (size_t i = 0; i < parts->count; i++)
     {
       uint32_t count
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -16,6 +16,8 @@
    waited for. */
 #define TRIAL_MS 5000
 #define SENDS_PER_NOTICE 3
+/* Parts that are remembered as harmless; a power of two. */
+#define HARMLESS_MAX 4096
 #define NEVER_MS (INT64_MIN / 2)
 
 struct crash
@@ -37,12 +39,20 @@
   struct crash crashes[CRASHES_KEPT]; /* By at_ms; all after harmless_ms. */
 };
 
+/* A part that was seen to be harmless; part 0: none. */
+struct harmless_part
+{
+  uint64_t part;
+  int64_t at_ms;
+};
+
 struct bd_part_breakers
 {
   uint64_t seed;
   size_t count;
   struct breaker *breakers;
   struct bd_map *by_part;
+  struct harmless_part *harmless; /* By the lowest bits of the part. */
 };
 
 void
@@ -62,7 +72,8 @@
   b->seed = seed;
   b->breakers = calloc (BREAKERS_MAX, sizeof *b->breakers);
   b->by_part = bd_map_create ();
-  if (!b->breakers || !b->by_part)
+  b->harmless = calloc (HARMLESS_MAX, sizeof *b->harmless);
+  if (!b->breakers || !b->by_part || !b->harmless)
     {
       bd_part_breakers_destroy (b);
       return NULL;
@@ -76,6 +87,7 @@
   if (!breakers)
     return;
   bd_map_destroy (breakers->by_part);
+  free (breakers->harmless);
   free (breakers->breakers);
   free (breakers);
 }
@@ -239,33 +251,76 @@
   return breaker->crash_count < before;
 }
 
-void
-bd_part_breakers_crashed (struct bd_part_breakers *breakers,
-                          const struct bd_part_list *parts, struct bd_id crash,
-                          int64_t sent_ms, int64_t at_ms)
+/* Returns where PART is remembered as harmless. */
+static struct harmless_part *
+harmless_slot (const struct bd_part_breakers *b, uint64_t part)
 {
-  struct crash fresh = { crash, 0, sent_ms, at_ms, SENDS_PER_NOTICE };
-  struct bd_part_list blamed = { 0 };
-  uint32_t most = 0;
+  return &b->harmless[part % HARMLESS_MAX];
+}
 
+/* Adds the parts that may be to blame for a crash at AT_MS to SUSPECTED: those
+   that were not seen to be harmless, or else those that were not since; these
+   must then be seen to be so again. */
+static void
+find_suspected (struct bd_part_breakers *b, const struct bd_part_list *parts,
+                int64_t at_ms, struct bd_part_list *suspected)
+{
+  for (size_t i = 0; i < parts->count; i++)
+    if (harmless_slot (b, parts->parts[i])->part != parts->parts[i])
+      bd_part_list_add (suspected, parts->parts[i]);
+  if (suspected->count > 0)
+    return;
   for (size_t i = 0; i < parts->count; i++)
     {
-      uint32_t count = bd_part_breakers_crashes (breakers, parts->parts[i]);
+      struct harmless_part *harmless = harmless_slot (b, parts->parts[i]);
+
+      if (harmless->at_ms >= at_ms)
+        continue;
+      harmless->part = 0;
+      bd_part_list_add (suspected, parts->parts[i]);
+    }
+}
+
+/* Adds those of SUSPECTED with the most crashes in succession to BLAMED. */
+static void
+find_blamed (const struct bd_part_breakers *b,
+             const struct bd_part_list *suspected, struct bd_part_list *blamed)
+{
+  uint32_t most = 0;
+
+  for (size_t i = 0; i < suspected->count; i++)
+    {
+      uint32_t count = bd_part_breakers_crashes (b, suspected->parts[i]);
 
       if (count > most)
-        blamed.count = 0;
+        blamed->count = 0;
       if (count >= most)
-        bd_part_list_add (&blamed, parts->parts[i]);
+        bd_part_list_add (blamed, suspected->parts[i]);
       most = count > most ? count : most;
     }
+}
+
+bool
+bd_part_breakers_crashed (struct bd_part_breakers *breakers,
+                          const struct bd_part_list *parts, struct bd_id crash,
+                          int64_t sent_ms, int64_t at_ms)
+{
+  struct crash fresh = { crash, 0, sent_ms, at_ms, SENDS_PER_NOTICE };
+  struct bd_part_list suspected = { 0 };
+  struct bd_part_list blamed = { 0 };
+  bool is_new = false;
+
+  find_suspected (breakers, parts, at_ms, &suspected);
+  find_blamed (breakers, &suspected, &blamed);
   for (size_t i = 0; i < blamed.count; i++)
     {
       struct breaker *breaker = get_breaker (breakers, blamed.parts[i]);
 
       fresh.other = blamed.count > 1 ? blamed.parts[i == 0] : 0;
-      if (breaker)
-        add_crash (breaker, &fresh);
+      if (breaker && add_crash (breaker, &fresh))
+        is_new = true;
     }
+  return is_new;
 }
 
 void
@@ -276,6 +331,8 @@
     {
       struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
 
+      *harmless_slot (breakers, parts->parts[i])
+          = (struct harmless_part){ parts->parts[i], now_ms };
       if (breaker && set_harmless (breaker, now_ms))
         breaker->harmless_sends_left = SENDS_PER_NOTICE;
     }
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -14,8 +14,9 @@
  * request pass, whose result closes it, or opens it for longer.  Up to half of
  * the hold time is added at random, so that not all instances try at once.
  *
- * Requests share parts.  Only those parts of a request that have the most
- * crashes in succession are blamed for a crash.  While two parts are open for
+ * Requests share parts.  Blamed for a crash are only those parts of a request
+ * that were not seen to be harmless before, or all if all were; of these, the
+ * parts with the most crashes in succession.  While two parts are open for
  * the same crashes, requests with both wait, and one with a single one of them
  * is let through soon, since it shows whether that one is harmless.
  */
@@ -84,8 +85,8 @@
                             const struct bd_part_list *parts);
 
 /** Records that a runner crashed at AT_MS under a request with PARTS that was
-    sent at SENT_MS. */
-void bd_part_breakers_crashed (struct bd_part_breakers *breakers,
+    sent at SENT_MS.  Returns false if that was known. */
+bool bd_part_breakers_crashed (struct bd_part_breakers *breakers,
                                const struct bd_part_list *parts,
                                struct bd_id crash, int64_t sent_ms,
                                int64_t at_ms);
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -180,6 +180,44 @@
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against sound requests that are refused because they share a part
+   with requests of which several other parts crash runners: a part that was
+   seen to be harmless is not blamed beside one that was not. */
+static void
+test_known_part (void)
+{
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+  struct bd_part_list parts = { 2, { SHARED, 0 } };
+
+  bd_part_breakers_survived (b, 500, &sound);
+  for (uint64_t i = 1; i <= 9; i++)
+    {
+      parts.parts[1] = 100 + i % 3;
+      crash (b, &parts, i, (int64_t)i * 1000);
+    }
+  g_assert_cmpuint (bd_part_breakers_crashes (b, SHARED), ==, 0);
+  g_assert_cmpuint (bd_part_breakers_crashes (b, 101), ==, 3);
+  g_assert_cmpint (state (b, &sound, 9100), ==, BD_BREAKER_CLOSED);
+  bd_part_breakers_destroy (b);
+}
+
+/* A part that was harmless before may crash runners from some time on. */
+static void
+test_part_turns_bad (void)
+{
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+
+  bd_part_breakers_survived (b, 500, &bad);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      bd_part_breakers_survived (b, (int64_t)i * 1000 - 50, &sound);
+      crash (b, &bad, i, (int64_t)i * 1000);
+    }
+  g_assert_cmpint (state (b, &bad, 3100), ==, BD_BREAKER_OPEN);
+  g_assert_cmpint (state (b, &sound, 3100), ==, BD_BREAKER_CLOSED);
+  bd_part_breakers_destroy (b);
+}
+
 /* Sends the notices of FROM to COUNT peers. */
 static void
 tell_all (struct bd_part_breakers *from, struct bd_part_breakers *const *peers,
@@ -400,6 +438,8 @@
   g_test_add_func ("/part-breaker/half-open", test_half_open);
   g_test_add_func ("/part-breaker/single-part-first", test_single_part_first);
   g_test_add_func ("/part-breaker/either-part", test_either_part);
+  g_test_add_func ("/part-breaker/known-part", test_known_part);
+  g_test_add_func ("/part-breaker/part-turns-bad", test_part_turns_bad);
   g_test_add_func ("/part-breaker/notices", test_notices);
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
   g_test_add_func ("/part-breaker/hostile-notices", test_hostile_notices);
