Soak: plays that run side by side do not share addresses

Cause, by reading: the network of a play is its process number modulo 200, so two that run at once may get the same one. A play now claims its network with a bound socket and takes the next one if that fails. Shown by a trial that held all networks but 77: the play took 77.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define SLOT_MS 250
@@ -18,6 +19,9 @@
 #define HOSTS_PER_NET 200
 #define FIRST_NET 16
 #define NETS 200
+/* Bound for as long as a play uses the addresses 127.NET.x.y. */
+#define NET_HOST 50000
+#define NET_PORT 7999
 /* Time after the last fault until every request must succeed. */
 #define RECOVERY_MS 8000
 #define READY_TIMEOUT_MS 30000
@@ -396,6 +400,35 @@
   return false;
 }
 
+/* Returns whether no other play uses the addresses of SOAK; a socket shows it
+   until this process ends. */
+static bool
+claim_net (const struct soak *soak)
+{
+  struct sockaddr_in address = soak_address (soak, NET_HOST, NET_PORT);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    g_error ("no socket");
+  if (bind (fd, (const struct sockaddr *)&address, sizeof address) == 0)
+    return true;
+  close (fd);
+  return false;
+}
+
+/* Plays that run side by side need addresses of their own. */
+static void
+reserve_net (struct soak *soak)
+{
+  for (int i = 0; i < NETS; i++)
+    {
+      soak->net = FIRST_NET + (int)((getpid () + i) % NETS);
+      if (claim_net (soak))
+        return;
+    }
+  g_error ("no free addresses");
+}
+
 static void
 read_options (int argc, char **argv)
 {
@@ -437,7 +470,7 @@
   g_strlcpy (soak->folder, folder, sizeof soak->folder);
   soak->seed = (uint64_t)seed;
   soak->random = soak->seed * 0x9e3779b97f4a7c15u + 1;
-  soak->net = FIRST_NET + (int)(getpid () % NETS);
+  reserve_net (soak);
   g_free (program);
   g_free (folder);
 }
