JSON: one accessor for text and numbers of unknown documents (no change)

get_string and get_number of platform/documents.c, bd_reader_string of configuration/ and the same expression in three more places were one thing.

--- a/src/configuration/contract.c
+++ b/src/configuration/contract.c
@@ -93,7 +93,7 @@
   reader->group = "credentials";
   for (size_t i = 0; i < n; i++)
     {
-      struct bd_chunk text = bd_reader_string (json_array_get (array, i));
+      struct bd_chunk text = bd_json_string (json_array_get (array, i));
 
       reader->index = i;
       if (!credential_valid (text))
@@ -208,7 +208,7 @@
   struct contract_head head = { .retry_window_s = 0 };
   int rc;
 
-  reader->subject = bd_reader_string (json_object_get (root, "workspace"));
+  reader->subject = bd_json_string (json_object_get (root, "workspace"));
   rc = bd_reader_read (reader, root, head_fields, COUNT_OF (head_fields),
                        &head);
   if (rc != BD_OK)
--- a/src/configuration/document_reader.c
+++ b/src/configuration/document_reader.c
@@ -98,18 +98,6 @@
   return bd_reader_fail (reader, "(document)", "is not an object");
 }
 
-struct bd_chunk
-bd_reader_string (const json_t *value)
-{
-  struct bd_chunk c = { 0 };
-
-  if (!json_is_string (value))
-    return c;
-  c.data = json_string_value (value);
-  c.length = json_string_length (value);
-  return c;
-}
-
 static bool
 is_alnum (char c)
 {
@@ -205,7 +193,7 @@
 read_text (const struct bd_reader *reader, const struct bd_field *field,
            const json_t *value, struct bd_chunk *target)
 {
-  struct bd_chunk text = bd_reader_string (value);
+  struct bd_chunk text = bd_json_string (value);
 
   if (!json_is_string (value))
     return bd_reader_fail (reader, field->name, "is not a string");
--- a/src/configuration/document_reader.h
+++ b/src/configuration/document_reader.h
@@ -9,9 +9,7 @@
 #ifndef BD_DOCUMENT_READER_H
 #define BD_DOCUMENT_READER_H
 
-#include "basildock.h"
-
-#include <jansson.h>
+#include "common/json.h"
 
 /** Largest value that the configuration service stores. */
 #define BD_DOCUMENT_MAX_BYTES 1048576
@@ -74,9 +72,6 @@
                     const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
-/** Returns a view of a JSON string; empty for any other value. */
-struct bd_chunk bd_reader_string (const json_t *value);
-
 /**
  * True for MIN to MAX bytes of letters, digits, '.', '_' and '-' which begin
  * with a letter or digit, so that a name is safe in a URL and in a log line.
--- a/src/configuration/manifest.c
+++ b/src/configuration/manifest.c
@@ -163,7 +163,7 @@
   struct pool_head head = { .revision = 0 };
   int rc;
 
-  reader->subject = bd_reader_string (json_object_get (root, "pool"));
+  reader->subject = bd_json_string (json_object_get (root, "pool"));
   rc = bd_reader_read (reader, root, pool_fields, COUNT_OF (pool_fields),
                        &head);
   if (rc != BD_OK)
--- a/src/stream/resume.c
+++ b/src/stream/resume.c
@@ -1,6 +1,7 @@
 #include "stream/resume.h"
 
-#include <jansson.h>
+#include "common/json.h"
+
 #include <stdlib.h>
 
 static json_t *
@@ -20,8 +21,7 @@
   json_t *value = event_text (choice);
 
   if (json_is_string (value))
-    bd_buffer_append (text, (struct bd_chunk){ json_string_value (value),
-                                               json_string_length (value) });
+    bd_buffer_append (text, bd_json_string (value));
   json_decref (root);
 }
 
