Logs: software versions of runners, and streams that callers continue

The version of a runner's entry is read, and BD2011, BD2015, BD2016 and BD4005 name it; BD2017 tells that a caller's attempt continues a stream and which attempt it names, BD4015 that an entry names another version than before. No decision uses any of it yet.

--- /dev/null
+++ b/src/balance/software.c
@@ -0,0 +1,23 @@
+#include "balance/software.h"
+
+#include "common/log.h"
+
+struct bd_software
+bd_software_of (struct bd_chunk text)
+{
+  struct bd_software software = { .hash = 0 };
+
+  if (text.length == 0)
+    return software;
+  software.hash = bd_chunk_hash (text);
+  if (software.hash == 0)
+    software.hash = 1;
+  bd_log_quote (text, software.name, sizeof software.name);
+  return software;
+}
+
+const char *
+bd_software_name (const struct bd_software *software)
+{
+  return software->hash != 0 ? software->name : "-";
+}
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -117,12 +117,24 @@
   if (target->state == state)
     return;
   targets->short_only_stale = true;
-  bd_log (BD_EVENT_TARGET_STATE, "runner=%s service=%s from=%s to=%s rev=%llu",
+  bd_log (BD_EVENT_TARGET_STATE,
+          "runner=%s service=%s from=%s to=%s rev=%llu software=%s",
           target->id.data, target->service.data, state_name (target->state),
-          state_name (state), (unsigned long long)revision);
+          state_name (state), (unsigned long long)revision,
+          bd_software_name (&target->software));
   target->state = state;
 }
 
+static void
+set_software (struct bd_target *target, const struct bd_software *software)
+{
+  if (target->software.hash != 0 && target->software.hash != software->hash)
+    bd_log (BD_EVENT_TARGET_SOFTWARE, "runner=%s service=%s from=%s to=%s",
+            target->id.data, target->service.data,
+            bd_software_name (&target->software), bd_software_name (software));
+  target->software = *software;
+}
+
 static int
 copy_chunk (struct bd_chunk from, struct bd_chunk *to)
 {
@@ -402,6 +414,7 @@
   target->ip = entry->ip;
   target->port = entry->port;
   target->slots = entry->slots;
+  set_software (target, &entry->software);
   target->started_ms = entry->started_ms;
   target->distrusted = from_copy && has_left && !entry->draining;
   if (!target->distrusted)
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -7,6 +7,7 @@
 #define BD_TARGET_H
 
 #include "balance/priority.h"
+#include "balance/software.h"
 #include "common/string.h"
 
 /**
@@ -55,6 +56,7 @@
   uint16_t port; /**< Network byte order. */
   uint32_t slots;
   bool draining;
+  struct bd_software software;
   int64_t started_ms;     /**< Start of the process; 0: unknown. */
   int64_t warmup_left_ms; /**< Remaining warm-up time. */
 };
@@ -125,6 +127,7 @@
   bool short_only; /**< Reserved for requests with short prompts. */
   uint32_t slots;
   enum bd_target_state state;
+  struct bd_software software;
   int64_t started_ms;
   int64_t warmup_until_ms;
   uint64_t revision; /**< Store revision of the entry. */
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -43,6 +43,7 @@
   X (2014, CALLER_REFUSED, NOTICE, "message of a caller refused")             \
   X (2015, ATTEMPT_FAILED, NOTICE, "attempt at a runner failed")              \
   X (2016, REQUEST_PLACED, INFO, "request placed")                            \
+  X (2017, STREAM_CONTINUED, NOTICE, "caller continues a stream")             \
   X (3001, CONFIG_IN_FORCE, NOTICE, "configuration in force")                 \
   X (3002, CONFIG_REFUSED, WARNING, "document refused")                       \
   X (3003, CONFIG_STALE, NOTICE, "older revision ignored")                    \
@@ -63,6 +64,7 @@
   X (4012, TARGET_PAUSED, NOTICE, "runner asked for a pause")                 \
   X (4013, TARGET_LIMIT, NOTICE, "runner limits its requests")                \
   X (4014, EVACUATION, NOTICE, "zone evacuated or in use again")              \
+  X (4015, TARGET_SOFTWARE, NOTICE, "runner runs another software version")   \
   X (5001, ENGINE_DOWN, WARNING, "engine connection lost")                    \
   X (5002, ENGINE_UP, NOTICE, "engine answers")                               \
   X (5003, ENGINE_ORDER, NOTICE, "order given to the engine")                 \
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -191,7 +191,7 @@
           "request=%s route=%s runner=%s place=%s prefix=%08x source=%s "
           "cost_ms=%.0f "
           "prefill=%llu ahead=%llu in_flight=%u+%u priority=%d by=%08x "
-          "left_ms=%lld limit_rate=%u",
+          "left_ms=%lld limit_rate=%u software=%s",
           bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
           f->route->name.data, target->id.data,
           bd_selection_reason_name (selection->reason),
@@ -202,7 +202,26 @@
           target->peers_in_flight, f->selection_request.priority,
           ntohl (f->registration.coordinator_ip),
           (long long)(f->deadline_ms - f->selection_request.now_ms),
-          bd_runner_limit_rate (target, f->selection_request.now_ms));
+          bd_runner_limit_rate (target, f->selection_request.now_ms),
+          bd_software_name (&target->software));
+}
+
+/* Logs that the caller's attempt continues a stream of an earlier one. */
+static void
+log_continued (const struct bd_forward *f, const struct bd_target *target)
+{
+  char id[BD_FORWARD_ID_BYTES];
+  char origin[BD_FORWARD_ID_BYTES];
+  char event[BD_FORWARD_ID_BYTES];
+
+  if (f->request_fields.last_event_id.length == 0)
+    return;
+  bd_log (BD_EVENT_STREAM_CONTINUED,
+          "request=%s origin=%s after=%s runner=%s software=%s",
+          bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
+          bd_log_quote (f->request_fields.origin_id, origin, sizeof origin),
+          bd_log_quote (f->request_fields.last_event_id, event, sizeof event),
+          target->id.data, bd_software_name (&target->software));
 }
 
 static void
@@ -213,10 +232,11 @@
   bd_stats_count (f->forwarder->options.stats,
                   f->head_sent ? BD_STAT_RESUMES : BD_STAT_RETRIES, 1);
   bd_log (f->head_sent ? BD_EVENT_REQUEST_RESUME : BD_EVENT_REQUEST_RETRY,
-          "request=%s runner=%s reached=%u after=%s ms=%lld",
+          "request=%s runner=%s reached=%u after=%s ms=%lld software=%s",
           bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
           target->id.data, f->attempts, f->head_sent ? f->last_event_id : "-",
-          (long long)bd_forward_elapsed_ms (f));
+          (long long)bd_forward_elapsed_ms (f),
+          bd_software_name (&target->software));
 }
 
 /* Ends a request that is quarantined since it arrived, because runners crashed
@@ -261,6 +281,7 @@
   f->counted_as_first = true;
   f->attempts++;
   log_placed (f, selection);
+  log_continued (f, selection->target);
   if (send_to (f, selection) == BD_OK)
     return;
   bd_coordinator_client_attempt_ended (
--- a/src/gateway/attempt_result.c
+++ b/src/gateway/attempt_result.c
@@ -34,12 +34,13 @@
 
   bd_log (BD_EVENT_ATTEMPT_FAILED,
           "request=%s runner=%s reason=%s status=%d reached=%u events=%llu "
-          "ms=%lld fingerprint=%016" PRIx64 " prefix=%08x",
+          "ms=%lld fingerprint=%016" PRIx64 " prefix=%08x software=%s",
           bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
           f->target->id.data, reason, f->status, f->attempts,
           (unsigned long long)f->event_count,
           (long long)bd_forward_elapsed_ms (f), f->fingerprint.exact,
-          (uint32_t)f->request_fields.prefix_hash);
+          (uint32_t)f->request_fields.prefix_hash,
+          bd_software_name (&f->target->software));
 }
 
 bool
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -16,6 +16,12 @@
   int64_t caller_timeout_ms;  /**< How long the caller waits, in milliseconds;
                                  -1: unknown. */
   struct bd_chunk credential; /**< Its data is NULL if there is none. */
+  /** Identifier of the last event of a stream that the caller continues;
+      empty: it asks for a whole response. */
+  struct bd_chunk last_event_id;
+  /** Attempt of the caller that brought the stream's first event; empty: not
+      named. */
+  struct bd_chunk origin_id;
   /** Hash of the prompt's last shared prefix; 0: none. */
   uint64_t prefix_hash;
   uint64_t shared_tokens; /**< Length of the shared prefix. */
--- a/test/test_documents.c
+++ b/test/test_documents.c
@@ -107,7 +107,7 @@
       read_runner ("{\"service\":\"s\",\"address\":\"10.1.2.3:8080\","
                    "\"zone\":\"z\",\"slots\":64,\"state\":\"draining\","
                    "\"coldRemainingMs\":70,\"born\":1788000000000,"
-                   "\"sequence\":4,\"extra\":[]}",
+                   "\"version\":\"v1.1\",\"sequence\":4,\"extra\":[]}",
                    &entry, &reason),
       ==, BD_OK);
   g_assert_true (entry.draining);
@@ -116,6 +116,7 @@
   g_assert_cmpuint (entry.slots, ==, 64);
   g_assert_cmpint (entry.warmup_left_ms, ==, 70);
   g_assert_cmpint (entry.started_ms, ==, G_GINT64_CONSTANT (1788000000000));
+  g_assert_cmpstr (bd_software_name (&entry.software), ==, "\"v1.1\"");
 }
 
 #define RUNNER_ENTRY(service, address, zone, slots, state)                    \
--- a/test/test_headers.c
+++ b/test/test_headers.c
@@ -54,6 +54,23 @@
   g_assert_cmpuint (other.prefix_hash, !=, fields.prefix_hash);
 }
 
+/* A caller that continues a stream names the attempt that began it. */
+static void
+test_continued_stream (void)
+{
+  struct bd_request_fields fields;
+
+  start_request ();
+  g_assert_cmpint (read_request_fields (&fields), ==, BD_OK);
+  g_assert_cmpuint (fields.last_event_id.length, ==, 0);
+  g_assert_cmpuint (fields.origin_id.length, ==, 0);
+  add_field ("Last-Event-Id", "7");
+  add_field ("Resumes", "a0");
+  g_assert_cmpint (read_request_fields (&fields), ==, BD_OK);
+  g_assert_true (bd_chunk_equal (fields.last_event_id, BD_CHUNK ("7")));
+  g_assert_true (bd_chunk_equal (fields.origin_id, BD_CHUNK ("a0")));
+}
+
 static void
 test_absent_fields (void)
 {
@@ -239,6 +256,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/headers/continued-stream", test_continued_stream);
   g_test_add_func ("/headers/prompt", test_prompt);
   g_test_add_func ("/headers/absent-fields", test_absent_fields);
   g_test_add_func ("/headers/malformed", test_malformed);
