--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -205,9 +205,19 @@
   entry.id = bd_chunk_of (runner->id);
   entry.ip = htonl (INADDR_LOOPBACK);
   entry.port = htons ((uint16_t)port);
+  if (runner->software)
+    entry.software = bd_software_of (bd_chunk_of (runner->software));
   bd_targets_put (gateway->targets, 0, &entry, ++gateway->revision);
 }
 
+void
+support_gateway_set_software (struct support_gateway *gateway, int i,
+                              const char *software)
+{
+  gateway->runners[i].software = software;
+  support_gateway_list (gateway, i, gateway->runners[i].port);
+}
+
 void
 support_gateway_unlist (struct support_gateway *gateway, int i)
 {
@@ -297,6 +307,7 @@
   struct bd_service service = { .name = BD_CHUNK ("s") };
   struct bd_workspace workspace = { BD_CHUNK ("w"), 0 };
   struct bd_chunk key = BD_CHUNK ("k");
+  struct bd_inventory_options inventory;
   struct bd_coordinator_options coordinator;
   struct bd_coordinator_client_options client_options;
   struct bd_forwarder_options options;
@@ -311,10 +322,17 @@
   gateway->suspects = bd_suspects_create (64, 60000);
   gateway->breakers = bd_part_breakers_create (1);
   gateway->stats = bd_stats_create ();
-  coordinator = (struct bd_coordinator_options){ .ip = 1,
-                                                 .selector = gateway->selector,
-                                                 .targets = gateway->targets,
-                                                 .stats = gateway->stats };
+  inventory = (struct bd_inventory_options){
+    gateway->client, &bd_cutline_dialect, gateway->targets,
+    bd_selector_prefixes (gateway->selector)
+  };
+  gateway->inventory = bd_inventory_create (&inventory);
+  coordinator
+      = (struct bd_coordinator_options){ .ip = 1,
+                                         .selector = gateway->selector,
+                                         .targets = gateway->targets,
+                                         .stats = gateway->stats,
+                                         .inventory = gateway->inventory };
   gateway->coordinator = bd_coordinator_create (&coordinator);
   client_options = (struct bd_coordinator_client_options){
     &gateway->loop, 1, gateway->coordinator, gateway->stats
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -40,6 +40,7 @@
 {
   struct support_gateway *gateway;
   char id[16];
+  const char *software; /**< Listed software version; NULL: none. */
   uv_tcp_t listener;
   int port;
   const struct support_step *steps;
@@ -71,6 +72,7 @@
   struct bd_suspects *suspects;
   struct bd_part_breakers *breakers;
   struct bd_stats *stats;
+  struct bd_inventory *inventory;
   struct bd_coordinator *coordinator;
   struct bd_coordinator_client *coordinator_client;
   struct bd_forwarder *forwarder;
@@ -104,6 +106,10 @@
 /** Lists runner I as ready at PORT of loopback. */
 void support_gateway_list (struct support_gateway *gateway, int i, int port);
 
+/** Lists runner I with a software version. */
+void support_gateway_set_software (struct support_gateway *gateway, int i,
+                                   const char *software);
+
 /** Lists runner I at a port where nothing listens. */
 void support_gateway_unreachable_runner (struct support_gateway *gateway,
                                          int i);
--- /dev/null
+++ b/test/test_continuation.c
@@ -0,0 +1,194 @@
+/* Streams go on only at runners of the software version that began them:
+   within one response, and when the caller continues one with a new attempt.
+ */
+#include "support_gateway.h"
+#include "support_responses.h"
+
+#define LIST(ids)                                                             \
+  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"                     \
+  "Content-Length: 100\r\n\r\n" ids
+/* Lists of 100 bytes: a runner that holds the part "c3", and one that does
+ * not.
+ */
+#define HOLDS_C3                                                              \
+  LIST ("{\"epoch\":1,\"next\":9,\"held\":[[\"\",\"b2\",400,\"m\"],"          \
+        "[\"\",\"c3\",200,\"m\"]]}                                   ")
+#define HOLDS_OTHERS                                                          \
+  LIST ("{\"epoch\":1,\"next\":9,\"held\":[[\"\",\"b2\",400,\"m\"],"          \
+        "[\"\",\"d4\",200,\"m\"]]}                                   ")
+#define REST STREAM_HEAD EVENT ("2") LAST_CHUNK
+
+static const struct support_step begins[]
+    = { { STREAM_HEAD EVENT ("1"), SUPPORT_RESET } };
+static const struct support_step ends[] = { { REST, SUPPORT_KEEP } };
+static const struct support_step lists_then_ends[]
+    = { { HOLDS_C3, SUPPORT_KEEP }, { REST, SUPPORT_KEEP } };
+static const struct support_step lists_others[]
+    = { { HOLDS_OTHERS, SUPPORT_KEEP }, { REST, SUPPORT_KEEP } };
+
+/* Sends a request for a stream, with a prompt of which "c3" is the part that
+   no other request has. */
+static struct support_caller *
+call (struct support_gateway *g, int caller, const char *id,
+      const char *more_fields)
+{
+  char *fields
+      = g_strconcat ("X-Basildock-Prefix-Hash: a1:600,b2:400,c3:200\r\n"
+                     "X-Basildock-Token-Usage: 1200,80\r\n"
+                     "X-Basildock-Model: m\r\n",
+                     more_fields, NULL);
+  char *text = support_request ("POST /resume/x", id, fields, "body");
+  struct support_caller *result = support_caller_send (g, caller, text);
+
+  g_free (text);
+  g_free (fields);
+  return result;
+}
+
+static bool
+got_request (const struct support_runner *runner)
+{
+  return strstr (runner->received->str, "POST /resume/x") != NULL;
+}
+
+/* Runs until the response is complete, refused or broken off. */
+static void
+await_outcome (struct support_caller *caller)
+{
+  while (!caller->ended && !strstr (caller->in->str, "\r\n0\r\n\r\n")
+         && !strstr (caller->in->str, "\"ran\":"))
+    support_run_once (caller->gateway);
+}
+
+/* Fails the test, but goes on. */
+static void
+fail (const char *what, const char *detail)
+{
+  g_test_message ("%s %s", what, detail);
+  g_test_fail ();
+}
+
+/* Fails the test, but goes on, unless the runners that got the request are
+   those of WANTED, a set of bits. */
+static void
+check_runners (const struct support_gateway *g, int count, unsigned wanted)
+{
+  for (int i = 0; i < count; i++)
+    if (got_request (&g->runners[i]) != ((wanted >> i & 1) != 0))
+      fail ("wrong for runner", g->runners[i].id);
+}
+
+static void
+check_contains (const GString *text, const char *wanted)
+{
+  if (!strstr (text->str, wanted))
+    fail (wanted, "is missing");
+}
+
+/* Starts a stream at runner 0, of version v1, which breaks it off after the
+   first event.  Before that, COUNT runners are listed beside it, of which
+   runner SAME is of version v1 too (0: none is). */
+static struct support_caller *
+begin_stream (struct support_gateway *g, int count, int same)
+{
+  struct support_caller *caller;
+
+  support_gateway_open (g);
+  support_gateway_runner (g, 0, begins, 1);
+  support_gateway_set_software (g, 0, "v1");
+  caller = call (g, 0, "a1", "");
+  support_await_count (g, &g->runners[0].request_count, 1);
+  for (int i = 1; i <= count; i++)
+    {
+      support_gateway_runner (g, i, ends, 1);
+      support_gateway_set_software (g, i, i == same ? "v1" : "v1.1");
+    }
+  return caller;
+}
+
+/* Guards against a broken stream that goes on within its response at a runner
+   of another software version, because nobody compares versions. */
+static void
+test_one_response (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller = begin_stream (&g, 1, 0);
+
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("1"));
+  if (strstr (caller->in->str, "\r\n0\r\n\r\n"))
+    fail ("the response", "is complete");
+  check_runners (&g, 2, 1);
+  support_gateway_close (&g);
+}
+
+/* With runners of both versions left, the stream goes on at its own. */
+static void
+test_one_response_goes_on (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller = begin_stream (&g, 5, 3);
+
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("1") EVENT ("2"));
+  check_runners (&g, 6, 1 | 1 << 3);
+  support_gateway_close (&g);
+}
+
+/* Guards against a stream that its caller continues at a runner of another
+   version, after all instances have ended at once: no instance remembers the
+   stream, but the runner that began it still holds its prompt. */
+static void
+test_after_restart (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 4; i++)
+    {
+      support_gateway_runner (&g, i, i == 2 ? lists_then_ends : lists_others,
+                              2);
+      support_gateway_set_software (&g, i, i == 2 ? "v1" : "v1.1");
+    }
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  check_contains (g.runners[2].received, "Last-Event-Id: 1\r\n");
+  check_runners (&g, 4, 1 << 2);
+  support_gateway_close (&g);
+}
+
+/* Guards against the same where nothing shows which version began the stream:
+   the caller is told that its attempt has not run. */
+static void
+test_version_unknown (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 2; i++)
+    {
+      support_gateway_runner (&g, i, lists_others, 2);
+      support_gateway_set_software (&g, i, i == 0 ? "v1" : "v1.1");
+    }
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "HTTP/1.1 503");
+  check_contains (caller->in, "\"ran\":\"no\"");
+  check_runners (&g, 2, 0);
+  support_gateway_close (&g);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/continuation/one-response", test_one_response);
+  g_test_add_func ("/continuation/one-response-goes-on",
+                   test_one_response_goes_on);
+  g_test_add_func ("/continuation/after-restart", test_after_restart);
+  g_test_add_func ("/continuation/version-unknown", test_version_unknown);
+  return g_test_run ();
+}
--- a/test/test_crash_probe.c
+++ b/test/test_crash_probe.c
@@ -2,15 +2,12 @@
    noticed, and how soon the request is refused. */
 #include "gateway/crash.h"
 #include "support_gateway.h"
+#include "support_responses.h"
 
 #include "common/clock.h"
 
 #include <string.h>
 
-#define HEAD                                                                  \
-  "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: @ID\r\n"                        \
-  "X-Basildock-Response-Signature: sig\r\n"
-#define OK_ANSWER HEAD "Content-Length: 2\r\n\r\nok"
 /* Crashes under one request after which it is refused. */
 #define CRASHES_MAX 2
 
