Forwarding: a broken stream goes on only at the version that began it

What callers saw: a response that was answered 200 and ended as complete, its first events from a runner of one software version and the rest from one of another.

A stream belongs to the listed version of the runner that brought its first event. Selection, the coordinator's query and the check of its reply keep to it; if none of that version is left in the shard, the other shards are looked at, and if there is none at all the response is broken off (stopped_by=software). If the runner's entry has changed its version by the time of the first event or of the break, either process may have answered: then it goes on nowhere. Runners without a version are alike.

Streams that callers continue themselves are not mended by this.

--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -145,6 +145,8 @@
 {
   return bd_target_usable (target)
          && bd_chunk_equal (target->service, request->service)
+         && (request->software == BD_SOFTWARE_ANY
+             || request->software == target->software.hash)
          && (request->shards <= 1
              || bd_shard_of (target->hash, request->shards) == request->shard);
 }
--- a/src/balance/selection.h
+++ b/src/balance/selection.h
@@ -36,6 +36,9 @@
   /** Latency objective of the first event; 0: unknown. */
   int64_t objective_ms;
   int64_t now_ms;
+  /** Hash of the software version that the runner must have;
+      BD_SOFTWARE_ANY: any. */
+  uint64_t software;
   const uint32_t *tried; /**< Runners that must not be used again, by the low
                             halves of the hashes of their identifiers. */
   size_t tried_count;
--- a/src/balance/software.c
+++ b/src/balance/software.c
@@ -5,13 +5,13 @@
 struct bd_software
 bd_software_of (struct bd_chunk text)
 {
-  struct bd_software software = { .hash = 0 };
+  struct bd_software software = { .hash = BD_SOFTWARE_UNNAMED };
 
   if (text.length == 0)
     return software;
   software.hash = bd_chunk_hash (text);
-  if (software.hash == 0)
-    software.hash = 1;
+  if (software.hash <= BD_SOFTWARE_UNCERTAIN)
+    software.hash += BD_SOFTWARE_UNCERTAIN + 1;
   bd_log_quote (text, software.name, sizeof software.name);
   return software;
 }
@@ -19,5 +19,5 @@
 const char *
 bd_software_name (const struct bd_software *software)
 {
-  return software->hash != 0 ? software->name : "-";
+  return software->hash > BD_SOFTWARE_UNCERTAIN ? software->name : "-";
 }
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -128,11 +128,15 @@
 static void
 set_software (struct bd_target *target, const struct bd_software *software)
 {
-  if (target->software.hash != 0 && target->software.hash != software->hash)
-    bd_log (BD_EVENT_TARGET_SOFTWARE, "runner=%s service=%s from=%s to=%s",
-            target->id.data, target->service.data,
-            bd_software_name (&target->software), bd_software_name (software));
+  struct bd_software before = target->software;
+
   target->software = *software;
+  if (software->hash == BD_SOFTWARE_ANY)
+    target->software.hash = BD_SOFTWARE_UNNAMED;
+  if (before.hash != BD_SOFTWARE_ANY && before.hash != target->software.hash)
+    bd_log (BD_EVENT_TARGET_SOFTWARE, "runner=%s service=%s from=%s to=%s",
+            target->id.data, target->service.data, bd_software_name (&before),
+            bd_software_name (software));
 }
 
 static int
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -120,6 +120,7 @@
 
   f->target = target;
   f->target_started_ms = target->started_ms;
+  f->target_software = target->software.hash;
   f->status = 0;
   f->streaming = false;
   f->first_event_at_ms = 0;
@@ -308,6 +309,7 @@
 
   f->selection_request.tried = f->tried;
   f->selection_request.tried_count = f->tried_count;
+  f->selection_request.software = f->stream_software;
   f->selection_request.share
       = (struct bd_runner_limit_share){ f->forwarder->instance_count,
                                         f->forwarder->coordinated_ms };
@@ -365,6 +367,8 @@
   struct bd_target *const *all = bd_targets_of_service (
       f->forwarder->options.targets, f->service, &count);
 
+  if (f->stream_software != BD_SOFTWARE_ANY)
+    f->stop_reason = BD_STOP_SOFTWARE;
   f->pause_left_ms = pause_left_ms;
   if (f->limit_left_ms == 0)
     f->limit_left_ms = bd_runner_limit_next_turn_ms (
@@ -410,6 +414,8 @@
   return target && bd_target_usable (target)
          && bd_pause_allows (target, f->selection_request.now_ms)
          && bd_chunk_equal (target->service, f->service)
+         && (f->stream_software == BD_SOFTWARE_ANY
+             || f->stream_software == target->software.hash)
          && !connections_full (f, target);
 }
 
@@ -510,6 +516,7 @@
   query.fetch_us_per_k = f->selection_request.fetch_us_per_k;
   query.overload = overload_request (f);
   query.is_retry = f->attempts > 0;
+  query.software = f->stream_software;
   add_exclusions (f, &query);
   switch (bd_coordinator_client_query (options->coordinator_client, &query,
                                        &f->registration, &reply, on_reply, f))
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -18,6 +18,7 @@
         [BD_STOP_NOT_REPEATABLE] = "not_repeatable",
         [BD_STOP_ATTEMPTS] = "attempts",
         [BD_STOP_BUDGET] = "retry_budget",
+        [BD_STOP_SOFTWARE] = "software",
         [BD_STOP_CRASHES] = "crashes",
         [BD_STOP_TIME] = "time" };
 
@@ -69,6 +70,10 @@
 {
   if (f->target)
     {
+      /* The list may show only now which process began the stream. */
+      if (f->first_event_at_ms != 0
+          && f->target->software.hash != f->target_software)
+        f->stream_software = BD_SOFTWARE_UNCERTAIN;
       f->target->prefill_tokens -= f->queued_tokens;
       f->queued_tokens = 0;
       f->target->in_flight--;
--- a/src/gateway/coordination.c
+++ b/src/gateway/coordination.c
@@ -9,7 +9,9 @@
 /* Largest duration in a message, in milliseconds. */
 #define DURATION_MAX_MS ((int64_t)24 * 60 * 60 * 1000)
 /* Number of values after the format, in a message or in each of its items. */
-#define QUERY_VALUES 15
+#define QUERY_VALUES 16
+/* Instances of older versions send no software. */
+#define QUERY_VALUES_MIN 15
 #define REPLY_VALUES 12
 /* Instances of older versions send no limit_rate. */
 #define REPLY_VALUES_MIN 11
@@ -39,6 +41,7 @@
   bd_pack_array (pack, (uint32_t)query->excluded_count);
   for (size_t i = 0; i < query->excluded_count; i++)
     bd_pack_uint (pack, query->excluded[i]);
+  bd_pack_uint (pack, query->software);
 }
 
 static void
@@ -201,7 +204,8 @@
 }
 
 static void
-read_query (struct bd_unpack *u, struct bd_coordination_query *query)
+read_query (struct bd_unpack *u, uint32_t value_count,
+            struct bd_coordination_query *query)
 {
   uint32_t count;
 
@@ -224,6 +228,8 @@
     refuse (u);
   for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
     query->excluded[query->excluded_count++] = read_uint32 (u);
+  if (value_count > QUERY_VALUES_MIN)
+    query->software = bd_unpack_uint (u);
 }
 
 static void
@@ -315,7 +321,7 @@
   switch (message->kind)
     {
     case BD_COORDINATION_QUERY:
-      read_query (&u, &message->query);
+      read_query (&u, count, &message->query);
       break;
     case BD_COORDINATION_REPLY:
       read_reply (&u, count, &message->reply);
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -52,6 +52,9 @@
                               tokens from another one; 0: it cannot fetch. */
   struct bd_overload_request overload;
   bool is_retry; /**< The request has been sent to a runner before. */
+  /** Hash of the software version that the runner must have;
+      BD_SOFTWARE_ANY: any. */
+  uint64_t software;
   uint32_t excluded[BD_COORDINATION_EXCLUDED_MAX]; /**< Low 32 bits of runners'
                                                       hashes. */
   size_t excluded_count;
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -261,6 +261,7 @@
           .now_ms = now_ms,
           .tried = query->excluded,
           .tried_count = query->excluded_count,
+          .software = query->software,
           .coordinated = true,
           .sent_here = ip == coordinator->options.ip,
           .shard = query->shard,
@@ -273,6 +274,14 @@
   decision = bd_decide (coordinator->options.selector,
                         coordinator->options.targets, &request, &overload,
                         query->is_retry, &coordinator->random_state);
+  if (!decision.selection.target && query->software != BD_SOFTWARE_ANY)
+    {
+      /* The runners of that version may all belong to other shards. */
+      request.shards = 1;
+      decision = bd_decide (coordinator->options.selector,
+                            coordinator->options.targets, &request, &overload,
+                            query->is_retry, &coordinator->random_state);
+    }
   if (!decision.selection.target)
     decision.retry_after_ms = next_turn_ms (coordinator, query, now_ms);
   if (!decision.selection.target || decision.rejected)
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -37,9 +37,11 @@
                              twice. */
   BD_STOP_ATTEMPTS,       /**< The route's limit of attempts is reached. */
   BD_STOP_BUDGET,         /**< The service's retry budget is used up. */
-  BD_STOP_CRASHES, /**< The request is quarantined, as runners crashed under
-                      it. */
-  BD_STOP_TIME     /**< The deadline has passed. */
+  BD_STOP_SOFTWARE, /**< No usable runner of the software version that began
+                       the stream is left. */
+  BD_STOP_CRASHES,  /**< The request is quarantined, as runners crashed under
+                       it. */
+  BD_STOP_TIME      /**< The deadline has passed. */
 };
 
 struct bd_forwarder
@@ -114,6 +116,12 @@
   int64_t survival_recorded_ms;
   int64_t target_started_ms; /* Start time of the runner's process, as listed
                                 when the attempt was sent. */
+  /* Hash of the software version of the runner, as listed when the attempt was
+     sent. */
+  uint64_t target_software;
+  /* Hash of the software version that began the stream, the only one that may
+     go on with it; BD_SOFTWARE_ANY: no event has come yet. */
+  uint64_t stream_software;
   /* What the attempt has shown about the runner. */
   struct bd_attempt_outcome outcome;
   int64_t pause_left_ms; /* Time until the first runner that asked for a pause
--- a/test/support_targets.c
+++ b/test/support_targets.c
@@ -35,3 +35,14 @@
   g_assert_nonnull (target);
   return target;
 }
+
+void
+support_set_software (struct bd_targets *targets, const char *id,
+                      const char *software)
+{
+  struct bd_target *target = support_target (targets, id);
+  struct bd_target_entry entry = support_entry (id, target->zone.data);
+
+  entry.software = bd_software_of (bd_chunk_of (software));
+  bd_targets_put (targets, 0, &entry, target->revision + 1);
+}
--- a/test/support_targets.h
+++ b/test/support_targets.h
@@ -13,6 +13,10 @@
 /** Puts COUNT ready runners r0, r1, … spread over ZONES zones. */
 void support_put_runners (struct bd_targets *targets, int count, int zones);
 
+/** Lists runner ID, which must exist, with a software version. */
+void support_set_software (struct bd_targets *targets, const char *id,
+                           const char *software);
+
 /** Returns runner ID, which must exist. */
 struct bd_target *support_target (struct bd_targets *targets, const char *id);
 
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -135,6 +135,21 @@
   support_gateway_close (&g);
 }
 
+/* Guards against a join where the entry of the runner that began the stream
+   shows only afterwards that the process has another version. */
+static void
+test_entry_changes (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller = begin_stream (&g, 2, 2);
+
+  support_gateway_set_software (&g, 0, "v1.1");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("1"));
+  check_runners (&g, 3, 1);
+  support_gateway_close (&g);
+}
+
 /* Guards against a stream that its caller continues at a runner of another
    version, after all instances have ended at once: no instance remembers the
    stream, but the runner that began it still holds its prompt. */
@@ -188,6 +203,7 @@
   g_test_add_func ("/continuation/one-response", test_one_response);
   g_test_add_func ("/continuation/one-response-goes-on",
                    test_one_response_goes_on);
+  g_test_add_func ("/continuation/entry-changes", test_entry_changes);
   g_test_add_func ("/continuation/after-restart", test_after_restart);
   g_test_add_func ("/continuation/version-unknown", test_version_unknown);
   return g_test_run ();
--- a/test/test_coordination.c
+++ b/test/test_coordination.c
@@ -33,7 +33,8 @@
                                                 .lowest_priority = 5 },
                                             .is_retry = true,
                                             .excluded = { 1, 2, UINT32_MAX },
-                                            .excluded_count = 3 };
+                                            .excluded_count = 3,
+                                            .software = UINT64_MAX };
       break;
     case BD_COORDINATION_REPLY:
       m.reply
@@ -120,6 +121,7 @@
   g_assert_cmpint (back.query.overload.time_left_ms, ==, 11999);
   g_assert_cmpuint (back.query.excluded_count, ==, 3);
   g_assert_cmpuint (back.query.excluded[2], ==, UINT32_MAX);
+  g_assert_cmpuint (back.query.software, ==, UINT64_MAX);
   bd_buffer_clear (&bytes);
   m = sample (BD_COORDINATION_REPLY);
   bd_coordination_write (&m, &bytes);
@@ -150,6 +152,25 @@
   bd_buffer_clear (&bytes);
 }
 
+/* A query of an older version has no software version at its end. */
+static void
+test_older_query (void)
+{
+  struct bd_coordination_message m = sample (BD_COORDINATION_QUERY);
+  struct bd_coordination_message back;
+  struct bd_buffer bytes = { 0 };
+
+  m.query.software = BD_SOFTWARE_ANY;
+  bd_coordination_write (&m, &bytes);
+  bytes.data[2]--; /* An array of one value less. */
+  bytes.length--;
+  g_assert_cmpint (bd_coordination_read (bd_buffer_chunk (&bytes), &back), ==,
+                   BD_OK);
+  g_assert_cmpuint (back.query.excluded_count, ==, 3);
+  g_assert_cmpuint (back.query.software, ==, BD_SOFTWARE_ANY);
+  bd_buffer_clear (&bytes);
+}
+
 /* Truncated and corrupted messages are rejected, or parsed within the
    limits. */
 static void
@@ -195,6 +216,7 @@
   g_test_add_func ("/coordination/round-trip", test_round_trip);
   g_test_add_func ("/coordination/fields", test_fields);
   g_test_add_func ("/coordination/older-reply", test_older_reply);
+  g_test_add_func ("/coordination/older-query", test_older_query);
   g_test_add_func ("/coordination/hostile", test_hostile);
   return g_test_run ();
 }
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -456,6 +456,35 @@
   close_fixture (&fixture);
 }
 
+/* A stream goes on only at runners of the version that began it, also when
+   these all belong to other shards; with none of them left, nowhere. */
+static void
+test_software (void)
+{
+  struct fixture fixture;
+  struct bd_coordination_query query;
+  struct bd_coordination_reply reply;
+  uint64_t old = bd_software_of (BD_CHUNK ("v1")).hash;
+
+  open_fixture (&fixture, 200);
+  support_set_software (fixture.targets, "r7", "v1");
+  support_set_software (fixture.targets, "r9", "v1");
+  for (uint32_t shard = 0; shard < 4; shard++)
+    {
+      query = long_query (&fixture, shard);
+      query.shard_count = 4;
+      query.shard = shard;
+      query.software = old;
+      g_assert_cmpuint (place (&fixture, 2, &query, NOW)->software.hash, ==,
+                        old);
+    }
+  query = long_query (&fixture, 9);
+  query.software = BD_SOFTWARE_UNCERTAIN;
+  reply = bd_coordinator_decide (fixture.coordinator, 2, &query, NOW);
+  g_assert_cmpint (reply.verdict, ==, BD_COORDINATION_NO_RUNNER);
+  close_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -471,5 +500,6 @@
   g_test_add_func ("/coordinator/all-limited", test_all_limited);
   g_test_add_func ("/coordinator/placed-elsewhere", test_placed_elsewhere);
   g_test_add_func ("/coordinator/shards", test_shards);
+  g_test_add_func ("/coordinator/software", test_software);
   return g_test_run ();
 }
--- a/test/test_software.c
+++ b/test/test_software.c
@@ -10,9 +10,9 @@
   struct bd_software none = bd_software_of ((struct bd_chunk){ NULL, 0 });
   struct bd_software one = bd_software_of (BD_CHUNK ("v1"));
 
-  g_assert_cmpuint (none.hash, ==, 0);
+  g_assert_cmpuint (none.hash, ==, BD_SOFTWARE_UNNAMED);
   g_assert_cmpstr (bd_software_name (&none), ==, "-");
-  g_assert_cmpuint (one.hash, !=, 0);
+  g_assert_cmpuint (one.hash, >, BD_SOFTWARE_UNCERTAIN);
   g_assert_cmpuint (one.hash, ==, bd_software_of (BD_CHUNK ("v1")).hash);
   g_assert_cmpuint (one.hash, !=, bd_software_of (BD_CHUNK ("v1.1")).hash);
   g_assert_cmpuint (one.hash, !=, bd_software_of (BD_CHUNK ("V1")).hash);
