--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -5,6 +5,7 @@
 #include "balance/pause.h"
 #include "common/log.h"
 #include "gateway/rank.h"
+#include "gateway/standby.h"
 #include "common/random.h"
 
 #include <stdlib.h>
@@ -17,11 +18,6 @@
    loads that peers gossip count too, because requests placed earlier are not
    in the ledger. */
 #define WARMUP_MS 3000
-/* Standby coordinators that get prefix locations, the most locations queued
-   for each, and the most datagrams to each in one tick. */
-#define STANDBYS_MAX 2
-#define PREFIXES_QUEUED_MAX 512
-#define PREFIX_DATAGRAMS_MAX 6
 /* How long the prefix locations are taken to be complete, after this instance
    received all of them or began to ask the runners; runners are not asked
    again before. */
@@ -37,17 +33,6 @@
   int64_t last_query_ms;
 };
 
-/* Instance that may coordinate next, and the prefix locations that it has not
-   been sent yet. */
-struct standby
-{
-  uint32_t ip;  /* Network byte order; 0: none. */
-  bool copying; /* All known locations are being sent, from CURSOR on. */
-  size_t cursor;
-  struct bd_prefix_entry queued[PREFIXES_QUEUED_MAX];
-  size_t queued_count;
-};
-
 struct bd_coordinator
 {
   struct bd_coordinator_options options;
@@ -56,7 +41,7 @@
   uint64_t random_state;
   struct shard shards[SHARDS_MAX];
   size_t shard_count;
-  struct standby standbys[STANDBYS_MAX];
+  struct bd_standbys *standbys;
   /* When all prefix locations were known last; 0: never. */
   int64_t prefixes_known_ms;
 };
@@ -71,9 +56,11 @@
   coordinator->options = *options;
   coordinator->random_state = bd_id_random ().low;
   coordinator->ledger = bd_ledger_create ();
-  if (coordinator->ledger)
+  coordinator->standbys
+      = bd_standbys_create (bd_selector_prefixes (options->selector));
+  if (coordinator->ledger && coordinator->standbys)
     return coordinator;
-  free (coordinator);
+  bd_coordinator_destroy (coordinator);
   return NULL;
 }
 
@@ -83,6 +70,7 @@
   if (!coordinator)
     return;
   bd_ledger_destroy (coordinator->ledger);
+  bd_standbys_destroy (coordinator->standbys);
   free (coordinator);
 }
 
@@ -177,20 +165,6 @@
                 (int64_t)bd_ledger_count (coordinator->ledger));
 }
 
-/* Queues the location of a prefix for the standby coordinators. */
-static void
-queue_prefix (struct bd_coordinator *coordinator,
-              const struct bd_prefix_entry *prefix)
-{
-  for (size_t i = 0; i < STANDBYS_MAX; i++)
-    {
-      struct standby *standby = &coordinator->standbys[i];
-
-      if (standby->ip != 0 && standby->queued_count < PREFIXES_QUEUED_MAX)
-        standby->queued[standby->queued_count++] = *prefix;
-    }
-}
-
 static void
 record_prefix (struct bd_coordinator *coordinator, uint64_t prefix,
                const struct bd_target *target, int64_t now_ms)
@@ -201,7 +175,7 @@
       && bd_prefix_map_record_sent (
           bd_selector_prefixes (coordinator->options.selector), prefix,
           target->hash, now_ms))
-    queue_prefix (coordinator, &entry);
+    bd_standbys_queue_prefix (coordinator->standbys, &entry);
 }
 
 static struct bd_coordination_reply
@@ -326,7 +300,7 @@
   bd_prefix_map_record_cached (
       bd_selector_prefixes (coordinator->options.selector), entry.prefix_hash,
       entry.target_hash);
-  queue_prefix (coordinator, &entry);
+  bd_standbys_queue_prefix (coordinator->standbys, &entry);
 }
 
 void
@@ -484,17 +458,6 @@
   return 0;
 }
 
-static void
-set_standby (struct standby *standby, uint32_t ip)
-{
-  if (standby->ip == ip)
-    return;
-  standby->ip = ip;
-  standby->copying = ip != 0;
-  standby->cursor = 0;
-  standby->queued_count = 0;
-}
-
 /* The standby coordinators are the next instance in rank, and the one that
    will rank first once it has joined. */
 static void
@@ -509,54 +472,7 @@
       next = highest_ranked_other (coordinator, key, false, now_ms);
       joining = highest_ranked_other (coordinator, key, true, now_ms);
     }
-  set_standby (&coordinator->standbys[0], next);
-  set_standby (&coordinator->standbys[1], joining != next ? joining : 0);
-}
-
-/* Fills in the next prefix locations for STANDBY.  Returns their number. */
-static size_t
-fill_prefixes (struct bd_coordinator *coordinator, struct standby *standby,
-               int64_t now_ms,
-               struct bd_prefix_entry prefixes[BD_COORDINATION_PREFIXES_MAX])
-{
-  size_t count = 0;
-
-  if (standby->copying)
-    {
-      count = bd_prefix_map_iterate (
-          bd_selector_prefixes (coordinator->options.selector),
-          &standby->cursor, now_ms, prefixes, BD_COORDINATION_PREFIXES_MAX);
-      standby->copying = count > 0;
-    }
-  if (count == 0)
-    while (count < BD_COORDINATION_PREFIXES_MAX && standby->queued_count > 0)
-      prefixes[count++] = standby->queued[--standby->queued_count];
-  for (size_t i = 0; i < count; i++)
-    prefixes[i].sent_ms = now_ms - prefixes[i].sent_ms;
-  return count;
-}
-
-static void
-send_to_standby (struct bd_coordinator *coordinator, struct standby *standby,
-                 int64_t now_ms)
-{
-  struct bd_coordination_message message
-      = { .kind = BD_COORDINATION_PREFIXES };
-
-  for (int i = 0; i < PREFIX_DATAGRAMS_MAX && standby->ip != 0; i++)
-    {
-      bool copying = standby->copying;
-
-      message.prefixes.count = fill_prefixes (coordinator, standby, now_ms,
-                                              message.prefixes.items);
-      /* The copy is complete with its last location, and stays so because
-         later ones are queued. */
-      message.prefixes.complete
-          = !standby->copying && prefixes_are_known (coordinator, now_ms);
-      if (message.prefixes.count == 0 && !copying)
-        return;
-      bd_mesh_send (coordinator->mesh, standby->ip, &message);
-    }
+  bd_standbys_set (coordinator->standbys, next, joining);
 }
 
 void
@@ -566,6 +482,6 @@
   if (!coordinator->mesh)
     return;
   update_standbys (coordinator, now_ms);
-  for (size_t i = 0; i < STANDBYS_MAX; i++)
-    send_to_standby (coordinator, &coordinator->standbys[i], now_ms);
+  bd_standbys_send (coordinator->standbys, coordinator->mesh, now_ms,
+                    prefixes_are_known (coordinator, now_ms));
 }
