--- a/include/basildock.h
+++ b/include/basildock.h
@@ -49,7 +49,9 @@
   BD_ERR_HEAD_TOO_LARGE = -33,
   BD_ERR_SLOW_CALLER = -34,
   BD_ERR_SUSPENDED = -35,
-  BD_ERR_LIMIT = -36 /**< No kind: one below the lowest. */
+  BD_ERR_ORIGIN_UNKNOWN = -36, /**< Which software version began a stream is
+                                  not known, so it cannot be continued. */
+  BD_ERR_LIMIT = -37           /**< No kind: one below the lowest. */
 };
 
 /** Whether a request was executed at a runner. */
--- /dev/null
+++ b/src/balance/stream_origin.c
@@ -0,0 +1,128 @@
+#include "balance/stream_origin.h"
+
+#include "common/random.h"
+
+#include <stdlib.h>
+
+/* Slots of the tables; powers of two.  A key has its place in one set of WAYS
+   slots, of which the one that expires first is replaced. */
+#define STREAM_SLOTS 16384
+#define PART_SLOTS 32768
+#define WAYS 4
+/* How long what a runner listed is used. */
+#define HOLDER_KEEP_MS 15000
+
+struct slot
+{
+  uint64_t key; /* 0: free. */
+  uint64_t software;
+  int64_t expires_ms;
+};
+
+struct bd_stream_origins
+{
+  struct slot streams[STREAM_SLOTS];
+  struct slot parts[PART_SLOTS];
+};
+
+struct bd_stream_origins *
+bd_stream_origins_create (void)
+{
+  return calloc (1, sizeof (struct bd_stream_origins));
+}
+
+void
+bd_stream_origins_destroy (struct bd_stream_origins *origins)
+{
+  free (origins);
+}
+
+uint64_t
+bd_stream_number (struct bd_chunk attempt_id, struct bd_chunk workspace)
+{
+  uint64_t number;
+
+  if (attempt_id.length == 0)
+    return 0;
+  number = bd_random_mix (bd_chunk_hash (attempt_id)
+                          ^ bd_random_mix (bd_chunk_hash (workspace)));
+  return number != 0 ? number : 1;
+}
+
+/* Returns the first slot of KEY's set. */
+static size_t
+first_slot (size_t slot_count, uint64_t key)
+{
+  return (bd_random_mix (key) & (slot_count / WAYS - 1)) * WAYS;
+}
+
+static void
+put (struct slot *slots, size_t slot_count, const struct slot *entry,
+     int64_t now_ms)
+{
+  struct slot *set = &slots[first_slot (slot_count, entry->key)];
+  struct slot *slot = set;
+
+  for (size_t i = 0; i < WAYS; i++)
+    {
+      if (set[i].key == entry->key && now_ms < set[i].expires_ms)
+        {
+          if (set[i].software != entry->software)
+            set[i].software = BD_SOFTWARE_UNCERTAIN;
+          if (set[i].expires_ms < entry->expires_ms)
+            set[i].expires_ms = entry->expires_ms;
+          return;
+        }
+      if (set[i].expires_ms < slot->expires_ms)
+        slot = &set[i];
+    }
+  *slot = *entry;
+}
+
+static uint64_t
+find (const struct slot *slots, size_t slot_count, uint64_t key,
+      int64_t now_ms)
+{
+  const struct slot *set = &slots[first_slot (slot_count, key)];
+
+  for (size_t i = 0; i < WAYS && key != 0; i++)
+    if (set[i].key == key && now_ms < set[i].expires_ms)
+      return set[i].software;
+  return BD_SOFTWARE_ANY;
+}
+
+void
+bd_stream_origins_record (struct bd_stream_origins *origins,
+                          const struct bd_stream_origin *origin,
+                          int64_t now_ms)
+{
+  struct slot entry = { origin->stream, origin->software, origin->expires_ms };
+
+  if (origin->stream != 0 && origin->software != BD_SOFTWARE_ANY)
+    put (origins->streams, STREAM_SLOTS, &entry, now_ms);
+}
+
+void
+bd_stream_origins_record_holder (struct bd_stream_origins *origins,
+                                 uint64_t part, uint64_t software,
+                                 int64_t now_ms)
+{
+  struct slot entry = { part, software, now_ms + HOLDER_KEEP_MS };
+
+  if (part != 0)
+    put (origins->parts, PART_SLOTS, &entry, now_ms);
+}
+
+uint64_t
+bd_stream_origins_find (const struct bd_stream_origins *origins,
+                        uint64_t stream, int64_t now_ms)
+{
+  return find (origins->streams, STREAM_SLOTS, stream, now_ms);
+}
+
+uint64_t
+bd_stream_origins_find_holder (const struct bd_stream_origins *origins,
+                               uint64_t part, int64_t now_ms)
+{
+  return find (origins->parts, PART_SLOTS, part, now_ms);
+}
--- a/src/common/error.c
+++ b/src/common/error.c
@@ -90,6 +90,11 @@
                           "Runners crashed while they ran this request; it "
                           "is not run for now.",
                           BD_RAN_NO, 10 },
+  [-BD_ERR_ORIGIN_UNKNOWN]
+  = { 503, "stream_origin_unknown",
+      "It is not known which software version began the stream, so it cannot "
+      "be continued; a new stream can begin.",
+      BD_RAN_NO, 1 },
   [-BD_ERR_INTERNAL]
   = { 500, "internal", "An internal fault.", BD_RAN_UNKNOWN, 0 },
 };
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -44,6 +44,7 @@
   X (2015, ATTEMPT_FAILED, NOTICE, "attempt at a runner failed")              \
   X (2016, REQUEST_PLACED, INFO, "request placed")                            \
   X (2017, STREAM_CONTINUED, NOTICE, "caller continues a stream")             \
+  X (2018, STREAM_NOT_CONTINUED, NOTICE, "stream cannot be continued")        \
   X (3001, CONFIG_IN_FORCE, NOTICE, "configuration in force")                 \
   X (3002, CONFIG_REFUSED, WARNING, "document refused")                       \
   X (3003, CONFIG_STALE, NOTICE, "older revision ignored")                    \
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -207,24 +207,6 @@
           bd_software_name (&target->software));
 }
 
-/* Logs that the caller's attempt continues a stream of an earlier one. */
-static void
-log_continued (const struct bd_forward *f, const struct bd_target *target)
-{
-  char id[BD_FORWARD_ID_BYTES];
-  char origin[BD_FORWARD_ID_BYTES];
-  char event[BD_FORWARD_ID_BYTES];
-
-  if (f->request_fields.last_event_id.length == 0)
-    return;
-  bd_log (BD_EVENT_STREAM_CONTINUED,
-          "request=%s origin=%s after=%s runner=%s software=%s",
-          bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
-          bd_log_quote (f->request_fields.origin_id, origin, sizeof origin),
-          bd_log_quote (f->request_fields.last_event_id, event, sizeof event),
-          target->id.data, bd_software_name (&target->software));
-}
-
 static void
 log_retry (const struct bd_forward *f, const struct bd_target *target)
 {
@@ -282,7 +264,7 @@
   f->counted_as_first = true;
   f->attempts++;
   log_placed (f, selection);
-  log_continued (f, selection->target);
+  bd_forward_log_continued (f, selection->target);
   if (send_to (f, selection) == BD_OK)
     return;
   bd_coordinator_client_attempt_ended (
@@ -301,6 +283,14 @@
   };
 }
 
+/* A stream that its caller continues is not refused for a wait either: some of
+   it has been delivered. */
+static bool
+is_retry (const struct bd_forward *f)
+{
+  return f->attempts > 0 || f->continues;
+}
+
 static struct bd_decision
 decide (struct bd_forward *f)
 {
@@ -314,7 +304,7 @@
       = (struct bd_runner_limit_share){ f->forwarder->instance_count,
                                         f->forwarder->coordinated_ms };
   return bd_decide (options->selector, options->targets, &f->selection_request,
-                    &overload, f->attempts > 0, &f->forwarder->random_state);
+                    &overload, is_retry (f), &f->forwarder->random_state);
 }
 
 /* Returns the shared prefix that matters for the placement; 0: none. */
@@ -443,6 +433,8 @@
   f->limit_left_ms = 0;
   if (reply)
     f->forwarder->coordinated_ms = f->selection_request.now_ms;
+  if (!bd_forward_origin_is_known (f, reply))
+    return;
   if (reply && reply->verdict == BD_COORDINATION_NO_RUNNER)
     f->limit_left_ms = reply->retry_after_ms;
   if (reply && reply->verdict == BD_COORDINATION_REFUSED)
@@ -515,8 +507,8 @@
   query.unshared_tokens = f->selection_request.unshared_tokens;
   query.fetch_us_per_k = f->selection_request.fetch_us_per_k;
   query.overload = overload_request (f);
-  query.is_retry = f->attempts > 0;
-  query.software = f->stream_software;
+  query.is_retry = is_retry (f);
+  bd_forward_fill_continuation (f, &query);
   add_exclusions (f, &query);
   switch (bd_coordinator_client_query (options->coordinator_client, &query,
                                        &f->registration, &reply, on_reply, f))
@@ -527,7 +519,8 @@
       on_reply (f, &reply);
       break;
     case BD_COORDINATOR_CLIENT_UNAVAILABLE:
-      decide_locally (f);
+      if (bd_forward_origin_is_known (f, NULL))
+        decide_locally (f);
       break;
     }
 }
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -70,10 +70,7 @@
 {
   if (f->target)
     {
-      /* The list may show only now which process began the stream. */
-      if (f->first_event_at_ms != 0
-          && f->target->software.hash != f->target_software)
-        f->stream_software = BD_SOFTWARE_UNCERTAIN;
+      bd_forward_check_software (f);
       f->target->prefill_tokens -= f->queued_tokens;
       f->queued_tokens = 0;
       f->target->in_flight--;
--- /dev/null
+++ b/src/gateway/continuation.c
@@ -0,0 +1,202 @@
+#include "gateway/forward_internal.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+
+/* Interval at which a request asks again which version began its stream, and
+   how long it asks at most. */
+#define ORIGIN_CHECK_MS 50
+#define ORIGIN_WAIT_MAX_MS 1500
+/* For this long only the coordinator is asked, which may just have ended;
+   after that this instance finds out by itself if no coordinator answers. */
+#define ORIGIN_COORDINATOR_MS 150
+/* How long the origin of a stream is kept at least: callers may not say until
+   when they continue it. */
+#define ORIGIN_KEEP_MIN_MS 30000
+
+static struct bd_chunk
+workspace_name (const struct bd_forward *f)
+{
+  return f->workspace ? f->workspace->name : (struct bd_chunk){ NULL, 0 };
+}
+
+void
+bd_forward_init_continuation (struct bd_forward *f)
+{
+  const struct bd_request_fields *fields = &f->request_fields;
+
+  f->continues = f->route->retry_class == BD_RETRY_STREAM
+                 && f->route->resumable && fields->last_event_id.length > 0;
+  if (!f->continues)
+    return;
+  f->continued_stream
+      = bd_stream_number (fields->origin_id, workspace_name (f));
+  f->stream_software = bd_stream_origins_find (
+      f->forwarder->options.origins, f->continued_stream, bd_clock_boot_ms ());
+}
+
+void
+bd_forward_fill_continuation (const struct bd_forward *f,
+                              struct bd_coordination_query *query)
+{
+  query->software = f->stream_software;
+  query->continues = f->continues;
+  query->stream = f->continued_stream;
+  query->own_part = f->request_fields.own_part;
+  query->waited_ms = bd_forward_elapsed_ms (f);
+}
+
+static void
+on_origin_check (uv_timer_t *timer)
+{
+  bd_forward_next_attempt (timer->data);
+}
+
+/* Asks again later, unless the request has waited for too long.  Returns
+   whether it waits. */
+static bool
+wait_for_origin (struct bd_forward *f)
+{
+  int64_t left_ms = f->deadline_ms - bd_clock_boot_ms ();
+  int64_t waited_ms = bd_forward_elapsed_ms (f);
+
+  if (waited_ms >= ORIGIN_WAIT_MAX_MS || waited_ms >= left_ms)
+    return false;
+  uv_timer_start (&f->attempt_timer, on_origin_check, ORIGIN_CHECK_MS, 0);
+  return true;
+}
+
+static void
+refuse (struct bd_forward *f)
+{
+  char id[BD_FORWARD_ID_BYTES];
+  char origin[BD_FORWARD_ID_BYTES];
+
+  bd_log (BD_EVENT_STREAM_NOT_CONTINUED,
+          "request=%s origin=%s route=%s reason=%s by=%08x ms=%lld",
+          bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
+          bd_log_quote (f->request_fields.origin_id, origin, sizeof origin),
+          f->route->name.data,
+          f->stream_software == BD_SOFTWARE_UNCERTAIN ? "uncertain"
+                                                      : "unknown",
+          ntohl (f->registration.coordinator_ip),
+          (long long)bd_forward_elapsed_ms (f));
+  bd_forward_refuse (f->forwarder, f->exchange, &f->request_fields,
+                     BD_ERR_ORIGIN_UNKNOWN);
+  bd_forward_free (f);
+}
+
+/* Finds out without the coordinator which version began the stream. */
+static enum bd_coordination_verdict
+find_here (struct bd_forward *f)
+{
+  struct bd_coordination_query query = { .service = f->service };
+  enum bd_coordination_verdict verdict;
+  uint64_t software;
+
+  if (f->registration.coordinator_ip != 0
+      && bd_forward_elapsed_ms (f) < ORIGIN_COORDINATOR_MS)
+    return BD_COORDINATION_ORIGIN_PENDING;
+  bd_forward_fill_continuation (f, &query);
+  verdict = bd_coordinator_client_find_software (
+      f->forwarder->options.coordinator_client, &query, &software);
+  if (verdict == BD_COORDINATION_PLACED)
+    f->stream_software = software;
+  return verdict;
+}
+
+bool
+bd_forward_origin_is_known (struct bd_forward *f,
+                            const struct bd_coordination_reply *reply)
+{
+  enum bd_coordination_verdict verdict = BD_COORDINATION_PLACED;
+
+  if (!f->continues || f->head_sent)
+    return true;
+  if (f->stream_software == BD_SOFTWARE_UNCERTAIN)
+    verdict = BD_COORDINATION_ORIGIN_UNKNOWN;
+  else if (f->stream_software != BD_SOFTWARE_ANY)
+    return true;
+  else if (reply && reply->software != BD_SOFTWARE_ANY)
+    f->stream_software = reply->software;
+  else if (reply
+           && (reply->verdict == BD_COORDINATION_ORIGIN_PENDING
+               || reply->verdict == BD_COORDINATION_ORIGIN_UNKNOWN))
+    verdict = reply->verdict;
+  else
+    verdict = find_here (f);
+  if (verdict == BD_COORDINATION_PLACED)
+    return true;
+  if (verdict == BD_COORDINATION_ORIGIN_UNKNOWN || !wait_for_origin (f))
+    refuse (f);
+  return false;
+}
+
+void
+bd_forward_log_continued (const struct bd_forward *f,
+                          const struct bd_target *target)
+{
+  char id[BD_FORWARD_ID_BYTES];
+  char origin[BD_FORWARD_ID_BYTES];
+  char event[BD_FORWARD_ID_BYTES];
+
+  if (!f->continues)
+    return;
+  bd_stats_count (f->forwarder->options.stats, BD_STAT_CONTINUED, 1);
+  bd_log (BD_EVENT_STREAM_CONTINUED,
+          "request=%s origin=%s after=%s runner=%s software=%s",
+          bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
+          bd_log_quote (f->request_fields.origin_id, origin, sizeof origin),
+          bd_log_quote (f->request_fields.last_event_id, event, sizeof event),
+          target->id.data, bd_software_name (&target->software));
+}
+
+static void
+tell (struct bd_forward *f, uint64_t stream)
+{
+  int64_t left_ms = f->deadline_ms - bd_clock_boot_ms ();
+  struct bd_origin_notice notice
+      = { stream, f->stream_software, ORIGIN_KEEP_MIN_MS };
+
+  if (notice.keep_ms < left_ms)
+    notice.keep_ms = left_ms;
+  if (notice.keep_ms > BD_ORIGIN_KEEP_MAX_MS)
+    notice.keep_ms = BD_ORIGIN_KEEP_MAX_MS;
+  if (stream != 0)
+    bd_origin_outbox_tell (f->forwarder->options.origin_outbox,
+                           f->registration.shard_key, &notice);
+}
+
+void
+bd_forward_tell_origin (struct bd_forward *f)
+{
+  f->origin_told = true;
+  tell (f,
+        bd_stream_number (f->request_fields.attempt_id, workspace_name (f)));
+  tell (f, f->continued_stream);
+}
+
+/* If the runner's entry has changed to another version since the request was
+   sent, either may have answered. */
+void
+bd_forward_stream_begins (struct bd_forward *f)
+{
+  if (f->stream_software == BD_SOFTWARE_ANY)
+    f->stream_software = f->target->software.hash == f->target_software
+                             ? f->target_software
+                             : BD_SOFTWARE_UNCERTAIN;
+  if (!f->origin_told && f->route->resumable)
+    bd_forward_tell_origin (f);
+}
+
+void
+bd_forward_check_software (struct bd_forward *f)
+{
+  if (f->first_event_at_ms == 0
+      || f->target->software.hash == f->target_software
+      || f->stream_software == BD_SOFTWARE_UNCERTAIN)
+    return;
+  f->stream_software = BD_SOFTWARE_UNCERTAIN;
+  if (f->origin_told)
+    bd_forward_tell_origin (f);
+}
--- a/src/gateway/coordination.c
+++ b/src/gateway/coordination.c
@@ -9,12 +9,11 @@
 /* Largest duration in a message, in milliseconds. */
 #define DURATION_MAX_MS ((int64_t)24 * 60 * 60 * 1000)
 /* Number of values after the format, in a message or in each of its items. */
-#define QUERY_VALUES 16
-/* Instances of older versions send no software. */
-#define QUERY_VALUES_MIN 15
-#define REPLY_VALUES 12
-/* Instances of older versions send no limit_rate. */
-#define REPLY_VALUES_MIN 11
+#define QUERY_VALUES 20
+/* Instances of older versions send fewer values: nothing about streams. */
+#define REPLY_VALUES 13
+/* Instances of older versions send no software, older ones no limit_rate. */
+#define REPLY_VALUES_LIMIT 12
 #define NOTICE_VALUES 8
 #define REPORT_VALUES 5
 #define PREFIX_VALUES 4
@@ -42,6 +41,10 @@
   for (size_t i = 0; i < query->excluded_count; i++)
     bd_pack_uint (pack, query->excluded[i]);
   bd_pack_uint (pack, query->software);
+  bd_pack_uint (pack, query->continues);
+  bd_pack_uint (pack, query->stream);
+  bd_pack_uint (pack, query->own_part);
+  bd_pack_int (pack, query->waited_ms);
 }
 
 static void
@@ -59,6 +62,7 @@
   bd_pack_int (pack, reply->max_wait_ms);
   bd_pack_int (pack, reply->retry_after_ms);
   bd_pack_uint (pack, reply->limit_rate);
+  bd_pack_uint (pack, reply->software);
 }
 
 static void
@@ -112,6 +116,8 @@
       return 1 + (uint32_t)message->prefixes.count * PREFIX_VALUES;
     case BD_COORDINATION_LIMIT:
       return 1;
+    case BD_COORDINATION_ORIGINS:
+      return (uint32_t)message->origins.count * BD_ORIGIN_NOTICE_VALUES;
     default:
       return 0;
     }
@@ -149,6 +155,10 @@
     case BD_COORDINATION_LIMIT:
       bd_limit_notice_write (&pack, &message->limit);
       break;
+    case BD_COORDINATION_ORIGINS:
+      for (size_t i = 0; i < message->origins.count; i++)
+        bd_origin_notice_write (&pack, &message->origins.items[i]);
+      break;
     default:
       break;
     }
@@ -228,8 +238,13 @@
     refuse (u);
   for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
     query->excluded[query->excluded_count++] = read_uint32 (u);
-  if (value_count > QUERY_VALUES_MIN)
-    query->software = bd_unpack_uint (u);
+  if (value_count < QUERY_VALUES)
+    return;
+  query->software = bd_unpack_uint (u);
+  query->continues = bd_unpack_uint (u) != 0;
+  query->stream = bd_unpack_uint (u);
+  query->own_part = bd_unpack_uint (u);
+  query->waited_ms = read_ms (u);
 }
 
 static void
@@ -240,7 +255,7 @@
 
   reply->request_number = read_uint32 (u);
   verdict = bd_unpack_uint (u);
-  if (verdict > BD_COORDINATION_NO_RUNNER)
+  if (verdict > BD_COORDINATION_ORIGIN_UNKNOWN)
     refuse (u);
   reply->verdict = (enum bd_coordination_verdict)verdict;
   reply->target = read_uint32 (u);
@@ -252,8 +267,10 @@
   reply->cost_ms = read_ms (u);
   reply->max_wait_ms = read_ms (u);
   reply->retry_after_ms = read_ms (u);
-  if (count > REPLY_VALUES_MIN)
+  if (count >= REPLY_VALUES_LIMIT)
     reply->limit_rate = read_uint32 (u);
+  if (count >= REPLY_VALUES)
+    reply->software = bd_unpack_uint (u);
 }
 
 static void
@@ -350,6 +367,14 @@
     case BD_COORDINATION_LIMIT:
       bd_limit_notice_read (&u, &message->limit);
       break;
+    case BD_COORDINATION_ORIGINS:
+      if (count > BD_COORDINATION_ORIGINS_MAX * BD_ORIGIN_NOTICE_VALUES)
+        return BD_ERR_PROTOCOL;
+      for (uint32_t i = 0;
+           i < count / BD_ORIGIN_NOTICE_VALUES && u.error == BD_OK; i++)
+        bd_origin_notice_read (
+            &u, &message->origins.items[message->origins.count++]);
+      break;
     default:
       return BD_ERR_PROTOCOL;
     }
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -1,8 +1,8 @@
 /**
  * @file coordination.h
  * Messages between an instance and the coordinator about the placement of
- * requests: query, reply, reports on the request, and prefix locations for
- * standby coordinators.
+ * requests: query, reply, reports on the request, prefix locations for standby
+ * coordinators, and the origins of streams.
  */
 #ifndef BD_COORDINATION_H
 #define BD_COORDINATION_H
@@ -11,6 +11,7 @@
 #include "balance/overload.h"
 #include "balance/prefix_map.h"
 #include "gateway/limit_notice.h"
+#include "gateway/origin_notice.h"
 
 /**
  * First value of the datagrams of this module; gossip datagrams have lower
@@ -23,6 +24,7 @@
 #define BD_COORDINATION_REPORTS_MAX 100
 #define BD_COORDINATION_PREFIXES_MAX 50
 #define BD_COORDINATION_NOTICES_MAX 40
+#define BD_COORDINATION_ORIGINS_MAX 40
 
 enum bd_coordination_kind
 {
@@ -32,6 +34,7 @@
   BD_COORDINATION_NOTICES,
   BD_COORDINATION_PREFIXES,
   BD_COORDINATION_LIMIT,
+  BD_COORDINATION_ORIGINS,
   BD_COORDINATION_KIND_COUNT
 };
 
@@ -55,6 +58,12 @@
   /** Hash of the software version that the runner must have;
       BD_SOFTWARE_ANY: any. */
   uint64_t software;
+  /** The caller continues a stream, so SOFTWARE has to be found out. */
+  bool continues;
+  uint64_t stream;   /**< Number of that stream; 0: not named. */
+  uint64_t own_part; /**< Part of the prompt that no other request has; 0:
+                        none. */
+  int64_t waited_ms; /**< How long SOFTWARE has been asked for. */
   uint32_t excluded[BD_COORDINATION_EXCLUDED_MAX]; /**< Low 32 bits of runners'
                                                       hashes. */
   size_t excluded_count;
@@ -64,7 +73,10 @@
 {
   BD_COORDINATION_PLACED = 0, /**< The request goes to the target. */
   BD_COORDINATION_REFUSED,    /**< The expected wait is over the limit. */
-  BD_COORDINATION_NO_RUNNER
+  BD_COORDINATION_NO_RUNNER,
+  BD_COORDINATION_ORIGIN_PENDING, /**< Which version began the stream is being
+                                     found out: ask again. */
+  BD_COORDINATION_ORIGIN_UNKNOWN  /**< Nothing shows which version it was. */
 };
 
 struct bd_coordination_reply
@@ -85,6 +97,9 @@
   /** Rate limit of the target under which the request was placed, in
       thousandths of a request per second; 0: the coordinator knows of none. */
   uint32_t limit_rate;
+  /** Hash of the software version that the runner had to have;
+      BD_SOFTWARE_ANY: any. */
+  uint64_t software;
 };
 
 /** What an attempt showed about its runner. */
@@ -149,6 +164,11 @@
       bool complete;
     } prefixes;
     struct bd_limit_notice limit;
+    struct
+    {
+      struct bd_origin_notice items[BD_COORDINATION_ORIGINS_MAX];
+      size_t count;
+    } origins;
   };
 };
 
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -22,6 +22,9 @@
    received all of them or began to ask the runners; runners are not asked
    again before. */
 #define PREFIXES_VALID_MS 5000
+/* Time until an instance has told of a stream that just began; before, runners
+   are not asked for it. */
+#define ORIGIN_DELAY_MS 40
 /* A request is removed from the ledger this long after its deadline. */
 #define EXPIRY_MARGIN_MS 1000
 
@@ -179,8 +182,9 @@
 }
 
 static struct bd_coordination_reply
-reply_from_decision (const struct bd_coordination_query *query,
-                     const struct bd_decision *decision, int64_t now_ms)
+reply_from_decision (const struct bd_selection_request *request,
+                     const struct bd_coordination_query *query,
+                     const struct bd_decision *decision)
 {
   const struct bd_selection *selection = &decision->selection;
 
@@ -198,8 +202,10 @@
     .cost_ms = selection->target ? (int64_t)selection->cost_ms : 0,
     .max_wait_ms = (int64_t)decision->max_wait_ms,
     .retry_after_ms = decision->retry_after_ms,
-    .limit_rate
-    = selection->target ? bd_runner_limit_rate (selection->target, now_ms) : 0,
+    .limit_rate = selection->target ? bd_runner_limit_rate (selection->target,
+                                                            request->now_ms)
+                                    : 0,
+    .software = request->software,
   };
 }
 
@@ -216,6 +222,50 @@
   return bd_runner_limit_next_turn_ms (all, count, now_ms);
 }
 
+/* Looks for the version that began the stream of QUERY in what runners hold.
+   Asks them if that is not known. */
+static uint64_t
+find_holder (struct bd_coordinator *coordinator,
+             const struct bd_coordination_query *query, int64_t now_ms,
+             bool *pending)
+{
+  struct bd_inventory *inventory = coordinator->options.inventory;
+
+  if (!inventory || query->own_part == 0)
+    return BD_SOFTWARE_ANY;
+  switch (bd_inventory_state (inventory, query->service, now_ms))
+    {
+    case BD_INVENTORY_KNOWN:
+      return bd_stream_origins_find_holder (coordinator->options.origins,
+                                            query->own_part, now_ms);
+    case BD_INVENTORY_OLD:
+      bd_inventory_query (inventory, query->service, now_ms);
+      break;
+    case BD_INVENTORY_ASKED:
+      break;
+    }
+  *pending = true;
+  return BD_SOFTWARE_ANY;
+}
+
+enum bd_coordination_verdict
+bd_coordinator_find_software (struct bd_coordinator *coordinator,
+                              const struct bd_coordination_query *query,
+                              int64_t now_ms, uint64_t *software)
+{
+  bool pending = query->waited_ms < ORIGIN_DELAY_MS;
+
+  *software = bd_stream_origins_find (coordinator->options.origins,
+                                      query->stream, now_ms);
+  if (*software == BD_SOFTWARE_ANY && !pending)
+    *software = find_holder (coordinator, query, now_ms, &pending);
+  if (*software == BD_SOFTWARE_ANY && pending)
+    return BD_COORDINATION_ORIGIN_PENDING;
+  return *software > BD_SOFTWARE_UNCERTAIN || *software == BD_SOFTWARE_UNNAMED
+             ? BD_COORDINATION_PLACED
+             : BD_COORDINATION_ORIGIN_UNKNOWN;
+}
+
 struct bd_coordination_reply
 bd_coordinator_decide (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_coordination_query *query,
@@ -244,11 +294,21 @@
   struct bd_assignment assignment
       = { .instance = ip, .request_number = query->request_number };
 
+  if (query->continues && request.software == BD_SOFTWARE_ANY)
+    {
+      enum bd_coordination_verdict verdict = bd_coordinator_find_software (
+          coordinator, query, now_ms, &request.software);
+
+      if (verdict != BD_COORDINATION_PLACED)
+        return (struct bd_coordination_reply){ .request_number
+                                               = query->request_number,
+                                               .verdict = verdict };
+    }
   request.learning = now_ms - shard->started_ms < WARMUP_MS;
   decision = bd_decide (coordinator->options.selector,
                         coordinator->options.targets, &request, &overload,
                         query->is_retry, &coordinator->random_state);
-  if (!decision.selection.target && query->software != BD_SOFTWARE_ANY)
+  if (!decision.selection.target && request.software != BD_SOFTWARE_ANY)
     {
       /* The runners of that version may all belong to other shards. */
       request.shards = 1;
@@ -259,7 +319,7 @@
   if (!decision.selection.target)
     decision.retry_after_ms = next_turn_ms (coordinator, query, now_ms);
   if (!decision.selection.target || decision.rejected)
-    return reply_from_decision (query, &decision, now_ms);
+    return reply_from_decision (&request, query, &decision);
   assignment.target = decision.selection.target;
   assignment.prefill_tokens = decision.selection.prefill_tokens;
   assignment.placed_ms = now_ms;
@@ -273,7 +333,7 @@
                            assignment.target);
   if (ip != coordinator->options.ip)
     bd_outlier_record_sent (assignment.target, now_ms);
-  return reply_from_decision (query, &decision, now_ms);
+  return reply_from_decision (&request, query, &decision);
 }
 
 /* Handles the end of a request's prefill: updates the speed estimate of the
@@ -408,6 +468,11 @@
       bd_limit_notice_apply (coordinator->options.targets, &message->limit,
                              now_ms);
       break;
+    case BD_COORDINATION_ORIGINS:
+      for (size_t i = 0; i < message->origins.count; i++)
+        bd_origin_notice_apply (coordinator->options.origins,
+                                &message->origins.items[i], now_ms);
+      break;
     default:
       break;
     }
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -22,6 +22,8 @@
   struct bd_stats *stats;
   /** Asks runners which prefixes they hold.  May be NULL. */
   struct bd_inventory *inventory;
+  /** Which software versions began the streams of all instances. */
+  struct bd_stream_origins *origins;
 };
 
 struct bd_coordinator *
@@ -41,6 +43,16 @@
                        const struct bd_coordination_query *query,
                        int64_t now_ms);
 
+/**
+ * Finds out which software version began the stream that the caller of QUERY
+ * continues.  Returns BD_COORDINATION_PLACED and sets *SOFTWARE when it is
+ * known, or else one of the two verdicts about origins.
+ */
+enum bd_coordination_verdict
+bd_coordinator_find_software (struct bd_coordinator *coordinator,
+                              const struct bd_coordination_query *query,
+                              int64_t now_ms, uint64_t *software);
+
 /**
  * Enters a request in the ledger that the instance at IP placed without a
  * reply of this coordinator.
--- a/src/gateway/coordinator_client.h
+++ b/src/gateway/coordinator_client.h
@@ -89,6 +89,15 @@
     struct bd_coordination_reply *reply,
     bd_coordinator_client_on_reply on_reply, void *context);
 
+/**
+ * Finds out here, without the coordinator of the shard, which software version
+ * began the stream of QUERY; see bd_coordinator_find_software ().
+ */
+enum bd_coordination_verdict
+bd_coordinator_client_find_software (struct bd_coordinator_client *client,
+                                     const struct bd_coordination_query *query,
+                                     uint64_t *software);
+
 /**
  * Cancels the query of a request that ends while its query is pending;
  * on_reply is not called.
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -25,6 +25,9 @@
   /** Hash of the prompt's last shared prefix; 0: none. */
   uint64_t prefix_hash;
   uint64_t shared_tokens; /**< Length of the shared prefix. */
+  /** Hash of the prompt's last part, which no other request of another
+      session has; 0: none. */
+  uint64_t own_part;
   /** Parts of the shared prefix, whatever model reads them. */
   struct bd_part_list parts;
   /** Rest of the prompt; 0: the request has no prompt. */
@@ -64,7 +67,8 @@
       rate_limit; /**< That limit, in thousandths of a request per second. */
 };
 
-/** Called for each shared prefix that a runner holds; PREFIX is its hash. */
+/** Called for each part of a prompt that a runner holds; PREFIX is the hash of
+    the prompt up to its end. */
 typedef void (*bd_dialect_on_prefix) (void *context, uint64_t prefix,
                                       uint64_t tokens);
 
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -198,6 +198,7 @@
   f->selection_request.objective_ms = route->objective_ms;
   f->selection_request.sent_here = true;
   set_deadline (f);
+  bd_forward_init_continuation (f);
   bd_forward_next_attempt (f);
 }
 
@@ -236,7 +237,11 @@
   for (struct bd_forward *f = forwarder->first_forward; f; f = f->next)
     if (f->target && f->registration.shard_key == key
         && f->registration.coordinator_ip != ip)
-      bd_forward_reregister (f, ip, now);
+      {
+        bd_forward_reregister (f, ip, now);
+        if (f->origin_told)
+          bd_forward_tell_origin (f);
+      }
   bd_coordinator_client_flush (forwarder->options.coordinator_client);
 }
 
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -10,6 +10,7 @@
 #include "balance/routing.h"
 #include "retry/suspect.h"
 #include "gateway/coordinator_client.h"
+#include "gateway/origin_outbox.h"
 #include "http/client.h"
 #include "gateway/dialect.h"
 #include "http/server.h"
@@ -28,6 +29,8 @@
   struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_coordinator_client *coordinator_client;
+  struct bd_stream_origins *origins;
+  struct bd_origin_outbox *origin_outbox;
   struct bd_chunk zone;      /**< Availability zone of this instance. */
   size_t buffered_max_bytes; /**< Limit for the bytes of all incomplete
                                 responses together. */
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -3,8 +3,9 @@
  * Internals of the forwarder: the state of a request that is being forwarded.
  * Private to forward.c (routing of requests), attempt.c (attempts at runners),
  * attempt_result.c (what follows a failed attempt), response.c (runners'
- * responses), crash_probe.c (connection probes of runners that may have
- * crashed) and completion.c (final responses to the caller).
+ * responses), continuation.c (the software versions that streams keep to),
+ * crash_probe.c (connection probes of runners that may have crashed) and
+ * completion.c (final responses to the caller).
  */
 #ifndef BD_FORWARD_INTERNAL_H
 #define BD_FORWARD_INTERNAL_H
@@ -120,8 +121,10 @@
      sent. */
   uint64_t target_software;
   /* Hash of the software version that began the stream, the only one that may
-     go on with it; BD_SOFTWARE_ANY: no event has come yet. */
+     go on with it; BD_SOFTWARE_ANY: no event has come yet, or not known. */
   uint64_t stream_software;
+  /* Number of the stream that the caller continues; 0: not named. */
+  uint64_t continued_stream;
   /* What the attempt has shown about the runner. */
   struct bd_attempt_outcome outcome;
   int64_t pause_left_ms; /* Time until the first runner that asked for a pause
@@ -130,6 +133,9 @@
                             their requests; 0: none does, or not known. */
   bool runner_was_idle;  /* No wait was expected at the runner. */
   bool may_have_run;
+  bool continues;   /* The caller continues a stream that another of its
+                       attempts began. */
+  bool origin_told; /* Peers were told which version began the stream. */
   /* Why the request was not sent to another runner. */
   enum bd_stop_reason stop_reason;
   bool waits_for_budget; /* Between attempts, until the retry budget has
@@ -229,6 +235,39 @@
 void bd_forward_log_failed_attempt (const struct bd_forward *f,
                                     const char *reason);
 
+/**
+ * Prepares a request whose caller may continue a stream of an earlier attempt.
+ */
+void bd_forward_init_continuation (struct bd_forward *f);
+
+/** Fills in what QUERY says about the stream that is continued. */
+void bd_forward_fill_continuation (const struct bd_forward *f,
+                                   struct bd_coordination_query *query);
+
+/**
+ * Returns whether the request may be placed: it is known which software
+ * version it needs, if any.  REPLY is the coordinator's, or NULL.  Otherwise
+ * the query is repeated later, or F has been refused and freed.
+ */
+bool bd_forward_origin_is_known (struct bd_forward *f,
+                                 const struct bd_coordination_reply *reply);
+
+/** Logs that the request continues a stream at TARGET, if it does. */
+void bd_forward_log_continued (const struct bd_forward *f,
+                               const struct bd_target *target);
+
+/** Records which software version begins the stream, at its first event. */
+void bd_forward_stream_begins (struct bd_forward *f);
+
+/**
+ * Checks at the end of an attempt that had events whether the list still shows
+ * the process that began the stream.
+ */
+void bd_forward_check_software (struct bd_forward *f);
+
+/** Tells peers which software version began the stream. */
+void bd_forward_tell_origin (struct bd_forward *f);
+
 /** Records the result of the attempt at its runner. */
 void bd_forward_record_result (struct bd_forward *f,
                                enum bd_outlier_result result);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -56,6 +56,8 @@
   struct bd_inventory *inventory;
   struct bd_coordinator *coordinator;
   struct bd_coordinator_client *coordinator_client;
+  struct bd_stream_origins *origins;
+  struct bd_origin_outbox *origin_outbox;
   struct bd_forwarder *forwarder;
   struct bd_server *caller_server;
   struct bd_server *readiness_server;
@@ -371,8 +373,11 @@
       = bd_mesh_create (&options, &peers_handler, gateway, &gateway->mesh);
 
   if (error == BD_OK)
-    bd_coordinator_client_set_mesh (gateway->coordinator_client,
-                                    gateway->mesh);
+    {
+      bd_coordinator_client_set_mesh (gateway->coordinator_client,
+                                      gateway->mesh);
+      bd_origin_outbox_set_mesh (gateway->origin_outbox, gateway->mesh);
+    }
   return error;
 }
 
@@ -384,11 +389,13 @@
       = { .client = gateway->client,
           .dialect = gateway->options.dialect,
           .targets = gateway->targets,
-          .prefixes = bd_selector_prefixes (gateway->selector) };
+          .prefixes = bd_selector_prefixes (gateway->selector),
+          .origins = gateway->origins };
   struct bd_coordinator_options coordinator = { .ip = ip,
                                                 .selector = gateway->selector,
                                                 .targets = gateway->targets,
-                                                .stats = gateway->stats };
+                                                .stats = gateway->stats,
+                                                .origins = gateway->origins };
   struct bd_coordinator_client_options client_options
       = { .loop = &gateway->loop, .ip = ip, .stats = gateway->stats };
 
@@ -399,7 +406,10 @@
   if (gateway->coordinator)
     gateway->coordinator_client
         = bd_coordinator_client_create (&client_options);
-  return gateway->coordinator_client ? BD_OK : BD_ERR_NOMEM;
+  gateway->origin_outbox
+      = bd_origin_outbox_create (&gateway->loop, ip, gateway->origins);
+  return gateway->coordinator_client && gateway->origin_outbox ? BD_OK
+                                                               : BD_ERR_NOMEM;
 }
 
 static int
@@ -415,28 +425,31 @@
   gateway->suspects = bd_suspects_create (SUSPECTS_MAX, SUSPECTS_KEEP_MS);
   gateway->breakers = bd_part_breakers_create (bd_id_random ().low);
   gateway->stats = bd_stats_create ();
+  gateway->origins = bd_stream_origins_create ();
   gateway->peer_configuration = bd_peer_configuration_create (
       gateway->client, &gateway->options.internal_address,
       on_peer_configuration, gateway);
   if (!gateway->client || !gateway->targets || !gateway->selector
       || !gateway->retries || !gateway->suspects || !gateway->breakers
-      || !gateway->stats || !gateway->peer_configuration
+      || !gateway->stats || !gateway->origins || !gateway->peer_configuration
       || create_coordinator (gateway) != BD_OK)
     return BD_ERR_NOMEM;
-  options = (struct bd_forwarder_options){ .loop = &gateway->loop,
-                                           .dialect = gateway->options.dialect,
-                                           .client = gateway->client,
-                                           .targets = gateway->targets,
-                                           .selector = gateway->selector,
-                                           .retries = gateway->retries,
-                                           .suspects = gateway->suspects,
-                                           .breakers = gateway->breakers,
-                                           .stats = gateway->stats,
-                                           .coordinator_client
-                                           = gateway->coordinator_client,
-                                           .zone = gateway->options.zone,
-                                           .buffered_max_bytes
-                                           = BUFFERED_RESPONSES_MAX_BYTES };
+  options = (struct bd_forwarder_options){
+    .loop = &gateway->loop,
+    .dialect = gateway->options.dialect,
+    .client = gateway->client,
+    .targets = gateway->targets,
+    .selector = gateway->selector,
+    .retries = gateway->retries,
+    .suspects = gateway->suspects,
+    .breakers = gateway->breakers,
+    .stats = gateway->stats,
+    .coordinator_client = gateway->coordinator_client,
+    .origins = gateway->origins,
+    .origin_outbox = gateway->origin_outbox,
+    .zone = gateway->options.zone,
+    .buffered_max_bytes = BUFFERED_RESPONSES_MAX_BYTES
+  };
   gateway->forwarder = bd_forwarder_create (&options);
   return gateway->forwarder ? BD_OK : BD_ERR_NOMEM;
 }
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -1,7 +1,7 @@
 #include "gateway/inventory.h"
 
+#include "balance/pause.h"
 #include "balance/runner_limit.h"
-
 #include "common/clock.h"
 #include "common/log.h"
 
@@ -15,6 +15,10 @@
 #define CONNECT_TIMEOUT_MS 300
 #define IDLE_MAX_MS 5000
 #define RESPONSE_MAX_BYTES ((size_t)1024 * 1024)
+/* Services whose last query is remembered, and for how long its result counts
+   as what runners hold. */
+#define SERVICES_MAX 8
+#define VALID_MS 5000
 
 /* Call to a runner. */
 struct runner_call
@@ -22,18 +26,27 @@
   struct bd_inventory *inventory;
   struct bd_call *http_call; /* NULL: entry is free. */
   uint64_t target;           /* Hash of the runner. */
+  uint64_t software;         /* Version of the runner when it was asked. */
   int64_t started_ms;
   int status;
   size_t prefix_count;
   struct bd_buffer body;
 };
 
+/* Last query for the runners of a service. */
+struct service_query
+{
+  uint64_t service; /* Hash of its name. */
+  int64_t started_ms;
+};
+
 struct bd_inventory
 {
   struct bd_inventory_options options;
   struct runner_call calls[CALLS_MAX];
   uint64_t queue[QUEUE_MAX]; /* Hashes of the runners to call. */
   size_t queue_count;
+  struct service_query queries[SERVICES_MAX];
 };
 
 struct bd_inventory *
@@ -88,6 +101,8 @@
   struct runner_call *call = context;
   struct bd_prefix_map *prefixes = call->inventory->options.prefixes;
 
+  bd_stream_origins_record_holder (call->inventory->options.origins, prefix,
+                                   call->software, bd_clock_boot_ms ());
   if (tokens < BD_PREFIX_MAP_TOKENS_MIN)
     return;
   call->prefix_count++;
@@ -96,6 +111,8 @@
   bd_prefix_map_record_cached (prefixes, prefix, call->target);
 }
 
+static void start_next (struct runner_call *call, int64_t now_ms);
+
 static void
 end_call (struct runner_call *call, const char *result)
 {
@@ -106,6 +123,7 @@
           (long long)(bd_clock_boot_ms () - call->started_ms));
   call->http_call = NULL;
   bd_buffer_clear (&call->body);
+  start_next (call, bd_clock_boot_ms ());
 }
 
 static void
@@ -127,8 +145,11 @@
 {
   struct runner_call *call = context;
   const struct bd_dialect *dialect = call->inventory->options.dialect;
+  const struct bd_target *target = find_target (call->inventory, call->target);
   int error = BD_ERR_ENGINE;
 
+  if (!target || target->software.hash != call->software)
+    call->software = BD_SOFTWARE_UNCERTAIN;
   if (call->status == 200)
     error = dialect->read_prefixes (bd_buffer_chunk (&call->body), on_prefix,
                                     call);
@@ -161,6 +182,7 @@
   request.address.sin_addr.s_addr = target->ip;
   request.address.sin_port = target->port;
   call->target = target->hash;
+  call->software = target->software.hash;
   call->started_ms = now_ms;
   call->status = 0;
   call->prefix_count = 0;
@@ -168,23 +190,84 @@
                                     &call_handler, call);
 }
 
+/* Whether TARGET may be asked.  What a draining runner holds may show which
+   version began a stream. */
+static bool
+may_ask (const struct bd_target *target, int64_t now_ms)
+{
+  return !target->evacuated && target->state != BD_TARGET_GONE
+         && bd_pause_allows (target, now_ms)
+         && bd_runner_limit_rate (target, now_ms) == 0;
+}
+
+/* Starts the next call in the queue, in the place of CALL, which has ended. */
+static void
+start_next (struct runner_call *call, int64_t now_ms)
+{
+  struct bd_inventory *inventory = call->inventory;
+
+  while (!call->http_call && inventory->queue_count > 0)
+    {
+      const struct bd_target *target = find_target (
+          inventory, inventory->queue[--inventory->queue_count]);
+
+      if (target && may_ask (target, now_ms))
+        start_call (call, target, now_ms);
+    }
+}
+
+/* Returns the last query for SERVICE, or the oldest one, to be replaced. */
+static struct service_query *
+find_query (struct bd_inventory *inventory, uint64_t service)
+{
+  struct service_query *oldest = &inventory->queries[0];
+
+  for (size_t i = 0; i < SERVICES_MAX; i++)
+    {
+      struct service_query *query = &inventory->queries[i];
+
+      if (query->service == service)
+        return query;
+      if (query->started_ms < oldest->started_ms)
+        oldest = query;
+    }
+  return oldest;
+}
+
 void
 bd_inventory_query (struct bd_inventory *inventory, struct bd_chunk service,
                     int64_t now_ms)
 {
+  uint64_t key = bd_chunk_hash (service);
   size_t count;
   struct bd_target *const *all
       = bd_targets_of_service (inventory->options.targets, service, &count);
 
   if (inventory->options.dialect->prefixes_request.length == 0)
     return;
+  *find_query (inventory, key) = (struct service_query){ key, now_ms };
   for (size_t i = 0; i < count && inventory->queue_count < QUEUE_MAX; i++)
-    if (bd_target_usable (all[i])
-        && bd_runner_limit_rate (all[i], now_ms) == 0)
+    if (may_ask (all[i], now_ms))
       inventory->queue[inventory->queue_count++] = all[i]->hash;
   bd_inventory_tick (inventory, now_ms);
 }
 
+enum bd_inventory_state
+bd_inventory_state (const struct bd_inventory *inventory,
+                    struct bd_chunk service, int64_t now_ms)
+{
+  uint64_t key = bd_chunk_hash (service);
+  const struct service_query *query
+      = find_query ((struct bd_inventory *)inventory, key);
+
+  if (query->service != key || now_ms - query->started_ms >= VALID_MS)
+    return BD_INVENTORY_OLD;
+  for (size_t i = 0; i < CALLS_MAX; i++)
+    if (inventory->calls[i].http_call)
+      return BD_INVENTORY_ASKED;
+  return inventory->queue_count > 0 ? BD_INVENTORY_ASKED : BD_INVENTORY_KNOWN;
+}
+
 void
 bd_inventory_tick (struct bd_inventory *inventory, int64_t now_ms)
 {
@@ -197,13 +280,6 @@
           bd_call_cancel (call->http_call);
           end_call (call, "timeout");
         }
-      while (!call->http_call && inventory->queue_count > 0)
-        {
-          const struct bd_target *target = find_target (
-              inventory, inventory->queue[--inventory->queue_count]);
-
-          if (target && bd_target_usable (target))
-            start_call (call, target, now_ms);
-        }
+      start_next (call, now_ms);
     }
 }
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -187,25 +187,12 @@
   bd_exchange_begin (f->exchange, f->status, bd_buffer_chunk (&f->fields));
 }
 
-/* Records which software version begins the stream.  If the runner's entry has
-   changed to another one since the request was sent, either may have answered.
- */
-static void
-record_software (struct bd_forward *f)
-{
-  if (f->stream_software != BD_SOFTWARE_ANY)
-    return;
-  f->stream_software = f->target->software.hash == f->target_software
-                           ? f->target_software
-                           : BD_SOFTWARE_UNCERTAIN;
-}
-
 static void
 forward_event (struct bd_forward *f, struct bd_chunk event)
 {
   struct bd_chunk id = bd_sse_id (event);
 
-  record_software (f);
+  bd_forward_stream_begins (f);
   if (f->first_event_at_ms == 0)
     f->first_event_at_ms = bd_clock_boot_ms ();
   handle_first_event (f);
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -19,6 +19,7 @@
   X (RETRIES_DENIED, "retries_denied",                                        \
      "Requests to which the retry budget refused a retry")                    \
   X (RESUMES, "resumes", "Streams resumed at another runner")                 \
+  X (CONTINUED, "continued", "Streams continued by their callers")            \
   X (BROKEN, "broken", "Streams that ended incomplete")                       \
   X (EVENTS, "events", "Stream events passed on")                             \
   X (CONNECTS, "connects", "Connections made by the instance")                \
--- a/src/retry/retry.c
+++ b/src/retry/retry.c
@@ -90,6 +90,7 @@
     case BD_ERR_HEAD_TOO_LARGE:
     case BD_ERR_SLOW_CALLER:
     case BD_ERR_SUSPENDED:
+    case BD_ERR_ORIGIN_UNKNOWN:
     case BD_ERR_INTERNAL:
     case BD_ERR_LIMIT:
       break;
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -322,9 +322,12 @@
   gateway->suspects = bd_suspects_create (64, 60000);
   gateway->breakers = bd_part_breakers_create (1);
   gateway->stats = bd_stats_create ();
+  gateway->origins = bd_stream_origins_create ();
+  gateway->origin_outbox
+      = bd_origin_outbox_create (&gateway->loop, 1, gateway->origins);
   inventory = (struct bd_inventory_options){
     gateway->client, &bd_cutline_dialect, gateway->targets,
-    bd_selector_prefixes (gateway->selector)
+    bd_selector_prefixes (gateway->selector), gateway->origins
   };
   gateway->inventory = bd_inventory_create (&inventory);
   coordinator
@@ -332,7 +335,8 @@
                                          .selector = gateway->selector,
                                          .targets = gateway->targets,
                                          .stats = gateway->stats,
-                                         .inventory = gateway->inventory };
+                                         .inventory = gateway->inventory,
+                                         .origins = gateway->origins };
   gateway->coordinator = bd_coordinator_create (&coordinator);
   client_options = (struct bd_coordinator_client_options){
     &gateway->loop, 1, gateway->coordinator, gateway->stats
@@ -344,6 +348,7 @@
     gateway->selector, gateway->retries,
     gateway->suspects, gateway->breakers,
     gateway->stats,    gateway->coordinator_client,
+    gateway->origins,  gateway->origin_outbox,
     BD_CHUNK ("z"),    HELD_MAX_BYTES
   };
   gateway->forwarder = bd_forwarder_create (&options);
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -72,6 +72,8 @@
   struct bd_suspects *suspects;
   struct bd_part_breakers *breakers;
   struct bd_stats *stats;
+  struct bd_stream_origins *origins;
+  struct bd_origin_outbox *origin_outbox;
   struct bd_inventory *inventory;
   struct bd_coordinator *coordinator;
   struct bd_coordinator_client *coordinator_client;
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -196,6 +196,96 @@
   support_gateway_close (&g);
 }
 
+/* Two of the runners hold the prompt, of different versions. */
+static void
+test_version_ambiguous (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 2; i++)
+    {
+      support_gateway_runner (&g, i, lists_then_ends, 2);
+      support_gateway_set_software (&g, i, i == 0 ? "v1" : "v1.1");
+    }
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "\"stream_origin_unknown\"");
+  check_runners (&g, 2, 0);
+  support_gateway_close (&g);
+}
+
+/* A runner does not answer what it holds: the wait for it has an end. */
+static void
+test_list_missing (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, NULL, 0);
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "\"stream_origin_unknown\"");
+  check_runners (&g, 1, 0);
+  support_gateway_close (&g);
+}
+
+/* An instance that began a stream knows its version without asking runners,
+   and goes on knowing it after an attempt that had no event. */
+static void
+test_known_here (void)
+{
+  static const struct support_step steps[]
+      = { { STREAM_HEAD, SUPPORT_RESET }, { REST, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_caller *caller = begin_stream (&g, 1, 0);
+
+  await_outcome (caller);
+  support_gateway_unlist (&g, 0);
+  caller = call (&g, 1, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "\"no_runner\"");
+  check_contains (caller->in, "\"ran\":\"no\"");
+  support_gateway_runner (&g, 2, steps, 2);
+  support_gateway_set_software (&g, 2, "v1");
+  caller = call (&g, 2, "a3", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "\"ran\":\"unknown\"");
+  caller = call (&g, 3, "a4", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  check_runners (&g, 3, 1 | 1 << 2);
+  support_gateway_close (&g);
+}
+
+/* Fields that could be read in two ways are refused; without the field that
+   names the stream, what runners hold still shows its version. */
+static void
+test_fields (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, lists_then_ends, 2);
+  support_gateway_set_software (&g, 0, "v1");
+  caller = call (&g, 0, "a2",
+                 "Last-Event-Id: 1\r\nResumes: a1\r\nResumes: a0\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "HTTP/1.1 400");
+  caller = call (&g, 1, "a3",
+                 "Last-Event-Id: 1\r\nLast-Event-Id: 2\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "HTTP/1.1 400");
+  check_runners (&g, 1, 0);
+  caller = call (&g, 2, "a4", "Last-Event-Id: 1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  support_gateway_close (&g);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -206,5 +296,9 @@
   g_test_add_func ("/continuation/entry-changes", test_entry_changes);
   g_test_add_func ("/continuation/after-restart", test_after_restart);
   g_test_add_func ("/continuation/version-unknown", test_version_unknown);
+  g_test_add_func ("/continuation/version-ambiguous", test_version_ambiguous);
+  g_test_add_func ("/continuation/list-missing", test_list_missing);
+  g_test_add_func ("/continuation/known-here", test_known_here);
+  g_test_add_func ("/continuation/fields", test_fields);
   return g_test_run ();
 }
--- a/test/test_coordination.c
+++ b/test/test_coordination.c
@@ -34,7 +34,11 @@
                                             .is_retry = true,
                                             .excluded = { 1, 2, UINT32_MAX },
                                             .excluded_count = 3,
-                                            .software = UINT64_MAX };
+                                            .software = UINT64_MAX,
+                                            .continues = true,
+                                            .stream = UINT64_MAX - 1,
+                                            .own_part = UINT64_MAX - 2,
+                                            .waited_ms = 1500 };
       break;
     case BD_COORDINATION_REPLY:
       m.reply
@@ -49,7 +53,8 @@
                                             .cost_ms = -1,
                                             .max_wait_ms = 800,
                                             .retry_after_ms = 640,
-                                            .limit_rate = 4100 };
+                                            .limit_rate = 4100,
+                                            .software = UINT64_MAX };
       break;
     case BD_COORDINATION_REPORTS:
       for (; m.reports.count < BD_COORDINATION_REPORTS_MAX; m.reports.count++)
@@ -76,6 +81,12 @@
       m.limit = (struct bd_limit_notice){ UINT32_MAX, INT64_MAX, UINT32_MAX,
                                           120000 };
       break;
+    case BD_COORDINATION_ORIGINS:
+      for (; m.origins.count < BD_COORDINATION_ORIGINS_MAX; m.origins.count++)
+        m.origins.items[m.origins.count]
+            = (struct bd_origin_notice){ UINT64_MAX, UINT64_MAX,
+                                         BD_ORIGIN_KEEP_MAX_MS };
+      break;
     default:
       g_assert_not_reached ();
     }
@@ -122,6 +133,10 @@
   g_assert_cmpuint (back.query.excluded_count, ==, 3);
   g_assert_cmpuint (back.query.excluded[2], ==, UINT32_MAX);
   g_assert_cmpuint (back.query.software, ==, UINT64_MAX);
+  g_assert_true (back.query.continues);
+  g_assert_cmpuint (back.query.stream, ==, UINT64_MAX - 1);
+  g_assert_cmpuint (back.query.own_part, ==, UINT64_MAX - 2);
+  g_assert_cmpint (back.query.waited_ms, ==, 1500);
   bd_buffer_clear (&bytes);
   m = sample (BD_COORDINATION_REPLY);
   bd_coordination_write (&m, &bytes);
@@ -130,10 +145,12 @@
   g_assert_cmpint (back.reply.cost_ms, ==, -1);
   g_assert_cmpint (back.reply.retry_after_ms, ==, 640);
   g_assert_cmpuint (back.reply.limit_rate, ==, 4100);
+  g_assert_cmpuint (back.reply.software, ==, UINT64_MAX);
   bd_buffer_clear (&bytes);
 }
 
-/* A reply of an older version has no rate limit at its end. */
+/* A reply of an older version has no rate limit and no software version at its
+   end. */
 static void
 test_older_reply (void)
 {
@@ -142,9 +159,10 @@
   struct bd_buffer bytes = { 0 };
 
   m.reply.limit_rate = 0;
+  m.reply.software = BD_SOFTWARE_ANY;
   bd_coordination_write (&m, &bytes);
-  bytes.data[0]--; /* An array of one value less. */
-  bytes.length--;
+  bytes.data[0] -= 2; /* An array of two values less. */
+  bytes.length -= 2;
   g_assert_cmpint (bd_coordination_read (bd_buffer_chunk (&bytes), &back), ==,
                    BD_OK);
   g_assert_cmpint (back.reply.retry_after_ms, ==, 640);
@@ -152,7 +170,7 @@
   bd_buffer_clear (&bytes);
 }
 
-/* A query of an older version has no software version at its end. */
+/* A query of an older version has nothing about streams at its end. */
 static void
 test_older_query (void)
 {
@@ -161,9 +179,12 @@
   struct bd_buffer bytes = { 0 };
 
   m.query.software = BD_SOFTWARE_ANY;
+  m.query.continues = false;
+  m.query.stream = m.query.own_part = 0;
+  m.query.waited_ms = 0;
   bd_coordination_write (&m, &bytes);
-  bytes.data[2]--; /* An array of one value less. */
-  bytes.length--;
+  bytes.data[2] -= 5; /* An array of five values less. */
+  bytes.length -= 5;
   g_assert_cmpint (bd_coordination_read (bd_buffer_chunk (&bytes), &back), ==,
                    BD_OK);
   g_assert_cmpuint (back.query.excluded_count, ==, 3);
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -15,6 +15,7 @@
   struct bd_targets *targets;
   struct bd_selector *selector;
   struct bd_stats *stats;
+  struct bd_stream_origins *origins;
   struct bd_coordinator *coordinator;
   uint32_t number;
 };
@@ -31,6 +32,7 @@
   options.targets = fixture->targets;
   options.selector = fixture->selector;
   options.stats = fixture->stats;
+  fixture->origins = options.origins = bd_stream_origins_create ();
   fixture->coordinator = bd_coordinator_create (&options);
   fixture->number = 0;
 }
@@ -42,6 +44,7 @@
   bd_selector_destroy (fixture->selector);
   bd_targets_destroy (fixture->targets);
   bd_stats_destroy (fixture->stats);
+  bd_stream_origins_destroy (fixture->origins);
 }
 
 static struct bd_coordination_query
@@ -485,6 +488,45 @@
   close_fixture (&fixture);
 }
 
+/* The version of a stream that a caller continues: an instance may be about to
+   tell it; it is told; what is told contradicts itself. */
+static void
+test_continued_stream (void)
+{
+  struct fixture fixture;
+  struct bd_coordination_query query;
+  uint64_t old = bd_software_of (BD_CHUNK ("v1")).hash;
+  struct bd_origin_notice notice = { 77, old, 10000 };
+  uint64_t software;
+
+  open_fixture (&fixture, 6);
+  support_set_software (fixture.targets, "r3", "v1");
+  query = long_query (&fixture, 1);
+  query.continues = true;
+  query.stream = 77;
+  query.own_part = 5;
+  g_assert_cmpint (
+      bd_coordinator_decide (fixture.coordinator, 2, &query, NOW).verdict, ==,
+      BD_COORDINATION_ORIGIN_PENDING);
+  query.waited_ms = 1000;
+  g_assert_cmpint (
+      bd_coordinator_decide (fixture.coordinator, 2, &query, NOW).verdict, ==,
+      BD_COORDINATION_ORIGIN_UNKNOWN);
+  bd_origin_notice_apply (fixture.origins, &notice, NOW);
+  g_assert_cmpint (bd_coordinator_find_software (fixture.coordinator, &query,
+                                                 NOW, &software),
+                   ==, BD_COORDINATION_PLACED);
+  g_assert_cmpuint (software, ==, old);
+  g_assert_true (place (&fixture, 2, &query, NOW)
+                 == support_target (fixture.targets, "r3"));
+  notice.software = BD_SOFTWARE_UNCERTAIN;
+  bd_origin_notice_apply (fixture.origins, &notice, NOW);
+  g_assert_cmpint (
+      bd_coordinator_decide (fixture.coordinator, 2, &query, NOW).verdict, ==,
+      BD_COORDINATION_ORIGIN_UNKNOWN);
+  close_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -501,5 +543,6 @@
   g_test_add_func ("/coordinator/placed-elsewhere", test_placed_elsewhere);
   g_test_add_func ("/coordinator/shards", test_shards);
   g_test_add_func ("/coordinator/software", test_software);
+  g_test_add_func ("/coordinator/continued-stream", test_continued_stream);
   return g_test_run ();
 }
--- a/test/test_coordinator_client.c
+++ b/test/test_coordinator_client.c
@@ -1,5 +1,6 @@
 /* Placement queries between two instances, over UDP on loopback. */
 #include "gateway/coordinator_client.h"
+#include "gateway/origin_outbox.h"
 
 #include "common/clock.h"
 #include "http/socket.h"
@@ -21,6 +22,8 @@
   struct bd_part_breakers *breakers;
   struct bd_stats *stats;
   struct bd_mesh *mesh;
+  struct bd_stream_origins *origins;
+  struct bd_origin_outbox *origin_outbox;
   struct bd_coordinator *coordinator;
   struct bd_coordinator_client *coordinator_client;
   uint32_t ip;
@@ -90,11 +93,15 @@
   side->suspects = bd_suspects_create (16, 60000);
   side->breakers = bd_part_breakers_create (i);
   side->stats = bd_stats_create ();
+  side->origins = bd_stream_origins_create ();
+  side->origin_outbox
+      = bd_origin_outbox_create (&fixture->loop, side->ip, side->origins);
   support_put_runners (side->targets, 6, 1);
   coordinator = (struct bd_coordinator_options){ .ip = side->ip,
                                                  .selector = side->selector,
                                                  .targets = side->targets,
-                                                 .stats = side->stats };
+                                                 .stats = side->stats,
+                                                 .origins = side->origins };
   side->coordinator = bd_coordinator_create (&coordinator);
   client_options = (struct bd_coordinator_client_options){
     &fixture->loop, side->ip, side->coordinator, side->stats
@@ -110,6 +117,7 @@
   g_assert_cmpint (bd_mesh_create (&mesh, &handler, side, &side->mesh), ==,
                    BD_OK);
   bd_coordinator_client_set_mesh (side->coordinator_client, side->mesh);
+  bd_origin_outbox_set_mesh (side->origin_outbox, side->mesh);
 }
 
 /* Sends gossip of both sides and handles what arrives. */
@@ -439,6 +447,50 @@
   keep_fixture (&fixture);
 }
 
+/* A stream that began at one instance is continued with the version that began
+   it, also at an instance that asks the coordinator for the first time. */
+static void
+test_stream_told (void)
+{
+  struct fixture fixture;
+  struct side *coordinator;
+  struct side *other;
+  struct outcome outcome = { 0 };
+  struct bd_coordinator_registration registration = { 0 };
+  struct bd_coordination_query query = pending_query ();
+  struct bd_coordination_reply reply;
+  uint64_t old = bd_software_of (BD_CHUNK ("v1")).hash;
+  struct bd_origin_notice notice = { 77, old, 10000 };
+
+  open_fixture (&fixture);
+  find_roles (&fixture, &coordinator, &other);
+  support_set_software (coordinator->targets, "r4", "v1");
+  bd_origin_outbox_tell (other->origin_outbox,
+                         bd_coordinator_shard_key (query.service, 0), &notice);
+  g_assert_cmpuint (
+      bd_stream_origins_find (other->origins, 77, bd_clock_boot_ms ()), ==,
+      old);
+  while (bd_stream_origins_find (coordinator->origins, 77, bd_clock_boot_ms ())
+         != old)
+    {
+      g_assert_false (fixture.late);
+      uv_run (&fixture.loop, UV_RUN_ONCE);
+    }
+  query.continues = true;
+  query.stream = 77;
+  g_assert_cmpint (bd_coordinator_client_query (other->coordinator_client,
+                                                &query, &registration, &reply,
+                                                on_reply, &outcome),
+                   ==, BD_COORDINATOR_CLIENT_PENDING);
+  await (&fixture, &outcome.replies, 1);
+  g_assert_cmpint (outcome.reply.verdict, ==, BD_COORDINATION_PLACED);
+  g_assert_cmpuint (outcome.reply.software, ==, old);
+  g_assert_cmpuint (
+      outcome.reply.target, ==,
+      (uint32_t)support_target (coordinator->targets, "r4")->hash);
+  keep_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -450,5 +502,6 @@
   g_test_add_func ("/coordinator-client/coordinator-change",
                    test_coordinator_change);
   g_test_add_func ("/coordinator-client/many-shards", test_many_shards);
+  g_test_add_func ("/coordinator-client/stream-told", test_stream_told);
   return g_test_run ();
 }
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -25,7 +25,8 @@
       = { .client = g->client,
           .dialect = &bd_cutline_dialect,
           .targets = g->targets,
-          .prefixes = bd_selector_prefixes (g->selector) };
+          .prefixes = bd_selector_prefixes (g->selector),
+          .origins = g->origins };
   struct bd_inventory *inventory = bd_inventory_create (&options);
 
   bd_inventory_query (inventory, BD_CHUNK ("s"), bd_clock_boot_ms ());
