Model: runners of two software versions, and broken answers that keep to theirs

A release leaves runners of both versions, of which some crash again and again; test_model two-versions: answers go on, none at another version.

--- a/bench/model/call.c
+++ b/bench/model/call.c
@@ -130,7 +130,8 @@
     .objective_ms = call->class->objective_ms,
     .now_ms = sim_clock_ms (sim),
     .tried = call->tried,
-    .tried_count = call->tried_count
+    .tried_count = call->tried_count,
+    .software = call->software
   };
 }
 
@@ -254,6 +255,7 @@
   call->attempt_seq++;
   if (!ran)
     call->runners_reached--;
+  call->broken = call->event_count > 0;
   if ((!ran || call->class->resumable)
       && call->runners_reached < call->class->attempts
       && call->tried_count < TRIED_MAX)
@@ -333,7 +335,16 @@
 on_event (struct simulation *sim, struct call *call)
 {
   double gap = sim->now_ms - call->last_ms;
+  uint64_t software = call->runner->software.hash;
 
+  if (call->software == BD_SOFTWARE_ANY)
+    call->software = software;
+  if (call->broken)
+    {
+      sim->resumed_count++;
+      sim->joined_count += call->software != software;
+    }
+  call->broken = false;
   if (call->event_count++ == 0)
     {
       call->first_ms = sim->now_ms - call->arrived_ms;
--- a/bench/model/result.c
+++ b/bench/model/result.c
@@ -183,6 +183,8 @@
       = sim->call_count ? (double)unserved / (double)sim->call_count : 0.0;
   result->prefill_tokens = prefill_tokens;
   result->fetched_tokens = sim->fetched_tokens;
+  result->resumed = sim->resumed_count;
+  result->joined = sim->joined_count;
   result->peak_to_mean = prefill_tokens ? (double)max_tokens
                                               * (double)sim->scenario->runners
                                               / (double)prefill_tokens
--- a/bench/model/simulation.c
+++ b/bench/model/simulation.c
@@ -84,7 +84,8 @@
                                    .ip = 1,
                                    .port = runner->port,
                                    .slots = sim->scenario->traits.slots,
-                                   .draining = draining };
+                                   .draining = draining,
+                                   .software = runner->software };
 
   bd_targets_put (gateway->targets, sim_clock_ms (sim), &entry,
                   ++sim->revision);
@@ -100,7 +101,7 @@
 }
 
 static size_t
-add_runner (struct simulation *sim)
+add_runner (struct simulation *sim, const char *software)
 {
   size_t index = sim->runner_count++;
   struct runner *runner = &sim->runners[index];
@@ -109,6 +110,7 @@
   snprintf (runner->zone, sizeof runner->zone, "z%zu",
             index % sim->scenario->zones);
   runner->port = (uint16_t)(index + 1);
+  runner->software = bd_software_of (bd_chunk_of (software));
   runner->engine
       = engine_create (&sim->scenario->traits, 1.0, call_on_token, sim);
   return index;
@@ -313,7 +315,7 @@
           break;
         case SIM_REPLACE:
           sim_schedule (sim, at_ms + MEMBERSHIP_LAG_MS, EVENT_JOIN, NULL,
-                        (uint32_t)add_runner (sim));
+                        (uint32_t)add_runner (sim, "v2"));
           sim_schedule (sim, at_ms + MEMBERSHIP_LAG_MS, EVENT_LEAVE, NULL,
                         (uint32_t)i);
           if (++replaced % (uint32_t)fault->factor == 0)
@@ -437,7 +439,7 @@
   const struct sim_scenario *scenario = sim->scenario;
 
   for (size_t r = 0; r < scenario->runners; r++)
-    add_runner (sim);
+    add_runner (sim, "v1");
   for (size_t g = 0; g < scenario->gateways; g++)
     {
       gateway_init (sim, &sim->gateways[g], g);
--- a/bench/model/simulation.h
+++ b/bench/model/simulation.h
@@ -131,6 +131,8 @@
   double worst_window_worth; /**< Mean over the two worst windows of 2 s. */
   uint64_t prefill_tokens;   /**< Prompt tokens processed by all runners. */
   uint64_t fetched_tokens;   /**< Prefix tokens fetched from other runners. */
+  uint64_t resumed;    /**< Times that a broken answer went on at a runner. */
+  uint64_t joined;     /**< Of these, at one of another software version. */
   double peak_to_mean; /**< Highest prefill tokens of a runner over mean. */
   uint32_t starved;    /**< Unserved in each class's worst such window. */
 };
--- a/bench/model/simulation_internal.h
+++ b/bench/model/simulation_internal.h
@@ -88,6 +88,7 @@
   uint16_t port;
   bool down; /* Crashed; connections fail. */
   bool listed;
+  struct bd_software software;
   double link_free_ms; /* End of the transfers to and from the runner. */
 };
 
@@ -129,6 +130,10 @@
   double worst_gap_ms;
   uint32_t event_count;
   double first_event_at_ms;
+  /* Hash of the software version that wrote the first event, with which the
+     answer has to go on; BD_SOFTWARE_ANY: no event yet. */
+  uint64_t software;
+  bool broken; /* The answer broke off and has not gone on yet. */
   /* The current attempt. */
   struct runner *runner;
   struct runner *source; /* Runner to fetch the prefix from, or NULL. */
@@ -167,6 +172,8 @@
   int lowest_priority; /* Largest number: the least urgent. */
   double *popularity[SIM_CLASSES_MAX]; /* Cumulative weights of prefixes. */
   uint64_t fetched_tokens;
+  uint64_t resumed_count;
+  uint64_t joined_count;
 };
 
 /** Schedules an event of KIND at AT_MS. */
--- a/test/test_model.c
+++ b/test/test_model.c
@@ -206,6 +206,41 @@
   g_assert_cmpuint (coordinated.prefill_tokens, <, local.prefill_tokens);
 }
 
+/* Load: a release has replaced half of the runners and stands still, and
+   runners of both software versions crash again and again.  Broken answers go
+   on, and none at another version than the one that began it. */
+static void
+test_two_versions (void)
+{
+  for (uint64_t seed = 1; seed <= 3; seed++)
+    {
+      struct sim_scenario scenario;
+      struct sim_result result;
+
+      read_scenario ("few-burst", &scenario);
+      scenario.burst_count = 1;
+      scenario.bursts[0] = (struct sim_burst){ .duration_ms = 34000,
+                                               .factor = 3.0,
+                                               .class_index = 1 };
+      scenario.faults[0] = (struct sim_fault){ .kind = SIM_REPLACE,
+                                               .at_ms = 1000,
+                                               .share = 0.5,
+                                               .factor = 2,
+                                               .gap_ms = 300 };
+      for (scenario.fault_count = 1; scenario.fault_count < SIM_FAULTS_MAX;
+           scenario.fault_count++)
+        scenario.faults[scenario.fault_count]
+            = (struct sim_fault){ .kind = SIM_CRASH,
+                                  .at_ms
+                                  = 4000.0 + 1700.0 * scenario.fault_count,
+                                  .duration_ms = 1000,
+                                  .share = 0.3 };
+      sim_run (&scenario, SIM_COORDINATED, seed, &result);
+      g_assert_cmpuint (result.resumed, >, 10);
+      g_assert_cmpuint (result.joined, ==, 0);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -218,5 +253,6 @@
                    test_all_classes_overloaded);
   g_test_add_func ("/model/goodput-plateau", test_goodput_plateau);
   g_test_add_func ("/model/replaced", test_replaced);
+  g_test_add_func ("/model/two-versions", test_two_versions);
   return g_test_run ();
 }
