Inventory: runners that nobody could be asked about are not taken as asked

An instance that gets requests before it has read the list of runners asked none of them, and took what they hold as known for 5 s: streams that callers continue would have been refused for as long. Found by reading; test_inventory state.

--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -245,10 +245,13 @@
 
   if (inventory->options.dialect->prefixes_request.length == 0)
     return;
-  *find_query (inventory, key) = (struct service_query){ key, now_ms };
   for (size_t i = 0; i < count && inventory->queue_count < QUEUE_MAX; i++)
     if (may_ask (all[i], now_ms))
       inventory->queue[inventory->queue_count++] = all[i]->hash;
+  /* The list of runners may not have been read yet. */
+  if (inventory->queue_count == 0)
+    return;
+  *find_query (inventory, key) = (struct service_query){ key, now_ms };
   bd_inventory_tick (inventory, now_ms);
 }
 
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -122,6 +122,40 @@
   g_free (padding);
 }
 
+/* What came of a query: nobody to ask, not all have answered, all have.  Parts
+   of any length show the software version of the runner that holds them. */
+static void
+test_state (void)
+{
+  static const struct support_step step = { LIST, SUPPORT_KEEP };
+  struct support_gateway g;
+  struct bd_inventory *inventory;
+  struct bd_chunk service = BD_CHUNK ("s");
+
+  support_gateway_open (&g);
+  inventory = query_runners (&g);
+  g_assert_cmpint (
+      bd_inventory_state (inventory, service, bd_clock_boot_ms ()), ==,
+      BD_INVENTORY_OLD);
+  support_gateway_runner (&g, 0, &step, 1);
+  support_gateway_set_software (&g, 0, "v1");
+  bd_inventory_query (inventory, service, bd_clock_boot_ms ());
+  g_assert_cmpint (
+      bd_inventory_state (inventory, service, bd_clock_boot_ms ()), ==,
+      BD_INVENTORY_ASKED);
+  while (bd_inventory_state (inventory, service, bd_clock_boot_ms ())
+         != BD_INVENTORY_KNOWN)
+    support_run_once (&g);
+  g_assert_cmpuint (bd_stream_origins_find_holder (
+                        g.origins, prefix_hash ("b2"), bd_clock_boot_ms ()),
+                    ==, bd_software_of (BD_CHUNK ("v1")).hash);
+  g_assert_cmpint (
+      bd_inventory_state (inventory, service, bd_clock_boot_ms () + 5000), ==,
+      BD_INVENTORY_OLD);
+  bd_inventory_destroy (inventory);
+  support_gateway_close (&g);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -129,5 +163,6 @@
   g_test_add_func ("/inventory/listed", test_listed);
   g_test_add_func ("/inventory/no-answer", test_no_answer);
   g_test_add_func ("/inventory/too-large", test_too_large);
+  g_test_add_func ("/inventory/state", test_state);
   return g_test_run ();
 }
