Soak: two software versions, callers that continue streams, ends of all gateways

Half of the runners of a service are of another software version, and each new one is of the other version than the one before in its place; they list the parts of prompts that they read.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -98,13 +98,18 @@
 check_event (struct call *c, struct bd_chunk event)
 {
   char *expected
-      = g_strdup_printf ("id: %u\ndata: %s %u/%u\n\n", c->events + 1,
+      = g_strdup_printf ("id: %u\ndata: %s %u/%u ", c->events + 1,
                          c->attempt->id, c->events + 1, c->attempt->events);
+  size_t length = strlen (expected);
 
-  if (!bd_chunk_equal (event, bd_chunk_of (expected)))
+  if (event.length <= length + 2 || memcmp (event.data, expected, length) != 0)
     soak_violation (c->soak, "ORDER",
                     "%s got a wrong event after event %u: %.*s",
                     c->attempt->id, c->events, (int)event.length, event.data);
+  else
+    soak_check_software (
+        c->soak, c->attempt,
+        (struct bd_chunk){ event.data + length, event.length - length - 2 });
   c->events++;
   g_free (expected);
 }
@@ -172,6 +177,8 @@
                         "%s was reported as not run with %d, but ran %u times",
                         c->attempt->id, c->status, c->attempt->runs);
       soak_check_unserved (soak, c->attempt, c->status, "refused");
+      if (c->attempt->origin)
+        soak_stream_broke (soak, c->attempt, c->events);
     }
   else
     {
@@ -204,6 +211,7 @@
                     failure->sent ? "" : ", not sent");
   if (!crossed)
     soak_check_unserved (c->soak, c->attempt, 0, "no answer");
+  soak_stream_broke (c->soak, c->attempt, c->events);
   finish_call (c);
 }
 
@@ -240,11 +248,27 @@
   abort_call (c);
 }
 
+/* Gives ATTEMPT an identifier; it is sent now. */
+static struct soak_attempt *
+enter_attempt (struct soak *soak, struct soak_attempt *attempt)
+{
+  attempt->sent_ms = soak_now_ms (soak);
+  attempt->service = soak_route_service (soak, attempt->kind);
+  g_hash_table_insert (soak->attempts, attempt->id, attempt);
+  return attempt;
+}
+
 static struct soak_attempt *
 new_attempt (struct soak *soak)
 {
-  struct soak_attempt *attempt = g_new0 (struct soak_attempt, 1);
+  struct soak_attempt *attempt = soak_next_continuation (soak);
 
+  if (attempt)
+    {
+      snprintf (attempt->id, sizeof attempt->id, "a%u", ++state.number);
+      return enter_attempt (soak, attempt);
+    }
+  attempt = g_new0 (struct soak_attempt, 1);
   snprintf (attempt->id, sizeof attempt->id, "a%u", ++state.number);
   attempt->kind
       = (enum soak_kind)soak_random_below (&soak->random, SOAK_KINDS);
@@ -258,10 +282,7 @@
                    sizeof attempt->name);
     }
   attempt->events = 1 + soak_random_below (&soak->random, EVENTS_MAX);
-  attempt->sent_ms = soak_now_ms (soak);
-  attempt->service = soak_route_service (soak, attempt->kind);
-  g_hash_table_insert (soak->attempts, attempt->id, attempt);
-  return attempt;
+  return enter_attempt (soak, attempt);
 }
 
 static void
@@ -284,8 +305,11 @@
                       "X-Basildock-Model: m\r\n"
                       "X-Basildock-Token-Usage: 900,80\r\n"
                       "X-Basildock-Prefix-Hash: aa%u:1500,%s%sbb%s:300\r\n",
-                      state.number % 20, part ? part : "", part ? ":200," : "",
-                      attempt->id);
+                      g_str_hash (attempt->name) % 20, part ? part : "",
+                      part ? ":200," : "", attempt->name);
+  if (attempt->origin)
+    bd_buffer_printf (out, "Last-Event-Id: %u\r\nResumes: %s\r\n",
+                      attempt->held, attempt->origin->id);
   bd_buffer_printf (out, "Content-Length: %zu\r\n\r\n%s", strlen (body), body);
   g_free (body);
 }
@@ -315,6 +339,8 @@
   c->gateway = gateway;
   c->attempt = new_attempt (soak);
   c->attempt->gateway = soak_gateway_number (gateway);
+  c->events = c->attempt->held;
+  soak_count_stream (soak, c->attempt);
   write_request (c->attempt, &out);
   request.address = soak_gateway_callers (gateway);
   request.head = bd_buffer_chunk (&out);
--- a/test/soak/fault_schedule.c
+++ b/test/soak/fault_schedule.c
@@ -461,6 +461,37 @@
   write_again (soak);
 }
 
+/* The end of all gateways at once, on a schedule of its own. */
+
+#define END_ALL_INTERVAL_MS 5000
+
+static uv_timer_t end_all_timer;
+
+static void
+on_end_all (uv_timer_t *timer)
+{
+  struct soak *soak = timer->data;
+
+  soak_log (soak, "all gateways: killed");
+  for (size_t i = 0; i < soak->gateway_count; i++)
+    if (soak_gateway_running (soak->gateways[i])
+        && !soak_gateway_paused (soak->gateways[i]))
+      soak_gateway_signal (soak->gateways[i], SIGKILL);
+  soak->faults++;
+  soak->last_fault_ms = soak_now_ms (soak);
+}
+
+static void
+start_end_all (struct soak *soak)
+{
+  if (!soak->ends_all)
+    return;
+  uv_timer_init (&soak->loop, &end_all_timer);
+  end_all_timer.data = soak;
+  uv_timer_start (&end_all_timer, on_end_all, END_ALL_INTERVAL_MS,
+                  END_ALL_INTERVAL_MS);
+}
+
 /* Gateways. */
 
 static void
@@ -614,6 +645,7 @@
   start_phase (soak, true);
   soak_limits_start (soak);
   start_returns (soak);
+  start_end_all (soak);
 }
 
 void
@@ -633,6 +665,8 @@
 soak_plan_end_faults (struct soak *soak)
 {
   uv_timer_stop (&plan.timer);
+  if (end_all_timer.data)
+    uv_timer_stop (&end_all_timer);
   soak_limits_end (soak);
   if (returns.timer.data)
     end_returns (soak);
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -22,6 +22,8 @@
 #define PUBLISH_GRACE_MS 3000
 /* Tolerance for the deadline sent to a runner over the time that is left. */
 #define DEADLINE_SLACK_MS 500
+/* Largest list of the parts that a runner holds. */
+#define HELD_MAX_BYTES 65536
 
 struct run
 {
@@ -33,6 +35,7 @@
   uint32_t last_event; /* Number of the last event sent. */
   uint32_t stop_after; /* Event to break off after; UINT32_MAX: none. */
   bool head_sent;
+  char software[SOAK_SOFTWARE_BYTES];
 };
 
 struct soak_runner
@@ -46,6 +49,8 @@
   int64_t born_ms; /* Start of its process by the wall clock. */
   char id[SOAK_ID_BYTES];
   char service[SOAK_ID_BYTES];
+  char software[SOAK_SOFTWARE_BYTES];
+  GString *held; /* List of the parts that its process has read. */
   bool published;
   int64_t draining_since_ms; /* Start of the shutdown; 0: none. */
   bool drain_unpublished;    /* Announced in responses only. */
@@ -67,9 +72,10 @@
   snprintf (key, sizeof key, "servers/%s", runner->id);
   snprintf (value, sizeof value,
             "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z%d\","
-            "\"version\":1,\"slots\":%d,\"state\":\"%s\","
+            "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
             "\"coldRemainingMs\":0,\"sequence\":%u,\"born\":%lld}",
-            runner->service, ip, RUNNER_PORT, runner->host % 3, SLOTS,
+            runner->service, ip, RUNNER_PORT, runner->host % 3,
+            runner->software, SLOTS,
             runner->draining_since_ms != 0 ? "draining" : "ready",
             runner->start_count, (long long)runner->born_ms);
   soak_store_write (runner->soak->store, key, value);
@@ -194,8 +200,9 @@
   struct bd_buffer event = { 0 };
 
   run->last_event++;
-  bd_buffer_printf (&event, "id: %u\ndata: %s %u/%u\n\n", run->last_event,
-                    run->attempt->id, run->last_event, run->attempt->events);
+  bd_buffer_printf (&event, "id: %u\ndata: %s %u/%u %s\n\n", run->last_event,
+                    run->attempt->id, run->last_event, run->attempt->events,
+                    run->software);
   bd_exchange_send (run->exchange, bd_buffer_chunk (&event));
   bd_buffer_clear (&event);
 }
@@ -378,6 +385,30 @@
   g_free (text);
 }
 
+/* Adds the part of the prompt that only this request has to what the runner
+   lists. */
+static void
+hold_part (struct soak_runner *runner, const struct soak_attempt *attempt)
+{
+  if (attempt->kind < SOAK_STREAM)
+    return;
+  if (runner->held->len > HELD_MAX_BYTES)
+    g_string_truncate (runner->held, 0);
+  g_string_append_printf (runner->held, "%s[\"\",\"bb%s\",300,\"m\"]",
+                          runner->held->len > 0 ? "," : "", attempt->name);
+}
+
+static void
+reply_held (struct soak_runner *runner, struct bd_exchange *exchange)
+{
+  struct bd_buffer body = { 0 };
+
+  bd_buffer_printf (&body, "{\"epoch\":1,\"next\":1,\"held\":[%s]}",
+                    runner->held->str);
+  bd_exchange_reply (exchange, 200, BD_CHUNK (""), bd_buffer_chunk (&body));
+  bd_buffer_clear (&body);
+}
+
 static void
 start_run (struct soak_runner *runner, struct bd_exchange *exchange,
            struct soak_attempt *attempt)
@@ -390,6 +421,8 @@
   run->exchange = exchange;
   run->attempt = attempt;
   run->stop_after = UINT32_MAX;
+  g_strlcpy (run->software, runner->software, sizeof run->software);
+  hold_part (runner, attempt);
   run->next = runner->runs;
   runner->runs = run;
   runner->active++;
@@ -492,8 +525,7 @@
   if (attempt && attempt->fatal)
     soak_fatal_arrived (soak, attempt);
   if (!id)
-    bd_exchange_reply (exchange, 200, BD_CHUNK (""),
-                       BD_CHUNK ("{\"epoch\":1,\"next\":1,\"held\":[]}"));
+    reply_held (runner, exchange);
   else if (g_strcmp0 (target_instance, runner->id) != 0)
     reject (exchange, id, 421, 0);
   else if (!attempt)
@@ -550,7 +582,14 @@
         soak_runner_remove (runner);
       snprintf (runner->id, sizeof runner->id, "i-%d-%u", runner->host,
                 runner->start_count);
+      /* Every other runner of a service; each new one replaces a former one.
+       */
+      g_strlcpy (runner->software,
+                 (runner->host / 2 + (int)runner->start_count) % 2 ? "v1"
+                                                                   : "v2",
+                 sizeof runner->software);
     }
+  g_string_truncate (runner->held, 0);
   g_strlcpy (runner->service, service, sizeof runner->service);
   soak_proxy_set (runner->proxy, SOAK_PROXY_PASS);
   write_entry (runner);
@@ -588,6 +627,12 @@
   return runner->service;
 }
 
+const char *
+soak_runner_software (const struct soak_runner *runner)
+{
+  return runner->software;
+}
+
 bool
 soak_runner_busy (const struct soak_runner *runner)
 {
@@ -628,6 +673,7 @@
 
   runner->soak = soak;
   runner->host = host;
+  runner->held = g_string_new (NULL);
   if (bd_server_create (&soak->loop, &address, &handler, runner,
                         &runner->server)
       != BD_OK)
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -244,7 +244,7 @@
 soak_check_unserved (struct soak *soak, const struct soak_attempt *attempt,
                      int status, const char *cause)
 {
-  if (soak->must_serve_from_ms == 0
+  if (soak->must_serve_from_ms == 0 || attempt->origin
       || attempt->sent_ms < soak->must_serve_from_ms)
     return;
   soak_violation (soak, "LOST",
@@ -293,6 +293,7 @@
     soak_violation (soak, "LOST", "%zu requests never ended",
                     soak_callers_open ());
   soak_check_retries (soak);
+  soak_check_continued (soak);
   for (size_t i = 0; i < soak->gateway_count; i++)
     soak_gateway_end (soak->gateways[i]);
   run.finished = true;
@@ -361,7 +362,8 @@
   uv_timer_stop (timer);
   soak_log (soak, "all gateways are ready");
   soak_callers_start (soak, run.gateways * REQUESTS_PER_GATEWAY_S);
-  soak_callers_send_fatal (true);
+  /* What instances know of crashes is gone when all have ended. */
+  soak_callers_send_fatal (!soak->ends_all);
   soak_plan_start_faults (soak);
   uv_timer_start (timer, start_recovery_phase, (uint64_t)run.seconds * 600, 0);
 }
@@ -436,6 +438,7 @@
   char *program = NULL;
   char *folder = NULL;
   gint64 seed = 1;
+  gboolean ends_all = FALSE;
   GOptionEntry entries[]
       = { { "gateway", 0, 0, G_OPTION_ARG_FILENAME, &program,
             "Path of the gateway program", "PATH" },
@@ -449,6 +452,8 @@
             "Number of gateway processes", "N" },
           { "runners", 0, 0, G_OPTION_ARG_INT, &run.runners,
             "Number of simulated runners", "N" },
+          { "end-all", 0, 0, G_OPTION_ARG_NONE, &ends_all,
+            "End all gateways at once, again and again", NULL },
           { 0 } };
   GOptionContext *context
       = g_option_context_new ("- soak test of the gateway");
@@ -469,6 +474,7 @@
   g_strlcpy (soak->program, program, sizeof soak->program);
   g_strlcpy (soak->folder, folder, sizeof soak->folder);
   soak->seed = (uint64_t)seed;
+  soak->ends_all = ends_all;
   soak->random = soak->seed * 0x9e3779b97f4a7c15u + 1;
   reserve_net (soak);
   g_free (program);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -18,6 +18,7 @@
 #define SOAK_RUNNERS_MAX 100
 #define SOAK_ID_BYTES 32
 #define SOAK_ADDRESS_BYTES 32
+#define SOAK_SOFTWARE_BYTES 8
 #define SOAK_KEY "secret"
 #define SOAK_WORKSPACE "team"
 #define SOAK_HOST "soak.example"
@@ -56,6 +57,13 @@
   int service;     /**< Service of its route at the time it was sent. */
   int gateway;     /**< Number of the gateway that it was sent to. */
   uint32_t events; /**< Events in the complete stream. */
+  /** Attempt that began the stream that this one continues; NULL: it begins
+      one itself. */
+  struct soak_attempt *origin;
+  uint32_t held;  /**< Events that the caller had before. */
+  uint32_t tries; /**< Attempts before it at the stream. */
+  char software[SOAK_SOFTWARE_BYTES]; /**< Version that began the stream. */
+  bool counted;                       /**< In the share that goes on. */
   int64_t sent_ms;
   int64_t aborted_ms;    /**< When the caller gave up; 0: it did not. */
   uint32_t arrivals;     /**< Times that it reached a runner. */
@@ -93,6 +101,8 @@
   char program[256];
   int net;              /**< Addresses are 127.NET.x.y. */
   bool stopping;        /**< No new requests are sent. */
+  bool ends_all;        /**< All gateways are ended at once, again and again,
+                           and no request crashes runners. */
   uint32_t open_faults; /**< Active faults of runners, connections or store. */
   int64_t last_fault_ms;      /**< End of the most recent fault. */
   int64_t must_serve_from_ms; /**< Later requests must succeed; 0: off. */
@@ -132,13 +142,15 @@
  * Writes a violation of RULE to the record and to stdout.  The rules:
  * READY    all gateways become ready after their start
  * EXIT     a gateway exits only when told to, in time and with status 0
- * LOST     a request gets an answer, and success once the faults are over
+ * LOST     a request gets an answer, and success once the faults are over;
+ *          streams that callers continue go on half as often as new ones begin
  * DENIED   no valid request is answered with a status below 500 other than
  *          200 or one that says that it did not run
  * REFUSED  a request that was reported as not run never runs
  * TWICE    a request that must not be retried runs at most once
  * MIXED    an answer belongs to its request
- * ORDER    a stream has all its events, in order
+ * ORDER    a stream has all its events, in order and of one software version,
+ *          also over several attempts of its caller
  * UNASKED  runners get only requests of callers, unchanged
  * ROUTE    a request reaches a runner of its route's service; a gateway that
  *          was undisturbed, as was the store, knows a new route in time
@@ -318,6 +330,7 @@
 void soak_runner_remove (struct soak_runner *runner);
 const char *soak_runner_service (const struct soak_runner *runner);
 bool soak_runner_leaving (const struct soak_runner *runner);
+const char *soak_runner_software (const struct soak_runner *runner);
 bool soak_runner_busy (const struct soak_runner *runner);
 struct soak_limit *soak_runner_limit (struct soak_runner *runner);
 
@@ -364,6 +377,29 @@
 void soak_callers_send_fatal (bool fatal);
 size_t soak_callers_open (void);
 
+/* Streams that callers continue with attempts of their own. */
+
+/** The response of ATTEMPT broke off when its caller had EVENTS events. */
+void soak_stream_broke (struct soak *soak, struct soak_attempt *attempt,
+                        uint32_t events);
+
+/**
+ * Returns an attempt that continues a stream and is to be sent now, without
+ * its identifier, or NULL.
+ */
+struct soak_attempt *soak_next_continuation (struct soak *soak);
+
+/** Counts a new attempt at a stream, which is sent to an undisturbed gateway
+    or not. */
+void soak_count_stream (struct soak *soak, struct soak_attempt *attempt);
+
+/** Checks an event of ATTEMPT, written by a runner of SOFTWARE. */
+void soak_check_software (struct soak *soak, struct soak_attempt *attempt,
+                          struct bd_chunk software);
+
+/** Checks the share of the continued streams that went on. */
+void soak_check_continued (struct soak *soak);
+
 /* Fatal requests: they crash each runner that starts them. */
 
 /** Picks a fatal request at random; callers send each many times. */
