Documents: an entry without a software version names no runner

Nobody can say which streams such a runner may go on with. The platform's entries always have one; an entry that lacks a field, or has it in another type, is from another writer.

--- a/test/test_documents.c
+++ b/test/test_documents.c
@@ -119,9 +119,40 @@
   g_assert_cmpstr (bd_software_name (&entry.software), ==, "\"v1.1\"");
 }
 
-#define RUNNER_ENTRY(service, address, zone, slots, state)                    \
+#define VERSIONED_ENTRY(service, address, zone, slots, state, version)        \
   "{\"service\":" service ",\"address\":" address ",\"zone\":" zone           \
-  ",\"slots\":" slots ",\"state\":" state "}"
+  ",\"slots\":" slots ",\"state\":" state version "}"
+#define RUNNER_ENTRY(service, address, zone, slots, state)                    \
+  VERSIONED_ENTRY (service, address, zone, slots, state, ",\"version\":\"v1\"")
+#define SOUND_ENTRY(version)                                                  \
+  VERSIONED_ENTRY ("\"s\"", "\"1.2.3.4:5\"", "\"z\"", "1", "\"ready\"",       \
+                   version)
+
+/* Without its software version it is not known which streams a runner may go
+   on with.  A very long version is one all the same. */
+static void
+test_runner_version (void)
+{
+  char *long_version = g_strnfill (10240, 'x');
+  char *text
+      = g_strdup_printf (SOUND_ENTRY (",\"version\":\"%s\""), long_version);
+  static const char *const bad[]
+      = { SOUND_ENTRY (""), SOUND_ENTRY (",\"version\":1"),
+          SOUND_ENTRY (",\"version\":\"\""), SOUND_ENTRY (",\"version\":[]") };
+  struct bd_target_entry entry;
+  const char *reason;
+
+  g_assert_cmpint (read_runner (text, &entry, &reason), ==, BD_OK);
+  g_assert_cmpuint (entry.software.hash, >, BD_SOFTWARE_UNCERTAIN);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      g_assert_cmpint (read_runner (bad[i], &entry, &reason), ==,
+                       BD_ERR_INVALID);
+      g_assert_cmpstr (reason, ==, "version");
+    }
+  g_free (text);
+  g_free (long_version);
+}
 
 /* Entries in another format, as another program may write them under the
    runners' keys, are rejected with the name of the bad member. */
@@ -171,5 +202,6 @@
                    test_configuration_rejected);
   g_test_add_func ("/documents/runner", test_runner);
   g_test_add_func ("/documents/runner-rejected", test_runner_rejected);
+  g_test_add_func ("/documents/runner-version", test_runner_version);
   return g_test_run ();
 }
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -205,7 +205,7 @@
   char *key = g_strdup_printf ("servers/%s", id);
   char *value = g_strdup_printf (
       "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
-      "\"slots\":4,\"state\":\"%s\",\"sequence\":%d}",
+      "\"slots\":4,\"state\":\"%s\",\"version\":\"v1\",\"sequence\":%d}",
       state, revision);
   char *text = format_item (key, revision, value);
 
