Streams: the runner that holds a prompt confirms which version it has

The store had come back from an older copy, whose entry had the address of a runner that had been replaced by one of another version; its list counted for the former version, and the stream went on at any runner of that one.

A stream whose version is only known from a list now goes to the runner that listed its prompt, named as the only one that may run it: another process at the address answers 421, and then nothing is known. If that runner cannot take it, another one of its version does as soon as its entry has been written anew since the list was asked for, which shows that it lives under that address.

--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -147,6 +147,7 @@
          && bd_chunk_equal (target->service, request->service)
          && (request->software == BD_SOFTWARE_ANY
              || request->software == target->software.hash)
+         && (request->only == 0 || request->only == (uint32_t)target->hash)
          && (request->shards <= 1
              || bd_shard_of (target->hash, request->shards) == request->shard);
 }
--- a/src/balance/stream_origin.c
+++ b/src/balance/stream_origin.c
@@ -17,6 +17,7 @@
   uint64_t key; /* 0: free. */
   uint64_t software;
   int64_t expires_ms;
+  uint32_t target; /* Of a part: the runner that listed it last. */
 };
 
 struct bd_stream_origins
@@ -70,7 +71,10 @@
           if (set[i].software != entry->software)
             set[i].software = BD_SOFTWARE_UNCERTAIN;
           if (set[i].expires_ms < entry->expires_ms)
-            set[i].expires_ms = entry->expires_ms;
+            {
+              set[i].expires_ms = entry->expires_ms;
+              set[i].target = entry->target;
+            }
           return;
         }
       if (set[i].expires_ms < slot->expires_ms)
@@ -79,7 +83,8 @@
   *slot = *entry;
 }
 
-static uint64_t
+/* Returns the slot of KEY, or NULL. */
+static const struct slot *
 find (const struct slot *slots, size_t slot_count, uint64_t key,
       int64_t now_ms)
 {
@@ -87,8 +92,8 @@
 
   for (size_t i = 0; i < WAYS && key != 0; i++)
     if (set[i].key == key && now_ms < set[i].expires_ms)
-      return set[i].software;
-  return BD_SOFTWARE_ANY;
+      return &set[i];
+  return NULL;
 }
 
 void
@@ -96,7 +101,8 @@
                           const struct bd_stream_origin *origin,
                           int64_t now_ms)
 {
-  struct slot entry = { origin->stream, origin->software, origin->expires_ms };
+  struct slot entry
+      = { origin->stream, origin->software, origin->expires_ms, 0 };
 
   if (origin->stream != 0 && origin->software != BD_SOFTWARE_ANY)
     put (origins->streams, STREAM_SLOTS, &entry, now_ms);
@@ -104,25 +110,36 @@
 
 void
 bd_stream_origins_record_holder (struct bd_stream_origins *origins,
-                                 uint64_t part, uint64_t software,
-                                 int64_t now_ms)
+                                 uint64_t part,
+                                 const struct bd_stream_holder *holder)
 {
-  struct slot entry = { part, software, now_ms + HOLDER_KEEP_MS };
+  struct slot entry = { part, holder->software,
+                        holder->listed_ms + HOLDER_KEEP_MS, holder->target };
 
   if (part != 0)
-    put (origins->parts, PART_SLOTS, &entry, now_ms);
+    put (origins->parts, PART_SLOTS, &entry, holder->listed_ms);
 }
 
 uint64_t
 bd_stream_origins_find (const struct bd_stream_origins *origins,
                         uint64_t stream, int64_t now_ms)
 {
-  return find (origins->streams, STREAM_SLOTS, stream, now_ms);
+  const struct slot *slot
+      = find (origins->streams, STREAM_SLOTS, stream, now_ms);
+
+  return slot ? slot->software : BD_SOFTWARE_ANY;
 }
 
-uint64_t
+bool
 bd_stream_origins_find_holder (const struct bd_stream_origins *origins,
-                               uint64_t part, int64_t now_ms)
+                               uint64_t part, int64_t now_ms,
+                               struct bd_stream_holder *holder)
 {
-  return find (origins->parts, PART_SLOTS, part, now_ms);
+  const struct slot *slot = find (origins->parts, PART_SLOTS, part, now_ms);
+
+  if (!slot)
+    return false;
+  *holder = (struct bd_stream_holder){ slot->software, slot->target,
+                                       slot->expires_ms - HOLDER_KEEP_MS };
+  return true;
 }
--- a/src/balance/stream_origin.h
+++ b/src/balance/stream_origin.h
@@ -6,8 +6,10 @@
  * It is known in two ways.  Instances tell it when a stream begins; that is
  * exact.  And runners list the parts of prompts in their caches: a part that
  * only one request has is held by the runner that read it, also after all
- * instances have ended.  Whatever contradicts itself is uncertain, and what
- * does not fit into the tables is forgotten; neither makes a wrong version.
+ * instances have ended.  A list does not say which process made it, so a
+ * holder has to be confirmed.  Whatever contradicts itself is uncertain, and
+ * what does not fit into the tables is forgotten; neither makes a wrong
+ * version.
  */
 #ifndef BD_STREAM_ORIGIN_H
 #define BD_STREAM_ORIGIN_H
@@ -22,6 +24,15 @@
   int64_t expires_ms; /**< No attempt continues the stream after that. */
 };
 
+/** A runner that lists a part of a prompt. */
+struct bd_stream_holder
+{
+  uint64_t software; /**< Hash of its version, or BD_SOFTWARE_UNCERTAIN if
+                        runners of several list the part. */
+  uint32_t target;   /**< Low 32 bits of the runner's hash. */
+  int64_t listed_ms; /**< When it was asked. */
+};
+
 struct bd_stream_origins;
 
 /** Returns NULL when out of memory. */
@@ -41,10 +52,10 @@
                                const struct bd_stream_origin *origin,
                                int64_t now_ms);
 
-/** Records that a runner of SOFTWARE lists PART, a hash other than 0. */
+/** Records that HOLDER lists PART, a hash other than 0. */
 void bd_stream_origins_record_holder (struct bd_stream_origins *origins,
-                                      uint64_t part, uint64_t software,
-                                      int64_t now_ms);
+                                      uint64_t part,
+                                      const struct bd_stream_holder *holder);
 
 /**
  * Returns the version that began STREAM, BD_SOFTWARE_UNCERTAIN, or
@@ -53,12 +64,9 @@
 uint64_t bd_stream_origins_find (const struct bd_stream_origins *origins,
                                  uint64_t stream, int64_t now_ms);
 
-/**
- * Returns the version of the runners that listed PART, BD_SOFTWARE_UNCERTAIN
- * if they were of several, or BD_SOFTWARE_ANY if none did.
- */
-uint64_t
-bd_stream_origins_find_holder (const struct bd_stream_origins *origins,
-                               uint64_t part, int64_t now_ms);
+/** Returns whether runners listed PART lately, and sets HOLDER to the last. */
+bool bd_stream_origins_find_holder (const struct bd_stream_origins *origins,
+                                    uint64_t part, int64_t now_ms,
+                                    struct bd_stream_holder *holder);
 
 #endif
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -414,6 +414,9 @@
     expire_leaving (targets, target, now_ms);
   if (revision > target->revision)
     set_warmup (target, now_ms, entry->warmup_left_ms);
+  /* Without a revision before, it may be what the store lists at first. */
+  if (revision > target->revision && target->revision != 0)
+    target->renewed_ms = now_ms;
   target->revision = revision;
   target->ip = entry->ip;
   target->port = entry->port;
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -131,6 +131,9 @@
   int64_t started_ms;
   int64_t warmup_until_ms;
   uint64_t revision; /**< Store revision of the entry. */
+  /** When its process last wrote the entry anew; 0: not since it is known
+      here. */
+  int64_t renewed_ms;
   /** When a response announced that the runner leaves; 0: never. */
   int64_t leaving_ms;
   /** Latest start of a process that the announcement may come from; a process
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -300,6 +300,7 @@
   f->selection_request.tried = f->tried;
   f->selection_request.tried_count = f->tried_count;
   f->selection_request.software = f->stream_software;
+  f->selection_request.only = f->holder;
   f->selection_request.share
       = (struct bd_runner_limit_share){ f->forwarder->instance_count,
                                         f->forwarder->coordinated_ms };
@@ -389,6 +390,8 @@
       return;
     }
   bd_coordinator_client_attempt_ended (client, &f->registration, NULL);
+  if (bd_forward_retry_without_holder (f))
+    return;
   if (decision.rejected)
     bd_forward_refuse_overload (f, (int64_t)decision.selection.wait_ms,
                                 (int64_t)decision.max_wait_ms,
--- a/src/gateway/continuation.c
+++ b/src/gateway/continuation.c
@@ -81,9 +81,15 @@
                                                       : "unknown",
           ntohl (f->registration.coordinator_ip),
           (long long)bd_forward_elapsed_ms (f));
-  bd_forward_refuse (f->forwarder, f->exchange, &f->request_fields,
-                     BD_ERR_ORIGIN_UNKNOWN);
-  bd_forward_free (f);
+  f->stop_reason = BD_STOP_SOFTWARE;
+  if (f->may_have_run)
+    bd_forward_fail (f, BD_ERR_OUTCOME_UNKNOWN);
+  else
+    {
+      bd_forward_refuse (f->forwarder, f->exchange, &f->request_fields,
+                         BD_ERR_ORIGIN_UNKNOWN);
+      bd_forward_free (f);
+    }
 }
 
 /* Finds out without the coordinator which version began the stream. */
@@ -91,25 +97,46 @@
 find_here (struct bd_forward *f)
 {
   struct bd_coordination_query query = { .service = f->service };
-  enum bd_coordination_verdict verdict;
-  uint64_t software;
+  struct bd_found_origin found;
 
   if (f->registration.coordinator_ip != 0
       && bd_forward_elapsed_ms (f) < ORIGIN_COORDINATOR_MS)
     return BD_COORDINATION_ORIGIN_PENDING;
   bd_forward_fill_continuation (f, &query);
-  verdict = bd_coordinator_client_find_software (
-      f->forwarder->options.coordinator_client, &query, &software);
-  if (verdict == BD_COORDINATION_PLACED)
-    f->stream_software = software;
-  return verdict;
+  found = bd_coordinator_client_find_origin (
+      f->forwarder->options.coordinator_client, &query);
+  if (found.verdict != BD_COORDINATION_PLACED)
+    return found.verdict;
+  f->stream_software = found.software;
+  f->origin_confirmed = found.confirmed;
+  f->holder = found.holder;
+  return BD_COORDINATION_PLACED;
+}
+
+/* Adopts what the coordinator's REPLY says of the origin.  Returns its
+   verdict. */
+static enum bd_coordination_verdict
+adopt_reply (struct bd_forward *f, const struct bd_coordination_reply *reply)
+{
+  if (reply->software != BD_SOFTWARE_ANY)
+    {
+      f->stream_software = reply->software;
+      f->origin_confirmed = !reply->unconfirmed;
+      f->holder = reply->unconfirmed ? reply->target : 0;
+      return BD_COORDINATION_PLACED;
+    }
+  if (reply->verdict == BD_COORDINATION_ORIGIN_PENDING
+      || reply->verdict == BD_COORDINATION_ORIGIN_UNKNOWN)
+    return reply->verdict;
+  /* An instance of an older version does not know of origins. */
+  return find_here (f);
 }
 
 bool
 bd_forward_origin_is_known (struct bd_forward *f,
                             const struct bd_coordination_reply *reply)
 {
-  enum bd_coordination_verdict verdict = BD_COORDINATION_PLACED;
+  enum bd_coordination_verdict verdict;
 
   if (!f->continues || f->head_sent)
     return true;
@@ -117,14 +144,8 @@
     verdict = BD_COORDINATION_ORIGIN_UNKNOWN;
   else if (f->stream_software != BD_SOFTWARE_ANY)
     return true;
-  else if (reply && reply->software != BD_SOFTWARE_ANY)
-    f->stream_software = reply->software;
-  else if (reply
-           && (reply->verdict == BD_COORDINATION_ORIGIN_PENDING
-               || reply->verdict == BD_COORDINATION_ORIGIN_UNKNOWN))
-    verdict = reply->verdict;
   else
-    verdict = find_here (f);
+    verdict = reply ? adopt_reply (f, reply) : find_here (f);
   if (verdict == BD_COORDINATION_PLACED)
     return true;
   if (verdict == BD_COORDINATION_ORIGIN_UNKNOWN || !wait_for_origin (f))
@@ -132,6 +153,23 @@
   return false;
 }
 
+bool
+bd_forward_retry_without_holder (struct bd_forward *f)
+{
+  if (f->holder == 0)
+    return false;
+  f->holder = 0;
+  if (f->origin_confirmed)
+    bd_forward_next_attempt (f);
+  else
+    {
+      f->stream_software = BD_SOFTWARE_ANY;
+      if (!wait_for_origin (f))
+        refuse (f);
+    }
+  return true;
+}
+
 void
 bd_forward_log_continued (const struct bd_forward *f,
                           const struct bd_target *target)
@@ -181,6 +219,7 @@
 void
 bd_forward_stream_begins (struct bd_forward *f)
 {
+  f->origin_confirmed = true;
   if (f->stream_software == BD_SOFTWARE_ANY)
     f->stream_software = f->target->software.hash == f->target_software
                              ? f->target_software
@@ -189,9 +228,22 @@
     bd_forward_tell_origin (f);
 }
 
+/* The attempt did not confirm the version of the stream that it was to
+   continue.  If another process has the holder's address, that one listed the
+   prompt. */
+static void
+drop_unconfirmed (struct bd_forward *f)
+{
+  f->holder = 0;
+  f->stream_software = f->response_fields.misdirected ? BD_SOFTWARE_UNCERTAIN
+                                                      : BD_SOFTWARE_ANY;
+}
+
 void
 bd_forward_check_software (struct bd_forward *f)
 {
+  if (f->continues && !f->origin_confirmed)
+    drop_unconfirmed (f);
   if (f->first_event_at_ms == 0
       || f->target->software.hash == f->target_software
       || f->stream_software == BD_SOFTWARE_UNCERTAIN)
--- a/src/gateway/coordination.c
+++ b/src/gateway/coordination.c
@@ -11,7 +11,7 @@
 /* Number of values after the format, in a message or in each of its items. */
 #define QUERY_VALUES 20
 /* Instances of older versions send fewer values: nothing about streams. */
-#define REPLY_VALUES 13
+#define REPLY_VALUES 14
 /* Instances of older versions send no software, older ones no limit_rate. */
 #define REPLY_VALUES_LIMIT 12
 #define NOTICE_VALUES 8
@@ -63,6 +63,7 @@
   bd_pack_int (pack, reply->retry_after_ms);
   bd_pack_uint (pack, reply->limit_rate);
   bd_pack_uint (pack, reply->software);
+  bd_pack_uint (pack, reply->unconfirmed);
 }
 
 static void
@@ -269,8 +270,10 @@
   reply->retry_after_ms = read_ms (u);
   if (count >= REPLY_VALUES_LIMIT)
     reply->limit_rate = read_uint32 (u);
-  if (count >= REPLY_VALUES)
-    reply->software = bd_unpack_uint (u);
+  if (count < REPLY_VALUES)
+    return;
+  reply->software = bd_unpack_uint (u);
+  reply->unconfirmed = bd_unpack_uint (u) != 0;
 }
 
 static void
--- a/src/gateway/coordination.h
+++ b/src/gateway/coordination.h
@@ -100,6 +100,9 @@
   /** Hash of the software version that the runner had to have;
       BD_SOFTWARE_ANY: any. */
   uint64_t software;
+  /** The version is only known from what the target lists, which the target
+      has to confirm by taking the request. */
+  bool unconfirmed;
 };
 
 /** What an attempt showed about its runner. */
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -22,9 +22,6 @@
    received all of them or began to ask the runners; runners are not asked
    again before. */
 #define PREFIXES_VALID_MS 5000
-/* Time until an instance has told of a stream that just began; before, runners
-   are not asked for it. */
-#define ORIGIN_DELAY_MS 40
 /* A request is removed from the ledger this long after its deadline. */
 #define EXPIRY_MARGIN_MS 1000
 
@@ -209,6 +206,15 @@
   };
 }
 
+static struct bd_coordination_reply
+origin_reply (const struct bd_coordination_query *query,
+              enum bd_coordination_verdict verdict)
+{
+  return (struct bd_coordination_reply){ .request_number
+                                         = query->request_number,
+                                         .verdict = verdict };
+}
+
 /* Returns when the caller of QUERY should retry because runners limit their
    requests; 0: none does. */
 static int64_t
@@ -222,48 +228,56 @@
   return bd_runner_limit_next_turn_ms (all, count, now_ms);
 }
 
-/* Looks for the version that began the stream of QUERY in what runners hold.
-   Asks them if that is not known. */
-static uint64_t
-find_holder (struct bd_coordinator *coordinator,
-             const struct bd_coordination_query *query, int64_t now_ms,
-             bool *pending)
+struct bd_found_origin
+bd_coordinator_find_origin (struct bd_coordinator *coordinator,
+                            const struct bd_coordination_query *query,
+                            int64_t now_ms)
 {
-  struct bd_inventory *inventory = coordinator->options.inventory;
+  const struct bd_origin_lookup lookup
+      = { coordinator->options.origins, coordinator->options.inventory,
+          coordinator->options.targets };
 
-  if (!inventory || query->own_part == 0)
-    return BD_SOFTWARE_ANY;
-  switch (bd_inventory_state (inventory, query->service, now_ms))
-    {
-    case BD_INVENTORY_KNOWN:
-      return bd_stream_origins_find_holder (coordinator->options.origins,
-                                            query->own_part, now_ms);
-    case BD_INVENTORY_OLD:
-      bd_inventory_query (inventory, query->service, now_ms);
-      break;
-    case BD_INVENTORY_ASKED:
-      break;
-    }
-  *pending = true;
-  return BD_SOFTWARE_ANY;
+  return bd_origin_lookup (&lookup, query, now_ms);
 }
 
-enum bd_coordination_verdict
-bd_coordinator_find_software (struct bd_coordinator *coordinator,
-                              const struct bd_coordination_query *query,
-                              int64_t now_ms, uint64_t *software)
+/* Decides on REQUEST.  If runners of the version that it needs are left in
+   other shards only, it goes to one of these. */
+static struct bd_decision
+decide_in_shard (struct bd_coordinator *coordinator,
+                 struct bd_selection_request *request,
+                 struct bd_overload_request *overload, bool is_retry)
 {
-  bool pending = query->waited_ms < ORIGIN_DELAY_MS;
-
-  *software = bd_stream_origins_find (coordinator->options.origins,
-                                      query->stream, now_ms);
-  if (*software == BD_SOFTWARE_ANY && !pending)
-    *software = find_holder (coordinator, query, now_ms, &pending);
-  if (*software == BD_SOFTWARE_ANY && pending)
-    return BD_COORDINATION_ORIGIN_PENDING;
-  return *software > BD_SOFTWARE_UNCERTAIN || *software == BD_SOFTWARE_UNNAMED
-             ? BD_COORDINATION_PLACED
-             : BD_COORDINATION_ORIGIN_UNKNOWN;
+  struct bd_decision decision
+      = bd_decide (coordinator->options.selector, coordinator->options.targets,
+                   request, overload, is_retry, &coordinator->random_state);
+
+  if (decision.selection.target || request->software == BD_SOFTWARE_ANY)
+    return decision;
+  request->shards = 1;
+  return bd_decide (coordinator->options.selector,
+                    coordinator->options.targets, request, overload, is_retry,
+                    &coordinator->random_state);
+}
+
+/* Decides on REQUEST, which continues a stream: the runner that holds its
+   prompt goes first, and is the only one as long as ORIGIN is not confirmed.
+ */
+static struct bd_decision
+decide_continued (struct bd_coordinator *coordinator,
+                  struct bd_selection_request *request,
+                  struct bd_overload_request *overload,
+                  const struct bd_found_origin *origin)
+{
+  struct bd_decision decision = { 0 };
+
+  request->software = origin->software;
+  request->only = origin->holder;
+  if (origin->holder != 0)
+    decision = decide_in_shard (coordinator, request, overload, true);
+  if (decision.selection.target || (origin->holder != 0 && !origin->confirmed))
+    return decision;
+  request->only = 0;
+  return decide_in_shard (coordinator, request, overload, true);
 }
 
 struct bd_coordination_reply
@@ -290,32 +304,25 @@
           .sent_here = ip == coordinator->options.ip,
           .shard = query->shard,
           .shards = query->shard_count };
+  struct bd_found_origin origin = { .confirmed = true };
   struct bd_decision decision;
+  struct bd_coordination_reply reply;
   struct bd_assignment assignment
       = { .instance = ip, .request_number = query->request_number };
 
-  if (query->continues && request.software == BD_SOFTWARE_ANY)
-    {
-      enum bd_coordination_verdict verdict = bd_coordinator_find_software (
-          coordinator, query, now_ms, &request.software);
-
-      if (verdict != BD_COORDINATION_PLACED)
-        return (struct bd_coordination_reply){ .request_number
-                                               = query->request_number,
-                                               .verdict = verdict };
-    }
   request.learning = now_ms - shard->started_ms < WARMUP_MS;
-  decision = bd_decide (coordinator->options.selector,
-                        coordinator->options.targets, &request, &overload,
-                        query->is_retry, &coordinator->random_state);
-  if (!decision.selection.target && request.software != BD_SOFTWARE_ANY)
+  if (query->continues && query->software == BD_SOFTWARE_ANY)
     {
-      /* The runners of that version may all belong to other shards. */
-      request.shards = 1;
-      decision = bd_decide (coordinator->options.selector,
-                            coordinator->options.targets, &request, &overload,
-                            query->is_retry, &coordinator->random_state);
+      origin = bd_coordinator_find_origin (coordinator, query, now_ms);
+      if (origin.verdict != BD_COORDINATION_PLACED)
+        return origin_reply (query, origin.verdict);
+      decision = decide_continued (coordinator, &request, &overload, &origin);
+      if (!decision.selection.target && !origin.confirmed)
+        return origin_reply (query, BD_COORDINATION_ORIGIN_PENDING);
     }
+  else
+    decision
+        = decide_in_shard (coordinator, &request, &overload, query->is_retry);
   if (!decision.selection.target)
     decision.retry_after_ms = next_turn_ms (coordinator, query, now_ms);
   if (!decision.selection.target || decision.rejected)
@@ -333,7 +340,9 @@
                            assignment.target);
   if (ip != coordinator->options.ip)
     bd_outlier_record_sent (assignment.target, now_ms);
-  return reply_from_decision (&request, query, &decision);
+  reply = reply_from_decision (&request, query, &decision);
+  reply.unconfirmed = !origin.confirmed;
+  return reply;
 }
 
 /* Handles the end of a request's prefill: updates the speed estimate of the
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -9,6 +9,7 @@
 
 #include "balance/decision.h"
 #include "gateway/inventory.h"
+#include "gateway/origin_lookup.h"
 #include "gateway/mesh.h"
 #include "gateway/coordination.h"
 
@@ -43,15 +44,12 @@
                        const struct bd_coordination_query *query,
                        int64_t now_ms);
 
-/**
- * Finds out which software version began the stream that the caller of QUERY
- * continues.  Returns BD_COORDINATION_PLACED and sets *SOFTWARE when it is
- * known, or else one of the two verdicts about origins.
+/** Finds out what is known of the stream that the caller of QUERY continues.
  */
-enum bd_coordination_verdict
-bd_coordinator_find_software (struct bd_coordinator *coordinator,
-                              const struct bd_coordination_query *query,
-                              int64_t now_ms, uint64_t *software);
+struct bd_found_origin
+bd_coordinator_find_origin (struct bd_coordinator *coordinator,
+                            const struct bd_coordination_query *query,
+                            int64_t now_ms);
 
 /**
  * Enters a request in the ledger that the instance at IP placed without a
--- a/src/gateway/coordinator_client.c
+++ b/src/gateway/coordinator_client.c
@@ -316,13 +316,12 @@
   return BD_COORDINATOR_CLIENT_PENDING;
 }
 
-enum bd_coordination_verdict
-bd_coordinator_client_find_software (struct bd_coordinator_client *client,
-                                     const struct bd_coordination_query *query,
-                                     uint64_t *software)
+struct bd_found_origin
+bd_coordinator_client_find_origin (struct bd_coordinator_client *client,
+                                   const struct bd_coordination_query *query)
 {
-  return bd_coordinator_find_software (client->options.coordinator, query,
-                                       bd_clock_boot_ms (), software);
+  return bd_coordinator_find_origin (client->options.coordinator, query,
+                                     bd_clock_boot_ms ());
 }
 
 /* Reports. */
--- a/src/gateway/coordinator_client.h
+++ b/src/gateway/coordinator_client.h
@@ -90,13 +90,12 @@
     bd_coordinator_client_on_reply on_reply, void *context);
 
 /**
- * Finds out here, without the coordinator of the shard, which software version
- * began the stream of QUERY; see bd_coordinator_find_software ().
+ * Finds out here, without the coordinator of the shard, what is known of the
+ * origin of the stream that the caller of QUERY continues.
  */
-enum bd_coordination_verdict
-bd_coordinator_client_find_software (struct bd_coordinator_client *client,
-                                     const struct bd_coordination_query *query,
-                                     uint64_t *software);
+struct bd_found_origin
+bd_coordinator_client_find_origin (struct bd_coordinator_client *client,
+                                   const struct bd_coordination_query *query);
 
 /**
  * Cancels the query of a request that ends while its query is pending;
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -125,6 +125,9 @@
   uint64_t stream_software;
   /* Number of the stream that the caller continues; 0: not named. */
   uint64_t continued_stream;
+  /* The only runner that may get the request until it has confirmed the
+     version: low 32 bits of its hash; 0: any. */
+  uint32_t holder;
   /* What the attempt has shown about the runner. */
   struct bd_attempt_outcome outcome;
   int64_t pause_left_ms; /* Time until the first runner that asked for a pause
@@ -133,9 +136,10 @@
                             their requests; 0: none does, or not known. */
   bool runner_was_idle;  /* No wait was expected at the runner. */
   bool may_have_run;
-  bool continues;   /* The caller continues a stream that another of its
-                       attempts began. */
-  bool origin_told; /* Peers were told which version began the stream. */
+  bool continues;        /* The caller continues a stream that another of its
+                            attempts began. */
+  bool origin_confirmed; /* The version of the continued stream is certain. */
+  bool origin_told;      /* Peers were told which version began the stream. */
   /* Why the request was not sent to another runner. */
   enum bd_stop_reason stop_reason;
   bool waits_for_budget; /* Between attempts, until the retry budget has
@@ -252,6 +256,12 @@
 bool bd_forward_origin_is_known (struct bd_forward *f,
                                  const struct bd_coordination_reply *reply);
 
+/**
+ * Handles that the runner that holds the prompt cannot take the request:
+ * returns whether another way is tried, or F has been refused and freed.
+ */
+bool bd_forward_retry_without_holder (struct bd_forward *f);
+
 /** Logs that the request continues a stream at TARGET, if it does. */
 void bd_forward_log_continued (const struct bd_forward *f,
                                const struct bd_target *target);
@@ -261,7 +271,8 @@
 
 /**
  * Checks at the end of an attempt that had events whether the list still shows
- * the process that began the stream.
+ * the process that began the stream, and of one that had none whether it
+ * confirmed the version.
  */
 void bd_forward_check_software (struct bd_forward *f);
 
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -100,9 +100,11 @@
 {
   struct runner_call *call = context;
   struct bd_prefix_map *prefixes = call->inventory->options.prefixes;
+  struct bd_stream_holder holder
+      = { call->software, (uint32_t)call->target, call->started_ms };
 
   bd_stream_origins_record_holder (call->inventory->options.origins, prefix,
-                                   call->software, bd_clock_boot_ms ());
+                                   &holder);
   if (tokens < BD_PREFIX_MAP_TOKENS_MIN)
     return;
   call->prefix_count++;
--- /dev/null
+++ b/src/gateway/origin_lookup.h
@@ -0,0 +1,39 @@
+/**
+ * @file origin_lookup.h
+ * Finds out which software version began a stream that a caller continues:
+ * from what instances have told, or else from what runners hold.
+ */
+#ifndef BD_ORIGIN_LOOKUP_H
+#define BD_ORIGIN_LOOKUP_H
+
+#include "gateway/coordination.h"
+#include "gateway/inventory.h"
+
+/** Where to look. */
+struct bd_origin_lookup
+{
+  struct bd_stream_origins *origins;
+  struct bd_inventory *inventory; /**< May be NULL: runners are not asked. */
+  struct bd_targets *targets;
+};
+
+/** What is known of the origin of a stream. */
+struct bd_found_origin
+{
+  /** BD_COORDINATION_PLACED when the version is known, or else one of the two
+      verdicts about origins. */
+  enum bd_coordination_verdict verdict;
+  uint64_t software; /**< Hash of the version. */
+  /** Low 32 bits of the hash of a runner that holds the prompt; 0: none is
+      known. */
+  uint32_t holder;
+  /** The version is certain; otherwise only the holder can confirm it. */
+  bool confirmed;
+};
+
+/** Looks for the stream of QUERY, and asks runners if that may help. */
+struct bd_found_origin
+bd_origin_lookup (const struct bd_origin_lookup *lookup,
+                  const struct bd_coordination_query *query, int64_t now_ms);
+
+#endif
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -207,7 +207,8 @@
   entry.port = htons ((uint16_t)port);
   if (runner->software)
     entry.software = bd_software_of (bd_chunk_of (runner->software));
-  bd_targets_put (gateway->targets, 0, &entry, ++gateway->revision);
+  bd_targets_put (gateway->targets, bd_clock_boot_ms (), &entry,
+                  ++gateway->revision);
 }
 
 void
--- a/test/support_responses.h
+++ b/test/support_responses.h
@@ -19,6 +19,13 @@
 #define EVENT(n) "f\r\nid: " n "\ndata: a\n\n\r\n"
 #define LAST_CHUNK "0\r\n\r\n"
 
+#define REFUSAL                                                               \
+  "HTTP/1.1 503 Service Unavailable\r\nX-Basildock-Attempt-Id: @ID\r\n"       \
+  "X-Basildock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define MISDIRECTED                                                           \
+  "HTTP/1.1 421 Misdirected Request\r\nX-Basildock-Attempt-Id: @ID\r\n"       \
+  "Content-Length: 0\r\n\r\n"
+
 static inline void
 assert_contains (const GString *text, const char *wanted)
 {
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -216,6 +216,56 @@
   support_gateway_close (&g);
 }
 
+/* Guards against a list that another process has made, which has the address
+   of the listed one by now: it says so when it is asked to go on, and nobody
+   else of the listed version is asked. */
+static void
+test_list_of_another_process (void)
+{
+  static const struct support_step steps[]
+      = { { HOLDS_C3, SUPPORT_KEEP }, { MISDIRECTED, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 4; i++)
+    {
+      support_gateway_runner (&g, i, i == 2 ? steps : lists_others, 2);
+      support_gateway_set_software (&g, i, "v1");
+    }
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, "\"stream_origin_unknown\"");
+  check_contains (caller->in, "\"ran\":\"no\"");
+  check_runners (&g, 4, 1 << 2);
+  support_gateway_close (&g);
+}
+
+/* The runner that holds the prompt has no room: another one of its version
+   goes on once its entry shows that it is the one that was asked. */
+static void
+test_holder_full (void)
+{
+  static const struct support_step steps[]
+      = { { HOLDS_C3, SUPPORT_KEEP }, { REFUSAL, SUPPORT_KEEP } };
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  for (int i = 0; i < 4; i++)
+    {
+      support_gateway_runner (&g, i, i == 2 ? steps : lists_others, 2);
+      support_gateway_set_software (&g, i, i == 1 ? "v1.1" : "v1");
+    }
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  support_await_count (&g, &g.runners[2].request_count, 2);
+  support_gateway_list (&g, 2, g.runners[2].port);
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  g_assert_false (got_request (&g.runners[1]));
+  support_gateway_close (&g);
+}
+
 /* A runner does not answer what it holds: the wait for it has an end. */
 static void
 test_list_missing (void)
@@ -297,6 +347,9 @@
   g_test_add_func ("/continuation/after-restart", test_after_restart);
   g_test_add_func ("/continuation/version-unknown", test_version_unknown);
   g_test_add_func ("/continuation/version-ambiguous", test_version_ambiguous);
+  g_test_add_func ("/continuation/list-of-another-process",
+                   test_list_of_another_process);
+  g_test_add_func ("/continuation/holder-full", test_holder_full);
   g_test_add_func ("/continuation/list-missing", test_list_missing);
   g_test_add_func ("/continuation/known-here", test_known_here);
   g_test_add_func ("/continuation/fields", test_fields);
--- a/test/test_coordination.c
+++ b/test/test_coordination.c
@@ -54,7 +54,8 @@
                                             .max_wait_ms = 800,
                                             .retry_after_ms = 640,
                                             .limit_rate = 4100,
-                                            .software = UINT64_MAX };
+                                            .software = UINT64_MAX,
+                                            .unconfirmed = true };
       break;
     case BD_COORDINATION_REPORTS:
       for (; m.reports.count < BD_COORDINATION_REPORTS_MAX; m.reports.count++)
@@ -160,9 +161,10 @@
 
   m.reply.limit_rate = 0;
   m.reply.software = BD_SOFTWARE_ANY;
+  m.reply.unconfirmed = false;
   bd_coordination_write (&m, &bytes);
-  bytes.data[0] -= 2; /* An array of two values less. */
-  bytes.length -= 2;
+  bytes.data[0] -= 3; /* An array of three values less. */
+  bytes.length -= 3;
   g_assert_cmpint (bd_coordination_read (bd_buffer_chunk (&bytes), &back), ==,
                    BD_OK);
   g_assert_cmpint (back.reply.retry_after_ms, ==, 640);
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -497,7 +497,7 @@
   struct bd_coordination_query query;
   uint64_t old = bd_software_of (BD_CHUNK ("v1")).hash;
   struct bd_origin_notice notice = { 77, old, 10000 };
-  uint64_t software;
+  struct bd_found_origin found;
 
   open_fixture (&fixture, 6);
   support_set_software (fixture.targets, "r3", "v1");
@@ -513,10 +513,10 @@
       bd_coordinator_decide (fixture.coordinator, 2, &query, NOW).verdict, ==,
       BD_COORDINATION_ORIGIN_UNKNOWN);
   bd_origin_notice_apply (fixture.origins, &notice, NOW);
-  g_assert_cmpint (bd_coordinator_find_software (fixture.coordinator, &query,
-                                                 NOW, &software),
-                   ==, BD_COORDINATION_PLACED);
-  g_assert_cmpuint (software, ==, old);
+  found = bd_coordinator_find_origin (fixture.coordinator, &query, NOW);
+  g_assert_cmpint (found.verdict, ==, BD_COORDINATION_PLACED);
+  g_assert_cmpuint (found.software, ==, old);
+  g_assert_true (found.confirmed);
   g_assert_true (place (&fixture, 2, &query, NOW)
                  == support_target (fixture.targets, "r3"));
   notice.software = BD_SOFTWARE_UNCERTAIN;
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -7,9 +7,6 @@
 #include <netinet/tcp.h>
 #include <string.h>
 
-#define REFUSAL                                                               \
-  "HTTP/1.1 503 Service Unavailable\r\nX-Basildock-Attempt-Id: @ID\r\n"       \
-  "X-Basildock-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 #define FAILURE                                                               \
   "HTTP/1.1 500 Internal Server Error\r\nX-Basildock-Attempt-Id: @ID\r\n"     \
   "X-Basildock-Response-Signature: bad\r\nContent-Length: 0\r\n\r\n"
--- a/test/test_inventory.c
+++ b/test/test_inventory.c
@@ -131,6 +131,7 @@
   struct support_gateway g;
   struct bd_inventory *inventory;
   struct bd_chunk service = BD_CHUNK ("s");
+  struct bd_stream_holder holder;
 
   support_gateway_open (&g);
   inventory = query_runners (&g);
@@ -146,9 +147,10 @@
   while (bd_inventory_state (inventory, service, bd_clock_boot_ms ())
          != BD_INVENTORY_KNOWN)
     support_run_once (&g);
-  g_assert_cmpuint (bd_stream_origins_find_holder (
-                        g.origins, prefix_hash ("b2"), bd_clock_boot_ms ()),
-                    ==, bd_software_of (BD_CHUNK ("v1")).hash);
+  g_assert_true (bd_stream_origins_find_holder (g.origins, prefix_hash ("b2"),
+                                                bd_clock_boot_ms (), &holder));
+  g_assert_cmpuint (holder.software, ==,
+                    bd_software_of (BD_CHUNK ("v1")).hash);
   g_assert_cmpint (
       bd_inventory_state (inventory, service, bd_clock_boot_ms () + 5000), ==,
       BD_INVENTORY_OLD);
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -52,28 +52,39 @@
   bd_stream_origins_destroy (origins);
 }
 
-/* A part that runners of two versions hold shows nothing; holders and streams
-   are apart. */
+static void
+list (struct bd_stream_origins *origins, uint64_t part, uint64_t software,
+      uint32_t target, int64_t now)
+{
+  struct bd_stream_holder holder = { software, target, now };
+
+  bd_stream_origins_record_holder (origins, part, &holder);
+}
+
+/* A part that runners of two versions hold shows nothing; of one version, the
+   runner that listed it last; holders and streams are apart. */
 static void
 test_listed (void)
 {
   struct bd_stream_origins *origins = bd_stream_origins_create ();
-
-  bd_stream_origins_record_holder (origins, 7, OLD, NOW);
-  bd_stream_origins_record_holder (origins, 7, OLD, NOW);
-  bd_stream_origins_record_holder (origins, 8, OLD, NOW);
-  bd_stream_origins_record_holder (origins, 8, NEW, NOW);
-  g_assert_cmpuint (bd_stream_origins_find_holder (origins, 7, NOW), ==, OLD);
-  g_assert_cmpuint (bd_stream_origins_find_holder (origins, 8, NOW), ==,
-                    BD_SOFTWARE_UNCERTAIN);
-  g_assert_cmpuint (bd_stream_origins_find_holder (origins, 9, NOW), ==,
-                    BD_SOFTWARE_ANY);
-  g_assert_cmpuint (bd_stream_origins_find_holder (origins, 0, NOW), ==,
-                    BD_SOFTWARE_ANY);
+  struct bd_stream_holder holder;
+
+  list (origins, 7, OLD, 1, NOW);
+  list (origins, 7, OLD, 2, NOW + 5);
+  list (origins, 8, OLD, 1, NOW);
+  list (origins, 8, NEW, 3, NOW);
+  g_assert_true (bd_stream_origins_find_holder (origins, 7, NOW, &holder));
+  g_assert_cmpuint (holder.software, ==, OLD);
+  g_assert_cmpuint (holder.target, ==, 2);
+  g_assert_cmpint (holder.listed_ms, ==, NOW + 5);
+  g_assert_true (bd_stream_origins_find_holder (origins, 8, NOW, &holder));
+  g_assert_cmpuint (holder.software, ==, BD_SOFTWARE_UNCERTAIN);
+  g_assert_false (bd_stream_origins_find_holder (origins, 9, NOW, &holder));
+  g_assert_false (bd_stream_origins_find_holder (origins, 0, NOW, &holder));
   g_assert_cmpuint (bd_stream_origins_find (origins, 7, NOW), ==,
                     BD_SOFTWARE_ANY);
-  g_assert_cmpuint (bd_stream_origins_find_holder (origins, 7, NOW + 15000),
-                    ==, BD_SOFTWARE_ANY);
+  g_assert_false (
+      bd_stream_origins_find_holder (origins, 7, NOW + 15005, &holder));
   bd_stream_origins_destroy (origins);
 }
 
