--- a/bench/model/simulation_internal.h
+++ b/bench/model/simulation_internal.h
@@ -133,7 +133,6 @@
   /* Hash of the software version that wrote the first event, with which the
      answer has to go on; BD_SOFTWARE_ANY: no event yet. */
   uint64_t software;
-  bool broken; /* The answer broke off and has not gone on yet. */
   /* The current attempt. */
   struct runner *runner;
   struct runner *source; /* Runner to fetch the prefix from, or NULL. */
@@ -146,6 +145,7 @@
   uint64_t assigned_tokens;
   struct gateway *assigned_gateway;
   size_t assigned_runner;
+  bool broken;            /* The answer broke off and has not gone on yet. */
   bool counts_as_waiting; /* Counts as waiting for prefill. */
   bool counts_in_flight;  /* Counts as in flight. */
   bool is_short;
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -93,6 +93,9 @@
   size_t tried_count;
   /* Attempts at runners that may have received the request. */
   uint32_t attempts;
+  /* The only runner that may get the request until it has confirmed the
+     version: low 32 bits of its hash; 0: any. */
+  uint32_t holder;
   bool counted_as_first; /* Counted as a first attempt, in proportion to which
                             the retry budget grows. */
   /* Registration with the coordinator. */
@@ -125,9 +128,6 @@
   uint64_t stream_software;
   /* Number of the stream that the caller continues; 0: not named. */
   uint64_t continued_stream;
-  /* The only runner that may get the request until it has confirmed the
-     version: low 32 bits of its hash; 0: any. */
-  uint32_t holder;
   /* What the attempt has shown about the runner. */
   struct bd_attempt_outcome outcome;
   int64_t pause_left_ms; /* Time until the first runner that asked for a pause
