--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -96,6 +96,7 @@
   /* The only runner that may get the request until it has confirmed the
      version: low 32 bits of its hash; 0: any. */
   uint32_t holder;
+  bool origin_confirmed; /* The version of the continued stream is certain. */
   bool counted_as_first; /* Counted as a first attempt, in proportion to which
                             the retry budget grows. */
   /* Registration with the coordinator. */
@@ -136,10 +137,9 @@
                             their requests; 0: none does, or not known. */
   bool runner_was_idle;  /* No wait was expected at the runner. */
   bool may_have_run;
-  bool continues;        /* The caller continues a stream that another of its
-                            attempts began. */
-  bool origin_confirmed; /* The version of the continued stream is certain. */
-  bool origin_told;      /* Peers were told which version began the stream. */
+  bool continues;   /* The caller continues a stream that another of its
+                       attempts began. */
+  bool origin_told; /* Peers were told which version began the stream. */
   /* Why the request was not sent to another runner. */
   enum bd_stop_reason stop_reason;
   bool waits_for_budget; /* Between attempts, until the retry budget has
--- a/test/test_model.c
+++ b/test/test_model.c
@@ -227,14 +227,12 @@
                                                .share = 0.5,
                                                .factor = 2,
                                                .gap_ms = 300 };
-      for (scenario.fault_count = 1; scenario.fault_count < SIM_FAULTS_MAX;
-           scenario.fault_count++)
-        scenario.faults[scenario.fault_count]
-            = (struct sim_fault){ .kind = SIM_CRASH,
-                                  .at_ms
-                                  = 4000.0 + 1700.0 * scenario.fault_count,
-                                  .duration_ms = 1000,
-                                  .share = 0.3 };
+      for (int i = 1; i < SIM_FAULTS_MAX; i++)
+        scenario.faults[i] = (struct sim_fault){ .kind = SIM_CRASH,
+                                                 .at_ms = 4000.0 + 1700.0 * i,
+                                                 .duration_ms = 1000,
+                                                 .share = 0.3 };
+      scenario.fault_count = SIM_FAULTS_MAX;
       sim_run (&scenario, SIM_COORDINATED, seed, &result);
       g_assert_cmpuint (result.resumed, >, 10);
       g_assert_cmpuint (result.joined, ==, 0);
