--- a/src/balance/software.c
+++ b/src/balance/software.c
@@ -16,6 +16,18 @@
   return software;
 }
 
+bool
+bd_software_set (struct bd_software *software,
+                 const struct bd_software *listed)
+{
+  uint64_t before = software->hash;
+
+  *software = *listed;
+  if (software->hash == BD_SOFTWARE_ANY)
+    software->hash = BD_SOFTWARE_UNNAMED;
+  return before != BD_SOFTWARE_ANY && before != software->hash;
+}
+
 const char *
 bd_software_name (const struct bd_software *software)
 {
--- a/src/balance/software.h
+++ b/src/balance/software.h
@@ -34,6 +34,13 @@
  */
 struct bd_software bd_software_of (struct bd_chunk text);
 
+/**
+ * Sets SOFTWARE to what a runner's entry lists; zero-initialized, the entry
+ * names none.  Returns whether it was another version before.
+ */
+bool bd_software_set (struct bd_software *software,
+                      const struct bd_software *listed);
+
 /** Returns the name of SOFTWARE for a log line. */
 const char *bd_software_name (const struct bd_software *software);
 
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -130,10 +130,7 @@
 {
   struct bd_software before = target->software;
 
-  target->software = *software;
-  if (software->hash == BD_SOFTWARE_ANY)
-    target->software.hash = BD_SOFTWARE_UNNAMED;
-  if (before.hash != BD_SOFTWARE_ANY && before.hash != target->software.hash)
+  if (bd_software_set (&target->software, software))
     bd_log (BD_EVENT_TARGET_SOFTWARE, "runner=%s service=%s from=%s to=%s",
             target->id.data, target->service.data, bd_software_name (&before),
             bd_software_name (software));
--- a/src/common/clock.c
+++ b/src/common/clock.c
@@ -34,3 +34,9 @@
 {
   return read_us (CLOCK_REALTIME) / 1000;
 }
+
+int64_t
+bd_clock_cpu_ms (void)
+{
+  return read_us (CLOCK_PROCESS_CPUTIME_ID) / 1000;
+}
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -27,6 +27,7 @@
   X (1008, ACCEPT_FAILED, WARNING, "connection not accepted")                 \
   X (1009, LOG_DROPPED, WARNING, "log lines dropped")                         \
   X (1010, HANGUP, NOTICE, "hangup signal ignored")                           \
+  X (1011, LOOP_LATE, NOTICE, "event loop was late")                          \
   X (2001, REQUEST_DONE, INFO, "request answered whole")                      \
   X (2002, REQUEST_REFUSED, INFO, "request refused")                          \
   X (2003, REQUEST_RETRY, INFO, "request placed again")                       \
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -6,7 +6,9 @@
 #include "retry/suspect.h"
 #include "gateway/peer_configuration.h"
 #include "gateway/forward.h"
+#include "gateway/loop_watch.h"
 #include "gateway/mesh.h"
+#include "gateway/signals.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -14,9 +16,6 @@
 #include <string.h>
 
 #define TICK_MS 100
-/* A difference of this much between the clocks from one tick to the next shows
-   that the machine was suspended. */
-#define SUSPENSION_MIN_MS 500
 /* Shutdown, in milliseconds from the signal.  The load balancer may send
    callers here until STOP_MIN_MS.  Requests that arrive after STOP_ACCEPT_MS
    are refused unless they will end in time. */
@@ -44,7 +43,7 @@
   void *context;
   uv_loop_t loop;
   uv_timer_t tick;
-  uv_signal_t signals[3];
+  struct bd_signals signals;
   struct bd_client *client;
   struct bd_targets *targets;
   struct bd_selector *selector;
@@ -67,10 +66,9 @@
   struct bd_buffer configuration;
   uint64_t configuration_revision;
   bool runners_known;
-  int64_t ready_ms;           /* When the instance became ready; 0: not yet. */
-  int64_t stop_started_ms;    /* When the shutdown began; 0: not stopping. */
-  int64_t total_suspended_ms; /* Time in suspension since the boot, as of the
-                                 last tick. */
+  int64_t ready_ms;        /* When the instance became ready; 0: not yet. */
+  int64_t stop_started_ms; /* When the shutdown began; 0: not stopping. */
+  struct bd_loop_clocks last_tick;
   /* Configuration fetched from peers. */
   struct bd_peer_configuration *peer_configuration;
 };
@@ -259,16 +257,22 @@
 
 /* Timer and signals. */
 
+/* Handles that the loop stood still since the last tick. */
 static void
-check_suspension (struct bd_gateway *gateway, int64_t now_ms)
+check_delay (struct bd_gateway *gateway)
 {
-  int64_t difference = now_ms - bd_clock_ms ();
-  int64_t suspended_ms = difference - gateway->total_suspended_ms;
+  struct bd_loop_clocks now = bd_loop_clocks_now ();
+  struct bd_loop_delay delay
+      = bd_loop_delay_between (&gateway->last_tick, &now, TICK_MS);
 
-  gateway->total_suspended_ms = difference;
-  if (suspended_ms < SUSPENSION_MIN_MS)
+  gateway->last_tick = now;
+  if (delay.late_ms > 0)
+    bd_log (BD_EVENT_LOOP_LATE, "late_ms=%lld cpu_ms=%lld",
+            (long long)delay.late_ms, (long long)delay.cpu_ms);
+  if (delay.suspended_ms == 0)
     return;
-  bd_log (BD_EVENT_RESUMED, "suspended_ms=%lld", (long long)suspended_ms);
+  bd_log (BD_EVENT_RESUMED, "suspended_ms=%lld",
+          (long long)delay.suspended_ms);
   bd_client_drop_idle (gateway->client);
   gateway->handler->on_resume (gateway->context);
 }
@@ -294,7 +298,7 @@
   struct bd_gateway *gateway = timer->data;
   int64_t now = bd_clock_boot_ms ();
 
-  check_suspension (gateway, now);
+  check_delay (gateway);
   bd_peer_configuration_tick (gateway->peer_configuration, now);
   bd_targets_tick (gateway->targets, now);
   bd_suspects_tick (gateway->suspects, now);
@@ -454,40 +458,6 @@
   return gateway->forwarder ? BD_OK : BD_ERR_NOMEM;
 }
 
-static const int handled_signals[] = { SIGTERM, SIGINT, SIGHUP };
-
-#define SIGNAL_COUNT (sizeof handled_signals / sizeof handled_signals[0])
-
-static void
-mask_signals (int how)
-{
-  sigset_t set;
-
-  sigemptyset (&set);
-  for (size_t i = 0; i < SIGNAL_COUNT; i++)
-    sigaddset (&set, handled_signals[i]);
-  pthread_sigmask (how, &set, NULL);
-}
-
-void
-bd_gateway_block_signals (void)
-{
-  mask_signals (SIG_BLOCK);
-}
-
-/* Unblocks the signals; from now on they are handled by the event loop. */
-static void
-handle_signals (struct bd_gateway *gateway)
-{
-  for (size_t i = 0; i < SIGNAL_COUNT; i++)
-    {
-      uv_signal_init (&gateway->loop, &gateway->signals[i]);
-      gateway->signals[i].data = gateway;
-      uv_signal_start (&gateway->signals[i], on_signal, handled_signals[i]);
-    }
-  mask_signals (SIG_UNBLOCK);
-}
-
 int
 bd_gateway_create (const struct bd_gateway_options *options,
                    const struct bd_gateway_handler *handler, void *context,
@@ -501,10 +471,10 @@
   gateway->options = *options;
   gateway->handler = handler;
   gateway->context = context;
-  gateway->total_suspended_ms = bd_clock_boot_ms () - bd_clock_ms ();
+  gateway->last_tick = bd_loop_clocks_now ();
   uv_loop_init (&gateway->loop);
   signal (SIGPIPE, SIG_IGN);
-  handle_signals (gateway);
+  bd_signals_start (&gateway->signals, &gateway->loop, on_signal, gateway);
   error = create_modules (gateway);
   if (error == BD_OK)
     error = open_listeners (gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,12 +58,6 @@
   void (*on_reload) (void *context);
 };
 
-/**
- * Blocks SIGTERM, SIGINT and SIGHUP until bd_gateway_create () handles them.
- * To be called first in main ().
- */
-void bd_gateway_block_signals (void);
-
 /** Returns BD_OK, BD_ERR_NOMEM or BD_ERR_IO. */
 int bd_gateway_create (const struct bd_gateway_options *options,
                        const struct bd_gateway_handler *handler, void *context,
--- a/test/test_software.c
+++ b/test/test_software.c
@@ -37,11 +37,30 @@
   g_free (text);
 }
 
+/* What entries list one after the other, and whether that is a change. */
+static void
+test_set (void)
+{
+  struct bd_software software = { .hash = BD_SOFTWARE_ANY };
+  struct bd_software none = { .hash = BD_SOFTWARE_ANY };
+  struct bd_software one = bd_software_of (BD_CHUNK ("v1"));
+  struct bd_software two = bd_software_of (BD_CHUNK ("v2"));
+
+  g_assert_false (bd_software_set (&software, &one));
+  g_assert_false (bd_software_set (&software, &one));
+  g_assert_true (bd_software_set (&software, &two));
+  g_assert_cmpuint (software.hash, ==, two.hash);
+  g_assert_true (bd_software_set (&software, &none));
+  g_assert_cmpuint (software.hash, ==, BD_SOFTWARE_UNNAMED);
+  g_assert_false (bd_software_set (&software, &none));
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/software/compared", test_compared);
   g_test_add_func ("/software/hostile", test_hostile);
+  g_test_add_func ("/software/set", test_set);
   return g_test_run ();
 }
