Outbox: reports and origins are collected and sent by one module (no change)

With all places for instances taken, the oldest items are sent before theirs is used again; reports were dropped then.

--- a/src/gateway/coordinator_client.c
+++ b/src/gateway/coordinator_client.c
@@ -2,18 +2,13 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "gateway/outbox.h"
 #include "gateway/rank.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Reports are collected for this long before they are sent.  Each is sent this
-   many times, because datagrams get lost. */
-#define REPORT_INTERVAL_MS 20
-#define REPORT_SENDS 2
-/* Most coordinators that reports are collected for at a time. */
-#define OUTBOXES_MAX 32
 /* Consecutive timeouts after which an instance is skipped; how long it is
    skipped at first, doubled each time, and at most. */
 #define TIMEOUTS_MAX 2
@@ -37,14 +32,6 @@
   int64_t sent_ms;
 };
 
-struct outbox
-{
-  uint32_t ip; /* Network byte order; 0: entry is free. */
-  size_t count;
-  struct bd_coordination_report reports[BD_COORDINATION_REPORTS_MAX];
-  uint8_t sends_left[BD_COORDINATION_REPORTS_MAX];
-};
-
 struct backoff
 {
   uint32_t ip; /* Network byte order; 0: entry is free. */
@@ -66,13 +53,11 @@
   struct bd_coordinator_client_options options;
   struct bd_mesh *mesh;
   uv_timer_t timeout;
-  uv_timer_t flush;
-  bool flush_scheduled;
   /* Oldest pending query; the queue is in the order of sending. */
   struct pending_query *oldest_query;
   struct pending_query *newest_query;
   uint32_t last_request_number;
-  struct outbox outboxes[OUTBOXES_MAX];
+  struct bd_outbox *reports;
   struct backoff backoffs[BACKOFFS_MAX];
   struct coordinator_choice choices[CHOICES_MAX];
   size_t choice_count;
@@ -326,67 +311,10 @@
 
 /* Reports. */
 
-static bool
-send_outbox (struct bd_coordinator_client *client, struct outbox *outbox)
-{
-  struct bd_coordination_message message = { .kind = BD_COORDINATION_REPORTS };
-  size_t kept = 0;
-
-  message.reports.count = outbox->count;
-  memcpy (message.reports.items, outbox->reports,
-          outbox->count * sizeof outbox->reports[0]);
-  bd_mesh_send (client->mesh, outbox->ip, &message);
-  for (size_t i = 0; i < outbox->count; i++)
-    if (--outbox->sends_left[i] > 0)
-      {
-        outbox->reports[kept] = outbox->reports[i];
-        outbox->sends_left[kept++] = outbox->sends_left[i];
-      }
-  outbox->count = kept;
-  if (kept == 0)
-    outbox->ip = 0;
-  return kept > 0;
-}
-
-static void
-on_flush (uv_timer_t *timer)
-{
-  struct bd_coordinator_client *client = timer->data;
-  bool more = false;
-
-  for (size_t i = 0; i < OUTBOXES_MAX; i++)
-    if (client->outboxes[i].ip != 0)
-      more |= send_outbox (client, &client->outboxes[i]);
-  client->flush_scheduled = more;
-  if (more)
-    uv_timer_start (timer, on_flush, REPORT_INTERVAL_MS, 0);
-}
-
-static struct outbox *
-find_or_add_outbox (struct bd_coordinator_client *client, uint32_t ip)
-{
-  struct outbox *unused = NULL;
-
-  for (size_t i = 0; i < OUTBOXES_MAX; i++)
-    {
-      if (client->outboxes[i].ip == ip)
-        return &client->outboxes[i];
-      if (client->outboxes[i].ip == 0)
-        unused = &client->outboxes[i];
-    }
-  if (!unused)
-    unused = &client->outboxes[0];
-  unused->ip = ip;
-  unused->count = 0;
-  return unused;
-}
-
 static void
 queue_report (struct bd_coordinator_client *client, uint32_t ip,
               const struct bd_coordination_report *report)
 {
-  struct outbox *outbox;
-
   if (ip == 0 || !client->mesh)
     return;
   if (ip == client->options.ip)
@@ -395,17 +323,7 @@
                                     bd_clock_boot_ms ());
       return;
     }
-  outbox = find_or_add_outbox (client, ip);
-  if (outbox->count == BD_COORDINATION_REPORTS_MAX)
-    send_outbox (client, outbox);
-  if (outbox->count == BD_COORDINATION_REPORTS_MAX)
-    outbox->count = 0; /* Each report has been sent at least once. */
-  outbox->ip = ip;
-  outbox->reports[outbox->count] = *report;
-  outbox->sends_left[outbox->count++] = REPORT_SENDS;
-  if (!client->flush_scheduled)
-    uv_timer_start (&client->flush, on_flush, REPORT_INTERVAL_MS, 0);
-  client->flush_scheduled = true;
+  bd_outbox_add_report (client->reports, ip, report);
 }
 
 void
@@ -559,6 +477,7 @@
                                 struct bd_mesh *mesh)
 {
   client->mesh = mesh;
+  bd_outbox_set_mesh (client->reports, mesh);
   bd_coordinator_set_mesh (client->options.coordinator, mesh);
 }
 
@@ -571,9 +490,13 @@
   if (!client)
     return NULL;
   client->options = *options;
+  client->reports = bd_outbox_create (options->loop, BD_COORDINATION_REPORTS);
+  if (!client->reports)
+    {
+      free (client);
+      return NULL;
+    }
   uv_timer_init (options->loop, &client->timeout);
-  uv_timer_init (options->loop, &client->flush);
   client->timeout.data = client;
-  client->flush.data = client;
   return client;
 }
