--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -26,6 +26,7 @@
 #define RESTART_DELAY_MS 300
 #define WATCH_STEP_NS 5000000
 #define READY_WAIT_MS 10000
+#define READY_LIMIT_MS 1000
 #define GATEWAY_PROGRAM "target/basildock-gateway"
 
 /* Common. */
@@ -824,7 +825,7 @@
       if (gateway->killed)
         {
           gateway->killed = false;
-          stand_record ("gateway=%zu was killed", index + 1);
+          stand_record ("gateway=%zu has ended", index + 1);
           stand_sleep_ms (RESTART_DELAY_MS);
           continue;
         }
@@ -876,6 +877,14 @@
       }
 }
 
+void
+stand_gateway_stop (struct stand_gateway *gateway)
+{
+  gateway->killed = true;
+  if (gateway->pid > 0)
+    kill (gateway->pid, SIGTERM);
+}
+
 void
 stand_gateways_end (void)
 {
@@ -892,7 +901,7 @@
 /* Callers. */
 
 static int
-connect_to (const char *ip, int port, int receive_bytes)
+connect_to (const char *ip, int port, int receive_bytes, int segment_bytes)
 {
   struct sockaddr_in address = address_of (ip, port);
   int one = 1;
@@ -901,6 +910,9 @@
   if (fd < 0)
     return -1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  if (segment_bytes > 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                sizeof segment_bytes);
   if (receive_bytes > 0)
     setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                 sizeof receive_bytes);
@@ -912,11 +924,17 @@
 
 bool
 stand_gateway_ready (const struct stand_gateway *gateway)
+{
+  return stand_gateway_answers (gateway, READY_LIMIT_MS);
+}
+
+bool
+stand_gateway_answers (const struct stand_gateway *gateway, int64_t limit_ms)
 {
   static const char request[] = "GET /v1/readyz HTTP/1.1\r\nHost: balancer\r\n"
                                 "Connection: close\r\n\r\n";
-  int fd = connect_to (gateway->ip, gateway->readiness_port, 0);
-  struct timeval limit = { .tv_sec = 1 };
+  int fd = connect_to (gateway->ip, gateway->readiness_port, 0, 0);
+  struct timeval limit = { .tv_sec = limit_ms / 1000 };
   char head[HEAD_MAX_BYTES];
   size_t filled = 0;
   bool ready = false;
@@ -1079,7 +1097,7 @@
   if (caller->fd < 0)
     caller->fd
         = connect_to (caller->gateway->ip, caller->gateway->callers_port,
-                      caller->receive_bytes);
+                      caller->receive_bytes, caller->segment_bytes);
   result.refused = caller->fd < 0;
   if (!result.refused && stand_write (caller->fd, head, strlen (head)))
     read_answer (answer, &result);
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -135,10 +135,15 @@
                            const char *folder);
 /** Kills all gateways at once; they are started again. */
 void stand_gateways_kill (void);
+/** Sends SIGTERM to a gateway; it is started again after its end. */
+void stand_gateway_stop (struct stand_gateway *gateway);
 /** Ends all gateways. */
 void stand_gateways_end (void);
 /** Returns whether the gateway answers 200 to the balancer. */
 bool stand_gateway_ready (const struct stand_gateway *gateway);
+/** Returns whether it answers the balancer with 200 within LIMIT_MS. */
+bool stand_gateway_answers (const struct stand_gateway *gateway,
+                            int64_t limit_ms);
 
 /** What a caller got. */
 struct stand_result
@@ -160,6 +165,7 @@
   const struct stand_gateway *gateway;
   int fd;             /**< -1: closed. */
   int receive_bytes;  /**< Size of the receive buffer; 0: the default. */
+  int segment_bytes;  /**< Largest TCP segment; 0: the default. */
   size_t bytes_per_s; /**< How fast the answer is read; 0: at once. */
   stand_body on_body; /**< NULL: the body is not looked at. */
   void *context;      /**< Of on_body. */
