review 3: a planned leave in place of the crash

Cause: one disruption shows the fault; the script had two. Change: the runner that began the streams leaves by plan; only the kill of the gateways is a disruption.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,5 +1,5 @@
 /* Two software versions serve side by side.  Streams begin at a runner of the
-   second one; it crashes, and the gateways are killed.  The callers take the
+   second one that leaves; the gateways are killed.  The callers take the
    streams up again. */
 
 #include "../stand/stand.h"
@@ -19,8 +19,11 @@
 #define FIRST_AT_MS 1000
 #define SECOND_VERSION_AT_MS 3500
 #define SECOND_AT_MS 6000
-#define CRASH_AT_MS 7600
-#define BACK_AT_MS 12000
+/* The leaving runner serves for drainMs and a little longer after its removal,
+   then exits. */
+#define REMOVED_AT_MS 6800
+#define KILL_AT_MS 7600
+#define EXIT_AT_MS 9800
 #define RUN_MS 18000
 #define FIRST_EVENTS 5
 #define EVENTS 60
@@ -58,7 +61,6 @@
 
 static struct stand_gateway gateways[GATEWAYS];
 static struct stand_runner runners[VERSIONS][RUNNERS];
-static struct stand_runner returned;
 static atomic_uint mixed;
 static atomic_uint continued;
 static atomic_uint complete;
@@ -214,7 +216,7 @@
 {
   const char *setting = getenv ("TROUBLE");
   bool with_trouble = !setting || strcmp (setting, "0") != 0;
-  struct stand_runner *crashing = &runners[1][0];
+  struct stand_runner *leaving = &runners[1][0];
   unsigned ends = 0;
 
   if (argc != 3)
@@ -234,17 +236,18 @@
   stand_sleep_ms (SECOND_VERSION_AT_MS - stand_now_ms ());
   for (unsigned i = 0; i < RUNNERS; i++)
     start_runner (&runners[1][i], 1, i);
-  stand_sleep_ms (CRASH_AT_MS - stand_now_ms ());
+  stand_sleep_ms (REMOVED_AT_MS - stand_now_ms ());
+  stand_runner_remove (leaving);
+  stand_record ("store accepts the removal of runner=%s", leaving->id);
+  stand_sleep_ms (KILL_AT_MS - stand_now_ms ());
   if (with_trouble)
     {
-      crashing->published = false;
-      crashing->ended = true;
-      stand_record ("runner=%s crashes", crashing->id);
       stand_gateways_kill ();
-      stand_sleep_ms (BACK_AT_MS - stand_now_ms ());
-      start_runner (&returned, 1, RUNNERS);
-      stand_store_delete ("servers/i-b0");
+      stand_record ("all gateways are killed");
     }
+  stand_sleep_ms (EXIT_AT_MS - stand_now_ms ());
+  leaving->ended = true;
+  stand_record ("runner=%s exits", leaving->id);
   stand_sleep_ms (RUN_MS - stand_now_ms ());
   for (size_t i = 0; i < GATEWAYS; i++)
     ends += gateways[i].ends;
