--- a/review/4/case.c
+++ b/review/4/case.c
@@ -10,8 +10,8 @@
 
 #define GATEWAYS 3
 #define RUNNERS 3
-/* Traffic of the site: 8.14 cut-sheet and 7.7 dispatch-order a second. */
-#define STREAMS_PER_S 8
+/* Traffic of the site: 11.2 carcass-spec and 7.7 dispatch-order a second. */
+#define STREAMS_PER_S 11
 #define ORDERS_PER_S 8
 #define ORDER_LIMIT_MS 1500
 #define ORDER_TIMEOUT_MS 800
@@ -21,14 +21,14 @@
 #define UNANSWERED_MIN 8
 /* Callers leave a stream after a gap of four times its objective, and in any
    case after their time limit. */
-#define GAP_MS 3200
+#define GAP_MS 8000
 #define TROUBLE_FROM_MS 4000
 #define RUN_MS 40000
 /* Of each stream; the sheet's link of a runner has 2,000 Mbit/s. */
 #define TROUBLE_BYTES_PER_S (4 * 1024 * 1024)
 #define PIECE_BYTES 65536
 #define WORK_MS 60
-#define EVENTS 17
+#define EVENTS 40
 #define EVENT_MS 20
 #define PROBE_MS 200
 #define PROBE_LIMIT_MS 30000
@@ -36,11 +36,11 @@
 
 static const char configuration[]
     = "{\"version\":7,\"routes\":["
-      "{\"name\":\"cut-sheet\",\"host\":\"review.example\","
-      "\"prefix\":\"/sheet/\",\"type\":\"streaming\",\"timeoutMs\":6000,"
-      "\"sloMs\":800,\"priority\":1,\"service\":\"yield-model\","
-      "\"maxAttempts\":2,\"public\":false,\"sticky\":true,"
-      "\"resumable\":true,\"targetGapMs\":400},"
+      "{\"name\":\"carcass-spec\",\"host\":\"review.example\","
+      "\"prefix\":\"/spec/\",\"type\":\"streaming\",\"timeoutMs\":12000,"
+      "\"sloMs\":2000,\"priority\":2,\"service\":\"yield-model\","
+      "\"maxAttempts\":1,\"public\":false,\"sticky\":true,"
+      "\"resumable\":false,\"targetGapMs\":1000},"
       "{\"name\":\"dispatch-order\",\"host\":\"review.example\","
       "\"prefix\":\"/order/\",\"type\":\"non_idempotent\","
       "\"timeoutMs\":800,\"sloMs\":300,\"priority\":2,"
@@ -159,12 +159,12 @@
 
   snprintf (id, sizeof id, "%c%u", is_stream ? 's' : 'o', number);
   snprintf (fields, sizeof fields,
-            "X-Basildock-Model: m\r\nX-Basildock-Token-Usage: 9190,51\r\n"
-            "X-Basildock-Prefix-Hash: a%u:2520,b%u:3780,c%u:2890\r\n",
-            number % 4, number % 57, number);
+            "X-Basildock-Model: m\r\nX-Basildock-Token-Usage: 17020,120\r\n"
+            "X-Basildock-Prefix-Hash: a%u:13300,b%u:3720\r\n",
+            number % 119, number);
   stand_record ("caller=%s gateway=%u sent", id, number % GATEWAYS + 1);
   if (is_stream)
-    result = stand_call (&caller, "POST", "/sheet/2f", id, fields, GAP_MS);
+    result = stand_call (&caller, "POST", "/spec/2f", id, fields, GAP_MS);
   else
     result = stand_call (&caller, "POST", "/order/2f", id, "", ORDER_LIMIT_MS);
   stand_record ("caller=%s status=%d complete=%d bytes=%zu gave_up=%d ms=%lld",
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -28,6 +28,8 @@
 #define READY_WAIT_MS 10000
 #define READY_LIMIT_MS 1000
 #define GATEWAY_PROGRAM "target/basildock-gateway"
+/* Exit code of a gateway whose ports are taken. */
+#define EXIT_START_FAILED 3
 
 /* Common. */
 
@@ -785,7 +787,7 @@
   dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
   execve (GATEWAY_PROGRAM, arguments, variables);
-  _exit (127);
+  _exit (EXIT_START_FAILED);
 }
 
 /* Runs one gateway, again and again as the platform does. */
@@ -829,6 +831,8 @@
           stand_sleep_ms (RESTART_DELAY_MS);
           continue;
         }
+      if (WIFEXITED (status) && WEXITSTATUS (status) == EXIT_START_FAILED)
+        stand_give_up ("a gateway could not start");
       gateway->ends++;
       stand_record ("gateway=%zu ended by itself signal=%d exit=%d ends=%u",
                     index + 1, WIFSIGNALED (status) ? WTERMSIG (status) : 0,
@@ -849,10 +853,13 @@
   fleet.all = gateways;
   fleet.count = count;
   snprintf (fleet.folder, sizeof fleet.folder, "%s", folder);
-  fleet.internal_port = free_port ("127.0.0.11");
   for (size_t i = 0; i < count; i++)
     {
-      snprintf (gateways[i].ip, sizeof gateways[i].ip, "127.0.0.%zu", 11 + i);
+      /* Addresses of its own for each run. */
+      snprintf (gateways[i].ip, sizeof gateways[i].ip, "127.%d.%d.%zu",
+                1 + getpid () % 250, getpid () / 250 % 250, 11 + i);
+      if (i == 0)
+        fleet.internal_port = free_port (gateways[0].ip);
       gateways[i].callers_port = free_port (gateways[i].ip);
       gateways[i].readiness_port = free_port (gateways[i].ip);
       stand_thread (run_gateway, &gateways[i]);
