--- a/review/4/case.c
+++ b/review/4/case.c
@@ -25,8 +25,8 @@
 #define TROUBLE_FROM_MS 4000
 #define RUN_MS 40000
 /* Of each stream; the sheet's link of a runner has 2,000 Mbit/s. */
-#define TROUBLE_BYTES_PER_S (4 * 1024 * 1024)
-#define PIECE_BYTES 65536
+#define TROUBLE_BYTES_PER_S ((size_t)4 * 1024 * 1024)
+#define PIECE_BYTES ((size_t)65536)
 #define WORK_MS 60
 #define EVENTS 40
 #define EVENT_MS 20
@@ -78,7 +78,7 @@
   memset (piece, '\n', PIECE_BYTES);
   while (open)
     {
-      stand_sleep_ms (PIECE_BYTES * 1000 / TROUBLE_BYTES_PER_S);
+      stand_sleep_ms ((int64_t)(PIECE_BYTES * 1000 / TROUBLE_BYTES_PER_S));
       open = stand_write (fd, "10000\r\n", 7)
              && stand_write (fd, piece, PIECE_BYTES)
              && stand_write (fd, "\r\n", 2);
