--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,5 +1,6 @@
-/* A runner leaves without reporting it: its entry is removed, and it serves on
-   for a while.  Meanwhile the store cuts watches that wait. */
+/* Two software versions serve side by side.  Streams begin at a runner of the
+   second one that leaves; the gateways are killed.  The callers take the
+   streams up again. */
 
 #include "../stand/stand.h"
 
@@ -9,155 +10,205 @@
 #include <string.h>
 
 #define GATEWAYS 3
+#define VERSIONS 2
 #define RUNNERS 3
-/* Traffic of the site: 7.7 dispatch-order and 6.39 stock-lookup a second. */
-#define ORDERS_PER_S 8
-#define LOOKUPS_PER_S 6
-#define LIMIT_MS 1500
+#define SESSIONS 36
+#define LIMIT_MS 10000
+/* The requests of the sessions begin in turn, this long after each other. */
+#define STEP_MS 20
+#define FIRST_AT_MS 1000
+#define SECOND_VERSION_AT_MS 3500
+#define SECOND_AT_MS 6000
+/* The leaving runner serves for drainMs and a little longer after its removal,
+   then exits. */
+#define REMOVED_AT_MS 6800
+#define KILL_AT_MS 7600
+#define EXIT_AT_MS 9800
+#define RUN_MS 18000
+#define FIRST_EVENTS 5
+#define EVENTS 60
+#define EVENT_MS 50
 #define WORK_MS 60
-/* The store is left alone for long before, so that it is stable. */
-#define REMOVED_AT_MS 8000
-/* The runner serves for drainMs and a little longer, then exits. */
-#define EXIT_AFTER_MS 2800
-/* No watch is cut later than this after the removal. */
-#define CUT_AFTER_MS 1500
-/* Each gateway's watch is cut once in this interval, after a wait. */
-#define CUT_INTERVAL_MS 1000
-#define CUT_WAIT_MS 20
-#define CUT_LEAD_MS 1500
-#define RUN_MS 15000
+/* Callers wait before they try again, and try so often. */
+#define RETRY_WAIT_MS 800
+#define RETRIES 3
+/* Rule ORDER: so many streams may hold events of two versions. */
+#define MIXED_MAX 2
 
 static const char configuration[]
     = "{\"version\":7,\"routes\":["
-      "{\"name\":\"stock-lookup\",\"host\":\"review.example\","
-      "\"prefix\":\"/stock/\",\"type\":\"idempotent\",\"timeoutMs\":800,"
-      "\"sloMs\":300,\"priority\":2,\"service\":\"order-desk\","
-      "\"maxAttempts\":2,\"public\":false},"
-      "{\"name\":\"dispatch-order\",\"host\":\"review.example\","
-      "\"prefix\":\"/order/\",\"type\":\"non_idempotent\","
-      "\"timeoutMs\":800,\"sloMs\":300,\"priority\":2,"
-      "\"service\":\"order-desk\",\"maxAttempts\":1,\"public\":false}],"
-      "\"services\":[{\"name\":\"order-desk\",\"healthPath\":\"/healthz\","
-      "\"maxConns\":110}],"
+      "{\"name\":\"cut-sheet\",\"host\":\"review.example\","
+      "\"prefix\":\"/sheet/\",\"type\":\"streaming\",\"timeoutMs\":12000,"
+      "\"sloMs\":800,\"priority\":1,\"service\":\"yield-model\","
+      "\"maxAttempts\":2,\"public\":false,\"sticky\":true,"
+      "\"resumable\":true,\"targetGapMs\":400}],"
+      "\"services\":[{\"name\":\"yield-model\",\"healthPath\":\"/healthz\","
+      "\"maxConns\":370,\"engine\":{\"slots\":64,\"kvCapacity\":670862}}],"
       "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
       "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
       "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"key-of-review\"],"
       "\"priority\":1}]}";
 
+/* What a caller holds of a stream. */
+struct stream
+{
+  unsigned session;
+  unsigned last_event;
+  unsigned by_version[VERSIONS]; /* Number of events. */
+  char line[STAND_TEXT_BYTES];
+  size_t line_length;
+};
+
 static struct stand_gateway gateways[GATEWAYS];
-static struct stand_runner desks[RUNNERS];
-static atomic_uint next_number;
-static atomic_uint served;
-static atomic_uint not_served;
-static _Atomic int64_t removed_ms; /* When the store took the change. */
-static _Atomic int64_t last_ms; /* Last arrival at the runner that leaves. */
-static atomic_uint late;
+static struct stand_runner runners[VERSIONS][RUNNERS];
+static atomic_uint mixed;
+static atomic_uint continued;
+static atomic_uint complete;
 
 static bool
 serve (struct stand_runner *runner, int fd,
        const struct stand_request *request)
 {
-  static const char body[800];
-  int64_t removed = atomic_load (&removed_ms);
-  int64_t after_ms = stand_now_ms () - removed;
+  unsigned first = (unsigned)strtoul (request->last_event_id, NULL, 10) + 1;
+  unsigned last = request->id[0] == 'f' ? FIRST_EVENTS : EVENTS;
+  char text[STAND_TEXT_BYTES * 2];
+  bool open;
 
-  if (runner == &desks[0] && removed != 0)
-    {
-      atomic_store (&last_ms, after_ms);
-      if (after_ms > STAND_DRAIN_MS)
-        atomic_fetch_add (&late, 1);
-      stand_record ("runner=%s request=%s ran after_removal_ms=%lld",
-                    runner->id, request->id, (long long)after_ms);
-    }
-  else
-    stand_record ("runner=%s request=%s ran", runner->id, request->id);
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: %s\r\n"
+            "X-Basildock-Response-Signature: signed\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            request->id);
+  stand_record ("runner=%s software=%s request=%s runs from=%u", runner->id,
+                runner->version, request->id, first);
   stand_sleep_ms (WORK_MS);
-  if (runner->ended)
+  stand_runner_hold (runner, request);
+  open = stand_write (fd, text, strlen (text));
+  for (unsigned i = first; open && i <= last; i++)
     {
-      stand_record ("runner=%s request=%s lost with the runner", runner->id,
-                    request->id);
-      return false;
+      char event[STAND_TEXT_BYTES];
+
+      stand_sleep_ms (EVENT_MS);
+      snprintf (event, sizeof event, "id: %u\ndata: %s %s\n\n", i,
+                runner->version, runner->id);
+      snprintf (text, sizeof text, "%zx\r\n%s\r\n", strlen (event), event);
+      open = !runner->ended && stand_write (fd, text, strlen (text));
     }
-  return stand_answer (fd, request, 200, "", body, sizeof body);
+  return open && stand_write (fd, "0\r\n\r\n", 5);
 }
 
 static void
-call_once (bool is_order, unsigned number)
+handle_line (struct stream *stream)
 {
-  struct stand_caller caller
-      = { .gateway = &gateways[number % GATEWAYS], .fd = -1 };
-  char id[STAND_ID_BYTES];
-  struct stand_result result;
+  const char *line = stream->line;
 
-  snprintf (id, sizeof id, "%c%u", is_order ? 'o' : 'l', number);
-  stand_record ("caller=%s gateway=%u sent", id, number % GATEWAYS + 1);
-  result = is_order
-               ? stand_call (&caller, "POST", "/order/2f", id, "", LIMIT_MS)
-               : stand_call (&caller, "GET", "/stock/2f", id, "", LIMIT_MS);
-  stand_record ("caller=%s status=%d complete=%d ms=%lld", id, result.status,
-                result.complete, (long long)result.ms);
-  if (result.status == 200 && result.complete)
-    atomic_fetch_add (&served, 1);
-  else
-    atomic_fetch_add (&not_served, 1);
+  if (strncmp (line, "id: ", 4) == 0)
+    stream->last_event = (unsigned)strtoul (line + 4, NULL, 10);
+  else if (strncmp (line, "data: v1", 8) == 0)
+    stream->by_version[0]++;
+  else if (strncmp (line, "data: v2", 8) == 0)
+    stream->by_version[1]++;
 }
 
-static void *
-run_order (void *context)
+static void
+on_body (void *context, const char *data, size_t length)
 {
-  call_once (true, (unsigned)(uintptr_t)context);
-  return NULL;
-}
+  struct stream *stream = context;
 
-static void *
-run_lookup (void *context)
-{
-  call_once (false, (unsigned)(uintptr_t)context);
-  return NULL;
+  for (size_t i = 0; i < length; i++)
+    if (data[i] == '\n')
+      {
+        stream->line[stream->line_length] = '\0';
+        handle_line (stream);
+        stream->line_length = 0;
+      }
+    else if (stream->line_length < sizeof stream->line - 1)
+      stream->line[stream->line_length++] = data[i];
 }
 
-static void *
-send_orders (void *context)
+/* Sends one attempt; ORIGIN names the one whose stream goes on, or is NULL. */
+static struct stand_result
+send_attempt (struct stream *stream, const char *id, const char *origin,
+              unsigned gateway)
 {
-  (void)context;
-  for (;;)
-    {
-      unsigned number = atomic_fetch_add (&next_number, 1);
+  struct stand_caller caller = { .gateway = &gateways[gateway % GATEWAYS],
+                                 .fd = -1,
+                                 .on_body = on_body,
+                                 .context = stream };
+  char fields[STAND_TEXT_BYTES * 2];
+  struct stand_result result;
+  int length = snprintf (
+      fields, sizeof fields,
+      "X-Basildock-Model: m\r\nX-Basildock-Token-Usage: 4070,240\r\n"
+      "X-Basildock-Prefix-Hash: a%x:350,c%x:3720\r\n",
+      stream->session % 8, stream->session + 16);
 
-      stand_thread (run_order, (void *)(uintptr_t)number);
-      stand_sleep_ms (1000 / ORDERS_PER_S);
-    }
-  return NULL;
+  if (origin)
+    snprintf (fields + length, sizeof fields - (size_t)length,
+              "Resumes: %s\r\nLast-Event-Id: %u\r\n", origin,
+              stream->last_event);
+  stand_record ("caller=%s gateway=%u origin=%s after=%u sent", id,
+                gateway % GATEWAYS + 1, origin ? origin : "-",
+                stream->last_event);
+  stream->line_length = 0;
+  result = stand_call (&caller, "POST", "/sheet/2f", id, fields, LIMIT_MS);
+  stand_record ("caller=%s status=%d complete=%d refused=%d events_v1=%u "
+                "events_v2=%u ms=%lld",
+                id, result.status, result.complete, result.refused,
+                stream->by_version[0], stream->by_version[1],
+                (long long)result.ms);
+  return result;
 }
 
+/* The first request of a session, and later a second one. */
 static void *
-send_lookups (void *context)
+run_session (void *context)
 {
-  (void)context;
-  for (;;)
-    {
-      unsigned number = atomic_fetch_add (&next_number, 1);
+  unsigned session = (unsigned)(uintptr_t)context;
+  struct stream first = { .session = session };
+  struct stream second = { .session = session };
+  char origin[STAND_ID_BYTES];
+  char id[STAND_ID_BYTES];
+  struct stand_result result;
 
-      stand_thread (run_lookup, (void *)(uintptr_t)number);
-      stand_sleep_ms (1000 / LOOKUPS_PER_S);
+  snprintf (id, sizeof id, "f%u", session);
+  send_attempt (&first, id, NULL, session);
+  stand_sleep_ms (SECOND_AT_MS + (int64_t)session * STEP_MS - stand_now_ms ());
+  snprintf (origin, sizeof origin, "s%u", session);
+  result = send_attempt (&second, origin, NULL, session);
+  for (unsigned i = 1; i <= RETRIES && !result.complete; i++)
+    {
+      stand_sleep_ms (RETRY_WAIT_MS);
+      snprintf (id, sizeof id, "s%u-%u", session, i);
+      result = send_attempt (
+          &second, id, second.last_event > 0 ? origin : NULL, session + i);
+      if (result.status == 200)
+        atomic_fetch_add (&continued, 1);
+    }
+  if (result.complete && result.status == 200)
+    atomic_fetch_add (&complete, 1);
+  if (second.by_version[0] > 0 && second.by_version[1] > 0)
+    {
+      stand_record ("stream=%s holds events of two versions", origin);
+      atomic_fetch_add (&mixed, 1);
     }
   return NULL;
 }
 
 static void
-start_runners (void)
+start_runner (struct stand_runner *runner, unsigned version, unsigned number)
 {
   static const char *const zones[RUNNERS] = { "bole", "akaki", "kality" };
 
-  for (unsigned i = 0; i < RUNNERS; i++)
-    {
-      snprintf (desks[i].id, sizeof desks[i].id, "i-order-desk-%u", i);
-      desks[i].service = "order-desk";
-      desks[i].zone = zones[i];
-      desks[i].slots = 6;
-      desks[i].serve = serve;
-      stand_runner_start (&desks[i]);
-    }
+  snprintf (runner->id, sizeof runner->id, "i-%c%u", 'a' + (int)version,
+            number);
+  runner->service = "yield-model";
+  runner->version = version == 0 ? "v1" : "v2";
+  runner->zone = zones[number % RUNNERS];
+  runner->slots = 64;
+  runner->serve = serve;
+  stand_runner_start (runner);
 }
 
 int
@@ -165,6 +216,7 @@
 {
   const char *setting = getenv ("TROUBLE");
   bool with_trouble = !setting || strcmp (setting, "0") != 0;
+  struct stand_runner *leaving = &runners[1][0];
   unsigned ends = 0;
 
   if (argc != 3)
@@ -172,36 +224,41 @@
   stand_record_open (argv[1]);
   stand_store_start ();
   stand_store_put ("op/config", configuration);
-  start_runners ();
+  for (unsigned i = 0; i < RUNNERS; i++)
+    start_runner (&runners[0][i], 0, i);
   stand_gateways_start (gateways, GATEWAYS, argv[2]);
-  stand_thread (send_orders, NULL);
-  stand_thread (send_lookups, NULL);
+  stand_sleep_ms (FIRST_AT_MS - stand_now_ms ());
+  for (unsigned i = 0; i < SESSIONS; i++)
+    {
+      stand_thread (run_session, (void *)(uintptr_t)i);
+      stand_sleep_ms (STEP_MS);
+    }
+  stand_sleep_ms (SECOND_VERSION_AT_MS - stand_now_ms ());
+  for (unsigned i = 0; i < RUNNERS; i++)
+    start_runner (&runners[1][i], 1, i);
   stand_sleep_ms (REMOVED_AT_MS - stand_now_ms ());
+  stand_runner_remove (leaving);
+  stand_record ("store accepts the removal of runner=%s", leaving->id);
+  stand_sleep_ms (KILL_AT_MS - stand_now_ms ());
   if (with_trouble)
-    stand_store_cut_watches (CUT_INTERVAL_MS, CUT_WAIT_MS);
-  stand_sleep_ms (CUT_LEAD_MS);
-  stand_runner_remove (&desks[0]);
-  atomic_store (&removed_ms, stand_now_ms ());
-  stand_record ("store accepts the removal of runner=%s", desks[0].id);
-  stand_sleep_ms (CUT_AFTER_MS);
-  stand_store_cut_watches (0, 0);
-  stand_sleep_ms (EXIT_AFTER_MS - CUT_AFTER_MS);
-  desks[0].ended = true;
-  stand_record ("runner=%s exits", desks[0].id);
+    {
+      stand_gateways_kill ();
+      stand_record ("all gateways are killed");
+    }
+  stand_sleep_ms (EXIT_AT_MS - stand_now_ms ());
+  leaving->ended = true;
+  stand_record ("runner=%s exits", leaving->id);
   stand_sleep_ms (RUN_MS - stand_now_ms ());
   for (size_t i = 0; i < GATEWAYS; i++)
     ends += gateways[i].ends;
   stand_gateways_end ();
-  printf ("served %u, not served %u; watches cut %u\n", atomic_load (&served),
-          atomic_load (&not_served), stand_store_cut_count ());
-  printf ("last request at the runner %lld ms after its removal, "
-          "%u later than %d ms\n",
-          (long long)atomic_load (&last_ms), atomic_load (&late),
-          STAND_DRAIN_MS);
-  stand_record ("last_after_removal_ms=%lld late=%u",
-                (long long)atomic_load (&last_ms), atomic_load (&late));
-  if (atomic_load (&served) == 0 || ends > 0)
+  printf ("streams %d, complete %u, continued %u\n", SESSIONS,
+          atomic_load (&complete), atomic_load (&continued));
+  printf ("%u streams hold events of two versions\n", atomic_load (&mixed));
+  stand_record ("complete=%u continued=%u mixed=%u", atomic_load (&complete),
+                atomic_load (&continued), atomic_load (&mixed));
+  if (atomic_load (&complete) == 0 || ends > 0)
     return STAND_NOT_RUN;
-  puts (atomic_load (&late) > 0 ? "DRAIN: broken" : "DRAIN: held");
-  return atomic_load (&late) > 0 ? STAND_BROKEN : STAND_HELD;
+  puts (atomic_load (&mixed) > MIXED_MAX ? "ORDER: broken" : "ORDER: held");
+  return atomic_load (&mixed) > MIXED_MAX ? STAND_BROKEN : STAND_HELD;
 }
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -633,6 +633,22 @@
   return runner->serve (runner, fd, request);
 }
 
+static pthread_mutex_t connections_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Replaces the socket FROM in the runner's connections by TO. */
+static void
+replace_connection (struct stand_runner *runner, int from, int to)
+{
+  pthread_mutex_lock (&connections_lock);
+  for (size_t i = 0; i < STAND_CONNECTIONS_MAX; i++)
+    if (runner->connections[i] == from)
+      {
+        runner->connections[i] = to;
+        break;
+      }
+  pthread_mutex_unlock (&connections_lock);
+}
+
 /* Lets the next close () reset the connection, as when a process ends. */
 static void
 reset_connection (int fd)
@@ -679,16 +695,43 @@
     }
   if (connection.runner->ended)
     reset_connection (connection.fd);
+  replace_connection (connection.runner, connection.fd, 0);
   close (connection.fd);
   return NULL;
 }
 
+static void *
+expire_entry (void *context)
+{
+  stand_sleep_ms ((int64_t)3 * STAND_HEARTBEAT_MS);
+  stand_runner_remove (context);
+  return NULL;
+}
+
+void
+stand_runner_crash (struct stand_runner *runner)
+{
+  runner->published = false;
+  runner->ended = true;
+  shutdown (runner->listener, SHUT_RDWR);
+  pthread_mutex_lock (&connections_lock);
+  for (size_t i = 0; i < STAND_CONNECTIONS_MAX; i++)
+    if (runner->connections[i] != 0)
+      {
+        reset_connection (runner->connections[i]);
+        shutdown (runner->connections[i], SHUT_RDWR);
+      }
+  pthread_mutex_unlock (&connections_lock);
+  stand_thread (expire_entry, runner);
+}
+
 static void *
 run_runner (void *context)
 {
   struct stand_runner *runner = context;
   int listener = stand_listen ("127.0.0.1", &runner->port);
 
+  runner->listener = listener;
   runner->published = true;
   stand_thread (run_heartbeat, runner);
   while (!runner->ended)
@@ -704,7 +747,13 @@
         stand_give_up ("no memory");
       connection->runner = runner;
       connection->fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
+      if (connection->fd < 0)
+        {
+          free (connection);
+          break;
+        }
       setsockopt (connection->fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      replace_connection (runner, 0, connection->fd);
       stand_thread (serve_runner_connection, connection);
     }
   close (listener);
@@ -884,14 +933,6 @@
       }
 }
 
-void
-stand_gateway_stop (struct stand_gateway *gateway)
-{
-  gateway->killed = true;
-  if (gateway->pid > 0)
-    kill (gateway->pid, SIGTERM);
-}
-
 void
 stand_gateways_end (void)
 {
@@ -908,7 +949,7 @@
 /* Callers. */
 
 static int
-connect_to (const char *ip, int port, int receive_bytes, int segment_bytes)
+connect_to (const char *ip, int port)
 {
   struct sockaddr_in address = address_of (ip, port);
   int one = 1;
@@ -917,12 +958,6 @@
   if (fd < 0)
     return -1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  if (segment_bytes > 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
-                sizeof segment_bytes);
-  if (receive_bytes > 0)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
-                sizeof receive_bytes);
   if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
     return fd;
   close (fd);
@@ -940,7 +975,7 @@
 {
   static const char request[] = "GET /v1/readyz HTTP/1.1\r\nHost: balancer\r\n"
                                 "Connection: close\r\n\r\n";
-  int fd = connect_to (gateway->ip, gateway->readiness_port, 0, 0);
+  int fd = connect_to (gateway->ip, gateway->readiness_port);
   struct timeval limit = { .tv_sec = limit_ms / 1000 };
   char head[HEAD_MAX_BYTES];
   size_t filled = 0;
@@ -986,8 +1021,6 @@
     return false;
   answer->filled += (size_t)n;
   answer->data[answer->filled] = '\0';
-  if (caller->bytes_per_s > 0)
-    stand_sleep_ms ((int64_t)((size_t)n * 1000 / caller->bytes_per_s));
   return true;
 }
 
@@ -1103,8 +1136,7 @@
             strcmp (method, "POST") == 0 ? "Content-Length: 0\r\n" : "");
   if (caller->fd < 0)
     caller->fd
-        = connect_to (caller->gateway->ip, caller->gateway->callers_port,
-                      caller->receive_bytes, caller->segment_bytes);
+        = connect_to (caller->gateway->ip, caller->gateway->callers_port);
   result.refused = caller->fd < 0;
   if (!result.refused && stand_write (caller->fd, head, strlen (head)))
     read_answer (answer, &result);
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -17,6 +17,7 @@
 #define STAND_ID_BYTES 64
 #define STAND_GATEWAYS_MAX 8
 #define STAND_HELD_BYTES 8192
+#define STAND_CONNECTIONS_MAX 256
 
 /** Exit codes of the scripts. */
 #define STAND_HELD 0
@@ -96,10 +97,17 @@
   unsigned sequence;
   char held[STAND_HELD_BYTES]; /**< Parts of prompts in its memory. */
   size_t held_length;
+  int listener;
+  int connections[STAND_CONNECTIONS_MAX]; /**< Sockets; 0: free. */
 };
 
 /** Starts RUNNER and writes its entry. */
 void stand_runner_start (struct stand_runner *runner);
+/**
+ * Ends the runner's process: it takes no connection any more, all of its
+ * connections end, and its entry expires after three heartbeats.
+ */
+void stand_runner_crash (struct stand_runner *runner);
 /** Takes the runner's entry out of the store. */
 void stand_runner_remove (struct stand_runner *runner);
 
@@ -135,8 +143,6 @@
                            const char *folder);
 /** Kills all gateways at once; they are started again. */
 void stand_gateways_kill (void);
-/** Sends SIGTERM to a gateway; it is started again after its end. */
-void stand_gateway_stop (struct stand_gateway *gateway);
 /** Ends all gateways. */
 void stand_gateways_end (void);
 /** Returns whether the gateway answers 200 to the balancer. */
@@ -164,9 +170,6 @@
 {
   const struct stand_gateway *gateway;
   int fd;             /**< -1: closed. */
-  int receive_bytes;  /**< Size of the receive buffer; 0: the default. */
-  int segment_bytes;  /**< Largest TCP segment; 0: the default. */
-  size_t bytes_per_s; /**< How fast the answer is read; 0: at once. */
   stand_body on_body; /**< NULL: the body is not looked at. */
   void *context;      /**< Of on_body. */
 };
