ORDER: a session's requests keep to the version that read their prompt

Cause: when no instance remembers a stream, the version of the runners that list the prompt's last part is taken for its own. A session's requests share that part, and each was placed without regard to the version that had read it before. With the stream's runner gone from the store's list, only the earlier request's runner is left to list the part. The store says neither version nor address of a removed runner, so instances that have just started can't ask it.

Change: instances remember by its last part which version a prompt was sent to, learn it from runners' lists, and prefer that version for the next request with the part. It is no condition: ejected, paused or busy runners don't count, and attempts after a failure go to any.

--- a/src/balance/decision.c
+++ b/src/balance/decision.c
@@ -1,10 +1,14 @@
 #include "balance/decision.h"
 
+#include "balance/outlier.h"
 #include "balance/pause.h"
 #include "common/random.h"
 
 /* Resolution of the random number that is compared with a ratio. */
 #define RANDOM_STEPS 1000
+/* Longest wait for a runner of the preferred software version, as a ratio of
+   the latency objective. */
+#define PREFERRED_WAIT_RATIO 0.5
 
 /* Whether the request is shed in favour of more urgent ones. */
 static bool
@@ -49,6 +53,36 @@
   return rejected;
 }
 
+/* Whether the request should go to PICK, a runner of the preferred version. */
+static bool
+is_worth_keeping (const struct bd_selection_request *request,
+                  const struct bd_selection *pick)
+{
+  return pick->target && bd_outlier_allows (pick->target, request->now_ms)
+         && !bd_pause_requested (pick->target, request->now_ms)
+         && pick->wait_ms
+                <= (double)request->objective_ms * PREFERRED_WAIT_RATIO;
+}
+
+static struct bd_selection
+select_runner (struct bd_selector *selector,
+               const struct bd_selection_request *request,
+               struct bd_target *const *all, size_t count)
+{
+  struct bd_selection_request preferring = *request;
+  struct bd_selection pick;
+
+  if (request->software == BD_SOFTWARE_ANY
+      && request->preferred_software != BD_SOFTWARE_ANY)
+    {
+      preferring.software = request->preferred_software;
+      pick = bd_selector_select (selector, &preferring, all, count);
+      if (is_worth_keeping (request, &pick))
+        return pick;
+    }
+  return bd_selector_select (selector, request, all, count);
+}
+
 struct bd_decision
 bd_decide (struct bd_selector *selector, struct bd_targets *targets,
            const struct bd_selection_request *request,
@@ -60,7 +94,7 @@
   struct bd_target *const *all
       = bd_targets_of_service (targets, request->service, &count);
 
-  decision.selection = bd_selector_select (selector, request, all, count);
+  decision.selection = select_runner (selector, request, all, count);
   if (!decision.selection.target)
     {
       decision.pause_left_ms = bd_pause_shortest_ms (
--- a/src/balance/selection.h
+++ b/src/balance/selection.h
@@ -39,6 +39,9 @@
   /** Hash of the software version that the runner must have;
       BD_SOFTWARE_ANY: any. */
   uint64_t software;
+  /** Hash of the software version that the runner should have, unless the
+      request would wait for long there; BD_SOFTWARE_ANY: any. */
+  uint64_t preferred_software;
   /** Low half of the hash of the only runner that may be used; 0: any. */
   uint32_t only;
   const uint32_t *tried; /**< Runners that must not be used again, by the low
--- a/src/balance/stream_origin.c
+++ b/src/balance/stream_origin.c
@@ -8,9 +8,12 @@
    slots, of which the one that expires first is replaced. */
 #define STREAM_SLOTS 16384
 #define PART_SLOTS 32768
+#define PROMPT_SLOTS 32768
 #define WAYS 4
 /* How long what a runner listed is used. */
 #define HOLDER_KEEP_MS 15000
+/* How long it is remembered which version read a prompt. */
+#define PROMPT_KEEP_MS 600000
 
 struct slot
 {
@@ -24,6 +27,7 @@
 {
   struct slot streams[STREAM_SLOTS];
   struct slot parts[PART_SLOTS];
+  struct slot prompts[PROMPT_SLOTS];
 };
 
 struct bd_stream_origins *
@@ -57,30 +61,44 @@
   return (bd_random_mix (key) & (slot_count / WAYS - 1)) * WAYS;
 }
 
-static void
-put (struct slot *slots, size_t slot_count, const struct slot *entry,
-     int64_t now_ms)
+/* Returns the slot for KEY: its own, or the one of its set that expires first.
+ */
+static struct slot *
+slot_for (struct slot *slots, size_t slot_count, uint64_t key, int64_t now_ms)
 {
-  struct slot *set = &slots[first_slot (slot_count, entry->key)];
+  struct slot *set = &slots[first_slot (slot_count, key)];
   struct slot *slot = set;
 
   for (size_t i = 0; i < WAYS; i++)
     {
-      if (set[i].key == entry->key && now_ms < set[i].expires_ms)
-        {
-          if (set[i].software != entry->software)
-            set[i].software = BD_SOFTWARE_UNCERTAIN;
-          if (set[i].expires_ms < entry->expires_ms)
-            {
-              set[i].expires_ms = entry->expires_ms;
-              set[i].target = entry->target;
-            }
-          return;
-        }
+      if (set[i].key == key && now_ms < set[i].expires_ms)
+        return &set[i];
       if (set[i].expires_ms < slot->expires_ms)
         slot = &set[i];
     }
-  *slot = *entry;
+  return slot;
+}
+
+/* Adds ENTRY.  An entry of its key that names another version makes the
+   version uncertain. */
+static void
+put (struct slot *slots, size_t slot_count, const struct slot *entry,
+     int64_t now_ms)
+{
+  struct slot *slot = slot_for (slots, slot_count, entry->key, now_ms);
+
+  if (slot->key != entry->key || now_ms >= slot->expires_ms)
+    {
+      *slot = *entry;
+      return;
+    }
+  if (slot->software != entry->software)
+    slot->software = BD_SOFTWARE_UNCERTAIN;
+  if (slot->expires_ms < entry->expires_ms)
+    {
+      slot->expires_ms = entry->expires_ms;
+      slot->target = entry->target;
+    }
 }
 
 /* Returns the slot of KEY, or NULL. */
@@ -116,8 +134,12 @@
   struct slot entry = { part, holder->software,
                         holder->listed_ms + HOLDER_KEEP_MS, holder->target };
 
-  if (part != 0)
-    put (origins->parts, PART_SLOTS, &entry, holder->listed_ms);
+  if (part == 0)
+    return;
+  put (origins->parts, PART_SLOTS, &entry, holder->listed_ms);
+  if (!find (origins->prompts, PROMPT_SLOTS, part, holder->listed_ms))
+    bd_stream_origins_record_prompt (origins, part, holder->software,
+                                     holder->listed_ms);
 }
 
 uint64_t
@@ -143,3 +165,23 @@
                                        slot->expires_ms - HOLDER_KEEP_MS };
   return true;
 }
+
+void
+bd_stream_origins_record_prompt (struct bd_stream_origins *origins,
+                                 uint64_t part, uint64_t software,
+                                 int64_t now_ms)
+{
+  if (part != 0 && software != BD_SOFTWARE_UNCERTAIN)
+    *slot_for (origins->prompts, PROMPT_SLOTS, part, now_ms)
+        = (struct slot){ part, software, now_ms + PROMPT_KEEP_MS, 0 };
+}
+
+uint64_t
+bd_stream_origins_find_prompt (const struct bd_stream_origins *origins,
+                               uint64_t part, int64_t now_ms)
+{
+  const struct slot *slot
+      = find (origins->prompts, PROMPT_SLOTS, part, now_ms);
+
+  return slot ? slot->software : BD_SOFTWARE_ANY;
+}
--- a/src/balance/stream_origin.h
+++ b/src/balance/stream_origin.h
@@ -10,6 +10,10 @@
  * holder has to be confirmed.  Whatever contradicts itself is uncertain, and
  * what does not fit into the tables is forgotten; neither makes a wrong
  * version.
+ *
+ * A session's requests share their last part.  So that a holder shows the
+ * version of a session's newest stream too, requests keep to the version that
+ * read their prompt before, as far as that is remembered.
  */
 #ifndef BD_STREAM_ORIGIN_H
 #define BD_STREAM_ORIGIN_H
@@ -69,4 +73,21 @@
                                     uint64_t part, int64_t now_ms,
                                     struct bd_stream_holder *holder);
 
+/**
+ * Records that a prompt with the last part PART, a hash or 0, was sent to a
+ * runner of SOFTWARE.
+ */
+void bd_stream_origins_record_prompt (struct bd_stream_origins *origins,
+                                      uint64_t part, uint64_t software,
+                                      int64_t now_ms);
+
+/**
+ * Returns the version that the prompt with the last part PART was sent to
+ * last, or else one whose runners have listed PART; BD_SOFTWARE_ANY if neither
+ * is known.
+ */
+uint64_t
+bd_stream_origins_find_prompt (const struct bd_stream_origins *origins,
+                               uint64_t part, int64_t now_ms);
+
 #endif
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -159,6 +159,9 @@
   target->prefill_tokens += f->queued_tokens;
   f->sent_ms = bd_clock_boot_ms ();
   bd_selector_record_sent (options->selector, &f->selection_request, target);
+  bd_stream_origins_record_prompt (options->origins,
+                                   f->request_fields.own_part,
+                                   f->target_software, f->sent_ms);
   bd_outlier_record_sent (target, f->sent_ms);
   start_attempt_timer (f);
   return BD_OK;
@@ -300,6 +303,12 @@
   f->selection_request.tried = f->tried;
   f->selection_request.tried_count = f->tried_count;
   f->selection_request.software = f->stream_software;
+  f->selection_request.preferred_software
+      = is_retry (f)
+            ? BD_SOFTWARE_ANY
+            : bd_stream_origins_find_prompt (options->origins,
+                                             f->request_fields.own_part,
+                                             f->selection_request.now_ms);
   f->selection_request.only = f->holder;
   f->selection_request.share
       = (struct bd_runner_limit_share){ f->forwarder->instance_count,
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -22,6 +22,8 @@
    received all of them or began to ask the runners; runners are not asked
    again before. */
 #define PREFIXES_VALID_MS 5000
+/* How often a shard's runners are checked for several software versions. */
+#define VERSIONS_CHECK_MS 1000
 /* A request is removed from the ledger this long after its deadline. */
 #define EXPIRY_MARGIN_MS 1000
 
@@ -31,6 +33,8 @@
   uint64_t key;
   int64_t started_ms;
   int64_t last_query_ms;
+  int64_t versions_checked_ms;
+  bool asked; /* The runners were asked which prefixes they hold. */
 };
 
 struct bd_coordinator
@@ -96,11 +100,31 @@
          && now_ms - coordinator->prefixes_known_ms < PREFIXES_VALID_MS;
 }
 
+/* Whether the COUNT targets of ALL run more than one software version. */
+static bool
+has_several_versions (struct bd_target *const *all, size_t count)
+{
+  for (size_t i = 1; i < count; i++)
+    if (all[i]->software.hash != all[0]->software.hash)
+      return true;
+  return false;
+}
+
+/* Asks the runners of the service of QUERY which prefixes they hold. */
+static void
+ask_runners (struct bd_coordinator *coordinator, struct shard *shard,
+             const struct bd_coordination_query *query, int64_t now_ms)
+{
+  bd_inventory_query (coordinator->options.inventory, query->service, now_ms);
+  coordinator->prefixes_known_ms = now_ms;
+  shard->asked = true;
+}
+
 /* Called when this instance becomes the coordinator of the shard of QUERY.
    The coordinator before may just have used up the limits of the runners. Asks
    the runners which prefixes they hold, unless this is known. */
 static void
-start_shard (struct bd_coordinator *coordinator,
+start_shard (struct bd_coordinator *coordinator, struct shard *shard,
              const struct bd_coordination_query *query, int64_t now_ms)
 {
   size_t count;
@@ -109,11 +133,30 @@
 
   for (size_t i = 0; i < count; i++)
     bd_runner_limit_begin (all[i], now_ms);
-  if (query->unshared_tokens == 0 || prefixes_are_known (coordinator, now_ms)
-      || !coordinator->options.inventory)
+  *shard = (struct shard){ .key = shard->key, .started_ms = now_ms };
+  if (query->unshared_tokens > 0 && coordinator->options.inventory
+      && !prefixes_are_known (coordinator, now_ms))
+    ask_runners (coordinator, shard, query, now_ms);
+}
+
+/* Asks the runners for a coordinator that took over the prefixes from its
+   predecessor, once several versions serve: which of them read the prompts of
+   sessions was not handed over. */
+static void
+check_versions (struct bd_coordinator *coordinator, struct shard *shard,
+                const struct bd_coordination_query *query, int64_t now_ms)
+{
+  size_t count;
+  struct bd_target *const *all;
+
+  if (shard->asked || query->own_part == 0 || !coordinator->options.inventory
+      || now_ms - shard->versions_checked_ms < VERSIONS_CHECK_MS)
     return;
-  bd_inventory_query (coordinator->options.inventory, query->service, now_ms);
-  coordinator->prefixes_known_ms = now_ms;
+  shard->versions_checked_ms = now_ms;
+  all = bd_targets_of_service (coordinator->options.targets, query->service,
+                               &count);
+  if (has_several_versions (all, count))
+    ask_runners (coordinator, shard, query, now_ms);
 }
 
 static struct shard *
@@ -130,14 +173,12 @@
       if (shard->key == key)
         {
           if (now_ms - shard->last_query_ms > SHARD_IDLE_MS)
-            {
-              shard->started_ms = now_ms;
-              start_shard (coordinator, query, now_ms);
-            }
+            start_shard (coordinator, shard, query, now_ms);
           else if (prefixes_are_known (coordinator, now_ms))
             /* Stays known: this instance records new prefixes itself. */
             coordinator->prefixes_known_ms = now_ms;
           shard->last_query_ms = now_ms;
+          check_versions (coordinator, shard, query, now_ms);
           return shard;
         }
       if (shard->last_query_ms < oldest->last_query_ms)
@@ -145,8 +186,9 @@
     }
   if (coordinator->shard_count < SHARDS_MAX)
     oldest = &coordinator->shards[coordinator->shard_count++];
-  *oldest = (struct shard){ key, now_ms, now_ms };
-  start_shard (coordinator, query, now_ms);
+  oldest->key = key;
+  start_shard (coordinator, oldest, query, now_ms);
+  oldest->last_query_ms = now_ms;
   return oldest;
 }
 
@@ -280,6 +322,18 @@
   return decide_in_shard (coordinator, request, overload, true);
 }
 
+/* Returns the version that read the prompt of QUERY before.  An attempt after
+   a failure may go to any: the version may be at fault. */
+static uint64_t
+preferred_software (const struct bd_coordinator *coordinator,
+                    const struct bd_coordination_query *query, int64_t now_ms)
+{
+  return query->is_retry
+             ? BD_SOFTWARE_ANY
+             : bd_stream_origins_find_prompt (coordinator->options.origins,
+                                              query->own_part, now_ms);
+}
+
 struct bd_coordination_reply
 bd_coordinator_decide (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_coordination_query *query,
@@ -300,6 +354,8 @@
           .tried = query->excluded,
           .tried_count = query->excluded_count,
           .software = query->software,
+          .preferred_software
+          = preferred_software (coordinator, query, now_ms),
           .coordinated = true,
           .sent_here = ip == coordinator->options.ip,
           .shard = query->shard,
@@ -336,6 +392,9 @@
   assignment.expires_ms = now_ms + overload.time_left_ms + EXPIRY_MARGIN_MS;
   add_assignment (coordinator, &assignment);
   record_prefix (coordinator, query->prefix_hash, assignment.target, now_ms);
+  bd_stream_origins_record_prompt (coordinator->options.origins,
+                                   query->own_part,
+                                   assignment.target->software.hash, now_ms);
   bd_selector_record_sent (coordinator->options.selector, &request,
                            assignment.target);
   if (ip != coordinator->options.ip)
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -1,6 +1,7 @@
 /* Streams go on only at runners of the software version that began them:
    within one response, and when the caller continues one with a new attempt.
  */
+#include "common/clock.h"
 #include "support_gateway.h"
 #include "support_responses.h"
 
@@ -26,17 +27,15 @@
 static const struct support_step lists_others[]
     = { { HOLDS_OTHERS, SUPPORT_KEEP }, { REST, SUPPORT_KEEP } };
 
-/* Sends a request for a stream, with a prompt of which "c3" is the part that
-   no other request has. */
+/* Sends a request for a stream, with a prompt of the parts of PROMPT. */
 static struct support_caller *
-call (struct support_gateway *g, int caller, const char *id,
-      const char *more_fields)
+call_with (struct support_gateway *g, int caller, const char *id,
+           const char *prompt, const char *more_fields)
 {
-  char *fields
-      = g_strconcat ("X-Basildock-Prefix-Hash: a1:600,b2:400,c3:200\r\n"
-                     "X-Basildock-Token-Usage: 1200,80\r\n"
-                     "X-Basildock-Model: m\r\n",
-                     more_fields, NULL);
+  char *fields = g_strconcat ("X-Basildock-Prefix-Hash: ", prompt,
+                              "\r\nX-Basildock-Token-Usage: 1200,80\r\n"
+                              "X-Basildock-Model: m\r\n",
+                              more_fields, NULL);
   char *text = support_request ("POST /resume/x", id, fields, "body");
   struct support_caller *result = support_caller_send (g, caller, text);
 
@@ -45,6 +44,15 @@
   return result;
 }
 
+/* Sends a request for a stream, with a prompt of which "c3" is the part that
+   no other request has. */
+static struct support_caller *
+call (struct support_gateway *g, int caller, const char *id,
+      const char *more_fields)
+{
+  return call_with (g, caller, id, "a1:600,b2:400,c3:200", more_fields);
+}
+
 static bool
 got_request (const struct support_runner *runner)
 {
@@ -174,6 +182,67 @@
   support_gateway_close (&g);
 }
 
+/* Guards against a join after all instances have ended at once, where the
+   stream's runner has left and a runner of another version holds the prompt of
+   the same session from an earlier request: a session's requests keep to one
+   version while runners of it are left. */
+static void
+test_session (void)
+{
+  static const struct support_step steps[]
+      = { { STREAM_HEAD EVENT ("1") LAST_CHUNK, SUPPORT_KEEP },
+          { REST, SUPPORT_KEEP } };
+  static const char session[] = "a1:20,c3:1180";
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, steps, 2);
+  support_gateway_set_software (&g, 0, "v1");
+  caller = call_with (&g, 0, "a1", session, "");
+  await_outcome (caller);
+  for (int i = 1; i < 6; i++)
+    {
+      support_gateway_runner (&g, i, ends, 1);
+      support_gateway_set_software (&g, i, "v1.1");
+    }
+  caller = call_with (&g, 1, "a2", session, "");
+  await_outcome (caller);
+  check_runners (&g, 6, 1);
+  support_gateway_close (&g);
+}
+
+/* Guards against a session that changes its version because its coordinator
+   is a new one, which took over from its predecessor where prefixes are: it
+   asks the runners once several versions serve. */
+static void
+test_session_handover (void)
+{
+  struct support_gateway g;
+  struct bd_coordination_message handover
+      = { .kind = BD_COORDINATION_PREFIXES, .prefixes.complete = true };
+  struct bd_coordination_query query = { .service = BD_CHUNK ("s"),
+                                         .zone = BD_CHUNK ("z"),
+                                         .shard_count = 1,
+                                         .unshared_tokens = 200,
+                                         .own_part = 1 };
+  int64_t now = bd_clock_boot_ms ();
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, lists_then_ends, 1);
+  support_gateway_set_software (&g, 0, "v1");
+  bd_coordinator_handle (g.coordinator, 2, &handover, now);
+  bd_coordinator_decide (g.coordinator, 2, &query, now);
+  support_gateway_runner (&g, 1, lists_others, 1);
+  support_gateway_set_software (&g, 1, "v1.1");
+  bd_coordinator_decide (g.coordinator, 2, &query, now + 1000);
+  support_await_count (&g, &g.runners[0].request_count, 1);
+  support_await_count (&g, &g.runners[1].request_count, 1);
+  bd_coordinator_decide (g.coordinator, 2, &query, now + 2000);
+  g_assert_cmpint (g.runners[0].request_count, ==, 1);
+  support_gateway_close (&g);
+}
+
 /* Guards against the same where nothing shows which version began the stream:
    the caller is told that its attempt has not run. */
 static void
@@ -345,6 +414,8 @@
                    test_one_response_goes_on);
   g_test_add_func ("/continuation/entry-changes", test_entry_changes);
   g_test_add_func ("/continuation/after-restart", test_after_restart);
+  g_test_add_func ("/continuation/session", test_session);
+  g_test_add_func ("/continuation/session-handover", test_session_handover);
   g_test_add_func ("/continuation/version-unknown", test_version_unknown);
   g_test_add_func ("/continuation/version-ambiguous", test_version_ambiguous);
   g_test_add_func ("/continuation/list-of-another-process",
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -488,6 +488,82 @@
   close_fixture (&fixture);
 }
 
+/* Guards against the requests of a session that run at several software
+   versions: after all instances have ended, the prompt that a session's
+   earlier request left at a runner would be taken for the origin of a stream
+   that another version began. */
+static void
+test_session_software (void)
+{
+  struct fixture fixture;
+  struct bd_coordination_query query;
+  uint64_t old = bd_software_of (BD_CHUNK ("v1")).hash;
+
+  open_fixture (&fixture, 12);
+  support_set_software (fixture.targets, "r3", "v1");
+  support_set_software (fixture.targets, "r7", "v1");
+  query = long_query (&fixture, 1);
+  query.own_part = 5;
+  query.software = old;
+  place (&fixture, 2, &query, NOW);
+  /* Requests of the session through any instance keep to its version, though
+     most of the runners are of another one. */
+  for (uint32_t ip = 1; ip <= 8; ip++)
+    {
+      query = long_query (&fixture, ip);
+      query.own_part = 5;
+      g_assert_cmpuint (
+          place (&fixture, ip, &query, NOW + 1000 * ip)->software.hash, ==,
+          old);
+      report (&fixture, ip, query.request_number, true);
+    }
+  /* With no runner of the version left, the session goes on elsewhere. */
+  query = long_query (&fixture, 1);
+  query.own_part = 5;
+  support_set_software (fixture.targets, "r3", "v2");
+  support_set_software (fixture.targets, "r7", "v2");
+  g_assert_cmpuint (place (&fixture, 2, &query, NOW + 9000)->software.hash, !=,
+                    old);
+  close_fixture (&fixture);
+}
+
+/* A session's request is not held up for the sake of its version: when the
+   runners of that one have much to do, it goes elsewhere, and so does an
+   attempt after a failure, for which the version may be the cause. */
+static void
+test_session_elsewhere (void)
+{
+  struct fixture fixture;
+  struct bd_coordination_query query;
+  uint64_t old = bd_software_of (BD_CHUNK ("v1")).hash;
+  uint32_t kept = 0;
+
+  open_fixture (&fixture, 12);
+  support_set_software (fixture.targets, "r3", "v1");
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      query = long_query (&fixture, i);
+      query.own_part = 5 + i;
+      query.software = old;
+      query.is_retry = true;
+      place (&fixture, 2, &query, NOW);
+    }
+  query = long_query (&fixture, 20);
+  query.own_part = 5;
+  g_assert_cmpuint (place (&fixture, 2, &query, NOW)->software.hash, !=, old);
+  for (uint32_t number = 1; number <= 12; number++)
+    report (&fixture, 2, number, true);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      query = long_query (&fixture, 30 + i);
+      query.own_part = 6 + i;
+      query.is_retry = true;
+      kept += place (&fixture, 2, &query, NOW + 1000)->software.hash == old;
+    }
+  g_assert_cmpuint (kept, <, 4);
+  close_fixture (&fixture);
+}
+
 /* The version of a stream that a caller continues: an instance may be about to
    tell it; it is told; what is told contradicts itself. */
 static void
@@ -543,6 +619,8 @@
   g_test_add_func ("/coordinator/placed-elsewhere", test_placed_elsewhere);
   g_test_add_func ("/coordinator/shards", test_shards);
   g_test_add_func ("/coordinator/software", test_software);
+  g_test_add_func ("/coordinator/session-software", test_session_software);
+  g_test_add_func ("/coordinator/session-elsewhere", test_session_elsewhere);
   g_test_add_func ("/coordinator/continued-stream", test_continued_stream);
   return g_test_run ();
 }
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -127,6 +127,35 @@
   bd_stream_origins_destroy (origins);
 }
 
+/* Where a prompt was sent last counts more than who lists it; what is not
+   certain shows nothing. */
+static void
+test_prompts (void)
+{
+  struct bd_stream_origins *origins = bd_stream_origins_create ();
+
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 7, NOW), ==,
+                    BD_SOFTWARE_ANY);
+  list (origins, 7, OLD, 1, NOW);
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 7, NOW), ==, OLD);
+  bd_stream_origins_record_prompt (origins, 7, NEW, NOW);
+  bd_stream_origins_record_prompt (origins, 0, NEW, NOW);
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 7, NOW + 60000),
+                    ==, NEW);
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 0, NOW), ==,
+                    BD_SOFTWARE_ANY);
+  bd_stream_origins_record_prompt (origins, 7, OLD, NOW + 60000);
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 7, NOW + 60000),
+                    ==, OLD);
+  list (origins, 7, NEW, 2, NOW + 61000);
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 7, NOW + 61000),
+                    ==, OLD);
+  list (origins, 8, BD_SOFTWARE_UNCERTAIN, 1, NOW);
+  g_assert_cmpuint (bd_stream_origins_find_prompt (origins, 8, NOW), ==,
+                    BD_SOFTWARE_ANY);
+  bd_stream_origins_destroy (origins);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -136,5 +165,6 @@
   g_test_add_func ("/stream-origin/listed", test_listed);
   g_test_add_func ("/stream-origin/number", test_number);
   g_test_add_func ("/stream-origin/full", test_full);
+  g_test_add_func ("/stream-origin/prompts", test_prompts);
   return g_test_run ();
 }
