CONFIG: events of a read are split in linear time and sent together

Cause, three parts. A blank line alone counted as an event. bd_sse_next () moved all pending bytes for each event, so a read of 64 KiB cost 2 GiB of moves. Each event was written to the caller by a system call of its own.

Change: an event has a line that is not empty; empty lines go with the next event, and within its size limit, so line feeds without end fail the attempt. Events are taken by offset, and those of one read are sent with one write, as the same chunks as before. Comments are passed on, but don't begin a stream, and more than 256 KiB of them without an event fail it.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -35,7 +35,6 @@
   struct bd_buffer raw; /* Body of a response that is no event stream. */
   struct bd_buffer text;
   struct bd_sse sse;
-  struct bd_buffer event;
   char key[KEY_BYTES];
   char request_id[64];
   char code[48];
@@ -178,6 +177,7 @@
 {
   struct exchange *e = user;
   struct bd_chunk chunk = { .data = data, .length = size * count };
+  struct bd_chunk event;
 
   if (!e->is_stream)
     {
@@ -188,8 +188,8 @@
     }
   if (bd_sse_feed (&e->sse, chunk) != BD_OK)
     return 0;
-  while (bd_sse_next (&e->sse, &e->event))
-    handle_sse_event (e, bd_sse_data (bd_buffer_chunk (&e->event)));
+  while ((event = bd_sse_next (&e->sse)).length > 0)
+    handle_sse_event (e, bd_sse_data (event));
   return chunk.length;
 }
 
@@ -298,7 +298,6 @@
   bd_buffer_clear (&e->body);
   bd_buffer_clear (&e->raw);
   bd_buffer_clear (&e->text);
-  bd_buffer_clear (&e->event);
   bd_sse_clear (&e->sse);
   free (e);
 }
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -61,7 +61,8 @@
 bd_forward_update_buffered (struct bd_forward *f)
 {
   f->forwarder->buffered_bytes -= f->buffered_bytes;
-  f->buffered_bytes = f->body.length + f->sse.pending.length;
+  f->buffered_bytes
+      = f->body.length + bd_sse_rest (&f->sse).length + f->outgoing.length;
   f->forwarder->buffered_bytes += f->buffered_bytes;
 }
 
@@ -104,6 +105,7 @@
   bd_buffer_clear (&f->fields);
   bd_buffer_clear (&f->body);
   bd_sse_clear (&f->sse);
+  bd_buffer_clear (&f->outgoing);
   bd_forward_update_buffered (f);
   uv_close ((uv_handle_t *)&f->deadline_timer, on_timer_closed);
   uv_close ((uv_handle_t *)&f->attempt_timer, on_timer_closed);
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -154,8 +154,11 @@
   struct bd_buffer fields;
   struct bd_buffer body;
   struct bd_sse sse;
-  size_t buffered_bytes; /* Bytes in body and sse; part of the forwarder's
-                            total. */
+  struct bd_buffer outgoing; /* Complete events that are not sent yet, as
+                                chunks of the response. */
+  size_t comment_bytes;      /* Bytes of comments since the last event. */
+  size_t buffered_bytes;     /* Bytes in body, sse and outgoing; part of the
+                                forwarder's total. */
   /* Response to the caller. */
   bool head_sent; /* The head of a stream has been sent to the caller. */
   /* Time from arrival to the first event; 0: none yet. */
@@ -163,6 +166,7 @@
   int64_t last_event_ms; /* When events were last sent to the caller. */
   int64_t max_gap_ms;    /* Longest time between events. */
   uint64_t event_count;
+  uint64_t sent_event_count; /* Events that have been sent to the caller. */
   char last_event_id[BD_FORWARD_ID_BYTES];
   bool reading_paused;
   bool closing; /* Freed except for the timers, which are being closed. */
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -14,6 +14,8 @@
 #define UNREAD_MAX_BYTES ((size_t)64 * 1024)
 #define UNREAD_CHECK_MS 20
 #define SURVIVAL_INTERVAL_MS 100
+/* Most bytes of comments in a stream without an event between them. */
+#define COMMENTS_MAX_BYTES BD_SSE_EVENT_MAX_BYTES
 #define STATUS_UNAVAILABLE 503
 
 /* Responses. */
@@ -187,11 +189,23 @@
   bd_exchange_begin (f->exchange, f->status, bd_buffer_chunk (&f->fields));
 }
 
-static void
-forward_event (struct bd_forward *f, struct bd_chunk event)
+/* Takes EVENT of the runner, which is sent to the caller with the others of
+   the read.  Comments go with it, but show nothing of the runner's work.
+   Returns BD_OK, BD_ERR_NOMEM or BD_ERR_TOO_LARGE. */
+static int
+take_event (struct bd_forward *f, struct bd_chunk event)
 {
   struct bd_chunk id = bd_sse_id (event);
+  int error = bd_exchange_append (&f->outgoing, event);
 
+  if (error != BD_OK)
+    return error;
+  if (!bd_sse_has_field (event))
+    {
+      f->comment_bytes += event.length;
+      return f->comment_bytes > COMMENTS_MAX_BYTES ? BD_ERR_TOO_LARGE : BD_OK;
+    }
+  f->comment_bytes = 0;
   bd_forward_stream_begins (f);
   if (f->first_event_at_ms == 0)
     f->first_event_at_ms = bd_clock_boot_ms ();
@@ -203,7 +217,7 @@
     }
   f->event_count++;
   bd_stats_count (f->forwarder->options.stats, BD_STAT_EVENTS, 1);
-  bd_exchange_send (f->exchange, event);
+  return BD_OK;
 }
 
 /* Updates the longest time between events. */
@@ -230,32 +244,56 @@
   bd_crashes_survived (f->forwarder->crashes, now, &f->fingerprint);
 }
 
-/* Forwards the complete events; those of one read are forwarded together. */
+static int
+take_events (struct bd_forward *f)
+{
+  struct bd_chunk event;
+  int error = BD_OK;
+
+  while (error == BD_OK && (event = bd_sse_next (&f->sse)).length > 0)
+    error = take_event (f, event);
+  return error;
+}
+
+/* Sends the events that have been taken, once the stream has begun. */
 static void
-forward_events (struct bd_forward *f)
+send_events (struct bd_forward *f)
 {
-  struct bd_buffer event = { 0 };
-  uint64_t count_before = f->event_count;
+  if (!f->head_sent)
+    return;
+  bd_exchange_send_chunks (f->exchange, &f->outgoing);
+  if (f->sent_event_count == f->event_count)
+    return;
+  f->sent_event_count = f->event_count;
+  record_event_gap (f);
+  record_survival (f);
+}
 
-  while (bd_sse_next (&f->sse, &event))
-    forward_event (f, bd_buffer_chunk (&event));
-  bd_buffer_clear (&event);
-  if (f->event_count > count_before)
-    {
-      record_event_gap (f);
-      record_survival (f);
-    }
+/* Handles the end of a read.  The events of one read are sent together, so
+   that many small ones cost little. */
+static void
+on_read (void *context)
+{
+  struct bd_forward *f = context;
+
+  if (!f->streaming)
+    return;
+  send_events (f);
+  bd_forward_update_buffered (f);
   limit_unread (f);
 }
 
-/* Fails the attempt because its response is too large. */
+/* Fails the attempt because its response is too large.  The events that it has
+   brought are sent: the stream goes on after them. */
 static void
 reject_response (struct bd_forward *f)
 {
+  send_events (f);
   bd_call_cancel (f->call);
   f->call = NULL;
   bd_buffer_clear (&f->body);
   bd_sse_clear (&f->sse);
+  bd_buffer_clear (&f->outgoing);
   bd_forward_update_buffered (f);
   bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "too_large");
 }
@@ -301,13 +339,12 @@
   struct bd_forward *f = context;
 
   record_data_received (f);
-  if (f->fields.incomplete || buffer_data (f, data) != BD_OK)
+  if (f->fields.incomplete || buffer_data (f, data) != BD_OK
+      || (f->streaming && take_events (f) != BD_OK))
     {
       reject_response (f);
       return;
     }
-  if (f->streaming)
-    forward_events (f);
   bd_forward_update_buffered (f);
 }
 
@@ -317,17 +354,23 @@
   struct bd_service_stats *stats
       = bd_selector_stats (f->forwarder->options.selector);
 
-  if (f->sse.pending.length > 0)
+  if (!bd_sse_is_between_events (&f->sse))
     {
       bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "partial_event");
       return;
     }
+  if (bd_exchange_append (&f->outgoing, bd_sse_rest (&f->sse)) != BD_OK)
+    {
+      bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "no_memory");
+      return;
+    }
   bd_crashes_completed (f->forwarder->crashes, bd_clock_boot_ms (),
                         &f->fingerprint);
   bd_forward_record_result (f, BD_OUTLIER_SUCCESS);
   bd_service_stats_record_residence (stats, f->service,
                                      bd_clock_boot_ms () - f->sent_ms);
   handle_first_event (f);
+  send_events (f);
   bd_forward_count_completed (f);
   bd_exchange_end (f->exchange);
   bd_forward_free (f);
@@ -414,5 +457,6 @@
 const struct bd_call_handler bd_forward_call_handler
     = { .on_head = on_head,
         .on_body = on_body,
+        .on_read = on_read,
         .on_end = on_call_end,
         .on_fail = on_call_fail };
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -313,6 +313,9 @@
         bd_http_reader_no_body (conn->reader);
       error = bd_http_reader_next (conn->reader);
     }
+  if (!conn->closed && conn->call && conn->call->answered
+      && conn->call->handler->on_read)
+    conn->call->handler->on_read (conn->call->context);
   conn->parsing = false;
   call = conn->call;
   if (conn->closed)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -55,6 +55,8 @@
   /** HEAD is valid until the call ends. */
   void (*on_head) (void *context, const struct bd_head *head);
   void (*on_body) (void *context, struct bd_chunk data);
+  /** All that was read at once has been passed to on_body.  May be NULL. */
+  void (*on_read) (void *context);
   void (*on_end) (void *context);
   void (*on_fail) (void *context, const struct bd_call_failure *failure);
 };
--- a/src/runner/execution.c
+++ b/src/runner/execution.c
@@ -144,9 +144,9 @@
 }
 
 static void
-handle_event (struct bd_runner *runner, int64_t now_ms, struct task *task)
+handle_event (struct bd_runner *runner, int64_t now_ms, struct task *task,
+              struct bd_chunk event)
 {
-  struct bd_chunk event = bd_buffer_chunk (&task->sse_event);
   struct bd_chunk data = bd_sse_data (event);
 
   if (bd_chunk_equal (data, BD_CHUNK ("[DONE]")))
@@ -166,6 +166,7 @@
                        struct bd_chunk data)
 {
   struct task *task = bd_task_find (runner, request, attempt);
+  struct bd_chunk event;
 
   if (!task || task->state != TASK_RUNNING)
     return;
@@ -180,8 +181,8 @@
       runner->callbacks->cancel (runner->callbacks, request, attempt);
       return;
     }
-  while (bd_sse_next (&task->sse, &task->sse_event))
-    handle_event (runner, now_ms, task);
+  while ((event = bd_sse_next (&task->sse)).length > 0)
+    handle_event (runner, now_ms, task, event);
 }
 
 /* Reads the token count; false if the body is not a complete JSON object. */
@@ -207,7 +208,7 @@
   if (task->flags & BD_FLAG_SERVICE)
     return true;
   if (is_event_stream (task))
-    return task->done_seen && task->sse.pending.length == 0;
+    return task->done_seen && bd_sse_is_between_events (&task->sse);
   return read_body_usage (task);
 }
 
@@ -296,12 +297,13 @@
   while (recorded.length > 0)
     {
       struct bd_chunk piece = recorded;
+      struct bd_chunk event;
 
       if (piece.length > REPLAY_BLOCK_BYTES)
         piece.length = REPLAY_BLOCK_BYTES;
       bd_sse_feed (&task->sse, piece);
-      while (bd_sse_next (&task->sse, &task->sse_event))
-        send_chunk (runner, task, bd_buffer_chunk (&task->sse_event));
+      while ((event = bd_sse_next (&task->sse)).length > 0)
+        send_chunk (runner, task, event);
       recorded.data += piece.length;
       recorded.length -= piece.length;
     }
--- a/src/runner/task.c
+++ b/src/runner/task.c
@@ -20,7 +20,6 @@
   free (task->class_name);
   free (task->content_type);
   bd_sse_clear (&task->sse);
-  bd_buffer_clear (&task->sse_event);
   bd_buffer_clear (&task->body);
   free (task);
 }
--- a/src/runner/task.h
+++ b/src/runner/task.h
@@ -52,7 +52,6 @@
   bool done_seen;        /**< [DONE] of the stream came in. */
   int64_t last_data_ms;
   struct bd_sse sse;
-  struct bd_buffer sse_event;
   struct bd_buffer body; /**< The answer, if keyed or parsed as JSON. */
   bool body_truncated;   /**< BODY is incomplete. */
   struct task *next;     /**< In the list of all tasks. */
--- a/src/stream/sse.c
+++ b/src/stream/sse.c
@@ -6,52 +6,104 @@
 bd_sse_clear (struct bd_sse *sse)
 {
   bd_buffer_clear (&sse->pending);
-  sse->scanned = 0;
+  *sse = (struct bd_sse){ 0 };
+}
+
+/* Removes the events that have been returned. */
+static void
+remove_taken (struct bd_sse *sse)
+{
+  if (sse->taken == 0)
+    return;
+  bd_buffer_consume (&sse->pending, sse->taken);
+  sse->line_start -= sse->taken;
+  sse->scanned -= sse->taken;
+  sse->taken = 0;
 }
 
 int
 bd_sse_feed (struct bd_sse *sse, struct bd_chunk data)
 {
+  remove_taken (sse);
   if (sse->pending.length + data.length > BD_SSE_EVENT_MAX_BYTES)
     return BD_ERR_TOO_LARGE;
   return bd_buffer_append (&sse->pending, data);
 }
 
-/* Returns the length of the first event including the blank line at its end,
-   or 0 when it is not complete.  Lines end in LF or CR LF. */
-static size_t
-event_length (struct bd_sse *sse)
+/* Whether a line without its LF is empty: lines end in LF or CR LF. */
+static bool
+is_empty_line (struct bd_chunk line)
+{
+  return line.length == 0 || (line.length == 1 && line.data[0] == '\r');
+}
+
+struct bd_chunk
+bd_sse_next (struct bd_sse *sse)
 {
   const char *data = sse->pending.data;
-  size_t length = sse->pending.length;
+  struct bd_chunk event = { NULL, 0 };
+  const char *end = NULL;
 
-  for (size_t i = sse->scanned; i + 1 < length; i++)
+  while (event.length == 0 && sse->scanned < sse->pending.length
+         && (end = memchr (data + sse->scanned, '\n',
+                           sse->pending.length - sse->scanned)))
     {
-      if (data[i] != '\n')
-        continue;
-      if (data[i + 1] == '\n')
-        return i + 2;
-      if (i + 2 < length && data[i + 1] == '\r' && data[i + 2] == '\n')
-        return i + 3;
+      struct bd_chunk line
+          = { data + sse->line_start, (size_t)(end - data) - sse->line_start };
+
+      sse->line_start = (size_t)(end - data) + 1;
+      sse->scanned = sse->line_start;
+      if (!is_empty_line (line))
+        sse->has_line = true;
+      else if (sse->has_line)
+        event = (struct bd_chunk){ data + sse->taken,
+                                   sse->scanned - sse->taken };
+    }
+  if (event.length > 0)
+    {
+      sse->taken = sse->scanned;
+      sse->has_line = false;
     }
-  sse->scanned = length > 2 ? length - 2 : 0;
-  return 0;
+  else
+    sse->scanned = sse->pending.length;
+  return event;
+}
+
+/* Returns the pending bytes from OFFSET on. */
+static struct bd_chunk
+pending_from (const struct bd_sse *sse, size_t offset)
+{
+  struct bd_chunk bytes = bd_buffer_chunk (&sse->pending);
+
+  if (offset > 0)
+    bytes.data += offset;
+  bytes.length -= offset;
+  return bytes;
+}
+
+struct bd_chunk
+bd_sse_rest (const struct bd_sse *sse)
+{
+  return pending_from (sse, sse->taken);
 }
 
 bool
-bd_sse_next (struct bd_sse *sse, struct bd_buffer *event)
+bd_sse_is_between_events (const struct bd_sse *sse)
 {
-  size_t length = event_length (sse);
-
-  bd_buffer_reset (event);
-  if (length == 0)
-    return false;
-  if (bd_buffer_append (event, (struct bd_chunk){ sse->pending.data, length })
-      != BD_OK)
-    return false;
-  bd_buffer_consume (&sse->pending, length);
-  sse->scanned = 0;
-  return true;
+  return !sse->has_line && is_empty_line (pending_from (sse, sse->line_start));
+}
+
+bool
+bd_sse_has_field (struct bd_chunk event)
+{
+  while (event.length > 0)
+    {
+      struct bd_chunk line = bd_chunk_split_off (&event, '\n');
+
+      if (!is_empty_line (line) && line.data[0] != ':')
+        return true;
+    }
+  return false;
 }
 
 /* Returns the value of the first line that begins with FIELD. */
--- a/test/fuzz/fuzz_answer.c
+++ b/test/fuzz/fuzz_answer.c
@@ -13,7 +13,7 @@
 {
   struct bd_chunk stream = { (const char *)data, size };
   struct bd_sse sse = { 0 };
-  struct bd_buffer event = { 0 };
+  struct bd_chunk event;
   struct bd_buffer text = { 0 };
   struct bd_buffer continuation = { 0 };
   size_t consumed = 0;
@@ -26,19 +26,17 @@
         piece.length = PIECE_BYTES;
       if (bd_sse_feed (&sse, piece) != BD_OK)
         break;
-      while (bd_sse_next (&sse, &event))
+      while ((event = bd_sse_next (&sse)).length > 0)
         {
           consumed += event.length;
-          bd_resume_append_text (bd_sse_data (bd_buffer_chunk (&event)),
-                                 &text);
+          bd_resume_append_text (bd_sse_data (event), &text);
         }
     }
   /* The parser neither loses nor adds a byte. */
-  if (consumed + sse.pending.length != size)
+  if (consumed + bd_sse_rest (&sse).length != size)
     __builtin_trap ();
   bd_resume_body (stream, bd_buffer_chunk (&text), &continuation);
   bd_sse_clear (&sse);
-  bd_buffer_clear (&event);
   bd_buffer_clear (&text);
   bd_buffer_clear (&continuation);
   return 0;
--- a/test/fuzz/fuzz_sse.c
+++ b/test/fuzz/fuzz_sse.c
@@ -5,6 +5,18 @@
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
+/* Whether TEXT has a line that is not empty; lines end in LF or CR LF. */
+static bool
+has_line (struct bd_chunk text)
+{
+  for (size_t i = 0; i < text.length; i++)
+    if (text.data[i] != '\n'
+        && (text.data[i] != '\r' || (i > 0 && text.data[i - 1] == '\r')
+            || (i + 1 < text.length && text.data[i + 1] != '\n')))
+      return true;
+  return false;
+}
+
 /* Feeds INPUT in pieces of PIECE_BYTES bytes; appends the events and the
    pending bytes to JOINED. */
 static void
@@ -12,7 +24,7 @@
               struct bd_buffer *joined, size_t *count, size_t *pending)
 {
   struct bd_sse sse = { 0 };
-  struct bd_buffer event = { 0 };
+  struct bd_chunk event;
 
   *count = 0;
   for (size_t offset = 0; offset < input.length; offset += piece_bytes)
@@ -24,22 +36,25 @@
 
       if (bd_sse_feed (&sse, piece) != BD_OK)
         abort ();
-      while (bd_sse_next (&sse, &event))
+      while ((event = bd_sse_next (&sse)).length > 0)
         {
-          struct bd_chunk line = bd_sse_data (bd_buffer_chunk (&event));
+          struct bd_chunk line = bd_sse_data (event);
 
           if (event.length < 2 || event.data[event.length - 1] != '\n')
             abort ();
           if (line.length > event.length
               || (line.length > 0 && memchr (line.data, '\n', line.length)))
             abort ();
-          bd_buffer_append (joined, bd_buffer_chunk (&event));
+          if (!has_line (event))
+            abort ();
+          bd_buffer_append (joined, event);
           (*count)++;
         }
     }
-  bd_buffer_append (joined, bd_buffer_chunk (&sse.pending));
-  *pending = sse.pending.length;
-  bd_buffer_clear (&event);
+  bd_buffer_append (joined, bd_sse_rest (&sse));
+  *pending = bd_sse_rest (&sse).length;
+  if (bd_sse_is_between_events (&sse) == has_line (bd_sse_rest (&sse)))
+    abort ();
   bd_sse_clear (&sse);
 }
 
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -118,7 +118,7 @@
 on_body (void *context, struct bd_chunk data)
 {
   struct call *c = context;
-  struct bd_buffer event = { 0 };
+  struct bd_chunk event;
 
   if (c->status != 200 || c->attempt->kind < SOAK_STREAM)
     {
@@ -126,9 +126,8 @@
       return;
     }
   bd_sse_feed (&c->sse, data);
-  while (bd_sse_next (&c->sse, &event))
-    check_event (c, bd_buffer_chunk (&event));
-  bd_buffer_clear (&event);
+  while ((event = bd_sse_next (&c->sse)).length > 0)
+    check_event (c, event);
 }
 
 static void
@@ -140,7 +139,7 @@
       && !bd_chunk_equal (bd_buffer_chunk (&c->body), bd_chunk_of (expected)))
     soak_violation (c->soak, "MIXED", "%s got a wrong body", c->attempt->id);
   if (c->attempt->kind >= SOAK_STREAM
-      && (c->events != c->attempt->events || c->sse.pending.length > 0))
+      && (c->events != c->attempt->events || bd_sse_rest (&c->sse).length > 0))
     soak_violation (c->soak, "ORDER",
                     "%s ended regularly after %u of %u events", c->attempt->id,
                     c->events, c->attempt->events);
--- a/test/test_response.c
+++ b/test/test_response.c
@@ -4,6 +4,7 @@
 #include "common/clock.h"
 
 #include <string.h>
+#include <time.h>
 
 #define HEAD                                                                  \
   "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: @ID\r\n"                        \
@@ -18,6 +19,13 @@
   "Content-Length: 2\r\n\r\nno"
 /* Separates the bytes that are sent once from those that are repeated. */
 #define MORE "@MORE"
+/* Longest turn of the event loop in processor time, and how much of a stream
+   without end is watched. */
+#define TURN_MAX_MS 100
+#define FLOOD_BYTES ((gsize)4 * 1024 * 1024)
+#define FLOODS 3
+#define TINY "a\n\n"
+#define EVENTS_OF_CHUNK ((size_t)16384)
 /* The request's time limit is 3 s; the response must come well before. */
 #define SOON_MS 2000
 
@@ -59,6 +67,15 @@
   { "event-lines",
     "POST /stream/x",
     { STREAM MORE "8\r\ndata: a\n\r\n", SUPPORT_ENDLESS } },
+  { "blank-lines",
+    "POST /stream/x",
+    { STREAM MORE "2\r\n\n\n\r\n", SUPPORT_ENDLESS } },
+  { "blank-crlf-lines",
+    "POST /stream/x",
+    { STREAM MORE "4\r\n\r\n\r\n\r\n", SUPPORT_ENDLESS } },
+  { "comments",
+    "POST /stream/x",
+    { STREAM MORE "3\r\n:\n\n\r\n", SUPPORT_ENDLESS } },
 };
 
 /* The caller soon gets a final response, the runner's connection is closed,
@@ -139,6 +156,62 @@
   support_gateway_close (&g);
 }
 
+static int64_t
+processor_time_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &now);
+  return now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* Guards against a runner that makes the gateway stand still for all others:
+   its small events without end took a turn of the event loop each so much work
+   that requests for other runners got no response in time.  The bound is for
+   the processor time of a turn, so it does not depend on other processes. */
+static void
+test_endless_events (void)
+{
+  GString *events = g_string_new (STREAM MORE);
+  struct support_step floods[FLOODS];
+  static const struct support_step answer = { OK_ANSWER, SUPPORT_KEEP };
+  struct support_gateway g;
+  struct support_caller *callers[FLOODS];
+  char *stream = support_request ("POST /stream/x", "a1", "", "");
+  char *order = support_request ("POST /once/x", "a2", "", "");
+  gsize received;
+
+  g_string_append_printf (events, "%zx\r\n", EVENTS_OF_CHUNK * strlen (TINY));
+  for (size_t i = 0; i < EVENTS_OF_CHUNK; i++)
+    g_string_append (events, TINY);
+  g_string_append (events, "\r\n");
+  for (int i = 0; i < FLOODS; i++)
+    floods[i] = (struct support_step){ events->str, SUPPORT_ENDLESS };
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, floods, FLOODS);
+  for (int i = 0; i < FLOODS; i++)
+    callers[i] = support_caller_send (&g, i, stream);
+  for (int i = 0; i < FLOODS; i++)
+    support_await (callers[i], TINY);
+  support_gateway_unlist (&g, 0);
+  support_gateway_runner (&g, 1, &answer, 1);
+  received = callers[0]->in->len;
+  while (callers[0]->in->len < received + FLOOD_BYTES)
+    {
+      int64_t start = processor_time_ms ();
+
+      support_run_once (&g);
+      g_assert_cmpint (processor_time_ms () - start, <, TURN_MAX_MS);
+    }
+  support_await (support_caller_send (&g, FLOODS, order), "\r\n\r\nok");
+  for (int i = 0; i < FLOODS; i++)
+    g_assert_false (callers[i]->ended);
+  g_string_free (events, TRUE);
+  g_free (stream);
+  g_free (order);
+  support_gateway_close (&g);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -153,5 +226,6 @@
   g_test_add_func ("/response/endless-after-answer",
                    test_endless_after_answer);
   g_test_add_func ("/response/buffer-limit", test_buffer_limit);
+  g_test_add_func ("/response/endless-events", test_endless_events);
   return g_test_run ();
 }
