CONFIG: a connection is read once a turn of the event loop

Cause: libuv reads a connection up to 32 times in a row while the read buffer is filled, 2 MiB, before timers and other connections have their turn.

Change: a socket that fills the buffer stops reading until the loop's next turn. A pause by the owner holds.

--- a/src/http/socket.c
+++ b/src/http/socket.c
@@ -5,9 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Size of the read buffers, which all sockets share: there is one event loop,
-   in one thread. */
-#define READ_BYTES ((size_t)64 * 1024)
 /* How long bd_socket_finish () waits for the peer to close. */
 #define LINGER_MS 1000
 #define ADDRESS_TEXT_BYTES 32
@@ -17,11 +14,13 @@
   uv_tcp_t tcp;
   uv_connect_t connect;
   uv_shutdown_t shutdown;
-  uv_timer_t linger_timer;
+  /* Resumes reading after a turn; later limits bd_socket_finish (). */
+  uv_timer_t timer;
   const struct bd_socket_handler *handler; /* NULL once closed. */
   void *context;
   struct bd_tls_session *session; /* NULL: without TLS. */
   size_t pending;
+  bool paused; /* By bd_socket_pause (). */
   int open_handles;
 };
 
@@ -33,8 +32,10 @@
   char data[];
 };
 
-static char read_buffer[READ_BYTES];
-static char decrypted_buffer[READ_BYTES];
+/* All sockets share the read buffers: there is one event loop, in one thread.
+ */
+static char read_buffer[BD_SOCKET_READ_BYTES];
+static char decrypted_buffer[BD_SOCKET_READ_BYTES];
 
 static void
 on_handle_closed (uv_handle_t *handle)
@@ -54,7 +55,7 @@
     return;
   socket->handler = NULL;
   uv_close ((uv_handle_t *)&socket->tcp, on_handle_closed);
-  uv_close ((uv_handle_t *)&socket->linger_timer, on_handle_closed);
+  uv_close ((uv_handle_t *)&socket->timer, on_handle_closed);
 }
 
 struct bd_socket *
@@ -66,9 +67,9 @@
   if (!socket)
     return NULL;
   uv_tcp_init (loop, &socket->tcp);
-  uv_timer_init (loop, &socket->linger_timer);
+  uv_timer_init (loop, &socket->timer);
   socket->tcp.data = socket;
-  socket->linger_timer.data = socket;
+  socket->timer.data = socket;
   socket->open_handles = 2;
   socket->handler = handler;
   socket->context = context;
@@ -80,7 +81,7 @@
 {
   const struct bd_socket_handler *handler = socket->handler;
 
-  uv_read_stop ((uv_stream_t *)&socket->tcp);
+  bd_socket_pause (socket);
   if (!handler)
     {
       close_handles (socket);
@@ -94,7 +95,7 @@
 {
   (void)handle;
   (void)suggested;
-  *buffer = uv_buf_init (read_buffer, READ_BYTES);
+  *buffer = uv_buf_init (read_buffer, BD_SOCKET_READ_BYTES);
 }
 
 /* Returns true when the connection was reset: libuv may report a reset that
@@ -113,6 +114,8 @@
 }
 
 static int write_bytes (struct bd_socket *socket, struct bd_chunk data);
+static void on_read (uv_stream_t *stream, ssize_t length,
+                     const uv_buf_t *buffer);
 
 /* Writes the session's pending encrypted bytes to the connection. */
 static int
@@ -135,8 +138,8 @@
 
   while (error == BD_OK && socket->handler)
     {
-      error = bd_tls_read (socket->session, decrypted_buffer, READ_BYTES,
-                           &length);
+      error = bd_tls_read (socket->session, decrypted_buffer,
+                           BD_SOCKET_READ_BYTES, &length);
       if (error == BD_OK)
         socket->handler->on_data (
             socket->context, (struct bd_chunk){ decrypted_buffer, length });
@@ -150,6 +153,24 @@
     end_connection (socket, BD_OK);
 }
 
+static void
+on_turn (uv_timer_t *timer)
+{
+  struct bd_socket *socket = timer->data;
+
+  if (socket->handler && !socket->paused)
+    uv_read_start ((uv_stream_t *)&socket->tcp, on_allocate, on_read);
+}
+
+/* Lets other connections have their turn before more is read from this one,
+   which may send faster than its data can be processed. */
+static void
+yield_turn (struct bd_socket *socket)
+{
+  uv_read_stop ((uv_stream_t *)&socket->tcp);
+  uv_timer_start (&socket->timer, on_turn, 0, 0);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -163,6 +184,8 @@
     read_session (socket, data);
   else if (length > 0 && socket->handler)
     socket->handler->on_data (socket->context, data);
+  if (data.length == BD_SOCKET_READ_BYTES && socket->handler)
+    yield_turn (socket);
 }
 
 /* Sets the socket options.  A failure leaves the system's default, with which
@@ -304,12 +327,14 @@
 void
 bd_socket_pause (struct bd_socket *socket)
 {
+  socket->paused = true;
   uv_read_stop ((uv_stream_t *)&socket->tcp);
 }
 
 void
 bd_socket_resume (struct bd_socket *socket)
 {
+  socket->paused = false;
   uv_read_start ((uv_stream_t *)&socket->tcp, on_allocate, on_read);
 }
 
@@ -336,12 +361,14 @@
 bd_socket_finish (struct bd_socket *socket)
 {
   socket->handler = NULL;
+  if (uv_is_active ((uv_handle_t *)&socket->timer))
+    uv_read_start ((uv_stream_t *)&socket->tcp, on_allocate, on_read);
   if (socket->session)
     {
       bd_tls_finish (socket->session);
       flush_session (socket);
     }
-  uv_timer_start (&socket->linger_timer, on_linger, LINGER_MS, 0);
+  uv_timer_start (&socket->timer, on_linger, LINGER_MS, 0);
   if (uv_shutdown (&socket->shutdown, (uv_stream_t *)&socket->tcp, on_shutdown)
       != 0)
     close_handles (socket);
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -19,6 +19,10 @@
 /** Number of unanswered probes after which a connection counts as dead. */
 #define BD_SOCKET_PROBES 2
 
+/** Most bytes that are read from a connection before others have their turn.
+ */
+#define BD_SOCKET_READ_BYTES ((size_t)64 * 1024)
+
 struct bd_socket;
 
 /** Callbacks of a socket.  None follows on_end or a close. */
