DRAIN: a cut watch is no outage of the store

Cause: each failed call counted as an outage, and an entry that is deleted up to 2 s after one as expired by it, so its runner was used on. Each further cut moved the end for runners that had lapsed before.

Change: what failed calls show is decided by src/balance/outage.c: a held watch that is cut shows nothing; one lost call a short outage, by which a runner lapses for 1 s from its deletion at most; several in a row over a second (the shortest lease) a long one, as before. If most entries vanish soon after any failed call they have lapsed (lapse.c).

--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -2,6 +2,7 @@
 
 #include "balance/departure.h"
 #include "balance/evacuation.h"
+#include "balance/lapse.h"
 #include "balance/runner_limit.h"
 #include "balance/short_only.h"
 #include "common/log.h"
@@ -24,10 +25,8 @@
   size_t count;
   size_t capacity;
   struct bd_map *by_hash; /* Keyed by the low half of the hash. */
-  bool store_lost;
-  int64_t lapse_until_ms; /* An entry deleted before this time lapses instead
-                             of being removed. */
-  bool short_only_stale;  /* A state has changed since short_only was set. */
+  struct bd_lapse lapse;
+  bool short_only_stale; /* A state has changed since short_only was set. */
   /* The store's older copy: its last revision, and until when its entries are
      distrusted. */
   uint64_t copy_revision;
@@ -246,7 +245,7 @@
 {
   targets->copy_revision = revision;
   targets->distrust_until_ms = now_ms + BD_TARGET_DISTRUST_MS;
-  targets->lapse_until_ms = now_ms + BD_TARGET_LAPSE_MS;
+  bd_lapse_begin (&targets->lapse, now_ms);
   for (size_t i = 0; i < targets->count; i++)
     targets->all[i]->revision = 0;
   bd_evacuations_begin_era (&targets->evacuations);
@@ -415,6 +414,7 @@
   if (revision > target->revision && target->revision != 0)
     target->renewed_ms = now_ms;
   target->revision = revision;
+  target->deleted_in_doubt = false;
   target->ip = entry->ip;
   target->port = entry->port;
   target->slots = entry->slots;
@@ -437,17 +437,41 @@
   set_state (targets, target, BD_TARGET_GONE, target->revision);
 }
 
+static void
+set_lapsed (struct bd_targets *targets, struct bd_target *target,
+            int64_t end_ms)
+{
+  target->lapse_until_ms = end_ms;
+  set_state (targets, target, BD_TARGET_LAPSED, target->revision);
+}
+
+/* Handles that the entry of TARGET, a ready runner, was deleted. */
+static void
+handle_ready_removed (struct bd_targets *targets, int64_t now_ms,
+                      struct bd_target *target)
+{
+  bool together = bd_lapse_count_deleted (&targets->lapse, target, now_ms);
+  int64_t end_ms = bd_lapse_end_ms (&targets->lapse, now_ms);
+
+  if (end_ms > now_ms)
+    set_lapsed (targets, target, end_ms);
+  else
+    set_gone (targets, target, now_ms);
+  for (size_t i = 0; together && i < targets->count; i++)
+    if (targets->all[i]->deleted_in_doubt)
+      set_lapsed (targets, targets->all[i], end_ms);
+}
+
 static void
 handle_entry_removed (struct bd_targets *targets, int64_t now_ms,
                       struct bd_target *target, uint64_t revision)
 {
-  bool may_lapse = targets->store_lost || now_ms < targets->lapse_until_ms;
-
   target->revision = revision;
   target->distrusted = false;
-  if (target->state == BD_TARGET_READY && may_lapse)
-    set_state (targets, target, BD_TARGET_LAPSED, revision);
-  else if (target->state != BD_TARGET_LAPSED || !may_lapse)
+  if (target->state == BD_TARGET_READY)
+    handle_ready_removed (targets, now_ms, target);
+  else if (target->state != BD_TARGET_LAPSED
+           || bd_lapse_end_ms (&targets->lapse, now_ms) <= now_ms)
     set_gone (targets, target, now_ms);
 }
 
@@ -490,29 +514,30 @@
 void
 bd_targets_set_store_lost (struct bd_targets *targets)
 {
-  targets->store_lost = true;
+  targets->lapse.store_lost = true;
 }
 
 void
-bd_targets_set_store_available (struct bd_targets *targets, int64_t now_ms)
+bd_targets_set_store_available (struct bd_targets *targets, int64_t now_ms,
+                                enum bd_outage_verdict outage)
 {
-  if (targets->store_lost)
-    targets->lapse_until_ms = now_ms + BD_TARGET_LAPSE_MS;
-  targets->store_lost = false;
+  bd_lapse_end_outage (&targets->lapse, targets->all, targets->count, now_ms,
+                       outage);
 }
 
 bool
 bd_targets_store_is_lost (const struct bd_targets *targets)
 {
-  return targets->store_lost;
+  return targets->lapse.store_lost;
 }
 
-/* Whether an announced leave, a pause or a rate limit still has to be kept for
-   a runner that is gone: its entry may come back while the process lives. */
+/* Whether an announced leave, a pause, a rate limit or a deletion still has to
+   be kept for a runner that is gone: its entry may come back while the process
+   lives. */
 static bool
 is_still_needed (const struct bd_target *target, int64_t now_ms)
 {
-  return target->distrusted
+  return target->distrusted || target->deleted_in_doubt
          || (target->leaving_ms != 0
              && now_ms - target->leaving_ms < BD_TARGET_LEAVING_MAX_MS)
          || (target->limit.rate != 0
@@ -541,14 +566,16 @@
     {
       struct bd_target *target = targets->all[i];
 
-      if (target->state == BD_TARGET_LAPSED && !targets->store_lost
-          && now_ms >= targets->lapse_until_ms)
+      if (target->state == BD_TARGET_LAPSED && !targets->lapse.store_lost
+          && now_ms >= target->lapse_until_ms)
         set_gone (targets, target, now_ms);
       if (target->distrusted && now_ms >= targets->distrust_until_ms)
         {
           target->distrusted = false;
           set_state (targets, target, BD_TARGET_READY, target->revision);
         }
+      if (now_ms >= targets->lapse.doubt_until_ms)
+        target->deleted_in_doubt = false;
       if (target->state == BD_TARGET_GONE && target->in_flight == 0
           && target->assigned.in_flight == 0
           && !is_still_needed (target, now_ms))
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -6,6 +6,7 @@
 #ifndef BD_TARGET_H
 #define BD_TARGET_H
 
+#include "balance/outage.h"
 #include "balance/priority.h"
 #include "balance/software.h"
 #include "common/string.h"
@@ -16,6 +17,12 @@
  */
 #define BD_TARGET_LAPSE_MS 2000
 
+/**
+ * The same after an outage that was too short for entries to expire by it,
+ * counted from the deletion: a runner that leaves serves for longer than this.
+ */
+#define BD_TARGET_SHORT_LAPSE_MS 1000
+
 /**
  * A runner that announced that it leaves but is still published as ready after
  * this time is used again: the announcement was a mistake.  Far above the time
@@ -131,6 +138,11 @@
   int64_t started_ms;
   int64_t warmup_until_ms;
   uint64_t revision; /**< Store revision of the entry. */
+  /** Lapsed: when it is gone unless its entry is back. */
+  int64_t lapse_until_ms;
+  /** Its entry was deleted soon after calls to the store had failed (lapse.h).
+   */
+  bool deleted_in_doubt;
   /** When its process last wrote the entry anew; 0: not since it is known
       here. */
   int64_t renewed_ms;
@@ -190,10 +202,11 @@
 void bd_targets_list_end (struct bd_targets *targets, int64_t now_ms,
                           uint64_t revision);
 
-/** The store has stopped answering, or answers again. */
+/** The store has stopped answering, or answers again after OUTAGE. */
 void bd_targets_set_store_lost (struct bd_targets *targets);
 void bd_targets_set_store_available (struct bd_targets *targets,
-                                     int64_t now_ms);
+                                     int64_t now_ms,
+                                     enum bd_outage_verdict outage);
 bool bd_targets_store_is_lost (const struct bd_targets *targets);
 
 /**
--- a/src/retry/call_schedule.c
+++ b/src/retry/call_schedule.c
@@ -36,10 +36,17 @@
                           int64_t hold_ms)
 {
   schedule->call_started_ms = now_ms;
+  schedule->call_hold_ms = hold_ms;
   schedule->call_timeout_ms
       = hold_ms > 0 ? hold_ms + WATCH_TIMEOUT_MS : RESPONSE_TIMEOUT_MS;
 }
 
+int64_t
+bd_call_schedule_due_ms (const struct bd_call_schedule *schedule)
+{
+  return schedule->call_started_ms + schedule->call_hold_ms;
+}
+
 bool
 bd_call_schedule_timed_out (const struct bd_call_schedule *schedule,
                             int64_t now_ms)
--- a/src/retry/call_schedule.h
+++ b/src/retry/call_schedule.h
@@ -19,6 +19,7 @@
 {
   int64_t silence_max_ms; /**< A lost call is replaced within this time. */
   int64_t call_started_ms;
+  int64_t call_hold_ms;
   int64_t call_timeout_ms;
   int64_t next_call_ms; /**< Earliest start of the next call. */
   int64_t backoff_ms;   /**< 0: the last call was answered. */
@@ -39,6 +40,10 @@
 void bd_call_schedule_started (struct bd_call_schedule *schedule,
                                int64_t now_ms, int64_t hold_ms);
 
+/** Returns when the call in flight is to be answered at the latest, if it gets
+    to the service at once. */
+int64_t bd_call_schedule_due_ms (const struct bd_call_schedule *schedule);
+
 /** Returns whether the call in flight has taken too long. */
 bool bd_call_schedule_timed_out (const struct bd_call_schedule *schedule,
                                  int64_t now_ms);
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -14,6 +14,8 @@
 #define CALLS_MAX 32
 /* A call without an answer is replaced within this time. */
 #define SILENCE_MAX_MS 3000
+/* An outage in which entries may expire. */
+#define OUTAGE_MS 1500
 
 /* A store that answers each call with its next scripted response.  A call
    without one stays pending until a response is added. */
@@ -622,6 +624,64 @@
   g_assert_cmpint (routing_version (&fixture), ==, 3);
 }
 
+/* Closes the connection of the call that the store holds. */
+static void
+cut_call (struct fixture *fixture)
+{
+  struct bd_exchange *exchange = fixture->pending;
+
+  fixture->pending = NULL;
+  bd_exchange_abort (exchange);
+}
+
+/* Guards against a runner that leaves and gets requests until it exits: a
+   watch that was cut counted as an outage of the store, so the removal of the
+   entry counted as one that had expired by it, anew with each further cut. */
+static void
+test_cut_watches (void)
+{
+  struct fixture fixture;
+
+  start_watch (&fixture);
+  cut_call (&fixture);
+  await_calls (&fixture, 4);
+  add_item_response (&fixture, "events", "", 70,
+                     g_strdup ("{\"key\":\"servers/a\",\"revision\":50,"
+                               "\"deleted\":true}"),
+                     NULL);
+  await_calls (&fixture, 5);
+  g_assert_false (is_usable (&fixture, "a"));
+  g_assert_true (is_usable (&fixture, "b"));
+}
+
+/* A store that is away for a while, and the entries of all runners gone as it
+   returns: they are used on until they are back. */
+static void
+test_long_outage (void)
+{
+  struct fixture fixture;
+  guint calls = 3;
+  int64_t started_ms = bd_clock_boot_ms ();
+
+  start_watch (&fixture);
+  while (bd_clock_boot_ms () - started_ms < OUTAGE_MS)
+    {
+      cut_call (&fixture);
+      await_calls (&fixture, ++calls);
+    }
+  g_assert_true (is_usable (&fixture, "a"));
+  add_item_response (&fixture, "events", "", 70,
+                     g_strdup ("{\"key\":\"servers/a\",\"revision\":50,"
+                               "\"deleted\":true}"),
+                     NULL);
+  await_calls (&fixture, ++calls);
+  g_assert_true (is_usable (&fixture, "a"));
+  add_item_response (&fixture, "events", "", 71,
+                     runner_item ("a", 71, "ready"), NULL);
+  await_calls (&fixture, ++calls);
+  g_assert_true (is_usable (&fixture, "a"));
+}
+
 /* Waits for the next call, which must come within SILENCE_MAX_MS. */
 static void
 check_call_in_time (struct fixture *fixture, guint calls)
@@ -659,6 +719,8 @@
   g_test_add_func ("/store/malformed-entries", test_malformed_entries);
   g_test_add_func ("/store/history-gone", test_history_gone);
   g_test_add_func ("/store/outage", test_outage);
+  g_test_add_func ("/store/cut-watches", test_cut_watches);
+  g_test_add_func ("/store/long-outage", test_long_outage);
   g_test_add_func ("/store/list-without-items", test_list_without_items);
   g_test_add_func ("/store/list-without-last-key", test_list_without_last_key);
   g_test_add_func ("/store/last-key-is-escaped", test_last_key_is_escaped);
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -70,7 +70,7 @@
   bd_targets_remove (targets, NOW, BD_CHUNK ("r1"), 21);
   bd_targets_tick (targets, NOW + 60000);
   g_assert_true (usable (targets, "r0"));
-  bd_targets_set_store_available (targets, NOW + 60000);
+  bd_targets_set_store_available (targets, NOW + 60000, BD_OUTAGE_LONG);
   bd_targets_tick (targets, NOW + 60000 + BD_TARGET_LAPSE_MS - 1);
   g_assert_true (usable (targets, "r0"));
   {
@@ -84,6 +84,133 @@
   bd_targets_destroy (targets);
 }
 
+/* Guards against a runner that has left and is used on because a call to the
+   store failed around its removal: after cuts and odd responses it is gone at
+   once, after a short outage a second later, however many follow. */
+static void
+test_short_outages (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+
+  support_put_runners (targets, 6, 1);
+  bd_targets_set_store_available (targets, NOW, BD_OUTAGE_DOUBTFUL);
+  bd_targets_remove (targets, NOW, BD_CHUNK ("r0"), 20);
+  g_assert_false (usable (targets, "r0"));
+  bd_targets_set_store_lost (targets);
+  bd_targets_set_store_available (targets, NOW, BD_OUTAGE_SHORT);
+  bd_targets_remove (targets, NOW + 10, BD_CHUNK ("r1"), 21);
+  for (int64_t now = NOW + 100; now < NOW + 10 + BD_TARGET_SHORT_LAPSE_MS;
+       now += 100)
+    {
+      bd_targets_set_store_available (targets, now, BD_OUTAGE_SHORT);
+      bd_targets_tick (targets, now);
+      g_assert_true (usable (targets, "r1"));
+    }
+  bd_targets_tick (targets, NOW + 10 + BD_TARGET_SHORT_LAPSE_MS);
+  g_assert_false (usable (targets, "r1"));
+  g_assert_true (usable (targets, "r2"));
+  bd_targets_destroy (targets);
+}
+
+/* Most entries that are deleted soon after a failed call, together or one by
+   one, have expired, however little the call showed: those that come back in
+   time were always usable. */
+static void
+test_most_deleted (void)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  struct bd_target_entry entry = support_entry ("r0", "z0");
+
+  support_put_runners (targets, 5, 1);
+  bd_targets_set_store_available (targets, NOW, BD_OUTAGE_DOUBTFUL);
+  bd_targets_remove (targets, NOW, BD_CHUNK ("r0"), 20);
+  bd_targets_tick (targets, NOW + 100);
+  bd_targets_remove (targets, NOW + 100, BD_CHUNK ("r1"), 21);
+  g_assert_false (usable (targets, "r0"));
+  g_assert_false (usable (targets, "r1"));
+  bd_targets_remove (targets, NOW + 200, BD_CHUNK ("r2"), 22);
+  bd_targets_remove (targets, NOW + 200, BD_CHUNK ("r3"), 23);
+  for (int i = 0; i < 5; i++)
+    {
+      char id[] = { 'r', (char)('0' + i), '\0' };
+
+      g_assert_true (usable (targets, id));
+    }
+  bd_targets_put (targets, NOW + 1500, &entry, 30);
+  bd_targets_tick (targets, NOW + BD_TARGET_LAPSE_MS);
+  g_assert_true (usable (targets, "r0"));
+  g_assert_false (usable (targets, "r1"));
+  g_assert_false (usable (targets, "r3"));
+  bd_targets_destroy (targets);
+}
+
+/* Plays one history of failed calls, a letter for each 400 ms (d: doubtful, s:
+   short, l: long outage, r: the entry of r0 is removed); returns when r0 was
+   usable last. */
+static int64_t
+last_usable_ms (const char *history)
+{
+  struct bd_targets *targets = bd_targets_create ();
+  int64_t last = 0;
+
+  support_put_runners (targets, 4, 1);
+  for (int64_t now = NOW; now < NOW + 12000; now += 100)
+    {
+      int64_t step = (now - NOW) / 400;
+      char what = step < (int64_t)strlen (history) ? history[step] : '-';
+
+      if ((now - NOW) % 400 == 0 && what == 'r')
+        bd_targets_remove (targets, now, BD_CHUNK ("r0"), 20);
+      else if ((now - NOW) % 400 == 0 && what != '-')
+        bd_targets_set_store_available (targets, now,
+                                        what == 'd'   ? BD_OUTAGE_DOUBTFUL
+                                        : what == 's' ? BD_OUTAGE_SHORT
+                                                      : BD_OUTAGE_LONG);
+      bd_targets_tick (targets, now);
+      if (usable (targets, "r0"))
+        last = now;
+    }
+  bd_targets_destroy (targets);
+  return last - NOW;
+}
+
+/* All histories of six steps with one removal: without a long outage the
+   runner is gone after a second, with one two seconds after the last at most,
+   and what lapses by a long one stays for its two seconds. */
+static void
+test_outage_search (void)
+{
+  static const char steps[] = "-dslr";
+  char history[7] = "";
+
+  for (int number = 0; number < 15625; number++)
+    {
+      int64_t removed = -1;
+      int64_t last_long = -1;
+      int removals = 0;
+      int64_t last;
+
+      for (int i = 0, rest = number; i < 6; i++, rest /= 5)
+        {
+          history[i] = steps[rest % 5];
+          if (history[i] == 'r' && removals++ == 0)
+            removed = i * 400;
+          if (history[i] == 'l')
+            last_long = i * 400;
+        }
+      if (removals != 1)
+        continue;
+      last = last_usable_ms (history);
+      if (last_long < 0 || last_long + BD_TARGET_LAPSE_MS <= removed)
+        g_assert_cmpint (last, <, removed + BD_TARGET_SHORT_LAPSE_MS);
+      else if (last_long < removed)
+        g_assert_cmpint (last, ==, last_long + BD_TARGET_LAPSE_MS - 100);
+      else
+        g_assert_cmpint (last, <,
+                         MAX (removed, last_long) + BD_TARGET_LAPSE_MS);
+    }
+}
+
 /* A draining runner whose entry disappears does not lapse, so it stays
    unusable. */
 static void
@@ -762,6 +889,9 @@
   g_test_add_func ("/target/leaving", test_leaving);
   g_test_add_func ("/target/in-flight", test_kept_while_in_flight);
   g_test_add_func ("/target/outage", test_outage);
+  g_test_add_func ("/target/short-outages", test_short_outages);
+  g_test_add_func ("/target/most-deleted", test_most_deleted);
+  g_test_add_func ("/target/outage-search", test_outage_search);
   g_test_add_func ("/target/drain-then-outage", test_drain_then_outage);
   g_test_add_func ("/target/list", test_list);
   g_test_add_func ("/target/restart", test_restart);
