--- a/src/balance/departure.c
+++ b/src/balance/departure.c
@@ -25,3 +25,23 @@
     }
   return false;
 }
+
+bool
+bd_departure_is_known (const struct bd_target *target,
+                       const struct bd_target_entry *entry)
+{
+  return (target->state == BD_TARGET_DRAINING
+          || target->state == BD_TARGET_GONE)
+         && entry->started_ms <= target->started_ms;
+}
+
+bool
+bd_departure_is_open (const struct bd_target *target, int64_t now_ms)
+{
+  return target->distrusted || target->deleted_in_doubt
+         || (target->leaving_ms != 0
+             && now_ms - target->leaving_ms < BD_TARGET_LEAVING_MAX_MS)
+         || (target->limit.rate != 0
+             && now_ms - target->limit.heard_ms < BD_TARGET_LEAVING_MAX_MS)
+         || now_ms < target->pause.until_ms;
+}
--- a/src/balance/departure.h
+++ b/src/balance/departure.h
@@ -6,9 +6,7 @@
 #ifndef BD_DEPARTURE_H
 #define BD_DEPARTURE_H
 
-#include <stdbool.h>
-#include <stddef.h>
-#include <stdint.h>
+#include "balance/target.h"
 
 /** How long a departure is remembered. */
 #define BD_DEPARTURE_MS 60000
@@ -42,4 +40,16 @@
                             int64_t now_ms, uint64_t runner,
                             int64_t started_ms);
 
+/** Whether TARGET is known to leave or to have left, and ENTRY tells of no
+    later process. */
+bool bd_departure_is_known (const struct bd_target *target,
+                            const struct bd_target_entry *entry);
+
+/**
+ * Whether an announced leave, a pause, a rate limit or a deletion still has to
+ * be kept for a runner that is gone: its entry may come back while the process
+ * lives.
+ */
+bool bd_departure_is_open (const struct bd_target *target, int64_t now_ms);
+
 #endif
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -332,17 +332,6 @@
   targets->short_only_stale = true;
 }
 
-/* Whether TARGET is known to leave or to have left, and ENTRY tells of no
-   later process. */
-static bool
-is_leaving_process (const struct bd_target *target,
-                    const struct bd_target_entry *entry)
-{
-  return (target->state == BD_TARGET_DRAINING
-          || target->state == BD_TARGET_GONE)
-         && entry->started_ms <= target->started_ms;
-}
-
 int
 bd_targets_set_cold_rate (struct bd_targets *targets, struct bd_chunk service,
                           uint32_t rate)
@@ -389,7 +378,7 @@
       target->limit.rate = 0;
       target = NULL;
     }
-  has_left = target ? is_leaving_process (target, entry)
+  has_left = target ? bd_departure_is_known (target, entry)
                     : bd_departures_contain (&targets->departures, now_ms,
                                              bd_chunk_hash (entry->id),
                                              entry->started_ms);
@@ -453,10 +442,10 @@
   bool together = bd_lapse_count_deleted (&targets->lapse, target, now_ms);
   int64_t end_ms = bd_lapse_end_ms (&targets->lapse, now_ms);
 
-  if (end_ms > now_ms)
-    set_lapsed (targets, target, end_ms);
-  else
+  if (end_ms <= now_ms)
     set_gone (targets, target, now_ms);
+  else
+    set_lapsed (targets, target, end_ms);
   for (size_t i = 0; together && i < targets->count; i++)
     if (targets->all[i]->deleted_in_doubt)
       set_lapsed (targets, targets->all[i], end_ms);
@@ -531,22 +520,7 @@
   return targets->lapse.store_lost;
 }
 
-/* Whether an announced leave, a pause, a rate limit or a deletion still has to
-   be kept for a runner that is gone: its entry may come back while the process
-   lives. */
-static bool
-is_still_needed (const struct bd_target *target, int64_t now_ms)
-{
-  return target->distrusted || target->deleted_in_doubt
-         || (target->leaving_ms != 0
-             && now_ms - target->leaving_ms < BD_TARGET_LEAVING_MAX_MS)
-         || (target->limit.rate != 0
-             && now_ms - target->limit.heard_ms < BD_TARGET_LEAVING_MAX_MS)
-         || now_ms < target->pause.until_ms;
-}
-
-/* The map may already hold another target of this hash, published for another
-   service. */
+/* Another target of this hash, of another service, may be in the map. */
 static void
 free_removed (struct bd_targets *targets, struct bd_target *target)
 {
@@ -578,7 +552,7 @@
         target->deleted_in_doubt = false;
       if (target->state == BD_TARGET_GONE && target->in_flight == 0
           && target->assigned.in_flight == 0
-          && !is_still_needed (target, now_ms))
+          && !bd_departure_is_open (target, now_ms))
         free_removed (targets, target);
       else
         targets->all[kept_count++] = target;
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -100,16 +100,6 @@
          && now_ms - coordinator->prefixes_known_ms < PREFIXES_VALID_MS;
 }
 
-/* Whether the COUNT targets of ALL run more than one software version. */
-static bool
-has_several_versions (struct bd_target *const *all, size_t count)
-{
-  for (size_t i = 1; i < count; i++)
-    if (all[i]->software.hash != all[0]->software.hash)
-      return true;
-  return false;
-}
-
 /* Asks the runners of the service of QUERY which prefixes they hold. */
 static void
 ask_runners (struct bd_coordinator *coordinator, struct shard *shard,
@@ -146,16 +136,11 @@
 check_versions (struct bd_coordinator *coordinator, struct shard *shard,
                 const struct bd_coordination_query *query, int64_t now_ms)
 {
-  size_t count;
-  struct bd_target *const *all;
-
   if (shard->asked || query->own_part == 0 || !coordinator->options.inventory
       || now_ms - shard->versions_checked_ms < VERSIONS_CHECK_MS)
     return;
   shard->versions_checked_ms = now_ms;
-  all = bd_targets_of_service (coordinator->options.targets, query->service,
-                               &count);
-  if (has_several_versions (all, count))
+  if (bd_origin_has_several (coordinator->options.targets, query->service))
     ask_runners (coordinator, shard, query, now_ms);
 }
 
@@ -322,18 +307,6 @@
   return decide_in_shard (coordinator, request, overload, true);
 }
 
-/* Returns the version that read the prompt of QUERY before.  An attempt after
-   a failure may go to any: the version may be at fault. */
-static uint64_t
-preferred_software (const struct bd_coordinator *coordinator,
-                    const struct bd_coordination_query *query, int64_t now_ms)
-{
-  return query->is_retry
-             ? BD_SOFTWARE_ANY
-             : bd_stream_origins_find_prompt (coordinator->options.origins,
-                                              query->own_part, now_ms);
-}
-
 struct bd_coordination_reply
 bd_coordinator_decide (struct bd_coordinator *coordinator, uint32_t ip,
                        const struct bd_coordination_query *query,
@@ -355,7 +328,7 @@
           .tried_count = query->excluded_count,
           .software = query->software,
           .preferred_software
-          = preferred_software (coordinator, query, now_ms),
+          = bd_origin_preferred (coordinator->options.origins, query, now_ms),
           .coordinated = true,
           .sent_here = ip == coordinator->options.ip,
           .shard = query->shard,
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -72,3 +72,25 @@
     return origin_verdict (BD_COORDINATION_ORIGIN_PENDING);
   return find_holder (lookup, query, now_ms);
 }
+
+uint64_t
+bd_origin_preferred (const struct bd_stream_origins *origins,
+                     const struct bd_coordination_query *query, int64_t now_ms)
+{
+  return query->is_retry ? BD_SOFTWARE_ANY
+                         : bd_stream_origins_find_prompt (
+                             origins, query->own_part, now_ms);
+}
+
+bool
+bd_origin_has_several (struct bd_targets *targets, struct bd_chunk service)
+{
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_of_service (targets, service, &count);
+
+  for (size_t i = 1; i < count; i++)
+    if (all[i]->software.hash != all[0]->software.hash)
+      return true;
+  return false;
+}
--- a/src/gateway/origin_lookup.h
+++ b/src/gateway/origin_lookup.h
@@ -36,4 +36,17 @@
 bd_origin_lookup (const struct bd_origin_lookup *lookup,
                   const struct bd_coordination_query *query, int64_t now_ms);
 
+/**
+ * Returns the version that read the prompt of QUERY before, which the request
+ * should keep to; BD_SOFTWARE_ANY: none is known, or the request has failed
+ * somewhere, for which the version may be the cause.
+ */
+uint64_t bd_origin_preferred (const struct bd_stream_origins *origins,
+                              const struct bd_coordination_query *query,
+                              int64_t now_ms);
+
+/** Whether the runners of SERVICE run more than one software version. */
+bool bd_origin_has_several (struct bd_targets *targets,
+                            struct bd_chunk service);
+
 #endif
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -4,6 +4,7 @@
 #include "balance/runner_limit.h"
 #include "common/clock.h"
 #include "common/log.h"
+#include "http/chunk.h"
 
 #include <string.h>
 
@@ -196,7 +197,7 @@
 take_event (struct bd_forward *f, struct bd_chunk event)
 {
   struct bd_chunk id = bd_sse_id (event);
-  int error = bd_exchange_append (&f->outgoing, event);
+  int error = bd_http_chunk_append (&f->outgoing, event);
 
   if (error != BD_OK)
     return error;
@@ -359,7 +360,7 @@
       bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "partial_event");
       return;
     }
-  if (bd_exchange_append (&f->outgoing, bd_sse_rest (&f->sse)) != BD_OK)
+  if (bd_http_chunk_append (&f->outgoing, bd_sse_rest (&f->sse)) != BD_OK)
     {
       bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "no_memory");
       return;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "http/chunk.h"
 #include "http/socket.h"
 
 #include <http_parser.h>
@@ -15,8 +16,6 @@
 /* A connection keeps a body buffer of up to this capacity for its next
    request; a larger one is freed. */
 #define BODY_RETAINED_BYTES ((size_t)32 * 1024)
-/* Longest line with the size of a chunk: 16 digits and CR LF. */
-#define CHUNK_SIZE_BYTES 18
 
 enum phase
 {
@@ -566,37 +565,6 @@
   write_buffer (exchange, &out);
 }
 
-/* Appends the line with the size of a chunk. */
-static int
-append_chunk_size (struct bd_buffer *out, size_t size)
-{
-  static const char digits[] = "0123456789abcdef";
-  char line[CHUNK_SIZE_BYTES] = { 0 };
-  size_t at = sizeof line;
-
-  line[--at] = '\n';
-  line[--at] = '\r';
-  for (size_t rest = size; rest > 0; rest >>= 4)
-    line[--at] = digits[rest & 0xf];
-  return bd_buffer_append (out,
-                           (struct bd_chunk){ line + at, sizeof line - at });
-}
-
-int
-bd_exchange_append (struct bd_buffer *out, struct bd_chunk data)
-{
-  size_t before = out->length;
-
-  if (data.length == 0
-      || (append_chunk_size (out, data.length) == BD_OK
-          && bd_buffer_append (out, data) == BD_OK
-          && bd_buffer_append (out, BD_CHUNK ("\r\n")) == BD_OK))
-    return BD_OK;
-  out->length = before;
-  out->incomplete = false;
-  return BD_ERR_NOMEM;
-}
-
 void
 bd_exchange_send_chunks (struct bd_exchange *exchange,
                          struct bd_buffer *chunks)
@@ -610,7 +578,7 @@
 {
   struct bd_buffer out = { 0 };
 
-  if (bd_exchange_append (&out, data) != BD_OK)
+  if (bd_http_chunk_append (&out, data) != BD_OK)
     out.incomplete = true;
   if (data.length > 0)
     write_buffer (exchange, &out);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -106,13 +106,7 @@
                         struct bd_chunk fields);
 void bd_exchange_send (struct bd_exchange *exchange, struct bd_chunk data);
 
-/**
- * Appends DATA to OUT as a chunk of an answer, or nothing.  Returns BD_OK or
- * BD_ERR_NOMEM.
- */
-int bd_exchange_append (struct bd_buffer *out, struct bd_chunk data);
-
-/** Sends CHUNKS, which were made by bd_exchange_append (), and clears them. */
+/** Sends CHUNKS (chunk.h) and clears them. */
 void bd_exchange_send_chunks (struct bd_exchange *exchange,
                               struct bd_buffer *chunks);
 
