--- a/test/test_target.c
+++ b/test/test_target.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #define NOW 100000
+#define STEP_MS ((int64_t)400)
 
 static bool
 usable (struct bd_targets *targets, const char *id)
@@ -144,7 +145,7 @@
   bd_targets_destroy (targets);
 }
 
-/* Plays one history of failed calls, a letter for each 400 ms (d: doubtful, s:
+/* Plays one history of failed calls, a letter for each step (d: doubtful, s:
    short, l: long outage, r: the entry of r0 is removed); returns when r0 was
    usable last. */
 static int64_t
@@ -156,12 +157,12 @@
   support_put_runners (targets, 4, 1);
   for (int64_t now = NOW; now < NOW + 12000; now += 100)
     {
-      int64_t step = (now - NOW) / 400;
+      int64_t step = (now - NOW) / STEP_MS;
       char what = step < (int64_t)strlen (history) ? history[step] : '-';
 
-      if ((now - NOW) % 400 == 0 && what == 'r')
+      if ((now - NOW) % STEP_MS == 0 && what == 'r')
         bd_targets_remove (targets, now, BD_CHUNK ("r0"), 20);
-      else if ((now - NOW) % 400 == 0 && what != '-')
+      else if ((now - NOW) % STEP_MS == 0 && what != '-')
         bd_targets_set_store_available (targets, now,
                                         what == 'd'   ? BD_OUTAGE_DOUBTFUL
                                         : what == 's' ? BD_OUTAGE_SHORT
@@ -194,9 +195,9 @@
         {
           history[i] = steps[rest % 5];
           if (history[i] == 'r' && removals++ == 0)
-            removed = i * 400;
+            removed = i * STEP_MS;
           if (history[i] == 'l')
-            last_long = i * 400;
+            last_long = i * STEP_MS;
         }
       if (removals != 1)
         continue;
