Fault: a request between two attempts keeps nothing of the failed one

Cause: when buffered responses exceed 32 MiB together, the largest is failed by cancelling its call. A request that waits for the retry budget kept the body of its failed attempt, but has no call.

Change: the end of an attempt drops the body, events and rest that it had buffered; so whoever has buffered bytes has a call.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -125,11 +125,6 @@
   f->streaming = false;
   f->first_event_at_ms = 0;
   memset (&f->response_fields, 0, sizeof f->response_fields);
-  bd_buffer_reset (&f->body);
-  bd_sse_clear (&f->sse);
-  bd_buffer_clear (&f->outgoing);
-  f->comment_bytes = 0;
-  bd_forward_update_buffered (f);
   write_request (f, selection->source, &out);
   request.address.sin_family = AF_INET;
   request.address.sin_addr.s_addr = target->ip;
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -66,9 +66,22 @@
   f->forwarder->buffered_bytes += f->buffered_bytes;
 }
 
+/* Drops what the attempt has brought and was not sent: only a request with a
+   call has a buffered response. */
+static void
+clear_response (struct bd_forward *f)
+{
+  bd_buffer_clear (&f->body);
+  bd_sse_clear (&f->sse);
+  bd_buffer_clear (&f->outgoing);
+  f->comment_bytes = 0;
+  bd_forward_update_buffered (f);
+}
+
 void
 bd_forward_end_attempt (struct bd_forward *f)
 {
+  clear_response (f);
   if (f->target)
     {
       bd_forward_check_software (f);
@@ -103,10 +116,6 @@
     f->next->previous = f->previous;
   bd_routing_unref (f->routing);
   bd_buffer_clear (&f->fields);
-  bd_buffer_clear (&f->body);
-  bd_sse_clear (&f->sse);
-  bd_buffer_clear (&f->outgoing);
-  bd_forward_update_buffered (f);
   uv_close ((uv_handle_t *)&f->deadline_timer, on_timer_closed);
   uv_close ((uv_handle_t *)&f->attempt_timer, on_timer_closed);
 }
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -292,10 +292,6 @@
   send_events (f);
   bd_call_cancel (f->call);
   f->call = NULL;
-  bd_buffer_clear (&f->body);
-  bd_sse_clear (&f->sse);
-  bd_buffer_clear (&f->outgoing);
-  bd_forward_update_buffered (f);
   bd_forward_after_failure (f, BD_ERR_INCOMPLETE, "too_large");
 }
 
--- a/test/test_response.c
+++ b/test/test_response.c
@@ -156,6 +156,46 @@
   support_gateway_close (&g);
 }
 
+/* Guards against a process that ends because the largest buffered response is
+   that of a request between two attempts, which has no call to cancel: here it
+   waits for the retry budget. */
+static void
+test_buffer_limit_between_attempts (void)
+{
+  GString *broken = g_string_new (CHUNKED "aae60\r\n");
+  GString *small = g_string_new (HEAD "Content-Length: 400000\r\n\r\n");
+  struct support_step steps[3];
+  struct support_gateway g;
+  struct support_caller *callers[2];
+  char *texts[] = { support_request ("GET /safe/x", "a1", "", ""),
+                    support_request ("POST /once/x", "a2", "", "") };
+
+  for (int i = 0; i < 0xaae60; i++)
+    g_string_append_c (broken, 'b');
+  g_string_append (broken, "no chunk");
+  for (int i = 0; i < 400000; i++)
+    g_string_append_c (small, 's');
+  steps[0] = (struct support_step){ broken->str, SUPPORT_KEEP };
+  steps[1] = (struct support_step){ small->str, SUPPORT_KEEP };
+  steps[2] = (struct support_step){ OK_ANSWER, SUPPORT_KEEP };
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, &steps[0], 1);
+  while (bd_retry_quota_take (g.retries, bd_clock_boot_ms (), BD_CHUNK ("s")))
+    ;
+  callers[0] = support_caller_send (&g, 0, texts[0]);
+  support_await_count (&g, &g.runners[0].closed_count, 1);
+  support_gateway_unlist (&g, 0);
+  support_gateway_runner (&g, 1, &steps[1], 2);
+  callers[1] = support_caller_send (&g, 1, texts[1]);
+  support_await (callers[1], "Content-Length: 400000\r\n\r\nsss");
+  support_await (callers[0], "\r\n\r\nok");
+  g_free (texts[0]);
+  g_free (texts[1]);
+  g_string_free (broken, TRUE);
+  g_string_free (small, TRUE);
+  support_gateway_close (&g);
+}
+
 static int64_t
 processor_time_ms (void)
 {
@@ -226,6 +266,8 @@
   g_test_add_func ("/response/endless-after-answer",
                    test_endless_after_answer);
   g_test_add_func ("/response/buffer-limit", test_buffer_limit);
+  g_test_add_func ("/response/buffer-limit-between-attempts",
+                   test_buffer_limit_between_attempts);
   g_test_add_func ("/response/endless-events", test_endless_events);
   return g_test_run ();
 }
