BUDGET: hosts that go dark under one part are counted by when they were heard

Cause: a dark host is found a second late. Five that go dark within a second under such requests have all been sent theirs before the first was found, which counts as one crash, as when a rack fails; three in succession open the breaker.

Change: crashes carry when the runner was last heard, also in the datagrams of peers (a field at the end, only beside such notices; older peers skip it). Five crashes of a part that was never seen harmless open its breaker if, by that time, three were in succession.

--- a/src/gateway/beacon.c
+++ b/src/gateway/beacon.c
@@ -7,9 +7,10 @@
 /* First value of each datagram, below those of coordination.h.  To be
    incremented when the layout changes. */
 #define FORMAT 5
-#define FIELDS 15
+#define FIELDS 16 /* One less without notices about parts of prompts. */
 /* Instances of older versions send neither rate limits nor the version of
-   their configuration nor notices about parts of prompts. */
+   their configuration nor notices about parts of prompts, nor when the runners
+   of these were last heard. */
 #define FIELDS_MIN 12
 
 /* Serialization. */
@@ -85,6 +86,15 @@
     }
 }
 
+/* When the runners of the notices were last heard, in their order. */
+static void
+write_heard (struct bd_pack *pack, const struct bd_beacon *beacon)
+{
+  bd_pack_array (pack, (uint32_t)beacon->part_count);
+  for (size_t i = 0; i < beacon->part_count; i++)
+    bd_pack_int (pack, beacon->parts[i].heard_age_ms);
+}
+
 void
 bd_beacon_strip (struct bd_beacon *beacon)
 {
@@ -102,7 +112,7 @@
 {
   struct bd_pack pack = { .buffer = out };
 
-  bd_pack_array (&pack, FIELDS);
+  bd_pack_array (&pack, beacon->part_count > 0 ? FIELDS : FIELDS - 1);
   bd_pack_uint (&pack, FORMAT);
   bd_pack_uint (&pack, beacon->ip);
   bd_pack_uint (&pack, beacon->incarnation);
@@ -120,6 +130,8 @@
   write_limits (&pack, beacon);
   bd_pack_uint (&pack, beacon->status.version);
   write_parts (&pack, beacon);
+  if (beacon->part_count > 0)
+    write_heard (&pack, beacon);
   return pack.error;
 }
 
@@ -238,11 +250,26 @@
       notice.other = bd_unpack_uint (u);
       notice.sent_age_ms = bd_unpack_int (u);
       notice.age_ms = bd_unpack_int (u);
+      notice.heard_age_ms = notice.age_ms;
       if (beacon->part_count < BD_BEACON_PARTS_MAX)
         beacon->parts[beacon->part_count++] = notice;
     }
 }
 
+static void
+read_heard (struct bd_unpack *u, struct bd_beacon *beacon)
+{
+  uint32_t count = bd_unpack_array (u);
+
+  for (uint32_t i = 0; i < count && u->error == BD_OK; i++)
+    {
+      int64_t age_ms = bd_unpack_int (u);
+
+      if (i < beacon->part_count)
+        beacon->parts[i].heard_age_ms = age_ms;
+    }
+}
+
 int
 bd_beacon_read (struct bd_chunk bytes, struct bd_beacon *beacon)
 {
@@ -267,5 +294,7 @@
     beacon->status.version = bd_unpack_uint (&u);
   if (fields > FIELDS_MIN + 2)
     read_parts (&u, beacon);
+  if (fields > FIELDS_MIN + 3)
+    read_heard (&u, beacon);
   return u.error;
 }
--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -28,6 +28,7 @@
   char *runner;
   int64_t started_ms; /* Start of the runner's process; 0: unknown. */
   int64_t sent_ms;    /* When the attempt was sent. */
+  int64_t heard_ms;   /* When the runner was last heard. */
   int64_t opened_ms;
   enum bd_crash_evidence evidence;
   enum probe_state probe;
@@ -164,17 +165,20 @@
 blame_parts (struct bd_crashes *crashes, const struct crash_case *c)
 {
   const struct bd_part_list *parts = &c->fingerprint.parts;
+  struct bd_part_crash crash = { .id = c->crash,
+                                 .sent_ms = c->sent_ms,
+                                 .heard_ms = c->heard_ms,
+                                 .at_ms = c->opened_ms };
 
   if (!c->answering
-      || !bd_part_breakers_crashed (crashes->breakers, parts, c->crash,
-                                    c->sent_ms, c->opened_ms))
+      || !bd_part_breakers_crashed (crashes->breakers, parts, &crash))
     return;
   for (size_t i = 0; i < parts->count; i++)
     {
       uint32_t count
           = bd_part_breakers_crashes (crashes->breakers, parts->parts[i]);
 
-      if (count >= BD_PART_CRASHES_MAX)
+      if (bd_part_breakers_is_open (crashes->breakers, parts->parts[i]))
         bd_log (BD_EVENT_PART_OPEN,
                 "part=%016" PRIx64 " crashes=%u crash=%016" PRIx64
                 " runner=%s",
@@ -266,6 +270,16 @@
   remove_case (crashes, 0);
 }
 
+/* Returns when TARGET was last heard; the loss of a connection is heard. */
+static int64_t
+heard_ms (const struct bd_target *target, enum bd_crash_evidence evidence,
+          int64_t now_ms)
+{
+  if (evidence == BD_CRASH_CONNECTION_LOST || target->last_byte_ms > now_ms)
+    return now_ms;
+  return target->last_byte_ms;
+}
+
 void
 bd_crashes_open (struct bd_crashes *crashes, int64_t now_ms,
                  const struct bd_crash_attempt *attempt)
@@ -277,6 +291,7 @@
           .crash = crash_id (target, attempt->runner_started_ms),
           .started_ms = attempt->runner_started_ms,
           .sent_ms = attempt->sent_ms,
+          .heard_ms = heard_ms (target, evidence, now_ms),
           .opened_ms = now_ms,
           .evidence = evidence,
           .suspected = attempt->suspected,
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -23,8 +23,9 @@
 struct crash
 {
   struct bd_id id;
-  uint64_t other;  /* Another part that is blamed; 0: none. */
-  int64_t sent_ms; /* When the request was sent. */
+  uint64_t other;   /* Another part that is blamed; 0: none. */
+  int64_t sent_ms;  /* When the request was sent. */
+  int64_t heard_ms; /* When the runner was last heard. */
   int64_t at_ms;
   uint32_t sends_left; /* As a notice to the peers. */
 };
@@ -44,6 +45,7 @@
 {
   uint64_t part;
   int64_t at_ms;
+  bool doubtful; /* May have turned bad; suspected until the next answer. */
 };
 
 struct bd_part_breakers
@@ -189,6 +191,23 @@
   return count;
 }
 
+/* Returns a number of crashes of which each is under a request that was sent
+   after the runner before was last heard, so that it likely had crashed. */
+static uint32_t
+crashes_in_likely_succession (const struct breaker *breaker)
+{
+  uint32_t count = 0;
+  int64_t before_ms = NEVER_MS;
+
+  for (uint32_t i = 0; i < breaker->crash_count; i++)
+    if (breaker->crashes[i].sent_ms >= before_ms)
+      {
+        before_ms = breaker->crashes[i].heard_ms;
+        count++;
+      }
+  return count;
+}
+
 static bool
 has_crash (const struct breaker *breaker, struct bd_id id)
 {
@@ -258,6 +277,12 @@
   return &b->harmless[part % HARMLESS_MAX];
 }
 
+static bool
+was_harmless (const struct bd_part_breakers *b, uint64_t part)
+{
+  return harmless_slot (b, part)->part == part;
+}
+
 /* Adds the parts that may be to blame for a crash at AT_MS to SUSPECTED: those
    that were not seen to be harmless, or else those that were not since; these
    must then be seen to be so again. */
@@ -266,7 +291,8 @@
                 int64_t at_ms, struct bd_part_list *suspected)
 {
   for (size_t i = 0; i < parts->count; i++)
-    if (harmless_slot (b, parts->parts[i])->part != parts->parts[i])
+    if (!was_harmless (b, parts->parts[i])
+        || harmless_slot (b, parts->parts[i])->doubtful)
       bd_part_list_add (suspected, parts->parts[i]);
   if (suspected->count > 0)
     return;
@@ -276,7 +302,7 @@
 
       if (harmless->at_ms >= at_ms)
         continue;
-      harmless->part = 0;
+      harmless->doubtful = true;
       bd_part_list_add (suspected, parts->parts[i]);
     }
 }
@@ -302,15 +328,19 @@
 
 bool
 bd_part_breakers_crashed (struct bd_part_breakers *breakers,
-                          const struct bd_part_list *parts, struct bd_id crash,
-                          int64_t sent_ms, int64_t at_ms)
-{
-  struct crash fresh = { crash, 0, sent_ms, at_ms, SENDS_PER_NOTICE };
+                          const struct bd_part_list *parts,
+                          const struct bd_part_crash *crash)
+{
+  struct crash fresh = { .id = crash->id,
+                         .sent_ms = crash->sent_ms,
+                         .heard_ms = crash->heard_ms,
+                         .at_ms = crash->at_ms,
+                         .sends_left = SENDS_PER_NOTICE };
   struct bd_part_list suspected = { 0 };
   struct bd_part_list blamed = { 0 };
   bool is_new = false;
 
-  find_suspected (breakers, parts, at_ms, &suspected);
+  find_suspected (breakers, parts, crash->at_ms, &suspected);
   find_blamed (breakers, &suspected, &blamed);
   for (size_t i = 0; i < blamed.count; i++)
     {
@@ -332,7 +362,7 @@
       struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
 
       *harmless_slot (breakers, parts->parts[i])
-          = (struct harmless_part){ parts->parts[i], now_ms };
+          = (struct harmless_part){ parts->parts[i], now_ms, false };
       if (breaker && set_harmless (breaker, now_ms))
         breaker->harmless_sends_left = SENDS_PER_NOTICE;
     }
@@ -348,9 +378,22 @@
 /* States. */
 
 static bool
-is_open (const struct breaker *breaker)
+is_open (const struct bd_part_breakers *b, const struct breaker *breaker)
+{
+  if (!breaker)
+    return false;
+  if (crashes_in_succession (breaker) >= BD_PART_CRASHES_MAX)
+    return true;
+  return breaker->crash_count >= BD_PART_RUNNERS_MAX
+         && !was_harmless (b, breaker->part)
+         && crashes_in_likely_succession (breaker) >= BD_PART_CRASHES_MAX;
+}
+
+bool
+bd_part_breakers_is_open (const struct bd_part_breakers *breakers,
+                          uint64_t part)
 {
-  return crashes_in_succession (breaker) >= BD_PART_CRASHES_MAX;
+  return is_open (breakers, find_breaker (breakers, part));
 }
 
 /* Returns whether the last crash may be due to another part as well. */
@@ -359,7 +402,7 @@
 {
   uint64_t other = breaker->crashes[breaker->crash_count - 1].other;
 
-  return other != 0 && is_open (find_breaker (b, other));
+  return other != 0 && is_open (b, find_breaker (b, other));
 }
 
 /* Returns the hold time after CRASHES in succession. */
@@ -401,7 +444,7 @@
     {
       open[count] = find_breaker (breakers, parts->parts[i]);
       crashes[count] = crashes_in_succession (open[count]);
-      count += crashes[count] >= BD_PART_CRASHES_MAX;
+      count += is_open (breakers, open[count]);
     }
   for (uint32_t i = 0; i < count; i++)
     if (now_ms - open[i]->trial_ms < TRIAL_MS
@@ -419,7 +462,7 @@
     {
       struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
 
-      if (is_open (breaker))
+      if (is_open (breakers, breaker))
         breaker->trial_ms = now_ms;
     }
 }
@@ -432,9 +475,11 @@
 apply_crash (struct breaker *breaker, int64_t now_ms,
              const struct bd_part_notice *notice)
 {
-  struct crash crash
-      = { notice->crash, notice->other, now_ms - notice->sent_age_ms,
-          now_ms - notice->age_ms, 0 };
+  struct crash crash = { .id = notice->crash,
+                         .other = notice->other,
+                         .sent_ms = now_ms - notice->sent_age_ms,
+                         .heard_ms = now_ms - notice->heard_age_ms,
+                         .at_ms = now_ms - notice->age_ms };
 
   if (crash.at_ms <= breaker->harmless_ms && breaker->harmless_sends_left == 0)
     breaker->harmless_sends_left = 1;
@@ -448,7 +493,8 @@
   struct breaker *breaker;
 
   if (notice->age_ms < 0 || notice->age_ms >= KEEP_MS
-      || notice->sent_age_ms < 0 || notice->sent_age_ms >= KEEP_MS)
+      || notice->sent_age_ms < 0 || notice->sent_age_ms >= KEEP_MS
+      || notice->heard_age_ms < 0 || notice->heard_age_ms >= KEEP_MS)
     return false;
   breaker = get_breaker (breakers, notice->part);
   if (!breaker)
@@ -465,6 +511,7 @@
                                   .crash = crash->id,
                                   .other = crash->other,
                                   .sent_age_ms = now_ms - crash->sent_ms,
+                                  .heard_age_ms = now_ms - crash->heard_ms,
                                   .age_ms = now_ms - crash->at_ms };
 }
 
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -9,6 +9,11 @@
  * the same moment, as when a rack fails, therefore count as one.  An answer
  * that its runner survives shows that the part is harmless and clears them.
  *
+ * A host that went dark is found late, when other requests were sent already.
+ * For a part that was never seen to be harmless, BD_PART_RUNNERS_MAX crashes
+ * suffice, if by the time at which the runners were last heard, some of them
+ * were in succession.
+ *
  * A breaker opens after BD_PART_CRASHES_MAX crashes in succession: requests
  * with the part are refused.  After a hold time it is half-open and lets one
  * request pass, whose result closes it, or opens it for longer.  Up to half of
@@ -57,16 +62,27 @@
   BD_BREAKER_OPEN
 };
 
+/** A runner crash under a request. */
+struct bd_part_crash
+{
+  struct bd_id id;  /**< The same at all instances. */
+  int64_t sent_ms;  /**< When the request was sent. */
+  int64_t heard_ms; /**< When the runner was last heard, at the latest
+                         at_ms. */
+  int64_t at_ms;    /**< When the crash was seen. */
+};
+
 /** A crash under a request with a part, or that a part is harmless; sent to
     peers. */
 struct bd_part_notice
 {
   uint64_t part;
-  bool harmless;       /**< CRASH and SENT_AGE_MS have no meaning. */
-  struct bd_id crash;  /**< The same at all instances. */
-  uint64_t other;      /**< Another part that is blamed for it; 0: none. */
-  int64_t sent_age_ms; /**< Time since the request was sent. */
-  int64_t age_ms;      /**< Time since the crash or the harmless answer. */
+  bool harmless;        /**< CRASH and the next two ages have no meaning. */
+  struct bd_id crash;   /**< The same at all instances. */
+  uint64_t other;       /**< Another part that is blamed for it; 0: none. */
+  int64_t sent_age_ms;  /**< Time since the request was sent. */
+  int64_t heard_age_ms; /**< Time since the runner was last heard. */
+  int64_t age_ms;       /**< Time since the crash or the harmless answer. */
 };
 
 struct bd_part_breakers;
@@ -84,12 +100,11 @@
 void bd_part_breakers_sent (struct bd_part_breakers *breakers, int64_t now_ms,
                             const struct bd_part_list *parts);
 
-/** Records that a runner crashed at AT_MS under a request with PARTS that was
-    sent at SENT_MS.  Returns false if that was known. */
+/** Records that a runner crashed under a request with PARTS.  Returns false if
+    that was known. */
 bool bd_part_breakers_crashed (struct bd_part_breakers *breakers,
                                const struct bd_part_list *parts,
-                               struct bd_id crash, int64_t sent_ms,
-                               int64_t at_ms);
+                               const struct bd_part_crash *crash);
 
 /** Records that a runner survived a request with PARTS. */
 void bd_part_breakers_survived (struct bd_part_breakers *breakers,
@@ -100,6 +115,10 @@
 uint32_t bd_part_breakers_crashes (const struct bd_part_breakers *breakers,
                                    uint64_t part);
 
+/** Returns whether requests with PART are refused or tried. */
+bool bd_part_breakers_is_open (const struct bd_part_breakers *breakers,
+                               uint64_t part);
+
 /** Records a notice from a peer.  Returns true if it was new. */
 bool bd_part_breakers_apply (struct bd_part_breakers *breakers, int64_t now_ms,
                              const struct bd_part_notice *notice);
--- a/test/test_beacon.c
+++ b/test/test_beacon.c
@@ -140,6 +140,7 @@
                                    { UINT64_MAX, UINT64_MAX },
                                    UINT64_MAX,
                                    3600000,
+                                   3550000,
                                    3500000 };
   g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
   g_assert_cmpuint (out.length, <=, BD_BEACON_MAX_BYTES);
@@ -158,6 +159,31 @@
   bd_buffer_clear (&out);
 }
 
+/* A peer of an older version does not say when the runners of its notices were
+   last heard: at the latest when their crash was seen. */
+static void
+test_parts_without_heard (void)
+{
+  struct bd_beacon beacon;
+  struct bd_beacon read;
+  struct bd_buffer out = { 0 };
+
+  fill (&beacon, false);
+  bd_beacon_strip (&beacon);
+  beacon.part_count = 1;
+  beacon.parts[0] = (struct bd_part_notice){
+    .part = 9, .sent_age_ms = 90, .heard_age_ms = 80, .age_ms = 70
+  };
+  g_assert_cmpint (bd_beacon_write (&beacon, &out), ==, BD_OK);
+  out.data[2] = (char)(out.data[2] - 1); /* An array of one field less. */
+  out.length -= 2;
+  g_assert_cmpint (bd_beacon_read (bd_buffer_chunk (&out), &read), ==, BD_OK);
+  g_assert_cmpuint (read.part_count, ==, 1);
+  g_assert_cmpint (read.parts[0].sent_age_ms, ==, 90);
+  g_assert_cmpint (read.parts[0].heard_age_ms, ==, 70);
+  bd_buffer_clear (&out);
+}
+
 /* Without crashes the datagrams of a round are small, no matter how many peers
    and runners there are. */
 static void
@@ -291,6 +317,7 @@
   g_test_add_func ("/beacon/full-of-strikes", test_full_of_strikes);
   g_test_add_func ("/beacon/limits", test_limits);
   g_test_add_func ("/beacon/parts", test_parts);
+  g_test_add_func ("/beacon/parts-without-heard", test_parts_without_heard);
   g_test_add_func ("/beacon/small", test_small);
   g_test_add_func ("/beacon/truncated", test_cut);
   g_test_add_func ("/beacon/strike-queue", test_strike_queue);
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -512,6 +512,79 @@
   close_fixture (&f);
 }
 
+/* Puts runner ID that went dark at once when it had begun to answer a request
+   with the part, which was sent AGO_MS ago. */
+static void
+go_dark_under_part (struct fixture *f, const char *id, uint64_t exact,
+                    int64_t ago_ms)
+{
+  struct bd_fingerprint fingerprint = with_part;
+  struct bd_crash_attempt attempt = { .fingerprint = &fingerprint,
+                                      .runner_started_ms = BORN_MS,
+                                      .sent_ms = f->now_ms - ago_ms,
+                                      .evidence = BD_CRASH_NO_RESPONSE,
+                                      .answering = true };
+  struct bd_target *target;
+
+  list (f, id, BORN_MS, false);
+  target = support_target (f->targets, id);
+  target->last_byte_ms = attempt.sent_ms + 5;
+  attempt.target = target;
+  fingerprint.exact = fingerprint.broad = exact;
+  bd_crashes_open (f->crashes, f->now_ms, &attempt);
+}
+
+/* Five hosts that went dark one after the other, INTERVAL_MS apart, all of
+   them before any was found to be dark.  Returns the suspicion against further
+   requests with the part. */
+static enum bd_suspicion
+suspicion_after_dark_hosts (struct fixture *f, int64_t interval_ms)
+{
+  static const char *const ids[] = { "h0", "h1", "h2", "h3", "h4" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    go_dark_under_part (f, ids[i], 100 + i, 1000 - (int64_t)i * interval_ms);
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    unlist (f, ids[i]);
+  advance (f, 100);
+  return bd_crashes_suspicion (f->crashes, f->now_ms, &with_part);
+}
+
+/* Guards against a part under which five hosts went dark within a second and
+   which is sent to a sixth: a dark host is found a second late, so that no
+   request was sent after the crash before was known. */
+static void
+test_part_of_dark_hosts (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  g_assert_cmpint (suspicion_after_dark_hosts (&f, 200), ==,
+                   BD_SUSPICION_QUARANTINE);
+  bd_crashes_survived (f.crashes, f.now_ms, &with_part);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &with_part), ==,
+                   BD_SUSPICION_NONE);
+  close_fixture (&f);
+}
+
+/* Guards against a sound part that is refused since a rack went dark: a part
+   that was answered before, and hosts that were all heard last after the last
+   of the requests was sent. */
+static void
+test_part_of_dark_rack (void)
+{
+  struct fixture f;
+
+  open_fixture (&f);
+  bd_crashes_survived (f.crashes, f.now_ms - 1, &with_part);
+  g_assert_cmpint (suspicion_after_dark_hosts (&f, 200), ==,
+                   BD_SUSPICION_NONE);
+  close_fixture (&f);
+  open_fixture (&f);
+  g_assert_cmpint (suspicion_after_dark_hosts (&f, 1), ==, BD_SUSPICION_NONE);
+  close_fixture (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -534,5 +607,7 @@
   g_test_add_func ("/crash/part", test_part);
   g_test_add_func ("/crash/part-without-response", test_part_without_response);
   g_test_add_func ("/crash/part-of-resets", test_part_of_resets);
+  g_test_add_func ("/crash/part-of-dark-hosts", test_part_of_dark_hosts);
+  g_test_add_func ("/crash/part-of-dark-rack", test_part_of_dark_rack);
   return g_test_run ();
 }
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -397,9 +397,12 @@
                   int64_t now)
 {
   for (uint64_t i = 1; i <= BD_PART_CRASHES_MAX; i++)
-    bd_part_breakers_crashed (fixture->sides[0].breakers, parts,
-                              (struct bd_id){ i, i }, now + (int64_t)i,
-                              now + (int64_t)i);
+    {
+      int64_t at_ms = now + (int64_t)i;
+      struct bd_part_crash crash = { { i, i }, at_ms, at_ms, at_ms };
+
+      bd_part_breakers_crashed (fixture->sides[0].breakers, parts, &crash);
+    }
 }
 
 /* What crashes under a part of prompts is known to peers at once, before the
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -26,8 +26,9 @@
 crash (struct bd_part_breakers *b, const struct bd_part_list *parts,
        uint64_t id, int64_t at_ms)
 {
-  bd_part_breakers_crashed (b, parts, (struct bd_id){ 0, id },
-                            at_ms - CRASH_MS, at_ms);
+  struct bd_part_crash crash = { { 0, id }, at_ms - CRASH_MS, at_ms, at_ms };
+
+  bd_part_breakers_crashed (b, parts, &crash);
 }
 
 static enum bd_breaker_state
@@ -85,6 +86,35 @@
   bd_part_breakers_destroy (b);
 }
 
+/* A host that goes dark is found a second later.  Crashes of a part that was
+   never answered count by when the hosts were last heard, at peers as well. */
+static void
+test_dark_hosts (void)
+{
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+  struct bd_part_breakers *peer = bd_part_breakers_create (8);
+  struct bd_part_notice notices[NOTICES_MAX];
+  size_t count;
+
+  for (uint64_t i = 0; i < BD_PART_RUNNERS_MAX; i++)
+    {
+      int64_t sent_ms = 1000 + 100 * (int64_t)i;
+      struct bd_part_crash crash
+          = { { 0, i + 1 }, sent_ms, sent_ms + 10, sent_ms + 1100 };
+
+      g_assert_false (bd_part_breakers_is_open (b, BAD));
+      bd_part_breakers_crashed (b, &bad, &crash);
+    }
+  g_assert_true (bd_part_breakers_is_open (b, BAD));
+  g_assert_cmpuint (bd_part_breakers_crashes (b, BAD), ==, 1);
+  count = bd_part_breakers_next_notices (b, 2600, notices, NOTICES_MAX);
+  for (size_t i = 0; i < count; i++)
+    bd_part_breakers_apply (peer, 2600, &notices[i]);
+  g_assert_true (bd_part_breakers_is_open (peer, BAD));
+  bd_part_breakers_destroy (b);
+  bd_part_breakers_destroy (peer);
+}
+
 /* The same crash, seen under several requests, counts once. */
 static void
 test_one_crash_counts_once (void)
@@ -299,11 +329,13 @@
 test_hostile_notices (void)
 {
   static const struct bd_part_notice notices[]
-      = { { BAD, false, { 1, 1 }, 0, 0, -1 },
-          { BAD, false, { 1, 1 }, 0, -1, 0 },
-          { BAD, false, { 1, 1 }, 0, INT64_MAX, 0 },
-          { BAD, false, { 1, 1 }, 0, INT64_MIN, INT64_MIN },
-          { BAD, true, { 0, 0 }, 0, 0, INT64_MAX } };
+      = { { BAD, false, { 1, 1 }, 0, 0, 0, -1 },
+          { BAD, false, { 1, 1 }, 0, -1, 0, 0 },
+          { BAD, false, { 1, 1 }, 0, 0, -1, 0 },
+          { BAD, false, { 1, 1 }, 0, INT64_MAX, 0, 0 },
+          { BAD, false, { 1, 1 }, 0, 0, INT64_MAX, 0 },
+          { BAD, false, { 1, 1 }, 0, INT64_MIN, INT64_MIN, INT64_MIN },
+          { BAD, true, { 0, 0 }, 0, 0, 0, INT64_MAX } };
   struct bd_part_breakers *b = bd_part_breakers_create (7);
 
   for (size_t i = 0; i < G_N_ELEMENTS (notices); i++)
@@ -432,6 +464,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/part-breaker/opens", test_opens);
   g_test_add_func ("/part-breaker/many-runners-fail", test_many_runners_fail);
+  g_test_add_func ("/part-breaker/dark-hosts", test_dark_hosts);
   g_test_add_func ("/part-breaker/one-crash-counts-once",
                    test_one_crash_counts_once);
   g_test_add_func ("/part-breaker/survived", test_survived);
