LOST: an attempt that continues a stream waits for a limited runner

Cause: a continued stream may go on only at runners of its version. When those that serve name a limit (Server-Limit) that is used up for the moment, the attempt got 503 within a millisecond, and so did the caller's next tries; a new stream takes a runner of another version.

Change: such an attempt asks again every 50 ms until a runner of its version has its turn, for 1.5 s or half of its time at most, as it does while the version is being found out. Limits are kept; new requests don't wait.

Evidence: BD2012 no_runner stopped_by=software after 1 ms beside BD4013 (trace in docs/FINDINGS.md). /continuation/limited-runner failed before.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -364,6 +364,8 @@
   struct bd_target *const *all = bd_targets_of_service (
       f->forwarder->options.targets, f->service, &count);
 
+  if (bd_forward_wait_for_version (f))
+    return;
   if (f->stream_software != BD_SOFTWARE_ANY)
     f->stop_reason = BD_STOP_SOFTWARE;
   f->pause_left_ms = pause_left_ms;
--- a/src/gateway/continuation.c
+++ b/src/gateway/continuation.c
@@ -1,10 +1,11 @@
 #include "gateway/forward_internal.h"
 
+#include "balance/pause.h"
 #include "common/clock.h"
 #include "common/log.h"
 
-/* Interval at which a request asks again which version began its stream, and
-   how long it asks at most. */
+/* Interval at which a request asks again which version began its stream, or
+   for a runner of that version, and how long it asks at most. */
 #define ORIGIN_CHECK_MS 50
 #define ORIGIN_WAIT_MAX_MS 1500
 /* For this long only the coordinator is asked, which may just have ended;
@@ -47,7 +48,7 @@
 }
 
 static void
-on_origin_check (uv_timer_t *timer)
+on_check (uv_timer_t *timer)
 {
   bd_forward_next_attempt (timer->data);
 }
@@ -55,14 +56,14 @@
 /* Asks again later, unless the request has waited for too long.  Returns
    whether it waits. */
 static bool
-wait_for_origin (struct bd_forward *f)
+ask_again_later (struct bd_forward *f)
 {
   int64_t left_ms = f->deadline_ms - bd_clock_boot_ms ();
   int64_t waited_ms = bd_forward_elapsed_ms (f);
 
   if (waited_ms >= ORIGIN_WAIT_MAX_MS || waited_ms >= left_ms)
     return false;
-  uv_timer_start (&f->attempt_timer, on_origin_check, ORIGIN_CHECK_MS, 0);
+  uv_timer_start (&f->attempt_timer, on_check, ORIGIN_CHECK_MS, 0);
   return true;
 }
 
@@ -148,7 +149,7 @@
     verdict = reply ? adopt_reply (f, reply) : find_here (f);
   if (verdict == BD_COORDINATION_PLACED)
     return true;
-  if (verdict == BD_COORDINATION_ORIGIN_UNKNOWN || !wait_for_origin (f))
+  if (verdict == BD_COORDINATION_ORIGIN_UNKNOWN || !ask_again_later (f))
     refuse (f);
   return false;
 }
@@ -164,12 +165,46 @@
   else
     {
       f->stream_software = BD_SOFTWARE_ANY;
-      if (!wait_for_origin (f))
+      if (!ask_again_later (f))
         refuse (f);
     }
   return true;
 }
 
+static bool
+was_tried (const struct bd_forward *f, const struct bd_target *target)
+{
+  for (size_t i = 0; i < f->tried_count; i++)
+    if (f->tried[i] == (uint32_t)target->hash)
+      return true;
+  return false;
+}
+
+/* Returns whether a runner of the stream's version that was not tried yet
+   limits its requests, so that it takes another one soon. */
+static bool
+version_is_limited (const struct bd_forward *f)
+{
+  int64_t now = f->selection_request.now_ms;
+  size_t count;
+  struct bd_target *const *all = bd_targets_of_service (
+      f->forwarder->options.targets, f->service, &count);
+
+  for (size_t i = 0; i < count; i++)
+    if (all[i]->software.hash == f->stream_software
+        && bd_target_usable (all[i]) && bd_pause_allows (all[i], now)
+        && bd_runner_limit_rate (all[i], now) != 0 && !was_tried (f, all[i]))
+      return true;
+  return false;
+}
+
+bool
+bd_forward_wait_for_version (struct bd_forward *f)
+{
+  return f->continues && !f->head_sent && version_is_limited (f)
+         && ask_again_later (f);
+}
+
 void
 bd_forward_log_continued (const struct bd_forward *f,
                           const struct bd_target *target)
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -266,6 +266,12 @@
  */
 bool bd_forward_retry_without_holder (struct bd_forward *f);
 
+/**
+ * Lets an attempt that continues a stream wait for a runner of the stream's
+ * version that limits its requests.  Returns whether it waits.
+ */
+bool bd_forward_wait_for_version (struct bd_forward *f);
+
 /** Logs that the request continues a stream at TARGET, if it does. */
 void bd_forward_log_continued (const struct bd_forward *f,
                                const struct bd_target *target);
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -1,6 +1,7 @@
 /* Streams go on only at runners of the software version that began them:
    within one response, and when the caller continues one with a new attempt.
  */
+#include "balance/runner_limit.h"
 #include "common/clock.h"
 #include "support_gateway.h"
 #include "support_responses.h"
@@ -379,6 +380,29 @@
   support_gateway_close (&g);
 }
 
+/* Guards against streams that are not continued although a runner of their
+   version serves: one that limits its requests has its next turn soon. */
+static void
+test_limited_runner (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller = begin_stream (&g, 1, 0);
+  struct bd_target *target;
+
+  await_outcome (caller);
+  support_gateway_unlist (&g, 0);
+  support_gateway_runner (&g, 2, ends, 1);
+  support_gateway_set_software (&g, 2, "v1");
+  target = bd_targets_find (g.targets, BD_CHUNK ("i-2"));
+  bd_runner_limit_named (target, target->started_ms, bd_clock_boot_ms (),
+                         4000);
+  caller = call (&g, 1, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  check_runners (&g, 3, 1 | 1 << 2);
+  support_gateway_close (&g);
+}
+
 /* Fields that could be read in two ways are refused; without the field that
    names the stream, what runners hold still shows its version. */
 static void
@@ -423,6 +447,7 @@
   g_test_add_func ("/continuation/holder-full", test_holder_full);
   g_test_add_func ("/continuation/list-missing", test_list_missing);
   g_test_add_func ("/continuation/known-here", test_known_here);
+  g_test_add_func ("/continuation/limited-runner", test_limited_runner);
   g_test_add_func ("/continuation/fields", test_fields);
   return g_test_run ();
 }
