BUDGET: peers are told of a crash at once, not with the next tick

Cause: strikes were told with the next tick, up to 100 ms after the crash was confirmed, and the caller's repetition reaches another gateway after 10 ms.

Change: bd_mesh_tell_crashes () sends new strikes and notices about parts; it is called when a probe has confirmed a crash, beside the ticks.

--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -416,10 +416,12 @@
   remove_case (crashes, index);
 }
 
-void
+bool
 bd_crashes_probed (struct bd_crashes *crashes, int64_t now_ms,
                    struct bd_chunk runner, enum bd_crash_probe_result result)
 {
+  bool confirmed = false;
+
   for (size_t i = 0; i < crashes->count;)
     {
       struct crash_case *c = &crashes->cases[i];
@@ -432,7 +434,9 @@
         i++;
       else
         close_case (crashes, i, verdict, now_ms, "connection");
+      confirmed = confirmed || verdict == VERDICT_CONFIRMED;
     }
+  return confirmed;
 }
 
 /* Decides C by the list of runners and by what was received from the runner;
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -120,8 +120,9 @@
 const struct bd_target *bd_crashes_next_probe (struct bd_crashes *crashes,
                                                int64_t now_ms);
 
-/** Handles the result of the connection probe of RUNNER. */
-void bd_crashes_probed (struct bd_crashes *crashes, int64_t now_ms,
+/** Handles the result of the connection probe of RUNNER.  Returns whether it
+    confirmed a case. */
+bool bd_crashes_probed (struct bd_crashes *crashes, int64_t now_ms,
                         struct bd_chunk runner,
                         enum bd_crash_probe_result result);
 
--- a/src/gateway/crash_probe.c
+++ b/src/gateway/crash_probe.c
@@ -19,9 +19,13 @@
 {
   struct bd_forwarder *forwarder = probe->forwarder;
 
+  int64_t now = bd_clock_boot_ms ();
+
   forwarder->probes_in_progress--;
-  bd_crashes_probed (forwarder->crashes, bd_clock_boot_ms (),
-                     bd_chunk_of (probe->runner), result);
+  if (bd_crashes_probed (forwarder->crashes, now, bd_chunk_of (probe->runner),
+                         result)
+      && forwarder->mesh)
+    bd_mesh_tell_crashes (forwarder->mesh, now);
   free (probe->runner);
   free (probe);
 }
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -267,6 +267,12 @@
   return forwarder;
 }
 
+void
+bd_forwarder_set_mesh (struct bd_forwarder *forwarder, struct bd_mesh *mesh)
+{
+  forwarder->mesh = mesh;
+}
+
 void
 bd_forwarder_set_routing (struct bd_forwarder *forwarder,
                           struct bd_routing *routing)
--- a/src/gateway/forward.h
+++ b/src/gateway/forward.h
@@ -13,6 +13,7 @@
 #include "gateway/origin_outbox.h"
 #include "http/client.h"
 #include "gateway/dialect.h"
+#include "gateway/mesh.h"
 #include "http/server.h"
 #include "gateway/stats.h"
 
@@ -44,6 +45,10 @@
 /** For bd_server_create (), whose context is the forwarder. */
 extern const struct bd_server_handler bd_forwarder_handler;
 
+/** Sets the peers that are told of crashes of runners. */
+void bd_forwarder_set_mesh (struct bd_forwarder *forwarder,
+                            struct bd_mesh *mesh);
+
 /** Sets the routing of new requests.  Keeps a reference to ROUTING. */
 void bd_forwarder_set_routing (struct bd_forwarder *forwarder,
                                struct bd_routing *routing);
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -48,6 +48,7 @@
 struct bd_forwarder
 {
   struct bd_forwarder_options options;
+  struct bd_mesh *mesh; /* NULL: there are no peers. */
   struct bd_routing *routing;
   struct bd_forward *first_forward;
   uint32_t instance_count;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -381,6 +381,7 @@
       bd_coordinator_client_set_mesh (gateway->coordinator_client,
                                       gateway->mesh);
       bd_origin_outbox_set_mesh (gateway->origin_outbox, gateway->mesh);
+      bd_forwarder_set_mesh (gateway->forwarder, gateway->mesh);
     }
   return error;
 }
--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -238,6 +238,13 @@
   bd_buffer_clear (&out);
 }
 
+/* Returns the number of peers that are sent the same datagram. */
+static size_t
+fanout (const struct bd_mesh *mesh)
+{
+  return mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT;
+}
+
 /* Sends the new strikes from index FROM on before the next round, because this
    process may not live until then. */
 static void
@@ -250,8 +257,7 @@
   init_beacon (mesh, &beacon);
   bd_strike_queue_add_to (&mesh->strikes, from, &beacon, now_ms,
                           BD_BEACON_STRIKES_MAX);
-  send_to_due (mesh, &beacon,
-               mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT);
+  send_to_due (mesh, &beacon, fanout (mesh));
 }
 
 /* Sends what is new about parts of prompts and, once a round, some of what is
@@ -267,8 +273,17 @@
   bd_beacon_add_parts (&beacon, mesh->options.breakers,
                        round ? &mesh->part_cursor : NULL, now_ms);
   if (beacon.part_count > 0)
-    send_to_due (mesh, &beacon,
-                 mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT);
+    send_to_due (mesh, &beacon, fanout (mesh));
+}
+
+void
+bd_mesh_tell_crashes (struct bd_mesh *mesh, int64_t now_ms)
+{
+  size_t sent = mesh->strikes.count;
+
+  bd_strike_queue_collect (&mesh->strikes, mesh->options.suspects, now_ms);
+  send_parts (mesh, false, now_ms);
+  send_new_strikes (mesh, sent, now_ms);
 }
 
 /* Sends a round of gossip, to all peers if LEAVING.  Returns the number of new
@@ -277,8 +292,7 @@
 send_round (struct bd_mesh *mesh, bool leaving, int64_t now_ms)
 {
   struct bd_beacon beacon;
-  size_t due
-      = mesh->peer_count < FANOUT || leaving ? mesh->peer_count : FANOUT;
+  size_t due = leaving ? mesh->peer_count : fanout (mesh);
   size_t sent = build_beacon (mesh, &beacon, false, now_ms);
 
   if (leaving)
@@ -298,38 +312,33 @@
   return sent;
 }
 
-/* Sends a full beacon to unknown seeds and to peers not seen yet. */
 static void
-introduce (struct bd_mesh *mesh, int64_t now_ms)
+send_beacon (struct bd_mesh *mesh, uint32_t ip, const struct bd_beacon *beacon)
 {
   struct bd_buffer out = { 0 };
-  struct bd_beacon beacon;
-  size_t introduced = 0;
 
-  build_beacon (mesh, &beacon, true, now_ms);
-  if (write_beacon (&beacon, &out))
-    {
-      for (size_t i = 0; i < mesh->options.seed_count; i++)
-        if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
-          send_to (mesh, mesh->seeds[i], bd_buffer_chunk (&out));
-      for (size_t i = 0; i < mesh->peer_count && introduced < FANOUT; i++)
-        if (!mesh->peers[i]->seen)
-          {
-            send_to (mesh, mesh->peers[i]->ip, bd_buffer_chunk (&out));
-            introduced++;
-          }
-    }
+  if (write_beacon (beacon, &out))
+    send_to (mesh, ip, bd_buffer_chunk (&out));
   bd_buffer_clear (&out);
 }
 
+/* Sends a full beacon to unknown seeds and to peers not seen yet. */
 static void
-send_beacon (struct bd_mesh *mesh, uint32_t ip, const struct bd_beacon *beacon)
+introduce (struct bd_mesh *mesh, int64_t now_ms)
 {
-  struct bd_buffer out = { 0 };
+  struct bd_beacon beacon;
+  size_t introduced = 0;
 
-  if (write_beacon (beacon, &out))
-    send_to (mesh, ip, bd_buffer_chunk (&out));
-  bd_buffer_clear (&out);
+  build_beacon (mesh, &beacon, true, now_ms);
+  for (size_t i = 0; i < mesh->options.seed_count; i++)
+    if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
+      send_beacon (mesh, mesh->seeds[i], &beacon);
+  for (size_t i = 0; i < mesh->peer_count && introduced < FANOUT; i++)
+    if (!mesh->peers[i]->seen)
+      {
+        send_beacon (mesh, mesh->peers[i]->ip, &beacon);
+        introduced++;
+      }
 }
 
 /* Sends a full beacon at once to a peer that is new here or missed some. */
@@ -581,15 +590,14 @@
       introduce (mesh, now_ms);
       update_liveness (mesh, now_ms);
     }
-  sent = mesh->strikes.count;
-  bd_strike_queue_collect (&mesh->strikes, mesh->options.suspects, now_ms);
-  send_parts (mesh, now_ms - mesh->last_round_ms >= ROUND_INTERVAL_MS, now_ms);
   if (now_ms - mesh->last_round_ms < ROUND_INTERVAL_MS)
     {
-      send_new_strikes (mesh, sent, now_ms);
+      bd_mesh_tell_crashes (mesh, now_ms);
       return;
     }
   mesh->last_round_ms = now_ms;
+  bd_strike_queue_collect (&mesh->strikes, mesh->options.suspects, now_ms);
+  send_parts (mesh, true, now_ms);
   sent = send_round (mesh, false, now_ms);
   if (mesh->instance_count > 1)
     bd_strike_queue_mark_sent (&mesh->strikes, sent);
--- a/src/gateway/mesh.h
+++ b/src/gateway/mesh.h
@@ -78,6 +78,10 @@
 /** Sends gossip that is due.  To be called several times a second. */
 void bd_mesh_tick (struct bd_mesh *mesh, int64_t now_ms);
 
+/** Sends what is new about crashes of runners, without waiting for a tick: the
+    next try of a request may reach a peer within milliseconds. */
+void bd_mesh_tell_crashes (struct bd_mesh *mesh, int64_t now_ms);
+
 /** Tells all peers that this instance shuts down. */
 void bd_mesh_leave (struct bd_mesh *mesh);
 
--- a/test/test_coordinator_reports.c
+++ b/test/test_coordinator_reports.c
@@ -1,4 +1,5 @@
-/* Reports of a forwarder to the coordinator about its runners' responses. */
+/* Reports of a forwarder to the coordinator about its runners' responses, and
+   to its peers about crashes. */
 #include "gateway/coordinator_client.h"
 #include "support_gateway.h"
 #include "support_mesh.h"
@@ -67,40 +68,57 @@
   return bd_targets_find (fixture->other.targets, BD_CHUNK ("i-0"))->health;
 }
 
-/* Sends METHOD_PATH to a runner that plays STEP.  Returns the runner's health
-   at the coordinator once the caller has RESPONSE and the report arrived. */
-static struct bd_target_health
-run_request (const char *method_path, const struct support_step *step,
-             const char *response)
+/* Opens both sides; the gateway has a runner that plays STEP.  After that no
+   gossip is sent by time. */
+static void
+open_fixture (struct fixture *fixture, const struct support_step *step)
 {
-  static struct fixture fixture;
-  char *text = support_request (method_path, "a1", "", "");
   char address[SUPPORT_ADDRESS_BYTES];
   struct sockaddr_in bound;
-  struct bd_target_health health;
   const struct bd_target *listed;
 
-  memset (&fixture, 0, sizeof fixture);
-  support_gateway_open (&fixture.gateway);
-  support_gateway_open (&fixture.other);
-  support_gateway_runner (&fixture.gateway, 0, step, 1);
-  listed = bd_targets_find (fixture.gateway.targets, BD_CHUNK ("i-0"));
-  support_gateway_list (&fixture.other, 0, ntohs (listed->port));
+  memset (fixture, 0, sizeof *fixture);
+  support_gateway_open (&fixture->gateway);
+  support_gateway_open (&fixture->other);
+  support_gateway_runner (&fixture->gateway, 0, step, 1);
+  listed = bd_targets_find (fixture->gateway.targets, BD_CHUNK ("i-0"));
+  support_gateway_list (&fixture->other, 0, ntohs (listed->port));
   support_free_address (address);
   bd_address_parse (bd_chunk_of (address), &bound);
-  open_side (&fixture, 0, &fixture.gateway, ntohs (bound.sin_port),
+  open_side (fixture, 0, &fixture->gateway, ntohs (bound.sin_port),
              BD_PEER_UNABLE);
-  open_side (&fixture, 1, &fixture.other, ntohs (bound.sin_port),
+  open_side (fixture, 1, &fixture->other, ntohs (bound.sin_port),
              BD_PEER_FRESH);
-  fixture.now_ms = bd_clock_boot_ms ();
+  bd_forwarder_set_mesh (fixture->gateway.forwarder, fixture->meshes[0]);
+  fixture->now_ms = bd_clock_boot_ms ();
   for (int i = 0; i < 3; i++)
     {
-      fixture.now_ms += 1000;
-      bd_mesh_tick (fixture.meshes[0], fixture.now_ms);
-      bd_mesh_tick (fixture.meshes[1], fixture.now_ms);
+      fixture->now_ms += 1000;
+      bd_mesh_tick (fixture->meshes[0], fixture->now_ms);
+      bd_mesh_tick (fixture->meshes[1], fixture->now_ms);
       for (int n = 0; n < 50; n++)
-        uv_run (&fixture.gateway.loop, UV_RUN_NOWAIT);
+        uv_run (&fixture->gateway.loop, UV_RUN_NOWAIT);
     }
+}
+
+static void
+close_fixture (struct fixture *fixture)
+{
+  support_gateway_close (&fixture->gateway);
+  support_gateway_close (&fixture->other);
+}
+
+/* Sends METHOD_PATH to a runner that plays STEP.  Returns the runner's health
+   at the coordinator once the caller has RESPONSE and the report arrived. */
+static struct bd_target_health
+run_request (const char *method_path, const struct support_step *step,
+             const char *response)
+{
+  static struct fixture fixture;
+  char *text = support_request (method_path, "a1", "", "");
+  struct bd_target_health health;
+
+  open_fixture (&fixture, step);
   support_await (support_caller_send (&fixture.gateway, 0, text), response);
   do
     {
@@ -109,8 +127,7 @@
     }
   while (health.failures + health.successes == 0.0);
   g_free (text);
-  support_gateway_close (&fixture.gateway);
-  support_gateway_close (&fixture.other);
+  close_fixture (&fixture);
   return health;
 }
 
@@ -142,6 +159,28 @@
   g_assert_cmpfloat (health.successes, >, 0.9);
 }
 
+/* Guards against a request that crashes one runner more at each instance that
+   its caller repeats it at: the next instance gets it within milliseconds, so
+   peers are told of a crash at once and not with the next round of gossip. */
+static void
+test_crash_told_at_once (void)
+{
+  static const struct support_step crash = { "", SUPPORT_CRASH };
+  static struct fixture fixture;
+  struct bd_strike strike;
+  size_t cursor = 0;
+  char *text = support_request ("POST /once/x", "a1", "", "");
+
+  open_fixture (&fixture, &crash);
+  support_await (support_caller_send (&fixture.gateway, 0, text), " 502 ");
+  while (bd_suspects_list_all (fixture.other.suspects, bd_clock_boot_ms (),
+                               &cursor, &strike, 1)
+         == 0)
+    support_run_once (&fixture.gateway);
+  g_free (text);
+  close_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -150,5 +189,7 @@
   g_test_add_func ("/coordinator-reports/error-forwarded",
                    test_error_forwarded);
   g_test_add_func ("/coordinator-reports/success", test_success);
+  g_test_add_func ("/coordinator-reports/crash-told-at-once",
+                   test_crash_told_at_once);
   return g_test_run ();
 }
