--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -5,6 +5,7 @@
 #include "gateway/strike_queue.h"
 #include "gateway/rank.h"
 #include "gateway/beacon_contents.h"
+#include "gateway/peer_table.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -35,19 +36,6 @@
    requests that were waiting at a crashed runner are suspected. */
 #define EXTRA_DATAGRAMS_MAX 4
 
-struct peer
-{
-  uint32_t ip;
-  uint64_t incarnation;
-  bool seen;            /* A message came from the peer itself. */
-  int64_t last_seen_ms; /* Time of the last message; 0: never. */
-  bool was_live;        /* Live at the last count. */
-  bool left;            /* The peer announced its shutdown. */
-  struct bd_peer_status status;
-  size_t load_count;
-  struct bd_beacon_load loads[BD_BEACON_LOADS_MAX];
-};
-
 struct bd_mesh
 {
   struct bd_mesh_options options;
@@ -56,8 +44,7 @@
   uv_udp_t socket;
   uint64_t incarnation;
   uint32_t *seeds;
-  struct peer **peers;
-  size_t peer_count;
+  struct bd_peer_table table;
   uint32_t instance_count;
   size_t next_peer; /* First peer of the next round. */
   struct bd_peer_status status;
@@ -75,56 +62,28 @@
 static int64_t
 silence_ms (const struct bd_mesh *mesh)
 {
-  int64_t rounds = (int64_t)(mesh->peer_count / FANOUT) + 1;
+  int64_t rounds = (int64_t)(mesh->table.count / FANOUT) + 1;
   int64_t ms = rounds * ROUND_INTERVAL_MS * SILENCE_ROUNDS;
 
   return ms > SILENCE_MIN_MS ? ms : SILENCE_MIN_MS;
 }
 
 static bool
-is_live (const struct bd_mesh *mesh, const struct peer *peer, int64_t now_ms)
+is_live (const struct bd_mesh *mesh, const struct bd_peer *peer,
+         int64_t now_ms)
 {
   return peer->seen && now_ms - peer->last_seen_ms <= silence_ms (mesh);
 }
 
-static struct peer *
-find (struct bd_mesh *mesh, uint32_t ip)
-{
-  for (size_t i = 0; i < mesh->peer_count; i++)
-    if (mesh->peers[i]->ip == ip)
-      return mesh->peers[i];
-  return NULL;
-}
-
-static struct peer *
-find_or_add (struct bd_mesh *mesh, uint32_t ip)
-{
-  struct peer *peer = find (mesh, ip);
-  struct peer **all;
-
-  if (peer || ip == mesh->options.ip || mesh->peer_count == BD_MESH_PEERS_MAX)
-    return peer;
-  all = realloc (mesh->peers, (mesh->peer_count + 1) * sizeof (struct peer *));
-  if (!all)
-    return NULL;
-  mesh->peers = all;
-  peer = calloc (1, sizeof *peer);
-  if (!peer)
-    return NULL;
-  peer->ip = ip;
-  mesh->peers[mesh->peer_count++] = peer;
-  return peer;
-}
-
 static void
 update_liveness (struct bd_mesh *mesh, int64_t now_ms)
 {
   uint32_t count = 1;
   int64_t oldest_ms = now_ms;
 
-  for (size_t i = 0; i < mesh->peer_count; i++)
+  for (size_t i = 0; i < mesh->table.count; i++)
     {
-      struct peer *peer = mesh->peers[i];
+      struct bd_peer *peer = mesh->table.peers[i];
       bool live = is_live (mesh, peer, now_ms);
 
       count += live;
@@ -148,10 +107,11 @@
 sum_loads (struct bd_mesh *mesh, int64_t now_ms)
 {
   bd_beacon_reset_loads (mesh->options.targets);
-  for (size_t p = 0; p < mesh->peer_count; p++)
-    if (is_live (mesh, mesh->peers[p], now_ms))
-      bd_beacon_apply_loads (mesh->options.targets, mesh->peers[p]->loads,
-                             mesh->peers[p]->load_count);
+  for (size_t p = 0; p < mesh->table.count; p++)
+    if (is_live (mesh, mesh->table.peers[p], now_ms))
+      bd_beacon_apply_loads (mesh->options.targets,
+                             mesh->table.peers[p]->loads,
+                             mesh->table.peers[p]->load_count);
 }
 
 /* Adds up to MAX addresses of live peers, starting at another each round. */
@@ -159,13 +119,13 @@
 add_addresses (const struct bd_mesh *mesh, struct bd_beacon *beacon,
                size_t max, int64_t now_ms)
 {
-  for (size_t i = 0; i < mesh->peer_count && beacon->address_count < max; i++)
+  for (size_t i = 0; i < mesh->table.count && beacon->address_count < max; i++)
     {
-      size_t at
-          = ((size_t)mesh->round * ADDRESSES_PER_ROUND + i) % mesh->peer_count;
+      size_t at = ((size_t)mesh->round * ADDRESSES_PER_ROUND + i)
+                  % mesh->table.count;
 
-      if (is_live (mesh, mesh->peers[at], now_ms))
-        beacon->addresses[beacon->address_count++] = mesh->peers[at]->ip;
+      if (is_live (mesh, mesh->table.peers[at], now_ms))
+        beacon->addresses[beacon->address_count++] = mesh->table.peers[at]->ip;
     }
 }
 
@@ -233,8 +193,10 @@
 
   if (write_beacon (beacon, &out))
     for (size_t i = 0; i < due; i++)
-      send_to (mesh, mesh->peers[(mesh->next_peer + i) % mesh->peer_count]->ip,
-               bd_buffer_chunk (&out));
+      send_to (
+          mesh,
+          mesh->table.peers[(mesh->next_peer + i) % mesh->table.count]->ip,
+          bd_buffer_chunk (&out));
   bd_buffer_clear (&out);
 }
 
@@ -242,7 +204,7 @@
 static size_t
 fanout (const struct bd_mesh *mesh)
 {
-  return mesh->peer_count < FANOUT ? mesh->peer_count : FANOUT;
+  return mesh->table.count < FANOUT ? mesh->table.count : FANOUT;
 }
 
 /* Sends the new strikes from index FROM on before the next round, because this
@@ -252,7 +214,7 @@
 {
   struct bd_beacon beacon;
 
-  if (from == mesh->strikes.count || mesh->peer_count == 0)
+  if (from == mesh->strikes.count || mesh->table.count == 0)
     return;
   init_beacon (mesh, &beacon);
   bd_strike_queue_add_to (&mesh->strikes, from, &beacon, now_ms,
@@ -267,7 +229,7 @@
 {
   struct bd_beacon beacon;
 
-  if (mesh->peer_count == 0)
+  if (mesh->table.count == 0)
     return;
   init_beacon (mesh, &beacon);
   bd_beacon_add_parts (&beacon, mesh->options.breakers,
@@ -292,7 +254,7 @@
 send_round (struct bd_mesh *mesh, bool leaving, int64_t now_ms)
 {
   struct bd_beacon beacon;
-  size_t due = leaving ? mesh->peer_count : fanout (mesh);
+  size_t due = leaving ? mesh->table.count : fanout (mesh);
   size_t sent = build_beacon (mesh, &beacon, false, now_ms);
 
   if (leaving)
@@ -306,8 +268,8 @@
                                      BD_BEACON_STRIKES_MAX);
       send_to_due (mesh, &beacon, due);
     }
-  if (mesh->peer_count > 0)
-    mesh->next_peer = (mesh->next_peer + due) % mesh->peer_count;
+  if (mesh->table.count > 0)
+    mesh->next_peer = (mesh->next_peer + due) % mesh->table.count;
   mesh->round++;
   return sent;
 }
@@ -331,12 +293,13 @@
 
   build_beacon (mesh, &beacon, true, now_ms);
   for (size_t i = 0; i < mesh->options.seed_count; i++)
-    if (mesh->seeds[i] != mesh->options.ip && !find (mesh, mesh->seeds[i]))
+    if (mesh->seeds[i] != mesh->options.ip
+        && !bd_peer_table_find (&mesh->table, mesh->seeds[i]))
       send_beacon (mesh, mesh->seeds[i], &beacon);
-  for (size_t i = 0; i < mesh->peer_count && introduced < FANOUT; i++)
-    if (!mesh->peers[i]->seen)
+  for (size_t i = 0; i < mesh->table.count && introduced < FANOUT; i++)
+    if (!mesh->table.peers[i]->seen)
       {
-        send_beacon (mesh, mesh->peers[i]->ip, &beacon);
+        send_beacon (mesh, mesh->table.peers[i]->ip, &beacon);
         introduced++;
       }
 }
@@ -373,7 +336,7 @@
 
 /* Updates PEER, which sent BEACON; a new incarnation shows a restart. */
 static void
-update_peer (struct bd_mesh *mesh, struct peer *peer,
+update_peer (struct bd_mesh *mesh, struct bd_peer *peer,
              const struct bd_beacon *beacon, int64_t now_ms)
 {
   bool restarted = peer->seen && peer->incarnation != beacon->incarnation;
@@ -397,13 +360,13 @@
 }
 
 static void
-apply_beacon (struct bd_mesh *mesh, struct peer *peer,
+apply_beacon (struct bd_mesh *mesh, struct bd_peer *peer,
               const struct bd_beacon *beacon, int64_t now_ms)
 {
   update_peer (mesh, peer, beacon, now_ms);
   peer->status = beacon->status;
   for (size_t i = 0; i < beacon->address_count; i++)
-    find_or_add (mesh, beacon->addresses[i]);
+    bd_peer_table_get (&mesh->table, beacon->addresses[i]);
   if (beacon->has_loads)
     {
       peer->load_count = beacon->load_count;
@@ -422,14 +385,14 @@
 handle_beacon (struct bd_mesh *mesh, struct bd_chunk bytes, uint32_t from)
 {
   struct bd_beacon beacon;
-  struct peer *peer = NULL;
+  struct bd_peer *peer = NULL;
   bool rejected = bd_beacon_read (bytes, &beacon) != BD_OK || beacon.ip != from
                   || beacon.ip == mesh->options.ip;
 
   bd_stats_count (mesh->options.stats,
                   rejected ? BD_STAT_PEER_REFUSED : BD_STAT_PEER_RECEIVED, 1);
   if (!rejected)
-    peer = find_or_add (mesh, beacon.ip);
+    peer = bd_peer_table_get (&mesh->table, beacon.ip);
   if (peer)
     apply_beacon (mesh, peer, &beacon, bd_clock_boot_ms ());
 }
@@ -485,6 +448,7 @@
   if (!mesh)
     return BD_ERR_NOMEM;
   mesh->options = *options;
+  mesh->table.own_ip = options->ip;
   mesh->handler = handler;
   mesh->context = context;
   mesh->incarnation = bd_id_random ().low;
@@ -540,39 +504,23 @@
   size_t count = 0;
 
   all[count++] = (struct bd_rank_entry){ mesh->options.ip, mesh->status };
-  for (size_t i = 0; i < mesh->peer_count; i++)
-    if (is_live (mesh, mesh->peers[i], now_ms))
-      all[count++] = (struct bd_rank_entry){ mesh->peers[i]->ip,
-                                             mesh->peers[i]->status };
+  for (size_t i = 0; i < mesh->table.count; i++)
+    if (is_live (mesh, mesh->table.peers[i], now_ms))
+      all[count++] = (struct bd_rank_entry){ mesh->table.peers[i]->ip,
+                                             mesh->table.peers[i]->status };
   for (size_t i = 0; i < count && include_joining; i++)
     if (all[i].status.state == BD_PEER_JOINING)
       all[i].status.state = BD_PEER_FRESH;
   return bd_rank (all, count, key, ips, max);
 }
 
-/* Removes peers that have been silent for REMOVE_SILENCES * silence_ms (). */
 static void
 remove_silent (struct bd_mesh *mesh, int64_t now_ms)
 {
-  size_t kept = 0;
-
-  for (size_t i = 0; i < mesh->peer_count; i++)
-    {
-      struct peer *peer = mesh->peers[i];
-
-      if (peer->last_seen_ms == 0)
-        peer->last_seen_ms = now_ms - silence_ms (mesh) - 1;
-      if (now_ms - peer->last_seen_ms > silence_ms (mesh) * REMOVE_SILENCES)
-        {
-          bd_log (BD_EVENT_MEMBER_GONE, "ip=%08x silent_ms=%lld",
-                  ntohl (peer->ip), (long long)(now_ms - peer->last_seen_ms));
-          free (peer);
-        }
-      else
-        mesh->peers[kept++] = peer;
-    }
-  mesh->peer_count = kept;
-  mesh->next_peer = kept > 0 ? mesh->next_peer % kept : 0;
+  bd_peer_table_remove_silent (&mesh->table, now_ms, silence_ms (mesh),
+                               silence_ms (mesh) * REMOVE_SILENCES);
+  mesh->next_peer
+      = mesh->table.count > 0 ? mesh->next_peer % mesh->table.count : 0;
 }
 
 void
