LOST: what a coordinator says of a stream's version is kept and told on

Cause: three instances are told of a stream. The answer of one of them was used for the attempt only, and not kept; it ended, as the other two had, and the answer was gone with it.

Change: an attempt that learns the version records it and tells it to those that coordinate now, as it does when the stream goes on.

Evidence: a1364 (BD2017, v2) and a1400 (BD2018, unknown) of one stream at gateway 5, whose coordinator had ended in between (21:02 on 2026-12-05). /coordinator-reports/origin-of-reply failed before.

--- a/src/gateway/continuation.c
+++ b/src/gateway/continuation.c
@@ -114,7 +114,25 @@
   return BD_COORDINATION_PLACED;
 }
 
-/* Adopts what the coordinator's REPLY says of the origin.  Returns its
+/* Tells peers which version began STREAM; 0: none. */
+static void
+tell (struct bd_forward *f, uint64_t stream)
+{
+  int64_t left_ms = f->deadline_ms - bd_clock_boot_ms ();
+  struct bd_origin_notice notice
+      = { stream, f->stream_software, ORIGIN_KEEP_MIN_MS };
+
+  if (notice.keep_ms < left_ms)
+    notice.keep_ms = left_ms;
+  if (notice.keep_ms > BD_ORIGIN_KEEP_MAX_MS)
+    notice.keep_ms = BD_ORIGIN_KEEP_MAX_MS;
+  if (stream != 0)
+    bd_origin_outbox_tell (f->forwarder->options.origin_outbox,
+                           f->registration.shard_key, &notice);
+}
+
+/* Adopts what the coordinator's REPLY says of the origin, and tells it on:
+   those that knew it may have ended when the caller tries again.  Returns its
    verdict. */
 static enum bd_coordination_verdict
 adopt_reply (struct bd_forward *f, const struct bd_coordination_reply *reply)
@@ -124,6 +142,8 @@
       f->stream_software = reply->software;
       f->origin_confirmed = !reply->unconfirmed;
       f->holder = reply->unconfirmed ? reply->target : 0;
+      if (f->origin_confirmed)
+        tell (f, f->continued_stream);
       return BD_COORDINATION_PLACED;
     }
   if (reply->verdict == BD_COORDINATION_ORIGIN_PENDING
@@ -224,22 +244,6 @@
           target->id.data, bd_software_name (&target->software));
 }
 
-static void
-tell (struct bd_forward *f, uint64_t stream)
-{
-  int64_t left_ms = f->deadline_ms - bd_clock_boot_ms ();
-  struct bd_origin_notice notice
-      = { stream, f->stream_software, ORIGIN_KEEP_MIN_MS };
-
-  if (notice.keep_ms < left_ms)
-    notice.keep_ms = left_ms;
-  if (notice.keep_ms > BD_ORIGIN_KEEP_MAX_MS)
-    notice.keep_ms = BD_ORIGIN_KEEP_MAX_MS;
-  if (stream != 0)
-    bd_origin_outbox_tell (f->forwarder->options.origin_outbox,
-                           f->registration.shard_key, &notice);
-}
-
 void
 bd_forward_tell_origin (struct bd_forward *f)
 {
--- a/test/test_coordinator_reports.c
+++ b/test/test_coordinator_reports.c
@@ -1,5 +1,5 @@
 /* Reports of a forwarder to the coordinator about its runners' responses, and
-   to its peers about crashes. */
+   to its peers about crashes; and what it learns from the answers. */
 #include "gateway/coordinator_client.h"
 #include "support_gateway.h"
 #include "support_mesh.h"
@@ -181,6 +181,33 @@
   close_fixture (&fixture);
 }
 
+/* Guards against streams that cannot be continued because the instances that
+   knew their version have ended: one that was told keeps it, also when no
+   runner may go on with the stream yet. */
+static void
+test_origin_of_reply (void)
+{
+  static const struct support_step none = { "", SUPPORT_KEEP };
+  static struct fixture fixture;
+  struct bd_stream_origin origin
+      = { .stream = bd_stream_number (BD_CHUNK ("a1"), BD_CHUNK ("w")),
+          .software = bd_software_of (BD_CHUNK ("v1")).hash,
+          .expires_ms = INT64_MAX };
+  char *text = support_request ("POST /resume/x", "a2",
+                                "Last-Event-Id: 1\r\nResumes: a1\r\n", "");
+
+  open_fixture (&fixture, &none);
+  bd_stream_origins_record (fixture.other.origins, &origin, 0);
+  support_await (support_caller_send (&fixture.gateway, 0, text),
+                 "\"no_runner\"");
+  g_assert_cmpuint (bd_stream_origins_find (fixture.gateway.origins,
+                                            origin.stream,
+                                            bd_clock_boot_ms ()),
+                    ==, origin.software);
+  g_free (text);
+  close_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -189,6 +216,8 @@
   g_test_add_func ("/coordinator-reports/error-forwarded",
                    test_error_forwarded);
   g_test_add_func ("/coordinator-reports/success", test_success);
+  g_test_add_func ("/coordinator-reports/origin-of-reply",
+                   test_origin_of_reply);
   g_test_add_func ("/coordinator-reports/crash-told-at-once",
                    test_crash_told_at_once);
   return g_test_run ();
