Soak: continued streams are counted at gateways in touch, with a calm store

The share of continued streams that go on (LOST) was counted at each undisturbed gateway, also while the store was disturbed.

The streams that did not go on are recorded now.

--- a/test/soak/continuation.c
+++ b/test/soak/continuation.c
@@ -72,11 +72,20 @@
   return count;
 }
 
+/* A gateway that has no path to the store, or has not had one for long, may
+   know none of the runners that serve. */
+static bool
+is_in_touch (const struct soak *soak, int gateway)
+{
+  return soak_stable_gateway_ms (soak, gateway) >= SOAK_STABLE_MS
+         && soak_store_stable_ms (soak->store) >= SOAK_STABLE_MS;
+}
+
 void
 soak_count_stream (struct soak *soak, struct soak_attempt *attempt)
 {
   if (attempt->kind != SOAK_RESUMABLE || attempt->fatal
-      || soak_stable_gateway_ms (soak, attempt->gateway) < SOAK_STABLE_MS)
+      || !is_in_touch (soak, attempt->gateway))
     return;
   attempt->counted = !attempt->origin
                      || count_serving (soak, attempt->origin->software) >= 2;
@@ -107,6 +116,26 @@
   g_free (text);
 }
 
+/* Records the continued streams that did not go on, to be found in the logs of
+   their gateways. */
+static void
+record_stopped_streams (struct soak *soak)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, soak->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct soak_attempt *attempt = value;
+
+      if (attempt->origin && attempt->counted)
+        soak_log (soak, "%s (of %s, version %s) did not go on at gateway %d",
+                  attempt->id, attempt->origin->id, attempt->origin->software,
+                  attempt->gateway);
+    }
+}
+
 void
 soak_check_continued (struct soak *soak)
 {
@@ -114,6 +143,7 @@
 
   soak_log (soak, "streams: %u of %u begun, %u of %u continued", state.begun,
             state.begun_of, state.continued, state.continued_of);
+  record_stopped_streams (soak);
   if (state.continued_of >= SHARE_MIN
       && state.continued < state.continued_of * begun / 2.0)
     soak_violation (soak, "LOST",
--- a/test/soak/fault_schedule.c
+++ b/test/soak/fault_schedule.c
@@ -334,6 +334,8 @@
 {
   uint32_t which = soak_random_below (&plan.random, 6);
 
+  if (soak->calm_store)
+    return;
   soak_log (soak, "store: fault %u", which);
   if (which < 4)
     soak_store_set (soak->store,
@@ -644,7 +646,8 @@
 {
   start_phase (soak, true);
   soak_limits_start (soak);
-  start_returns (soak);
+  if (!soak->calm_store)
+    start_returns (soak);
   start_end_all (soak);
 }
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -439,6 +439,7 @@
   char *folder = NULL;
   gint64 seed = 1;
   gboolean ends_all = FALSE;
+  gboolean calm_store = FALSE;
   GOptionEntry entries[]
       = { { "gateway", 0, 0, G_OPTION_ARG_FILENAME, &program,
             "Path of the gateway program", "PATH" },
@@ -454,6 +455,8 @@
             "Number of simulated runners", "N" },
           { "end-all", 0, 0, G_OPTION_ARG_NONE, &ends_all,
             "End all gateways at once, again and again", NULL },
+          { "calm-store", 0, 0, G_OPTION_ARG_NONE, &calm_store,
+            "The store is never disturbed", NULL },
           { 0 } };
   GOptionContext *context
       = g_option_context_new ("- soak test of the gateway");
@@ -475,6 +478,7 @@
   g_strlcpy (soak->folder, folder, sizeof soak->folder);
   soak->seed = (uint64_t)seed;
   soak->ends_all = ends_all;
+  soak->calm_store = calm_store;
   soak->random = soak->seed * 0x9e3779b97f4a7c15u + 1;
   reserve_net (soak);
   g_free (program);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -103,6 +103,8 @@
   bool stopping;        /**< No new requests are sent. */
   bool ends_all;        /**< All gateways are ended at once, again and again,
                            and no request crashes runners. */
+  bool calm_store;      /**< The store is reached all the time and keeps what
+                           it acknowledged. */
   uint32_t open_faults; /**< Active faults of runners, connections or store. */
   int64_t last_fault_ms;      /**< End of the most recent fault. */
   int64_t must_serve_from_ms; /**< Later requests must succeed; 0: off. */
