ORDER: an instance that stood still joins anew before it decides on placements

Cause: gateway 1 had stood still for 3.4 s and was the first in rank as soon as it ran again. It had missed what was told of the stream, and decided by what a runner listed, which an attempt without an event had left there; gateway 2, which knew better, was not asked.

Change: after a standstill longer than the silence by which peers count an instance as lost, its state is "joining" for 3 s, as after a start. If all stood still, all rank as before.

--- a/src/gateway/mesh.c
+++ b/src/gateway/mesh.c
@@ -27,6 +27,8 @@
 #define INTRO_FAST_MS 100
 #define INTRO_INTERVAL_MS 1000
 #define STARTUP_MS 3000
+/* How long an instance that stood still counts as joining. */
+#define REJOIN_MS 3000
 /* Peer addresses per datagram; they rotate, so all are known in seconds. */
 #define ADDRESSES_PER_ROUND BD_BEACON_ADDRESSES_WITH_LIMITS
 /* Loads are sent in one of this many rounds: they only matter while there is
@@ -50,7 +52,9 @@
   struct bd_peer_status status;
   int64_t last_round_ms;
   int64_t last_intro_ms;
-  int64_t started_ms; /* Time of the first tick; 0: none yet. */
+  int64_t started_ms;      /* Time of the first tick; 0: none yet. */
+  int64_t last_tick_ms;    /* 0: none yet. */
+  int64_t rejoin_until_ms; /* The instance stood still shortly before. */
   uint32_t round;
   struct bd_strike_queue strikes;
   size_t strike_cursor; /* Next known strike to send again. */
@@ -477,10 +481,15 @@
 void
 bd_mesh_set_status (struct bd_mesh *mesh, const struct bd_peer_status *status)
 {
+  enum bd_peer_state before = mesh->status.state;
+
+  mesh->status = *status;
+  if (mesh->status.state == BD_PEER_FRESH
+      && mesh->last_tick_ms < mesh->rejoin_until_ms)
+    mesh->status.state = BD_PEER_JOINING;
   /* Peers rely on the state, so a change is sent at the next tick. */
-  if (status->state != mesh->status.state)
+  if (mesh->status.state != before)
     mesh->last_round_ms = 0;
-  mesh->status = *status;
 }
 
 void
@@ -523,11 +532,28 @@
       = mesh->table.count > 0 ? mesh->next_peer % mesh->table.count : 0;
 }
 
+/* An instance that stood still for so long that peers took it for lost has
+   missed what they told others meanwhile.  It joins anew, so that it is not
+   asked for placements before it has heard of them. */
+static void
+note_standstill (struct bd_mesh *mesh, int64_t now_ms)
+{
+  int64_t last_ms = mesh->last_tick_ms;
+  struct bd_peer_status status = mesh->status;
+
+  mesh->last_tick_ms = now_ms;
+  if (last_ms == 0 || now_ms - last_ms <= silence_ms (mesh))
+    return;
+  mesh->rejoin_until_ms = now_ms + REJOIN_MS;
+  bd_mesh_set_status (mesh, &status);
+}
+
 void
 bd_mesh_tick (struct bd_mesh *mesh, int64_t now_ms)
 {
   size_t sent;
 
+  note_standstill (mesh, now_ms);
   if (mesh->started_ms == 0)
     mesh->started_ms = now_ms;
   if (now_ms - mesh->last_intro_ms >= (now_ms - mesh->started_ms < STARTUP_MS
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -471,6 +471,51 @@
   keep_fixture (&fixture);
 }
 
+/* Returns the instance that coordinates KEY, as side 0 sees it. */
+static uint32_t
+coordinator_of (struct fixture *fixture, uint64_t key, int64_t now_ms)
+{
+  uint32_t ip = 0;
+
+  bd_mesh_rank (fixture->sides[0].mesh, key, now_ms, false, &ip, 1);
+  return ip;
+}
+
+/* Guards against streams that go on at another software version, or nowhere,
+   because an instance that stood still decides on placements as soon as it
+   runs again: until it has heard what it missed, another one does. */
+static void
+test_standstill (void)
+{
+  struct bd_peer_status fresh = { .state = BD_PEER_FRESH };
+  struct fixture fixture;
+  /* Peers are heard of at the real time, so all is played just before it. */
+  int64_t now = bd_clock_boot_ms () - 9000;
+  uint64_t key = 1;
+
+  open_fixture (&fixture);
+  for (int i = 0; i < PEERS; i++)
+    bd_mesh_set_status (fixture.sides[i].mesh, &fresh);
+  introduce_sides (&fixture, now);
+  now += 2000;
+  while (coordinator_of (&fixture, key, now) != fixture.sides[0].ip)
+    key++;
+  for (int64_t end = now + 4000; now < end; now += 500)
+    bd_mesh_tick (fixture.sides[1].mesh, now);
+  bd_mesh_set_status (fixture.sides[0].mesh, &fresh);
+  exchange (&fixture, now);
+  g_assert_cmpuint (coordinator_of (&fixture, key, now), ==,
+                    fixture.sides[1].ip);
+  for (int64_t end = now + 4000; now < end; now += 500)
+    {
+      exchange (&fixture, now);
+      bd_mesh_set_status (fixture.sides[0].mesh, &fresh);
+    }
+  g_assert_cmpuint (coordinator_of (&fixture, key, now), ==,
+                    fixture.sides[0].ip);
+  keep_fixture (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -489,5 +534,6 @@
   g_test_add_func ("/mesh/strikes-sent-at-once", test_strikes_sent_at_once);
   g_test_add_func ("/mesh/parts-sent-at-once", test_parts_sent_at_once);
   g_test_add_func ("/mesh/new-peer-gets-parts", test_new_peer_gets_parts);
+  g_test_add_func ("/mesh/standstill", test_standstill);
   return g_test_run ();
 }
