LOST: a finished connection is sent out as long as its peer reads

Cause: bd_socket_finish () closed the connection a second after the last write, whatever had been read; such an answer was not counted as active, so the process ended under it; and bd_server_close_idle () closed kept connections with data to send.

Change: on_linger () looks once a second whether the peer has read more, for a minute at most; check_stop () waits for connections that have data to send; idle ones with such data are finished, not closed.

Evidence: /socket/slow-reader failed before (12,385,046 of 25,165,824 bytes).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -9,6 +9,7 @@
 #include "gateway/loop_watch.h"
 #include "gateway/mesh.h"
 #include "gateway/signals.h"
+#include "http/socket.h"
 
 #include <inttypes.h>
 #include <signal.h>
@@ -282,6 +283,7 @@
 {
   int64_t elapsed = now_ms - gateway->stop_started_ms;
   bool quiet = bd_server_active (gateway->caller_server) == 0
+               && bd_sockets_sending () == 0
                && now_ms - bd_forwarder_last_request_ms (gateway->forwarder)
                       >= STOP_QUIET_MS;
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -434,7 +434,7 @@
     {
       next = exchange->next;
       if (exchange->phase == PHASE_READING && exchange->arrived_ms == 0)
-        close_exchange (exchange, false);
+        close_exchange (exchange, bd_exchange_pending (exchange) > 0);
     }
 }
 
--- a/src/http/socket.c
+++ b/src/http/socket.c
@@ -5,8 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* How long bd_socket_finish () waits for the peer to close. */
+/* How long bd_socket_finish () waits for the peer to read more, or to close,
+   and how often at most. */
 #define LINGER_MS 1000
+#define LINGERS_MAX 60
 #define ADDRESS_TEXT_BYTES 32
 
 struct bd_socket
@@ -20,7 +22,10 @@
   void *context;
   struct bd_tls_session *session; /* NULL: without TLS. */
   size_t pending;
-  bool paused; /* By bd_socket_pause (). */
+  size_t unsent; /* Bytes not sent yet when bd_socket_finish () last looked. */
+  uint32_t lingers; /* Times that it may wait. */
+  bool sending;     /* Finished, and not all data is sent yet. */
+  bool paused;      /* By bd_socket_pause (). */
   int open_handles;
 };
 
@@ -36,6 +41,7 @@
  */
 static char read_buffer[BD_SOCKET_READ_BYTES];
 static char decrypted_buffer[BD_SOCKET_READ_BYTES];
+static size_t sending_count;
 
 static void
 on_handle_closed (uv_handle_t *handle)
@@ -48,12 +54,20 @@
   free (socket);
 }
 
+static void
+end_sending (struct bd_socket *socket)
+{
+  sending_count -= socket->sending;
+  socket->sending = false;
+}
+
 static void
 close_handles (struct bd_socket *socket)
 {
   if (uv_is_closing ((uv_handle_t *)&socket->tcp))
     return;
   socket->handler = NULL;
+  end_sending (socket);
   uv_close ((uv_handle_t *)&socket->tcp, on_handle_closed);
   uv_close ((uv_handle_t *)&socket->timer, on_handle_closed);
 }
@@ -344,17 +358,36 @@
   close_handles (socket);
 }
 
+static size_t
+unsent_bytes (const struct bd_socket *socket)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&socket->tcp);
+}
+
+/* A peer that has read some of the data since the last look gets the rest. */
 static void
 on_linger (uv_timer_t *timer)
 {
-  close_handles (timer->data);
+  struct bd_socket *socket = timer->data;
+  size_t unsent = unsent_bytes (socket);
+
+  if (unsent >= socket->unsent || --socket->lingers == 0)
+    {
+      close_handles (socket);
+      return;
+    }
+  socket->unsent = unsent;
+  uv_timer_start (timer, on_linger, LINGER_MS, 0);
 }
 
 static void
 on_shutdown (uv_shutdown_t *request, int status)
 {
+  struct bd_socket *socket = request->handle->data;
+
+  end_sending (socket);
   if (status != 0)
-    close_handles (request->handle->data);
+    close_handles (socket);
 }
 
 void
@@ -368,12 +401,22 @@
       bd_tls_finish (socket->session);
       flush_session (socket);
     }
+  socket->unsent = unsent_bytes (socket);
+  socket->lingers = LINGERS_MAX;
+  socket->sending = true;
+  sending_count++;
   uv_timer_start (&socket->timer, on_linger, LINGER_MS, 0);
   if (uv_shutdown (&socket->shutdown, (uv_stream_t *)&socket->tcp, on_shutdown)
       != 0)
     close_handles (socket);
 }
 
+size_t
+bd_sockets_sending (void)
+{
+  return sending_count;
+}
+
 int
 bd_address_parse (struct bd_chunk text, struct sockaddr_in *address)
 {
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -76,11 +76,14 @@
 
 /**
  * Sends pending data, shuts down the sending side, and closes the connection
- * after a second, or earlier when the peer does.  The event loop frees the
- * socket later.
+ * when the peer does, or has read nothing for a second.  The event loop frees
+ * the socket later.
  */
 void bd_socket_finish (struct bd_socket *socket);
 
+/** Returns the number of finished sockets that have data to send yet. */
+size_t bd_sockets_sending (void);
+
 /** Parses "IP:PORT" (IPv4).  Returns BD_OK or BD_ERR_INVALID. */
 int bd_address_parse (struct bd_chunk text, struct sockaddr_in *address);
 
--- a/test/test_socket.c
+++ b/test/test_socket.c
@@ -1,11 +1,16 @@
 /* Connections on the event loop. */
 #include "http/socket.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define FLOOD_BYTES ((size_t)1024 * 1024)
+/* More than the kernel holds, and the parts in which it is read. */
+#define SLOW_BYTES ((size_t)24 * 1024 * 1024)
+#define SLOW_PART_BYTES ((size_t)1024 * 1024)
+#define SLOW_INTERVAL_MS 100
 
 struct fixture
 {
@@ -140,11 +145,61 @@
   close_fixture (&fixture);
 }
 
+/* A peer that reads a part every now and then. */
+struct slow_reader
+{
+  int peer;
+  size_t received;
+  bool ended;
+};
+
+static void
+on_read_time (uv_timer_t *timer)
+{
+  static char part[SLOW_PART_BYTES];
+  struct slow_reader *reader = timer->data;
+  ssize_t n = recv (reader->peer, part, sizeof part, MSG_DONTWAIT);
+
+  reader->received += n > 0 ? (size_t)n : 0;
+  reader->ended = n == 0 || (n < 0 && errno != EAGAIN);
+}
+
+/* Guards against an answer that is cut off since its connection ends after it:
+   a peer that reads slowly, for longer than the peer's own end is waited for,
+   gets all of it. */
+static void
+test_slow_reader (void)
+{
+  static char answer[SLOW_BYTES];
+  struct fixture fixture;
+  struct slow_reader reader = { 0 };
+  uv_timer_t timer;
+
+  open_fixture (&fixture);
+  reader.peer = fixture.peer;
+  g_assert_cmpint (bd_socket_write (fixture.socket,
+                                    (struct bd_chunk){ answer, SLOW_BYTES }),
+                   ==, BD_OK);
+  bd_socket_finish (fixture.socket);
+  uv_timer_init (&fixture.loop, &timer);
+  timer.data = &reader;
+  uv_timer_start (&timer, on_read_time, SLOW_INTERVAL_MS, SLOW_INTERVAL_MS);
+  while (!reader.ended)
+    uv_run (&fixture.loop, UV_RUN_ONCE);
+  g_assert_cmpuint (reader.received, ==, SLOW_BYTES);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  uv_close ((uv_handle_t *)&fixture.listener, NULL);
+  uv_run (&fixture.loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&fixture.loop), ==, 0);
+  close (fixture.peer);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/socket/turns", test_turns);
   g_test_add_func ("/socket/paused", test_paused);
+  g_test_add_func ("/socket/slow-reader", test_slow_reader);
   return g_test_run ();
 }
