ORDER: a stream's number is kept, not read from a head that was freed

What could be seen: when a runner's entry changes its version before a stream has ended and the caller's connection ends with it, peers were told of the wrong stream, and the right one stayed certain, so that it could go on at a version that it may not have begun at.

Change: the number is computed when the request arrives.

Evidence: /continuation/entry-changes-before-end failed before (the stream's version is v1 in place of uncertain), with memory that changes when it is freed.

--- a/src/gateway/continuation.c
+++ b/src/gateway/continuation.c
@@ -26,6 +26,7 @@
 {
   const struct bd_request_fields *fields = &f->request_fields;
 
+  f->own_stream = bd_stream_number (fields->attempt_id, workspace_name (f));
   f->continues = f->route->retry_class == BD_RETRY_STREAM
                  && f->route->resumable && fields->last_event_id.length > 0;
   if (!f->continues)
@@ -248,8 +249,7 @@
 bd_forward_tell_origin (struct bd_forward *f)
 {
   f->origin_told = true;
-  tell (f,
-        bd_stream_number (f->request_fields.attempt_id, workspace_name (f)));
+  tell (f, f->own_stream);
   tell (f, f->continued_stream);
 }
 
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -128,6 +128,9 @@
   /* Hash of the software version that began the stream, the only one that may
      go on with it; BD_SOFTWARE_ANY: no event has come yet, or not known. */
   uint64_t stream_software;
+  /* Number of the stream that the attempt begins; the attempt's identifier may
+     be gone before F is. */
+  uint64_t own_stream;
   /* Number of the stream that the caller continues; 0: not named. */
   uint64_t continued_stream;
   /* What the attempt has shown about the runner. */
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -6,6 +6,8 @@
 #include "support_gateway.h"
 #include "support_responses.h"
 
+#include <malloc.h>
+
 #define LIST(ids)                                                             \
   "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"                     \
   "Content-Length: 100\r\n\r\n" ids
@@ -159,6 +161,46 @@
   support_gateway_close (&g);
 }
 
+/* Guards against a read of freed memory: the runner's entry names another
+   version before the stream has ended, which is told to peers when the
+   caller's connection, and with it the attempt's identifier, is gone. */
+static void
+test_entry_changes_before_end (void)
+{
+  GString *bytes = g_string_new (STREAM_HEAD EVENT ("1"));
+  struct support_step step = { .ending = SUPPORT_KEEP };
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  GString *fields = g_string_new ("Connection: close\r\nX-Long: ");
+
+  /* Freed memory changes, when it is too large for the thread's cache. */
+  mallopt (M_PERTURB, 0xa5);
+  g_string_append_printf (fields, "%04000d\r\n", 0);
+  /* More than is read from a connection at a time. */
+  for (int i = 0; i < 20000; i++)
+    g_string_append (bytes, EVENT ("2"));
+  g_string_append (bytes, LAST_CHUNK);
+  step.bytes = bytes->str;
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, &step, 1);
+  support_gateway_set_software (&g, 0, "v1");
+  caller = call (&g, 0, "a1", fields->str);
+  support_await (caller, "id: 1");
+  g_assert_null (strstr (caller->in->str, "\r\n0\r\n\r\n"));
+  support_gateway_set_software (&g, 0, "v1.1");
+  await_outcome (caller);
+  g_assert_cmpuint (bd_stream_origins_find (
+                        g.origins,
+                        bd_stream_number (BD_CHUNK ("a1"), BD_CHUNK ("w")),
+                        bd_clock_boot_ms ()),
+                    ==, BD_SOFTWARE_UNCERTAIN);
+  g_string_free (bytes, TRUE);
+  g_string_free (fields, TRUE);
+  support_gateway_close (&g);
+  mallopt (M_PERTURB, 0);
+}
+
 /* Guards against a stream that its caller continues at a runner of another
    version, after all instances have ended at once: no instance remembers the
    stream, but the runner that began it still holds its prompt. */
@@ -437,6 +479,8 @@
   g_test_add_func ("/continuation/one-response-goes-on",
                    test_one_response_goes_on);
   g_test_add_func ("/continuation/entry-changes", test_entry_changes);
+  g_test_add_func ("/continuation/entry-changes-before-end",
+                   test_entry_changes_before_end);
   g_test_add_func ("/continuation/after-restart", test_after_restart);
   g_test_add_func ("/continuation/session", test_session);
   g_test_add_func ("/continuation/session-handover", test_session_handover);
