--- a/src/http/client.c
+++ b/src/http/client.c
@@ -270,10 +270,12 @@
 static const struct bd_http_handler reader_handler
     = { .on_head = on_head, .on_body = on_body, .on_end = on_response_end };
 
-/* Returns the connection to the pool. */
+/* Returns the connection to the pool, where it is read from whatever the call
+   did. */
 static void
 add_idle (struct connection *conn)
 {
+  bd_socket_resume (conn->socket);
   conn->response_done = false;
   conn->call = NULL;
   conn->next = conn->endpoint->idle;
