Lint: two conversions to char that clang-tidy rejects on x86-64

clang-tidy takes a conditional expression of a char and a character constant for an int; where char is signed, as on x86-64, it rejects its conversion to char (bugprone-narrowing-conversions).

--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -250,8 +250,8 @@
 
       *out++ = digits[bits >> 18 & 63];
       *out++ = digits[bits >> 12 & 63];
-      *out++ = i + 1 < length ? digits[bits >> 6 & 63] : '=';
-      *out++ = i + 2 < length ? digits[bits & 63] : '=';
+      *out++ = (char)(i + 1 < length ? digits[bits >> 6 & 63] : '=');
+      *out++ = (char)(i + 2 < length ? digits[bits & 63] : '=');
     }
   *out = '\0';
 }
--- a/test/test_target.c
+++ b/test/test_target.c
@@ -158,7 +158,8 @@
   for (int64_t now = NOW; now < NOW + 12000; now += 100)
     {
       int64_t step = (now - NOW) / STEP_MS;
-      char what = step < (int64_t)strlen (history) ? history[step] : '-';
+      char what
+          = (char)(step < (int64_t)strlen (history) ? history[step] : '-');
 
       if ((now - NOW) % STEP_MS == 0 && what == 'r')
         bd_targets_remove (targets, now, BD_CHUNK ("r0"), 20);
