--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -159,9 +159,10 @@
   return bd_suspects_record (crashes->suspects, now_ms, &strike) || fresh;
 }
 
-/* Blames the parts of the prompt for the crash.  A request without a head of
-   its response may have met a runner that had crashed before. */
-static void
+/* Blames the parts of the prompt for the crash, and returns whether that was
+   new.  A request without a head of its response may have met a runner that
+   had crashed before. */
+static bool
 blame_parts (struct bd_crashes *crashes, const struct crash_case *c)
 {
   const struct bd_part_list *parts = &c->fingerprint.parts;
@@ -172,7 +173,7 @@
 
   if (!c->answering
       || !bd_part_breakers_crashed (crashes->breakers, parts, &crash))
-    return;
+    return false;
   for (size_t i = 0; i < parts->count; i++)
     {
       uint32_t count
@@ -184,19 +185,22 @@
                 " runner=%s",
                 parts->parts[i], count, c->crash.low, c->runner);
     }
+  return true;
 }
 
 static void
 confirm_case (struct bd_crashes *crashes, int64_t now_ms,
               const struct crash_case *c, const char *by)
 {
-  blame_parts (crashes, c);
+  bool blamed = blame_parts (crashes, c);
+
   if (record_strike (crashes, now_ms, c, false))
-    bd_log (BD_EVENT_STRIKE,
-            "fingerprint=%016" PRIx64 " crash=%016" PRIx64
-            " runner=%s alone=%d by=%s after_ms=%" PRId64,
-            c->fingerprint.exact, c->crash.low, c->runner, (int)c->suspected,
-            by, now_ms - c->opened_ms);
+    bd_log (
+        BD_EVENT_STRIKE,
+        "fingerprint=%016" PRIx64 " crash=%016" PRIx64
+        " runner=%s alone=%d by=%s after_ms=%" PRId64 " parts=%zu blamed=%d",
+        c->fingerprint.exact, c->crash.low, c->runner, (int)c->suspected, by,
+        now_ms - c->opened_ms, c->fingerprint.parts.count, (int)blamed);
 }
 
 static void
--- a/test/soak/fatal_request.c
+++ b/test/soak/fatal_request.c
@@ -18,6 +18,10 @@
    gossip it; what it saw is lost when it is killed before. */
 #define OBSERVE_MS 2500
 #define CRASHES_MAX 64
+/* Moments at which a runner crashes under a fatal part: before the head of its
+   answer, right after it, or after so many events. */
+#define BEFORE_HEAD (-1)
+#define EVENTS_MAX 60
 /* Index of the first fatal request with a part, and the share of these. */
 #define FIRST_WITH_PART 5
 #define PART_SHARE 0.4
@@ -84,6 +88,25 @@
   return fatal->part;
 }
 
+int32_t
+soak_fatal_crash_after (const struct soak *soak,
+                        const struct soak_attempt *attempt)
+{
+  static const int32_t moments[] = { BEFORE_HEAD, 0, 1, 3, 12, EVENTS_MAX };
+
+  if (soak->crash_after != SOAK_CRASH_ANY)
+    return soak->crash_after;
+  return moments[g_str_hash (attempt->id) % G_N_ELEMENTS (moments)];
+}
+
+bool
+soak_fatal_breaks_event (const struct soak *soak,
+                         const struct soak_attempt *attempt)
+{
+  return soak_fatal_crash_after (soak, attempt) > 0
+         && g_str_hash (attempt->id) / 16 % 2 == 0;
+}
+
 static uint32_t
 crashes_allowed (const struct soak_fatal *fatal)
 {
--- a/test/soak/runner.c
+++ b/test/soak/runner.c
@@ -33,6 +33,7 @@
   struct soak_attempt *attempt;
   uv_timer_t timer;
   uint32_t last_event; /* Number of the last event sent. */
+  int32_t step_count;  /* Events that a fatal part let it send. */
   uint32_t stop_after; /* Event to break off after; UINT32_MAX: none. */
   bool head_sent;
   char software[SOAK_SOFTWARE_BYTES];
@@ -224,15 +225,26 @@
   run->head_sent = true;
 }
 
-/* Sends the head in the first step, and crashes the runner in the next. */
+/* Takes one step of an answer, up to the moment at which the runner crashes.
+ */
 static void
 step_fatal_part (struct run *run)
 {
-  if (!run->head_sent)
+  int32_t crash_after
+      = soak_fatal_crash_after (run->runner->soak, run->attempt);
+
+  if (!run->head_sent && crash_after >= 0)
     {
       begin_stream (run);
       return;
     }
+  if (run->step_count++ < crash_after)
+    {
+      send_event (run);
+      return;
+    }
+  if (soak_fatal_breaks_event (run->runner->soak, run->attempt))
+    bd_exchange_send (run->exchange, BD_CHUNK ("id: 99\ndata: half"));
   soak_fatal_start (run->runner->soak, run->attempt, run->runner);
   break_connection (run);
 }
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -457,12 +457,17 @@
             "End all gateways at once, again and again", NULL },
           { "calm-store", 0, 0, G_OPTION_ARG_NONE, &calm_store,
             "The store is never disturbed", NULL },
+          { "crash-after", 0, 0, G_OPTION_ARG_INT, &run.soak.crash_after,
+            "Events after which runners crash under a fatal part of prompts; "
+            "-1: before the head (default: drawn for each request)",
+            "N" },
           { 0 } };
   GOptionContext *context
       = g_option_context_new ("- soak test of the gateway");
   GError *error = NULL;
 
   run.seconds = 20;
+  run.soak.crash_after = SOAK_CRASH_ANY;
   run.gateways = 6;
   run.runners = 16;
   g_option_context_add_main_entries (context, entries, NULL);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -99,12 +99,15 @@
   FILE *record;
   char folder[256];
   char program[256];
-  int net;              /**< Addresses are 127.NET.x.y. */
-  bool stopping;        /**< No new requests are sent. */
-  bool ends_all;        /**< All gateways are ended at once, again and again,
-                           and no request crashes runners. */
-  bool calm_store;      /**< The store is reached all the time and keeps what
-                           it acknowledged. */
+  int net;         /**< Addresses are 127.NET.x.y. */
+  bool stopping;   /**< No new requests are sent. */
+  bool ends_all;   /**< All gateways are ended at once, again and again,
+                      and no request crashes runners. */
+  bool calm_store; /**< The store is reached all the time and keeps what
+                      it acknowledged. */
+  /** Events after which runners crash under a fatal part, -1: before the head
+      of the answer, or SOAK_CRASH_ANY. */
+  int crash_after;
   uint32_t open_faults; /**< Active faults of runners, connections or store. */
   int64_t last_fault_ms;      /**< End of the most recent fault. */
   int64_t must_serve_from_ms; /**< Later requests must succeed; 0: off. */
@@ -412,6 +415,20 @@
 /** Part of the prompt that crashes runners, or NULL: the request does. */
 const char *soak_fatal_part (const struct soak_fatal *fatal);
 
+/** Any moment at which a runner crashes under a fatal part. */
+#define SOAK_CRASH_ANY (-2)
+
+/**
+ * Returns after how many events of its answer to ATTEMPT, which has a fatal
+ * part, a runner crashes; -1: before the head.
+ */
+int32_t soak_fatal_crash_after (const struct soak *soak,
+                                const struct soak_attempt *attempt);
+
+/** Returns whether the runner crashes within the event after these. */
+bool soak_fatal_breaks_event (const struct soak *soak,
+                              const struct soak_attempt *attempt);
+
 /**
  * Finds out which crashes the gateways can know of; to be called several
  * times a second.
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -11,7 +11,7 @@
 #include <glib.h>
 
 #define SUPPORT_RUNNERS_MAX 6
-#define SUPPORT_CALLERS_MAX 4
+#define SUPPORT_CALLERS_MAX 6
 
 /** What a runner does after sending its bytes. */
 enum support_ending
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -1117,7 +1117,7 @@
       "X-Basildock-Prefix-Hash: aa:100,%s:200,c%d:30,d%d:10\r\n", "bad", i, i);
   char *body = g_strdup_printf ("body %d", i);
   char *text = support_request (path, "a1", parts, body);
-  struct support_caller *caller = support_caller_send (g, 0, text);
+  struct support_caller *caller = support_caller_send (g, i, text);
 
   g_free (text);
   g_free (body);
@@ -1126,13 +1126,31 @@
   return caller;
 }
 
+/* How much of an answer to a request with the fatal part reaches the gateway
+   before its runner crashes. */
+struct crash_case
+{
+  const char *name;
+  struct support_step step;
+};
+
+static const struct crash_case crash_cases[] = {
+  { "after-head", { STREAM_HEAD, SUPPORT_CRASH } },
+  { "before-head", { "", SUPPORT_CRASH } },
+  { "within-event", { STREAM_HEAD "5\r\nid: 1\r\n", SUPPORT_CRASH } },
+  { "after-event", { STREAM_HEAD EVENT ("1"), SUPPORT_CRASH } },
+  { "after-events",
+    { STREAM_HEAD EVENT ("1") EVENT ("2") EVENT ("3") "5\r\nid: 4\r\n",
+      SUPPORT_CRASH } },
+};
+
 /* Guards against a part of a prompt that crashes each runner that begins to
    answer it, in requests that are otherwise different: after five crashes no
-   runner gets one. */
+   runner gets one, however much of the answers was read. */
 static void
-test_crashing_part (void)
+test_crashing_part (gconstpointer data)
 {
-  static const struct support_step crash = { STREAM_HEAD, SUPPORT_CRASH };
+  const struct crash_case *c = data;
   struct support_gateway g;
   struct support_caller *caller;
   struct support_runner *runner;
@@ -1140,13 +1158,15 @@
   support_gateway_open (&g);
   for (int i = 0; i < 5; i++)
     {
-      support_gateway_runner (&g, i, &crash, 1);
+      support_gateway_runner (&g, i, &c->step, 1);
       caller = call_with_part (&g, i);
-      support_await (caller, "\r\n\r\n");
-      g_string_truncate (caller->in, 0);
+      if (strstr (c->step.bytes, "data:"))
+        support_await_end (caller);
+      else
+        support_await (caller, "\r\n\r\n");
       support_gateway_unlist (&g, i);
     }
-  runner = support_gateway_runner (&g, 5, &crash, 1);
+  runner = support_gateway_runner (&g, 5, &c->step, 1);
   caller = call_with_part (&g, 5);
   support_await (caller, "\r\n\r\n");
   if (runner->request_count > 0)
@@ -1209,6 +1229,13 @@
   g_test_add_func ("/forward/limits", test_limits);
   g_test_add_func ("/forward/rate-limit", test_rate_limit);
   g_test_add_func ("/forward/rate-limit-all", test_rate_limit_all);
-  g_test_add_func ("/forward/crashing-part", test_crashing_part);
+  for (size_t i = 0; i < G_N_ELEMENTS (crash_cases); i++)
+    {
+      char *path
+          = g_strdup_printf ("/forward/crashing-part/%s", crash_cases[i].name);
+
+      g_test_add_data_func (path, &crash_cases[i], test_crashing_part);
+      g_free (path);
+    }
   return g_test_run ();
 }
