--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -10,6 +10,10 @@
    after its first sign. */
 #define LATE_BYTES_MS 200
 
+/* A runner that has crashed and started again is listed with its new start
+   within this time. */
+#define RESTART_LISTED_MS 3000
+
 /* Confirmed crashes that are remembered, for requests that were at the same
    runner and whose case opens later. */
 #define KNOWN_CRASHES_MAX 64
@@ -34,7 +38,8 @@
   enum probe_state probe;
   bool suspected;   /* The request was suspected when the attempt was sent. */
   bool provisional; /* Counts as a provisional strike. */
-  bool answering;   /* The runner had begun to answer. */
+  bool arrived;     /* The request reached the runner before the crash. */
+  bool has_events;  /* The request itself is harmless, so it gets no strike. */
 };
 
 enum verdict
@@ -126,18 +131,11 @@
   bd_part_breakers_sent (crashes->breakers, now_ms, &fingerprint->parts);
 }
 
-void
-bd_crashes_survived (struct bd_crashes *crashes, int64_t now_ms,
-                     const struct bd_fingerprint *fingerprint)
-{
-  bd_part_breakers_survived (crashes->breakers, now_ms, &fingerprint->parts);
-}
-
 void
 bd_crashes_completed (struct bd_crashes *crashes, int64_t now_ms,
                       const struct bd_fingerprint *fingerprint)
 {
-  bd_crashes_survived (crashes, now_ms, fingerprint);
+  bd_part_breakers_survived (crashes->breakers, now_ms, &fingerprint->parts);
   bd_suspects_completed (crashes->suspects, now_ms, fingerprint->exact);
   bd_suspects_completed (crashes->suspects, now_ms, fingerprint->broad);
 }
@@ -160,8 +158,7 @@
 }
 
 /* Blames the parts of the prompt for the crash, and returns whether that was
-   new.  A request without a head of its response may have met a runner that
-   had crashed before. */
+   new. */
 static bool
 blame_parts (struct bd_crashes *crashes, const struct crash_case *c)
 {
@@ -171,7 +168,7 @@
                                  .heard_ms = c->heard_ms,
                                  .at_ms = c->opened_ms };
 
-  if (!c->answering
+  if (!c->arrived
       || !bd_part_breakers_crashed (crashes->breakers, parts, &crash))
     return false;
   for (size_t i = 0; i < parts->count; i++)
@@ -193,14 +190,16 @@
               const struct crash_case *c, const char *by)
 {
   bool blamed = blame_parts (crashes, c);
-
-  if (record_strike (crashes, now_ms, c, false))
-    bd_log (
-        BD_EVENT_STRIKE,
-        "fingerprint=%016" PRIx64 " crash=%016" PRIx64
-        " runner=%s alone=%d by=%s after_ms=%" PRId64 " parts=%zu blamed=%d",
-        c->fingerprint.exact, c->crash.low, c->runner, (int)c->suspected, by,
-        now_ms - c->opened_ms, c->fingerprint.parts.count, (int)blamed);
+  bool struck = !c->has_events && record_strike (crashes, now_ms, c, false);
+
+  if (blamed || struck)
+    bd_log (BD_EVENT_STRIKE,
+            "fingerprint=%016" PRIx64 " crash=%016" PRIx64
+            " runner=%s alone=%d by=%s after_ms=%" PRId64
+            " parts=%zu blamed=%d events=%d",
+            c->fingerprint.exact, c->crash.low, c->runner, (int)c->suspected,
+            by, now_ms - c->opened_ms, c->fingerprint.parts.count, (int)blamed,
+            (int)c->has_events);
 }
 
 static void
@@ -284,6 +283,18 @@
   return target->last_byte_ms;
 }
 
+/* Returns whether the request reached its runner while that lived.  A host
+   that went dark before resets the connection when it is back; C is then the
+   case that its silence had opened. */
+static bool
+has_arrived (const struct bd_crash_attempt *attempt,
+             const struct crash_case *c)
+{
+  if (attempt->target->last_byte_ms > attempt->sent_ms)
+    return true;
+  return attempt->evidence == BD_CRASH_CONNECTION_LOST && !c;
+}
+
 void
 bd_crashes_open (struct bd_crashes *crashes, int64_t now_ms,
                  const struct bd_crash_attempt *attempt)
@@ -299,13 +310,15 @@
           .opened_ms = now_ms,
           .evidence = evidence,
           .suspected = attempt->suspected,
-          .answering = attempt->answering,
-          .provisional = evidence != BD_CRASH_NO_RESPONSE };
+          .has_events = attempt->has_events,
+          .provisional
+          = evidence != BD_CRASH_NO_RESPONSE && !attempt->has_events };
   struct crash_case *c
       = find_case (crashes, fresh.crash, fresh.fingerprint.exact);
 
   if (is_leaving (target) || (c && c->evidence <= evidence))
     return;
+  fresh.arrived = has_arrived (attempt, c);
   if (!c)
     {
       fresh.runner = bd_chunk_copy (target->id);
@@ -317,7 +330,7 @@
   else
     {
       fresh.runner = c->runner;
-      fresh.answering = fresh.answering || c->answering;
+      fresh.arrived = fresh.arrived || c->arrived;
     }
   *c = fresh;
   if (c->provisional)
@@ -443,6 +456,18 @@
   return confirmed;
 }
 
+/* Returns whether C is to be dismissed because the runner was heard again.
+   After a lost connection that may have been its next process, which the list
+   shows a little later. */
+static bool
+is_heard_again (const struct crash_case *c, const struct bd_target *target,
+                int64_t age_ms)
+{
+  return target->last_byte_ms > c->opened_ms + LATE_BYTES_MS
+         && (c->evidence != BD_CRASH_CONNECTION_LOST
+             || age_ms > RESTART_LISTED_MS);
+}
+
 /* Decides C by the list of runners and by what was received from the runner;
    BY is set to the reason, for the log. */
 static enum verdict
@@ -463,7 +488,7 @@
   if (is_leaving (target))
     return VERDICT_DISMISSED;
   *by = "heard";
-  if (target->last_byte_ms > c->opened_ms + LATE_BYTES_MS)
+  if (is_heard_again (c, target, age_ms))
     return VERDICT_DISMISSED;
   *by = "time";
   if (age_ms > BD_CRASH_OPEN_MAX_MS)
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -12,6 +12,12 @@
  * still listed unchanged after the time in which the entry of a crashed runner
  * lapses.  While the case is open it counts as a provisional strike, at this
  * instance only; the strike of a confirmed case is sent to the peers.
+ *
+ * A confirmed case also counts against the parts of the prompt
+ * (part_breaker.h), however much of the answer had been read: a process that
+ * ends may lose what it has written.  Required is only that the request had
+ * reached the runner, so that sound requests that meet hosts which went dark
+ * before are not blamed.
  */
 #ifndef BD_CRASH_H
 #define BD_CRASH_H
@@ -75,9 +81,9 @@
   enum bd_crash_evidence evidence;
   /** The request was suspected when the attempt was sent. */
   bool suspected;
-  /** The runner had begun to answer, so a part of the prompt may have crashed
-      it. */
-  bool answering;
+  /** Events of the answer were received.  This shows that the request itself
+      is harmless, but not that the parts of its prompt are. */
+  bool has_events;
 };
 
 struct bd_crashes;
@@ -101,10 +107,6 @@
 void bd_crashes_sent (struct bd_crashes *crashes, int64_t now_ms,
                       const struct bd_fingerprint *fingerprint);
 
-/** Records that a runner goes on answering a request with FINGERPRINT. */
-void bd_crashes_survived (struct bd_crashes *crashes, int64_t now_ms,
-                          const struct bd_fingerprint *fingerprint);
-
 /** Records that a request with FINGERPRINT got a complete response. */
 void bd_crashes_completed (struct bd_crashes *crashes, int64_t now_ms,
                            const struct bd_fingerprint *fingerprint);
--- a/src/gateway/crash_probe.c
+++ b/src/gateway/crash_probe.c
@@ -115,10 +115,8 @@
           .sent_ms = f->sent_ms,
           .evidence = evidence,
           .suspected = f->suspected,
-          .answering = f->status != 0 };
+          .has_events = f->first_event_at_ms != 0 };
 
-  if (f->first_event_at_ms != 0)
-    return;
   bd_crashes_open (forwarder->crashes, now, &attempt);
   if (evidence == BD_CRASH_CONNECTION_LOST)
     bd_forward_probe_runners (forwarder);
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -219,7 +219,8 @@
           f->route->name.data, f->target ? f->target->id.data : "-",
           (unsigned long long)f->event_count,
           (long long)bd_forward_elapsed_ms (f), f->fingerprint.exact);
-  if (f->call && bd_call_sent (f->call) && !f->response_fields.not_executed)
+  if (f->call && bd_call_sent (f->call) && !f->response_fields.not_executed
+      && f->first_event_at_ms == 0)
     bd_forward_open_crash_case (f, BD_CRASH_NO_RESPONSE);
   bd_forward_free (f);
 }
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -115,11 +115,8 @@
   int64_t sent_ms;
   bool suspected; /* The request was suspected when the attempt was sent, so a
                      crash counts as one in which it ran alone. */
-  /* When the first event of the attempt was received; 0: none yet.  The runner
-     survived the start of the request, so a later failure opens no crash
-     case. */
+  /* When the first event of the attempt was received; 0: none yet. */
   int64_t first_event_at_ms;
-  int64_t survival_recorded_ms;
   int64_t target_started_ms; /* Start time of the runner's process, as listed
                                 when the attempt was sent. */
   /* Hash of the software version of the runner, as listed when the attempt was
--- a/src/gateway/response.c
+++ b/src/gateway/response.c
@@ -19,7 +19,6 @@
    and checked at this interval. */
 #define UNREAD_MAX_BYTES ((size_t)64 * 1024)
 #define UNREAD_CHECK_MS 20
-#define SURVIVAL_INTERVAL_MS 100
 /* Most bytes of comments in a stream without an event between them. */
 #define COMMENTS_MAX_BYTES BD_SSE_EVENT_MAX_BYTES
 
@@ -236,19 +235,6 @@
   f->last_event_ms = now;
 }
 
-/* Tells from time to time that the runner goes on answering. */
-static void
-record_survival (struct bd_forward *f)
-{
-  int64_t now = f->last_event_ms;
-
-  if (now - f->first_event_at_ms < BD_PART_SURVIVED_MS
-      || now - f->survival_recorded_ms < SURVIVAL_INTERVAL_MS)
-    return;
-  f->survival_recorded_ms = now;
-  bd_crashes_survived (f->forwarder->crashes, now, &f->fingerprint);
-}
-
 static int
 take_events (struct bd_forward *f)
 {
@@ -271,7 +257,6 @@
     return;
   f->sent_event_count = f->event_count;
   record_event_gap (f);
-  record_survival (f);
 }
 
 /* Handles the end of a read.  The events of one read are sent together, so
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -377,16 +377,53 @@
 
 /* States. */
 
+/* Returns whether crash ID is under another part as well, under which more
+   than COUNT runners crashed in succession. */
+static bool
+is_explained (const struct bd_part_breakers *b, const struct breaker *breaker,
+              struct bd_id id, uint32_t count)
+{
+  for (size_t i = 0; i < b->count; i++)
+    {
+      const struct breaker *other = &b->breakers[i];
+
+      if (other != breaker && has_crash (other, id)
+          && crashes_in_succession (other) > count)
+        return true;
+    }
+  return false;
+}
+
+/* Copies BREAKER without the crashes that other parts explain.  Few breakers
+   have as many crashes as make this necessary. */
+static struct breaker
+without_explained (const struct bd_part_breakers *b,
+                   const struct breaker *breaker)
+{
+  struct breaker own = *breaker;
+  uint32_t count = crashes_in_succession (breaker);
+
+  if (count < BD_PART_CRASHES_MAX
+      && breaker->crash_count < BD_PART_RUNNERS_MAX)
+    return own;
+  for (uint32_t i = own.crash_count; i > 0; i--)
+    if (is_explained (b, breaker, own.crashes[i - 1].id, count))
+      remove_crash (&own, i - 1);
+  return own;
+}
+
 static bool
 is_open (const struct bd_part_breakers *b, const struct breaker *breaker)
 {
+  struct breaker own;
+
   if (!breaker)
     return false;
-  if (crashes_in_succession (breaker) >= BD_PART_CRASHES_MAX)
+  own = without_explained (b, breaker);
+  if (crashes_in_succession (&own) >= BD_PART_CRASHES_MAX)
     return true;
-  return breaker->crash_count >= BD_PART_RUNNERS_MAX
-         && !was_harmless (b, breaker->part)
-         && crashes_in_likely_succession (breaker) >= BD_PART_CRASHES_MAX;
+  return own.crash_count >= BD_PART_RUNNERS_MAX && !was_harmless (b, own.part)
+         && crashes_in_likely_succession (&own) >= BD_PART_CRASHES_MAX;
 }
 
 bool
@@ -515,6 +552,14 @@
                                   .age_ms = now_ms - crash->at_ms };
 }
 
+/* Whether the notices of BREAKER go first: a part with several crashes is more
+   likely to be the cause than the many that were at one crash. */
+static bool
+is_urgent (const struct breaker *breaker)
+{
+  return breaker->crash_count > 1;
+}
+
 static size_t
 append_notices_of (struct breaker *breaker, int64_t now_ms,
                    struct bd_part_notice *notices, size_t max)
@@ -546,9 +591,11 @@
 {
   size_t count = 0;
 
-  for (size_t i = 0; i < breakers->count && count < max; i++)
-    count += append_notices_of (&breakers->breakers[i], now_ms,
-                                notices + count, max - count);
+  for (int pass = 0; pass < 2; pass++)
+    for (size_t i = 0; i < breakers->count && count < max; i++)
+      if (is_urgent (&breakers->breakers[i]) == (pass == 0))
+        count += append_notices_of (&breakers->breakers[i], now_ms,
+                                    notices + count, max - count);
   return count;
 }
 
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -2,12 +2,12 @@
  * @file part_breaker.h
  * Circuit breakers for parts of prompts that crash runners.
  *
- * A part may crash each runner that begins to answer a request with it,
- * whatever else the request holds, so the requests have no fingerprint in
- * common (suspect.h).  A part's breaker counts crashes in succession: crashes
- * under requests with the part, each sent after the crash before.  Crashes at
- * the same moment, as when a rack fails, therefore count as one.  An answer
- * that its runner survives shows that the part is harmless and clears them.
+ * A part may crash each runner that answers a request with it, before or
+ * after the first bytes, whatever else the request holds, so the requests have
+ * no fingerprint in common (suspect.h).  A part's breaker counts crashes in
+ * succession: crashes under requests with the part, each sent after the crash
+ * before.  Crashes at the same moment, as when a rack fails, therefore count
+ * as one.  A complete answer shows that the part is harmless and clears them.
  *
  * A host that went dark is found late, when other requests were sent already.
  * For a part that was never seen to be harmless, BD_PART_RUNNERS_MAX crashes
@@ -19,6 +19,10 @@
  * request pass, whose result closes it, or opens it for longer.  Up to half of
  * the hold time is added at random, so that not all instances try at once.
  *
+ * Many sound requests are at a runner when it crashes.  A crash is not counted
+ * for a part if more runners crashed in succession under another part that was
+ * there too: that one explains it.
+ *
  * Requests share parts.  Blamed for a crash are only those parts of a request
  * that were not seen to be harmless before, or all if all were; of these, the
  * parts with the most crashes in succession.  While two parts are open for
@@ -38,9 +42,6 @@
     BD_PART_RUNNERS_MAX crashes in all; it doubles with each further crash. */
 #define BD_PART_LONG_HOLD_MS 120000
 #define BD_PART_RUNNERS_MAX 5
-/** A runner that goes on answering for this long after the first event has
-    survived, in milliseconds. */
-#define BD_PART_SURVIVED_MS 500
 /** Most parts of a request that are looked at. */
 #define BD_PARTS_MAX 16
 
@@ -106,12 +107,13 @@
                                const struct bd_part_list *parts,
                                const struct bd_part_crash *crash);
 
-/** Records that a runner survived a request with PARTS. */
+/** Records a complete answer to a request with PARTS. */
 void bd_part_breakers_survived (struct bd_part_breakers *breakers,
                                 int64_t now_ms,
                                 const struct bd_part_list *parts);
 
-/** Returns the crashes in succession under requests with PART. */
+/** Returns the crashes in succession under requests with PART, those that
+    another part explains included. */
 uint32_t bd_part_breakers_crashes (const struct bd_part_breakers *breakers,
                                    uint64_t part);
 
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -231,6 +231,52 @@
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against sound requests that are refused because they were at runners
+   that crashed under others: a part with more crashes explains them. */
+static void
+test_explained (void)
+{
+  static const struct bd_part_list bystander = { 1, { OTHER } };
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+
+  crash (b, &bad, 1, 1000);
+  for (uint64_t i = 2; i <= 4; i++)
+    {
+      crash (b, &bystander, i, (int64_t)i * 1000);
+      crash (b, &bad, i, (int64_t)i * 1000);
+    }
+  g_assert_cmpuint (bd_part_breakers_crashes (b, OTHER), ==, 3);
+  g_assert_cmpint (state (b, &bystander, 4100), ==, BD_BREAKER_CLOSED);
+  g_assert_cmpint (state (b, &bad, 4100), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_survived (b, 4200, &bad);
+  g_assert_cmpint (state (b, &bystander, 4200), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_destroy (b);
+}
+
+/* Guards against a part that peers hear of late because many others were at
+   the same crash: a part with several crashes goes first. */
+static void
+test_urgent_notices (void)
+{
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+  struct bd_part_list parts = { 1, { 0 } };
+  struct bd_part_notice notices[NOTICES_MAX];
+
+  for (uint64_t i = 0; i < 100; i++)
+    {
+      parts.parts[0] = 1000 + i;
+      crash (b, &parts, 1, 1000);
+    }
+  crash (b, &bad, 1, 1000);
+  crash (b, &bad, 2, 2000);
+  g_assert_cmpuint (
+      bd_part_breakers_next_notices (b, 2000, notices, NOTICES_MAX), ==,
+      NOTICES_MAX);
+  g_assert_cmpuint (notices[0].part, ==, SHARED);
+  g_assert_cmpuint (notices[2].part, ==, BAD);
+  bd_part_breakers_destroy (b);
+}
+
 /* A part that was harmless before may crash runners from some time on. */
 static void
 test_part_turns_bad (void)
@@ -472,6 +518,8 @@
   g_test_add_func ("/part-breaker/single-part-first", test_single_part_first);
   g_test_add_func ("/part-breaker/either-part", test_either_part);
   g_test_add_func ("/part-breaker/known-part", test_known_part);
+  g_test_add_func ("/part-breaker/explained", test_explained);
+  g_test_add_func ("/part-breaker/urgent-notices", test_urgent_notices);
   g_test_add_func ("/part-breaker/part-turns-bad", test_part_turns_bad);
   g_test_add_func ("/part-breaker/notices", test_notices);
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
