--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -35,6 +35,8 @@
   uint64_t part;
   int64_t harmless_ms; /* When a runner last survived the part. */
   int64_t trial_ms;    /* When a half-open breaker last let a request pass. */
+  int64_t sole_ms; /* When the other part that was blamed for the last crash
+                      was last seen to be harmless. */
   uint32_t harmless_sends_left;
   uint32_t crash_count;
   struct crash crashes[CRASHES_KEPT]; /* By at_ms; all after harmless_ms. */
@@ -167,7 +169,8 @@
     return NULL;
   *breaker = (struct breaker){ .part = part,
                                .harmless_ms = NEVER_MS,
-                               .trial_ms = NEVER_MS };
+                               .trial_ms = NEVER_MS,
+                               .sole_ms = NEVER_MS };
   b->count++;
   return breaker;
 }
@@ -256,15 +259,33 @@
   return true;
 }
 
+/* Records that PART is harmless with the breakers of other parts that were
+   blamed with it. */
+static void
+set_sole (struct bd_part_breakers *b, uint64_t part, int64_t at_ms)
+{
+  for (size_t i = 0; i < b->count; i++)
+    {
+      struct breaker *other = &b->breakers[i];
+
+      if (other->crash_count > 0 && at_ms > other->sole_ms
+          && other->crashes[other->crash_count - 1].other == part)
+        other->sole_ms = at_ms;
+    }
+}
+
 /* Returns whether that changed what is known. */
 static bool
-set_harmless (struct breaker *breaker, int64_t at_ms)
+set_harmless (struct bd_part_breakers *b, struct breaker *breaker,
+              int64_t at_ms)
 {
   uint32_t before = breaker->crash_count;
 
   if (at_ms <= breaker->harmless_ms)
     return false;
   breaker->harmless_ms = at_ms;
+  if (before > 0)
+    set_sole (b, breaker->part, at_ms);
   while (breaker->crash_count > 0 && breaker->crashes[0].at_ms <= at_ms)
     remove_crash (breaker, 0);
   return breaker->crash_count < before;
@@ -363,7 +384,7 @@
 
       *harmless_slot (breakers, parts->parts[i])
           = (struct harmless_part){ parts->parts[i], now_ms, false };
-      if (breaker && set_harmless (breaker, now_ms))
+      if (breaker && set_harmless (breakers, breaker, now_ms))
         breaker->harmless_sends_left = SENDS_PER_NOTICE;
     }
 }
@@ -377,18 +398,33 @@
 
 /* States. */
 
-/* Returns whether crash ID is under another part as well, under which more
-   than COUNT runners crashed in succession. */
+/* Returns whether OTHER is more likely to be the cause of crashes than a part
+   under which COUNT runners crashed in succession. */
+static bool
+is_likelier (const struct bd_part_breakers *b, const struct breaker *other,
+             uint32_t count, bool harmless_before)
+{
+  uint32_t others = crashes_in_succession (other);
+
+  return others > count
+         || (others == count && harmless_before
+             && !was_harmless (b, other->part));
+}
+
+/* Returns whether crash ID is under another part as well that is more likely
+   to be its cause; COUNT runners crashed in succession under BREAKER. */
 static bool
 is_explained (const struct bd_part_breakers *b, const struct breaker *breaker,
               struct bd_id id, uint32_t count)
 {
+  bool harmless_before = was_harmless (b, breaker->part);
+
   for (size_t i = 0; i < b->count; i++)
     {
       const struct breaker *other = &b->breakers[i];
 
       if (other != breaker && has_crash (other, id)
-          && crashes_in_succession (other) > count)
+          && is_likelier (b, other, count, harmless_before))
         return true;
     }
   return false;
@@ -453,8 +489,19 @@
                                                      : BD_PART_HOLD_MS;
 }
 
-/* Returns how long an open breaker with CRASHES in succession stays open after
-   the last one, for a request with OPEN_COUNT open parts. */
+/* Returns since when BREAKER is held: from the last crash, or from when it
+   turned out that no other part can have caused it.  Otherwise the instances,
+   which learn this at the same time, would all let a request pass then. */
+static int64_t
+held_from_ms (const struct breaker *breaker)
+{
+  int64_t crashed_ms = last_ms (breaker);
+
+  return breaker->sole_ms > crashed_ms ? breaker->sole_ms : crashed_ms;
+}
+
+/* Returns how long an open breaker with CRASHES in succession stays open, for
+ * a request with OPEN_COUNT open parts. */
 static int64_t
 hold_ms (const struct bd_part_breakers *b, const struct breaker *breaker,
          uint32_t crashes, uint32_t open_count)
@@ -462,8 +509,8 @@
   int64_t base_ms = open_count == 1 && is_ambiguous (b, breaker)
                         ? BD_PART_HOLD_MS
                         : base_hold_ms (breaker, crashes);
-  uint64_t random
-      = bd_random_mix (b->seed ^ breaker->part ^ (uint64_t)last_ms (breaker));
+  uint64_t random = bd_random_mix (b->seed ^ breaker->part
+                                   ^ (uint64_t)held_from_ms (breaker));
 
   return base_ms * open_count
          + bd_random_below (&random, (uint32_t)base_ms / 2);
@@ -485,7 +532,7 @@
     }
   for (uint32_t i = 0; i < count; i++)
     if (now_ms - open[i]->trial_ms < TRIAL_MS
-        || now_ms - last_ms (open[i])
+        || now_ms - held_from_ms (open[i])
                < hold_ms (breakers, open[i], crashes[i], count))
       return BD_BREAKER_OPEN;
   return count > 0 ? BD_BREAKER_HALF_OPEN : BD_BREAKER_CLOSED;
@@ -536,8 +583,9 @@
   breaker = get_breaker (breakers, notice->part);
   if (!breaker)
     return false;
-  return notice->harmless ? set_harmless (breaker, now_ms - notice->age_ms)
-                          : apply_crash (breaker, now_ms, notice);
+  return notice->harmless
+             ? set_harmless (breakers, breaker, now_ms - notice->age_ms)
+             : apply_crash (breaker, now_ms, notice);
 }
 
 static struct bd_part_notice
--- a/test/soak/fault_schedule.c
+++ b/test/soak/fault_schedule.c
@@ -10,8 +10,10 @@
 #define DURATION_SPREAD_MS 4000
 #define DURATION_MIN_MS 300
 #define FAULTS_MAX 16
-/* Duration of a crash caused by a fatal request. */
+/* Duration of a crash caused by a fatal request; one in so many is short. */
 #define CRASH_DURATION_MS 4000
+#define SHORT_CRASH_MS 150
+#define SHORT_ONE_IN 3
 #define SEED_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 #define NO_INDEX UINT32_MAX
 /* A runner that shuts down is removed after the first time and starts again
@@ -248,6 +250,14 @@
   soak_runner_start (runner, soak_runner_service (runner));
 }
 
+/* Some runners are back at once. */
+static int64_t
+crash_duration (const struct soak *soak)
+{
+  return soak->runner_crashes % SHORT_ONE_IN == 0 ? SHORT_CRASH_MS
+                                                  : CRASH_DURATION_MS;
+}
+
 bool
 soak_plan_crash_runner (struct soak *soak, struct soak_runner *runner,
                         bool host_down)
@@ -265,7 +275,7 @@
   else
     soak_runner_crash (runner);
   open_fault (soak, host_down ? end_host_down : end_crash, index,
-              CRASH_DURATION_MS, false);
+              crash_duration (soak), false);
   return true;
 }
 
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -183,10 +183,40 @@
   bd_part_breakers_sent (b, now_ms, &sound);
   bd_part_breakers_survived (b, now_ms + 600, &sound);
   g_assert_cmpint (state (b, &sound, now_ms + 600), ==, BD_BREAKER_CLOSED);
-  g_assert_cmpint (state (b, &bad, now_ms + 600), ==, BD_BREAKER_HALF_OPEN);
+  now_ms += 600 + BD_PART_HOLD_MS;
+  g_assert_cmpint (state (b, &bad, now_ms - 1), ==, BD_BREAKER_OPEN);
+  g_assert_cmpint (state (b, &bad, now_ms + BD_PART_HOLD_MS / 2), ==,
+                   BD_BREAKER_HALF_OPEN);
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against instances that all let a request with the bad part pass at
+   the moment at which they hear that the other part is harmless. */
+static void
+test_staggered_trials (void)
+{
+  struct bd_part_breakers *all[INSTANCES];
+  int64_t now_ms = 3000 + 2 * (int64_t)BD_PART_HOLD_MS;
+  int half_open = 0;
+
+  for (size_t i = 0; i < INSTANCES; i++)
+    {
+      all[i] = bd_part_breakers_create (i + 1);
+      for (uint64_t c = 1; c <= 3; c++)
+        crash (all[i], &bad, c, (int64_t)c * 1000);
+      bd_part_breakers_survived (all[i], now_ms, &sound);
+      g_assert_cmpint (state (all[i], &sound, now_ms), ==, BD_BREAKER_CLOSED);
+      g_assert_cmpint (state (all[i], &bad, now_ms), ==, BD_BREAKER_OPEN);
+    }
+  now_ms += BD_PART_HOLD_MS + BD_PART_HOLD_MS / 4;
+  for (size_t i = 0; i < INSTANCES; i++)
+    half_open += state (all[i], &bad, now_ms) == BD_BREAKER_HALF_OPEN;
+  g_assert_cmpint (half_open, >, 0);
+  g_assert_cmpint (half_open, <, INSTANCES);
+  for (size_t i = 0; i < INSTANCES; i++)
+    bd_part_breakers_destroy (all[i]);
+}
+
 /* Guards against sound requests that are refused for long because they share a
    part with requests that crash runners: after many crashes that may be due to
    either part, the shared one alone is still tried soon, and once it is
@@ -253,6 +283,28 @@
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against sound requests that are refused because they were at each of
+   the runners that crashed: at as many crashes, a part that was harmless
+   before yields to one that never was. */
+static void
+test_harmless_before (void)
+{
+  static const struct bd_part_list bystander = { 1, { OTHER } };
+  static const struct bd_part_list only_bad = { 1, { BAD } };
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+
+  bd_part_breakers_survived (b, 500, &bystander);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      crash (b, &bystander, i, (int64_t)i * 1000);
+      crash (b, &only_bad, i, (int64_t)i * 1000);
+    }
+  g_assert_cmpuint (bd_part_breakers_crashes (b, OTHER), ==, 3);
+  g_assert_cmpint (state (b, &bystander, 3100), ==, BD_BREAKER_CLOSED);
+  g_assert_cmpint (state (b, &only_bad, 3100), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_destroy (b);
+}
+
 /* Guards against a part that peers hear of late because many others were at
    the same crash: a part with several crashes goes first. */
 static void
@@ -516,9 +568,11 @@
   g_test_add_func ("/part-breaker/survived", test_survived);
   g_test_add_func ("/part-breaker/half-open", test_half_open);
   g_test_add_func ("/part-breaker/single-part-first", test_single_part_first);
+  g_test_add_func ("/part-breaker/staggered-trials", test_staggered_trials);
   g_test_add_func ("/part-breaker/either-part", test_either_part);
   g_test_add_func ("/part-breaker/known-part", test_known_part);
   g_test_add_func ("/part-breaker/explained", test_explained);
+  g_test_add_func ("/part-breaker/harmless-before", test_harmless_before);
   g_test_add_func ("/part-breaker/urgent-notices", test_urgent_notices);
   g_test_add_func ("/part-breaker/part-turns-bad", test_part_turns_bad);
   g_test_add_func ("/part-breaker/notices", test_notices);
