--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -109,6 +109,23 @@
                   (uint64_t)((double)f->route->objective_ms * ratio), 0);
 }
 
+/* Counts a request that is sent: at a runner with a limit, in another zone,
+   and there for a prefix that is cached. */
+static void
+count_sent (const struct bd_forward *f, const struct bd_selection *selection)
+{
+  const struct bd_target *target = selection->target;
+  struct bd_stats *stats = f->forwarder->options.stats;
+
+  if (bd_runner_limit_rate (target, f->selection_request.now_ms) != 0)
+    bd_stats_count (stats, BD_STAT_LIMITED_SENT, 1);
+  if (bd_chunk_equal (target->zone, f->selection_request.zone))
+    return;
+  bd_stats_count (stats, BD_STAT_OTHER_ZONE, 1);
+  if (selection->reason <= BD_SELECTION_WARM)
+    bd_stats_count (stats, BD_STAT_OTHER_ZONE_PREFIX, 1);
+}
+
 static int
 send_to (struct bd_forward *f, const struct bd_selection *selection)
 {
@@ -146,8 +163,7 @@
       f->target = NULL;
       return BD_ERR_IO;
     }
-  if (bd_runner_limit_rate (target, f->selection_request.now_ms) != 0)
-    bd_stats_count (options->stats, BD_STAT_LIMITED_SENT, 1);
+  count_sent (f, selection);
   target->in_flight++;
   f->prefill_tokens = selection->prefill_tokens;
   f->queued_tokens = selection->prefill_tokens;
@@ -189,12 +205,13 @@
   char id[BD_FORWARD_ID_BYTES];
 
   bd_log (BD_EVENT_REQUEST_PLACED,
-          "request=%s route=%s runner=%s place=%s prefix=%08x source=%s "
+          "request=%s route=%s runner=%s zone=%s place=%s prefix=%08x "
+          "source=%s "
           "cost_ms=%.0f "
           "prefill=%llu ahead=%llu in_flight=%u+%u priority=%d by=%08x "
           "left_ms=%lld limit_rate=%u software=%s",
           bd_log_quote (f->request_fields.attempt_id, id, sizeof id),
-          f->route->name.data, target->id.data,
+          f->route->name.data, target->id.data, target->zone.data,
           bd_selection_reason_name (selection->reason),
           (unsigned)f->selection_request.prefix_hash,
           selection->source ? selection->source->id.data : "-",
--- a/src/gateway/stats.h
+++ b/src/gateway/stats.h
@@ -27,6 +27,9 @@
   X (PAUSES, "pauses", "Answers in which a runner asked for a pause")         \
   X (LIMITS, "limits", "Answers in which a runner named a limit")             \
   X (LIMITED_SENT, "limited_sent", "Requests sent to runners with a limit")   \
+  X (OTHER_ZONE, "other_zone", "Requests sent to runners in other zones")     \
+  X (OTHER_ZONE_PREFIX, "other_zone_prefix",                                  \
+     "Requests sent to other zones for a prefix that is cached there")        \
   X (STORE_CALLS, "store_calls", "Calls to the platform's store")             \
   X (STORE_FAILURES, "store_failures", "Calls to the store that failed")      \
   X (ENTRIES_REFUSED, "entries_refused", "Entries of the store left out")     \
