--- a/test/test_zone_cost.c
+++ b/test/test_zone_cost.c
@@ -43,7 +43,7 @@
 {
   double last = 0.0;
 
-  for (double wait_ms = 30.0; wait_ms <= 110.0; wait_ms += 10.0)
+  for (int wait_ms = 30; wait_ms <= 110; wait_ms += 10)
     {
       double ratio = leaving_ratio (wait_ms, wait_ms);
 
