--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -270,18 +270,6 @@
                                                       : BD_SELECTION_COLD;
 }
 
-/* Time in which TARGET fetches the prefix from SOURCE. */
-static double
-fetch_ms (const struct bd_selection_request *request,
-          const struct bd_target *target, const struct bd_target *source)
-{
-  if (!bd_chunk_equal (target->zone, source->zone))
-    return bd_zone_cost_fetch_ms (request->prefix_tokens,
-                                  request->fetch_us_per_k);
-  return (double)request->prefix_tokens / TOKENS_PER_K
-         * request->fetch_us_per_k / US_PER_MS;
-}
-
 /* Cost of processing or fetching the prefix, by the selection's reason. */
 static double
 prefix_cost (const struct bd_selection_request *request,
@@ -298,7 +286,8 @@
       return prefix_ms;
     case BD_SELECTION_FETCH:
       return FETCH_COST_MS
-             + FETCH_WEIGHT * fetch_ms (request, pick->target, pick->source);
+             + FETCH_WEIGHT * (double)request->prefix_tokens / TOKENS_PER_K
+                   * request->fetch_us_per_k / US_PER_MS;
     case BD_SELECTION_FIRST:
       return pick->target == holders->preferred[0] ? 0.0 : ELSEWHERE_COST_MS;
     default:
@@ -456,20 +445,17 @@
              && !bd_pause_requested (target, request->now_ms));
 }
 
-/* The cheapest runner of one zone or of the others, and the least wait. */
+/* The cheapest runner of one zone or of the others. */
 struct candidate
 {
   struct bd_selection best;
   uint32_t ties;
-  double wait_ms;
 };
 
 static void
 add_candidate (struct bd_selector *selector, const struct bd_selection *pick,
                struct candidate *candidate)
 {
-  if (pick->wait_ms < candidate->wait_ms)
-    candidate->wait_ms = pick->wait_ms;
   if (pick->cost_ms > candidate->best.cost_ms)
     return;
   candidate->ties
@@ -487,7 +473,8 @@
 {
   struct bd_selection away = other->best;
   struct bd_zone_cost_request leaving
-      = { .own_wait_ms = own->wait_ms, .objective_ms = request->objective_ms };
+      = { .own_delay_ms = own->best.cost_ms,
+          .objective_ms = request->objective_ms };
 
   if (!away.target)
     return own->best;
@@ -504,8 +491,7 @@
           struct bd_target *const *targets, size_t count, bool check_health)
 {
   struct holders holders = find_holders (selector, request, targets, count);
-  struct candidate own
-      = { .best = { .cost_ms = DBL_MAX }, .wait_ms = DBL_MAX };
+  struct candidate own = { .best = { .cost_ms = DBL_MAX } };
   struct candidate other = own;
 
   for (size_t i = 0; i < count; i++)
