--- a/src/balance/selection.c
+++ b/src/balance/selection.c
@@ -6,7 +6,6 @@
 #include "balance/outlier.h"
 #include "balance/pause.h"
 #include "balance/shard.h"
-#include "balance/zone_cost.h"
 #include "common/random.h"
 
 #include <float.h>
@@ -14,8 +13,8 @@
 
 /* Cost of each request in flight, in ms of delay to the next one. */
 #define RUNNING_COST_MS 3.0
-/* Resolution of the random number that is drawn for leaving the zone. */
-#define DRAW_STEPS 1000
+/* Cost of a runner in another availability zone, in ms of delay. */
+#define ZONE_COST_MS 12.0
 /* Cost of a certain failure: ms of delay for an engine, for a plain service a
    multiple of a request's work. */
 #define FAILURE_COST_MS 1500.0
@@ -424,6 +423,8 @@
     estimate_engine (selector, request, holders, &pick);
   else
     estimate_plain (selector, request, &pick);
+  if (!bd_chunk_equal (target->zone, request->zone))
+    pick.cost_ms += ZONE_COST_MS;
   pick.cost_ms += health_cost (selector, request, target);
   return pick;
 }
@@ -445,67 +446,29 @@
              && !bd_pause_requested (target, request->now_ms));
 }
 
-/* The cheapest runner of one zone or of the others. */
-struct candidate
-{
-  struct bd_selection best;
-  uint32_t ties;
-};
-
-static void
-add_candidate (struct bd_selector *selector, const struct bd_selection *pick,
-               struct candidate *candidate)
-{
-  if (pick->cost_ms > candidate->best.cost_ms)
-    return;
-  candidate->ties
-      = pick->cost_ms < candidate->best.cost_ms ? 1 : candidate->ties + 1;
-  if (candidate->ties == 1
-      || bd_random_below (&selector->random, candidate->ties) == 0)
-    candidate->best = *pick;
-}
-
-/* Selects between the request's own zone and the others. */
-static struct bd_selection
-choose_zone (struct bd_selector *selector,
-             const struct bd_selection_request *request,
-             const struct candidate *own, const struct candidate *other)
-{
-  struct bd_selection away = other->best;
-  struct bd_zone_cost_request leaving
-      = { .own_delay_ms = own->best.cost_ms,
-          .objective_ms = request->objective_ms };
-
-  if (!away.target)
-    return own->best;
-  leaving.draw
-      = (double)bd_random_below (&selector->random, DRAW_STEPS) / DRAW_STEPS;
-  away.cost_ms += bd_zone_cost_ms (&leaving);
-  return own->best.target && own->best.cost_ms <= away.cost_ms ? own->best
-                                                               : away;
-}
-
 static struct bd_selection
 cheapest (struct bd_selector *selector,
           const struct bd_selection_request *request,
           struct bd_target *const *targets, size_t count, bool check_health)
 {
   struct holders holders = find_holders (selector, request, targets, count);
-  struct candidate own = { .best = { .cost_ms = DBL_MAX } };
-  struct candidate other = own;
+  struct bd_selection best = { .cost_ms = DBL_MAX };
+  uint32_t ties = 0;
 
   for (size_t i = 0; i < count; i++)
     {
       struct bd_selection pick;
-      bool is_own;
 
       if (!is_eligible (request, targets[i], check_health))
         continue;
       pick = estimate (selector, request, targets[i], &holders);
-      is_own = bd_chunk_equal (targets[i]->zone, request->zone);
-      add_candidate (selector, &pick, is_own ? &own : &other);
+      if (pick.cost_ms > best.cost_ms)
+        continue;
+      ties = pick.cost_ms < best.cost_ms ? 1 : ties + 1;
+      if (ties == 1 || bd_random_below (&selector->random, ties) == 0)
+        best = pick;
     }
-  return choose_zone (selector, request, &own, &other);
+  return best;
 }
 
 struct bd_selection
