--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -37,6 +37,13 @@
    instance. */
 #define BUFFERED_RESPONSES_MAX_BYTES ((size_t)32 * 1024 * 1024)
 
+/* Callers' unfinished requests may hold this part of the machine's memory, or
+   as much as given here if that is unknown; callers' connections this part of
+   its descriptors. */
+#define INTAKE_PART_OF_MEMORY 4
+#define INTAKE_DEFAULT_BYTES ((size_t)64 * 1024 * 1024)
+#define CALLERS_PART_OF_DESCRIPTORS 2
+
 struct bd_gateway
 {
   struct bd_gateway_options options;
@@ -350,6 +357,13 @@
                                 &bd_forwarder_handler, gateway->forwarder,
                                 &gateway->caller_server);
 
+  if (error == BD_OK)
+    bd_server_set_intake (
+        gateway->caller_server,
+        options->machine.memory_bytes > 0
+            ? options->machine.memory_bytes / INTAKE_PART_OF_MEMORY
+            : INTAKE_DEFAULT_BYTES,
+        options->machine.descriptors_max / CALLERS_PART_OF_DESCRIPTORS);
   if (error == BD_OK)
     error = bd_server_create (&gateway->loop, &options->readiness_address,
                               &readiness_handler, gateway,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "balance/target.h"
 #include "http/client.h"
 #include "gateway/dialect.h"
+#include "gateway/machine.h"
 #include "http/server.h"
 #include "gateway/stats.h"
 
@@ -37,6 +38,7 @@
   int64_t grace_ms;
   uint32_t cpu_millicores; /**< Processor share in thousandths of a core. */
   struct bd_retry_limits retry;
+  struct bd_machine machine;
 };
 
 struct bd_gateway;
--- a/src/http/message.c
+++ b/src/http/message.c
@@ -14,6 +14,10 @@
 /* Longest Retry-After, a year; longer ones are reduced to it. */
 #define RETRY_AFTER_MAX_MS ((int64_t)366 * 24 * 60 * 60 * 1000)
 
+/* A head is taken in steps, so that its buffer does not grow by the body that
+   came with it. */
+#define HEAD_STEP_BYTES ((size_t)1024)
+
 enum stage
 {
   STAGE_HEAD = 0,
@@ -522,7 +526,12 @@
           return bd_buffer_append (&reader->read_ahead, data);
         }
       if (reader->stage == STAGE_HEAD)
-        error = feed_head (reader, data, &used);
+        error = feed_head (
+            reader,
+            (struct bd_chunk){ data.data, data.length < HEAD_STEP_BYTES
+                                              ? data.length
+                                              : HEAD_STEP_BYTES },
+            &used);
       else
         error = run_parser (reader, data, &used);
       if (error != BD_OK)
@@ -579,3 +588,15 @@
 {
   return reader->stage == STAGE_HEAD && reader->head_bytes.length == 0;
 }
+
+size_t
+bd_http_reader_head_capacity (const struct bd_http_reader *reader)
+{
+  return reader->head_bytes.capacity;
+}
+
+size_t
+bd_http_reader_ahead_capacity (const struct bd_http_reader *reader)
+{
+  return reader->read_ahead.capacity;
+}
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -124,6 +124,11 @@
     Returns the same as bd_http_reader_feed (). */
 int bd_http_reader_next (struct bd_http_reader *reader);
 
+/** Returns the capacity of the buffer for heads, and of that for data after
+   the message. */
+size_t bd_http_reader_head_capacity (const struct bd_http_reader *reader);
+size_t bd_http_reader_ahead_capacity (const struct bd_http_reader *reader);
+
 /** Returns true between messages, before the first byte of the next one. */
 bool bd_http_reader_idle (const struct bd_http_reader *reader);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "http/chunk.h"
+#include "http/intake.h"
 #include "http/socket.h"
 
 #include <http_parser.h>
@@ -29,6 +30,7 @@
   struct bd_server *server;
   struct bd_socket *socket;
   struct bd_http_reader *reader;
+  struct bd_intake_entry intake;
   struct bd_exchange *next;
   struct bd_exchange *previous;
   const struct bd_head *head;
@@ -51,7 +53,9 @@
   const struct bd_server_handler *handler;
   void *context;
   struct bd_caller_limits limits;
-  struct bd_tls *tls; /* NULL: without TLS. */
+  struct bd_intake intake;
+  size_t intake_max_bytes; /* 0: no bound. */
+  struct bd_tls *tls;      /* NULL: without TLS. */
   struct bd_exchange *exchanges;
   size_t connections;
   size_t active;
@@ -79,6 +83,7 @@
   if (exchange->next)
     exchange->next->previous = exchange->previous;
   server->connections--;
+  bd_intake_remove (&server->intake, &exchange->intake);
   bd_http_reader_destroy (exchange->reader);
   bd_buffer_clear (&exchange->body);
   free (exchange);
@@ -196,6 +201,45 @@
 static const struct bd_http_handler reader_handler
     = { .on_head = on_head, .on_body = on_body, .on_end = on_request_end };
 
+static void
+note_bytes (struct bd_exchange *exchange)
+{
+  size_t bytes = bd_http_reader_ahead_capacity (exchange->reader);
+
+  exchange->intake.answering = exchange->phase != PHASE_READING;
+  exchange->intake.active_ms = exchange->last_activity_ms;
+  if (!exchange->intake.answering)
+    bytes += exchange->body.capacity
+             + bd_http_reader_head_capacity (exchange->reader);
+  bd_intake_set_bytes (&exchange->server->intake, &exchange->intake, bytes);
+}
+
+/* Cuts connections until the callers hold no more than the server has for
+   them.  An unfinished request is refused; an answered one is cut only for
+   what its caller sent after it. */
+static void
+keep_bounds (struct bd_server *server)
+{
+  size_t least
+      = 2 * (server->limits.head_max_bytes + server->limits.body_max_bytes);
+  struct bd_intake_entry *entry;
+
+  server->intake.bytes_max = server->intake_max_bytes;
+  if (server->intake_max_bytes > 0 && server->intake_max_bytes < least)
+    server->intake.bytes_max = least;
+  while ((entry = bd_intake_victim (&server->intake)))
+    {
+      struct bd_exchange *exchange
+          = (struct bd_exchange *)((char *)entry
+                                   - offsetof (struct bd_exchange, intake));
+
+      if (exchange->phase == PHASE_READING && exchange->arrived_ms != 0)
+        reject (exchange, BD_ERR_OVERLOADED);
+      else
+        abort_exchange (exchange);
+    }
+}
+
 /* Reads the next request if that is due, then acts on the reader's result.
    May free the exchange. */
 static void
@@ -223,12 +267,15 @@
                           : error);
   else if (error != BD_OK)
     abort_exchange (exchange);
+  else
+    note_bytes (exchange);
 }
 
 static void
 on_data (void *context, struct bd_chunk data)
 {
   struct bd_exchange *exchange = context;
+  struct bd_server *server = exchange->server;
   int64_t now = bd_clock_boot_ms ();
 
   exchange->last_activity_ms = now;
@@ -236,6 +283,7 @@
     exchange->arrived_ms = now;
   exchange->parsing = true;
   process_result (exchange, bd_http_reader_feed (exchange->reader, data));
+  keep_bounds (server);
 }
 
 static void
@@ -276,6 +324,8 @@
   exchange->socket
       = bd_socket_create (listener->loop, &socket_handler, exchange);
   server->connections++;
+  exchange->intake.active_ms = exchange->last_activity_ms;
+  bd_intake_add (&server->intake, &exchange->intake);
   exchange->next = server->exchanges;
   if (exchange->next)
     exchange->next->previous = exchange;
@@ -283,7 +333,10 @@
   if (exchange->reader && exchange->socket)
     error = bd_socket_accept (exchange->socket, listener, server->tls);
   if (error == BD_OK)
-    return BD_OK;
+    {
+      keep_bounds (server);
+      return BD_OK;
+    }
   if (exchange->socket)
     bd_socket_close (exchange->socket);
   free_exchange (exchange);
@@ -412,6 +465,14 @@
   server->limits = *limits;
 }
 
+void
+bd_server_set_intake (struct bd_server *server, size_t bytes_max,
+                      size_t connections_max)
+{
+  server->intake_max_bytes = bytes_max;
+  server->intake.count_max = connections_max;
+}
+
 void
 bd_server_set_tls (struct bd_server *server, struct bd_tls *tls)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -57,6 +57,13 @@
 /** Closes all connections; the event loop frees the server later. */
 void bd_server_destroy (struct bd_server *server);
 
+/**
+ * Bounds the bytes that all unfinished requests hold together, and the number
+ * of connections; 0: no bound.  Two requests of the largest size always fit.
+ */
+void bd_server_set_intake (struct bd_server *server, size_t bytes_max,
+                           size_t connections_max);
+
 void bd_server_set_limits (struct bd_server *server,
                            const struct bd_caller_limits *limits);
 
--- a/test/test_crowd.c
+++ b/test/test_crowd.c
@@ -26,13 +26,13 @@
 #define MEMORY_MB 48
 #define KB_PER_MB 1024
 /* The operator's limits for a request. */
-#define BODY_MAX_BYTES (128 * 1024)
-#define HEAD_MAX_BYTES (128 * 1024)
+#define BODY_MAX_BYTES 131072
+#define HEAD_MAX_BYTES 131072
 /* What a client sends that goes far over a limit, if it can. */
-#define FAR_OVER_BYTES (16 * BODY_MAX_BYTES)
+#define FAR_OVER_BYTES ((size_t)16 * BODY_MAX_BYTES)
 #define ANNOUNCED_BYTES "1073741824"
 /* What may follow a request that is not answered yet. */
-#define READ_AHEAD_BYTES (64 * 1024)
+#define READ_AHEAD_BYTES ((size_t)64 * 1024)
 #define LARGE_CHUNK_BYTES 8192
 #define SMALL_CHUNK_BYTES 4
 /* Descriptors of the machine: room for a crowd, or too few for it. */
@@ -190,7 +190,7 @@
   char *argv[] = { (char *)BUILD_DIR "/basildock-gateway",
                    (char *)"--settings", NULL, NULL };
 
-  guard_us = g_get_monotonic_time () + GUARD_S * G_USEC_PER_SEC;
+  guard_us = g_get_monotonic_time () + (gint64)GUARD_S * G_USEC_PER_SEC;
   gateway->folder = g_dir_make_tmp ("basildock-XXXXXX", NULL);
   gateway->settings
       = g_build_filename (gateway->folder, "settings.json", NULL);
--- a/test/test_cutline_settings.c
+++ b/test/test_cutline_settings.c
@@ -13,6 +13,7 @@
       "\"seeds\":[\"10.1.0.40:8229\",\"10.2.0.29:8229\"],"
       "\"store\":\"10.200.1.7:8223\",\"store_silence_ms\":3000,"
       "\"cpu_share\":0.19,\"cores\":1,"
+      "\"memory_mb\":120,\"max_fds\":4100,"
       "\"grace_s\":8,\"retry_ratio\":0.2,"
       "\"retry_slack\":56,\"retry_window_s\":10}";
 
@@ -41,6 +42,8 @@
   g_assert_cmpint (ntohs (settings.internal_address.sin_port), ==, 7340);
   g_assert_cmpuint (settings.seed_count, ==, 2);
   g_assert_cmpuint (ntohl (settings.seed_ips[1]), ==, 0x0a02001d);
+  g_assert_cmpuint (settings.machine.memory_bytes, ==, 120 * 1024 * 1024);
+  g_assert_cmpuint (settings.machine.descriptors_max, ==, 4100);
   g_assert_cmpint (settings.grace_ms, ==, 8000);
   g_assert_cmpint (settings.store_silence_max_ms, ==, 3000);
   g_assert_cmpint (settings.retry.window_ms, ==, 10000);
