--- a/src/http/server.c
+++ b/src/http/server.c
@@ -236,7 +236,11 @@
       if (exchange->phase == PHASE_READING && exchange->arrived_ms != 0)
         reject (exchange, BD_ERR_OVERLOADED);
       else
-        abort_exchange (exchange);
+        {
+          bd_log (BD_EVENT_CALLER_REFUSED, "status=0 code=%s bytes=%zu",
+                  bd_error_answer (BD_ERR_OVERLOADED)->code, entry->bytes);
+          abort_exchange (exchange);
+        }
     }
 }
 
--- a/test/test_cutline_settings.c
+++ b/test/test_cutline_settings.c
@@ -42,7 +42,8 @@
   g_assert_cmpint (ntohs (settings.internal_address.sin_port), ==, 7340);
   g_assert_cmpuint (settings.seed_count, ==, 2);
   g_assert_cmpuint (ntohl (settings.seed_ips[1]), ==, 0x0a02001d);
-  g_assert_cmpuint (settings.machine.memory_bytes, ==, 120 * 1024 * 1024);
+  g_assert_cmpuint (settings.machine.memory_bytes, ==,
+                    (size_t)120 * 1024 * 1024);
   g_assert_cmpuint (settings.machine.descriptors_max, ==, 4100);
   g_assert_cmpint (settings.grace_ms, ==, 8000);
   g_assert_cmpint (settings.store_silence_max_ms, ==, 3000);
