Refactoring: crashes in a list of their own, answers apart from the server

A head is cut into steps in feed_head; a slip in that, bytes taken twice, was not seen by any test: now by /http/long-head, which fails with it.

--- a/src/http/message.c
+++ b/src/http/message.c
@@ -481,11 +481,14 @@
 feed_head (struct bd_http_reader *reader, struct bd_chunk data, size_t *used)
 {
   size_t before = reader->head_bytes.length;
-  int error = bd_buffer_append (&reader->head_bytes, data);
   size_t skipped;
   size_t scanned;
   size_t length;
+  int error;
 
+  if (data.length > HEAD_STEP_BYTES)
+    data.length = HEAD_STEP_BYTES;
+  error = bd_buffer_append (&reader->head_bytes, data);
   if (error != BD_OK)
     return error;
   skipped = skip_empty_lines (reader);
@@ -526,12 +529,7 @@
           return bd_buffer_append (&reader->read_ahead, data);
         }
       if (reader->stage == STAGE_HEAD)
-        error = feed_head (
-            reader,
-            (struct bd_chunk){ data.data, data.length < HEAD_STEP_BYTES
-                                              ? data.length
-                                              : HEAD_STEP_BYTES },
-            &used);
+        error = feed_head (reader, data, &used);
       else
         error = run_parser (reader, data, &used);
       if (error != BD_OK)
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,10 +1,7 @@
-#include "http/server.h"
+#include "http/server_internal.h"
 
 #include "common/clock.h"
 #include "common/log.h"
-#include "http/chunk.h"
-#include "http/intake.h"
-#include "http/socket.h"
 
 #include <http_parser.h>
 #include <inttypes.h>
@@ -18,53 +15,6 @@
    request; a larger one is freed. */
 #define BODY_RETAINED_BYTES ((size_t)32 * 1024)
 
-enum phase
-{
-  PHASE_READING = 0, /* The request is incomplete. */
-  PHASE_ANSWERING,   /* The handler has the request. */
-  PHASE_STREAMING    /* The head of a chunked answer has been sent. */
-};
-
-struct bd_exchange
-{
-  struct bd_server *server;
-  struct bd_socket *socket;
-  struct bd_http_reader *reader;
-  struct bd_intake_entry intake;
-  struct bd_exchange *next;
-  struct bd_exchange *previous;
-  const struct bd_head *head;
-  struct bd_buffer body;
-  void *owner;
-  enum phase phase;
-  int64_t arrived_ms;       /* First byte of the request; 0: none yet. */
-  int64_t last_activity_ms; /* Last byte received, or end of an answer. */
-  bool head_done;
-  bool parsing;        /* Set while the reader runs; defers the free. */
-  bool next_requested; /* The reader must go on to the next request. */
-  bool closed;         /* Is freed once the reader returns. */
-  bool broken;         /* A part of the answer could not be written. */
-};
-
-struct bd_server
-{
-  uv_tcp_t listener;
-  uv_timer_t sweep_timer;
-  const struct bd_server_handler *handler;
-  void *context;
-  struct bd_caller_limits limits;
-  struct bd_intake intake;
-  size_t intake_max_bytes; /* 0: no bound. */
-  struct bd_tls *tls;      /* NULL: without TLS. */
-  struct bd_exchange *exchanges;
-  size_t connections;
-  size_t active;
-  bool draining;
-  bool accept_waits; /* A connection is ready that could not be accepted, since
-                        there was no memory. */
-  int open_handles;
-};
-
 static const struct bd_caller_limits default_limits
     = { .head_max_bytes = (size_t)16 * 1024,
         .body_max_bytes = (size_t)4 * 1024 * 1024,
@@ -89,9 +39,8 @@
   free (exchange);
 }
 
-/* Closes the connection; GRACEFUL sends pending data first. */
-static void
-close_exchange (struct bd_exchange *exchange, bool graceful)
+void
+bd_exchange_close (struct bd_exchange *exchange, bool graceful)
 {
   if (exchange->closed)
     return;
@@ -112,14 +61,11 @@
 {
   if (exchange->phase != PHASE_READING)
     exchange->server->handler->on_abort (exchange->server->context, exchange);
-  close_exchange (exchange, false);
+  bd_exchange_close (exchange, false);
 }
 
-/* Writes and clears OUT.  When that fails, or did before, the caller of this
-   function closes the connection without on_abort, since it is the handler
-   that writes. */
-static int
-write_buffer (struct bd_exchange *exchange, struct bd_buffer *out)
+int
+bd_exchange_write (struct bd_exchange *exchange, struct bd_buffer *out)
 {
   int error = BD_ERR_NOMEM;
 
@@ -155,7 +101,7 @@
   exchange->broken |= fields.incomplete || body.incomplete;
   bd_buffer_clear (&fields);
   bd_buffer_clear (&body);
-  close_exchange (exchange, write_buffer (exchange, &out) == BD_OK);
+  bd_exchange_close (exchange, bd_exchange_write (exchange, &out) == BD_OK);
 }
 
 static int
@@ -244,10 +190,8 @@
     }
 }
 
-/* Reads the next request if that is due, then acts on the reader's result.
-   May free the exchange. */
-static void
-process_result (struct bd_exchange *exchange, int error)
+void
+bd_exchange_process (struct bd_exchange *exchange, int error)
 {
   while (error == BD_OK && exchange->next_requested && !exchange->closed)
     {
@@ -286,7 +230,7 @@
   if (exchange->phase == PHASE_READING && exchange->arrived_ms == 0)
     exchange->arrived_ms = now;
   exchange->parsing = true;
-  process_result (exchange, bd_http_reader_feed (exchange->reader, data));
+  bd_exchange_process (exchange, bd_http_reader_feed (exchange->reader, data));
   keep_bounds (server);
 }
 
@@ -401,7 +345,7 @@
       if (exchange->arrived_ms != 0)
         reject (exchange, BD_ERR_SLOW_CALLER);
       else
-        close_exchange (exchange, false);
+        bd_exchange_close (exchange, false);
     }
 }
 
@@ -455,7 +399,7 @@
        exchange = next)
     {
       next = exchange->next;
-      close_exchange (exchange, false);
+      bd_exchange_close (exchange, false);
     }
   server->open_handles = 2;
   uv_close ((uv_handle_t *)&server->listener, on_handle_closed);
@@ -499,7 +443,7 @@
     {
       next = exchange->next;
       if (exchange->phase == PHASE_READING && exchange->arrived_ms == 0)
-        close_exchange (exchange, bd_exchange_pending (exchange) > 0);
+        bd_exchange_close (exchange, bd_exchange_pending (exchange) > 0);
     }
 }
 
@@ -514,161 +458,3 @@
 {
   return server->connections;
 }
-
-const struct bd_head *
-bd_exchange_head (const struct bd_exchange *exchange)
-{
-  return exchange->head;
-}
-
-struct bd_chunk
-bd_exchange_body (const struct bd_exchange *exchange)
-{
-  return bd_buffer_chunk (&exchange->body);
-}
-
-int64_t
-bd_exchange_arrived_ms (const struct bd_exchange *exchange)
-{
-  return exchange->arrived_ms;
-}
-
-void
-bd_exchange_set_owner (struct bd_exchange *exchange, void *owner)
-{
-  exchange->owner = owner;
-}
-
-void *
-bd_exchange_owner (const struct bd_exchange *exchange)
-{
-  return exchange->owner;
-}
-
-/* Ends an exchange whose answer is complete: closes the connection, or goes on
-   to its next request. */
-static void
-complete_exchange (struct bd_exchange *exchange)
-{
-  bool keep_alive = exchange->head->keep_alive && !exchange->server->draining;
-
-  exchange->owner = NULL;
-  if (!keep_alive)
-    {
-      close_exchange (exchange, true);
-      return;
-    }
-  exchange->server->active--;
-  exchange->phase = PHASE_READING;
-  exchange->last_activity_ms = bd_clock_boot_ms ();
-  exchange->next_requested = true;
-  if (!exchange->parsing)
-    {
-      exchange->parsing = true;
-      process_result (exchange, BD_OK);
-    }
-}
-
-static const char *
-connection_field (const struct bd_exchange *exchange)
-{
-  if (exchange->head->keep_alive && !exchange->server->draining)
-    return "";
-  return "Connection: close\r\n";
-}
-
-static int
-write_head (struct bd_exchange *exchange, struct bd_buffer *out, int status,
-            struct bd_chunk fields)
-{
-  return bd_buffer_printf (out, "HTTP/1.1 %d %s\r\n%.*s%s", status,
-                           http_status_str ((enum http_status)status),
-                           (int)fields.length, fields.data,
-                           connection_field (exchange));
-}
-
-void
-bd_exchange_reply (struct bd_exchange *exchange, int status,
-                   struct bd_chunk fields, struct bd_chunk body)
-{
-  bool no_body = status == 204 || status == 304
-                 || bd_field_named (exchange->head->method, BD_CHUNK ("HEAD"));
-  struct bd_buffer out = { 0 };
-
-  write_head (exchange, &out, status, fields);
-  if (status != 204)
-    bd_buffer_printf (&out, "Content-Length: %zu\r\n", body.length);
-  bd_buffer_append (&out, BD_CHUNK ("\r\n"));
-  if (!no_body)
-    bd_buffer_append (&out, body);
-  if (write_buffer (exchange, &out) != BD_OK)
-    close_exchange (exchange, false);
-  else
-    complete_exchange (exchange);
-}
-
-void
-bd_exchange_reply_buffers (struct bd_exchange *exchange, int status,
-                           struct bd_buffer *fields, struct bd_buffer *body)
-{
-  exchange->broken |= fields->incomplete || body->incomplete;
-  bd_exchange_reply (exchange, status, bd_buffer_chunk (fields),
-                     bd_buffer_chunk (body));
-  bd_buffer_clear (fields);
-  bd_buffer_clear (body);
-}
-
-void
-bd_exchange_begin (struct bd_exchange *exchange, int status,
-                   struct bd_chunk fields)
-{
-  struct bd_buffer out = { 0 };
-
-  exchange->phase = PHASE_STREAMING;
-  write_head (exchange, &out, status, fields);
-  bd_buffer_append (&out, BD_CHUNK ("Transfer-Encoding: chunked\r\n\r\n"));
-  write_buffer (exchange, &out);
-}
-
-void
-bd_exchange_send_chunks (struct bd_exchange *exchange,
-                         struct bd_buffer *chunks)
-{
-  if (chunks->length > 0)
-    write_buffer (exchange, chunks);
-}
-
-void
-bd_exchange_send (struct bd_exchange *exchange, struct bd_chunk data)
-{
-  struct bd_buffer out = { 0 };
-
-  if (bd_http_chunk_append (&out, data) != BD_OK)
-    out.incomplete = true;
-  if (data.length > 0)
-    write_buffer (exchange, &out);
-}
-
-size_t
-bd_exchange_pending (const struct bd_exchange *exchange)
-{
-  return bd_socket_pending (exchange->socket);
-}
-
-void
-bd_exchange_end (struct bd_exchange *exchange)
-{
-  struct bd_buffer out = { 0 };
-
-  bd_buffer_append (&out, BD_CHUNK ("0\r\n\r\n"));
-  if (write_buffer (exchange, &out) != BD_OK)
-    close_exchange (exchange, false);
-  else
-    complete_exchange (exchange);
-}
-
-void
-bd_exchange_abort (struct bd_exchange *exchange)
-{
-  close_exchange (exchange, false);
-}
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -2,14 +2,11 @@
 
 #include "common/map.h"
 #include "common/random.h"
-#include "common/string.h"
+#include "retry/crash_list.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #define BREAKERS_MAX 512
-/* Crashes that are kept for a part. */
-#define CRASHES_KEPT 8
 /* Longer than any hold time. */
 #define KEEP_MS 3600000
 /* Time in which the result of a request that a half-open breaker let pass is
@@ -20,16 +17,6 @@
 #define HARMLESS_MAX 4096
 #define NEVER_MS (INT64_MIN / 2)
 
-struct crash
-{
-  struct bd_id id;
-  uint64_t other;   /* Another part that is blamed; 0: none. */
-  int64_t sent_ms;  /* When the request was sent. */
-  int64_t heard_ms; /* When the runner was last heard. */
-  int64_t at_ms;
-  uint32_t sends_left; /* As a notice to the peers. */
-};
-
 struct breaker
 {
   uint64_t part;
@@ -38,8 +25,7 @@
   int64_t sole_ms; /* When the other part that was blamed for the last crash
                       was last seen to be harmless. */
   uint32_t harmless_sends_left;
-  uint32_t crash_count;
-  struct crash crashes[CRASHES_KEPT]; /* By at_ms; all after harmless_ms. */
+  struct bd_crash_list list; /* All after harmless_ms. */
 };
 
 /* A part that was seen to be harmless; part 0: none. */
@@ -114,8 +100,8 @@
 static int64_t
 last_ms (const struct breaker *breaker)
 {
-  return breaker->crash_count > 0
-             ? breaker->crashes[breaker->crash_count - 1].at_ms
+  return breaker->list.count > 0
+             ? breaker->list.entries[breaker->list.count - 1].at_ms
              : breaker->harmless_ms;
 }
 
@@ -132,7 +118,7 @@
   *breaker = *last;
   if (bd_map_put (b->by_part, map_id (breaker->part), 0, breaker) != BD_OK)
     /* Not found any more, it ages out. */
-    breaker->crash_count = 0;
+    breaker->list.count = 0;
 }
 
 /* Removes the breaker whose last event is the oldest, one without crashes if
@@ -145,8 +131,8 @@
   for (size_t i = 1; i < b->count; i++)
     {
       struct breaker *breaker = &b->breakers[i];
-      bool idle = breaker->crash_count == 0;
-      bool oldest_idle = oldest->crash_count == 0;
+      bool idle = breaker->list.count == 0;
+      bool oldest_idle = oldest->list.count == 0;
 
       if (idle > oldest_idle
           || (idle == oldest_idle && last_ms (breaker) < last_ms (oldest)))
@@ -177,86 +163,13 @@
 
 /* Crashes. */
 
-/* Returns the largest number of crashes of which each is under a request that
-   was sent after the crash before. */
-static uint32_t
-crashes_in_succession (const struct breaker *breaker)
-{
-  uint32_t count = 0;
-  int64_t before_ms = NEVER_MS;
-
-  for (uint32_t i = 0; breaker && i < breaker->crash_count; i++)
-    if (breaker->crashes[i].sent_ms >= before_ms)
-      {
-        before_ms = breaker->crashes[i].at_ms;
-        count++;
-      }
-  return count;
-}
-
-/* Returns a number of crashes of which each is under a request that was sent
-   after the runner before was last heard, so that it likely had crashed. */
-static uint32_t
-crashes_in_likely_succession (const struct breaker *breaker)
-{
-  uint32_t count = 0;
-  int64_t before_ms = NEVER_MS;
-
-  for (uint32_t i = 0; i < breaker->crash_count; i++)
-    if (breaker->crashes[i].sent_ms >= before_ms)
-      {
-        before_ms = breaker->crashes[i].heard_ms;
-        count++;
-      }
-  return count;
-}
-
-static bool
-has_crash (const struct breaker *breaker, struct bd_id id)
-{
-  for (uint32_t i = 0; i < breaker->crash_count; i++)
-    if (bd_id_equal (breaker->crashes[i].id, id))
-      return true;
-  return false;
-}
-
-static void
-remove_crash (struct breaker *breaker, uint32_t index)
-{
-  breaker->crash_count--;
-  memmove (&breaker->crashes[index], &breaker->crashes[index + 1],
-           (breaker->crash_count - index) * sizeof breaker->crashes[0]);
-}
-
-/* Removes the first crash that is not in succession, or the first one. */
-static void
-make_room (struct breaker *breaker)
-{
-  uint32_t index = 0;
-
-  for (uint32_t i = 1; i < breaker->crash_count && index == 0; i++)
-    if (breaker->crashes[i].sent_ms < breaker->crashes[i - 1].at_ms)
-      index = i;
-  remove_crash (breaker, index);
-}
-
 /* Adds CRASH.  Returns false if it is known, or the part has been harmless
    since. */
 static bool
-add_crash (struct breaker *breaker, const struct crash *crash)
+add_crash (struct breaker *breaker, const struct bd_crash_entry *crash)
 {
-  uint32_t i;
-
-  if (crash->at_ms <= breaker->harmless_ms || has_crash (breaker, crash->id))
-    return false;
-  if (breaker->crash_count == CRASHES_KEPT)
-    make_room (breaker);
-  for (i = breaker->crash_count;
-       i > 0 && breaker->crashes[i - 1].at_ms > crash->at_ms; i--)
-    breaker->crashes[i] = breaker->crashes[i - 1];
-  breaker->crashes[i] = *crash;
-  breaker->crash_count++;
-  return true;
+  return crash->at_ms > breaker->harmless_ms
+         && bd_crash_list_add (&breaker->list, crash);
 }
 
 /* Records that PART is harmless with the breakers of other parts that were
@@ -268,8 +181,8 @@
     {
       struct breaker *other = &b->breakers[i];
 
-      if (other->crash_count > 0 && at_ms > other->sole_ms
-          && other->crashes[other->crash_count - 1].other == part)
+      if (other->list.count > 0 && at_ms > other->sole_ms
+          && other->list.entries[other->list.count - 1].other == part)
         other->sole_ms = at_ms;
     }
 }
@@ -279,16 +192,16 @@
 set_harmless (struct bd_part_breakers *b, struct breaker *breaker,
               int64_t at_ms)
 {
-  uint32_t before = breaker->crash_count;
+  uint32_t before = breaker->list.count;
 
   if (at_ms <= breaker->harmless_ms)
     return false;
   breaker->harmless_ms = at_ms;
   if (before > 0)
     set_sole (b, breaker->part, at_ms);
-  while (breaker->crash_count > 0 && breaker->crashes[0].at_ms <= at_ms)
-    remove_crash (breaker, 0);
-  return breaker->crash_count < before;
+  while (breaker->list.count > 0 && breaker->list.entries[0].at_ms <= at_ms)
+    bd_crash_list_remove (&breaker->list, 0);
+  return breaker->list.count < before;
 }
 
 /* Returns where PART is remembered as harmless. */
@@ -352,11 +265,11 @@
                           const struct bd_part_list *parts,
                           const struct bd_part_crash *crash)
 {
-  struct crash fresh = { .id = crash->id,
-                         .sent_ms = crash->sent_ms,
-                         .heard_ms = crash->heard_ms,
-                         .at_ms = crash->at_ms,
-                         .sends_left = SENDS_PER_NOTICE };
+  struct bd_crash_entry fresh = { .id = crash->id,
+                                  .sent_ms = crash->sent_ms,
+                                  .heard_ms = crash->heard_ms,
+                                  .at_ms = crash->at_ms,
+                                  .sends_left = SENDS_PER_NOTICE };
   struct bd_part_list suspected = { 0 };
   struct bd_part_list blamed = { 0 };
   bool is_new = false;
@@ -393,7 +306,9 @@
 bd_part_breakers_crashes (const struct bd_part_breakers *breakers,
                           uint64_t part)
 {
-  return crashes_in_succession (find_breaker (breakers, part));
+  const struct breaker *breaker = find_breaker (breakers, part);
+
+  return breaker ? bd_crash_list_in_succession (&breaker->list) : 0;
 }
 
 /* States. */
@@ -404,7 +319,7 @@
 is_likelier (const struct bd_part_breakers *b, const struct breaker *other,
              uint32_t count, bool harmless_before)
 {
-  uint32_t others = crashes_in_succession (other);
+  uint32_t others = bd_crash_list_in_succession (&other->list);
 
   return others > count
          || (others == count && harmless_before
@@ -423,7 +338,7 @@
     {
       const struct breaker *other = &b->breakers[i];
 
-      if (other != breaker && has_crash (other, id)
+      if (other != breaker && bd_crash_list_has (&other->list, id)
           && is_likelier (b, other, count, harmless_before))
         return true;
     }
@@ -437,14 +352,13 @@
                    const struct breaker *breaker)
 {
   struct breaker own = *breaker;
-  uint32_t count = crashes_in_succession (breaker);
+  uint32_t count = bd_crash_list_in_succession (&breaker->list);
 
-  if (count < BD_PART_CRASHES_MAX
-      && breaker->crash_count < BD_PART_RUNNERS_MAX)
+  if (count < BD_PART_CRASHES_MAX && breaker->list.count < BD_PART_RUNNERS_MAX)
     return own;
-  for (uint32_t i = own.crash_count; i > 0; i--)
-    if (is_explained (b, breaker, own.crashes[i - 1].id, count))
-      remove_crash (&own, i - 1);
+  for (uint32_t i = own.list.count; i > 0; i--)
+    if (is_explained (b, breaker, own.list.entries[i - 1].id, count))
+      bd_crash_list_remove (&own.list, i - 1);
   return own;
 }
 
@@ -456,10 +370,11 @@
   if (!breaker)
     return false;
   own = without_explained (b, breaker);
-  if (crashes_in_succession (&own) >= BD_PART_CRASHES_MAX)
+  if (bd_crash_list_in_succession (&own.list) >= BD_PART_CRASHES_MAX)
     return true;
-  return own.crash_count >= BD_PART_RUNNERS_MAX && !was_harmless (b, own.part)
-         && crashes_in_likely_succession (&own) >= BD_PART_CRASHES_MAX;
+  return own.list.count >= BD_PART_RUNNERS_MAX && !was_harmless (b, own.part)
+         && bd_crash_list_in_likely_succession (&own.list)
+                >= BD_PART_CRASHES_MAX;
 }
 
 bool
@@ -473,7 +388,7 @@
 static bool
 is_ambiguous (const struct bd_part_breakers *b, const struct breaker *breaker)
 {
-  uint64_t other = breaker->crashes[breaker->crash_count - 1].other;
+  uint64_t other = breaker->list.entries[breaker->list.count - 1].other;
 
   return other != 0 && is_open (b, find_breaker (b, other));
 }
@@ -485,13 +400,13 @@
   if (crashes > BD_PART_CRASHES_MAX)
     return (int64_t)BD_PART_LONG_HOLD_MS
            << (crashes - BD_PART_CRASHES_MAX - 1);
-  return breaker->crash_count >= BD_PART_RUNNERS_MAX ? BD_PART_LONG_HOLD_MS
-                                                     : BD_PART_HOLD_MS;
+  return breaker->list.count >= BD_PART_RUNNERS_MAX ? BD_PART_LONG_HOLD_MS
+                                                    : BD_PART_HOLD_MS;
 }
 
-/* Returns since when BREAKER is held: from the last crash, or from when it
-   turned out that no other part can have caused it.  Otherwise the instances,
-   which learn this at the same time, would all let a request pass then. */
+/* Returns since when BREAKER is held: the last crash, or when no other part
+   was left as its cause.  Instances learn that at the same time, and would all
+   let a request pass then. */
 static int64_t
 held_from_ms (const struct breaker *breaker)
 {
@@ -527,8 +442,10 @@
   for (size_t i = 0; i < parts->count; i++)
     {
       open[count] = find_breaker (breakers, parts->parts[i]);
-      crashes[count] = crashes_in_succession (open[count]);
-      count += is_open (breakers, open[count]);
+      if (!is_open (breakers, open[count]))
+        continue;
+      crashes[count] = bd_crash_list_in_succession (&open[count]->list);
+      count++;
     }
   for (uint32_t i = 0; i < count; i++)
     if (now_ms - open[i]->trial_ms < TRIAL_MS
@@ -559,11 +476,11 @@
 apply_crash (struct breaker *breaker, int64_t now_ms,
              const struct bd_part_notice *notice)
 {
-  struct crash crash = { .id = notice->crash,
-                         .other = notice->other,
-                         .sent_ms = now_ms - notice->sent_age_ms,
-                         .heard_ms = now_ms - notice->heard_age_ms,
-                         .at_ms = now_ms - notice->age_ms };
+  struct bd_crash_entry crash = { .id = notice->crash,
+                                  .other = notice->other,
+                                  .sent_ms = now_ms - notice->sent_age_ms,
+                                  .heard_ms = now_ms - notice->heard_age_ms,
+                                  .at_ms = now_ms - notice->age_ms };
 
   if (crash.at_ms <= breaker->harmless_ms && breaker->harmless_sends_left == 0)
     breaker->harmless_sends_left = 1;
@@ -589,8 +506,8 @@
 }
 
 static struct bd_part_notice
-crash_notice (const struct breaker *breaker, const struct crash *crash,
-              int64_t now_ms)
+crash_notice (const struct breaker *breaker,
+              const struct bd_crash_entry *crash, int64_t now_ms)
 {
   return (struct bd_part_notice){ .part = breaker->part,
                                   .crash = crash->id,
@@ -600,14 +517,6 @@
                                   .age_ms = now_ms - crash->at_ms };
 }
 
-/* Whether the notices of BREAKER go first: a part with several crashes is more
-   likely to be the cause than the many that were at one crash. */
-static bool
-is_urgent (const struct breaker *breaker)
-{
-  return breaker->crash_count > 1;
-}
-
 static size_t
 append_notices_of (struct breaker *breaker, int64_t now_ms,
                    struct bd_part_notice *notices, size_t max)
@@ -622,12 +531,12 @@
                                      .harmless = true,
                                      .age_ms = now_ms - breaker->harmless_ms };
     }
-  for (uint32_t i = 0; i < breaker->crash_count && count < max; i++)
-    if (breaker->crashes[i].sends_left > 0)
+  for (uint32_t i = 0; i < breaker->list.count && count < max; i++)
+    if (breaker->list.entries[i].sends_left > 0)
       {
-        breaker->crashes[i].sends_left--;
+        breaker->list.entries[i].sends_left--;
         notices[count++]
-            = crash_notice (breaker, &breaker->crashes[i], now_ms);
+            = crash_notice (breaker, &breaker->list.entries[i], now_ms);
       }
   return count;
 }
@@ -639,9 +548,11 @@
 {
   size_t count = 0;
 
+  /* Parts with several crashes first: they are more likely to be the cause
+     than the many that were at a single one. */
   for (int pass = 0; pass < 2; pass++)
     for (size_t i = 0; i < breakers->count && count < max; i++)
-      if (is_urgent (&breakers->breakers[i]) == (pass == 0))
+      if ((breakers->breakers[i].list.count > 1) == (pass == 0))
         count += append_notices_of (&breakers->breakers[i], now_ms,
                                     notices + count, max - count);
   return count;
@@ -658,11 +569,11 @@
     {
       const struct breaker *breaker = &breakers->breakers[*cursor];
 
-      if (breaker->crash_count > max - count)
+      if (breaker->list.count > max - count)
         return count;
-      for (uint32_t i = 0; i < breaker->crash_count; i++)
+      for (uint32_t i = 0; i < breaker->list.count; i++)
         notices[count++]
-            = crash_notice (breaker, &breaker->crashes[i], now_ms);
+            = crash_notice (breaker, &breaker->list.entries[i], now_ms);
     }
   *cursor = 0;
   return count;
@@ -675,11 +586,10 @@
     {
       struct breaker *breaker = &breakers->breakers[i - 1];
 
-      while (breaker->crash_count > 0
-             && now_ms - breaker->crashes[0].at_ms >= KEEP_MS)
-        remove_crash (breaker, 0);
-      if (breaker->crash_count == 0
-          && now_ms - breaker->harmless_ms >= KEEP_MS)
+      while (breaker->list.count > 0
+             && now_ms - breaker->list.entries[0].at_ms >= KEEP_MS)
+        bd_crash_list_remove (&breaker->list, 0);
+      if (breaker->list.count == 0 && now_ms - breaker->harmless_ms >= KEEP_MS)
         remove_breaker (breakers, breaker);
     }
 }
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define HEAD_MAX_BYTES 512
+#define LONG_READ_BYTES ((size_t)1500)
 
 /* The reader's callbacks as one line of text: each head in brackets, the body,
    and a dot at the end of the message. */
@@ -198,6 +199,41 @@
     }
 }
 
+/* Guards against bytes of a head that are taken twice or left out: it comes
+   with its body in reads of all sizes, around those in which it is taken. */
+static void
+test_long_head (void)
+{
+  for (size_t length = 900; length < 3200; length += 7)
+    {
+      struct event_log event_log = { 0 };
+      char *fill = g_strnfill (length, 'x');
+      char *text = g_strdup_printf (
+          POST "F: %s\r\nContent-Length: 3\r\n\r\nabc" GET "G: %s\r\n\r\n",
+          fill, fill);
+      struct bd_http_reader *reader = bd_http_reader_create (
+          BD_HTTP_REQUESTS, 4096, &handler, &event_log);
+
+      event_log.text = g_string_new (NULL);
+      for (size_t at = 0; at < strlen (text); at += LONG_READ_BYTES)
+        g_assert_cmpint (
+            bd_http_reader_feed (
+                reader,
+                (struct bd_chunk){
+                    text + at, MIN (LONG_READ_BYTES, strlen (text) - at) }),
+            ==, BD_OK);
+      g_assert_cmpstr (event_log.text->str, ==, "[POST /a]abc.");
+      g_assert_cmpuint (bd_head_value (&event_log.head, BD_CHUNK ("F")).length,
+                        ==, length);
+      g_assert_cmpint (bd_http_reader_next (reader), ==, BD_OK);
+      g_assert_cmpstr (event_log.text->str, ==, "[POST /a]abc.[GET /a].");
+      bd_http_reader_destroy (reader);
+      g_string_free (event_log.text, TRUE);
+      g_free (text);
+      g_free (fill);
+    }
+}
+
 static void
 test_limits (void)
 {
@@ -337,6 +373,7 @@
       g_test_add_data_func (path, &cases[i], test_case);
       g_free (path);
     }
+  g_test_add_func ("/http/long-head", test_long_head);
   g_test_add_func ("/http/limits", test_limits);
   g_test_add_func ("/http/read-ahead-limit", test_read_ahead_limit);
   g_test_add_func ("/http/header-fields", test_header_fields);
