--- a/review/10/case.c
+++ b/review/10/case.c
@@ -1,10 +1,9 @@
 /*
- * Callers with kept channels send their next request without waiting for the
- * answer to the one before, as HTTP/1.1 allows.
+ * A version adds keys to a tenant.  Callers with each of its keys send a
+ * request later than configApplyMs after the ack.
  */
 #include "../stand-2/stand.h"
 
-#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,21 +12,12 @@
 
 #define RULE_BROKEN 1
 #define CANNOT_RUN 2
-/* Callers, and the bytes of what each sends next on its channel: the largest
-   request of the sheet, far under maxBodyBytes. */
-#define CALLERS 8
-#define NEXT_BODY_BYTES 100000
-#define WORK_MS 400
-/* Channels with a request at a sound runner that may be closed without an
-   answer. */
-#define LOST_MAX 3
+/* configApplyMs and stableWindowMs of the small deployments. */
+#define CONFIG_APPLY_MS 2000
+#define STABLE_WINDOW_MS 3000
 #define DEADLINE_MS 1500
 #define ROUTES                                                                \
-  "\"routes\":[{\"name\":\"stock\",\"host\":\"desk.example\","                \
-  "\"prefix\":\"/stock/\",\"type\":\"idempotent\",\"timeoutMs\":800,"         \
-  "\"sloMs\":300,\"priority\":2,\"service\":\"order-desk\","                  \
-  "\"maxAttempts\":1,\"public\":false,\"sticky\":false,"                      \
-  "\"resumable\":false},{\"name\":\"dispatch\",\"host\":\"desk.example\","    \
+  "\"routes\":[{\"name\":\"dispatch\",\"host\":\"desk.example\","             \
   "\"prefix\":\"/dispatch/\",\"type\":\"non_idempotent\","                    \
   "\"timeoutMs\":800,\"sloMs\":300,\"priority\":2,"                           \
   "\"service\":\"order-desk\",\"maxAttempts\":1,\"public\":false,"            \
@@ -36,7 +26,13 @@
   "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384," \
   "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"                        \
   "\"idleTimeoutMs\":15000}"
-#define KEY "n2ctnfzs989anu6wsjnb"
+/* Keys of the one tenant, before and after the change, and the length of a
+   key with its end. */
+#define KEYS_BEFORE 50
+#define KEYS_AFTER 90
+#define KEY_BYTES 24
+/* Proper requests that may be turned away, besides one in 500. */
+#define DENIED_MAX 5
 
 static struct gateway gateway;
 
@@ -55,7 +51,7 @@
       field_of (&request, "X-Basildock-Tenant", tenant, sizeof tenant);
       free_message (&request);
       record ("i-desk runs %s, tenant: %s", id, tenant);
-      sleep_ms (strncmp (id, "first", 5) == 0 ? WORK_MS : 20);
+      sleep_ms (20);
       if (!send_text (fd,
                       "HTTP/1.1 200 OK\r\nX-Basildock-Attempt-Id: %s\r\n"
                       "X-Basildock-Response-Signature: s.%s\r\n"
@@ -65,75 +61,51 @@
     }
 }
 
-struct caller
-{
-  int number;
-  bool next_at_once; /* The next request does not wait for the answer. */
-  int first_status;  /* 0: the channel ended without an answer. */
-  int next_status;
-};
-
-static bool
-send_lookup (int fd, const char *kind, int number)
-{
-  return send_text (fd,
-                    "GET /stock/2f HTTP/1.1\r\nHost: desk.example\r\n"
-                    "X-Basildock-Attempt-Id: %s-%d\r\n"
-                    "X-Basildock-Deadline-Ms: %d\r\n"
-                    "Authorization: Token " KEY "\r\n\r\n",
-                    kind, number, DEADLINE_MS);
-}
-
-static bool
-send_order (int fd, int number)
-{
-  static char data[NEXT_BODY_BYTES];
-
-  return send_text (fd,
-                    "POST /dispatch/2f HTTP/1.1\r\nHost: desk.example\r\n"
-                    "X-Basildock-Attempt-Id: next-%d\r\n"
-                    "X-Basildock-Deadline-Ms: %d\r\n"
-                    "Authorization: Token " KEY "\r\n"
-                    "Content-Length: %zu\r\n\r\n",
-                    number, DEADLINE_MS, sizeof data)
-         && send_all (fd, data, sizeof data);
-}
-
+/* Sends a request with KEY on the kept channel FD.  Returns its status. */
 static int
-read_status (int fd)
+ask (int fd, const char *attempt, const char *key)
 {
   struct message answer;
   int status;
 
-  if (!read_message (fd, &answer, DEADLINE_MS))
+  if (!send_text (fd,
+                  "POST /dispatch/2f HTTP/1.1\r\nHost: desk.example\r\n"
+                  "X-Basildock-Attempt-Id: %s\r\n"
+                  "X-Basildock-Deadline-Ms: %d\r\n"
+                  "Authorization: Token %s\r\n"
+                  "Content-Length: 5\r\n\r\ntruck",
+                  attempt, DEADLINE_MS, key)
+      || !read_message (fd, &answer, DEADLINE_MS))
     return 0;
-  status = answer.complete ? answer.status : 0;
+  status = answer.status;
+  record ("caller: %s with key %s: %d", attempt, key, status);
   free_message (&answer);
   return status;
 }
 
-/* Uses a channel for one request, keeps it, and sends two more on it. */
-static void *
-run_caller (void *context)
+/* Writes a desired state whose tenant has COUNT keys. */
+static void
+put_configuration (int version, int count)
 {
-  struct caller *caller = context;
-  int fd = connect_to (gateway.ip, gateway.callers_port);
+  char *keys = format_text ("%s", "");
+  char *value;
 
-  send_lookup (fd, "kept", caller->number);
-  if (read_status (fd) == 200 && send_lookup (fd, "first", caller->number))
+  for (int i = 1; i <= count; i++)
     {
-      sleep_ms (50);
-      if (caller->next_at_once)
-        send_order (fd, caller->number);
-      caller->first_status = read_status (fd);
-      if (!caller->next_at_once)
-        send_order (fd, caller->number);
-      caller->next_status = read_status (fd);
+      char *more = format_text ("%s%s\"key%017d\"", keys, i > 1 ? "," : "", i);
+
+      free (keys);
+      keys = more;
     }
-  record ("caller %d: first request: %d, next: %d (0: the channel was closed)",
-          caller->number, caller->first_status, caller->next_status);
-  close (fd);
-  return NULL;
+  value = format_text ("{\"version\":%d," ROUTES
+                       ",\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[%s],"
+                       "\"priority\":1}]}",
+                       version, keys);
+  store_put ("op/config", value);
+  record ("the store has acknowledged version %d with %d keys, %zu bytes",
+          version, count, strlen (value));
+  free (value);
+  free (keys);
 }
 
 static bool
@@ -146,10 +118,7 @@
 
   if (listener < 0)
     return false;
-  store_put ("op/config",
-             "{\"version\":7," ROUTES
-             ",\"tenants\":[{\"name\":\"hule930\",\"apiKeys\":[\"" KEY
-             "\"],\"priority\":1}]}");
+  put_configuration (7, KEYS_BEFORE);
   serve (listener, handle_runner_connection);
   store_add_runner ("i-desk", "order-desk", "127.0.0.1", port, "v1");
   snprintf (gateway.name, sizeof gateway.name, "entry-1");
@@ -158,14 +127,32 @@
   return gateway_start (&gateway) && gateway_wait_ready (&gateway, 10000);
 }
 
+/* Sends a request with each key from FIRST to LAST.  Returns how many are
+   turned away with 401. */
+static int
+ask_with_keys (int fd, const char *when, int first, int last)
+{
+  int denied = 0;
+
+  for (int i = first; i <= last; i++)
+    {
+      char *attempt = format_text ("%s-%d", when, i);
+      char key[KEY_BYTES];
+
+      snprintf (key, sizeof key, "key%017d", i);
+      denied += ask (fd, attempt, key) == 401;
+      free (attempt);
+    }
+  return denied;
+}
+
 int
 main (int argc, char **argv)
 {
   const char *trouble = getenv ("TROUBLE");
-  bool at_once = !trouble || strcmp (trouble, "0") != 0;
-  struct caller callers[CALLERS];
-  pthread_t threads[CALLERS];
-  int lost = 0;
+  bool change = !trouble || strcmp (trouble, "0") != 0;
+  int fd;
+  int denied;
 
   if (argc != 3)
     return CANNOT_RUN;
@@ -173,21 +160,20 @@
   if (!start (argv[1]))
     return CANNOT_RUN;
   sleep_ms (3000);
-  for (int i = 0; i < CALLERS; i++)
+  fd = connect_to (gateway.ip, gateway.callers_port);
+  if (ask_with_keys (fd, "before", 1, KEYS_BEFORE) != 0)
     {
-      callers[i] = (struct caller){ .number = i, .next_at_once = at_once };
-      if (pthread_create (&threads[i], NULL, run_caller, &callers[i]) != 0)
-        return CANNOT_RUN;
+      gateway_end (&gateway, SIGKILL);
+      return CANNOT_RUN;
     }
-  for (int i = 0; i < CALLERS; i++)
-    {
-      pthread_join (threads[i], NULL);
-      lost += callers[i].first_status == 0;
-    }
-  sleep_ms (WORK_MS);
-  record ("channels closed without the answer to a request at the runner: %d; "
+  if (change)
+    put_configuration (8, KEYS_AFTER);
+  sleep_ms (CONFIG_APPLY_MS + STABLE_WINDOW_MS);
+  denied = ask_with_keys (fd, "after", 1, change ? KEYS_AFTER : KEYS_BEFORE);
+  close (fd);
+  record ("turned away with 401 though their key is in the desired state: %d; "
           "allowed: %d",
-          lost, LOST_MAX);
+          denied, DENIED_MAX);
   gateway_end (&gateway, SIGTERM);
-  return lost > LOST_MAX ? RULE_BROKEN : 0;
+  return denied > DENIED_MAX ? RULE_BROKEN : 0;
 }
