--- a/review/6/case.c
+++ b/review/6/case.c
@@ -14,12 +14,12 @@
 #include <string.h>
 
 #define GATEWAYS 2
-#define SESSIONS 32
+#define SESSIONS 96
 #define OLD_RUNNERS 4
 #define NEW_RUNNERS 2
 #define DRAIN_MS 2000
 /* Between two requests. */
-#define GAP_MS 10
+#define GAP_MS 5
 /* When the processes end, after the second requests began. */
 #define END_AFTER_MS 700
 #define RESTART_MS 500
