--- a/review/stand-2/fragile.c
+++ b/review/stand-2/fragile.c
@@ -19,7 +19,7 @@
 answer_request (int fd, const struct message *request)
 {
   char attempt[64] = "";
-  char prefix[128] = "";
+  char prefix[512] = "";
   bool open;
 
   if (strstr (request->text, "/v1/kv-list"))
