--- a/review/stand-2/runner.c
+++ b/review/stand-2/runner.c
@@ -2,9 +2,7 @@
  * A sound runner of streams that may be resumed: it runs a request, lists the
  * parts of prompts that it holds, and answers 421 to a request for another
  * runner.  SIGUSR1 makes it full for a second: it turns requests away without
- * running them, and asks for a pause of that length.  From SIGUSR2 on two in
- * five of its answers are lost for some seconds: it runs the request, and the
- * connection is reset.
+ * running them, and asks for a pause of that length.
  */
 #include "stand.h"
 
@@ -13,24 +11,17 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define EVENTS 20
 #define EVENT_GAP_MS 100
 #define PAUSE_S 1
 #define PAUSE_MS (PAUSE_S * INT64_C (1000))
-/* How long answers are lost, which share of them, and after what work. */
-#define LOSS_MS 4000
-#define LOSS_OF 5
-#define LOST_OF 2
-#define LOST_WORK_MS 60
 #define HELD_MAX 256
 #define PART_BYTES 32
 
-/* Set by SIGUSR1, and by SIGUSR2. */
+/* Set by SIGUSR1. */
 static volatile sig_atomic_t became_full;
-static volatile sig_atomic_t became_lossy;
 
 /* The runner that this process plays. */
 static struct
@@ -39,8 +30,6 @@
   const char *id;
   const char *version;
   int64_t full_until_ms;
-  int64_t lossy_until_ms;
-  unsigned lossy_count; /* Requests since answers are lost. */
   char held[HELD_MAX][PART_BYTES];
   size_t held_count;
 } runner = { .lock = PTHREAD_MUTEX_INITIALIZER };
@@ -151,36 +140,6 @@
   return full;
 }
 
-/* Whether the answer to the request that has just come is lost. */
-static bool
-is_lost (void)
-{
-  bool lost;
-
-  pthread_mutex_lock (&runner.lock);
-  if (became_lossy)
-    runner.lossy_until_ms = now_ms () + LOSS_MS;
-  became_lossy = 0;
-  lost = now_ms () < runner.lossy_until_ms
-         && runner.lossy_count++ % LOSS_OF < LOST_OF;
-  pthread_mutex_unlock (&runner.lock);
-  return lost;
-}
-
-/* Runs a request whose answer is lost.  Returns false: the connection ends. */
-static bool
-lose_answer (int fd, const struct message *request, const char *attempt)
-{
-  struct linger reset = { .l_onoff = 1 };
-
-  record ("%s (%s) runs %s, and its answer is lost", runner.id, runner.version,
-          attempt);
-  hold_last_part (request);
-  sleep_ms (LOST_WORK_MS);
-  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-  return false;
-}
-
 static bool
 answer_request (int fd, const struct message *request)
 {
@@ -200,8 +159,6 @@
                       runner.id, attempt);
   if (is_full ())
     return refuse (fd, attempt);
-  if (is_lost ())
-    return lose_answer (fd, request, attempt);
   return run_stream (fd, request, attempt);
 }
 
@@ -221,10 +178,8 @@
 static void
 on_signal (int number)
 {
-  if (number == SIGUSR1)
-    became_full = 1;
-  else
-    became_lossy = 1;
+  (void)number;
+  became_full = 1;
 }
 
 /* Arguments: identifier, software version, port, record. */
@@ -240,7 +195,6 @@
   runner.version = argv[2];
   record_open (argv[4]);
   signal (SIGUSR1, on_signal);
-  signal (SIGUSR2, on_signal);
   serve (listener, handle_runner_connection);
   for (;;)
     pause ();
