Split target.c: removals of entries have a file of their own

What deals with deleted entries and outages of the store moves to target_removal.c; the table's structure is shared in target_internal.h.

--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -1,41 +1,12 @@
-#include "balance/target.h"
+#include "balance/target_internal.h"
 
-#include "balance/departure.h"
-#include "balance/evacuation.h"
-#include "balance/lapse.h"
 #include "balance/runner_limit.h"
 #include "balance/short_only.h"
 #include "common/log.h"
-#include "common/map.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-struct listed_target
-{
-  struct bd_target public;
-  bool listed; /* Present in the list that is being read. */
-};
-
-struct bd_targets
-{
-  /* Elements are the first member of a struct listed_target.  Ordered by
-     service, then by the hash of the identifier. */
-  struct bd_target **all;
-  size_t count;
-  size_t capacity;
-  struct bd_map *by_hash; /* Keyed by the low half of the hash. */
-  struct bd_lapse lapse;
-  bool short_only_stale; /* A state has changed since short_only was set. */
-  /* The store's older copy: its last revision, and until when its entries are
-     distrusted. */
-  uint64_t copy_revision;
-  int64_t distrust_until_ms;
-  struct bd_departures departures;
-  struct bd_evacuations evacuations;
-  struct bd_map *cold_rates; /* By service; a rate stands in the pointer. */
-};
-
 struct bd_targets *
 bd_targets_create (void)
 {
@@ -109,9 +80,9 @@
   return names[state];
 }
 
-static void
-set_state (struct bd_targets *targets, struct bd_target *target,
-           enum bd_target_state state, uint64_t revision)
+void
+bd_target_set_state (struct bd_targets *targets, struct bd_target *target,
+                     enum bd_target_state state, uint64_t revision)
 {
   if (target->state == state)
     return;
@@ -371,7 +342,7 @@
     {
       /* An identifier never moves between services, so this is another runner.
          Requests in flight keep the old target. */
-      set_state (targets, target, BD_TARGET_GONE, revision);
+      bd_target_set_state (targets, target, BD_TARGET_GONE, revision);
       target->id.length = 0;
       target->leaving_ms = 0;
       target->pause.until_ms = 0;
@@ -411,115 +382,12 @@
   target->started_ms = entry->started_ms;
   target->distrusted = from_copy && has_left && !entry->draining;
   if (!target->distrusted)
-    set_state (targets, target,
-               entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY,
-               revision);
+    bd_target_set_state (
+        targets, target,
+        entry->draining ? BD_TARGET_DRAINING : BD_TARGET_READY, revision);
   return BD_OK;
 }
 
-static void
-set_gone (struct bd_targets *targets, struct bd_target *target, int64_t now_ms)
-{
-  if (target->state != BD_TARGET_GONE)
-    bd_departures_record (&targets->departures, now_ms, target->hash,
-                          target->started_ms);
-  set_state (targets, target, BD_TARGET_GONE, target->revision);
-}
-
-static void
-set_lapsed (struct bd_targets *targets, struct bd_target *target,
-            int64_t end_ms)
-{
-  target->lapse_until_ms = end_ms;
-  set_state (targets, target, BD_TARGET_LAPSED, target->revision);
-}
-
-/* Handles that the entry of TARGET, a ready runner, was deleted. */
-static void
-handle_ready_removed (struct bd_targets *targets, int64_t now_ms,
-                      struct bd_target *target)
-{
-  bool together = bd_lapse_count_deleted (&targets->lapse, target, now_ms);
-  int64_t end_ms = bd_lapse_end_ms (&targets->lapse, now_ms);
-
-  if (end_ms <= now_ms)
-    set_gone (targets, target, now_ms);
-  else
-    set_lapsed (targets, target, end_ms);
-  for (size_t i = 0; together && i < targets->count; i++)
-    if (targets->all[i]->deleted_in_doubt)
-      set_lapsed (targets, targets->all[i], end_ms);
-}
-
-static void
-handle_entry_removed (struct bd_targets *targets, int64_t now_ms,
-                      struct bd_target *target, uint64_t revision)
-{
-  target->revision = revision;
-  target->distrusted = false;
-  if (target->state == BD_TARGET_READY)
-    handle_ready_removed (targets, now_ms, target);
-  else if (target->state != BD_TARGET_LAPSED
-           || bd_lapse_end_ms (&targets->lapse, now_ms) <= now_ms)
-    set_gone (targets, target, now_ms);
-}
-
-void
-bd_targets_remove (struct bd_targets *targets, int64_t now_ms,
-                   struct bd_chunk id, uint64_t revision)
-{
-  struct bd_target *target = bd_targets_find (targets, id);
-
-  if (target && revision >= target->revision)
-    handle_entry_removed (targets, now_ms, target, revision);
-}
-
-void
-bd_targets_list_begin (struct bd_targets *targets)
-{
-  for (size_t i = 0; i < targets->count; i++)
-    ((struct listed_target *)targets->all[i])->listed = false;
-  bd_evacuations_list_begin (&targets->evacuations);
-}
-
-void
-bd_targets_list_end (struct bd_targets *targets, int64_t now_ms,
-                     uint64_t revision)
-{
-  for (size_t i = 0; i < targets->count; i++)
-    {
-      struct bd_target *target = targets->all[i];
-
-      if (!((struct listed_target *)target)->listed
-          && target->revision <= revision)
-        handle_entry_removed (targets, now_ms, target, revision);
-    }
-  bd_evacuations_list_end (&targets->evacuations, revision,
-                           now_ms < targets->distrust_until_ms
-                               ? targets->distrust_until_ms
-                               : now_ms);
-}
-
-void
-bd_targets_set_store_lost (struct bd_targets *targets)
-{
-  targets->lapse.store_lost = true;
-}
-
-void
-bd_targets_set_store_available (struct bd_targets *targets, int64_t now_ms,
-                                enum bd_outage_verdict outage)
-{
-  bd_lapse_end_outage (&targets->lapse, targets->all, targets->count, now_ms,
-                       outage);
-}
-
-bool
-bd_targets_store_is_lost (const struct bd_targets *targets)
-{
-  return targets->lapse.store_lost;
-}
-
 /* Another target of this hash, of another service, may be in the map. */
 static void
 free_removed (struct bd_targets *targets, struct bd_target *target)
@@ -542,11 +410,12 @@
 
       if (target->state == BD_TARGET_LAPSED && !targets->lapse.store_lost
           && now_ms >= target->lapse_until_ms)
-        set_gone (targets, target, now_ms);
+        bd_target_set_gone (targets, target, now_ms);
       if (target->distrusted && now_ms >= targets->distrust_until_ms)
         {
           target->distrusted = false;
-          set_state (targets, target, BD_TARGET_READY, target->revision);
+          bd_target_set_state (targets, target, BD_TARGET_READY,
+                               target->revision);
         }
       if (now_ms >= targets->lapse.doubt_until_ms)
         target->deleted_in_doubt = false;
