--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -15,8 +15,9 @@
   if (!targets)
     return NULL;
   targets->by_hash = bd_map_create ();
+  targets->by_address = bd_map_create ();
   targets->cold_rates = bd_map_create ();
-  if (targets->by_hash && targets->cold_rates)
+  if (targets->by_hash && targets->by_address && targets->cold_rates)
     return targets;
   bd_targets_destroy (targets);
   return NULL;
@@ -39,8 +40,10 @@
   for (size_t i = 0; i < targets->count; i++)
     free_target (targets->all[i]);
   bd_map_destroy (targets->by_hash);
+  bd_map_destroy (targets->by_address);
   bd_map_destroy (targets->cold_rates);
   bd_evacuations_clear (&targets->evacuations);
+  bd_former_software_clear (&targets->former_software);
   free (targets->all);
   free (targets);
 }
@@ -95,15 +98,74 @@
   target->state = state;
 }
 
+/* An entry without a version names no runner, so none has run it. */
+void
+bd_targets_record_ended (struct bd_targets *targets, struct bd_chunk service,
+                         uint64_t software, int64_t now_ms)
+{
+  if (software > BD_SOFTWARE_UNNAMED)
+    bd_former_software_record (&targets->former_software,
+                               bd_chunk_hash (service), software, now_ms);
+}
+
+bool
+bd_targets_had_other_software (const struct bd_targets *targets,
+                               struct bd_chunk service, uint64_t software,
+                               int64_t now_ms)
+{
+  return bd_former_software_has_other (
+      &targets->former_software, bd_chunk_hash (service), software, now_ms);
+}
+
 static void
-set_software (struct bd_target *target, const struct bd_software *software)
+set_software (struct bd_targets *targets, struct bd_target *target,
+              const struct bd_software *software, int64_t now_ms)
 {
   struct bd_software before = target->software;
 
-  if (bd_software_set (&target->software, software))
-    bd_log (BD_EVENT_TARGET_SOFTWARE, "runner=%s service=%s from=%s to=%s",
-            target->id.data, target->service.data, bd_software_name (&before),
-            bd_software_name (software));
+  if (!bd_software_set (&target->software, software))
+    return;
+  bd_targets_record_ended (targets, target->service, before.hash, now_ms);
+  bd_log (BD_EVENT_TARGET_SOFTWARE, "runner=%s service=%s from=%s to=%s",
+          target->id.data, target->service.data, bd_software_name (&before),
+          bd_software_name (software));
+}
+
+static struct bd_id
+address_key (uint32_t ip, uint16_t port)
+{
+  return (struct bd_id){ .low = (uint64_t)ip << 16 | port };
+}
+
+/* Removes TARGET from its address, unless another runner has that by now. */
+static void
+forget_address (struct bd_targets *targets, const struct bd_target *target)
+{
+  struct bd_id key = address_key (target->ip, target->port);
+
+  if (bd_map_get (targets->by_address, key, 0) == target)
+    bd_map_remove (targets->by_address, key, 0);
+}
+
+/* Sets the address of TARGET.  Another runner that had it has ended. */
+static void
+set_address (struct bd_targets *targets, struct bd_target *target,
+             const struct bd_target_entry *entry, int64_t now_ms)
+{
+  struct bd_id key = address_key (entry->ip, entry->port);
+  const struct bd_target *other;
+
+  if (target->ip == entry->ip && target->port == entry->port)
+    return;
+  other = bd_map_get (targets->by_address, key, 0);
+  if (other && other != target && other->state != BD_TARGET_GONE)
+    bd_targets_record_ended (targets, other->service, other->software.hash,
+                             now_ms);
+  if (bd_map_put (targets->by_address, key, 0, target) != BD_OK)
+    targets->former_software.lost_ms = now_ms;
+  forget_address (targets, target);
+  target->ip = entry->ip;
+  target->port = entry->port;
 }
 
 static int
@@ -196,6 +258,7 @@
       return NULL;
     }
   target->first_seen_ms = now_ms;
+  target->in_first_list = !targets->first_list_read;
   target->state = BD_TARGET_GONE;
   insert_sorted (targets, target);
   return target;
@@ -261,6 +324,10 @@
   if (now_ms - target->limit.heard_ms >= BD_TARGET_LIST_DELAY_MAX_MS)
     memset (&target->limit, 0, sizeof target->limit);
   target->first_seen_ms = now_ms;
+  target->parts_asked_ms = 0;
+  target->in_first_list = false;
+  bd_targets_record_ended (targets, target->service, target->software.hash,
+                           now_ms);
   if (started_ms > target->leaving_started_max_ms)
     target->leaving_ms = 0;
   targets->short_only_stale = true;
@@ -375,10 +442,9 @@
     target->renewed_ms = now_ms;
   target->revision = revision;
   target->deleted_in_doubt = false;
-  target->ip = entry->ip;
-  target->port = entry->port;
+  set_address (targets, target, entry, now_ms);
   target->slots = entry->slots;
-  set_software (target, &entry->software);
+  set_software (targets, target, &entry->software, now_ms);
   target->started_ms = entry->started_ms;
   target->distrusted = from_copy && has_left && !entry->draining;
   if (!target->distrusted)
@@ -394,6 +460,7 @@
 {
   if (bd_targets_by_hash (targets, (uint32_t)target->hash) == target)
     bd_map_remove (targets->by_hash, hash_key (target->hash), 0);
+  forget_address (targets, target);
   free_target (target);
 }
 
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -146,6 +146,11 @@
   /** When its process last wrote the entry anew; 0: not since it is known
       here. */
   int64_t renewed_ms;
+  /** When its process was asked which parts of prompts it holds, if it has
+      told; 0: it has not. */
+  int64_t parts_asked_ms;
+  /** Its process was in the first list that was read here. */
+  bool in_first_list;
   /** When a response announced that the runner leaves; 0: never. */
   int64_t leaving_ms;
   /** Latest start of a process that the announcement may come from; a process
@@ -279,6 +284,12 @@
 struct bd_target *bd_targets_by_hash (const struct bd_targets *targets,
                                       uint32_t hash);
 
+/** Returns whether a runner of SERVICE that ran another software version than
+    SOFTWARE has ended lately (former_software.h). */
+bool bd_targets_had_other_software (const struct bd_targets *targets,
+                                    struct bd_chunk service, uint64_t software,
+                                    int64_t now_ms);
+
 /** Whether new requests may be sent to TARGET. */
 bool bd_target_usable (const struct bd_target *target);
 
--- a/src/balance/target_internal.h
+++ b/src/balance/target_internal.h
@@ -7,6 +7,7 @@
 
 #include "balance/departure.h"
 #include "balance/evacuation.h"
+#include "balance/former_software.h"
 #include "balance/lapse.h"
 #include "balance/target.h"
 #include "common/map.h"
@@ -26,7 +27,8 @@
   struct bd_target **all;
   size_t count;
   size_t capacity;
-  struct bd_map *by_hash; /**< Keyed by the low half of the hash. */
+  struct bd_map *by_hash;    /**< Keyed by the low half of the hash. */
+  struct bd_map *by_address; /**< The last one that had the address. */
   struct bd_lapse lapse;
   bool short_only_stale; /**< A state has changed since short_only was set. */
   /** The store's older copy: its last revision, and until when its entries are
@@ -34,6 +36,8 @@
   uint64_t copy_revision;
   int64_t distrust_until_ms;
   struct bd_departures departures;
+  struct bd_former_software former_software;
+  bool first_list_read;
   struct bd_evacuations evacuations;
   struct bd_map *cold_rates; /**< By service; a rate stands in the pointer. */
 };
@@ -42,6 +46,11 @@
 void bd_target_set_state (struct bd_targets *targets, struct bd_target *target,
                           enum bd_target_state state, uint64_t revision);
 
+/** Records that a runner of SERVICE has ended that ran SOFTWARE. */
+void bd_targets_record_ended (struct bd_targets *targets,
+                              struct bd_chunk service, uint64_t software,
+                              int64_t now_ms);
+
 /** TARGET has left. */
 void bd_target_set_gone (struct bd_targets *targets, struct bd_target *target,
                          int64_t now_ms);
--- a/src/balance/target_removal.c
+++ b/src/balance/target_removal.c
@@ -7,8 +7,12 @@
                     int64_t now_ms)
 {
   if (target->state != BD_TARGET_GONE)
-    bd_departures_record (&targets->departures, now_ms, target->hash,
-                          target->started_ms);
+    {
+      bd_departures_record (&targets->departures, now_ms, target->hash,
+                            target->started_ms);
+      bd_targets_record_ended (targets, target->service, target->software.hash,
+                               now_ms);
+    }
   bd_target_set_state (targets, target, BD_TARGET_GONE, target->revision);
 }
 
@@ -84,6 +88,7 @@
                            now_ms < targets->distrust_until_ms
                                ? targets->distrust_until_ms
                                : now_ms);
+  targets->first_list_read = true;
 }
 
 void
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -67,6 +67,7 @@
   X (4013, TARGET_LIMIT, NOTICE, "runner limits its requests")                \
   X (4014, EVACUATION, NOTICE, "zone evacuated or in use again")              \
   X (4015, TARGET_SOFTWARE, NOTICE, "runner runs another software version")   \
+  X (4016, ORIGIN_DOUBTED, INFO, "a runner cannot tell what it began")        \
   X (5001, ENGINE_DOWN, WARNING, "engine connection lost")                    \
   X (5002, ENGINE_UP, NOTICE, "engine answers")                               \
   X (5003, ENGINE_ORDER, NOTICE, "order given to the engine")                 \
--- a/src/gateway/inventory.c
+++ b/src/gateway/inventory.c
@@ -76,10 +76,10 @@
   free (inventory);
 }
 
-static const struct bd_target *
+static struct bd_target *
 find_target (const struct bd_inventory *inventory, uint64_t hash)
 {
-  const struct bd_target *target
+  struct bd_target *target
       = bd_targets_by_hash (inventory->options.targets, (uint32_t)hash);
 
   return target && target->hash == hash ? target : NULL;
@@ -147,7 +147,7 @@
 {
   struct runner_call *call = context;
   const struct bd_dialect *dialect = call->inventory->options.dialect;
-  const struct bd_target *target = find_target (call->inventory, call->target);
+  struct bd_target *target = find_target (call->inventory, call->target);
   int error = BD_ERR_ENGINE;
 
   if (!target || target->software.hash != call->software)
@@ -155,6 +155,9 @@
   if (call->status == 200)
     error = dialect->read_prefixes (bd_buffer_chunk (&call->body), on_prefix,
                                     call);
+  if (error == BD_OK && call->software != BD_SOFTWARE_UNCERTAIN
+      && call->started_ms >= target->first_seen_ms)
+    target->parts_asked_ms = call->started_ms;
   end_call (call, error == BD_OK ? "ok" : bd_error_answer (error)->code);
 }
 
@@ -257,6 +260,13 @@
   bd_inventory_tick (inventory, now_ms);
 }
 
+bool
+bd_inventory_has_told (const struct bd_target *target, int64_t now_ms)
+{
+  return target->parts_asked_ms != 0
+         && now_ms - target->parts_asked_ms < VALID_MS;
+}
+
 enum bd_inventory_state
 bd_inventory_state (const struct bd_inventory *inventory,
                     struct bd_chunk service, int64_t now_ms)
--- a/src/gateway/inventory.h
+++ b/src/gateway/inventory.h
@@ -48,6 +48,9 @@
 bd_inventory_state (const struct bd_inventory *inventory,
                     struct bd_chunk service, int64_t now_ms);
 
+/** Returns whether the present process of TARGET has told what it holds. */
+bool bd_inventory_has_told (const struct bd_target *target, int64_t now_ms);
+
 /** Starts queued calls, a few at a time, and ends those that take too long. */
 void bd_inventory_tick (struct bd_inventory *inventory, int64_t now_ms);
 
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -1,5 +1,9 @@
 #include "gateway/origin_lookup.h"
 
+#include "balance/former_software.h"
+#include "common/clock.h"
+#include "common/log.h"
+
 /* Time until an instance has told of a stream that just began; before, runners
    are not asked for it. */
 #define ORIGIN_DELAY_MS 40
@@ -10,6 +14,59 @@
   return (struct bd_found_origin){ .verdict = verdict };
 }
 
+/* Whether a process that ran before under the identifier of TARGET may have
+   begun a stream that is continued now.  Restarts since the first list are
+   known to the table of runners. */
+static bool
+may_have_restarted (const struct bd_target *target)
+{
+  return target->in_first_list && target->started_ms != 0
+         && bd_clock_wall_ms () - target->started_ms < BD_FORMER_SOFTWARE_MS;
+}
+
+/* Returns why TARGET may have begun a stream that it does not list; NULL: it
+   has not begun it. */
+static const char *
+doubt_of_target (const struct bd_target *target, int64_t now_ms)
+{
+  if (target->state == BD_TARGET_GONE)
+    return NULL;
+  if (!bd_inventory_has_told (target, now_ms))
+    return "silent";
+  return may_have_restarted (target) ? "restarted" : NULL;
+}
+
+/* Whether a runner of another version than SOFTWARE may have begun a stream
+   and cannot tell so: it has ended, or has not told what it holds.  Then it
+   shows nothing that a runner of SOFTWARE holds the prompt, which it may have
+   from another request of the session, or from an attempt that had no event.
+ */
+static bool
+other_may_have_begun (const struct bd_origin_lookup *lookup,
+                      struct bd_chunk service, uint64_t software,
+                      int64_t now_ms)
+{
+  const char *reason = NULL;
+  const char *runner = "-";
+  size_t count;
+  struct bd_target *const *all
+      = bd_targets_of_service (lookup->targets, service, &count);
+
+  if (bd_targets_had_other_software (lookup->targets, service, software,
+                                     now_ms))
+    reason = "ended";
+  for (size_t i = 0; i < count && !reason; i++)
+    if (all[i]->software.hash != software)
+      {
+        reason = doubt_of_target (all[i], now_ms);
+        runner = all[i]->id.data;
+      }
+  if (reason)
+    bd_log (BD_EVENT_ORIGIN_DOUBTED, "service=%.*s runner=%s reason=%s",
+            (int)service.length, service.data, runner, reason);
+  return reason != NULL;
+}
+
 /* Returns what HOLDER shows.  A list does not say who made it: another process
    may have the address by now.  It was the listed one if that has written its
    entry anew since. */
@@ -44,7 +101,9 @@
     {
     case BD_INVENTORY_KNOWN:
       if (bd_stream_origins_find_holder (lookup->origins, query->own_part,
-                                         now_ms, &holder))
+                                         now_ms, &holder)
+          && !other_may_have_begun (lookup, query->service, holder.software,
+                                    now_ms))
         return origin_from_holder (lookup, &holder);
       return origin_verdict (BD_COORDINATION_ORIGIN_UNKNOWN);
     case BD_INVENTORY_OLD:
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -194,14 +194,17 @@
 }
 
 void
-support_gateway_list (struct support_gateway *gateway, int i, int port)
+support_gateway_list_process (struct support_gateway *gateway, int i,
+                              int64_t started_ms)
 {
   struct support_runner *runner = &gateway->runners[i];
-  struct bd_target_entry entry
-      = { .service = BD_CHUNK ("s"), .zone = BD_CHUNK ("z"), .slots = 4 };
+  struct bd_target_entry entry = { .service = BD_CHUNK ("s"),
+                                   .zone = BD_CHUNK ("z"),
+                                   .slots = 4,
+                                   .started_ms = started_ms };
+  int port = runner->port;
 
   g_snprintf (runner->id, sizeof runner->id, "i-%d", i);
-  runner->port = port;
   entry.id = bd_chunk_of (runner->id);
   entry.ip = htonl (INADDR_LOOPBACK);
   entry.port = htons ((uint16_t)port);
@@ -211,6 +214,13 @@
                   ++gateway->revision);
 }
 
+void
+support_gateway_list (struct support_gateway *gateway, int i, int port)
+{
+  gateway->runners[i].port = port;
+  support_gateway_list_process (gateway, i, 0);
+}
+
 void
 support_gateway_set_software (struct support_gateway *gateway, int i,
                               const char *software)
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -108,6 +108,11 @@
 /** Lists runner I as ready at PORT of loopback. */
 void support_gateway_list (struct support_gateway *gateway, int i, int port);
 
+/** Lists runner I at its port, as a process that started at STARTED_MS, a
+    wall-clock time; 0: unknown. */
+void support_gateway_list_process (struct support_gateway *gateway, int i,
+                                   int64_t started_ms);
+
 /** Lists runner I with a software version. */
 void support_gateway_set_software (struct support_gateway *gateway, int i,
                                    const char *software);
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -1,6 +1,7 @@
 /* Streams go on only at runners of the software version that began them:
    within one response, and when the caller continues one with a new attempt.
  */
+#include "balance/pause.h"
 #include "balance/runner_limit.h"
 #include "common/clock.h"
 #include "support_gateway.h"
@@ -308,6 +309,157 @@
   support_gateway_close (&g);
 }
 
+/* Lists runners 0 and 1, of versions v1 and v1.1; runner 0 holds the prompt
+   from an earlier request of the session.  What STEPS of runner 1 say of it is
+   up to the test; NULL: it has crashed and cannot be reached. */
+static void
+open_two_versions (struct support_gateway *g, const struct support_step *steps)
+{
+  support_gateway_open (g);
+  support_gateway_runner (g, 0, lists_then_ends, 2);
+  support_gateway_set_software (g, 0, "v1");
+  if (steps)
+    support_gateway_runner (g, 1, steps, 2);
+  else
+    support_gateway_unreachable_runner (g, 1);
+  support_gateway_set_software (g, 1, "v1.1");
+}
+
+/* Continues a stream of which nothing was told, and checks that its origin
+   counts as unknown. */
+static void
+check_origin_unknown (struct support_gateway *g)
+{
+  struct support_caller *caller
+      = call (g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+
+  await_outcome (caller);
+  check_contains (caller->in, "\"stream_origin_unknown\"");
+  check_runners (g, 1, 0);
+}
+
+/* Guards against a join after all instances have ended at once: the runner
+   that began the stream has crashed, and one of another version holds the
+   prompt of the session (review/6). */
+static void
+test_other_version_crashed (void)
+{
+  struct support_gateway g;
+
+  open_two_versions (&g, NULL);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
+/* Guards against the same where that runner's entry is gone already. */
+static void
+test_other_version_left (void)
+{
+  struct support_gateway g;
+
+  open_two_versions (&g, lists_others);
+  bd_targets_remove (g.targets, bd_clock_boot_ms (), BD_CHUNK ("i-1"),
+                     ++g.revision);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
+/* Guards against the same where that runner has started again under its
+   identifier: the new process holds nothing. */
+static void
+test_other_version_restarted (void)
+{
+  struct support_gateway g;
+
+  open_two_versions (&g, lists_others);
+  support_gateway_list_process (&g, 1, bd_clock_wall_ms () - 60000);
+  support_gateway_list_process (&g, 1, bd_clock_wall_ms ());
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
+/* Guards against the same where it started again before this instance has
+   read the first list of runners. */
+static void
+test_other_version_started_before (void)
+{
+  struct support_gateway g;
+
+  open_two_versions (&g, lists_others);
+  support_gateway_list_process (&g, 1, bd_clock_wall_ms () - 1000);
+  bd_targets_list_end (g.targets, bd_clock_boot_ms (), 0);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
+/* Guards against the same where another runner has its address, and says what
+   it holds in its place. */
+static void
+test_other_version_replaced (void)
+{
+  struct support_gateway g;
+
+  open_two_versions (&g, lists_others);
+  g.runners[2].software = "v1";
+  support_gateway_list (&g, 2, g.runners[1].port);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
+/* Guards against the same where that runner wants no call for a while, so that
+   it is not asked. */
+static void
+test_other_version_paused (void)
+{
+  struct support_gateway g;
+
+  open_two_versions (&g, lists_others);
+  bd_pause_begin (bd_targets_find (g.targets, BD_CHUNK ("i-1")),
+                  bd_clock_boot_ms (), 20000);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
+/* Runners of the version that holds the prompt may end: whichever of them
+   began the stream, it goes on at their version. */
+static void
+test_same_version_lost (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  open_two_versions (&g, lists_others);
+  support_gateway_unreachable_runner (&g, 2);
+  support_gateway_set_software (&g, 2, "v1");
+  g.runners[3].software = "v1";
+  support_gateway_list (&g, 3, 9);
+  bd_targets_remove (g.targets, bd_clock_boot_ms (), BD_CHUNK ("i-3"),
+                     ++g.revision);
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  check_runners (&g, 2, 1);
+  support_gateway_close (&g);
+}
+
+/* Nor does it matter which versions ended long ago. */
+static void
+test_other_version_lost_long_ago (void)
+{
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  open_two_versions (&g, lists_others);
+  g.runners[2].software = "v1.2";
+  support_gateway_list (&g, 2, 9);
+  bd_targets_remove (g.targets, bd_clock_boot_ms () - 60000, BD_CHUNK ("i-2"),
+                     ++g.revision);
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  support_gateway_close (&g);
+}
+
 /* Two of the runners hold the prompt, of different versions. */
 static void
 test_version_ambiguous (void)
@@ -485,6 +637,21 @@
   g_test_add_func ("/continuation/session", test_session);
   g_test_add_func ("/continuation/session-handover", test_session_handover);
   g_test_add_func ("/continuation/version-unknown", test_version_unknown);
+  g_test_add_func ("/continuation/other-version-crashed",
+                   test_other_version_crashed);
+  g_test_add_func ("/continuation/other-version-left",
+                   test_other_version_left);
+  g_test_add_func ("/continuation/other-version-restarted",
+                   test_other_version_restarted);
+  g_test_add_func ("/continuation/other-version-started-before",
+                   test_other_version_started_before);
+  g_test_add_func ("/continuation/other-version-replaced",
+                   test_other_version_replaced);
+  g_test_add_func ("/continuation/other-version-paused",
+                   test_other_version_paused);
+  g_test_add_func ("/continuation/other-version-lost-long-ago",
+                   test_other_version_lost_long_ago);
+  g_test_add_func ("/continuation/same-version-lost", test_same_version_lost);
   g_test_add_func ("/continuation/version-ambiguous", test_version_ambiguous);
   g_test_add_func ("/continuation/list-of-another-process",
                    test_list_of_another_process);
