--- a/src/common/event.h
+++ b/src/common/event.h
@@ -78,6 +78,7 @@
   X (5008, NO_STRIKE, INFO, "runner lives that a request was suspected of")   \
   X (5009, PART_OPEN, WARNING, "part of prompts crashes runners")             \
   X (5010, PART_HEARD, INFO, "peer told of a part of prompts")                \
+  X (5011, PARTS_DROPPED, WARNING, "parts of prompts forgotten")              \
   X (6001, PROTOCOL_ERROR, WARNING, "message refused")
 
 enum bd_event
--- a/src/gateway/completion.c
+++ b/src/gateway/completion.c
@@ -116,6 +116,7 @@
     f->next->previous = f->previous;
   bd_routing_unref (f->routing);
   bd_buffer_clear (&f->fields);
+  bd_part_list_clear (&f->request_fields.parts);
   uv_close ((uv_handle_t *)&f->deadline_timer, on_timer_closed);
   uv_close ((uv_handle_t *)&f->attempt_timer, on_timer_closed);
 }
--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -57,6 +57,7 @@
   size_t count;
   struct crash_case cases[BD_CRASH_CASES_MAX]; /* In the order of opening. */
   struct bd_id known_crashes[KNOWN_CRASHES_MAX];
+  uint64_t dropped_logged;  /* Breakers dropped, as of the last log line. */
   size_t known_crash_count; /* Total number of crashes; modulo
                                KNOWN_CRASHES_MAX, the index of the next one. */
 };
@@ -75,13 +76,20 @@
   return crashes;
 }
 
+static void
+clear_case (struct crash_case *c)
+{
+  free (c->runner);
+  bd_part_list_clear (&c->fingerprint.parts);
+}
+
 void
 bd_crashes_destroy (struct bd_crashes *crashes)
 {
   if (!crashes)
     return;
   for (size_t i = 0; i < crashes->count; i++)
-    free (crashes->cases[i].runner);
+    clear_case (&crashes->cases[i]);
   free (crashes);
 }
 
@@ -220,7 +228,7 @@
 static void
 remove_case (struct bd_crashes *crashes, size_t index)
 {
-  free (crashes->cases[index].runner);
+  clear_case (&crashes->cases[index]);
   crashes->count--;
   memmove (&crashes->cases[index], &crashes->cases[index + 1],
            (crashes->count - index) * sizeof crashes->cases[0]);
@@ -295,6 +303,22 @@
   return attempt->evidence == BD_CRASH_CONNECTION_LOST && !c;
 }
 
+/* Gives C its own copies of what ATTEMPT refers to.  Returns false when out of
+   memory. */
+static bool
+copy_owned (struct crash_case *c, const struct bd_crash_attempt *attempt)
+{
+  c->runner = bd_chunk_copy (attempt->target->id);
+  c->fingerprint.parts = (struct bd_part_list){ 0 };
+  if (c->runner
+      && bd_part_list_copy (&c->fingerprint.parts,
+                            &attempt->fingerprint->parts)
+             == BD_OK)
+    return true;
+  clear_case (c);
+  return false;
+}
+
 void
 bd_crashes_open (struct bd_crashes *crashes, int64_t now_ms,
                  const struct bd_crash_attempt *attempt)
@@ -321,8 +345,7 @@
   fresh.arrived = has_arrived (attempt, c);
   if (!c)
     {
-      fresh.runner = bd_chunk_copy (target->id);
-      if (!fresh.runner)
+      if (!copy_owned (&fresh, attempt))
         return;
       evict_oldest (crashes);
       c = &crashes->cases[crashes->count++];
@@ -330,6 +353,7 @@
   else
     {
       fresh.runner = c->runner;
+      fresh.fingerprint.parts = c->fingerprint.parts;
       fresh.arrived = fresh.arrived || c->arrived;
     }
   *c = fresh;
@@ -499,9 +523,20 @@
   return VERDICT_OPEN;
 }
 
+static void
+log_dropped (struct bd_crashes *crashes)
+{
+  uint64_t dropped = bd_part_breakers_dropped (crashes->breakers);
+
+  if (dropped != crashes->dropped_logged)
+    bd_log (BD_EVENT_PARTS_DROPPED, "dropped=%" PRIu64, dropped);
+  crashes->dropped_logged = dropped;
+}
+
 void
 bd_crashes_tick (struct bd_crashes *crashes, int64_t now_ms)
 {
+  log_dropped (crashes);
   for (size_t i = 0; i < crashes->count;)
     {
       const char *by;
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -68,7 +68,7 @@
 {
   uint64_t exact;
   uint64_t broad;
-  struct bd_part_list parts;
+  struct bd_part_list parts; /**< Owned by the request. */
 };
 
 /** An attempt that may have crashed its runner. */
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -28,7 +28,7 @@
   /** Hash of the prompt's last part, which no other request of another
       session has; 0: none. */
   uint64_t own_part;
-  /** Parts of the shared prefix, whatever model reads them. */
+  /** Parts of the shared prefix, whatever model reads them.  To be cleared. */
   struct bd_part_list parts;
   /** Rest of the prompt; 0: the request has no prompt. */
   uint64_t own_tokens;
@@ -74,7 +74,8 @@
 
 struct bd_dialect
 {
-  /** Parses the header of a request.  Returns BD_OK or BD_ERR_INVALID. */
+  /** Parses the header of a request.  Returns BD_OK, BD_ERR_INVALID or
+      BD_ERR_NOMEM; the parts in FIELDS are to be cleared in any case. */
   int (*read_request) (const struct bd_head *head,
                        struct bd_request_fields *fields);
   /**
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -181,6 +181,7 @@
     {
       bd_forward_refuse (forwarder, exchange, &fields,
                          error == BD_OK ? BD_ERR_NOMEM : error);
+      bd_part_list_clear (&fields.parts);
       return;
     }
   f->request_fields = fields;
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -1,57 +1,26 @@
 #include "retry/part_breaker.h"
 
-#include "common/map.h"
 #include "common/random.h"
-#include "retry/crash_list.h"
+#include "common/string.h"
+#include "retry/breaker_table.h"
+#include "retry/harmless_parts.h"
 
 #include <stdlib.h>
 
-#define BREAKERS_MAX 512
 /* Longer than any hold time. */
 #define KEEP_MS 3600000
 /* Time in which the result of a request that a half-open breaker let pass is
    waited for. */
 #define TRIAL_MS 5000
 #define SENDS_PER_NOTICE 3
-/* Parts that are remembered as harmless; a power of two. */
-#define HARMLESS_MAX 4096
-#define NEVER_MS (INT64_MIN / 2)
-
-struct breaker
-{
-  uint64_t part;
-  int64_t harmless_ms; /* When a runner last survived the part. */
-  int64_t trial_ms;    /* When a half-open breaker last let a request pass. */
-  int64_t sole_ms; /* When the other part that was blamed for the last crash
-                      was last seen to be harmless. */
-  uint32_t harmless_sends_left;
-  struct bd_crash_list list; /* All after harmless_ms. */
-};
-
-/* A part that was seen to be harmless; part 0: none. */
-struct harmless_part
-{
-  uint64_t part;
-  int64_t at_ms;
-  bool doubtful; /* May have turned bad; suspected until the next answer. */
-};
 
 struct bd_part_breakers
 {
   uint64_t seed;
-  size_t count;
-  struct breaker *breakers;
-  struct bd_map *by_part;
-  struct harmless_part *harmless; /* By the lowest bits of the part. */
+  struct bd_breaker_table *table;
+  struct bd_harmless_parts *harmless;
 };
 
-void
-bd_part_list_add (struct bd_part_list *list, uint64_t part)
-{
-  if (list->count < BD_PARTS_MAX)
-    list->parts[list->count++] = part;
-}
-
 struct bd_part_breakers *
 bd_part_breakers_create (uint64_t seed)
 {
@@ -60,15 +29,12 @@
   if (!b)
     return NULL;
   b->seed = seed;
-  b->breakers = calloc (BREAKERS_MAX, sizeof *b->breakers);
-  b->by_part = bd_map_create ();
-  b->harmless = calloc (HARMLESS_MAX, sizeof *b->harmless);
-  if (!b->breakers || !b->by_part || !b->harmless)
-    {
-      bd_part_breakers_destroy (b);
-      return NULL;
-    }
-  return b;
+  b->table = bd_breaker_table_create ();
+  b->harmless = bd_harmless_parts_create ();
+  if (b->table && b->harmless)
+    return b;
+  bd_part_breakers_destroy (b);
+  return NULL;
 }
 
 void
@@ -76,89 +42,15 @@
 {
   if (!breakers)
     return;
-  bd_map_destroy (breakers->by_part);
-  free (breakers->harmless);
-  free (breakers->breakers);
+  bd_breaker_table_destroy (breakers->table);
+  bd_harmless_parts_destroy (breakers->harmless);
   free (breakers);
 }
 
-/* The table. */
-
-static struct bd_id
-map_id (uint64_t part)
-{
-  return (struct bd_id){ 0, part };
-}
-
-static struct breaker *
-find_breaker (const struct bd_part_breakers *b, uint64_t part)
-{
-  return b->count > 0 ? bd_map_get (b->by_part, map_id (part), 0) : NULL;
-}
-
-/* Time of the last crash or harmless answer. */
-static int64_t
-last_ms (const struct breaker *breaker)
-{
-  return breaker->list.count > 0
-             ? breaker->list.entries[breaker->list.count - 1].at_ms
-             : breaker->harmless_ms;
-}
-
-/* Removes a breaker; the last one takes its place. */
-static void
-remove_breaker (struct bd_part_breakers *b, struct breaker *breaker)
-{
-  struct breaker *last = &b->breakers[--b->count];
-
-  bd_map_remove (b->by_part, map_id (breaker->part), 0);
-  if (last == breaker)
-    return;
-  bd_map_remove (b->by_part, map_id (last->part), 0);
-  *breaker = *last;
-  if (bd_map_put (b->by_part, map_id (breaker->part), 0, breaker) != BD_OK)
-    /* Not found any more, it ages out. */
-    breaker->list.count = 0;
-}
-
-/* Removes the breaker whose last event is the oldest, one without crashes if
-   there is any. */
-static void
-evict_breaker (struct bd_part_breakers *b)
+uint64_t
+bd_part_breakers_dropped (const struct bd_part_breakers *breakers)
 {
-  struct breaker *oldest = &b->breakers[0];
-
-  for (size_t i = 1; i < b->count; i++)
-    {
-      struct breaker *breaker = &b->breakers[i];
-      bool idle = breaker->list.count == 0;
-      bool oldest_idle = oldest->list.count == 0;
-
-      if (idle > oldest_idle
-          || (idle == oldest_idle && last_ms (breaker) < last_ms (oldest)))
-        oldest = breaker;
-    }
-  remove_breaker (b, oldest);
-}
-
-static struct breaker *
-get_breaker (struct bd_part_breakers *b, uint64_t part)
-{
-  struct breaker *breaker = find_breaker (b, part);
-
-  if (breaker)
-    return breaker;
-  if (b->count == BREAKERS_MAX)
-    evict_breaker (b);
-  breaker = &b->breakers[b->count];
-  if (bd_map_put (b->by_part, map_id (part), 0, breaker) != BD_OK)
-    return NULL;
-  *breaker = (struct breaker){ .part = part,
-                               .harmless_ms = NEVER_MS,
-                               .trial_ms = NEVER_MS,
-                               .sole_ms = NEVER_MS };
-  b->count++;
-  return breaker;
+  return breakers->table->dropped;
 }
 
 /* Crashes. */
@@ -166,7 +58,7 @@
 /* Adds CRASH.  Returns false if it is known, or the part has been harmless
    since. */
 static bool
-add_crash (struct breaker *breaker, const struct bd_crash_entry *crash)
+add_crash (struct bd_breaker *breaker, const struct bd_crash_entry *crash)
 {
   return crash->at_ms > breaker->harmless_ms
          && bd_crash_list_add (&breaker->list, crash);
@@ -177,9 +69,9 @@
 static void
 set_sole (struct bd_part_breakers *b, uint64_t part, int64_t at_ms)
 {
-  for (size_t i = 0; i < b->count; i++)
+  for (size_t i = 0; i < b->table->count; i++)
     {
-      struct breaker *other = &b->breakers[i];
+      struct bd_breaker *other = b->table->items[i];
 
       if (other->list.count > 0 && at_ms > other->sole_ms
           && other->list.entries[other->list.count - 1].other == part)
@@ -189,7 +81,7 @@
 
 /* Returns whether that changed what is known. */
 static bool
-set_harmless (struct bd_part_breakers *b, struct breaker *breaker,
+set_harmless (struct bd_part_breakers *b, struct bd_breaker *breaker,
               int64_t at_ms)
 {
   uint32_t before = breaker->list.count;
@@ -204,60 +96,76 @@
   return breaker->list.count < before;
 }
 
-/* Returns where PART is remembered as harmless. */
-static struct harmless_part *
-harmless_slot (const struct bd_part_breakers *b, uint64_t part)
+static bool
+was_harmless (const struct bd_part_breakers *b, uint64_t part)
 {
-  return &b->harmless[part % HARMLESS_MAX];
+  return bd_harmless_parts_find (b->harmless, part) != NULL;
 }
 
+/* Whether PART may be to blame for a crash: it was not seen to be harmless, or
+   may have turned bad since. */
 static bool
-was_harmless (const struct bd_part_breakers *b, uint64_t part)
+is_suspected (const struct bd_part_breakers *b, uint64_t part)
 {
-  return harmless_slot (b, part)->part == part;
+  const struct bd_harmless_part *harmless
+      = bd_harmless_parts_find (b->harmless, part);
+
+  return !harmless || harmless->doubtful;
 }
 
-/* Adds the parts that may be to blame for a crash at AT_MS to SUSPECTED: those
-   that were not seen to be harmless, or else those that were not since; these
-   must then be seen to be so again. */
+/* If all of PARTS were seen to be harmless, suspects those that were not since
+   AT_MS; they must then be seen to be so again. */
 static void
-find_suspected (struct bd_part_breakers *b, const struct bd_part_list *parts,
-                int64_t at_ms, struct bd_part_list *suspected)
+suspect_some (struct bd_part_breakers *b, const struct bd_part_list *parts,
+              int64_t at_ms)
 {
   for (size_t i = 0; i < parts->count; i++)
-    if (!was_harmless (b, parts->parts[i])
-        || harmless_slot (b, parts->parts[i])->doubtful)
-      bd_part_list_add (suspected, parts->parts[i]);
-  if (suspected->count > 0)
-    return;
+    if (is_suspected (b, parts->parts[i]))
+      return;
   for (size_t i = 0; i < parts->count; i++)
     {
-      struct harmless_part *harmless = harmless_slot (b, parts->parts[i]);
+      struct bd_harmless_part *harmless
+          = bd_harmless_parts_find (b->harmless, parts->parts[i]);
 
-      if (harmless->at_ms >= at_ms)
-        continue;
-      harmless->doubtful = true;
-      bd_part_list_add (suspected, parts->parts[i]);
+      if (harmless->at_ms < at_ms)
+        harmless->doubtful = true;
     }
 }
 
-/* Adds those of SUSPECTED with the most crashes in succession to BLAMED. */
-static void
+/* Whether PART is blamed for a crash: it is suspected, and no other suspected
+   part has more than its MOST crashes in succession. */
+static bool
+is_blamed (const struct bd_part_breakers *b, uint64_t part, uint32_t most)
+{
+  return is_suspected (b, part) && bd_part_breakers_crashes (b, part) == most;
+}
+
+/* The parts of a request that are blamed for a crash. */
+struct blame
+{
+  uint32_t most;   /* Crashes in succession that each of them has. */
+  uint64_t first;  /* One of them; 0: there is none. */
+  uint64_t second; /* Another one; 0: there is none. */
+};
+
+static struct blame
 find_blamed (const struct bd_part_breakers *b,
-             const struct bd_part_list *suspected, struct bd_part_list *blamed)
+             const struct bd_part_list *parts)
 {
-  uint32_t most = 0;
+  struct blame blame = { 0 };
 
-  for (size_t i = 0; i < suspected->count; i++)
+  for (size_t i = 0; i < parts->count; i++)
     {
-      uint32_t count = bd_part_breakers_crashes (b, suspected->parts[i]);
+      uint32_t count = bd_part_breakers_crashes (b, parts->parts[i]);
 
-      if (count > most)
-        blamed->count = 0;
-      if (count >= most)
-        bd_part_list_add (blamed, suspected->parts[i]);
-      most = count > most ? count : most;
+      if (!is_suspected (b, parts->parts[i]) || count < blame.most)
+        continue;
+      if (count > blame.most || blame.first == 0)
+        blame = (struct blame){ count, parts->parts[i], 0 };
+      else if (blame.second == 0 && parts->parts[i] != blame.first)
+        blame.second = parts->parts[i];
     }
+  return blame;
 }
 
 bool
@@ -270,17 +178,20 @@
                                   .heard_ms = crash->heard_ms,
                                   .at_ms = crash->at_ms,
                                   .sends_left = SENDS_PER_NOTICE };
-  struct bd_part_list suspected = { 0 };
-  struct bd_part_list blamed = { 0 };
+  struct blame blame;
   bool is_new = false;
 
-  find_suspected (breakers, parts, crash->at_ms, &suspected);
-  find_blamed (breakers, &suspected, &blamed);
-  for (size_t i = 0; i < blamed.count; i++)
+  suspect_some (breakers, parts, crash->at_ms);
+  blame = find_blamed (breakers, parts);
+  for (size_t i = 0; i < parts->count; i++)
     {
-      struct breaker *breaker = get_breaker (breakers, blamed.parts[i]);
+      uint64_t part = parts->parts[i];
+      struct bd_breaker *breaker
+          = is_blamed (breakers, part, blame.most)
+                ? bd_breaker_table_get (breakers->table, part)
+                : NULL;
 
-      fresh.other = blamed.count > 1 ? blamed.parts[i == 0] : 0;
+      fresh.other = part == blame.first ? blame.second : blame.first;
       if (breaker && add_crash (breaker, &fresh))
         is_new = true;
     }
@@ -293,10 +204,10 @@
 {
   for (size_t i = 0; i < parts->count; i++)
     {
-      struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
+      struct bd_breaker *breaker
+          = bd_breaker_table_find (breakers->table, parts->parts[i]);
 
-      *harmless_slot (breakers, parts->parts[i])
-          = (struct harmless_part){ parts->parts[i], now_ms, false };
+      bd_harmless_parts_record (breakers->harmless, parts->parts[i], now_ms);
       if (breaker && set_harmless (breakers, breaker, now_ms))
         breaker->harmless_sends_left = SENDS_PER_NOTICE;
     }
@@ -306,7 +217,8 @@
 bd_part_breakers_crashes (const struct bd_part_breakers *breakers,
                           uint64_t part)
 {
-  const struct breaker *breaker = find_breaker (breakers, part);
+  const struct bd_breaker *breaker
+      = bd_breaker_table_find (breakers->table, part);
 
   return breaker ? bd_crash_list_in_succession (&breaker->list) : 0;
 }
@@ -316,7 +228,7 @@
 /* Returns whether OTHER is more likely to be the cause of crashes than a part
    under which COUNT runners crashed in succession. */
 static bool
-is_likelier (const struct bd_part_breakers *b, const struct breaker *other,
+is_likelier (const struct bd_part_breakers *b, const struct bd_breaker *other,
              uint32_t count, bool harmless_before)
 {
   uint32_t others = bd_crash_list_in_succession (&other->list);
@@ -326,46 +238,43 @@
              && !was_harmless (b, other->part));
 }
 
-/* Returns whether crash ID is under another part as well that is more likely
-   to be its cause; COUNT runners crashed in succession under BREAKER. */
-static bool
-is_explained (const struct bd_part_breakers *b, const struct breaker *breaker,
-              struct bd_id id, uint32_t count)
+/* Removes the crashes from OWN that are in OTHER as well. */
+static void
+remove_common (struct bd_crash_list *own, const struct bd_crash_list *other)
 {
-  bool harmless_before = was_harmless (b, breaker->part);
-
-  for (size_t i = 0; i < b->count; i++)
-    {
-      const struct breaker *other = &b->breakers[i];
-
-      if (other != breaker && bd_crash_list_has (&other->list, id)
-          && is_likelier (b, other, count, harmless_before))
-        return true;
-    }
-  return false;
+  for (uint32_t i = own->count; i > 0; i--)
+    if (bd_crash_list_has (other, own->entries[i - 1].id))
+      bd_crash_list_remove (own, i - 1);
 }
 
-/* Copies BREAKER without the crashes that other parts explain.  Few breakers
-   have as many crashes as make this necessary. */
-static struct breaker
+/* Copies BREAKER without the crashes that other parts explain, which are more
+   likely to be their cause.  Few breakers have as many crashes as make this
+   necessary. */
+static struct bd_breaker
 without_explained (const struct bd_part_breakers *b,
-                   const struct breaker *breaker)
+                   const struct bd_breaker *breaker)
 {
-  struct breaker own = *breaker;
+  struct bd_breaker own = *breaker;
   uint32_t count = bd_crash_list_in_succession (&breaker->list);
+  bool harmless_before = was_harmless (b, breaker->part);
 
   if (count < BD_PART_CRASHES_MAX && breaker->list.count < BD_PART_RUNNERS_MAX)
     return own;
-  for (uint32_t i = own.list.count; i > 0; i--)
-    if (is_explained (b, breaker, own.list.entries[i - 1].id, count))
-      bd_crash_list_remove (&own.list, i - 1);
+  for (size_t i = 0; i < b->table->count; i++)
+    {
+      const struct bd_breaker *other = b->table->items[i];
+
+      if (other != breaker && other->list.count >= count
+          && is_likelier (b, other, count, harmless_before))
+        remove_common (&own.list, &other->list);
+    }
   return own;
 }
 
 static bool
-is_open (const struct bd_part_breakers *b, const struct breaker *breaker)
+is_open (const struct bd_part_breakers *b, const struct bd_breaker *breaker)
 {
-  struct breaker own;
+  struct bd_breaker own;
 
   if (!breaker)
     return false;
@@ -381,21 +290,12 @@
 bd_part_breakers_is_open (const struct bd_part_breakers *breakers,
                           uint64_t part)
 {
-  return is_open (breakers, find_breaker (breakers, part));
-}
-
-/* Returns whether the last crash may be due to another part as well. */
-static bool
-is_ambiguous (const struct bd_part_breakers *b, const struct breaker *breaker)
-{
-  uint64_t other = breaker->list.entries[breaker->list.count - 1].other;
-
-  return other != 0 && is_open (b, find_breaker (b, other));
+  return is_open (breakers, bd_breaker_table_find (breakers->table, part));
 }
 
 /* Returns the hold time after CRASHES in succession. */
 static int64_t
-base_hold_ms (const struct breaker *breaker, uint32_t crashes)
+base_hold_ms (const struct bd_breaker *breaker, uint32_t crashes)
 {
   if (crashes > BD_PART_CRASHES_MAX)
     return (int64_t)BD_PART_LONG_HOLD_MS
@@ -408,26 +308,90 @@
    was left as its cause.  Instances learn that at the same time, and would all
    let a request pass then. */
 static int64_t
-held_from_ms (const struct breaker *breaker)
+held_from_ms (const struct bd_breaker *breaker)
 {
-  int64_t crashed_ms = last_ms (breaker);
+  int64_t crashed_ms = bd_breaker_last_ms (breaker);
 
   return breaker->sole_ms > crashed_ms ? breaker->sole_ms : crashed_ms;
 }
 
-/* Returns how long an open breaker with CRASHES in succession stays open, for
- * a request with OPEN_COUNT open parts. */
+/* The open breakers of a request. */
+struct open_parts
+{
+  uint32_t count;
+  bool ambiguous; /* It lacks a part that is open for the same crash. */
+};
+
+/* Counts the open breakers of PARTS whose last crash is ID. */
+static size_t
+count_open (const struct bd_part_breakers *b, const struct bd_part_list *parts,
+            struct bd_id id)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      const struct bd_breaker *breaker
+          = bd_breaker_table_find (b->table, parts->parts[i]);
+
+      count += breaker && bd_crash_list_has (&breaker->list, id)
+               && is_open (b, breaker);
+    }
+  return count;
+}
+
+/* Whether crash ID may be due to a part that is open and not among PARTS. */
+static bool
+other_is_open (const struct bd_part_breakers *b,
+               const struct bd_part_list *parts, struct bd_id id)
+{
+  size_t own = count_open (b, parts, id);
+  size_t count = 0;
+
+  for (size_t i = 0; i < b->table->count && count <= own; i++)
+    count += bd_crash_list_has (&b->table->items[i]->list, id)
+             && is_open (b, b->table->items[i]);
+  return count > own;
+}
+
+static struct open_parts
+find_open (const struct bd_part_breakers *b, const struct bd_part_list *parts)
+{
+  struct open_parts open = { 0 };
+  struct bd_id last = { 0 };
+
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      const struct bd_breaker *breaker
+          = bd_breaker_table_find (b->table, parts->parts[i]);
+      struct bd_id id;
+
+      if (!is_open (b, breaker))
+        continue;
+      open.count++;
+      id = breaker->list.entries[breaker->list.count - 1].id;
+      if (!open.ambiguous && !bd_id_equal (id, last))
+        open.ambiguous = other_is_open (b, parts, id);
+      last = id;
+    }
+  return open;
+}
+
+/* Returns how long an open breaker stays open for a request with OPEN parts.
+   One that has all the parts that may be to blame waits for twice as long as
+   one that lacks some of them. */
 static int64_t
-hold_ms (const struct bd_part_breakers *b, const struct breaker *breaker,
-         uint32_t crashes, uint32_t open_count)
+hold_ms (const struct bd_part_breakers *b, const struct bd_breaker *breaker,
+         const struct open_parts *open)
 {
-  int64_t base_ms = open_count == 1 && is_ambiguous (b, breaker)
-                        ? BD_PART_HOLD_MS
-                        : base_hold_ms (breaker, crashes);
-  uint64_t random = bd_random_mix (b->seed ^ breaker->part
-                                   ^ (uint64_t)held_from_ms (breaker));
+  int64_t base_ms
+      = open->ambiguous
+            ? BD_PART_HOLD_MS
+            : base_hold_ms (breaker,
+                            bd_crash_list_in_succession (&breaker->list));
+  uint64_t random = bd_random_mix (b->seed ^ (uint64_t)held_from_ms (breaker));
 
-  return base_ms * open_count
+  return base_ms * (open->count > 1 && !open->ambiguous ? 2 : 1)
          + bd_random_below (&random, (uint32_t)base_ms / 2);
 }
 
@@ -435,24 +399,20 @@
 bd_part_breakers_check (const struct bd_part_breakers *breakers,
                         int64_t now_ms, const struct bd_part_list *parts)
 {
-  const struct breaker *open[BD_PARTS_MAX];
-  uint32_t crashes[BD_PARTS_MAX];
-  uint32_t count = 0;
+  struct open_parts open = find_open (breakers, parts);
 
-  for (size_t i = 0; i < parts->count; i++)
+  for (size_t i = 0; i < parts->count && open.count > 0; i++)
     {
-      open[count] = find_breaker (breakers, parts->parts[i]);
-      if (!is_open (breakers, open[count]))
-        continue;
-      crashes[count] = bd_crash_list_in_succession (&open[count]->list);
-      count++;
+      const struct bd_breaker *breaker
+          = bd_breaker_table_find (breakers->table, parts->parts[i]);
+
+      if (is_open (breakers, breaker)
+          && (now_ms - breaker->trial_ms < TRIAL_MS
+              || now_ms - held_from_ms (breaker)
+                     < hold_ms (breakers, breaker, &open)))
+        return BD_BREAKER_OPEN;
     }
-  for (uint32_t i = 0; i < count; i++)
-    if (now_ms - open[i]->trial_ms < TRIAL_MS
-        || now_ms - held_from_ms (open[i])
-               < hold_ms (breakers, open[i], crashes[i], count))
-      return BD_BREAKER_OPEN;
-  return count > 0 ? BD_BREAKER_HALF_OPEN : BD_BREAKER_CLOSED;
+  return open.count > 0 ? BD_BREAKER_HALF_OPEN : BD_BREAKER_CLOSED;
 }
 
 void
@@ -461,7 +421,8 @@
 {
   for (size_t i = 0; i < parts->count; i++)
     {
-      struct breaker *breaker = find_breaker (breakers, parts->parts[i]);
+      struct bd_breaker *breaker
+          = bd_breaker_table_find (breakers->table, parts->parts[i]);
 
       if (is_open (breakers, breaker))
         breaker->trial_ms = now_ms;
@@ -473,7 +434,7 @@
 /* A peer that tells of a crash before a harmless answer has missed that
    answer, and is told. */
 static bool
-apply_crash (struct breaker *breaker, int64_t now_ms,
+apply_crash (struct bd_breaker *breaker, int64_t now_ms,
              const struct bd_part_notice *notice)
 {
   struct bd_crash_entry crash = { .id = notice->crash,
@@ -491,13 +452,13 @@
 bd_part_breakers_apply (struct bd_part_breakers *breakers, int64_t now_ms,
                         const struct bd_part_notice *notice)
 {
-  struct breaker *breaker;
+  struct bd_breaker *breaker;
 
   if (notice->age_ms < 0 || notice->age_ms >= KEEP_MS
       || notice->sent_age_ms < 0 || notice->sent_age_ms >= KEEP_MS
       || notice->heard_age_ms < 0 || notice->heard_age_ms >= KEEP_MS)
     return false;
-  breaker = get_breaker (breakers, notice->part);
+  breaker = bd_breaker_table_get (breakers->table, notice->part);
   if (!breaker)
     return false;
   return notice->harmless
@@ -506,7 +467,7 @@
 }
 
 static struct bd_part_notice
-crash_notice (const struct breaker *breaker,
+crash_notice (const struct bd_breaker *breaker,
               const struct bd_crash_entry *crash, int64_t now_ms)
 {
   return (struct bd_part_notice){ .part = breaker->part,
@@ -518,7 +479,7 @@
 }
 
 static size_t
-append_notices_of (struct breaker *breaker, int64_t now_ms,
+append_notices_of (struct bd_breaker *breaker, int64_t now_ms,
                    struct bd_part_notice *notices, size_t max)
 {
   size_t count = 0;
@@ -551,9 +512,9 @@
   /* Parts with several crashes first: they are more likely to be the cause
      than the many that were at a single one. */
   for (int pass = 0; pass < 2; pass++)
-    for (size_t i = 0; i < breakers->count && count < max; i++)
-      if ((breakers->breakers[i].list.count > 1) == (pass == 0))
-        count += append_notices_of (&breakers->breakers[i], now_ms,
+    for (size_t i = 0; i < breakers->table->count && count < max; i++)
+      if ((breakers->table->items[i]->list.count > 1) == (pass == 0))
+        count += append_notices_of (breakers->table->items[i], now_ms,
                                     notices + count, max - count);
   return count;
 }
@@ -565,9 +526,9 @@
 {
   size_t count = 0;
 
-  for (; *cursor < breakers->count; ++*cursor)
+  for (; *cursor < breakers->table->count; ++*cursor)
     {
-      const struct breaker *breaker = &breakers->breakers[*cursor];
+      const struct bd_breaker *breaker = breakers->table->items[*cursor];
 
       if (breaker->list.count > max - count)
         return count;
@@ -582,14 +543,13 @@
 void
 bd_part_breakers_tick (struct bd_part_breakers *breakers, int64_t now_ms)
 {
-  for (size_t i = breakers->count; i > 0; i--)
+  for (size_t i = 0; i < breakers->table->count; i++)
     {
-      struct breaker *breaker = &breakers->breakers[i - 1];
+      struct bd_breaker *breaker = breakers->table->items[i];
 
       while (breaker->list.count > 0
              && now_ms - breaker->list.entries[0].at_ms >= KEEP_MS)
         bd_crash_list_remove (&breaker->list, 0);
-      if (breaker->list.count == 0 && now_ms - breaker->harmless_ms >= KEEP_MS)
-        remove_breaker (breakers, breaker);
     }
+  bd_breaker_table_expire (breakers->table, now_ms - KEEP_MS);
 }
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -25,14 +25,15 @@
  *
  * Requests share parts.  Blamed for a crash are only those parts of a request
  * that were not seen to be harmless before, or all if all were; of these, the
- * parts with the most crashes in succession.  While two parts are open for
- * the same crashes, requests with both wait, and one with a single one of them
- * is let through soon, since it shows whether that one is harmless.
+ * parts with the most crashes in succession.  While several parts are open for
+ * the same crash, requests with all of them wait, and one without some of them
+ * is let through soon, since it shows whether those that it has are harmless.
  */
 #ifndef BD_PART_BREAKER_H
 #define BD_PART_BREAKER_H
 
 #include "basildock.h"
+#include "retry/part_list.h"
 
 /** Crashes in succession that open a breaker. */
 #define BD_PART_CRASHES_MAX 3
@@ -42,19 +43,6 @@
     BD_PART_RUNNERS_MAX crashes in all; it doubles with each further crash. */
 #define BD_PART_LONG_HOLD_MS 120000
 #define BD_PART_RUNNERS_MAX 5
-/** Most parts of a request that are looked at. */
-#define BD_PARTS_MAX 16
-
-/** Hashes of the parts that a prompt shares with others. */
-struct bd_part_list
-{
-  size_t count;
-  uint64_t parts[BD_PARTS_MAX];
-};
-
-/** Adds PART, unless the list is full. */
-void bd_part_list_add (struct bd_part_list *list, uint64_t part);
-
 /** State of the breakers of a request's parts, the strictest one. */
 enum bd_breaker_state
 {
@@ -138,6 +126,10 @@
                               int64_t now_ms, size_t *cursor,
                               struct bd_part_notice *notices, size_t max);
 
+/** Returns how many breakers with crashes were dropped so far because the
+   table was full. */
+uint64_t bd_part_breakers_dropped (const struct bd_part_breakers *breakers);
+
 /** Forgets what is old. */
 void bd_part_breakers_tick (struct bd_part_breakers *breakers, int64_t now_ms);
 
--- a/test/fuzz/fuzz_documents.c
+++ b/test/fuzz/fuzz_documents.c
@@ -23,6 +23,7 @@
   head.fields[head.field_count++]
       = (struct bd_field){ BD_CHUNK ("Authorization"), input };
   bd_cutline_dialect.read_request (&head, &fields);
+  bd_part_list_clear (&fields.parts);
 }
 
 int
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -23,7 +23,7 @@
 static const struct bd_fingerprint same_path = { .exact = 21, .broad = 12 };
 /* Requests that have a part of their prompts in common. */
 static const struct bd_fingerprint with_part
-    = { .exact = 41, .broad = 41, .parts = { 1, { 51 } } };
+    = { .exact = 41, .broad = 41, .parts = { 1, (uint64_t[]){ 51 }, 0 } };
 
 static void
 list (struct fixture *f, const char *id, int64_t started_ms, bool draining)
--- a/test/test_mesh.c
+++ b/test/test_mesh.c
@@ -410,7 +410,7 @@
 static void
 test_parts_sent_at_once (void)
 {
-  static const struct bd_part_list parts = { 1, { 9 } };
+  const struct bd_part_list parts = { 1, (uint64_t[]){ 9 }, 0 };
   struct fixture fixture;
   int64_t now = bd_clock_boot_ms ();
 
@@ -434,7 +434,7 @@
 static void
 test_new_peer_gets_parts (void)
 {
-  static const struct bd_part_list parts = { 1, { 9 } };
+  const struct bd_part_list parts = { 1, (uint64_t[]){ 9 }, 0 };
   struct fixture fixture;
   struct bd_part_notice notice;
   int64_t now = bd_clock_boot_ms ();
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -1,4 +1,5 @@
 /* Breakers of prompt parts that crash runners, in virtual time. */
+#include "retry/breaker_table.h"
 #include "retry/part_breaker.h"
 
 #include "common/random.h"
@@ -8,6 +9,9 @@
 #define SHARED 1
 #define BAD 2
 #define OTHER 3
+#define FIRST_SHARED 1000
+/* A part takes four bytes of a head at least. */
+#define LARGEST_HEAD_PARTS 4096
 #define NOTICES_MAX 16
 
 /* The load of test_fleet: callers send requests with the bad part and sound
@@ -18,8 +22,16 @@
 #define CRASH_MS 100
 #define FLEET_MS 400000
 
-static const struct bd_part_list bad = { 2, { SHARED, BAD } };
-static const struct bd_part_list sound = { 2, { SHARED, OTHER } };
+#define LIST(...)                                                             \
+  {                                                                           \
+    sizeof ((uint64_t[]){ __VA_ARGS__ }) / sizeof (uint64_t),                 \
+        (uint64_t[]){ __VA_ARGS__ }, 0                                        \
+  }
+
+static const struct bd_part_list bad = LIST (SHARED, BAD);
+static const struct bd_part_list sound = LIST (SHARED, OTHER);
+static const struct bd_part_list bystander = LIST (OTHER);
+static const struct bd_part_list only_bad = LIST (BAD);
 
 /* A crash under a request that was sent 100 ms before it. */
 static void
@@ -247,7 +259,7 @@
 test_known_part (void)
 {
   struct bd_part_breakers *b = bd_part_breakers_create (7);
-  struct bd_part_list parts = { 2, { SHARED, 0 } };
+  struct bd_part_list parts = LIST (SHARED, 0);
 
   bd_part_breakers_survived (b, 500, &sound);
   for (uint64_t i = 1; i <= 9; i++)
@@ -266,7 +278,6 @@
 static void
 test_explained (void)
 {
-  static const struct bd_part_list bystander = { 1, { OTHER } };
   struct bd_part_breakers *b = bd_part_breakers_create (7);
 
   crash (b, &bad, 1, 1000);
@@ -289,8 +300,6 @@
 static void
 test_harmless_before (void)
 {
-  static const struct bd_part_list bystander = { 1, { OTHER } };
-  static const struct bd_part_list only_bad = { 1, { BAD } };
   struct bd_part_breakers *b = bd_part_breakers_create (7);
 
   bd_part_breakers_survived (b, 500, &bystander);
@@ -311,7 +320,7 @@
 test_urgent_notices (void)
 {
   struct bd_part_breakers *b = bd_part_breakers_create (7);
-  struct bd_part_list parts = { 1, { 0 } };
+  struct bd_part_list parts = LIST (0);
   struct bd_part_notice notices[NOTICES_MAX];
 
   for (uint64_t i = 0; i < 100; i++)
@@ -464,6 +473,8 @@
 /* Instances that share what they know. */
 struct fleet
 {
+  struct bd_part_list bad;
+  struct bd_part_list sound; /* Has all of these parts but the bad one. */
   struct bd_part_breakers *instances[INSTANCES];
   struct
   {
@@ -482,9 +493,9 @@
 {
   struct bd_part_breakers *b = fleet->instances[instance];
 
-  if (state (b, &bad, now_ms) == BD_BREAKER_OPEN)
+  if (state (b, &fleet->bad, now_ms) == BD_BREAKER_OPEN)
     return;
-  bd_part_breakers_sent (b, now_ms, &bad);
+  bd_part_breakers_sent (b, now_ms, &fleet->bad);
   fleet->late_sends
       += fleet->crash_count >= 5 && now_ms - fleet->fifth_ms > 3000;
   g_assert_cmpuint (fleet->crashing_count, <, G_N_ELEMENTS (fleet->crashing));
@@ -497,10 +508,10 @@
 {
   struct bd_part_breakers *b = fleet->instances[instance];
 
-  if (state (b, &sound, now_ms) != BD_BREAKER_OPEN)
+  if (state (b, &fleet->sound, now_ms) != BD_BREAKER_OPEN)
     {
-      bd_part_breakers_sent (b, now_ms, &sound);
-      bd_part_breakers_survived (b, now_ms, &sound);
+      bd_part_breakers_sent (b, now_ms, &fleet->sound);
+      bd_part_breakers_survived (b, now_ms, &fleet->sound);
     }
   else
     fleet->late_refused
@@ -517,7 +528,7 @@
       fleet->crashing[kept++] = fleet->crashing[i];
     else
       {
-        crash (fleet->instances[fleet->crashing[i].instance], &bad,
+        crash (fleet->instances[fleet->crashing[i].instance], &fleet->bad,
                ++fleet->crash_count, now_ms);
         if (fleet->crash_count == 5)
           fleet->fifth_ms = now_ms;
@@ -527,13 +538,21 @@
 
 /* Guards against crashes that go on: requests with the bad part come at every
    instance, half of all requests.  Over 3 s after the fifth crash at most
-   three more are sent, and sound requests pass. */
+   three more are sent, and sound requests pass, however many parts they share.
+ */
 static void
-test_fleet (void)
+test_fleet (gconstpointer data)
 {
   struct fleet fleet = { .crash_count = 0 };
   uint64_t random = 5;
 
+  for (int i = 0; i < GPOINTER_TO_INT (data); i++)
+    {
+      bd_part_list_add (&fleet.bad, FIRST_SHARED + (uint64_t)i);
+      bd_part_list_add (&fleet.sound, FIRST_SHARED + (uint64_t)i);
+    }
+  bd_part_list_add (&fleet.bad, BAD);
+  bd_part_list_add (&fleet.sound, OTHER);
   for (int i = 0; i < INSTANCES; i++)
     fleet.instances[i] = bd_part_breakers_create ((uint64_t)i + 1);
   for (int64_t now_ms = 0; now_ms < FLEET_MS; now_ms += REQUEST_INTERVAL_MS)
@@ -554,6 +573,49 @@
   g_assert_cmpuint (fleet.late_refused, ==, 0);
   for (int i = 0; i < INSTANCES; i++)
     bd_part_breakers_destroy (fleet.instances[i]);
+  bd_part_list_clear (&fleet.bad);
+  bd_part_list_clear (&fleet.sound);
+}
+
+/* Guards against a part that is dropped because a head names more of them than
+   the table has places: as many as fit into a head of 16 KiB, none of them
+   known, and one more at each of the crashes. */
+static void
+test_largest_head (void)
+{
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+  struct bd_part_list parts = { 0 };
+
+  for (uint64_t i = 0; i < LARGEST_HEAD_PARTS; i++)
+    bd_part_list_add (&parts, FIRST_SHARED + i);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      parts.parts[0] = i == 2 ? OTHER : SHARED;
+      parts.parts[LARGEST_HEAD_PARTS / 2] = BAD;
+      crash (b, &parts, i, (int64_t)i * 1000);
+    }
+  g_assert_cmpint (state (b, &only_bad, 3100), ==, BD_BREAKER_OPEN);
+  g_assert_cmpuint (bd_part_breakers_dropped (b), ==, 0);
+  bd_part_list_clear (&parts);
+  bd_part_breakers_destroy (b);
+}
+
+/* Guards against a bad part that is dropped for others, or dropped without a
+   word: parts with the fewest and the oldest crashes go first. */
+static void
+test_dropped (void)
+{
+  struct bd_part_breakers *b = open_for_bad ();
+  struct bd_part_list parts = LIST (0);
+
+  for (uint64_t i = 0; i < 2 * BD_BREAKERS_MAX; i++)
+    {
+      parts.parts[0] = FIRST_SHARED + i;
+      crash (b, &parts, 10 + i, 4000 + (int64_t)i);
+    }
+  g_assert_cmpuint (bd_part_breakers_crashes (b, BAD), ==, 3);
+  g_assert_cmpuint (bd_part_breakers_dropped (b), >=, BD_BREAKERS_MAX);
+  bd_part_breakers_destroy (b);
 }
 
 int
@@ -579,6 +641,13 @@
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
   g_test_add_func ("/part-breaker/hostile-notices", test_hostile_notices);
   g_test_add_func ("/part-breaker/bounded", test_bounded);
-  g_test_add_func ("/part-breaker/fleet", test_fleet);
+  g_test_add_data_func ("/part-breaker/fleet", GINT_TO_POINTER (1),
+                        test_fleet);
+  g_test_add_data_func ("/part-breaker/fleet-16-parts", GINT_TO_POINTER (16),
+                        test_fleet);
+  g_test_add_data_func ("/part-breaker/fleet-39-parts", GINT_TO_POINTER (39),
+                        test_fleet);
+  g_test_add_func ("/part-breaker/largest-head", test_largest_head);
+  g_test_add_func ("/part-breaker/dropped", test_dropped);
   return g_test_run ();
 }
