--- a/src/balance/routing.c
+++ b/src/balance/routing.c
@@ -31,6 +31,7 @@
   struct bd_service *services;
   size_t service_count;
   struct workspace *workspaces;
+  bool needs_credentials;
   struct bd_hash_table keys;
 };
 
@@ -300,10 +301,16 @@
   return NULL;
 }
 
+void
+bd_routing_require_credentials (struct bd_routing *routing)
+{
+  routing->needs_credentials = true;
+}
+
 bool
-bd_routing_has_workspaces (const struct bd_routing *routing)
+bd_routing_needs_credentials (const struct bd_routing *routing)
 {
-  return routing->workspaces != NULL;
+  return routing->needs_credentials;
 }
 
 const struct bd_workspace *
--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -101,8 +101,14 @@
 const struct bd_service *bd_routing_service (const struct bd_routing *routing,
                                              struct bd_chunk name);
 
-/** Whether any workspace exists, so that requests need a credential. */
-bool bd_routing_has_workspaces (const struct bd_routing *routing);
+/**
+ * Sets that requests for routes that are not public need the credential of a
+ * workspace, however many workspaces there are: none, after the last one was
+ * taken away.
+ */
+void bd_routing_require_credentials (struct bd_routing *routing);
+
+bool bd_routing_needs_credentials (const struct bd_routing *routing);
 
 /** Returns the workspace of the credential KEY, or NULL. */
 const struct bd_workspace *
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -103,7 +103,7 @@
   *workspace = fields->credential.data
                    ? bd_routing_workspace (routing, fields->credential)
                    : NULL;
-  if (!*workspace && bd_routing_has_workspaces (routing)
+  if (!*workspace && bd_routing_needs_credentials (routing)
       && !(*route)->is_public)
     return BD_ERR_UNAUTHORIZED;
   if (is_too_late (forwarder, *route, fields))
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -375,6 +375,7 @@
   add_route (gateway->routing, "resume", BD_RETRY_STREAM, true, 2);
   bd_routing_add_service (gateway->routing, &service);
   bd_routing_add_workspace (gateway->routing, &workspace, &key, 1);
+  bd_routing_require_credentials (gateway->routing);
   bd_forwarder_set_routing (gateway->forwarder, gateway->routing);
   uv_timer_init (&gateway->loop, &gateway->time_limit);
   gateway->time_limit.data = gateway;
--- a/test/test_routing.c
+++ b/test/test_routing.c
@@ -69,9 +69,11 @@
   struct bd_workspace workspace = { BD_CHUNK ("w"), 1 };
   struct bd_chunk keys[] = { BD_CHUNK ("k1"), BD_CHUNK ("k2") };
 
-  g_assert_false (bd_routing_has_workspaces (routing));
+  g_assert_false (bd_routing_needs_credentials (routing));
   bd_routing_add_workspace (routing, &workspace, keys, 2);
-  g_assert_true (bd_routing_has_workspaces (routing));
+  g_assert_false (bd_routing_needs_credentials (routing));
+  bd_routing_require_credentials (routing);
+  g_assert_true (bd_routing_needs_credentials (routing));
   g_assert_true (bd_chunk_equal (
       bd_routing_workspace (routing, BD_CHUNK ("k2"))->name, workspace.name));
   g_assert_null (bd_routing_workspace (routing, BD_CHUNK ("k")));
