--- a/test/test_http.c
+++ b/test/test_http.c
@@ -173,6 +173,31 @@
     "[200]x." },
   { "no-content", BD_HTTP_RESPONSES, BD_OK, "HTTP/1.1 204 No Content\r\n\r\n",
     "[204]." },
+  /* Guards against answers whose status is none (MIXED). */
+  { "status-000", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok", "" },
+  { "status-099", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 099 Trouble\r\nContent-Length: 2\r\n\r\nok", "" },
+  { "status-of-two-digits", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok", "" },
+  { "status-of-four-digits", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok", "" },
+  { "status-600", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nok", "" },
+  { "status-999", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 999 Trouble\r\nContent-Length: 2\r\n\r\nok", "" },
+  { "status-101", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: "
+    "upgrade\r\n\r\nok",
+    "" },
+  { "status-000-without-body", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 000 Trouble\r\n\r\n", "" },
+  { "status-000-after-continue", BD_HTTP_RESPONSES, BD_ERR_INVALID,
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\nContent-Length: "
+    "0\r\n\r\n",
+    "" },
+  { "status-599", BD_HTTP_RESPONSES, BD_OK,
+    "HTTP/1.1 599 Mine\r\nContent-Length: 2\r\n\r\nok", "[599]ok." },
   { "short-body", BD_HTTP_RESPONSES, BD_ERR_INCOMPLETE,
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", "[200]ok" },
   { "short-chunks", BD_HTTP_RESPONSES, BD_ERR_INCOMPLETE,
@@ -366,6 +391,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       char *path = g_strdup_printf ("/http/message/%s", cases[i].name);
