--- a/src/http/client.c
+++ b/src/http/client.c
@@ -344,6 +344,23 @@
   process_result (conn, bd_http_reader_feed (conn->reader, data));
 }
 
+/* Ends the response that ended with its connection.  It is complete only if
+   the server has the whole request: one that goes away from a request that is
+   still being sent may have broken off, and a reset that would show it can
+   come after the end. */
+static int
+finish_response (struct connection *conn)
+{
+  int error;
+
+  if (bd_socket_undelivered (conn->socket) > 0)
+    return BD_ERR_INCOMPLETE;
+  error = bd_http_reader_finish (conn->reader);
+  if (error == BD_OK && !conn->response_done && !conn->closed)
+    return BD_ERR_INCOMPLETE;
+  return error;
+}
+
 static void
 on_end (void *context, int error)
 {
@@ -359,9 +376,7 @@
   if (conn->connected && error == BD_OK)
     {
       conn->parsing = true;
-      finish = bd_http_reader_finish (conn->reader);
-      if (finish == BD_OK && !conn->response_done && !conn->closed)
-        finish = BD_ERR_INCOMPLETE;
+      finish = finish_response (conn);
     }
   process_result (conn, finish);
 }
--- a/src/http/socket.c
+++ b/src/http/socket.c
@@ -1,9 +1,11 @@
 #include "http/socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 /* How long bd_socket_finish () waits for the peer to read more, or to close,
    and how often at most. */
@@ -338,6 +340,18 @@
   return socket->pending;
 }
 
+size_t
+bd_socket_undelivered (const struct bd_socket *socket)
+{
+  uv_os_fd_t fd;
+  int queued = 0;
+
+  if (uv_fileno ((const uv_handle_t *)&socket->tcp, &fd) != 0
+      || ioctl (fd, SIOCOUTQ, &queued) != 0 || queued < 0)
+    queued = 0;
+  return socket->pending + (size_t)queued;
+}
+
 void
 bd_socket_pause (struct bd_socket *socket)
 {
--- a/src/http/socket.h
+++ b/src/http/socket.h
@@ -67,6 +67,12 @@
 /** Returns the number of bytes that wait to be accepted by the kernel. */
 size_t bd_socket_pending (const struct bd_socket *socket);
 
+/**
+ * Returns the number of bytes that were written and that the peer's kernel has
+ * not acknowledged, those that wait here included.
+ */
+size_t bd_socket_undelivered (const struct bd_socket *socket);
+
 /** Stops or resumes reading. */
 void bd_socket_pause (struct bd_socket *socket);
 void bd_socket_resume (struct bd_socket *socket);
