--- a/src/balance/routing.c
+++ b/src/balance/routing.c
@@ -8,6 +8,8 @@
 
 /* Levels of route priority within one workspace priority. */
 #define PRIORITIES_PER_WORKSPACE 3
+#define BITS_PER_BYTE 8.0
+#define TOKENS_PER_K 1000.0
 
 struct key
 {
@@ -286,6 +288,19 @@
   return route->splits[0].service;
 }
 
+uint32_t
+bd_fetch_us_per_k (double bytes_per_token, double link_mbps)
+{
+  /* 1 Mbit/s is 1 bit/us. */
+  double us = link_mbps > 0.0
+                  ? bytes_per_token * BITS_PER_BYTE * TOKENS_PER_K / link_mbps
+                  : 0.0;
+
+  if (us <= 0.0 || us > UINT32_MAX)
+    return 0;
+  return us < 1.0 ? 1 : (uint32_t)us;
+}
+
 const struct bd_service *
 bd_routing_service_at (const struct bd_routing *routing, size_t i)
 {
--- a/src/balance/routing.h
+++ b/src/balance/routing.h
@@ -94,6 +94,13 @@
  */
 struct bd_chunk bd_route_service (const struct bd_route *route, uint64_t hash);
 
+/**
+ * Returns the microseconds in which a runner fetches 1,000 tokens of a prompt
+ * from another, of BYTES_PER_TOKEN each, over a link of LINK_MBPS megabits a
+ * second; 0: it cannot, or the numbers make no sense.
+ */
+uint32_t bd_fetch_us_per_k (double bytes_per_token, double link_mbps);
+
 /** Returns the service number I, or NULL if there are not so many. */
 const struct bd_service *
 bd_routing_service_at (const struct bd_routing *routing, size_t i);
