--- a/src/balance/stream_origin.c
+++ b/src/balance/stream_origin.c
@@ -7,8 +7,10 @@
 /* Slots of the tables; powers of two.  A key has its place in one set of WAYS
    slots, of which the one that expires first is replaced. */
 #define STREAM_SLOTS 16384
-#define PART_SLOTS 32768
 #define PROMPT_SLOTS 32768
+/* Slots for parts at first, and at most: they double when one was dropped. */
+#define PART_SLOTS_MIN 32768
+#define PART_SLOTS_MAX 131072
 #define WAYS 4
 /* How long what a runner listed is used. */
 #define HOLDER_KEEP_MS 15000
@@ -23,22 +25,58 @@
   uint32_t target; /* Of a part: the runner that listed it last. */
 };
 
+/* Which runners list which parts. */
+struct holders
+{
+  struct slot *slots;
+  size_t slot_count;
+  /* For each set, until when a part may have been dropped from it that is
+     still listed, so that no other one in it is known for certain. */
+  int64_t *incomplete_until_ms;
+};
+
 struct bd_stream_origins
 {
   struct slot streams[STREAM_SLOTS];
-  struct slot parts[PART_SLOTS];
   struct slot prompts[PROMPT_SLOTS];
+  struct holders holders;
 };
 
+/* Sets HOLDERS to SLOT_COUNT free slots.  Returns false when out of memory. */
+static bool
+init_holders (struct holders *holders, size_t slot_count)
+{
+  holders->slot_count = slot_count;
+  holders->slots = calloc (slot_count, sizeof *holders->slots);
+  holders->incomplete_until_ms
+      = calloc (slot_count / WAYS, sizeof *holders->incomplete_until_ms);
+  return holders->slots && holders->incomplete_until_ms;
+}
+
+static void
+clear_holders (struct holders *holders)
+{
+  free (holders->slots);
+  free (holders->incomplete_until_ms);
+}
+
 struct bd_stream_origins *
 bd_stream_origins_create (void)
 {
-  return calloc (1, sizeof (struct bd_stream_origins));
+  struct bd_stream_origins *origins = calloc (1, sizeof *origins);
+
+  if (!origins || init_holders (&origins->holders, PART_SLOTS_MIN))
+    return origins;
+  bd_stream_origins_destroy (origins);
+  return NULL;
 }
 
 void
 bd_stream_origins_destroy (struct bd_stream_origins *origins)
 {
+  if (!origins)
+    return;
+  clear_holders (&origins->holders);
   free (origins);
 }
 
@@ -126,6 +164,57 @@
     put (origins->streams, STREAM_SLOTS, &entry, now_ms);
 }
 
+/* Doubles the slots, if there may be more and there is memory.  The parts of a
+   set go to two new ones. */
+static void
+grow_holders (struct holders *holders)
+{
+  struct holders larger = { 0 };
+  size_t set_count = holders->slot_count / WAYS;
+
+  if (holders->slot_count >= PART_SLOTS_MAX)
+    return;
+  if (!init_holders (&larger, holders->slot_count * 2))
+    {
+      clear_holders (&larger);
+      return;
+    }
+  for (size_t i = 0; i < holders->slot_count; i++)
+    if (holders->slots[i].key != 0)
+      *slot_for (larger.slots, larger.slot_count, holders->slots[i].key,
+                 INT64_MIN)
+          = holders->slots[i];
+  for (size_t i = 0; i < set_count * 2; i++)
+    larger.incomplete_until_ms[i]
+        = holders->incomplete_until_ms[i % set_count];
+  clear_holders (holders);
+  *holders = larger;
+}
+
+static int64_t *
+incomplete_until_ms (const struct holders *holders, uint64_t part)
+{
+  return &holders->incomplete_until_ms[first_slot (holders->slot_count, part)
+                                       / WAYS];
+}
+
+/* Makes room for PART, and records what had to be dropped for it. */
+static void
+make_room (struct holders *holders, uint64_t part, int64_t now_ms)
+{
+  const struct slot *slot
+      = slot_for (holders->slots, holders->slot_count, part, now_ms);
+  int64_t *until_ms;
+
+  if (slot->key == 0 || slot->key == part || now_ms >= slot->expires_ms)
+    return;
+  grow_holders (holders);
+  slot = slot_for (holders->slots, holders->slot_count, part, now_ms);
+  until_ms = incomplete_until_ms (holders, part);
+  if (slot->key != 0 && slot->key != part && *until_ms < slot->expires_ms)
+    *until_ms = slot->expires_ms;
+}
+
 void
 bd_stream_origins_record_holder (struct bd_stream_origins *origins,
                                  uint64_t part,
@@ -136,7 +225,9 @@
 
   if (part == 0)
     return;
-  put (origins->parts, PART_SLOTS, &entry, holder->listed_ms);
+  make_room (&origins->holders, part, holder->listed_ms);
+  put (origins->holders.slots, origins->holders.slot_count, &entry,
+       holder->listed_ms);
   if (!find (origins->prompts, PROMPT_SLOTS, part, holder->listed_ms))
     bd_stream_origins_record_prompt (origins, part, holder->software,
                                      holder->listed_ms);
@@ -157,12 +248,16 @@
                                uint64_t part, int64_t now_ms,
                                struct bd_stream_holder *holder)
 {
-  const struct slot *slot = find (origins->parts, PART_SLOTS, part, now_ms);
+  const struct holders *holders = &origins->holders;
+  const struct slot *slot
+      = find (holders->slots, holders->slot_count, part, now_ms);
 
   if (!slot)
     return false;
   *holder = (struct bd_stream_holder){ slot->software, slot->target,
                                        slot->expires_ms - HOLDER_KEEP_MS };
+  if (now_ms < *incomplete_until_ms (holders, part))
+    holder->software = BD_SOFTWARE_UNCERTAIN;
   return true;
 }
 
--- a/test/test_stream_origin.c
+++ b/test/test_stream_origin.c
@@ -8,6 +8,11 @@
 #define NOW 100000
 #define OLD 11
 #define NEW 12
+/* Parts that runners of two versions list, and of one. */
+#define TWICE_LISTED 1000
+#define ONCE_LISTED 400000
+/* What 100 runners hold, of 600 parts each. */
+#define HELD_AT_ONCE 60000
 
 static void
 record (struct bd_stream_origins *origins, uint64_t stream, uint64_t software,
@@ -156,6 +161,45 @@
   bd_stream_origins_destroy (origins);
 }
 
+/* Guards against a part that two versions list and that counts as listed by
+   one of them, because there was no room to remember the other: so many parts
+   are listed that some are dropped, and the first ones are listed again. */
+static void
+test_many_holders (void)
+{
+  struct bd_stream_origins *origins = bd_stream_origins_create ();
+  int wrong = 0;
+  int known = 0;
+
+  for (uint64_t part = 1; part <= TWICE_LISTED; part++)
+    {
+      list (origins, part, OLD, 1, NOW);
+      list (origins, part, NEW, 2, NOW);
+    }
+  for (uint64_t part = 1; part <= ONCE_LISTED; part++)
+    list (origins, TWICE_LISTED + part, OLD, 1, NOW + 1);
+  for (uint64_t part = 1; part <= TWICE_LISTED; part++)
+    {
+      struct bd_stream_holder holder = { .software = BD_SOFTWARE_UNCERTAIN };
+
+      list (origins, part, OLD, 1, NOW + 2);
+      bd_stream_origins_find_holder (origins, part, NOW + 3, &holder);
+      wrong += holder.software != BD_SOFTWARE_UNCERTAIN;
+    }
+  for (uint64_t part = 1; part <= HELD_AT_ONCE; part++)
+    {
+      struct bd_stream_holder holder = { .software = BD_SOFTWARE_UNCERTAIN };
+
+      list (origins, TWICE_LISTED + part, OLD, 1, NOW + 20000);
+      bd_stream_origins_find_holder (origins, TWICE_LISTED + part, NOW + 20001,
+                                     &holder);
+      known += holder.software == OLD;
+    }
+  g_assert_cmpint (wrong, ==, 0);
+  g_assert_cmpint (known, >, HELD_AT_ONCE * 95 / 100);
+  bd_stream_origins_destroy (origins);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -166,5 +210,6 @@
   g_test_add_func ("/stream-origin/number", test_number);
   g_test_add_func ("/stream-origin/full", test_full);
   g_test_add_func ("/stream-origin/prompts", test_prompts);
+  g_test_add_func ("/stream-origin/many-holders", test_many_holders);
   return g_test_run ();
 }
