--- a/src/http/client.c
+++ b/src/http/client.c
@@ -179,37 +179,9 @@
 
   call->handler->on_fail (call->context, &failure);
   close_connection (conn);
-  conn = NULL;
   free_call (call);
 }
 
-/* Parses the timeout of the Keep-Alive field, into milliseconds. */
-static int64_t
-parse_keep_alive (const struct bd_head *head)
-{
-  static const char parameter[] = "timeout=";
-  struct bd_chunk value = bd_head_value (head, BD_CHUNK ("Keep-Alive"));
-  const char *at;
-  struct bd_chunk digits;
-  int64_t seconds;
-
-  if (!value.data)
-    return KEEP_ALIVE_DEFAULT_MS;
-  at = memmem (value.data, value.length, parameter, sizeof parameter - 1);
-  if (!at)
-    return KEEP_ALIVE_DEFAULT_MS;
-  digits.data = at + sizeof parameter - 1;
-  digits.length = 0;
-  while (digits.data + digits.length < value.data + value.length
-         && digits.data[digits.length] >= '0'
-         && digits.data[digits.length] <= '9')
-    digits.length++;
-  if (bd_number_parse (digits, &seconds) != BD_OK
-      || seconds > KEEP_ALIVE_MAX_MS / 1000)
-    return KEEP_ALIVE_MAX_MS;
-  return seconds * 1000;
-}
-
 static bool
 echo_matches (const struct bd_call *call, const struct bd_head *head)
 {
@@ -241,7 +213,8 @@
   if (call->skipping)
     return head->keep_alive ? count_skipped (call, SKIPPED_HEAD_BYTES)
                             : BD_ERR_PROTOCOL;
-  conn->keep_alive_ms = parse_keep_alive (head);
+  conn->keep_alive_ms
+      = bd_head_keep_alive_ms (head, KEEP_ALIVE_DEFAULT_MS, KEEP_ALIVE_MAX_MS);
   call->answered = true;
   call->handler->on_head (call->context, head);
   return conn->closed ? BD_ERR_CANCELLED : BD_OK;
@@ -344,10 +317,9 @@
   process_result (conn, bd_http_reader_feed (conn->reader, data));
 }
 
-/* Ends the response that ended with its connection.  It is complete only if
-   the server has the whole request: one that goes away from a request that is
-   still being sent may have broken off, and a reset that would show it can
-   come after the end. */
+/* Ends the response that ended with its connection.  A server that goes away
+   while the request is being sent may have broken off; the reset that would
+   show it can come after the end. */
 static int
 finish_response (struct connection *conn)
 {
@@ -356,16 +328,15 @@
   if (bd_socket_undelivered (conn->socket) > 0)
     return BD_ERR_INCOMPLETE;
   error = bd_http_reader_finish (conn->reader);
-  if (error == BD_OK && !conn->response_done && !conn->closed)
-    return BD_ERR_INCOMPLETE;
-  return error;
+  return error == BD_OK && !conn->response_done && !conn->closed
+             ? BD_ERR_INCOMPLETE
+             : error;
 }
 
 static void
 on_end (void *context, int error)
 {
   struct connection *conn = context;
-  int finish = error;
 
   if (!conn->call)
     {
@@ -376,9 +347,9 @@
   if (conn->connected && error == BD_OK)
     {
       conn->parsing = true;
-      finish = finish_response (conn);
+      error = finish_response (conn);
     }
-  process_result (conn, finish);
+  process_result (conn, error);
 }
 
 static void
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -11,6 +11,7 @@
 #define THOUSANDTHS 1000
 /* Longest Retry-After, a year; longer ones are reduced to it. */
 #define RETRY_AFTER_MAX_MS ((int64_t)366 * 24 * 60 * 60 * 1000)
+#define MS_PER_S 1000
 /* Switching Protocols. */
 #define STATUS_OTHER_PROTOCOL 101
 
@@ -144,6 +145,30 @@
   return error;
 }
 
+int64_t
+bd_head_keep_alive_ms (const struct bd_head *head, int64_t default_ms,
+                       int64_t max_ms)
+{
+  static const char parameter[] = "timeout=";
+  struct bd_chunk value = bd_head_value (head, BD_CHUNK ("Keep-Alive"));
+  const char *at = value.data ? memmem (value.data, value.length, parameter,
+                                        sizeof parameter - 1)
+                              : NULL;
+  struct bd_chunk digits = { NULL, 0 };
+  int64_t seconds;
+
+  if (!at)
+    return default_ms;
+  digits.data = at + sizeof parameter - 1;
+  while (digits.data + digits.length < value.data + value.length
+         && isdigit ((unsigned char)digits.data[digits.length]))
+    digits.length++;
+  if (bd_number_parse (digits, &seconds) != BD_OK
+      || seconds > max_ms / MS_PER_S)
+    return max_ms;
+  return seconds * MS_PER_S;
+}
+
 /* Returns true when NAME is a valid field name.  Needed because http_parser
    accepts spaces before the colon. */
 static bool
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -70,6 +70,14 @@
  */
 int bd_head_retry_after_ms (const struct bd_head *head, int64_t *ms);
 
+/**
+ * Returns how long the sender of HEAD keeps its connection open when idle, in
+ * milliseconds, by the Keep-Alive field: DEFAULT_MS if that does not tell, and
+ * at most MAX_MS.
+ */
+int64_t bd_head_keep_alive_ms (const struct bd_head *head, int64_t default_ms,
+                               int64_t max_ms);
+
 /**
  * Checks what the parser lets pass: characters, fields that contradict each
  * other, and statuses that are none.  Returns BD_OK or BD_ERR_INVALID.
--- a/src/retry/breaker_table.c
+++ b/src/retry/breaker_table.c
@@ -134,9 +134,9 @@
       return NULL;
     }
   *breaker = (struct bd_breaker){ .part = part,
-                               .harmless_ms = NEVER_MS,
-                               .trial_ms = NEVER_MS,
-                               .sole_ms = NEVER_MS };
+                                  .harmless_ms = NEVER_MS,
+                                  .trial_ms = NEVER_MS,
+                                  .sole_ms = NEVER_MS };
   table->items[table->count++] = breaker;
   return breaker;
 }
--- a/src/retry/harmless_parts.c
+++ b/src/retry/harmless_parts.c
@@ -64,7 +64,8 @@
   size_t kept = parts->count - parts->count / FORGOTTEN_FRACTION;
   size_t forgotten = parts->count - kept;
 
-  qsort (parts->items, parts->count, sizeof *parts->items, compare_age);
+  qsort (parts->items, parts->count, sizeof (struct bd_harmless_part *),
+         compare_age);
   for (size_t i = 0; i < forgotten; i++)
     {
       bd_map_remove (parts->by_part, map_id (parts->items[i]->part), 0);
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -608,7 +608,7 @@
   struct bd_part_breakers *b = open_for_bad ();
   struct bd_part_list parts = LIST (0);
 
-  for (uint64_t i = 0; i < 2 * BD_BREAKERS_MAX; i++)
+  for (uint64_t i = 0; i < (uint64_t)2 * BD_BREAKERS_MAX; i++)
     {
       parts.parts[0] = FIRST_SHARED + i;
       crash (b, &parts, 10 + i, 4000 + (int64_t)i);
