--- a/test/test_documents.c
+++ b/test/test_documents.c
@@ -4,6 +4,9 @@
 #include <arpa/inet.h>
 #include <glib.h>
 
+/* Elements of a list. */
+#define MANY 300
+
 static const char configuration_json[]
     = "{\"version\":7,\"routes\":["
       "{\"name\":\"r1\",\"host\":\"a.example\",\"prefix\":\"/one/\","
@@ -193,6 +196,40 @@
     }
 }
 
+/* Guards against keys of a workspace and services of a route that are dropped
+   because a table has no room for them: as many as the document names. */
+static void
+test_many_elements (void)
+{
+  GString *document = g_string_new (
+      "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+      "\"prefix\":\"/r/\",\"type\":\"idempotent\",\"split\":[");
+  struct bd_caller_limits limits;
+  struct bd_routing *routing;
+  char *last_key = g_strdup_printf ("k%d", MANY - 1);
+  char *last_service = g_strdup_printf ("s%d", MANY - 1);
+
+  for (int i = 0; i < MANY; i++)
+    g_string_append_printf (document, "%s{\"service\":\"s%d\",\"weight\":1}",
+                            i > 0 ? "," : "", i);
+  g_string_append (document, "]}],\"tenants\":[{\"name\":\"t\",\"apiKeys\":[");
+  for (int i = 0; i < MANY; i++)
+    g_string_append_printf (document, "%s\"k%d\"", i > 0 ? "," : "", i);
+  g_string_append (document, "]}]}");
+  g_assert_cmpint (bd_cutline_parse_configuration (bd_chunk_of (document->str),
+                                                   &routing, &limits),
+                   ==, BD_OK);
+  g_assert_nonnull (bd_routing_workspace (routing, BD_CHUNK ("k0")));
+  g_assert_nonnull (bd_routing_workspace (routing, bd_chunk_of (last_key)));
+  g_assert_true (bd_chunk_equal (
+      bd_route_service (find_route (routing, "/r/x"), MANY - 1),
+      bd_chunk_of (last_service)));
+  bd_routing_unref (routing);
+  g_string_free (document, TRUE);
+  g_free (last_key);
+  g_free (last_service);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -200,6 +237,7 @@
   g_test_add_func ("/documents/configuration", test_configuration);
   g_test_add_func ("/documents/configuration-rejected",
                    test_configuration_rejected);
+  g_test_add_func ("/documents/many-elements", test_many_elements);
   g_test_add_func ("/documents/runner", test_runner);
   g_test_add_func ("/documents/runner-rejected", test_runner_rejected);
   g_test_add_func ("/documents/runner-version", test_runner_version);
