--- a/src/balance/former_software.c
+++ b/src/balance/former_software.c
@@ -70,16 +70,16 @@
 bool
 bd_former_software_has_other (const struct bd_former_software *former,
                               uint64_t service, uint64_t software,
-                              int64_t now_ms)
+                              int64_t since_ms)
 {
-  if (former->lost_ms != 0 && is_recent (former->lost_ms, now_ms))
+  if (former->lost_ms != 0 && former->lost_ms >= since_ms)
     return true;
   for (size_t i = 0; i < former->count; i++)
     {
       const struct bd_former_version *version = &former->versions[i];
 
       if (version->service == service && version->software != software
-          && is_recent (version->ended_ms, now_ms))
+          && version->ended_ms >= since_ms)
         return true;
     }
   return false;
--- a/src/balance/former_software.h
+++ b/src/balance/former_software.h
@@ -41,9 +41,10 @@
                                 int64_t now_ms);
 
 /** Returns whether a runner of SERVICE that ran another version than SOFTWARE
-    has ended lately. */
+    has ended at SINCE_MS or later, which must not be over
+    BD_FORMER_SOFTWARE_MS ago. */
 bool bd_former_software_has_other (const struct bd_former_software *former,
                                    uint64_t service, uint64_t software,
-                                   int64_t now_ms);
+                                   int64_t since_ms);
 
 #endif
--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -111,10 +111,16 @@
 bool
 bd_targets_had_other_software (const struct bd_targets *targets,
                                struct bd_chunk service, uint64_t software,
-                               int64_t now_ms)
+                               int64_t since_ms)
 {
   return bd_former_software_has_other (
-      &targets->former_software, bd_chunk_hash (service), software, now_ms);
+      &targets->former_software, bd_chunk_hash (service), software, since_ms);
+}
+
+int64_t
+bd_targets_first_list_ms (const struct bd_targets *targets)
+{
+  return targets->first_list_ms;
 }
 
 static void
@@ -258,7 +264,7 @@
       return NULL;
     }
   target->first_seen_ms = now_ms;
-  target->in_first_list = !targets->first_list_read;
+  target->may_have_predecessor = targets->first_list_ms == 0;
   target->state = BD_TARGET_GONE;
   insert_sorted (targets, target);
   return target;
@@ -325,7 +331,7 @@
     memset (&target->limit, 0, sizeof target->limit);
   target->first_seen_ms = now_ms;
   target->parts_asked_ms = 0;
-  target->in_first_list = false;
+  target->may_have_predecessor = false;
   bd_targets_record_ended (targets, target->service, target->software.hash,
                            now_ms);
   if (started_ms > target->leaving_started_max_ms)
@@ -440,6 +446,8 @@
   /* Without a revision before, it may be what the store lists at first. */
   if (revision > target->revision && target->revision != 0)
     target->renewed_ms = now_ms;
+  if (entry->created_revision == revision)
+    target->may_have_predecessor = false;
   target->revision = revision;
   target->deleted_in_doubt = false;
   set_address (targets, target, entry, now_ms);
--- a/src/balance/target.h
+++ b/src/balance/target.h
@@ -64,7 +64,9 @@
   uint32_t slots;
   bool draining;
   struct bd_software software;
-  int64_t started_ms;     /**< Start of the process; 0: unknown. */
+  int64_t started_ms; /**< Start of the process; 0: unknown. */
+  /** Store revision of the first entry of this identifier; 0: unknown. */
+  uint64_t created_revision;
   int64_t warmup_left_ms; /**< Remaining warm-up time. */
 };
 
@@ -149,8 +151,9 @@
   /** When its process was asked which parts of prompts it holds, if it has
       told; 0: it has not. */
   int64_t parts_asked_ms;
-  /** Its process was in the first list that was read here. */
-  bool in_first_list;
+  /** Its process was in the first list that was read here, and may have had a
+      predecessor under its identifier. */
+  bool may_have_predecessor;
   /** When a response announced that the runner leaves; 0: never. */
   int64_t leaving_ms;
   /** Latest start of a process that the announcement may come from; a process
@@ -285,10 +288,13 @@
                                       uint32_t hash);
 
 /** Returns whether a runner of SERVICE that ran another software version than
-    SOFTWARE has ended lately (former_software.h). */
+    SOFTWARE has ended at SINCE_MS or later (former_software.h). */
 bool bd_targets_had_other_software (const struct bd_targets *targets,
                                     struct bd_chunk service, uint64_t software,
-                                    int64_t now_ms);
+                                    int64_t since_ms);
+
+/** Returns when the first complete list was read; 0: not yet. */
+int64_t bd_targets_first_list_ms (const struct bd_targets *targets);
 
 /** Whether new requests may be sent to TARGET. */
 bool bd_target_usable (const struct bd_target *target);
--- a/src/balance/target_internal.h
+++ b/src/balance/target_internal.h
@@ -37,7 +37,7 @@
   int64_t distrust_until_ms;
   struct bd_departures departures;
   struct bd_former_software former_software;
-  bool first_list_read;
+  int64_t first_list_ms; /**< When it was read; 0: not yet. */
   struct bd_evacuations evacuations;
   struct bd_map *cold_rates; /**< By service; a rate stands in the pointer. */
 };
--- a/src/balance/target_removal.c
+++ b/src/balance/target_removal.c
@@ -88,7 +88,8 @@
                            now_ms < targets->distrust_until_ms
                                ? targets->distrust_until_ms
                                : now_ms);
-  targets->first_list_read = true;
+  if (targets->first_list_ms == 0)
+    targets->first_list_ms = now_ms;
 }
 
 void
--- a/src/gateway/coordinator.c
+++ b/src/gateway/coordinator.c
@@ -48,6 +48,7 @@
   struct bd_standbys *standbys;
   /* When all prefix locations were known last; 0: never. */
   int64_t prefixes_known_ms;
+  int64_t instance_lost_ms; /* When another one ended last; 0: none has. */
 };
 
 struct bd_coordinator *
@@ -262,7 +263,7 @@
 {
   const struct bd_origin_lookup lookup
       = { coordinator->options.origins, coordinator->options.inventory,
-          coordinator->options.targets };
+          coordinator->options.targets, coordinator->instance_lost_ms };
 
   return bd_origin_lookup (&lookup, query, now_ms);
 }
@@ -521,8 +522,9 @@
 
 void
 bd_coordinator_instance_lost (struct bd_coordinator *coordinator, uint32_t ip,
-                              bool silent)
+                              bool silent, int64_t now_ms)
 {
+  coordinator->instance_lost_ms = now_ms;
   if (silent)
     bd_ledger_suspect_instance (coordinator->ledger, ip);
   else
--- a/src/gateway/coordinator.h
+++ b/src/gateway/coordinator.h
@@ -78,11 +78,12 @@
                             int64_t now_ms);
 
 /**
- * Handles the loss of the instance at IP.  Its requests in flight have ended
- * with its process; if it is only SILENT, they may still be running.
+ * Handles the loss of the instance at IP at NOW_MS.  Its requests in flight
+ * have ended with its process; if it is only SILENT, they may still be
+ * running.
  */
 void bd_coordinator_instance_lost (struct bd_coordinator *coordinator,
-                                   uint32_t ip, bool silent);
+                                   uint32_t ip, bool silent, int64_t now_ms);
 
 /** Returns the key by which instances are ranked for a shard of a service. */
 uint64_t bd_coordinator_shard_key (struct bd_chunk service, uint32_t shard);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -218,7 +218,8 @@
 {
   struct bd_gateway *gateway = context;
 
-  bd_coordinator_instance_lost (gateway->coordinator, ip, silent);
+  bd_coordinator_instance_lost (gateway->coordinator, ip, silent,
+                                bd_clock_boot_ms ());
 }
 
 static void
--- a/src/gateway/origin_lookup.c
+++ b/src/gateway/origin_lookup.c
@@ -7,6 +7,10 @@
 /* Time until an instance has told of a stream that just began; before, runners
    are not asked for it. */
 #define ORIGIN_DELAY_MS 40
+/* Within this time from the end of a runner its callers have come again.  It
+   covers how long a runner serves whose entry was deleted, and how long a
+   crashed one's stays. */
+#define COME_AGAIN_MS 10000
 
 static struct bd_found_origin
 origin_verdict (enum bd_coordination_verdict verdict)
@@ -14,26 +18,43 @@
   return (struct bd_found_origin){ .verdict = verdict };
 }
 
+/* Returns since when the end of a runner leaves in doubt what it began.  When
+   it ended before, its callers came again while instances knew their streams,
+   and these went on at runners of the same version, which hold the prompts. */
+static int64_t
+doubtful_since_ms (const struct bd_origin_lookup *lookup, int64_t now_ms)
+{
+  int64_t lost_ms = bd_targets_first_list_ms (lookup->targets);
+  int64_t oldest_ms = now_ms - BD_FORMER_SOFTWARE_MS;
+
+  if (lost_ms < lookup->instance_lost_ms)
+    lost_ms = lookup->instance_lost_ms;
+  return lost_ms - COME_AGAIN_MS > oldest_ms ? lost_ms - COME_AGAIN_MS
+                                             : oldest_ms;
+}
+
 /* Whether a process that ran before under the identifier of TARGET may have
-   begun a stream that is continued now.  Restarts since the first list are
-   known to the table of runners. */
+   ended since SINCE_MS.  Restarts since the first list are known to the table
+   of runners. */
 static bool
-may_have_restarted (const struct bd_target *target)
+may_have_restarted (const struct bd_target *target, int64_t since_ms,
+                    int64_t now_ms)
 {
-  return target->in_first_list && target->started_ms != 0
-         && bd_clock_wall_ms () - target->started_ms < BD_FORMER_SOFTWARE_MS;
+  return target->may_have_predecessor && target->started_ms != 0
+         && bd_clock_wall_ms () - target->started_ms <= now_ms - since_ms;
 }
 
 /* Returns why TARGET may have begun a stream that it does not list; NULL: it
    has not begun it. */
 static const char *
-doubt_of_target (const struct bd_target *target, int64_t now_ms)
+doubt_of_target (const struct bd_target *target, int64_t since_ms,
+                 int64_t now_ms)
 {
   if (target->state == BD_TARGET_GONE)
     return NULL;
   if (!bd_inventory_has_told (target, now_ms))
     return "silent";
-  return may_have_restarted (target) ? "restarted" : NULL;
+  return may_have_restarted (target, since_ms, now_ms) ? "restarted" : NULL;
 }
 
 /* Whether a runner of another version than SOFTWARE may have begun a stream
@@ -46,6 +67,7 @@
                       struct bd_chunk service, uint64_t software,
                       int64_t now_ms)
 {
+  int64_t since_ms = doubtful_since_ms (lookup, now_ms);
   const char *reason = NULL;
   const char *runner = "-";
   size_t count;
@@ -53,12 +75,12 @@
       = bd_targets_of_service (lookup->targets, service, &count);
 
   if (bd_targets_had_other_software (lookup->targets, service, software,
-                                     now_ms))
+                                     since_ms))
     reason = "ended";
   for (size_t i = 0; i < count && !reason; i++)
     if (all[i]->software.hash != software)
       {
-        reason = doubt_of_target (all[i], now_ms);
+        reason = doubt_of_target (all[i], since_ms, now_ms);
         runner = all[i]->id.data;
       }
   if (reason)
--- a/src/gateway/origin_lookup.h
+++ b/src/gateway/origin_lookup.h
@@ -15,6 +15,8 @@
   struct bd_stream_origins *origins;
   struct bd_inventory *inventory; /**< May be NULL: runners are not asked. */
   struct bd_targets *targets;
+  /** When an instance ended last, so that what it had been told was lost. */
+  int64_t instance_lost_ms;
 };
 
 /** What is known of the origin of a stream. */
--- a/test/support_gateway.c
+++ b/test/support_gateway.c
@@ -193,9 +193,8 @@
   g_assert_cmpint (bd_address_parse (bd_chunk_of (text), address), ==, BD_OK);
 }
 
-void
-support_gateway_list_process (struct support_gateway *gateway, int i,
-                              int64_t started_ms)
+static void
+list (struct support_gateway *gateway, int i, int64_t started_ms, bool is_new)
 {
   struct support_runner *runner = &gateway->runners[i];
   struct bd_target_entry entry = { .service = BD_CHUNK ("s"),
@@ -210,10 +209,26 @@
   entry.port = htons ((uint16_t)port);
   if (runner->software)
     entry.software = bd_software_of (bd_chunk_of (runner->software));
+  if (is_new)
+    entry.created_revision = gateway->revision + 1;
   bd_targets_put (gateway->targets, bd_clock_boot_ms (), &entry,
                   ++gateway->revision);
 }
 
+void
+support_gateway_list_process (struct support_gateway *gateway, int i,
+                              int64_t started_ms)
+{
+  list (gateway, i, started_ms, false);
+}
+
+void
+support_gateway_list_new (struct support_gateway *gateway, int i,
+                          int64_t started_ms)
+{
+  list (gateway, i, started_ms, true);
+}
+
 void
 support_gateway_list (struct support_gateway *gateway, int i, int port)
 {
--- a/test/support_gateway.h
+++ b/test/support_gateway.h
@@ -113,6 +113,10 @@
 void support_gateway_list_process (struct support_gateway *gateway, int i,
                                    int64_t started_ms);
 
+/** The same, as the first process under its identifier. */
+void support_gateway_list_new (struct support_gateway *gateway, int i,
+                               int64_t started_ms);
+
 /** Lists runner I with a software version. */
 void support_gateway_set_software (struct support_gateway *gateway, int i,
                                    const char *software);
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -442,6 +442,51 @@
   support_gateway_close (&g);
 }
 
+/* Nor does it matter which runners ended so long before what instances knew
+   was lost that their callers had come again, nor which ones have just started
+   under an identifier that is new: nothing ran under it before. */
+static void
+test_other_version_settled (void)
+{
+  int64_t now = bd_clock_boot_ms ();
+  struct support_gateway g;
+  struct support_caller *caller;
+
+  open_two_versions (&g, lists_others);
+  for (int i = 2; i <= 4; i++)
+    {
+      support_gateway_runner (&g, i, lists_others, 2);
+      g.runners[i].software = "v1.1";
+    }
+  support_gateway_list_process (&g, 2, bd_clock_wall_ms () - 20000);
+  support_gateway_list_new (&g, 3, bd_clock_wall_ms ());
+  bd_targets_list_end (g.targets, now, 0);
+  support_gateway_list_process (&g, 4, bd_clock_wall_ms ());
+  bd_targets_remove (g.targets, now - 15000, BD_CHUNK ("i-4"), ++g.revision);
+  caller = call (&g, 0, "a2", "Last-Event-Id: 1\r\nResumes: a1\r\n");
+  await_outcome (caller);
+  check_contains (caller->in, EVENT ("2"));
+  support_gateway_close (&g);
+}
+
+/* The same runner counts if another instance ended since: it may have been the
+   one that knew. */
+static void
+test_other_version_before_loss (void)
+{
+  int64_t now = bd_clock_boot_ms ();
+  struct support_gateway g;
+
+  open_two_versions (&g, lists_others);
+  bd_targets_list_end (g.targets, now - 25000, 0);
+  g.runners[2].software = "v1.1";
+  support_gateway_list (&g, 2, 9);
+  bd_targets_remove (g.targets, now - 8000, BD_CHUNK ("i-2"), ++g.revision);
+  bd_coordinator_instance_lost (g.coordinator, 2, false, now);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
 /* Nor does it matter which versions ended long ago. */
 static void
 test_other_version_lost_long_ago (void)
@@ -651,6 +696,10 @@
                    test_other_version_paused);
   g_test_add_func ("/continuation/other-version-lost-long-ago",
                    test_other_version_lost_long_ago);
+  g_test_add_func ("/continuation/other-version-settled",
+                   test_other_version_settled);
+  g_test_add_func ("/continuation/other-version-before-loss",
+                   test_other_version_before_loss);
   g_test_add_func ("/continuation/same-version-lost", test_same_version_lost);
   g_test_add_func ("/continuation/version-ambiguous", test_version_ambiguous);
   g_test_add_func ("/continuation/list-of-another-process",
--- a/test/test_coordinator.c
+++ b/test/test_coordinator.c
@@ -267,7 +267,7 @@
   query = long_query (&fixture, 100);
   reply = bd_coordinator_decide (fixture.coordinator, 3, &query, NOW);
   g_assert_cmpint (reply.verdict, ==, BD_COORDINATION_REFUSED);
-  bd_coordinator_instance_lost (fixture.coordinator, 2, false);
+  bd_coordinator_instance_lost (fixture.coordinator, 2, false, NOW);
   reply = bd_coordinator_decide (fixture.coordinator, 3, &query, NOW);
   g_assert_cmpint (reply.verdict, ==, BD_COORDINATION_PLACED);
   g_assert_cmpint (reply.wait_ms, ==, 0);
