Check a request's parts in linear time

After three crashes a caller with such prompts could hold up a gateway.

Change: for each crash it is kept how many crashes in succession its parts have, and how many are open; it is made anew after a change when it is needed.

--- a/src/retry/breaker_table.c
+++ b/src/retry/breaker_table.c
@@ -141,9 +141,10 @@
   return breaker;
 }
 
-void
+bool
 bd_breaker_table_expire (struct bd_breaker_table *table, int64_t before_ms)
 {
+  size_t before = table->count;
   size_t kept = 0;
 
   for (size_t i = 0; i < table->count; i++)
@@ -153,4 +154,5 @@
     else
       table->items[kept++] = table->items[i];
   table->count = kept;
+  return kept < before;
 }
--- a/src/retry/breaker_table.h
+++ b/src/retry/breaker_table.h
@@ -7,6 +7,7 @@
 
 #include "retry/crash_list.h"
 
+#include <stdbool.h>
 #include <stddef.h>
 
 /** Most breakers: twice as many as a head of 16 KiB has parts.  Beyond, those
@@ -52,8 +53,8 @@
                                          uint64_t part);
 
 /** Drops those without crashes whose last harmless answer was at BEFORE_MS or
-    before. */
-void bd_breaker_table_expire (struct bd_breaker_table *table,
+    before.  Returns whether there were any. */
+bool bd_breaker_table_expire (struct bd_breaker_table *table,
                               int64_t before_ms);
 
 /** Returns the time of the last crash or harmless answer. */
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -1,8 +1,8 @@
 #include "retry/part_breaker.h"
 
 #include "common/random.h"
-#include "common/string.h"
 #include "retry/breaker_table.h"
+#include "retry/crash_summary.h"
 #include "retry/harmless_parts.h"
 
 #include <stdlib.h>
@@ -19,6 +19,7 @@
   uint64_t seed;
   struct bd_breaker_table *table;
   struct bd_harmless_parts *harmless;
+  struct bd_crash_summary *summary; /* Made when it is needed. */
 };
 
 struct bd_part_breakers *
@@ -31,7 +32,8 @@
   b->seed = seed;
   b->table = bd_breaker_table_create ();
   b->harmless = bd_harmless_parts_create ();
-  if (b->table && b->harmless)
+  b->summary = bd_crash_summary_create ();
+  if (b->table && b->harmless && b->summary)
     return b;
   bd_part_breakers_destroy (b);
   return NULL;
@@ -44,6 +46,7 @@
     return;
   bd_breaker_table_destroy (breakers->table);
   bd_harmless_parts_destroy (breakers->harmless);
+  bd_crash_summary_destroy (breakers->summary);
   free (breakers);
 }
 
@@ -181,6 +184,7 @@
   struct blame blame;
   bool is_new = false;
 
+  bd_crash_summary_invalidate (breakers->summary);
   suspect_some (breakers, parts, crash->at_ms);
   blame = find_blamed (breakers, parts);
   for (size_t i = 0; i < parts->count; i++)
@@ -208,6 +212,8 @@
           = bd_breaker_table_find (breakers->table, parts->parts[i]);
 
       bd_harmless_parts_record (breakers->harmless, parts->parts[i], now_ms);
+      if (breaker)
+        bd_crash_summary_invalidate (breakers->summary);
       if (breaker && set_harmless (breakers, breaker, now_ms))
         breaker->harmless_sends_left = SENDS_PER_NOTICE;
     }
@@ -225,71 +231,62 @@
 
 /* States. */
 
-/* Returns whether OTHER is more likely to be the cause of crashes than a part
-   under which COUNT runners crashed in succession. */
-static bool
-is_likelier (const struct bd_part_breakers *b, const struct bd_breaker *other,
-             uint32_t count, bool harmless_before)
-{
-  uint32_t others = bd_crash_list_in_succession (&other->list);
-
-  return others > count
-         || (others == count && harmless_before
-             && !was_harmless (b, other->part));
-}
-
-/* Removes the crashes from OWN that are in OTHER as well. */
-static void
-remove_common (struct bd_crash_list *own, const struct bd_crash_list *other)
-{
-  for (uint32_t i = own->count; i > 0; i--)
-    if (bd_crash_list_has (other, own->entries[i - 1].id))
-      bd_crash_list_remove (own, i - 1);
-}
-
-/* Copies BREAKER without the crashes that other parts explain, which are more
-   likely to be their cause.  Few breakers have as many crashes as make this
-   necessary. */
-static struct bd_breaker
+/* Copies the crashes of BREAKER without those that other parts explain, which
+   are more likely to be their cause. */
+static struct bd_crash_list
 without_explained (const struct bd_part_breakers *b,
                    const struct bd_breaker *breaker)
 {
-  struct bd_breaker own = *breaker;
-  uint32_t count = bd_crash_list_in_succession (&breaker->list);
+  struct bd_crash_list own = breaker->list;
+  uint32_t count = bd_crash_list_in_succession (&own);
   bool harmless_before = was_harmless (b, breaker->part);
 
-  if (count < BD_PART_CRASHES_MAX && breaker->list.count < BD_PART_RUNNERS_MAX)
+  if (count < BD_PART_CRASHES_MAX && own.count < BD_PART_RUNNERS_MAX)
     return own;
-  for (size_t i = 0; i < b->table->count; i++)
-    {
-      const struct bd_breaker *other = b->table->items[i];
-
-      if (other != breaker && other->list.count >= count
-          && is_likelier (b, other, count, harmless_before))
-        remove_common (&own.list, &other->list);
-    }
+  for (uint32_t i = own.count; i > 0; i--)
+    if (bd_crash_summary_explains (b->summary, own.entries[i - 1].id, count,
+                                   harmless_before))
+      bd_crash_list_remove (&own, i - 1);
   return own;
 }
 
+/* The summary must be up to date. */
 static bool
 is_open (const struct bd_part_breakers *b, const struct bd_breaker *breaker)
 {
-  struct bd_breaker own;
+  struct bd_crash_list own;
 
   if (!breaker)
     return false;
   own = without_explained (b, breaker);
-  if (bd_crash_list_in_succession (&own.list) >= BD_PART_CRASHES_MAX)
+  if (bd_crash_list_in_succession (&own) >= BD_PART_CRASHES_MAX)
     return true;
-  return own.list.count >= BD_PART_RUNNERS_MAX && !was_harmless (b, own.part)
-         && bd_crash_list_in_likely_succession (&own.list)
-                >= BD_PART_CRASHES_MAX;
+  return own.count >= BD_PART_RUNNERS_MAX && !was_harmless (b, breaker->part)
+         && bd_crash_list_in_likely_succession (&own) >= BD_PART_CRASHES_MAX;
+}
+
+/* Makes the summary anew if the breakers have changed. */
+static void
+update_summary (const struct bd_part_breakers *b)
+{
+  const struct bd_breaker_table *table = b->table;
+
+  if (bd_crash_summary_is_valid (b->summary))
+    return;
+  bd_crash_summary_begin (b->summary);
+  for (size_t i = 0; i < table->count; i++)
+    bd_crash_summary_add (b->summary, table->items[i],
+                          !was_harmless (b, table->items[i]->part));
+  for (size_t i = 0; i < table->count; i++)
+    if (is_open (b, table->items[i]))
+      bd_crash_summary_add_open (b->summary, table->items[i]);
 }
 
 bool
 bd_part_breakers_is_open (const struct bd_part_breakers *breakers,
                           uint64_t part)
 {
+  update_summary (breakers);
   return is_open (breakers, bd_breaker_table_find (breakers->table, part));
 }
 
@@ -322,57 +319,43 @@
   bool ambiguous; /* It lacks a part that is open for the same crash. */
 };
 
-/* Counts the open breakers of PARTS whose last crash is ID. */
-static size_t
-count_open (const struct bd_part_breakers *b, const struct bd_part_list *parts,
-            struct bd_id id)
+/* Returns the open breaker of part I, or NULL. */
+static const struct bd_breaker *
+open_breaker (const struct bd_part_breakers *b,
+              const struct bd_part_list *parts, size_t i)
 {
-  size_t count = 0;
-
-  for (size_t i = 0; i < parts->count; i++)
-    {
-      const struct bd_breaker *breaker
-          = bd_breaker_table_find (b->table, parts->parts[i]);
-
-      count += breaker && bd_crash_list_has (&breaker->list, id)
-               && is_open (b, breaker);
-    }
-  return count;
-}
-
-/* Whether crash ID may be due to a part that is open and not among PARTS. */
-static bool
-other_is_open (const struct bd_part_breakers *b,
-               const struct bd_part_list *parts, struct bd_id id)
-{
-  size_t own = count_open (b, parts, id);
-  size_t count = 0;
+  const struct bd_breaker *breaker
+      = bd_breaker_table_find (b->table, parts->parts[i]);
 
-  for (size_t i = 0; i < b->table->count && count <= own; i++)
-    count += bd_crash_list_has (&b->table->items[i]->list, id)
-             && is_open (b, b->table->items[i]);
-  return count > own;
+  return is_open (b, breaker) ? breaker : NULL;
 }
 
 static struct open_parts
 find_open (const struct bd_part_breakers *b, const struct bd_part_list *parts)
 {
   struct open_parts open = { 0 };
-  struct bd_id last = { 0 };
 
   for (size_t i = 0; i < parts->count; i++)
     {
-      const struct bd_breaker *breaker
-          = bd_breaker_table_find (b->table, parts->parts[i]);
-      struct bd_id id;
+      const struct bd_breaker *breaker = open_breaker (b, parts, i);
 
-      if (!is_open (b, breaker))
-        continue;
-      open.count++;
-      id = breaker->list.entries[breaker->list.count - 1].id;
-      if (!open.ambiguous && !bd_id_equal (id, last))
-        open.ambiguous = other_is_open (b, parts, id);
-      last = id;
+      open.count += breaker != NULL;
+      if (breaker)
+        bd_crash_summary_add_own (b->summary, breaker, 1);
+    }
+  for (size_t i = 0; i < parts->count && open.count > 0; i++)
+    {
+      const struct bd_breaker *breaker = open_breaker (b, parts, i);
+
+      if (breaker && bd_crash_summary_has_other (b->summary, breaker))
+        open.ambiguous = true;
+    }
+  for (size_t i = 0; i < parts->count && open.count > 0; i++)
+    {
+      const struct bd_breaker *breaker = open_breaker (b, parts, i);
+
+      if (breaker)
+        bd_crash_summary_add_own (b->summary, breaker, -1);
     }
   return open;
 }
@@ -399,14 +382,15 @@
 bd_part_breakers_check (const struct bd_part_breakers *breakers,
                         int64_t now_ms, const struct bd_part_list *parts)
 {
-  struct open_parts open = find_open (breakers, parts);
+  struct open_parts open;
 
+  update_summary (breakers);
+  open = find_open (breakers, parts);
   for (size_t i = 0; i < parts->count && open.count > 0; i++)
     {
-      const struct bd_breaker *breaker
-          = bd_breaker_table_find (breakers->table, parts->parts[i]);
+      const struct bd_breaker *breaker = open_breaker (breakers, parts, i);
 
-      if (is_open (breakers, breaker)
+      if (breaker
           && (now_ms - breaker->trial_ms < TRIAL_MS
               || now_ms - held_from_ms (breaker)
                      < hold_ms (breakers, breaker, &open)))
@@ -419,6 +403,7 @@
 bd_part_breakers_sent (struct bd_part_breakers *breakers, int64_t now_ms,
                        const struct bd_part_list *parts)
 {
+  update_summary (breakers);
   for (size_t i = 0; i < parts->count; i++)
     {
       struct bd_breaker *breaker
@@ -461,6 +446,7 @@
   breaker = bd_breaker_table_get (breakers->table, notice->part);
   if (!breaker)
     return false;
+  bd_crash_summary_invalidate (breakers->summary);
   return notice->harmless
              ? set_harmless (breakers, breaker, now_ms - notice->age_ms)
              : apply_crash (breaker, now_ms, notice);
@@ -549,7 +535,11 @@
 
       while (breaker->list.count > 0
              && now_ms - breaker->list.entries[0].at_ms >= KEEP_MS)
-        bd_crash_list_remove (&breaker->list, 0);
+        {
+          bd_crash_list_remove (&breaker->list, 0);
+          bd_crash_summary_invalidate (breakers->summary);
+        }
     }
-  bd_breaker_table_expire (breakers->table, now_ms - KEEP_MS);
+  if (bd_breaker_table_expire (breakers->table, now_ms - KEEP_MS))
+    bd_crash_summary_invalidate (breakers->summary);
 }
