Of two runners at one address take the one that started first as ended (ORDER)

Before: /continuation/other-version-replaced-before failed; after: all cases of test_continuation pass.

--- a/src/balance/target.c
+++ b/src/balance/target.c
@@ -153,7 +153,23 @@
     bd_map_remove (targets->by_address, key, 0);
 }
 
-/* Sets the address of TARGET.  Another runner that had it has ended. */
+/* Records that of ENTRY and OTHER, which have the same address, the one whose
+   process started first has ended. */
+static void
+record_replaced (struct bd_targets *targets,
+                 const struct bd_target_entry *entry,
+                 const struct bd_target *other, int64_t now_ms)
+{
+  if (other->state == BD_TARGET_GONE)
+    return;
+  if (other->started_ms <= entry->started_ms)
+    bd_targets_record_ended (targets, other->service, other->software.hash,
+                             now_ms);
+  else
+    bd_targets_record_ended (targets, entry->service, entry->software.hash,
+                             now_ms);
+}
+
 static void
 set_address (struct bd_targets *targets, struct bd_target *target,
              const struct bd_target_entry *entry, int64_t now_ms)
@@ -164,9 +180,8 @@
   if (target->ip == entry->ip && target->port == entry->port)
     return;
   other = bd_map_get (targets->by_address, key, 0);
-  if (other && other != target && other->state != BD_TARGET_GONE)
-    bd_targets_record_ended (targets, other->service, other->software.hash,
-                             now_ms);
+  if (other && other != target)
+    record_replaced (targets, entry, other, now_ms);
   if (bd_map_put (targets->by_address, key, 0, target) != BD_OK)
     targets->former_software.lost_ms = now_ms;
   forget_address (targets, target);
--- a/test/test_continuation.c
+++ b/test/test_continuation.c
@@ -406,6 +406,26 @@
   support_gateway_close (&g);
 }
 
+/* Guards against the same where the list names the runner that has the address
+   now before the one that had it. */
+static void
+test_other_version_replaced_before (void)
+{
+  struct support_gateway g;
+
+  support_gateway_open (&g);
+  support_gateway_runner (&g, 0, lists_then_ends, 2);
+  support_gateway_set_software (&g, 0, "v1");
+  g.runners[2].software = "v1";
+  support_gateway_runner (&g, 2, lists_others, 2);
+  support_gateway_list_process (&g, 2, bd_clock_wall_ms ());
+  g.runners[1].software = "v1.1";
+  g.runners[1].port = g.runners[2].port;
+  support_gateway_list_process (&g, 1, bd_clock_wall_ms () - 60000);
+  check_origin_unknown (&g);
+  support_gateway_close (&g);
+}
+
 /* Guards against the same where that runner wants no call for a while, so that
    it is not asked. */
 static void
@@ -692,6 +712,8 @@
                    test_other_version_started_before);
   g_test_add_func ("/continuation/other-version-replaced",
                    test_other_version_replaced);
+  g_test_add_func ("/continuation/other-version-replaced-before",
+                   test_other_version_replaced_before);
   g_test_add_func ("/continuation/other-version-paused",
                    test_other_version_paused);
   g_test_add_func ("/continuation/other-version-lost-long-ago",
