--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,10 +3,16 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-compile="cc -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -pthread"
-stand=review/stand-3
-$compile -o target/review-3/case-poison $stand/case_poison.c $stand/stand.c
-$compile -o target/review-3/case-bodies $stand/case_bodies.c $stand/kept.c \
-  $stand/stand.c
-$compile -o target/review-3/case-unread $stand/case_unread.c $stand/kept.c \
-  $stand/stand.c
+
+# build NAME SOURCE...
+build () {
+  local name=$1
+  shift
+  cc -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -pthread \
+    -o "target/review-3/$name" "${@/#/review/stand-3/}" review/stand-3/stand.c
+}
+
+build case-poison case_poison.c fatal.c
+build case-parts case_parts.c fatal.c
+build case-bodies case_bodies.c kept.c
+build case-unread case_unread.c kept.c
--- a/review/stand-3/case_unread.c
+++ b/review/stand-3/case_unread.c
@@ -1,13 +1,12 @@
-/* A few callers send small requests one after the other on their connections
-   and read no answer.  Each request is within the limits; their route does not
+/* A caller sends small requests one after the other on its connection and
+   reads no answer.  Each request is within the limits; their route does not
    exist. */
 #include "kept.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define CROWD 4
-#define CROWD_MS 20000
+#define WRITING_MS 20000
 #define REQUESTS_PER_WRITE 256
 #define REQUEST_TEXT                                                          \
   "GET /none/2f HTTP/1.1\r\nHost: " STAND_HOST "\r\n"                         \
@@ -20,7 +19,7 @@
 static long
 write_requests (const struct stand_conn *conn)
 {
-  int64_t until_ms = stand_now_ms () + CROWD_MS;
+  int64_t until_ms = stand_now_ms () + WRITING_MS;
   size_t length = sizeof request - 1;
   char *block = malloc (length * REQUESTS_PER_WRITE);
   long count = 0;
@@ -39,23 +38,23 @@
 {
   struct stand_conn conn;
 
+  (void)context;
   if (!stand_connect (&conn, KEPT_GATEWAY, STAND_CALLERS_PORT))
     return NULL;
-  stand_record ("crowd caller %d sent %ld requests", (int)(intptr_t)context,
+  stand_record ("the caller that does not read sent %ld requests",
                 write_requests (&conn));
   stand_close (&conn);
   return NULL;
 }
 
 static void
-start_crowd (void)
+start_caller (void)
 {
-  for (int i = 0; i < CROWD; i++)
-    stand_thread (run_caller, (void *)(intptr_t)i);
+  stand_thread (run_caller, NULL);
 }
 
 int
 main (int argc, char **argv)
 {
-  return kept_play (argc > 1 ? argv[1] : ".", start_crowd);
+  return kept_play (argc > 1 ? argv[1] : ".", start_caller);
 }
--- a/review/stand-3/kept.c
+++ b/review/stand-3/kept.c
@@ -157,7 +157,7 @@
 }
 
 int
-kept_play (const char *folder, void (*start_crowd) (void))
+kept_play (const char *folder, void (*start_disruption) (void))
 {
   int64_t until_ms;
   int result;
@@ -170,8 +170,8 @@
   stand_sleep_ms (EVENTS * EVENT_MS + 2000);
   if (stand_trouble ())
     {
-      stand_record ("the crowd begins");
-      start_crowd ();
+      stand_record ("the disruption begins");
+      start_disruption ();
     }
   until_ms = stand_now_ms () + WAIT_MS;
   while (ordinary_ended < ORDINARY && stand_now_ms () < until_ms)
--- a/review/stand-3/kept.h
+++ b/review/stand-3/kept.h
@@ -17,9 +17,9 @@
                       const char *framing);
 
 /**
- * Plays the case.  START_CROWD begins the disruption while the ordinary
+ * Plays the case.  START_DISRUPTION begins the disruption while the ordinary
  * callers' second streams are in progress.  Returns the exit status.
  */
-int kept_play (const char *folder, void (*start_crowd) (void));
+int kept_play (const char *folder, void (*start_disruption) (void));
 
 #endif
--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -864,19 +864,21 @@
   stand_thread (keep_entry, runner);
 }
 
-void
+bool
 stand_runner_crash (struct stand_runner *runner)
 {
+  bool was_up;
+
   pthread_mutex_lock (&runner->lock);
-  if (runner->up)
-    {
-      runner->up = false;
-      shutdown (runner->listener, SHUT_RDWR);
-      for (size_t i = 0; i < sizeof runner->fds / sizeof runner->fds[0]; i++)
-        if (runner->fds[i] >= 0)
-          shutdown (runner->fds[i], SHUT_RDWR);
-    }
+  was_up = runner->up;
+  runner->up = false;
+  if (was_up)
+    shutdown (runner->listener, SHUT_RDWR);
+  for (size_t i = 0; i < sizeof runner->fds / sizeof runner->fds[0]; i++)
+    if (was_up && runner->fds[i] >= 0)
+      shutdown (runner->fds[i], SHUT_RDWR);
   pthread_mutex_unlock (&runner->lock);
+  return was_up;
 }
 
 void
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -150,8 +150,8 @@
 void stand_runner_create (struct stand_runner *runner, int host,
                           const char *service, int slots, stand_serve serve);
 
-/** Ends the runner's process: its connections end. */
-void stand_runner_crash (struct stand_runner *runner);
+/** Ends the runner's process: its connections end.  Returns whether it ran. */
+bool stand_runner_crash (struct stand_runner *runner);
 
 /** Starts it again, under its old identifier or a new one. */
 void stand_runner_start (struct stand_runner *runner, bool same_id);
