Show a gateway that ends when streams are taken up in a crowd (LOST)

Cause: the ninth runner that a request was tried at is written behind the list of eight, over its count. Change: case review/11, from an entry; it takes the place of the whole bodies, which review/8 shows.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -14,5 +14,5 @@
 
 build case-poison case_poison.c fatal.c
 build case-parts case_parts.c fatal.c
-build case-bodies case_bodies.c kept.c
+build case-tried case_tried.c
 build case-unread case_unread.c kept.c
--- a/review/stand-3/case_parts.c
+++ b/review/stand-3/case_parts.c
@@ -3,7 +3,6 @@
 #include "fatal.h"
 
 #define PART "bad0bad0"
-#define SHARED_TOKENS 210
 #define CRASH_COUNT 5
 #define CALLERS 12
 #define BURSTS 5
@@ -25,7 +24,7 @@
 
   snprintf (id, sizeof id, "be%02x%04x", (unsigned)caller->burst,
             (unsigned)caller->number);
-  snprintf (parts, sizeof parts, PART ":140,%s", id);
+  snprintf (parts, sizeof parts, FATAL_SOUND_PART "," PART ":140,%s:1110", id);
   fatal_ask (caller->number % STAND_GATEWAYS + 1, FATAL_SOUND_PATH, id, parts,
              id);
   return NULL;
@@ -51,8 +50,7 @@
 int
 main (int argc, char **argv)
 {
-  static const struct fatal_case played
-      = { PART, SHARED_TOKENS, CRASH_COUNT, send_bursts };
+  static const struct fatal_case played = { PART, CRASH_COUNT, send_bursts };
 
   return fatal_play (argc > 1 ? argv[1] : ".", &played);
 }
--- a/review/stand-3/case_poison.c
+++ b/review/stand-3/case_poison.c
@@ -3,7 +3,6 @@
 #include "fatal.h"
 
 #define PATH "/carcass/poison/2f"
-#define SHARED_TOKENS 13300
 #define CRASH_COUNT 3
 /* Time from an answer to the next attempt, and time for which they go on. */
 #define AGAIN_MS 1200
@@ -18,7 +17,7 @@
   for (int i = 0; stand_now_ms () < until_ms; i++)
     {
       snprintf (id, sizeof id, "be%06x", (unsigned)i);
-      fatal_ask (i % STAND_GATEWAYS + 1, PATH, id, "e4402b7d",
+      fatal_ask (i % STAND_GATEWAYS + 1, PATH, id, "e4402b7d:3720",
                  "plan for carcass 4711\n");
       stand_sleep_ms (AGAIN_MS);
     }
@@ -28,7 +27,7 @@
 main (int argc, char **argv)
 {
   static const struct fatal_case played
-      = { PATH, SHARED_TOKENS, CRASH_COUNT, send_again_and_again };
+      = { PATH, CRASH_COUNT, send_again_and_again };
 
   return fatal_play (argc > 1 ? argv[1] : ".", &played);
 }
--- a/review/stand-3/fatal.c
+++ b/review/stand-3/fatal.c
@@ -71,7 +71,7 @@
     return true;
   if (is_fatal)
     count_arrival (runner);
-  if (!stand_begin_stream (conn, head))
+  if (!stand_begin_stream (conn, head, ""))
     return false;
   for (int i = 1; i <= EVENTS; i++)
     {
@@ -103,11 +103,11 @@
             "POST %s HTTP/1.1\r\nHost: " STAND_HOST "\r\n"
             "X-Basildock-Attempt-Id: %s\r\nX-Basildock-Model: m\r\n"
             "X-Basildock-Token-Usage: 3720,48\r\n"
-            "X-Basildock-Prefix-Hash: 5c1e07a2:%d,%s:1110\r\n"
+            "X-Basildock-Prefix-Hash: %s\r\n"
             "X-Basildock-Deadline-Ms: 12000\r\n"
             "Authorization: Token " STAND_KEY "\r\n"
             "Content-Length: %zu\r\n\r\n%s",
-            path, id, current->shared_tokens, parts, strlen (body), body);
+            path, id, parts, strlen (body), body);
   if (stand_write_text (&conn, text))
     stand_read_reply (&conn, reply);
   stand_close (&conn);
@@ -131,11 +131,13 @@
   int number = (int)(intptr_t)context;
   struct stand_reply reply;
   char id[STAND_ID_BYTES];
+  char parts[STAND_ID_BYTES * 2];
 
   for (int i = 0; !done; i++)
     {
       snprintf (id, sizeof id, "50%04x%04x", (unsigned)number, (unsigned)i);
-      ask (number % STAND_GATEWAYS + 1, FATAL_SOUND_PATH, id, id, "sound\n",
+      snprintf (parts, sizeof parts, FATAL_SOUND_PART ",%s:1110", id);
+      ask (number % STAND_GATEWAYS + 1, FATAL_SOUND_PATH, id, parts, "sound\n",
            &reply);
       pthread_mutex_lock (&lock);
       sound_whole += reply.complete && reply.status == 200;
--- a/review/stand-3/fatal.h
+++ b/review/stand-3/fatal.h
@@ -9,21 +9,21 @@
 
 #include "stand.h"
 
-/** Path of sound requests. */
+/** Path of sound requests, and the first part of their prompts. */
 #define FATAL_SOUND_PATH "/carcass/2f"
+#define FATAL_SOUND_PART "5c1e07a2:210"
 
 /** A case. */
 struct fatal_case
 {
   const char *mark;    /**< In the head of each fatal request. */
-  int shared_tokens;   /**< Of the part that all requests share. */
   int crash_count;     /**< Crash from which on the rule counts. */
   void (*send) (void); /**< Sends the fatal requests. */
 };
 
 /**
- * Sends a request at gateway HOST and reads its answer.  PARTS follow the
- * shared part of the prompt.
+ * Sends a request at gateway HOST and reads its answer.  PARTS are those of
+ * its prompt, as in the field.
  */
 void fatal_ask (int host, const char *path, const char *id, const char *parts,
                 const char *body);
--- a/review/stand-3/kept.c
+++ b/review/stand-3/kept.c
@@ -28,7 +28,7 @@
 {
   if (stand_runner_misdirected (runner, conn, head))
     return true;
-  if (!stand_begin_stream (conn, head))
+  if (!stand_begin_stream (conn, head, ""))
     return false;
   for (int i = 1; i <= EVENTS; i++)
     {
--- a/review/stand-3/kept.h
+++ b/review/stand-3/kept.h
@@ -1,6 +1,6 @@
 /**
  * @file kept.h
- * What the cases about memory share: a platform that ends a process whose
+ * What a case about memory needs: a platform that ends a process whose
  * memory passes the limit of its machine, ordinary callers with streams in
  * progress on kept connections, and the rule LOST.
  */
--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -937,10 +937,13 @@
 }
 
 bool
-stand_begin_stream (const struct stand_conn *conn, const char *head)
+stand_begin_stream (const struct stand_conn *conn, const char *head,
+                    const char *fields)
 {
-  return write_signed_head (conn, head, "Transfer-Encoding: chunked",
-                            "text/event-stream");
+  char framing[256];
+
+  snprintf (framing, sizeof framing, "%sTransfer-Encoding: chunked", fields);
+  return write_signed_head (conn, head, framing, "text/event-stream");
 }
 
 bool
@@ -1037,6 +1040,16 @@
   stand_record ("gateway %d started", host);
 }
 
+/* Forgets a process that was waited for. */
+static void
+forget_process (struct stand_gateway *gateway)
+{
+  for (size_t i = 0; i < started_count; i++)
+    if (started[i] == gateway->pid)
+      started[i] = 0;
+  gateway->pid = 0;
+}
+
 void
 stand_gateway_kill (struct stand_gateway *gateway)
 {
@@ -1044,10 +1057,19 @@
     return;
   kill (gateway->pid, SIGKILL);
   waitpid (gateway->pid, NULL, 0);
-  for (size_t i = 0; i < started_count; i++)
-    if (started[i] == gateway->pid)
-      started[i] = 0;
-  gateway->pid = 0;
+  forget_process (gateway);
+}
+
+bool
+stand_gateway_ended (struct stand_gateway *gateway, int *signal_number)
+{
+  int status = 0;
+
+  if (gateway->pid <= 0 || waitpid (gateway->pid, &status, WNOHANG) <= 0)
+    return false;
+  *signal_number = WIFSIGNALED (status) ? WTERMSIG (status) : 0;
+  forget_process (gateway);
+  return true;
 }
 
 bool
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -161,8 +161,10 @@
                                const struct stand_conn *conn,
                                const char *head);
 
-/** Begins a signed event stream for the request with HEAD. */
-bool stand_begin_stream (const struct stand_conn *conn, const char *head);
+/** Begins a signed event stream for the request with HEAD.  FIELDS are further
+    lines of the answer's head. */
+bool stand_begin_stream (const struct stand_conn *conn, const char *head,
+                         const char *fields);
 
 /** Sends event NUMBER, with the runner's software version as its data. */
 bool stand_send_event (const struct stand_runner *runner,
@@ -185,6 +187,9 @@
 void stand_gateway_start (struct stand_gateway *gateway, int host);
 void stand_gateway_kill (struct stand_gateway *gateway);
 
+/** Returns whether it has ended by itself, and the signal that ended it. */
+bool stand_gateway_ended (struct stand_gateway *gateway, int *signal_number);
+
 /** Returns whether it says that it is ready. */
 bool stand_gateway_ready (const struct stand_gateway *gateway);
 
