Count crashes after the first events against a request (BUDGET)

Cause: an attempt of whose answer events had come was held to be harmless (crash_probe.c sets has_events, confirm_case () then recorded no strike). So evidence depended on how much of an answer had been read.

Ruled out: the exception alone taken out.

Now each confirmed crash counts, and a crash does not count against a suspect if a rival that was there is likelier to be its cause (rivals.h): one with more crashes, or as many and never a complete answer. The rule is one for requests and parts, which had it already. A part that a request does not hold explains it at as many crashes; its own parts never do, as they may be held for it. A stream in progress waits one crash later than a new request. A crash before its confirmation counts as before only if no event had come.

Tests, new: /crash/request-after-events fails on (isolate where quarantine is due), /crash/streams-beside-request and -part hold the other side. /crash/events-no-strike asked for the fault (no strike after events): in its place /crash/events-strike asks for a strike, for none before the crash is confirmed, and for none if the runner lives.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -257,12 +257,22 @@
     }
 }
 
+static enum bd_suspicion
+suspicion_of (const struct bd_forward *f)
+{
+  struct bd_crashes *crashes = f->forwarder->crashes;
+  int64_t now = f->selection_request.now_ms;
+
+  if (f->event_count > 0 || f->continues)
+    return bd_crashes_suspicion_in_progress (crashes, now, &f->fingerprint);
+  return bd_crashes_suspicion (crashes, now, &f->fingerprint);
+}
+
 /* Sends the request to the runner of SELECTION. */
 static void
 send_to_selected (struct bd_forward *f, const struct bd_selection *selection)
 {
-  enum bd_suspicion suspicion = bd_crashes_suspicion (
-      f->forwarder->crashes, f->selection_request.now_ms, &f->fingerprint);
+  enum bd_suspicion suspicion = suspicion_of (f);
 
   if (suspicion == BD_SUSPICION_QUARANTINE)
     {
--- a/src/gateway/continuation.c
+++ b/src/gateway/continuation.c
@@ -21,14 +21,21 @@
   return f->workspace ? f->workspace->name : (struct bd_chunk){ NULL, 0 };
 }
 
+bool
+bd_forward_is_continuation (const struct bd_route *route,
+                            const struct bd_request_fields *fields)
+{
+  return route->retry_class == BD_RETRY_STREAM && route->resumable
+         && fields->last_event_id.length > 0;
+}
+
 void
 bd_forward_init_continuation (struct bd_forward *f)
 {
   const struct bd_request_fields *fields = &f->request_fields;
 
   f->own_stream = bd_stream_number (fields->attempt_id, workspace_name (f));
-  f->continues = f->route->retry_class == BD_RETRY_STREAM
-                 && f->route->resumable && fields->last_event_id.length > 0;
+  f->continues = bd_forward_is_continuation (f->route, fields);
   if (!f->continues)
     return;
   f->continued_stream
--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -39,7 +39,7 @@
   bool suspected;   /* The request was suspected when the attempt was sent. */
   bool provisional; /* Counts as a provisional strike. */
   bool arrived;     /* The request reached the runner before the crash. */
-  bool has_events;  /* The request itself is harmless, so it gets no strike. */
+  bool has_events;  /* Events of the answer were received. */
 };
 
 enum verdict
@@ -49,8 +49,17 @@
   VERDICT_DISMISSED
 };
 
+/* The parts of prompts, as rivals of a request. */
+struct part_rivals
+{
+  struct bd_rivals base;
+  const struct bd_part_breakers *breakers;
+  const struct bd_part_list *own; /* Parts of the request. */
+};
+
 struct bd_crashes
 {
+  struct part_rivals rivals;
   struct bd_targets *targets;
   struct bd_suspects *suspects;
   struct bd_part_breakers *breakers;
@@ -62,6 +71,20 @@
                                KNOWN_CRASHES_MAX, the index of the next one. */
 };
 
+static bool
+explain_by_parts (const struct bd_rivals *base, struct bd_id crash,
+                  uint32_t count, bool harmless_before)
+{
+  const struct part_rivals *rivals = (const struct part_rivals *)base;
+
+  return rivals->own
+         && bd_part_breakers_explain (rivals->breakers, rivals->own, crash,
+                                      count, harmless_before);
+}
+
+static const struct bd_rivals_ops part_rivals_ops
+    = { .explain = explain_by_parts };
+
 struct bd_crashes *
 bd_crashes_create (struct bd_targets *targets, struct bd_suspects *suspects,
                    struct bd_part_breakers *breakers)
@@ -73,7 +96,12 @@
   crashes->targets = targets;
   crashes->suspects = suspects;
   crashes->breakers = breakers;
-  return crashes;
+  crashes->rivals = (struct part_rivals){ .base = { &part_rivals_ops },
+                                          .breakers = breakers };
+  if (bd_suspects_weigh_rivals (suspects, &crashes->rivals.base) == BD_OK)
+    return crashes;
+  free (crashes);
+  return NULL;
 }
 
 static void
@@ -113,25 +141,45 @@
 
 /* Suspects. */
 
-enum bd_suspicion
-bd_crashes_suspicion (struct bd_crashes *crashes, int64_t now_ms,
-                      const struct bd_fingerprint *fingerprint)
+static enum bd_suspicion
+suspicion_of (struct bd_crashes *crashes, int64_t now_ms,
+              const struct bd_fingerprint *fingerprint, bool in_progress)
 {
   struct bd_suspects *suspects = crashes->suspects;
-  enum bd_suspicion exact
-      = bd_suspects_check (suspects, now_ms, fingerprint->exact);
-  enum bd_suspicion broad
-      = bd_suspects_check (suspects, now_ms, fingerprint->broad);
-
-  if (bd_suspects_must_wait (suspects, now_ms, fingerprint->exact)
-      || bd_suspects_must_wait (suspects, now_ms, fingerprint->broad)
-      || bd_part_breakers_check (crashes->breakers, now_ms,
-                                 &fingerprint->parts)
-             == BD_BREAKER_OPEN)
+  enum bd_suspicion exact;
+  enum bd_suspicion broad;
+  bool held;
+
+  crashes->rivals.own = &fingerprint->parts;
+  exact = bd_suspects_check (suspects, now_ms, fingerprint->exact);
+  broad = bd_suspects_check (suspects, now_ms, fingerprint->broad);
+  held = bd_suspects_must_wait (suspects, now_ms, fingerprint->exact,
+                                in_progress)
+         || bd_suspects_must_wait (suspects, now_ms, fingerprint->broad,
+                                   in_progress)
+         || bd_part_breakers_check (crashes->breakers, now_ms,
+                                    &fingerprint->parts)
+                == BD_BREAKER_OPEN;
+  crashes->rivals.own = NULL;
+  if (held)
     return BD_SUSPICION_QUARANTINE;
   return exact > broad ? exact : broad;
 }
 
+enum bd_suspicion
+bd_crashes_suspicion (struct bd_crashes *crashes, int64_t now_ms,
+                      const struct bd_fingerprint *fingerprint)
+{
+  return suspicion_of (crashes, now_ms, fingerprint, false);
+}
+
+enum bd_suspicion
+bd_crashes_suspicion_in_progress (struct bd_crashes *crashes, int64_t now_ms,
+                                  const struct bd_fingerprint *fingerprint)
+{
+  return suspicion_of (crashes, now_ms, fingerprint, true);
+}
+
 void
 bd_crashes_sent (struct bd_crashes *crashes, int64_t now_ms,
                  const struct bd_fingerprint *fingerprint)
@@ -198,7 +246,7 @@
               const struct crash_case *c, const char *by)
 {
   bool blamed = blame_parts (crashes, c);
-  bool struck = !c->has_events && record_strike (crashes, now_ms, c, false);
+  bool struck = record_strike (crashes, now_ms, c, false);
 
   if (blamed || struck)
     bd_log (BD_EVENT_STRIKE,
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -81,8 +81,8 @@
   enum bd_crash_evidence evidence;
   /** The request was suspected when the attempt was sent. */
   bool suspected;
-  /** Events of the answer were received.  This shows that the request itself
-      is harmless, but not that the parts of its prompt are. */
+  /** Events of the answer were received.  The attempt counts as a strike once
+      the crash is confirmed, and not before. */
   bool has_events;
 };
 
@@ -103,6 +103,12 @@
 bd_crashes_suspicion (struct bd_crashes *crashes, int64_t now_ms,
                       const struct bd_fingerprint *fingerprint);
 
+/** The same for a request of which the caller has some events, or a stream
+   that it takes up again. */
+enum bd_suspicion
+bd_crashes_suspicion_in_progress (struct bd_crashes *crashes, int64_t now_ms,
+                                  const struct bd_fingerprint *fingerprint);
+
 /** Records that a request with FINGERPRINT is sent. */
 void bd_crashes_sent (struct bd_crashes *crashes, int64_t now_ms,
                       const struct bd_fingerprint *fingerprint);
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -89,7 +89,9 @@
 {
   const struct bd_head *head = bd_exchange_head (exchange);
   struct bd_routing *routing = forwarder->routing;
+  int64_t now = bd_clock_boot_ms ();
   struct bd_fingerprint fingerprint;
+  enum bd_suspicion suspicion;
   int error = forwarder->options.dialect->read_request (head, fields);
 
   if (error != BD_OK)
@@ -109,11 +111,12 @@
   if (is_too_late (forwarder, *route, fields))
     return BD_ERR_LEAVING;
   fingerprint = fingerprint_of (exchange, *workspace, fields);
-  if (bd_crashes_suspicion (forwarder->crashes, bd_clock_boot_ms (),
-                            &fingerprint)
-      == BD_SUSPICION_QUARANTINE)
-    return BD_ERR_SUSPENDED;
-  return BD_OK;
+  suspicion
+      = bd_forward_is_continuation (*route, fields)
+            ? bd_crashes_suspicion_in_progress (forwarder->crashes, now,
+                                                &fingerprint)
+            : bd_crashes_suspicion (forwarder->crashes, now, &fingerprint);
+  return suspicion == BD_SUSPICION_QUARANTINE ? BD_ERR_SUSPENDED : BD_OK;
 }
 
 static void
--- a/src/gateway/forward_internal.h
+++ b/src/gateway/forward_internal.h
@@ -244,6 +244,11 @@
 void bd_forward_log_failed_attempt (const struct bd_forward *f,
                                     const char *reason);
 
+/** Returns whether a request on ROUTE continues a stream of which its caller
+    has some events. */
+bool bd_forward_is_continuation (const struct bd_route *route,
+                                 const struct bd_request_fields *fields);
+
 /**
  * Prepares a request whose caller may continue a stream of an earlier attempt.
  */
--- a/src/retry/crash_summary.c
+++ b/src/retry/crash_summary.c
@@ -101,6 +101,23 @@
   return add ? add_cause (summary, crash) : NULL;
 }
 
+void
+bd_crash_summary_count (struct bd_crash_summary *summary, struct bd_id crash,
+                        uint64_t suspect, uint32_t count, bool unknown)
+{
+  struct bd_crash_cause *cause = bd_crash_summary_find (summary, crash, true);
+
+  if (!cause)
+    return;
+  if (cause->counts.most < count)
+    {
+      cause->counts.most = count;
+      cause->leader = suspect;
+    }
+  if (unknown && cause->counts.most_unknown < count)
+    cause->counts.most_unknown = count;
+}
+
 void
 bd_crash_summary_add (struct bd_crash_summary *summary,
                       const struct bd_breaker *breaker, bool unknown)
@@ -108,17 +125,8 @@
   uint32_t count = bd_crash_list_in_succession (&breaker->list);
 
   for (uint32_t i = 0; i < breaker->list.count; i++)
-    {
-      struct bd_crash_cause *cause
-          = bd_crash_summary_find (summary, breaker->list.entries[i].id, true);
-
-      if (!cause)
-        continue;
-      if (cause->most < count)
-        cause->most = count;
-      if (unknown && cause->most_unknown < count)
-        cause->most_unknown = count;
-    }
+    bd_crash_summary_count (summary, breaker->list.entries[i].id,
+                            breaker->part, count, unknown);
 }
 
 void
@@ -168,7 +176,5 @@
   const struct bd_crash_cause *cause
       = bd_crash_summary_find (summary, crash, false);
 
-  return cause
-         && (cause->most > count
-             || (harmless_before && cause->most_unknown >= count));
+  return cause && bd_rivals_outweigh (&cause->counts, count, harmless_before);
 }
--- a/src/retry/crash_summary.h
+++ b/src/retry/crash_summary.h
@@ -1,26 +1,25 @@
 /**
  * @file crash_summary.h
- * For each crash that breakers have, which of them are likely to be its cause.
+ * For each crash, how many crashes those have that were there (rivals.h).
  *
- * Many parts may be blamed for one crash, and a request may have many of them;
- * with the summary a breaker is compared with all others in the time that its
- * own crashes take.
+ * Many suspects may have been at one crash, and a request may have many parts;
+ * with the summary one is compared with all others in the time that its own
+ * crashes take.
  */
 #ifndef BD_CRASH_SUMMARY_H
 #define BD_CRASH_SUMMARY_H
 
 #include "retry/breaker_table.h"
+#include "retry/rivals.h"
 
 #include <stdbool.h>
 
 /** What is known of a crash. */
 struct bd_crash_cause
 {
-  /** Most crashes in succession of a breaker that has this one; the same of
-      those whose part was never seen to be harmless. */
-  uint32_t most;
-  uint32_t most_unknown;
-  uint32_t open; /**< Open breakers that have it. */
+  struct bd_rival_counts counts; /**< Those who were there. */
+  uint64_t leader;               /**< One of them with the most crashes. */
+  uint32_t open;                 /**< Open breakers that have it. */
   /** Of these, those of the request that is looked at; 0 between requests. */
   int64_t own;
 };
@@ -43,6 +42,12 @@
 struct bd_crash_cause *bd_crash_summary_find (struct bd_crash_summary *summary,
                                               struct bd_id crash, bool add);
 
+/** Counts that SUSPECT, with COUNT crashes, was at CRASH; UNKNOWN: it never
+    had a complete answer. */
+void bd_crash_summary_count (struct bd_crash_summary *summary,
+                             struct bd_id crash, uint64_t suspect,
+                             uint32_t count, bool unknown);
+
 /** Counts the crashes of BREAKER; UNKNOWN: its part was never harmless. */
 void bd_crash_summary_add (struct bd_crash_summary *summary,
                            const struct bd_breaker *breaker, bool unknown);
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -290,6 +290,30 @@
   return is_open (breakers, bd_breaker_table_find (breakers->table, part));
 }
 
+static bool
+contains (const struct bd_part_list *parts, uint64_t part)
+{
+  for (size_t i = 0; i < parts->count; i++)
+    if (parts->parts[i] == part)
+      return true;
+  return false;
+}
+
+bool
+bd_part_breakers_explain (const struct bd_part_breakers *breakers,
+                          const struct bd_part_list *parts, struct bd_id crash,
+                          uint32_t count, bool harmless_before)
+{
+  const struct bd_crash_cause *cause;
+
+  update_summary (breakers);
+  cause = bd_crash_summary_find (breakers->summary, crash, false);
+  if (!cause || contains (parts, cause->leader))
+    return false;
+  return cause->counts.most_unknown >= count
+         || bd_rivals_outweigh (&cause->counts, count, harmless_before);
+}
+
 /* Returns the hold time after CRASHES in succession. */
 static int64_t
 base_hold_ms (const struct bd_breaker *breaker, uint32_t crashes)
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -109,6 +109,17 @@
 bool bd_part_breakers_is_open (const struct bd_part_breakers *breakers,
                                uint64_t part);
 
+/**
+ * Whether a part explains CRASH better than a request with PARTS and COUNT
+ * crashes does, which had a complete answer before them or not.  The request's
+ * own parts don't: those are held, or have been cleared.  One that never had a
+ * complete answer does at as many crashes, as they were under other requests.
+ */
+bool bd_part_breakers_explain (const struct bd_part_breakers *breakers,
+                               const struct bd_part_list *parts,
+                               struct bd_id crash, uint32_t count,
+                               bool harmless_before);
+
 /** Records a notice from a peer.  Returns true if it was new. */
 bool bd_part_breakers_apply (struct bd_part_breakers *breakers, int64_t now_ms,
                              const struct bd_part_notice *notice);
--- a/src/retry/suspect.c
+++ b/src/retry/suspect.c
@@ -1,52 +1,18 @@
-#include "retry/suspect.h"
+#include "retry/suspect_internal.h"
 
 #include "common/map.h"
 #include "common/string.h"
+#include "retry/crash_summary.h"
+#include "retry/harmless_parts.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* Crashes stored for one fingerprint. */
-#define MAX_CRASHES 4
-/* Fingerprints are listed by their number of crashes; so many and more count
-   alike. */
-#define RANKS ((size_t)3)
-
 /* Limit on the gossip of refused attempts, in rounds per keep time. */
 #define GOSSIPS_PER_KEEP_TIME 4
 
 #define NONE UINT32_MAX
 
-struct crash
-{
-  struct bd_id id;
-  bool alone;
-  bool cleared;
-  bool provisional;
-  bool gossiped; /* Was gossiped, or need not be. */
-};
-
-struct suspect
-{
-  uint64_t fingerprint;
-  int64_t last_event_ms;
-  int64_t last_gossip_ms; /* Value of LAST_EVENT_MS that was last gossiped. */
-  uint32_t next_free;     /* In the list of free records. */
-  uint32_t crash_count;   /* 0 in a free record. */
-  struct crash crashes[MAX_CRASHES];
-};
-
-struct bd_suspects
-{
-  uint32_t capacity;
-  uint32_t used;
-  uint32_t free_list;
-  uint32_t gossip_cursor; /* Where the next gossip round starts. */
-  int64_t keep_ms;
-  struct suspect *suspects;
-  struct bd_map *by_fingerprint;
-};
-
 struct bd_suspects *
 bd_suspects_create (uint32_t max_fingerprints, int64_t keep_ms)
 {
@@ -73,10 +39,26 @@
   if (!suspects)
     return;
   bd_map_destroy (suspects->by_fingerprint);
+  bd_harmless_parts_destroy (suspects->completed);
+  bd_crash_summary_destroy (suspects->summary);
   free (suspects->suspects);
   free (suspects);
 }
 
+int
+bd_suspects_weigh_rivals (struct bd_suspects *suspects,
+                          const struct bd_rivals *rivals)
+{
+  if (!suspects->completed)
+    suspects->completed = bd_harmless_parts_create ();
+  if (!suspects->summary)
+    suspects->summary = bd_crash_summary_create ();
+  if (!suspects->completed || !suspects->summary)
+    return BD_ERR_NOMEM;
+  suspects->rivals = rivals;
+  return BD_OK;
+}
+
 static struct bd_id
 map_id (uint64_t fingerprint)
 {
@@ -90,8 +72,8 @@
 }
 
 /* Number of crashes that no completed request has cleared. */
-static uint32_t
-count_uncleared (const struct suspect *suspect)
+uint32_t
+bd_suspect_uncleared (const struct suspect *suspect)
 {
   uint32_t open = 0;
 
@@ -100,23 +82,99 @@
   return open;
 }
 
-static enum bd_suspicion
-suspicion_of (const struct suspect *suspect)
+enum bd_suspicion
+bd_suspicion_by (const struct bd_suspect_evidence *evidence)
 {
-  uint32_t alone = 0;
+  if (evidence->alone >= BD_SUSPECT_QUARANTINE_STRIKES)
+    return BD_SUSPICION_QUARANTINE;
+  return evidence->crashes > 0 ? BD_SUSPICION_ISOLATE : BD_SUSPICION_NONE;
+}
+
+/* The suspicion by all strikes, also those that rivals explain. */
+enum bd_suspicion
+bd_suspect_suspicion (const struct suspect *suspect)
+{
+  struct bd_suspect_evidence evidence
+      = { .crashes = bd_suspect_uncleared (suspect) };
 
   for (uint32_t i = 0; i < suspect->crash_count; i++)
-    alone += !suspect->crashes[i].cleared && suspect->crashes[i].alone;
-  if (alone >= BD_SUSPECT_QUARANTINE_STRIKES)
-    return BD_SUSPICION_QUARANTINE;
-  return count_uncleared (suspect) > 0 ? BD_SUSPICION_ISOLATE
-                                       : BD_SUSPICION_NONE;
+    evidence.alone
+        += !suspect->crashes[i].cleared && suspect->crashes[i].alone;
+  return bd_suspicion_by (&evidence);
+}
+
+/* Rivals. */
+
+static bool
+was_completed (const struct bd_suspects *s, uint64_t fingerprint)
+{
+  return bd_harmless_parts_find (s->completed, fingerprint) != NULL;
+}
+
+/* The summary has to be made anew, as the strikes have changed. */
+static void
+invalidate_summary (struct bd_suspects *s)
+{
+  if (s->summary)
+    bd_crash_summary_invalidate (s->summary);
+}
+
+static void
+update_summary (const struct bd_suspects *s)
+{
+  if (bd_crash_summary_is_valid (s->summary))
+    return;
+  bd_crash_summary_begin (s->summary);
+  for (uint32_t i = 0; i < s->used; i++)
+    {
+      const struct suspect *suspect = &s->suspects[i];
+      uint32_t count = bd_suspect_uncleared (suspect);
+      bool unknown = !was_completed (s, suspect->fingerprint);
+
+      for (uint32_t k = 0; k < suspect->crash_count; k++)
+        if (!suspect->crashes[k].cleared)
+          bd_crash_summary_count (s->summary, suspect->crashes[k].id,
+                                  suspect->fingerprint, count, unknown);
+    }
+}
+
+/* Whether a rival explains CRASH, one of COUNT uncleared ones of SUSPECT. */
+static bool
+is_explained (const struct bd_suspects *s, const struct suspect *suspect,
+              const struct crash *crash, uint32_t count)
+{
+  bool completed = was_completed (s, suspect->fingerprint);
+
+  return bd_crash_summary_explains (s->summary, crash->id, count, completed)
+         || s->rivals->ops->explain (s->rivals, crash->id, count, completed);
+}
+
+static struct bd_suspect_evidence
+weigh (const struct bd_suspects *s, const struct suspect *suspect)
+{
+  uint32_t count = bd_suspect_uncleared (suspect);
+  struct bd_suspect_evidence evidence = { 0 };
+
+  if (s->rivals)
+    update_summary (s);
+  for (uint32_t i = 0; i < suspect->crash_count; i++)
+    {
+      const struct crash *crash = &suspect->crashes[i];
+
+      if (crash->cleared
+          || (s->rivals && is_explained (s, suspect, crash, count)))
+        continue;
+      evidence.crashes++;
+      evidence.alone += crash->alone;
+    }
+  return evidence;
 }
 
 static void
 remove_suspect (struct bd_suspects *s, struct suspect *suspect)
 {
   bd_map_remove (s->by_fingerprint, map_id (suspect->fingerprint), 0);
+  invalidate_summary (s);
   suspect->crash_count = 0;
   suspect->next_free = s->free_list;
   s->free_list = (uint32_t)(suspect - s->suspects);
@@ -130,7 +188,8 @@
   for (uint32_t i = 1; i < s->used; i++)
     {
       struct suspect *suspect = &s->suspects[i];
-      int more = (int)suspicion_of (suspect) - (int)suspicion_of (least);
+      int more = (int)bd_suspect_suspicion (suspect)
+                 - (int)bd_suspect_suspicion (least);
 
       if (more < 0
           || (more == 0 && suspect->last_event_ms < least->last_event_ms))
@@ -149,7 +208,7 @@
   if (s->free_list != NONE || s->used < s->capacity)
     return true;
   least = find_least_suspected (s);
-  if (cleared && suspicion_of (least) > BD_SUSPICION_NONE)
+  if (cleared && bd_suspect_suspicion (least) > BD_SUSPICION_NONE)
     return false;
   remove_suspect (s, least);
   return true;
@@ -192,9 +251,9 @@
 {
   struct crash *least = &suspect->crashes[0];
 
-  if (suspect->crash_count < MAX_CRASHES)
+  if (suspect->crash_count < BD_SUSPECT_CRASHES_MAX)
     return &suspect->crashes[suspect->crash_count++];
-  for (uint32_t i = 1; i < MAX_CRASHES; i++)
+  for (uint32_t i = 1; i < BD_SUSPECT_CRASHES_MAX; i++)
     if (crash_priority (&suspect->crashes[i]) < crash_priority (least))
       least = &suspect->crashes[i];
   return crash_priority (incoming) > crash_priority (least) ? least : NULL;
@@ -202,8 +261,8 @@
 
 /*
  * Clears all crashes beside other requests, after a completion at a peer.
- * Entries store only MAX_CRASHES each, so that the peer may not have stored,
- * and thus not named, all crashes that are stored here.
+ * Entries store only BD_SUSPECT_CRASHES_MAX each, so that the peer may not
+ * have stored, and thus not named, all crashes that are stored here.
  */
 static void
 clear_shared_crashes (struct suspect *suspect)
@@ -276,6 +335,8 @@
   if (!suspect)
     return false;
   changed = merge_strike (suspect, strike);
+  if (changed)
+    invalidate_summary (suspects);
   if (last > suspect->last_event_ms)
     suspect->last_event_ms = last;
   if (suspect->crash_count == 1 && changed)
@@ -312,6 +373,7 @@
 
   if (!slot || !slot->provisional)
     return;
+  invalidate_summary (suspects);
   *slot = suspect->crashes[--suspect->crash_count];
   if (suspect->crash_count == 0)
     remove_suspect (suspects, suspect);
@@ -323,9 +385,11 @@
 {
   struct suspect *suspect = find_suspect (suspects, fingerprint);
 
-  (void)now_ms;
+  if (suspects->completed)
+    bd_harmless_parts_record (suspects->completed, fingerprint, now_ms);
   if (!suspect)
     return;
+  invalidate_summary (suspects);
   for (uint32_t i = 0; i < suspect->crash_count; i++)
     if (!suspect->crashes[i].cleared)
       {
@@ -340,10 +404,12 @@
 {
   struct suspect *suspect = find_suspect (suspects, fingerprint);
   enum bd_suspicion suspicion;
+  struct bd_suspect_evidence evidence;
 
   if (!suspect || now_ms - suspect->last_event_ms >= suspects->keep_ms)
     return BD_SUSPICION_NONE;
-  suspicion = suspicion_of (suspect);
+  evidence = weigh (suspects, suspect);
+  suspicion = bd_suspicion_by (&evidence);
   if (suspicion == BD_SUSPICION_QUARANTINE)
     {
       suspect->last_event_ms = now_ms;
@@ -356,16 +422,16 @@
 
 bool
 bd_suspects_must_wait (const struct bd_suspects *suspects, int64_t now_ms,
-                       uint64_t fingerprint)
+                       uint64_t fingerprint, bool in_progress)
 {
   const struct suspect *suspect = find_suspect (suspects, fingerprint);
-  uint32_t crashes = suspect ? count_uncleared (suspect) : 0;
+  uint32_t crashes = suspect ? weigh (suspects, suspect).crashes : 0;
+  int64_t wait_ms = BD_SUSPECT_LONG_HOLD_MS;
 
-  if (crashes < BD_SUSPECT_HOLD_CRASHES)
-    return false;
-  return now_ms - suspect->last_event_ms < (crashes == BD_SUSPECT_HOLD_CRASHES
-                                                ? BD_SUSPECT_HOLD_MS
-                                                : BD_SUSPECT_LONG_HOLD_MS);
+  if (crashes == BD_SUSPECT_HOLD_CRASHES)
+    wait_ms = in_progress ? 0 : BD_SUSPECT_HOLD_MS;
+  return crashes >= BD_SUSPECT_HOLD_CRASHES
+         && now_ms - suspect->last_event_ms < wait_ms;
 }
 
 uint32_t
@@ -392,133 +458,6 @@
   return best;
 }
 
-static size_t
-append_pending_of (struct suspect *suspect, int64_t now_ms,
-                   struct bd_strike *strikes, size_t max)
-{
-  size_t n = 0;
-
-  for (uint32_t i = 0; i < suspect->crash_count && n < max; i++)
-    {
-      struct crash *c = &suspect->crashes[i];
-
-      if (c->gossiped || c->provisional)
-        continue;
-      c->gossiped = true;
-      strikes[n++]
-          = (struct bd_strike){ .fingerprint = suspect->fingerprint,
-                                .crash = c->id,
-                                .alone = c->alone,
-                                .cleared = c->cleared,
-                                .age_ms = now_ms - suspect->last_event_ms };
-    }
-  return n;
-}
-
-/* Appends pending strikes of fingerprints with at least MIN_CRASHES uncleared
-   crashes. */
-static size_t
-append_pending (struct bd_suspects *suspects, uint32_t min_crashes,
-                int64_t now_ms, struct bd_strike *strikes, size_t n,
-                size_t max)
-{
-  uint32_t from = suspects->gossip_cursor;
-
-  for (uint32_t k = 0; k < suspects->used && n < max; k++)
-    {
-      uint32_t i = (from + k) % suspects->used;
-
-      if (count_uncleared (&suspects->suspects[i]) < min_crashes)
-        continue;
-      n += append_pending_of (&suspects->suspects[i], now_ms, strikes + n,
-                              max - n);
-      if (n == max)
-        suspects->gossip_cursor = i + 1;
-    }
-  return n;
-}
-
-size_t
-bd_suspects_next_gossip (struct bd_suspects *suspects, int64_t now_ms,
-                         struct bd_strike *strikes, size_t max)
-{
-  size_t n = append_pending (suspects, 2, now_ms, strikes, 0, max);
-
-  return append_pending (suspects, 0, now_ms, strikes, n, max);
-}
-
-/* Appends all uncleared strikes of SUSPECT, or none and returns false if there
-   is no room. */
-static bool
-append_uncleared_of (const struct suspect *suspect, int64_t now_ms,
-                     struct bd_strike *strikes, size_t *count, size_t max)
-{
-  if (*count + suspect->crash_count > max)
-    return false;
-  for (uint32_t i = 0; i < suspect->crash_count; i++)
-    if (!suspect->crashes[i].cleared && !suspect->crashes[i].provisional)
-      strikes[(*count)++]
-          = (struct bd_strike){ .fingerprint = suspect->fingerprint,
-                                .crash = suspect->crashes[i].id,
-                                .alone = suspect->crashes[i].alone,
-                                .age_ms = now_ms - suspect->last_event_ms };
-  return true;
-}
-
-size_t
-bd_suspects_list (const struct bd_suspects *suspects, int64_t now_ms,
-                  size_t *cursor, struct bd_strike *strikes, size_t max)
-{
-  size_t count = 0;
-
-  for (size_t k = 0; k < suspects->used; k++)
-    {
-      size_t index = (*cursor + k) % suspects->used;
-      const struct suspect *suspect = &suspects->suspects[index];
-
-      if (suspect->crash_count == 0
-          || suspicion_of (suspect) != BD_SUSPICION_QUARANTINE)
-        continue;
-      if (!append_uncleared_of (suspect, now_ms, strikes, &count, max))
-        {
-          *cursor = index;
-          break;
-        }
-    }
-  return count;
-}
-
-/* Returns the place in which SUSPECT is listed, less than RANKS. */
-static size_t
-rank_of (const struct suspect *suspect)
-{
-  uint32_t crashes = count_uncleared (suspect);
-
-  if (crashes >= RANKS || suspicion_of (suspect) == BD_SUSPICION_QUARANTINE)
-    return 0;
-  return RANKS - crashes;
-}
-
-size_t
-bd_suspects_list_all (const struct bd_suspects *suspects, int64_t now_ms,
-                      size_t *cursor, struct bd_strike *strikes, size_t max)
-{
-  size_t count = 0;
-
-  for (; *cursor < RANKS * suspects->used; ++*cursor)
-    {
-      const struct suspect *suspect
-          = &suspects->suspects[*cursor % suspects->used];
-
-      if (suspect->crash_count == 0 || count_uncleared (suspect) == 0
-          || rank_of (suspect) != *cursor / suspects->used)
-        continue;
-      if (!append_uncleared_of (suspect, now_ms, strikes, &count, max))
-        break;
-    }
-  return count;
-}
-
 void
 bd_suspects_tick (struct bd_suspects *suspects, int64_t now_ms)
 {
--- a/src/retry/suspect.h
+++ b/src/retry/suspect.h
@@ -6,7 +6,7 @@
 #ifndef BD_SUSPECT_H
 #define BD_SUSPECT_H
 
-#include "basildock.h"
+#include "retry/rivals.h"
 
 /** Crashes while running alone after which a fingerprint is quarantined. */
 #define BD_SUSPECT_QUARANTINE_STRIKES 2
@@ -65,6 +65,14 @@
                                         int64_t keep_ms);
 void bd_suspects_destroy (struct bd_suspects *suspects);
 
+/**
+ * From now on strikes count only for crashes that no rival explains: another
+ * fingerprint in the table, or RIVALS, which may change between calls and must
+ * outlive the table.  Returns BD_OK or BD_ERR_NOMEM.
+ */
+int bd_suspects_weigh_rivals (struct bd_suspects *suspects,
+                              const struct bd_rivals *rivals);
+
 /** Records a strike from a sidecar or a peer.  Returns true if it was new. */
 bool bd_suspects_record (struct bd_suspects *suspects, int64_t now_ms,
                          const struct bd_strike *strike);
@@ -92,9 +100,11 @@
 enum bd_suspicion bd_suspects_check (struct bd_suspects *suspects,
                                      int64_t now_ms, uint64_t fingerprint);
 
-/** Tells whether the request must wait, without being quarantined. */
+/** Tells whether the request must wait, without being quarantined.  IN
+    PROGRESS: its caller has some of its answer, so that it waits after one
+    crash more. */
 bool bd_suspects_must_wait (const struct bd_suspects *suspects, int64_t now_ms,
-                            uint64_t fingerprint);
+                            uint64_t fingerprint, bool in_progress);
 
 /**
  * Returns the index of the one runner, of COUNT named in INSTANCES, on which
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -479,16 +479,128 @@
   close_fixture (&f);
 }
 
-/* A request that had events of its answer is no suspect itself. */
+/* An attempt that had events of its answer counts against its request and its
+   part, but not before the crash is confirmed. */
 static void
-test_events_no_strike (void)
+test_events_strike (void)
 {
   struct fixture f;
 
   open_fixture (&f);
-  crash_under_part (&f, 100, true);
-  g_assert_cmpuint (pending_strikes (&f), ==, 0);
+  lose_connection_under_part (&f, 100, true);
+  g_assert_cmpint (bd_suspects_check (f.suspects, f.now_ms, 100), ==,
+                   BD_SUSPICION_NONE);
+  probe (&f, "r0", BD_CRASH_PROBE_REFUSED);
+  g_assert_cmpuint (pending_strikes (&f), ==, 1);
   g_assert_cmpuint (bd_part_breakers_crashes (f.breakers, 51), ==, 1);
+  lose_connection_under_part (&f, 200, true);
+  probe (&f, "r0", BD_CRASH_PROBE_ACCEPTED);
+  g_assert_cmpuint (bd_suspects_check (f.suspects, f.now_ms, 200), ==,
+                    BD_SUSPICION_NONE);
+  close_fixture (&f);
+}
+
+/* Puts the crash of runner r0 under COUNT requests of whose answers events
+   were read; r0 starts again. */
+static void
+crash_under (struct fixture *f, const struct bd_fingerprint *const *requests,
+             size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct bd_crash_attempt attempt
+          = { .fingerprint = requests[i],
+              .target = f->runners[0],
+              .runner_started_ms = f->runners[0]->started_ms,
+              .sent_ms = f->now_ms - 50,
+              .evidence = BD_CRASH_CONNECTION_LOST,
+              .has_events = true };
+
+      bd_crashes_open (f->crashes, f->now_ms, &attempt);
+    }
+  bd_crashes_next_probe (f->crashes, f->now_ms);
+  probe (f, "r0", BD_CRASH_PROBE_REFUSED);
+  advance (f, 1000);
+  list (f, "r0", f->now_ms, false);
+}
+
+/* Guards against a request that crashes runners after the first events of its
+   answer and is never held. */
+static void
+test_request_after_events (void)
+{
+  const struct bd_fingerprint *const requests[] = { &request };
+  struct fixture f;
+
+  open_fixture (&f);
+  crash_under (&f, requests, 1);
+  g_assert_cmpint (suspicion (&f), ==, BD_SUSPICION_ISOLATE);
+  crash_under (&f, requests, 1);
+  crash_under (&f, requests, 1);
+  for (int i = 0; i < 4; i++)
+    {
+      advance (&f, 2000);
+      g_assert_cmpint (
+          bd_crashes_suspicion_in_progress (f.crashes, f.now_ms, &request), ==,
+          BD_SUSPICION_QUARANTINE);
+      g_assert_cmpint (suspicion (&f), ==, BD_SUSPICION_QUARANTINE);
+    }
+  close_fixture (&f);
+}
+
+/* Guards against sound streams that are refused since they were at runners
+   that another request ended: one that was answered whole before yields to one
+   that never was, and one in progress goes on after two crashes. */
+static void
+test_streams_beside_request (void)
+{
+  static const struct bd_fingerprint popular = { .exact = 61, .broad = 62 };
+  static const struct bd_fingerprint lone = { .exact = 71, .broad = 72 };
+  const struct bd_fingerprint *const all[] = { &request, &popular, &lone };
+  struct fixture f;
+
+  open_fixture (&f);
+  bd_crashes_completed (f.crashes, f.now_ms, &popular);
+  crash_under (&f, all, 3);
+  crash_under (&f, all, 3);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &popular), ==,
+                   BD_SUSPICION_NONE);
+  g_assert_cmpint (
+      bd_crashes_suspicion_in_progress (f.crashes, f.now_ms, &lone), ==,
+      BD_SUSPICION_ISOLATE);
+  crash_under (&f, all, 2);
+  g_assert_cmpint (suspicion (&f), ==, BD_SUSPICION_QUARANTINE);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &popular), ==,
+                   BD_SUSPICION_NONE);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &lone), ==,
+                   BD_SUSPICION_NONE);
+  close_fixture (&f);
+}
+
+/* Guards against sound streams that are refused since they were at runners
+   that requests with a bad part ended: the part explains them, but not the
+   crashes of a request that holds it. */
+static void
+test_streams_beside_part (void)
+{
+  static const struct bd_fingerprint lone = { .exact = 71, .broad = 72 };
+  struct bd_fingerprint bad = with_part;
+  const struct bd_fingerprint *const all[] = { &bad, &lone };
+  struct fixture f;
+
+  open_fixture (&f);
+  for (uint64_t i = 0; i < BD_PART_CRASHES_MAX; i++)
+    {
+      bad.exact = bad.broad = 100 + i;
+      crash_under (&f, all, 2);
+      g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &lone), ==,
+                       BD_SUSPICION_NONE);
+    }
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &bad), ==,
+                   BD_SUSPICION_QUARANTINE);
+  bad.parts = (struct bd_part_list){ 0 };
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &bad), ==,
+                   BD_SUSPICION_NONE);
   close_fixture (&f);
 }
 
@@ -673,7 +785,11 @@
   g_test_add_data_func ("/crash/part", GINT_TO_POINTER (false), test_part);
   g_test_add_data_func ("/crash/part-after-events", GINT_TO_POINTER (true),
                         test_part);
-  g_test_add_func ("/crash/events-no-strike", test_events_no_strike);
+  g_test_add_func ("/crash/events-strike", test_events_strike);
+  g_test_add_func ("/crash/request-after-events", test_request_after_events);
+  g_test_add_func ("/crash/streams-beside-request",
+                   test_streams_beside_request);
+  g_test_add_func ("/crash/streams-beside-part", test_streams_beside_part);
   g_test_add_func ("/crash/part-back-at-once", test_part_back_at_once);
   g_test_add_func ("/crash/part-at-dark-hosts", test_part_at_dark_hosts);
   g_test_add_func ("/crash/part-of-resets", test_part_of_resets);
