--- a/src/retry/crash_summary.c
+++ b/src/retry/crash_summary.c
@@ -101,6 +101,15 @@
   return add ? add_cause (summary, crash) : NULL;
 }
 
+static void
+raise_counts (struct bd_rival_counts *counts, uint32_t count, bool unknown)
+{
+  uint32_t *most = unknown ? &counts->most_unknown : &counts->most_known;
+
+  if (*most < count)
+    *most = count;
+}
+
 void
 bd_crash_summary_count (struct bd_crash_summary *summary, struct bd_id crash,
                         uint64_t suspect, uint32_t count, bool unknown)
@@ -109,13 +118,9 @@
 
   if (!cause)
     return;
-  if (cause->counts.most < count)
-    {
-      cause->counts.most = count;
-      cause->leader = suspect;
-    }
-  if (unknown && cause->counts.most_unknown < count)
-    cause->counts.most_unknown = count;
+  if (bd_rivals_most (&cause->counts) < count)
+    cause->leader = suspect;
+  raise_counts (&cause->counts, count, unknown);
 }
 
 void
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -405,6 +405,30 @@
   bd_part_breakers_destroy (late);
 }
 
+/* Guards against sound requests that are refused because a runner crashed by
+   itself under one of them, after crashes under others that share a part: an
+   instance that saw the shared part to be harmless does not blame it for the
+   crash more that it has by a peer's count.  The bad part stays open. */
+static void
+test_crash_by_chance (void)
+{
+  struct bd_part_breakers *a = bd_part_breakers_create (7);
+  struct bd_part_breakers *b = bd_part_breakers_create (8);
+
+  bd_part_breakers_survived (a, 500, &sound);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      crash (b, &bad, i, (int64_t)i * 1000);
+      tell (b, a, (int64_t)i * 1000 + 10);
+    }
+  crash (b, &sound, 4, 4000);
+  tell (b, a, 4010);
+  g_assert_cmpint (state (a, &sound, 4100), ==, BD_BREAKER_CLOSED);
+  g_assert_cmpint (state (a, &bad, 4100), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_destroy (a);
+  bd_part_breakers_destroy (b);
+}
+
 /* Guards against an open breaker that spreads again from a peer that was cut
    off while the others heard that the part is harmless. */
 static void
@@ -638,6 +662,7 @@
   g_test_add_func ("/part-breaker/urgent-notices", test_urgent_notices);
   g_test_add_func ("/part-breaker/part-turns-bad", test_part_turns_bad);
   g_test_add_func ("/part-breaker/notices", test_notices);
+  g_test_add_func ("/part-breaker/crash-by-chance", test_crash_by_chance);
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
   g_test_add_func ("/part-breaker/hostile-notices", test_hostile_notices);
   g_test_add_func ("/part-breaker/bounded", test_bounded);
