--- a/src/retry/harmless_parts.c
+++ b/src/retry/harmless_parts.c
@@ -118,14 +118,24 @@
 
 void
 bd_harmless_parts_record (struct bd_harmless_parts *parts, uint64_t part,
-                          int64_t now_ms)
+                          int64_t at_ms)
 {
   struct bd_harmless_part *item = bd_harmless_parts_find (parts, part);
 
   if (!item)
-    item = add (parts, part);
-  if (item)
-    *item = (struct bd_harmless_part){ part, now_ms, false };
+    {
+      item = add (parts, part);
+      if (item)
+        *item = (struct bd_harmless_part){ part, at_ms, INT64_MIN };
+    }
+  else if (at_ms > item->at_ms)
+    item->at_ms = at_ms;
+}
+
+bool
+bd_harmless_part_is_doubtful (const struct bd_harmless_part *part)
+{
+  return part->at_ms < part->doubted_ms;
 }
 
 struct bd_harmless_part *
--- a/src/retry/harmless_parts.h
+++ b/src/retry/harmless_parts.h
@@ -18,8 +18,8 @@
 struct bd_harmless_part
 {
   uint64_t part;
-  int64_t at_ms; /**< When it was seen last. */
-  bool doubtful; /**< May have turned bad; suspected until the next answer. */
+  int64_t at_ms;      /**< When it was seen last. */
+  int64_t doubted_ms; /**< It may have turned bad then. */
 };
 
 struct bd_harmless_parts;
@@ -28,10 +28,13 @@
 struct bd_harmless_parts *bd_harmless_parts_create (void);
 void bd_harmless_parts_destroy (struct bd_harmless_parts *parts);
 
-/** Records that PART was seen to be harmless; without memory it stays
+/** Records that PART was seen to be harmless at AT_MS; without memory it stays
     unknown. */
 void bd_harmless_parts_record (struct bd_harmless_parts *parts, uint64_t part,
-                               int64_t now_ms);
+                               int64_t at_ms);
+
+/** Whether PART has not been harmless since it was doubted. */
+bool bd_harmless_part_is_doubtful (const struct bd_harmless_part *part);
 
 /** Returns what is known of PART, or NULL if it was not seen to be harmless.
  */
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -113,7 +113,7 @@
   const struct bd_harmless_part *harmless
       = bd_harmless_parts_find (b->harmless, part);
 
-  return !harmless || harmless->doubtful;
+  return !harmless || bd_harmless_part_is_doubtful (harmless);
 }
 
 /* If all of PARTS were seen to be harmless, suspects those that were not since
@@ -131,19 +131,11 @@
           = bd_harmless_parts_find (b->harmless, parts->parts[i]);
 
       if (harmless->at_ms < at_ms)
-        harmless->doubtful = true;
+        harmless->doubted_ms = at_ms;
     }
 }
 
-/* Whether PART is blamed for a crash: it is suspected, and no other suspected
-   part has more than its MOST crashes in succession. */
-static bool
-is_blamed (const struct bd_part_breakers *b, uint64_t part, uint32_t most)
-{
-  return is_suspected (b, part) && bd_part_breakers_crashes (b, part) == most;
-}
-
-/* The parts of a request that are blamed for a crash. */
+/* The parts of a request that are suspected the most for a crash. */
 struct blame
 {
   uint32_t most;   /* Crashes in succession that each of them has. */
@@ -191,7 +183,7 @@
     {
       uint64_t part = parts->parts[i];
       struct bd_breaker *breaker
-          = is_blamed (breakers, part, blame.most)
+          = is_suspected (breakers, part)
                 ? bd_breaker_table_get (breakers->table, part)
                 : NULL;
 
@@ -440,11 +432,25 @@
 
 /* Notices. */
 
-/* A peer that tells of a crash before a harmless answer has missed that
-   answer, and is told. */
+/* A peer that tells of a crash under a part that was seen to be harmless here
+   may not know that, and is told. */
+static void
+answer_crash (const struct bd_part_breakers *b, struct bd_breaker *breaker,
+              const struct bd_crash_entry *crash)
+{
+  const struct bd_harmless_part *harmless
+      = bd_harmless_parts_find (b->harmless, breaker->part);
+
+  if (harmless && harmless->at_ms > breaker->harmless_ms)
+    breaker->harmless_ms = harmless->at_ms;
+  if ((harmless || crash->at_ms <= breaker->harmless_ms)
+      && breaker->harmless_sends_left == 0)
+    breaker->harmless_sends_left = 1;
+}
+
 static bool
-apply_crash (struct bd_breaker *breaker, int64_t now_ms,
-             const struct bd_part_notice *notice)
+apply_crash (const struct bd_part_breakers *b, struct bd_breaker *breaker,
+             int64_t now_ms, const struct bd_part_notice *notice)
 {
   struct bd_crash_entry crash = { .id = notice->crash,
                                   .other = notice->other,
@@ -452,11 +458,21 @@
                                   .heard_ms = now_ms - notice->heard_age_ms,
                                   .at_ms = now_ms - notice->age_ms };
 
-  if (crash.at_ms <= breaker->harmless_ms && breaker->harmless_sends_left == 0)
-    breaker->harmless_sends_left = 1;
+  bool is_new = !bd_crash_list_has (&breaker->list, crash.id);
+
+  if (is_new)
+    answer_crash (b, breaker, &crash);
   return add_crash (breaker, &crash);
 }
 
+static bool
+apply_harmless (struct bd_part_breakers *b, struct bd_breaker *breaker,
+                int64_t at_ms)
+{
+  bd_harmless_parts_record (b->harmless, breaker->part, at_ms);
+  return set_harmless (b, breaker, at_ms);
+}
+
 bool
 bd_part_breakers_apply (struct bd_part_breakers *breakers, int64_t now_ms,
                         const struct bd_part_notice *notice)
@@ -472,8 +488,8 @@
     return false;
   bd_crash_summary_invalidate (breakers->summary);
   return notice->harmless
-             ? set_harmless (breakers, breaker, now_ms - notice->age_ms)
-             : apply_crash (breaker, now_ms, notice);
+             ? apply_harmless (breakers, breaker, now_ms - notice->age_ms)
+             : apply_crash (breakers, breaker, now_ms, notice);
 }
 
 static struct bd_part_notice
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -23,11 +23,13 @@
  * for a part if more runners crashed in succession under another part that was
  * there too: that one explains it.
  *
- * Requests share parts.  Blamed for a crash are only those parts of a request
- * that were not seen to be harmless before, or all if all were; of these, the
- * parts with the most crashes in succession.  While several parts are open for
- * the same crash, requests with all of them wait, and one without some of them
- * is let through soon, since it shows whether those that it has are harmless.
+ * Requests share parts.  A crash is recorded for those parts of a request that
+ * were not seen to be harmless before, or for all if all were; an instance
+ * that saw a part to be harmless tells those that blame it.  Which part is
+ * blamed is decided when a request comes (rivals.h), by all that is known
+ * then.  While several parts are open for the same crash, requests with all of
+ * them wait, and one without some of them is let through soon, since it shows
+ * whether those that it has are harmless.
  */
 #ifndef BD_PART_BREAKER_H
 #define BD_PART_BREAKER_H
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -429,6 +429,27 @@
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against sound requests that are refused by an instance that never
+   served one: a peer that did answers its notices of crashes. */
+static void
+test_peer_knows_harmless (void)
+{
+  struct bd_part_breakers *a = bd_part_breakers_create (7);
+  struct bd_part_breakers *b = bd_part_breakers_create (8);
+
+  bd_part_breakers_survived (a, 500, &sound);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      crash (b, &bad, i, (int64_t)i * 1000);
+      tell (b, a, (int64_t)i * 1000 + 10);
+      tell (a, b, (int64_t)i * 1000 + 20);
+    }
+  g_assert_cmpint (state (b, &sound, 3100), ==, BD_BREAKER_CLOSED);
+  g_assert_cmpint (state (b, &bad, 3100), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_destroy (a);
+  bd_part_breakers_destroy (b);
+}
+
 /* Guards against an open breaker that spreads again from a peer that was cut
    off while the others heard that the part is harmless. */
 static void
@@ -663,6 +684,8 @@
   g_test_add_func ("/part-breaker/part-turns-bad", test_part_turns_bad);
   g_test_add_func ("/part-breaker/notices", test_notices);
   g_test_add_func ("/part-breaker/crash-by-chance", test_crash_by_chance);
+  g_test_add_func ("/part-breaker/peer-knows-harmless",
+                   test_peer_knows_harmless);
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
   g_test_add_func ("/part-breaker/hostile-notices", test_hostile_notices);
   g_test_add_func ("/part-breaker/bounded", test_bounded);
