--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -1,6 +1,7 @@
 #include "gateway/crash.h"
 
 #include "common/log.h"
+#include "gateway/crash_rivals.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -49,17 +50,9 @@
   VERDICT_DISMISSED
 };
 
-/* The parts of prompts, as rivals of a request. */
-struct part_rivals
-{
-  struct bd_rivals base;
-  const struct bd_part_breakers *breakers;
-  const struct bd_part_list *own; /* Parts of the request. */
-};
-
 struct bd_crashes
 {
-  struct part_rivals rivals;
+  struct bd_crash_rivals rivals;
   struct bd_targets *targets;
   struct bd_suspects *suspects;
   struct bd_part_breakers *breakers;
@@ -71,20 +64,6 @@
                                KNOWN_CRASHES_MAX, the index of the next one. */
 };
 
-static bool
-explain_by_parts (const struct bd_rivals *base, struct bd_id crash,
-                  uint32_t count, bool harmless_before)
-{
-  const struct part_rivals *rivals = (const struct part_rivals *)base;
-
-  return rivals->own
-         && bd_part_breakers_explain (rivals->breakers, rivals->own, crash,
-                                      count, harmless_before);
-}
-
-static const struct bd_rivals_ops part_rivals_ops
-    = { .explain = explain_by_parts };
-
 struct bd_crashes *
 bd_crashes_create (struct bd_targets *targets, struct bd_suspects *suspects,
                    struct bd_part_breakers *breakers)
@@ -96,9 +75,7 @@
   crashes->targets = targets;
   crashes->suspects = suspects;
   crashes->breakers = breakers;
-  crashes->rivals = (struct part_rivals){ .base = { &part_rivals_ops },
-                                          .breakers = breakers };
-  if (bd_suspects_weigh_rivals (suspects, &crashes->rivals.base) == BD_OK)
+  if (bd_crash_rivals_init (&crashes->rivals, suspects, breakers) == BD_OK)
     return crashes;
   free (crashes);
   return NULL;
@@ -150,7 +127,7 @@
   enum bd_suspicion broad;
   bool held;
 
-  crashes->rivals.own = &fingerprint->parts;
+  bd_crash_rivals_set_request (&crashes->rivals, fingerprint);
   exact = bd_suspects_check (suspects, now_ms, fingerprint->exact);
   broad = bd_suspects_check (suspects, now_ms, fingerprint->broad);
   held = bd_suspects_must_wait (suspects, now_ms, fingerprint->exact,
@@ -160,7 +137,7 @@
          || bd_part_breakers_check (crashes->breakers, now_ms,
                                     &fingerprint->parts)
                 == BD_BREAKER_OPEN;
-  crashes->rivals.own = NULL;
+  bd_crash_rivals_set_request (&crashes->rivals, NULL);
   if (held)
     return BD_SUSPICION_QUARANTINE;
   return exact > broad ? exact : broad;
@@ -184,7 +161,9 @@
 bd_crashes_sent (struct bd_crashes *crashes, int64_t now_ms,
                  const struct bd_fingerprint *fingerprint)
 {
+  bd_crash_rivals_set_request (&crashes->rivals, fingerprint);
   bd_part_breakers_sent (crashes->breakers, now_ms, &fingerprint->parts);
+  bd_crash_rivals_set_request (&crashes->rivals, NULL);
 }
 
 void
--- a/src/retry/crash_summary.c
+++ b/src/retry/crash_summary.c
@@ -112,31 +112,36 @@
 
 void
 bd_crash_summary_count (struct bd_crash_summary *summary, struct bd_id crash,
-                        uint64_t suspect, uint32_t count, bool unknown)
+                        const struct bd_crash_suspect *suspect)
 {
   struct bd_crash_cause *cause = bd_crash_summary_find (summary, crash, true);
 
   if (!cause)
     return;
-  if (bd_rivals_most (&cause->counts) < count)
-    cause->leader = suspect;
-  raise_counts (&cause->counts, count, unknown);
+  if (bd_rivals_most (&cause->in_all) < suspect->in_all)
+    cause->leader = suspect->id;
+  raise_counts (&cause->in_succession, suspect->in_succession,
+                suspect->unknown);
+  raise_counts (&cause->in_all, suspect->in_all, suspect->unknown);
 }
 
 void
 bd_crash_summary_add (struct bd_crash_summary *summary,
                       const struct bd_breaker *breaker, bool unknown)
 {
-  uint32_t count = bd_crash_list_in_succession (&breaker->list);
+  struct bd_crash_suspect suspect
+      = { .id = breaker->part,
+          .in_succession = bd_crash_list_in_succession (&breaker->list),
+          .in_all = breaker->list.count,
+          .unknown = unknown };
 
   for (uint32_t i = 0; i < breaker->list.count; i++)
-    bd_crash_summary_count (summary, breaker->list.entries[i].id,
-                            breaker->part, count, unknown);
+    bd_crash_summary_count (summary, breaker->list.entries[i].id, &suspect);
 }
 
 void
-bd_crash_summary_add_open (struct bd_crash_summary *summary,
-                           const struct bd_breaker *breaker)
+bd_crash_summary_add_likely (struct bd_crash_summary *summary,
+                             const struct bd_breaker *breaker)
 {
   for (uint32_t i = 0; i < breaker->list.count; i++)
     {
@@ -144,7 +149,7 @@
           summary, breaker->list.entries[i].id, false);
 
       if (cause)
-        cause->open++;
+        cause->likely++;
     }
 }
 
@@ -162,17 +167,6 @@
     }
 }
 
-bool
-bd_crash_summary_has_other (struct bd_crash_summary *summary,
-                            const struct bd_breaker *breaker)
-{
-  const struct bd_crash_list *list = &breaker->list;
-  const struct bd_crash_cause *cause = bd_crash_summary_find (
-      summary, list->entries[list->count - 1].id, false);
-
-  return cause && cause->open > cause->own;
-}
-
 bool
 bd_crash_summary_explains (struct bd_crash_summary *summary,
                            struct bd_id crash, uint32_t count,
@@ -181,5 +175,6 @@
   const struct bd_crash_cause *cause
       = bd_crash_summary_find (summary, crash, false);
 
-  return cause && bd_rivals_outweigh (&cause->counts, count, harmless_before);
+  return cause
+         && bd_rivals_outweigh (&cause->in_succession, count, harmless_before);
 }
--- a/src/retry/crash_summary.h
+++ b/src/retry/crash_summary.h
@@ -17,9 +17,10 @@
 /** What is known of a crash. */
 struct bd_crash_cause
 {
-  struct bd_rival_counts counts; /**< Those who were there. */
-  uint64_t leader;               /**< One of them with the most crashes. */
-  uint32_t open;                 /**< Open breakers that have it. */
+  struct bd_rival_counts in_succession; /**< Those who were there. */
+  struct bd_rival_counts in_all; /**< The same with crashes side by side. */
+  uint64_t leader;               /**< One of them with the most of those. */
+  uint32_t likely;               /**< Likely causes that were there. */
   /** Of these, those of the request that is looked at; 0 between requests. */
   int64_t own;
 };
@@ -42,30 +43,33 @@
 struct bd_crash_cause *bd_crash_summary_find (struct bd_crash_summary *summary,
                                               struct bd_id crash, bool add);
 
-/** Counts that SUSPECT, with COUNT crashes, was at CRASH; UNKNOWN: it never
-    had a complete answer. */
+/** What is known of one who was at a crash. */
+struct bd_crash_suspect
+{
+  uint64_t id;
+  uint32_t in_succession; /**< Crashes of it. */
+  uint32_t in_all;
+  bool unknown; /**< It never had a complete answer. */
+};
+
+/** Counts that SUSPECT was at CRASH. */
 void bd_crash_summary_count (struct bd_crash_summary *summary,
-                             struct bd_id crash, uint64_t suspect,
-                             uint32_t count, bool unknown);
+                             struct bd_id crash,
+                             const struct bd_crash_suspect *suspect);
 
 /** Counts the crashes of BREAKER; UNKNOWN: its part was never harmless. */
 void bd_crash_summary_add (struct bd_crash_summary *summary,
                            const struct bd_breaker *breaker, bool unknown);
 
-/** Counts BREAKER as open. */
-void bd_crash_summary_add_open (struct bd_crash_summary *summary,
-                                const struct bd_breaker *breaker);
+/** Counts BREAKER as a likely cause of its crashes. */
+void bd_crash_summary_add_likely (struct bd_crash_summary *summary,
+                                  const struct bd_breaker *breaker);
 
-/** Counts BREAKER, an open one, for the request that is looked at, or with
+/** Counts BREAKER, a likely cause, for the request that is looked at, or with
     CHANGE -1 no longer. */
 void bd_crash_summary_add_own (struct bd_crash_summary *summary,
                                const struct bd_breaker *breaker, int change);
 
-/** Whether the last crash of BREAKER is also one of an open breaker that the
-    request does not have. */
-bool bd_crash_summary_has_other (struct bd_crash_summary *summary,
-                                 const struct bd_breaker *breaker);
-
 /** Whether another breaker is likelier to be the cause of CRASH than one with
     COUNT crashes in succession, whose part was harmless before or not. */
 bool bd_crash_summary_explains (struct bd_crash_summary *summary,
--- a/src/retry/part_breaker.c
+++ b/src/retry/part_breaker.c
@@ -20,6 +20,7 @@
   struct bd_breaker_table *table;
   struct bd_harmless_parts *harmless;
   struct bd_crash_summary *summary; /* Made when it is needed. */
+  const struct bd_rivals *requests; /* NULL: none are known. */
 };
 
 struct bd_part_breakers *
@@ -50,6 +51,13 @@
   free (breakers);
 }
 
+void
+bd_part_breakers_weigh_requests (struct bd_part_breakers *breakers,
+                                 const struct bd_rivals *requests)
+{
+  breakers->requests = requests;
+}
+
 uint64_t
 bd_part_breakers_dropped (const struct bd_part_breakers *breakers)
 {
@@ -223,25 +231,48 @@
 
 /* States. */
 
-/* Copies the crashes of BREAKER without those that other parts explain, which
-   are more likely to be their cause. */
+/* Whether another part, or another request than the one that is looked at, is
+   likelier to be the cause of CRASH than a part with so many crashes. */
+static bool
+is_explained (const struct bd_part_breakers *b, struct bd_id crash,
+              const struct bd_crash_list *list, bool harmless_before)
+{
+  uint32_t count = bd_crash_list_in_succession (list);
+
+  return bd_crash_summary_explains (b->summary, crash, count, harmless_before)
+         || (b->requests
+             && b->requests->ops->explain (b->requests, crash, list->count,
+                                           harmless_before));
+}
+
+/* Copies the crashes of BREAKER without those that are explained. */
 static struct bd_crash_list
 without_explained (const struct bd_part_breakers *b,
                    const struct bd_breaker *breaker)
 {
   struct bd_crash_list own = breaker->list;
-  uint32_t count = bd_crash_list_in_succession (&own);
   bool harmless_before = was_harmless (b, breaker->part);
 
-  if (count < BD_PART_CRASHES_MAX && own.count < BD_PART_RUNNERS_MAX)
+  if (bd_crash_list_in_succession (&own) < BD_PART_CRASHES_MAX
+      && own.count < BD_PART_RUNNERS_MAX)
     return own;
   for (uint32_t i = own.count; i > 0; i--)
-    if (bd_crash_summary_explains (b->summary, own.entries[i - 1].id, count,
-                                   harmless_before))
+    if (is_explained (b, own.entries[i - 1].id, &breaker->list,
+                      harmless_before))
       bd_crash_list_remove (&own, i - 1);
   return own;
 }
 
+/* Whether the crashes of BREAKER suffice to open it, if no other part explains
+   them. */
+static bool
+is_likely_cause (const struct bd_breaker *breaker)
+{
+  return bd_crash_list_in_succession (&breaker->list) >= BD_PART_CRASHES_MAX
+         || bd_crash_list_in_likely_succession (&breaker->list)
+                >= BD_PART_CRASHES_MAX;
+}
+
 /* The summary must be up to date. */
 static bool
 is_open (const struct bd_part_breakers *b, const struct bd_breaker *breaker)
@@ -270,8 +301,8 @@
     bd_crash_summary_add (b->summary, table->items[i],
                           !was_harmless (b, table->items[i]->part));
   for (size_t i = 0; i < table->count; i++)
-    if (is_open (b, table->items[i]))
-      bd_crash_summary_add_open (b->summary, table->items[i]);
+    if (is_likely_cause (table->items[i]))
+      bd_crash_summary_add_likely (b->summary, table->items[i]);
 }
 
 bool
@@ -302,8 +333,8 @@
   cause = bd_crash_summary_find (breakers->summary, crash, false);
   if (!cause || contains (parts, cause->leader))
     return false;
-  return cause->counts.most_unknown >= count
-         || bd_rivals_outweigh (&cause->counts, count, harmless_before);
+  return cause->in_all.most_unknown >= count
+         || bd_rivals_outweigh (&cause->in_all, count, harmless_before);
 }
 
 /* Returns the hold time after CRASHES in succession. */
@@ -332,7 +363,7 @@
 struct open_parts
 {
   uint32_t count;
-  bool ambiguous; /* It lacks a part that is open for the same crash. */
+  bool ambiguous; /* A part that it lacks may have caused their crashes. */
 };
 
 /* Returns the open breaker of part I, or NULL. */
@@ -346,33 +377,72 @@
   return is_open (b, breaker) ? breaker : NULL;
 }
 
+/* Counts PARTS, those of a request that is looked at, as its own, or with
+   CHANGE -1 no longer. */
+static void
+count_own (const struct bd_part_breakers *b, const struct bd_part_list *parts,
+           int change)
+{
+  for (size_t i = 0; i < parts->count; i++)
+    {
+      const struct bd_breaker *breaker
+          = bd_breaker_table_find (b->table, parts->parts[i]);
+
+      if (breaker && is_likely_cause (breaker))
+        bd_crash_summary_add_own (b->summary, breaker, change);
+    }
+}
+
+/* Whether a part that the request lacks or another request may have caused
+   CRASH, one of BREAKER. */
+static bool
+has_other_cause (const struct bd_part_breakers *b,
+                 const struct bd_breaker *breaker, struct bd_id crash)
+{
+  const struct bd_crash_cause *cause
+      = bd_crash_summary_find (b->summary, crash, false);
+
+  if (cause && cause->likely > cause->own)
+    return true;
+  return b->requests
+         && b->requests->ops->explain (b->requests, crash, breaker->list.count,
+                                       true);
+}
+
+/* Whether the crashes of BREAKER for which there is no other cause may be
+   chance. */
+static bool
+may_be_chance (const struct bd_part_breakers *b,
+               const struct bd_breaker *breaker)
+{
+  struct bd_crash_list own = breaker->list;
+
+  for (uint32_t i = own.count; i > 0; i--)
+    if (has_other_cause (b, breaker, own.entries[i - 1].id))
+      bd_crash_list_remove (&own, i - 1);
+  return bd_crash_list_in_succession (&own) <= BD_PART_CHANCE_CRASHES
+         && bd_crash_list_in_likely_succession (&own)
+                <= BD_PART_CHANCE_CRASHES;
+}
+
 static struct open_parts
 find_open (const struct bd_part_breakers *b, const struct bd_part_list *parts)
 {
   struct open_parts open = { 0 };
 
+  for (size_t i = 0; i < parts->count; i++)
+    open.count += open_breaker (b, parts, i) != NULL;
+  if (open.count == 0)
+    return open;
+  count_own (b, parts, 1);
   for (size_t i = 0; i < parts->count; i++)
     {
       const struct bd_breaker *breaker = open_breaker (b, parts, i);
 
-      open.count += breaker != NULL;
-      if (breaker)
-        bd_crash_summary_add_own (b->summary, breaker, 1);
-    }
-  for (size_t i = 0; i < parts->count && open.count > 0; i++)
-    {
-      const struct bd_breaker *breaker = open_breaker (b, parts, i);
-
-      if (breaker && bd_crash_summary_has_other (b->summary, breaker))
+      if (breaker && may_be_chance (b, breaker))
         open.ambiguous = true;
     }
-  for (size_t i = 0; i < parts->count && open.count > 0; i++)
-    {
-      const struct bd_breaker *breaker = open_breaker (b, parts, i);
-
-      if (breaker)
-        bd_crash_summary_add_own (b->summary, breaker, -1);
-    }
+  count_own (b, parts, -1);
   return open;
 }
 
--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -27,15 +27,16 @@
  * were not seen to be harmless before, or for all if all were; an instance
  * that saw a part to be harmless tells those that blame it.  Which part is
  * blamed is decided when a request comes (rivals.h), by all that is known
- * then.  While several parts are open for the same crash, requests with all of
- * them wait, and one without some of them is let through soon, since it shows
- * whether those that it has are harmless.
+ * then.  While several parts may have caused the same crashes, requests with
+ * all of them wait, and one without some of them is let through soon, since it
+ * shows whether those that it has are harmless.  Its own crash may be chance.
  */
 #ifndef BD_PART_BREAKER_H
 #define BD_PART_BREAKER_H
 
 #include "basildock.h"
 #include "retry/part_list.h"
+#include "retry/rivals.h"
 
 /** Crashes in succession that open a breaker. */
 #define BD_PART_CRASHES_MAX 3
@@ -45,6 +46,9 @@
     BD_PART_RUNNERS_MAX crashes in all; it doubles with each further crash. */
 #define BD_PART_LONG_HOLD_MS 120000
 #define BD_PART_RUNNERS_MAX 5
+/** So many crashes under a part may be chance, if another part may have caused
+    all others. */
+#define BD_PART_CHANCE_CRASHES 1
 /** State of the breakers of a request's parts, the strictest one. */
 enum bd_breaker_state
 {
@@ -82,6 +86,12 @@
 struct bd_part_breakers *bd_part_breakers_create (uint64_t seed);
 void bd_part_breakers_destroy (struct bd_part_breakers *breakers);
 
+/** From now on other requests than the one that is looked at may have caused
+    the crashes under its parts as well.  REQUESTS must outlive BREAKERS' use.
+ */
+void bd_part_breakers_weigh_requests (struct bd_part_breakers *breakers,
+                                      const struct bd_rivals *requests);
+
 enum bd_breaker_state
 bd_part_breakers_check (const struct bd_part_breakers *breakers,
                         int64_t now_ms, const struct bd_part_list *parts);
--- a/src/retry/suspect.c
+++ b/src/retry/suspect.c
@@ -129,12 +129,15 @@
     {
       const struct suspect *suspect = &s->suspects[i];
       uint32_t count = bd_suspect_uncleared (suspect);
-      bool unknown = !was_completed (s, suspect->fingerprint);
+      struct bd_crash_suspect who
+          = { .id = suspect->fingerprint,
+              .in_succession = count,
+              .in_all = count,
+              .unknown = !was_completed (s, suspect->fingerprint) };
 
       for (uint32_t k = 0; k < suspect->crash_count; k++)
         if (!suspect->crashes[k].cleared)
-          bd_crash_summary_count (s->summary, suspect->crashes[k].id,
-                                  suspect->fingerprint, count, unknown);
+          bd_crash_summary_count (s->summary, suspect->crashes[k].id, &who);
     }
 }
 
@@ -149,6 +152,19 @@
          || s->rivals->ops->explain (s->rivals, crash->id, count, completed);
 }
 
+bool
+bd_suspects_explain (const struct bd_suspects *suspects, uint64_t exact,
+                     uint64_t broad, struct bd_id crash, uint32_t count,
+                     bool harmless_before)
+{
+  const struct bd_crash_cause *cause;
+
+  update_summary (suspects);
+  cause = bd_crash_summary_find (suspects->summary, crash, false);
+  return cause && cause->leader != exact && cause->leader != broad
+         && bd_rivals_outweigh (&cause->in_all, count, harmless_before);
+}
+
 static struct bd_suspect_evidence
 weigh (const struct bd_suspects *s, const struct suspect *suspect)
 {
--- a/src/retry/suspect.h
+++ b/src/retry/suspect.h
@@ -96,6 +96,15 @@
 void bd_suspects_completed (struct bd_suspects *suspects, int64_t now_ms,
                             uint64_t fingerprint);
 
+/**
+ * Whether another request than the one with the fingerprints EXACT and BROAD
+ * is likelier to be the cause of CRASH than a part with COUNT crashes, which
+ * was harmless before or not.
+ */
+bool bd_suspects_explain (const struct bd_suspects *suspects, uint64_t exact,
+                          uint64_t broad, struct bd_id crash, uint32_t count,
+                          bool harmless_before);
+
 /** Returns the suspicion; in quarantine this counts as a refused attempt. */
 enum bd_suspicion bd_suspects_check (struct bd_suspects *suspects,
                                      int64_t now_ms, uint64_t fingerprint);
--- a/src/retry/suspect_internal.h
+++ b/src/retry/suspect_internal.h
@@ -12,7 +12,7 @@
 struct bd_crash_summary;
 
 /** Crashes stored for one fingerprint. */
-#define BD_SUSPECT_CRASHES_MAX 4
+#define BD_SUSPECT_CRASHES_MAX 8
 
 struct crash
 {
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -604,6 +604,41 @@
   close_fixture (&f);
 }
 
+/* Guards against sound requests that are refused for long because they share a
+   part with one request that crashes runners: as the request may be the cause
+   of all of those, a sound one is tried soon, also after a crash by chance.  It
+   clears the part, and the request stays held. */
+static void
+test_part_beside_request (void)
+{
+  const struct bd_fingerprint *const fatal[] = { &with_part };
+  struct bd_fingerprint sound = with_part;
+  const struct bd_fingerprint *const chance[] = { &sound };
+  struct fixture f;
+
+  open_fixture (&f);
+  sound.exact = sound.broad = 71;
+  for (int i = 0; i < BD_PART_RUNNERS_MAX; i++)
+    crash_under (&f, fatal, 1);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &sound), ==,
+                   BD_SUSPICION_QUARANTINE);
+  for (int i = 0; i < 2; i++)
+    {
+      advance (&f, 2 * (int64_t)BD_PART_HOLD_MS);
+      g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &sound), <,
+                       BD_SUSPICION_QUARANTINE);
+      bd_crashes_sent (f.crashes, f.now_ms, &sound);
+      if (i == 0)
+        crash_under (&f, chance, 1);
+    }
+  bd_crashes_completed (f.crashes, f.now_ms, &sound);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &sound), ==,
+                   BD_SUSPICION_NONE);
+  g_assert_cmpint (bd_crashes_suspicion (f.crashes, f.now_ms, &with_part), ==,
+                   BD_SUSPICION_QUARANTINE);
+  close_fixture (&f);
+}
+
 /* Guards against a runner whose crash is not counted because it is back at
    once: it accepts the probe, and its next process is heard before the list
    shows it. */
@@ -790,6 +825,7 @@
   g_test_add_func ("/crash/streams-beside-request",
                    test_streams_beside_request);
   g_test_add_func ("/crash/streams-beside-part", test_streams_beside_part);
+  g_test_add_func ("/crash/part-beside-request", test_part_beside_request);
   g_test_add_func ("/crash/part-back-at-once", test_part_back_at_once);
   g_test_add_func ("/crash/part-at-dark-hosts", test_part_at_dark_hosts);
   g_test_add_func ("/crash/part-of-resets", test_part_of_resets);
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -429,6 +429,32 @@
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against sound requests that are refused for long because a runner
+   crashed by itself under the one that was let through to show that the shared
+   part is harmless, which no instance knows: another follows soon. */
+static void
+test_crash_at_trial (void)
+{
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+  int64_t now_ms = 3000 + BD_PART_HOLD_MS + BD_PART_HOLD_MS / 2;
+
+  for (uint64_t i = 1; i <= 3; i++)
+    crash (b, &bad, i, (int64_t)i * 1000);
+  g_assert_cmpint (state (b, &sound, now_ms), ==, BD_BREAKER_HALF_OPEN);
+  bd_part_breakers_sent (b, now_ms, &sound);
+  now_ms += CRASH_MS;
+  crash (b, &sound, 4, now_ms);
+  g_assert_cmpint (state (b, &sound, now_ms), ==, BD_BREAKER_OPEN);
+  now_ms += 2 * (int64_t)BD_PART_HOLD_MS;
+  g_assert_cmpint (state (b, &sound, now_ms), ==, BD_BREAKER_HALF_OPEN);
+  g_assert_cmpint (state (b, &bad, now_ms), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_sent (b, now_ms, &sound);
+  bd_part_breakers_survived (b, now_ms + 600, &sound);
+  g_assert_cmpint (state (b, &sound, now_ms + 600), ==, BD_BREAKER_CLOSED);
+  g_assert_cmpint (state (b, &bad, now_ms + 600), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_destroy (b);
+}
+
 /* Guards against sound requests that are refused by an instance that never
    served one: a peer that did answers its notices of crashes. */
 static void
@@ -684,6 +710,7 @@
   g_test_add_func ("/part-breaker/part-turns-bad", test_part_turns_bad);
   g_test_add_func ("/part-breaker/notices", test_notices);
   g_test_add_func ("/part-breaker/crash-by-chance", test_crash_by_chance);
+  g_test_add_func ("/part-breaker/crash-at-trial", test_crash_at_trial);
   g_test_add_func ("/part-breaker/peer-knows-harmless",
                    test_peer_knows_harmless);
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
