--- a/src/gateway/crash.c
+++ b/src/gateway/crash.c
@@ -66,7 +66,7 @@
 
 struct bd_crashes *
 bd_crashes_create (struct bd_targets *targets, struct bd_suspects *suspects,
-                   struct bd_part_breakers *breakers)
+                   struct bd_part_breakers *breakers, uint64_t seed)
 {
   struct bd_crashes *crashes = calloc (1, sizeof *crashes);
 
@@ -75,7 +75,8 @@
   crashes->targets = targets;
   crashes->suspects = suspects;
   crashes->breakers = breakers;
-  if (bd_crash_rivals_init (&crashes->rivals, suspects, breakers) == BD_OK)
+  if (bd_crash_rivals_init (&crashes->rivals, suspects, breakers, seed)
+      == BD_OK)
     return crashes;
   free (crashes);
   return NULL;
@@ -163,6 +164,8 @@
 {
   bd_crash_rivals_set_request (&crashes->rivals, fingerprint);
   bd_part_breakers_sent (crashes->breakers, now_ms, &fingerprint->parts);
+  bd_suspects_sent (crashes->suspects, now_ms, fingerprint->exact);
+  bd_suspects_sent (crashes->suspects, now_ms, fingerprint->broad);
   bd_crash_rivals_set_request (&crashes->rivals, NULL);
 }
 
--- a/src/gateway/crash.h
+++ b/src/gateway/crash.h
@@ -88,10 +88,12 @@
 
 struct bd_crashes;
 
-/** All must outlive the result.  Returns NULL when out of memory. */
+/** All must outlive the result.  SEED is the seed of the times of trials.
+    Returns NULL when out of memory. */
 struct bd_crashes *bd_crashes_create (struct bd_targets *targets,
                                       struct bd_suspects *suspects,
-                                      struct bd_part_breakers *breakers);
+                                      struct bd_part_breakers *breakers,
+                                      uint64_t seed);
 void bd_crashes_destroy (struct bd_crashes *crashes);
 
 /**
--- a/src/gateway/crash_rivals.c
+++ b/src/gateway/crash_rivals.c
@@ -40,14 +40,14 @@
 int
 bd_crash_rivals_init (struct bd_crash_rivals *rivals,
                       struct bd_suspects *suspects,
-                      struct bd_part_breakers *breakers)
+                      struct bd_part_breakers *breakers, uint64_t seed)
 {
   *rivals = (struct bd_crash_rivals){ .parts = { &part_ops },
                                       .requests = { &request_ops },
                                       .suspects = suspects,
                                       .breakers = breakers };
   bd_part_breakers_weigh_requests (breakers, &rivals->requests);
-  return bd_suspects_weigh_rivals (suspects, &rivals->parts);
+  return bd_suspects_weigh_rivals (suspects, &rivals->parts, seed);
 }
 
 void
--- a/src/gateway/crash_rivals.h
+++ b/src/gateway/crash_rivals.h
@@ -18,10 +18,11 @@
 };
 
 /** Sets what the rivals of SUSPECTS and of BREAKERS are; RIVALS must outlive
-    both uses.  Returns BD_OK or BD_ERR_NOMEM. */
+    both uses.  SEED is the seed of the times of trials.  Returns BD_OK or
+   BD_ERR_NOMEM. */
 int bd_crash_rivals_init (struct bd_crash_rivals *rivals,
                           struct bd_suspects *suspects,
-                          struct bd_part_breakers *breakers);
+                          struct bd_part_breakers *breakers, uint64_t seed);
 
 /** Sets the request that is looked at, which is no rival of its own parts, nor
     they of it; NULL: none. */
--- a/src/gateway/forward.c
+++ b/src/gateway/forward.c
@@ -260,8 +260,9 @@
   forwarder->options = *options;
   forwarder->instance_count = 1;
   forwarder->random_state = bd_id_random ().low;
-  forwarder->crashes = bd_crashes_create (options->targets, options->suspects,
-                                          options->breakers);
+  forwarder->crashes
+      = bd_crashes_create (options->targets, options->suspects,
+                           options->breakers, bd_id_random ().low);
   if (!forwarder->crashes)
     {
       free (forwarder);
--- a/src/retry/suspect.c
+++ b/src/retry/suspect.c
@@ -1,6 +1,7 @@
 #include "retry/suspect_internal.h"
 
 #include "common/map.h"
+#include "common/random.h"
 #include "common/string.h"
 #include "retry/crash_summary.h"
 #include "retry/harmless_parts.h"
@@ -12,6 +13,7 @@
 #define GOSSIPS_PER_KEEP_TIME 4
 
 #define NONE UINT32_MAX
+#define NEVER_MS (INT64_MIN / 2)
 
 struct bd_suspects *
 bd_suspects_create (uint32_t max_fingerprints, int64_t keep_ms)
@@ -47,8 +49,9 @@
 
 int
 bd_suspects_weigh_rivals (struct bd_suspects *suspects,
-                          const struct bd_rivals *rivals)
+                          const struct bd_rivals *rivals, uint64_t seed)
 {
+  suspects->seed = seed;
   if (!suspects->completed)
     suspects->completed = bd_harmless_parts_create ();
   if (!suspects->summary)
@@ -250,6 +253,8 @@
   memset (suspect, 0, sizeof *suspect);
   suspect->fingerprint = strike->fingerprint;
   suspect->last_event_ms = INT64_MIN;
+  suspect->last_crash_ms = NEVER_MS;
+  suspect->trial_ms = NEVER_MS;
   return suspect;
 }
 
@@ -353,6 +358,8 @@
   changed = merge_strike (suspect, strike);
   if (changed)
     invalidate_summary (suspects);
+  if (changed && !strike->cleared && last > suspect->last_crash_ms)
+    suspect->last_crash_ms = last;
   if (last > suspect->last_event_ms)
     suspect->last_event_ms = last;
   if (suspect->crash_count == 1 && changed)
@@ -406,6 +413,7 @@
   if (!suspect)
     return;
   invalidate_summary (suspects);
+  suspect->trials = 0;
   for (uint32_t i = 0; i < suspect->crash_count; i++)
     if (!suspect->crashes[i].cleared)
       {
@@ -414,26 +422,65 @@
       }
 }
 
+/* Trials. */
+
+/* Whether a request may pass, to show that its fingerprint, which was
+   completed before, is harmless. */
+static bool
+may_try (const struct bd_suspects *s, const struct suspect *suspect,
+         int64_t now_ms)
+{
+  uint64_t random = bd_random_mix (s->seed ^ (uint64_t)suspect->last_crash_ms);
+  int64_t delay_ms = suspect->trials > 0 ? BD_SUSPECT_LONG_HOLD_MS
+                                         : BD_SUSPECT_TRIAL_DELAY_MS;
+
+  if (!s->rivals || !was_completed (s, suspect->fingerprint))
+    return false;
+  delay_ms += bd_random_below (&random, (uint32_t)delay_ms);
+  return now_ms - suspect->last_crash_ms >= delay_ms
+         && now_ms - suspect->trial_ms >= BD_SUSPECT_TRIAL_MS;
+}
+
+void
+bd_suspects_sent (struct bd_suspects *suspects, int64_t now_ms,
+                  uint64_t fingerprint)
+{
+  struct suspect *suspect = find_suspect (suspects, fingerprint);
+
+  if (!suspect || weigh (suspects, suspect).crashes < BD_SUSPECT_HOLD_CRASHES)
+    return;
+  suspect->trial_ms = now_ms;
+  suspect->trials++;
+}
+
+/* Checks. */
+
+/* Counts a refused attempt of SUSPECT, which is quarantined. */
+static void
+count_refused (const struct bd_suspects *s, struct suspect *suspect,
+               int64_t now_ms)
+{
+  suspect->last_event_ms = now_ms;
+  if (now_ms - suspect->last_gossip_ms >= s->keep_ms / GOSSIPS_PER_KEEP_TIME)
+    mark_not_gossiped (suspect, now_ms);
+}
+
 enum bd_suspicion
 bd_suspects_check (struct bd_suspects *suspects, int64_t now_ms,
                    uint64_t fingerprint)
 {
   struct suspect *suspect = find_suspect (suspects, fingerprint);
-  enum bd_suspicion suspicion;
   struct bd_suspect_evidence evidence;
 
   if (!suspect || now_ms - suspect->last_event_ms >= suspects->keep_ms)
     return BD_SUSPICION_NONE;
   evidence = weigh (suspects, suspect);
-  suspicion = bd_suspicion_by (&evidence);
-  if (suspicion == BD_SUSPICION_QUARANTINE)
-    {
-      suspect->last_event_ms = now_ms;
-      if (now_ms - suspect->last_gossip_ms
-          >= suspects->keep_ms / GOSSIPS_PER_KEEP_TIME)
-        mark_not_gossiped (suspect, now_ms);
-    }
-  return suspicion;
+  if (bd_suspicion_by (&evidence) != BD_SUSPICION_QUARANTINE)
+    return bd_suspicion_by (&evidence);
+  if (may_try (suspects, suspect, now_ms))
+    return BD_SUSPICION_ISOLATE;
+  count_refused (suspects, suspect, now_ms);
+  return BD_SUSPICION_QUARANTINE;
 }
 
 bool
@@ -444,10 +491,11 @@
   uint32_t crashes = suspect ? weigh (suspects, suspect).crashes : 0;
   int64_t wait_ms = BD_SUSPECT_LONG_HOLD_MS;
 
+  if (crashes < BD_SUSPECT_HOLD_CRASHES || may_try (suspects, suspect, now_ms))
+    return false;
   if (crashes == BD_SUSPECT_HOLD_CRASHES)
     wait_ms = in_progress ? 0 : BD_SUSPECT_HOLD_MS;
-  return crashes >= BD_SUSPECT_HOLD_CRASHES
-         && now_ms - suspect->last_event_ms < wait_ms;
+  return now_ms - suspect->last_event_ms < wait_ms;
 }
 
 uint32_t
--- a/src/retry/suspect.h
+++ b/src/retry/suspect.h
@@ -31,6 +31,15 @@
 #define BD_SUSPECT_HOLD_MS 5000
 #define BD_SUSPECT_LONG_HOLD_MS 60000
 
+/**
+ * A fingerprint that was completed before is hardly the cause, however many
+ * crashes it was at: so long after the last one, and up to as long again, one
+ * request passes, and if that crashes a runner too, one each
+ * BD_SUSPECT_LONG_HOLD_MS.  Its result is waited for BD_SUSPECT_TRIAL_MS.
+ */
+#define BD_SUSPECT_TRIAL_DELAY_MS 4000
+#define BD_SUSPECT_TRIAL_MS 10000
+
 enum bd_suspicion
 {
   BD_SUSPICION_NONE = 0,
@@ -68,10 +77,11 @@
 /**
  * From now on strikes count only for crashes that no rival explains: another
  * fingerprint in the table, or RIVALS, which may change between calls and must
- * outlive the table.  Returns BD_OK or BD_ERR_NOMEM.
+ * outlive the table.  SEED is the seed of the times of trials.  Returns BD_OK
+ * or BD_ERR_NOMEM.
  */
 int bd_suspects_weigh_rivals (struct bd_suspects *suspects,
-                              const struct bd_rivals *rivals);
+                              const struct bd_rivals *rivals, uint64_t seed);
 
 /** Records a strike from a sidecar or a peer.  Returns true if it was new. */
 bool bd_suspects_record (struct bd_suspects *suspects, int64_t now_ms,
@@ -88,6 +98,11 @@
 void bd_suspects_dismiss (struct bd_suspects *suspects, uint64_t fingerprint,
                           struct bd_id crash);
 
+/** Records that a request is sent; if it is a trial, no other may follow until
+    its result is known. */
+void bd_suspects_sent (struct bd_suspects *suspects, int64_t now_ms,
+                       uint64_t fingerprint);
+
 /**
  * Clears the strikes of FINGERPRINT after a completed request, and gossips
  * the cleared strikes.  Peers clear these, and all others that they know in
--- a/src/retry/suspect_internal.h
+++ b/src/retry/suspect_internal.h
@@ -28,6 +28,9 @@
   uint64_t fingerprint;
   int64_t last_event_ms;
   int64_t last_gossip_ms; /* Value of LAST_EVENT_MS that was last gossiped. */
+  int64_t last_crash_ms;  /* The latest strike that was new. */
+  int64_t trial_ms;       /* Of the last trial. */
+  uint32_t trials;        /* Since it was last completed. */
   uint32_t next_free;     /* In the list of free records. */
   uint32_t crash_count;   /* 0 in a free record. */
   struct crash crashes[BD_SUSPECT_CRASHES_MAX];
@@ -44,6 +47,7 @@
   struct bd_map *by_fingerprint;
   const struct bd_rivals *rivals;      /* NULL: none are weighed. */
   struct bd_harmless_parts *completed; /* Fingerprints; NULL without rivals. */
+  uint64_t seed;                       /* Of the times of trials. */
   struct bd_crash_summary *summary;    /* Likewise; made when it is needed. */
 };
 
--- a/test/test_crash.c
+++ b/test/test_crash.c
@@ -48,7 +48,7 @@
   f->targets = bd_targets_create ();
   f->suspects = bd_suspects_create (64, KEEP_MS);
   f->breakers = bd_part_breakers_create (1);
-  f->crashes = bd_crashes_create (f->targets, f->suspects, f->breakers);
+  f->crashes = bd_crashes_create (f->targets, f->suspects, f->breakers, 1);
   list (f, "r0", BORN_MS, false);
   list (f, "r1", BORN_MS, false);
   f->runners[0] = support_target (f->targets, "r0");
@@ -606,7 +606,7 @@
 
 /* Guards against sound requests that are refused for long because they share a
    part with one request that crashes runners: as the request may be the cause
-   of all of those, a sound one is tried soon, also after a crash by chance.  It
+   of all of those, a sound one is tried soon, also after a crash by chance. It
    clears the part, and the request stays held. */
 static void
 test_part_beside_request (void)
--- a/test/test_suspect.c
+++ b/test/test_suspect.c
@@ -445,6 +445,76 @@
     }
 }
 
+static bool
+explain_none (const struct bd_rivals *rivals, struct bd_id crash,
+              uint32_t count, bool harmless_before)
+{
+  (void)rivals;
+  (void)crash;
+  (void)count;
+  (void)harmless_before;
+  return false;
+}
+
+/* Returns a table in which POISON has three crashes, the last at 3000; if
+   COMPLETED is set, it was completed before. */
+static struct bd_suspects *
+after_three_crashes (bool completed)
+{
+  static const struct bd_rivals_ops ops = { .explain = explain_none };
+  static const struct bd_rivals rivals = { &ops };
+  struct bd_suspects *s = bd_suspects_create (4, KEEP_MS);
+
+  g_assert_cmpint (bd_suspects_weigh_rivals (s, &rivals, 1), ==, BD_OK);
+  if (completed)
+    bd_suspects_completed (s, 500, POISON);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      struct bd_strike strike = strike_of (POISON, i, false, false);
+
+      bd_suspects_record (s, (int64_t)i * 1000, &strike);
+    }
+  g_assert_true (bd_suspects_must_wait (s, 3010, POISON, false));
+  return s;
+}
+
+/* Guards against a popular request that is refused for a minute because it was
+   at several runners that crashed by themselves: one that was completed before
+   is tried soon, and one at a time.  One that never was keeps waiting. */
+static void
+test_trial (void)
+{
+  struct bd_suspects *s = after_three_crashes (true);
+  int64_t now_ms = 3000 + 2 * BD_SUSPECT_TRIAL_DELAY_MS;
+
+  g_assert_true (bd_suspects_must_wait (s, 2999 + BD_SUSPECT_TRIAL_DELAY_MS,
+                                        POISON, false));
+  g_assert_false (bd_suspects_must_wait (s, now_ms, POISON, false));
+  bd_suspects_sent (s, now_ms, POISON);
+  g_assert_true (bd_suspects_must_wait (s, now_ms + 10, POISON, false));
+  bd_suspects_completed (s, now_ms + 4000, POISON);
+  g_assert_false (bd_suspects_must_wait (s, now_ms + 4000, POISON, false));
+  bd_suspects_destroy (s);
+  s = after_three_crashes (false);
+  g_assert_true (bd_suspects_must_wait (s, now_ms, POISON, false));
+  bd_suspects_destroy (s);
+}
+
+/* A trial that crashes a runner is followed by the next one a minute later. */
+static void
+test_trial_crashes (void)
+{
+  struct bd_suspects *s = after_three_crashes (true);
+  struct bd_strike fourth = strike_of (POISON, 4, false, false);
+  int64_t now_ms = 3000 + 2 * BD_SUSPECT_TRIAL_DELAY_MS;
+
+  bd_suspects_sent (s, now_ms, POISON);
+  bd_suspects_record (s, now_ms, &fourth);
+  g_assert_true (bd_suspects_must_wait (
+      s, now_ms + BD_SUSPECT_LONG_HOLD_MS - 1, POISON, false));
+  bd_suspects_destroy (s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -461,5 +531,7 @@
                    test_repeated_faster_than_gossip);
   g_test_add_func ("/suspect/requests-beside-crashes",
                    test_requests_beside_crashes);
+  g_test_add_func ("/suspect/trial", test_trial);
+  g_test_add_func ("/suspect/trial-crashes", test_trial_crashes);
   return g_test_run ();
 }
