--- a/src/retry/crash_list.c
+++ b/src/retry/crash_list.c
@@ -4,16 +4,28 @@
 
 #include <string.h>
 
+/* Whether CRASH does not belong to the same moment as BEFORE, the crash of
+   another runner. */
+static bool
+is_another_moment (const struct bd_crash_entry *crash,
+                   const struct bd_crash_entry *before)
+{
+  if (crash->sent_ms >= before->at_ms)
+    return true;
+  return crash->at_ms - before->at_ms >= BD_CRASH_APART_MS
+         && crash->heard_ms - before->heard_ms >= BD_CRASH_APART_MS;
+}
+
 uint32_t
 bd_crash_list_in_succession (const struct bd_crash_list *list)
 {
+  const struct bd_crash_entry *before = NULL;
   uint32_t count = 0;
-  int64_t before_ms = INT64_MIN;
 
   for (uint32_t i = 0; i < list->count; i++)
-    if (list->entries[i].sent_ms >= before_ms)
+    if (!before || is_another_moment (&list->entries[i], before))
       {
-        before_ms = list->entries[i].at_ms;
+        before = &list->entries[i];
         count++;
       }
   return count;
--- a/src/retry/crash_list.h
+++ b/src/retry/crash_list.h
@@ -8,6 +8,10 @@
 
 #include "basildock.h"
 
+/** Crashes so far apart are not one, as of a rack that fails, whenever their
+    requests were sent; in milliseconds. */
+#define BD_CRASH_APART_MS 500
+
 /** Most crashes that are kept. */
 #define BD_CRASH_LIST_MAX 8
 
@@ -37,8 +41,8 @@
 
 bool bd_crash_list_has (const struct bd_crash_list *list, struct bd_id id);
 
-/** Returns the largest number of crashes of which each is under a request that
-    was sent after the crash before was seen. */
+/** Returns a number of crashes of which each is under a request that was sent
+    after the crash before was seen, or BD_CRASH_APART_MS after it. */
 uint32_t bd_crash_list_in_succession (const struct bd_crash_list *list);
 
 /** Returns a number of crashes of which each is under a request that was sent
--- a/test/test_part_breaker.c
+++ b/test/test_part_breaker.c
@@ -476,6 +476,27 @@
   bd_part_breakers_destroy (b);
 }
 
+/* Guards against bad requests that go on because each was sent before the
+   crash under the one before: crashes that are a second apart are several, not
+   one as of a rack. */
+static void
+test_slow_crashes (void)
+{
+  static const int64_t slow_ms = 4000;
+  struct bd_part_breakers *b = bd_part_breakers_create (7);
+
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      int64_t at_ms = slow_ms + (int64_t)i * 1200;
+      struct bd_part_crash crash = { { 0, i }, at_ms - slow_ms, at_ms, at_ms };
+
+      bd_part_breakers_crashed (b, &only_bad, &crash);
+    }
+  g_assert_cmpuint (bd_part_breakers_crashes (b, BAD), ==, 3);
+  g_assert_cmpint (state (b, &only_bad, 2 * slow_ms), ==, BD_BREAKER_OPEN);
+  bd_part_breakers_destroy (b);
+}
+
 /* Guards against an open breaker that spreads again from a peer that was cut
    off while the others heard that the part is harmless. */
 static void
@@ -713,6 +734,7 @@
   g_test_add_func ("/part-breaker/crash-at-trial", test_crash_at_trial);
   g_test_add_func ("/part-breaker/peer-knows-harmless",
                    test_peer_knows_harmless);
+  g_test_add_func ("/part-breaker/slow-crashes", test_slow_crashes);
   g_test_add_func ("/part-breaker/stale-peer", test_stale_peer);
   g_test_add_func ("/part-breaker/hostile-notices", test_hostile_notices);
   g_test_add_func ("/part-breaker/bounded", test_bounded);
