Give each kind of rival a struct with its vtable first

crash_rivals went from a member back to the struct with offsetof; a newcomer would expect the vtable in the first member, as elsewhere. No change in what it does.

--- a/src/gateway/crash_rivals.h
+++ b/src/gateway/crash_rivals.h
@@ -8,18 +8,27 @@
 
 #include "gateway/crash.h"
 
+struct bd_crash_rivals;
+
+/** The rivals of one kind. */
+struct bd_crash_rivals_view
+{
+  struct bd_rivals base;
+  const struct bd_crash_rivals *all;
+};
+
 struct bd_crash_rivals
 {
-  struct bd_rivals parts;    /**< The parts, as rivals of a request. */
-  struct bd_rivals requests; /**< The requests, as rivals of a part. */
+  struct bd_crash_rivals_view parts;    /**< As rivals of a request. */
+  struct bd_crash_rivals_view requests; /**< As rivals of a part. */
   struct bd_suspects *suspects;
   struct bd_part_breakers *breakers;
   const struct bd_fingerprint *request; /**< The one that is looked at. */
 };
 
-/** Sets what the rivals of SUSPECTS and of BREAKERS are; RIVALS must outlive
-    both uses.  SEED is the seed of the times of trials.  Returns BD_OK or
-   BD_ERR_NOMEM. */
+/** Sets what the rivals of SUSPECTS and of BREAKERS are; RIVALS must stay in
+    place as long as these.  SEED is the seed of the times of trials.  Returns
+    BD_OK or BD_ERR_NOMEM. */
 int bd_crash_rivals_init (struct bd_crash_rivals *rivals,
                           struct bd_suspects *suspects,
                           struct bd_part_breakers *breakers, uint64_t seed);
