--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -98,6 +98,15 @@
   size_t open_jobs; /**< Number of jobs without END or FAIL. */
 };
 
+/** Returns the job of REQUEST, or NULL. */
+struct job *bd_job_find (const struct bd_dispatch *dispatch,
+                         struct bd_id request);
+
+/** Fails or retries the jobs at a runner that was lost or has restarted. */
+void bd_dispatch_fail_runner_jobs (struct bd_dispatch *dispatch,
+                                   int64_t now_ms,
+                                   struct bd_fleet_runner *runner);
+
 /** Sends MESSAGE about the job's attempt.  Returns the callback's result. */
 int bd_job_send (struct bd_dispatch *dispatch, const struct job *job,
                  struct bd_fleet_runner *runner, struct bd_message *message);
