--- a/src/retry/part_breaker.h
+++ b/src/retry/part_breaker.h
@@ -6,8 +6,9 @@
  * after the first bytes, whatever else the request holds, so the requests have
  * no fingerprint in common (suspect.h).  A part's breaker counts crashes in
  * succession: crashes under requests with the part, each sent after the crash
- * before.  Crashes at the same moment, as when a rack fails, therefore count
- * as one.  A complete answer shows that the part is harmless and clears them.
+ * before, or BD_CRASH_APART_MS after it (crash_list.h).  Crashes at the same
+ * moment, as when a rack fails, therefore count as one.  A complete answer
+ * shows that the part is harmless and clears them.
  *
  * A host that went dark is found late, when other requests were sent already.
  * For a part that was never seen to be harmless, BD_PART_RUNNERS_MAX crashes
@@ -20,8 +21,8 @@
  * the hold time is added at random, so that not all instances try at once.
  *
  * Many sound requests are at a runner when it crashes.  A crash is not counted
- * for a part if more runners crashed in succession under another part that was
- * there too: that one explains it.
+ * for a part if another part, or another request, that was there too is
+ * likelier to be its cause (rivals.h).
  *
  * Requests share parts.  A crash is recorded for those parts of a request that
  * were not seen to be harmless before, or for all if all were; an instance
@@ -46,8 +47,8 @@
     BD_PART_RUNNERS_MAX crashes in all; it doubles with each further crash. */
 #define BD_PART_LONG_HOLD_MS 120000
 #define BD_PART_RUNNERS_MAX 5
-/** So many crashes under a part may be chance, if another part may have caused
-    all others. */
+/** So many crashes in succession under a part may be chance, if something else
+    may have caused all others. */
 #define BD_PART_CHANCE_CRASHES 1
 /** State of the breakers of a request's parts, the strictest one. */
 enum bd_breaker_state
