--- a/test/test_blame.c
+++ b/test/test_blame.c
@@ -14,6 +14,7 @@
 #define GATEWAYS 5
 #define RUNNERS 9
 #define IN_FLIGHT_MAX 256
+#define RUNNER_ID_BYTES 16
 #define POPULAR_MAX 40
 #define KEEP_MS 600000
 #define TICK_MS 20
@@ -142,7 +143,7 @@
 static void
 list_runner (struct fleet *f, int runner, int64_t started_ms)
 {
-  char id[8];
+  char id[RUNNER_ID_BYTES];
   struct bd_target_entry entry;
 
   snprintf (id, sizeof id, "r%d", runner);
@@ -156,7 +157,7 @@
 static struct bd_target *
 target_of (struct fleet *f, int gateway, int runner)
 {
-  char id[8];
+  char id[RUNNER_ID_BYTES];
 
   snprintf (id, sizeof id, "r%d", runner);
   return support_target (f->gateways[gateway].targets, id);
@@ -325,7 +326,7 @@
 static void
 crash_runner (struct fleet *f, int runner)
 {
-  char id[8];
+  char id[RUNNER_ID_BYTES];
 
   snprintf (id, sizeof id, "r%d", runner);
   for (size_t i = 0; i < f->in_flight;)
